Add stand-ins of the worker, the log and the instance list

Real HTTP servers that the product never imports, each usable in-process and all of them in one process by stand_ins/main.ts. Faults are controlled by POST /control; a worker keeps an audit apart from the code that admits tasks.

A first try at announcing that a worker leaves compared the flag at the arrival of a renewal with the flag now; a renewal that arrived after the change waited its whole time (seen in the test). The change is now a numbered event like the others.

--- /dev/null
+++ b/stand_ins/base/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * What the stand-ins share: a JSON server over HTTP whose faults are
+ * controlled while it runs.
+ *
+ * @module
+ */
+export * from "./answer.ts";
+export * from "./fault_control.ts";
+export * from "./json_server.ts";
--- /dev/null
+++ b/stand_ins/instance_list/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Stand-in of the platform's instance list.
+ *
+ * @module
+ */
+export * from "./instance_list.ts";
--- /dev/null
+++ b/stand_ins/log/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Stand-in of the platform's log service.
+ *
+ * @module
+ */
+export * from "./log.ts";
