Add the HTTP clients of workers, log, instance list and peers

A failed call is refused only with a numbered reason, unsent only when the request was never handed to a connection, and unknown otherwise. undici tells when a request starts on a connection, so a call that timed out while it waited for one counts as unsent.

After a timeout the origin's pool is replaced: calls that were not sent and calls that may arrive twice move to new connections. Seen without that: of three silent connections each failed a call in turn instead of only the first ('no silent connection is used after a timeout'), and a poll on a silent connection ran into its own timeout ('a repeatable call ...').

Ruled out: closing idle connections early by a shorter keep-alive, which does not help a connection that goes silent under load; undici's Agent, which cannot drop the connections of one origin.

The JSON-RPC library waits for ever for a response to another id; such a response is a fault here.

--- /dev/null
+++ b/src/clients/clock_and_randomness_test.ts
@@ -0,0 +1,27 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createRandomness, createSystemClock } from "./mod.ts";
+
+test("system clock: an aborted sleep ends at once", async () => {
+  const clock = createSystemClock();
+  const controller = new AbortController();
+  const asleep = clock.sleep(600_000, controller.signal);
+  controller.abort();
+  await asleep;
+  await clock.sleep(600_000, controller.signal);
+});
+
+test("system clock: the steady clock does not go back", () => {
+  const clock = createSystemClock();
+  const before = clock.steadyMs();
+  assert.ok(clock.steadyMs() >= before);
+});
+
+test("randomness: the same seed gives the same numbers in range", () => {
+  const draw = () => {
+    const randomness = createRandomness(7);
+    return Array.from({ length: 100 }, () => randomness.integer(3, 9));
+  };
+  assert.deepEqual(draw(), draw());
+  assert.deepEqual([...new Set(draw())].sort(), [3, 4, 5, 6, 7, 8, 9]);
+});
--- /dev/null
+++ b/src/clients/fault_of.ts
@@ -0,0 +1,21 @@
+import {
+  type DiagnosticMessage,
+  formatDiagnostic,
+} from "../diagnostics/mod.ts";
+import type { Fault, FaultKind } from "../hosts/mod.ts";
+
+/** Builds the fault of a call from a row of the table of diagnostics. */
+export function faultOf(
+  call: { step: string; peer: string },
+  kind: FaultKind,
+  diagnostic: DiagnosticMessage,
+  values: (string | number)[],
+): Fault {
+  return {
+    kind,
+    code: diagnostic.code,
+    step: call.step,
+    peer: call.peer,
+    message: formatDiagnostic(diagnostic, ...values),
+  };
+}
--- /dev/null
+++ b/src/clients/http_caller.ts
@@ -0,0 +1,196 @@
+import { err, ok, type Result } from "neverthrow";
+import { Pool } from "undici";
+import { assertNever } from "../base/mod.ts";
+import { diagnostics } from "../diagnostics/mod.ts";
+import type { Fault } from "../hosts/mod.ts";
+import { faultOf } from "./fault_of.ts";
+import { exchangeHttp, type HttpExchange } from "./http_exchange.ts";
+import type { HttpRequest } from "./http_request.ts";
+import { readRefusal } from "./refusal.ts";
+
+const KEEP_ALIVE_TIMEOUT_MS = 10_000;
+const FIRST_SUCCESS_STATUS = 200;
+const FIRST_REDIRECT_STATUS = 300;
+
+/** Options of a caller. */
+export type HttpCallerOptions = {
+  /** How many connections to one origin are open at once. */
+  connectionsPerOrigin: number;
+  /** How long a connection may take to open, in milliseconds. */
+  connectTimeoutMs: number;
+};
+
+/** Calls other processes over HTTP and says what a failure means. */
+export type HttpCaller = {
+  /**
+   * Makes a call and returns the parsed JSON of a 2xx answer, or `undefined`
+   * where it has no body.
+   *
+   * A fault is `refused` only when the other side said so in a body with a
+   * number, `unsent` only when no byte of the call can have left, and
+   * `unknown` otherwise.
+   */
+  call(
+    request: HttpRequest,
+    signal: AbortSignal,
+  ): Promise<Result<unknown, Fault>>;
+  /** Breaks every connection; calls in flight and later ones fail. */
+  close(): Promise<void>;
+};
+
+type Origin = { pool: Pool; retired: AbortController };
+
+type State = {
+  options: HttpCallerOptions;
+  origins: Map<string, Origin>;
+  isClosed: boolean;
+};
+
+/**
+ * Builds a caller with a bounded pool of connections per origin. After a
+ * timeout every connection to that origin is given up, since one that went
+ * silent looks like one that is slow.
+ *
+ * @example
+ * ```ts
+ * const caller = createHttpCaller({
+ *   connectionsPerOrigin: 4,
+ *   connectTimeoutMs: 1_000,
+ * });
+ * const result = await caller.call(request, signal);
+ * ```
+ */
+export function createHttpCaller(options: HttpCallerOptions): HttpCaller {
+  const state: State = { options, origins: new Map(), isClosed: false };
+  return {
+    call: (request, signal) => call(state, request, signal),
+    close: () => closeAll(state),
+  };
+}
+
+async function call(
+  state: State,
+  request: HttpRequest,
+  signal: AbortSignal,
+): Promise<Result<unknown, Fault>> {
+  if (state.isClosed || !URL.canParse(request.path, request.url)) {
+    const cause = state.isClosed ? "the process is stopping" : "no valid URL";
+    return err(brokenFault(request, false, cause));
+  }
+  const untilMs = performance.now() + request.timeoutMs;
+  const { origin: name } = new URL(request.url);
+  while (true) {
+    const origin = originOf(state, name);
+    const exchange = await exchangeHttp(
+      origin.pool,
+      request,
+      Math.max(1, untilMs - performance.now()),
+      signal,
+      origin.retired.signal,
+    );
+    if (exchange.kind === "timedOut") retire(state, name, origin);
+    if (exchange.kind !== "moved") return resultOf(request, exchange);
+  }
+}
+
+function resultOf(
+  request: HttpRequest,
+  exchange: Exclude<HttpExchange, { kind: "moved" }>,
+): Result<unknown, Fault> {
+  const { peer, timeoutMs, maxAnswerBytes } = request;
+  switch (exchange.kind) {
+    case "answered":
+      return readAnswer(request, exchange.status, exchange.text);
+    case "timedOut":
+      return err(faultOf(
+        request,
+        exchange.sent ? "unknown" : "unsent",
+        diagnostics.callTimedOut,
+        [peer, timeoutMs],
+      ));
+    case "aborted":
+      return err(brokenFault(request, exchange.sent, "the call was aborted"));
+    case "broken":
+      return err(brokenFault(request, exchange.sent, exchange.cause));
+    case "oversized":
+      return err(faultOf(request, "unknown", diagnostics.answerInvalid, [
+        peer,
+        `longer than ${maxAnswerBytes} bytes`,
+      ]));
+    default:
+      return assertNever(exchange);
+  }
+}
+
+function brokenFault(
+  request: HttpRequest,
+  sent: boolean,
+  cause: string,
+): Fault {
+  const { peer } = request;
+  if (sent) {
+    return faultOf(request, "unknown", diagnostics.connectionLost, [
+      peer,
+      cause,
+    ]);
+  }
+  return faultOf(request, "unsent", diagnostics.peerUnreachable, [peer, cause]);
+}
+
+function readAnswer(
+  request: HttpRequest,
+  status: number,
+  text: string,
+): Result<unknown, Fault> {
+  const isSuccess = status >= FIRST_SUCCESS_STATUS &&
+    status < FIRST_REDIRECT_STATUS;
+  const body = parseJson(text);
+  if (!isSuccess) return err(readRefusal(request, status, body));
+  if (body.isErr()) {
+    return err(faultOf(request, "unknown", diagnostics.answerInvalid, [
+      request.peer,
+      body.error,
+    ]));
+  }
+  return ok(body.value);
+}
+
+function parseJson(text: string): Result<unknown, string> {
+  if (text === "") return ok(undefined);
+  try {
+    return ok(JSON.parse(text));
+  } catch (error) {
+    return err(error instanceof Error ? error.message : String(error));
+  }
+}
+
+function originOf(state: State, name: string): Origin {
+  const known = state.origins.get(name);
+  if (known !== undefined) return known;
+  const { connectionsPerOrigin, connectTimeoutMs } = state.options;
+  const pool = new Pool(name, {
+    connections: connectionsPerOrigin,
+    pipelining: 1,
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    keepAliveMaxTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    connect: { timeout: connectTimeoutMs },
+  });
+  const origin = { pool, retired: new AbortController() };
+  state.origins.set(name, origin);
+  return origin;
+}
+
+/** Gives up an origin's connections; what is in flight may still end. */
+function retire(state: State, name: string, origin: Origin): void {
+  if (state.origins.get(name) !== origin) return;
+  state.origins.delete(name);
+  origin.pool.close().catch(() => {});
+  origin.retired.abort();
+}
+
+async function closeAll(state: State): Promise<void> {
+  state.isClosed = true;
+  const origins = [...state.origins.values()];
+  state.origins.clear();
+  await Promise.all(origins.map((origin) => origin.pool.destroy()));
+}
--- /dev/null
+++ b/src/clients/http_exchange.ts
@@ -0,0 +1,140 @@
+import { Buffer } from "node:buffer";
+import type { Dispatcher } from "undici";
+import type { HttpRequest } from "./http_request.ts";
+
+/** How one attempt to send a request and read its answer ended. */
+export type HttpExchange =
+  | { kind: "answered"; status: number; text: string }
+  /** No answer, or no whole one; `sent` tells whether bytes may have left. */
+  | { kind: "broken"; sent: boolean; cause: string }
+  | { kind: "timedOut"; sent: boolean }
+  | { kind: "aborted"; sent: boolean }
+  /** The answer is longer than the caller reads. */
+  | { kind: "oversized" }
+  /** The connections were given up; the request may be sent again. */
+  | { kind: "moved" };
+
+/**
+ * Sends a request over a pool of connections and reads the answer.
+ *
+ * @param timeoutMs time for the attempt, in milliseconds
+ * @param signal ends the attempt early
+ * @param retired aborts when the pool's connections are given up
+ */
+export function exchangeHttp(
+  pool: Dispatcher,
+  request: HttpRequest,
+  timeoutMs: number,
+  signal: AbortSignal,
+  retired: AbortSignal,
+): Promise<HttpExchange> {
+  return new Promise((resolve) => {
+    const attempt = createAttempt(request, resolve);
+    const timer = setTimeout(
+      () => attempt.end({ kind: "timedOut", sent: attempt.isSent() }),
+      timeoutMs,
+    );
+    const abort = () => {
+      attempt.end({ kind: "aborted", sent: attempt.isSent() });
+    };
+    const move = () => {
+      const mayMove = request.repeatable || !attempt.isSent();
+      if (mayMove) attempt.end({ kind: "moved" });
+    };
+    attempt.onEnd(() => {
+      clearTimeout(timer);
+      signal.removeEventListener("abort", abort);
+      retired.removeEventListener("abort", move);
+    });
+    signal.addEventListener("abort", abort);
+    retired.addEventListener("abort", move);
+    if (signal.aborted) {
+      abort();
+      return;
+    }
+    pool.dispatch(dispatchOptionsOf(request), attempt.handler);
+  });
+}
+
+type Attempt = {
+  handler: Dispatcher.DispatchHandler;
+  isSent(): boolean;
+  /** Ends the attempt once; later endings are ignored. */
+  end(exchange: HttpExchange): void;
+  onEnd(cleanUp: () => void): void;
+};
+
+function createAttempt(
+  request: HttpRequest,
+  resolve: (exchange: HttpExchange) => void,
+): Attempt {
+  const chunks: Buffer[] = [];
+  let controller: Dispatcher.DispatchController | undefined;
+  let cleanUp = () => {};
+  let isSent = false;
+  let isEnded = false;
+  let status = 0;
+  let bytes = 0;
+
+  function end(exchange: HttpExchange): void {
+    if (isEnded) return;
+    isEnded = true;
+    cleanUp();
+    if (exchange.kind !== "answered" && exchange.kind !== "broken") {
+      controller?.abort(new Error(exchange.kind));
+    }
+    resolve(exchange);
+  }
+
+  const handler: Dispatcher.DispatchHandler = {
+    onRequestStart(started) {
+      // A request that was given up in the queue is never written.
+      if (isEnded) {
+        started.abort(new Error("given up"));
+        return;
+      }
+      controller = started;
+      isSent = true;
+    },
+    onResponseStart(_controller, statusCode) {
+      status = statusCode;
+    },
+    onResponseData(_controller, chunk) {
+      bytes += chunk.length;
+      if (bytes > request.maxAnswerBytes) end({ kind: "oversized" });
+      else chunks.push(chunk);
+    },
+    onResponseEnd() {
+      const text = Buffer.concat(chunks).toString("utf8");
+      end({ kind: "answered", status, text });
+    },
+    onResponseError(_controller, error) {
+      end({ kind: "broken", sent: isSent, cause: error.message });
+    },
+  };
+  return {
+    handler,
+    end,
+    isSent: () => isSent,
+    onEnd(given) {
+      cleanUp = given;
+    },
+  };
+}
+
+function dispatchOptionsOf(
+  request: HttpRequest,
+): Dispatcher.DispatchOptions {
+  const url = new URL(request.path, request.url);
+  const options = {
+    path: url.pathname + url.search,
+    method: request.method,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  };
+  if (request.body === undefined) {
+    return { ...options, headers: request.headers ?? {} };
+  }
+  const headers = { "content-type": "application/json", ...request.headers };
+  return { ...options, headers, body: JSON.stringify(request.body) };
+}
--- /dev/null
+++ b/src/clients/http_request.ts
@@ -0,0 +1,24 @@
+/** One call over HTTP. */
+export type HttpRequest = {
+  /** What is being done, such as `worker.start`; goes into faults. */
+  step: string;
+  /** The instance, worker or service that is called; goes into faults. */
+  peer: string;
+  method: "GET" | "POST" | "PUT" | "DELETE";
+  /** Base URL of the other side, by IP number. */
+  url: string;
+  /** Path and query below the base URL. */
+  path: string;
+  headers?: Record<string, string>;
+  /** Sent as JSON; nothing is sent where it is undefined. */
+  body?: unknown;
+  /** Time for the whole call, waiting for a connection included. */
+  timeoutMs: number;
+  /** The longest answer that is read, in bytes. */
+  maxAnswerBytes: number;
+  /**
+   * Whether a second arrival of the call does no harm. Such a call moves to a
+   * new connection as soon as the old ones are under suspicion.
+   */
+  repeatable: boolean;
+};
--- /dev/null
+++ b/src/clients/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * The host interfaces over HTTP, and the process's own clock and randomness.
+ *
+ * @module
+ */
+export * from "./http_caller.ts";
+export * from "./http_request.ts";
+export * from "./instance_list_client.ts";
+export * from "./log_client.ts";
+export * from "./peer_client.ts";
+export * from "./seeded_randomness.ts";
+export * from "./system_clock.ts";
+export * from "./worker_client.ts";
--- /dev/null
+++ b/src/clients/peer_client.ts
@@ -0,0 +1,151 @@
+import { JSONRPCClient, type JSONRPCResponse } from "json-rpc-2.0";
+import { err, ok, type Result } from "neverthrow";
+import * as v from "valibot";
+import { diagnostics } from "../diagnostics/mod.ts";
+import type { Fault } from "../hosts/mod.ts";
+import { checkAnswer } from "./check_answer.ts";
+import { faultOf } from "./fault_of.ts";
+import type { HttpCaller } from "./http_caller.ts";
+import type { HttpRequest } from "./http_request.ts";
+
+const MEBIBYTE = 1_048_576;
+const MAX_ANSWER_BYTES = 16 * MEBIBYTE;
+const FIRST_DIAGNOSTIC_CODE = 1_000;
+/** Errors of JSON-RPC by which a peer says that it ran nothing. */
+const REFUSING_RPC_CODES = [-32_700, -32_600, -32_601, -32_602];
+
+const responseSchema = v.object({
+  jsonrpc: v.literal("2.0"),
+  id: v.union([v.string(), v.number()]),
+  result: v.optional(v.unknown()),
+  error: v.optional(v.object({
+    code: v.number(),
+    message: v.string(),
+    data: v.optional(v.unknown()),
+  })),
+});
+
+/** Options of the peer client. */
+export type PeerClientOptions = {
+  /** The cluster's secret, sent as bearer token. */
+  secret: string;
+};
+
+/** Calls other entry instances by JSON-RPC. */
+export type PeerClient = {
+  /**
+   * Calls a method of a peer.
+   *
+   * @param url the peer's base URL
+   * @param params plain data, sent as JSON
+   * @param timeoutMs time for the whole call, in milliseconds
+   * @returns the result, not checked yet; `null` where the peer gave none
+   */
+  call(
+    url: string,
+    method: string,
+    params: object,
+    timeoutMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<unknown, Fault>>;
+};
+
+type Sending = {
+  request: HttpRequest;
+  signal: AbortSignal;
+  /** Filled in when the call failed before a response was read. */
+  fault?: Fault;
+};
+
+/**
+ * Builds the client of the entry instances' JSON-RPC interface. A response
+ * that names a diagnostic is a refusal; any other error leaves the effect
+ * unknown.
+ *
+ * @example
+ * ```ts
+ * const peers = createPeerClient(caller, { secret: settings.secret });
+ * const answer = await peers.call(url, "heartbeat", message, 1_000, signal);
+ * ```
+ */
+export function createPeerClient(
+  caller: HttpCaller,
+  options: PeerClientOptions,
+): PeerClient {
+  const client = new JSONRPCClient<Sending>(async (payload, sending) => {
+    const response = await sendPayload(caller, payload, sending);
+    if (response.isErr()) {
+      sending.fault = response.error;
+      throw new Error(response.error.message);
+    }
+    client.receive(response.value);
+  });
+  let lastId = 0;
+
+  return {
+    async call(url, method, params, timeoutMs, signal) {
+      const request = requestOf(options, url, method, timeoutMs);
+      const sending: Sending = { request, signal };
+      lastId += 1;
+      const payload = { jsonrpc: "2.0" as const, id: lastId, method, params };
+      const response = await client.requestAdvanced(payload, sending);
+      if (sending.fault !== undefined) return err(sending.fault);
+      return resultOf(request, response);
+    },
+  };
+}
+
+async function sendPayload(
+  caller: HttpCaller,
+  payload: { id: number },
+  sending: Sending,
+): Promise<Result<JSONRPCResponse, Fault>> {
+  const { request, signal } = sending;
+  const answer = await caller.call({ ...request, body: payload }, signal);
+  const response = checkAnswer(request, responseSchema, answer);
+  if (response.isErr()) return err(response.error);
+  // The library would wait for ever for a response to another request.
+  if (response.value.id !== payload.id) {
+    const values = [request.peer, "it answers another request"];
+    return err(faultOf(request, "unknown", diagnostics.answerInvalid, values));
+  }
+  return ok(response.value as JSONRPCResponse);
+}
+
+function requestOf(
+  options: PeerClientOptions,
+  url: string,
+  method: string,
+  timeoutMs: number,
+): HttpRequest {
+  return {
+    step: `peer.${method}`,
+    peer: url,
+    method: "POST",
+    url,
+    path: "/rpc",
+    headers: { authorization: `Bearer ${options.secret}` },
+    timeoutMs,
+    maxAnswerBytes: MAX_ANSWER_BYTES,
+    repeatable: false,
+  };
+}
+
+function resultOf(
+  request: HttpRequest,
+  response: JSONRPCResponse,
+): Result<unknown, Fault> {
+  const { error } = response;
+  if (error === undefined) return ok(response.result);
+  const { step, peer } = request;
+  const isRefusal = error.code >= FIRST_DIAGNOSTIC_CODE ||
+    REFUSING_RPC_CODES.includes(error.code);
+  return err({
+    kind: isRefusal ? "refused" : "unknown",
+    code: error.code,
+    step,
+    peer,
+    message: error.message,
+    ...(error.data === undefined ? {} : { data: error.data }),
+  });
+}
--- /dev/null
+++ b/src/clients/system_clock.ts
@@ -0,0 +1,34 @@
+import type { Clock } from "../hosts/mod.ts";
+
+/**
+ * Builds the clock of the process.
+ *
+ * @example
+ * ```ts
+ * const clock = createSystemClock();
+ * await clock.sleep(100, signal);
+ * ```
+ */
+export function createSystemClock(): Clock {
+  return {
+    nowMs: () => Date.now(),
+    steadyMs: () => performance.now(),
+    sleep,
+  };
+}
+
+function sleep(delayMs: number, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal.aborted) {
+      resolve();
+      return;
+    }
+    const end = () => {
+      clearTimeout(timer);
+      signal.removeEventListener("abort", end);
+      resolve();
+    };
+    const timer = setTimeout(end, delayMs);
+    signal.addEventListener("abort", end);
+  });
+}
