--- /dev/null
+++ b/src/membership/advance.ts
@@ -0,0 +1,57 @@
+import type { Instance } from "../model/mod.ts";
+import { BAR_RETENTION_MS, barHolder } from "./bars.ts";
+import { type Holder, holderOf } from "./holder.ts";
+import type { Membership } from "./membership.ts";
+import { settlementKey } from "./settlement.ts";
+import { tick } from "./tick.ts";
+import { heardMembers, memberState } from "./views.ts";
+
+/**
+ * Moves the clock on, and bars the members of the own zone that neither this
+ * instance nor a live peer of the zone has heard for too long. Members of
+ * other zones only count as dead: their own zone decides.
+ *
+ * @example
+ * ```ts
+ * const { barred } = advance(membership, clock.steadyMs());
+ * ```
+ *
+ * @param atMs the steady clock
+ * @returns the members that were barred by this call
+ */
+export function advance(
+  membership: Membership,
+  atMs: number,
+): { barred: Instance[] } {
+  tick(membership, atMs);
+  forgetOldBars(membership);
+  const vouched = vouchedHolders(membership);
+  const barred: Instance[] = [];
+  for (const [holder, member] of membership.members) {
+    if (member.instance.zone !== membership.self.zone) continue;
+    if (memberState(membership, holder) !== "dead") continue;
+    if (vouched.has(holder)) continue;
+    barHolder(membership, holder, member.instance.zone);
+    barred.push(member.instance);
+  }
+  return { barred };
+}
+
+function forgetOldBars(membership: Membership): void {
+  for (const [holder, entry] of membership.bars) {
+    if (membership.nowMs - entry.sinceMs < BAR_RETENTION_MS) continue;
+    membership.bars.delete(holder);
+    membership.settled.delete(settlementKey(holder, entry.zone));
+  }
+}
+
+/** Collects whom the live peers of the own zone hear themselves. */
+function vouchedHolders(membership: Membership): Set<Holder> {
+  const vouched = new Set<Holder>();
+  for (const member of heardMembers(membership)) {
+    if (member.instance.zone !== membership.self.zone) continue;
+    for (const holder of member.heartbeat.heard) vouched.add(holder);
+    vouched.add(holderOf(member.instance));
+  }
+  return vouched;
+}
