--- a/src/diagnostics/diagnostics.ts
+++ b/src/diagnostics/diagnostics.ts
@@ -31,6 +31,10 @@
   taskBarred: error(2008, "Task {0} was stopped before it started."),
   holderBarred: error(2009, "Holder {0} is barred."),
   connectionLost: error(2010, "The connection to {0} was lost: {1}."),
+  appendAbandoned: error(
+    2011,
+    "The log has not confirmed the record of kind {0} in time.",
+  ),
   bodyTooLarge: error(3001, "The body is larger than {0} bytes."),
   bodyUnreadable: error(3002, "The body cannot be read as JSON: {0}."),
   submissionInvalid: error(3003, "The submission is invalid at {0}: {1}."),
--- /dev/null
+++ b/src/log_state/accepted_request.ts
@@ -0,0 +1,14 @@
+import * as v from "valibot";
+import { requestSchema } from "../model/mod.ts";
+
+/** Schema of durable work that has not ended. */
+export const acceptedRequestSchema = v.object({
+  request: requestSchema,
+  /** Number of the latest adoption; 0 while the id's own home has it. */
+  epoch: v.number(),
+  /** `instance/incarnation` of the adopter; absent at epoch 0. */
+  holder: v.optional(v.string()),
+});
+
+/** Durable work that has not ended, and who is responsible for it. */
+export type AcceptedRequest = v.InferOutput<typeof acceptedRequestSchema>;
--- /dev/null
+++ b/src/log_state/fold_manifest.ts
@@ -0,0 +1,94 @@
+import type { LogRecordOf } from "./log_record.ts";
+import type { LogState } from "./log_state.ts";
+import type { ManifestEntry } from "./manifest_entry.ts";
+
+/** How many published changes are kept for the history and for verdicts. */
+export const MAX_HISTORY_ENTRIES = 1_000;
+
+/** What the log decided about a published change. */
+export type ManifestVerdict =
+  | { kind: "won"; version: number }
+  | { kind: "lost"; versionInForce: number }
+  /** The change was not read back from the log yet. */
+  | { kind: "pending" };
+
+/**
+ * Folds a published manifest: it wins if it was built on the version in
+ * force. A repeat of a change that was decided before has no effect.
+ *
+ * @example
+ * ```ts
+ * foldManifest(state, entry.offset, record);
+ * ```
+ */
+export function foldManifest(
+  state: LogState,
+  offset: number,
+  record: LogRecordOf<"manifest">,
+): void {
+  if (findChange(state, record.changeId) !== undefined) return;
+  const accepted = record.baseVersion === state.folded.version;
+  state.history.push({
+    version: offset,
+    baseVersion: record.baseVersion,
+    author: record.author,
+    changeId: record.changeId,
+    atMs: state.clockMs,
+    accepted,
+  });
+  if (state.history.length > MAX_HISTORY_ENTRIES) state.history.shift();
+  if (!accepted) return;
+  const entry = {
+    manifest: record.manifest,
+    author: record.author,
+    changeId: record.changeId,
+  };
+  state.folded = { version: offset, entry };
+  applyManifest(state, offset, entry);
+}
+
+/**
+ * Puts a manifest into force if its version is above the present one. A peer
+ * may have passed it on while this reader cannot reach the log.
+ *
+ * @example
+ * ```ts
+ * applyManifest(state, heartbeat.version, heartbeat.entry);
+ * ```
+ *
+ * @returns whether the manifest came into force
+ */
+export function applyManifest(
+  state: LogState,
+  version: number,
+  entry: ManifestEntry,
+): boolean {
+  if (version <= state.version) return false;
+  state.version = version;
+  state.manifest = entry.manifest;
+  state.inForce = entry;
+  return true;
+}
+
+/**
+ * Tells what became of a published change.
+ *
+ * @example
+ * ```ts
+ * const verdict = manifestVerdict(state, "build-418");
+ * if (verdict.kind === "lost") rebase(verdict.versionInForce);
+ * ```
+ */
+export function manifestVerdict(
+  state: LogState,
+  changeId: string,
+): ManifestVerdict {
+  const change = findChange(state, changeId);
+  if (change === undefined) return { kind: "pending" };
+  if (change.accepted) return { kind: "won", version: change.version };
+  return { kind: "lost", versionInForce: state.folded.version };
+}
+
+function findChange(state: LogState, changeId: string) {
+  return state.history.findLast((entry) => entry.changeId === changeId);
+}
--- a/src/log_state/log_record.ts
+++ b/src/log_state/log_record.ts
@@ -1,5 +1,10 @@
 import * as v from "valibot";
-import { manifestSchema, requestSchema, usageSchema } from "../model/mod.ts";
+import {
+  manifestSchema,
+  outcomeSchema,
+  requestSchema,
+  usageSchema,
+} from "../model/mod.ts";
 
 /** Schema of an entry's data in the log. */
 export const logRecordSchema = v.variant("kind", [
@@ -46,7 +51,7 @@
     /** Durable work whose outcome is final. */
     kind: v.literal("ended"),
     requestId: v.string(),
-    outcome: v.unknown(),
+    outcome: outcomeSchema,
   }),
   v.object({
     kind: v.literal("usage"),
@@ -65,3 +70,12 @@
 
 /** The data of one entry of the log. */
 export type LogRecord = v.InferOutput<typeof logRecordSchema>;
+
+/** A record of one kind. */
+export type LogRecordOf<K extends LogRecord["kind"]> = Extract<
+  LogRecord,
+  { kind: K }
+>;
+
+/** A snapshot of the fold. */
+export type SnapshotRecord = LogRecordOf<"snapshot">;
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -6,4 +6,5 @@
 export * from "./base/mod.ts";
 export * from "./diagnostics/mod.ts";
 export * from "./hosts/mod.ts";
+export * from "./log_state/mod.ts";
 export * from "./model/mod.ts";
