--- a/src/log_state/group_commit.ts
+++ b/src/log_state/group_commit.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import { err, ok, type Result } from "neverthrow";
 import { diagnostics, formatDiagnostic } from "../diagnostics/mod.ts";
 import type { Clock, Fault, LogHost } from "../hosts/mod.ts";
@@ -97,6 +98,8 @@
     };
     const giveUp = () => waiter.settle(err(abandonedFault(waiter)));
     if (signal.aborted || host.signal.aborted) return giveUp();
+    // One signal may end any number of waiting records.
+    setMaxListeners(0, signal);
     signal.addEventListener("abort", giveUp, { once: true });
     state.waiters.add(waiter);
     if (!state.isRunning) run(host, state);
