Read settings from INI text and report every fault at once

Each value is checked by itself against its valibot schema, since a strict object of valibot stops at the first unknown key; the schema's description tells what is allowed. Faults never show secrets or tokens.

--- /dev/null
+++ b/src/settings/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * The settings of an entry instance: INI text, checked against a schema.
+ *
+ * @module
+ */
+export * from "./check_settings_file.ts";
+export * from "./read_settings.ts";
+export type { FileReader } from "./secret.ts";
+export * from "./settings.ts";
+export { formatSettingsFaults, type SettingsFault } from "./settings_fault.ts";
--- /dev/null
+++ b/src/settings/read_section.ts
@@ -0,0 +1,118 @@
+import * as v from "valibot";
+import type { IniSection } from "./ini_section.ts";
+import {
+  invalidValue,
+  missingKey,
+  type SettingsFault,
+  unknownKey,
+} from "./settings_fault.ts";
+
+type ValueSchema = v.GenericSchema<unknown, unknown>;
+type SectionSchema = v.ObjectSchema<Record<string, ValueSchema>, undefined>;
+
+/** Words in the name of a key whose value is never shown. */
+const SECRET_KEY = /secret$/;
+
+/**
+ * Reads one section with fixed keys. Every fault is added to the list; a key
+ * at fault is left out of the values.
+ *
+ * @example
+ * ```ts
+ * const log = readSection("log", sections.log, ini.get("log"), faults);
+ * ```
+ */
+export function readSection<Schema extends SectionSchema>(
+  name: string,
+  schema: Schema,
+  given: IniSection,
+  faults: SettingsFault[],
+): Partial<v.InferOutput<Schema>> {
+  const values: Record<string, unknown> = {};
+  for (const [key, value] of Object.entries(schema.entries)) {
+    const read = readValue(name, key, value, given.get(key), faults);
+    if (read !== undefined) values[key] = read;
+  }
+  const known = Object.keys(schema.entries);
+  for (const key of given.keys()) {
+    if (!known.includes(key)) faults.push(unknownKey(name, key, known));
+  }
+  return values as Partial<v.InferOutput<Schema>>;
+}
+
+/**
+ * Reads one section whose keys are names and whose values are all alike.
+ * Values are secrets and not shown in faults.
+ *
+ * @example
+ * ```ts
+ * const operators = readNames("operators", nameSchema, tokenSchema, ini, []);
+ * ```
+ */
+export function readNames<Value>(
+  name: string,
+  keySchema: ValueSchema,
+  valueSchema: v.GenericSchema<string, Value>,
+  given: IniSection,
+  faults: SettingsFault[],
+): Record<string, Value> {
+  const values: Record<string, Value> = {};
+  for (const [key, texts] of given) {
+    if (!v.is(keySchema, key)) {
+      faults.push(unknownKey(name, key, [allowedText(keySchema)]));
+      continue;
+    }
+    const parsed = v.safeParse(valueSchema, texts[0]);
+    if (texts.length > 1) {
+      faults.push(repeatedKey(name, key));
+    } else if (parsed.success) {
+      values[key] = parsed.output;
+    } else {
+      faults.push(
+        invalidValue(name, key, "(hidden)", allowedText(valueSchema)),
+      );
+    }
+  }
+  return values;
+}
+
+/**
+ * Says what a value may be, from the description in its schema.
+ *
+ * @example
+ * ```ts
+ * allowedText(nameSchema); // "1 to 63 of a-z, 0-9 and -, ..."
+ * ```
+ */
+export function allowedText(schema: ValueSchema): string {
+  if ("wrapped" in schema) return allowedText(schema.wrapped as ValueSchema);
+  return v.getDescription(schema) ?? "a text";
+}
+
+function readValue(
+  section: string,
+  key: string,
+  schema: ValueSchema,
+  texts: string[] | undefined,
+  faults: SettingsFault[],
+): unknown {
+  if (texts !== undefined && texts.length > 1) {
+    faults.push(repeatedKey(section, key));
+    return undefined;
+  }
+  const parsed = v.safeParse(schema, texts?.[0]);
+  if (parsed.success) return parsed.output;
+  const text = texts?.[0];
+  const allowed = allowedText(schema);
+  if (text === undefined) {
+    faults.push(missingKey(section, key, allowed));
+  } else {
+    const shown = SECRET_KEY.test(key) ? "(hidden)" : text;
+    faults.push(invalidValue(section, key, shown, allowed));
+  }
+  return undefined;
+}
+
+function repeatedKey(section: string, key: string): SettingsFault {
+  return invalidValue(section, key, "(given twice)", "one value");
+}
--- /dev/null
+++ b/src/settings/values.ts
@@ -0,0 +1,166 @@
+/**
+ * Schemas of the values that a settings file may hold. Each one carries a
+ * description, which tells the reader of a fault what is allowed.
+ *
+ * @module
+ */
+import { isIP } from "node:net";
+import * as v from "valibot";
+
+const HIGHEST_PORT = 65_535;
+
+/** Names of instances, zones and customers, as in the manifest. */
+const NAME_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/;
+/** The characters of a bearer token, as in RFC 6750. */
+const TOKEN_PATTERN = /^[A-Za-z0-9._~+/-]{8,}=*$/;
+
+/** A host by IP number, and a port. */
+export type SocketAddress = { host: string; port: number };
+
+/** Schema of a name. */
+export const nameSchema = v.pipe(
+  v.string(),
+  v.regex(NAME_PATTERN),
+  v.description("1 to 63 of a-z, 0-9 and -, starting with a letter or digit"),
+);
+
+/** Schema of a bearer token. */
+export const tokenSchema = v.pipe(
+  v.string(),
+  v.regex(TOKEN_PATTERN),
+  v.description("a token of at least 8 of A-Z, a-z, 0-9 and ._~+/-"),
+);
+
+/** Schema of a list of bearer tokens. */
+export const tokenListSchema = v.pipe(
+  v.string(),
+  v.transform(splitList),
+  v.array(tokenSchema),
+  v.minLength(1),
+  v.description(
+    "a comma list of tokens of at least 8 of A-Z, a-z, 0-9 and ._~+/-",
+  ),
+);
+
+/** Schema of a base URL by IP number. */
+export const ipUrlSchema = v.pipe(
+  v.string(),
+  v.check(isIpUrl),
+  v.description("http://IP:PORT by IP number, without a path"),
+);
+
+/** Schema of a list of base URLs by IP number; it may be empty. */
+export const ipUrlListSchema = v.pipe(
+  v.string(),
+  v.transform(splitList),
+  v.array(ipUrlSchema),
+  v.description("a comma list of http://IP:PORT, or nothing"),
+);
+
+/** Schema of a base URL by IP number or host name. */
+export const urlSchema = v.pipe(
+  v.string(),
+  v.check(isHttpUrl),
+  v.description("an http:// or https:// URL"),
+);
+
+/** Schema of a socket address to listen on. */
+export const socketAddressSchema = v.pipe(
+  v.string(),
+  v.check((text) => isIpUrl(`http://${text}`)),
+  v.transform(toSocketAddress),
+  v.description("IP:PORT by IP number, such as 127.0.0.1:8001"),
+);
+
+/** Schema of a text that is not empty. */
+export const textSchema = v.pipe(
+  v.string(),
+  v.nonEmpty(),
+  v.description("a text that is not empty"),
+);
+
+/** Schema of a shared secret. */
+export const secretSchema = v.pipe(
+  v.string(),
+  v.minLength(16),
+  v.description("at least 16 characters"),
+);
+
+/** Schema of a port. */
+export const portSchema = wholeNumber(1, HIGHEST_PORT);
+
+/**
+ * Builds the schema of a whole number between two bounds, both included.
+ *
+ * @example
+ * ```ts
+ * const heartbeatMs = wholeNumber(10, 60_000);
+ * ```
+ */
+export function wholeNumber(low: number, high: number) {
+  return v.pipe(
+    v.string(),
+    v.regex(/^[0-9]{1,15}$/),
+    v.transform(Number),
+    v.minValue(low),
+    v.maxValue(high),
+    v.description(`a whole number from ${low} to ${high}`),
+  );
+}
+
+/**
+ * Builds the schema of a choice between words.
+ *
+ * @example
+ * ```ts
+ * const format = choice("line", "json");
+ * ```
+ */
+export function choice<const Word extends string>(...words: Word[]) {
+  return v.pipe(
+    v.string(),
+    v.picklist(words),
+    v.description(words.join(" or ")),
+  );
+}
+
+function splitList(text: string): string[] {
+  return text.split(",").map((part) => part.trim()).filter(isNotEmpty);
+}
+
+function isNotEmpty(text: string): boolean {
+  return text !== "";
+}
+
+function isHttpUrl(text: string): boolean {
+  const url = parseUrl(text);
+  return url?.protocol === "http:" || url?.protocol === "https:";
+}
+
+function isIpUrl(text: string): boolean {
+  const match = /^http:\/\/(\[[^\]]+\]|[^:/]+):([0-9]{1,5})$/.exec(text);
+  if (match === null) return false;
+  const port = Number(match[2]);
+  return isIP(unbracket(match[1] ?? "")) !== 0 && port > 0 &&
+    port <= HIGHEST_PORT;
+}
+
+function toSocketAddress(text: string): SocketAddress {
+  const colon = text.lastIndexOf(":");
+  return {
+    host: unbracket(text.slice(0, colon)),
+    port: Number(text.slice(colon + 1)),
+  };
+}
+
+function unbracket(host: string): string {
+  return host.startsWith("[") ? host.slice(1, -1) : host;
+}
+
+function parseUrl(text: string): URL | undefined {
+  try {
+    return new URL(text);
+  } catch {
+    return undefined;
+  }
+}
