--- /dev/null
+++ b/src/manifest/manifest_change.ts
@@ -0,0 +1,6 @@
+/** One difference between two manifests. */
+export type ManifestChange =
+  /** A customer, agreement, kind of work or optional field appeared. */
+  | { kind: "added"; path: string; after: unknown }
+  | { kind: "removed"; path: string; before: unknown }
+  | { kind: "changed"; path: string; before: unknown; after: unknown };
--- /dev/null
+++ b/src/manifest/relation_faults.ts
@@ -0,0 +1,99 @@
+import {
+  type Agreement,
+  fitsInto,
+  type Manifest,
+  RESOURCE_NAMES,
+  type Resources,
+  type WorkKind,
+} from "../model/mod.ts";
+import {
+  type ManifestFault,
+  manifestFault,
+  type PathStep,
+} from "./manifest_fault.ts";
+
+/** A smaller demand looks like whole cores given as thousandths. */
+const LEAST_CPU_MILLIS = 10;
+/** A larger demand looks like bytes or KiB given as MiB. */
+const MOST_MEMORY_MB = 16_777_216;
+
+/**
+ * Finds what is wrong between the parts of a manifest that fits its schema:
+ * names used twice, customers that do not exist, and implausible demands.
+ *
+ * @example
+ * ```ts
+ * const faults = [...relationFaults(manifest)];
+ * ```
+ */
+export function* relationFaults(manifest: Manifest): Generator<ManifestFault> {
+  yield* repeatedNames(manifest.customers, ["customers"]);
+  yield* repeatedNames(manifest.agreements, ["agreements"]);
+  const customers = new Set(manifest.customers.map(({ name }) => name));
+  for (const [index, agreement] of manifest.agreements.entries()) {
+    yield* agreementFaults(agreement, ["agreements", index], customers);
+  }
+}
+
+function* agreementFaults(
+  agreement: Agreement,
+  path: PathStep[],
+  customers: Set<string>,
+): Generator<ManifestFault> {
+  if (!customers.has(agreement.customer)) {
+    const cause = `there is no customer "${agreement.customer}"`;
+    yield manifestFault([...path, "customer"], cause);
+  }
+  yield* repeatedNames(agreement.work, [...path, "work"]);
+  for (const [index, work] of agreement.work.entries()) {
+    yield* demandFaults(work, [...path, "work", index, "demand"], agreement);
+  }
+}
+
+function* demandFaults(
+  work: WorkKind,
+  path: PathStep[],
+  agreement: Agreement,
+): Generator<ManifestFault> {
+  const { cpuMillis, memoryMb } = work.demand;
+  if (cpuMillis < LEAST_CPU_MILLIS) {
+    const cause = `${cpuMillis} thousandths of a core is implausible; ` +
+      `allowed: at least ${LEAST_CPU_MILLIS}`;
+    yield manifestFault([...path, "cpuMillis"], cause);
+  }
+  if (memoryMb < 1 || memoryMb > MOST_MEMORY_MB) {
+    const cause = `${memoryMb} MiB is implausible; ` +
+      `allowed: 1 to ${MOST_MEMORY_MB}`;
+    yield manifestFault([...path, "memoryMb"], cause);
+  }
+  if (!fitsInto(work.demand, agreement.share)) {
+    yield* excessFaults(work.demand, agreement.share, path);
+  }
+}
+
+function* excessFaults(
+  demand: Resources,
+  share: Resources,
+  path: PathStep[],
+): Generator<ManifestFault> {
+  for (const name of RESOURCE_NAMES) {
+    if (demand[name] <= share[name]) continue;
+    const cause = `one task needs ${demand[name]}, ` +
+      `more than the whole share of ${share[name]}`;
+    yield manifestFault([...path, name], cause);
+  }
+}
+
+function* repeatedNames(
+  named: { name: string }[],
+  path: PathStep[],
+): Generator<ManifestFault> {
+  const seen = new Set<string>();
+  for (const [index, { name }] of named.entries()) {
+    if (seen.has(name)) {
+      const cause = `the name "${name}" is used twice`;
+      yield manifestFault([...path, index, "name"], cause);
+    }
+    seen.add(name);
+  }
+}
