Place tasks on workers: the thin core

Cause: the driver needs a core to build on. Batch tasks go to the fullest of a few workers with room, replicas of a service spread over racks, a gang gets room for all tasks or none; room is held until the start is answered or the task ends.

Free room is indexed by a binary tree that holds the most of each resource below a node. Ruled out: buckets by one dominant resource, which miss room when another resource is the scarce one, so that work waits although it fits.

--- /dev/null
+++ b/src/placement/choose_worker.ts
@@ -0,0 +1,122 @@
+/**
+ * Which worker a task goes to, by its policy.
+ *
+ * @module
+ */
+import { assertNever } from "../base/mod.ts";
+import type { Policy, Resources, Task } from "../model/mod.ts";
+import { type FreeIndex, nextFittingLeaf } from "./free_index.ts";
+import type { Placement } from "./placement.ts";
+import type { WorkerState } from "./worker_state.ts";
+
+/** How many workers with room are compared for one batch task. */
+const BATCH_CANDIDATES = 8;
+/** How many workers with room are compared for one replica of a service. */
+const SERVICE_CANDIDATES = 64;
+
+/**
+ * Chooses a worker with room for a task.
+ *
+ * @returns the worker, or undefined where no worker has the room
+ */
+export function chooseWorker(
+  placement: Placement,
+  task: Task,
+  demand: Resources,
+): WorkerState | undefined {
+  if (demand.accelerators > 0) {
+    return chooseFrom(placement, placement.accelerated, task, demand);
+  }
+  return chooseFrom(placement, placement.plain, task, demand) ??
+    chooseFrom(placement, placement.accelerated, task, demand);
+}
+
+function chooseFrom(
+  placement: Placement,
+  index: FreeIndex<WorkerState>,
+  task: Task,
+  demand: Resources,
+): WorkerState | undefined {
+  const { kind }: Policy = task.policy;
+  switch (kind) {
+    case "batch":
+    case "gang":
+      return bestFit(index, demand);
+    case "service":
+      return spread(placement, index, task, demand);
+    default:
+      return assertNever(kind);
+  }
+}
+
+/** The worker of the first few with room that is left the fullest. */
+function bestFit(
+  index: FreeIndex<WorkerState>,
+  demand: Resources,
+): WorkerState | undefined {
+  let best: WorkerState | undefined;
+  let least = Infinity;
+  let leaf = nextFittingLeaf(index, demand, 0);
+  for (let i = 0; leaf >= 0 && i < BATCH_CANDIDATES; i++) {
+    const worker = index.leaves[leaf]!;
+    const left = leftOver(worker, demand);
+    if (left < least) {
+      least = left;
+      best = worker;
+    }
+    leaf = nextFittingLeaf(index, demand, leaf + 1);
+  }
+  return best;
+}
+
+/** The worker on the rack with the fewest replicas of the same request. */
+function spread(
+  placement: Placement,
+  index: FreeIndex<WorkerState>,
+  task: Task,
+  demand: Resources,
+): WorkerState | undefined {
+  const racks = placement.replicas.get(task.requestId);
+  const start = placement.options.randomness.integer(0, index.size - 1);
+  let best: WorkerState | undefined;
+  let least = Infinity;
+  for (const worker of workersFrom(index, demand, start)) {
+    const onRack = racks?.get(worker.address.rack) ?? 0;
+    const cost = onRack + leftOver(worker, demand) / 2;
+    if (cost >= least) continue;
+    least = cost;
+    best = worker;
+  }
+  return best;
+}
+
+/** Some workers with room, from a leaf on and around. */
+function* workersFrom(
+  index: FreeIndex<WorkerState>,
+  demand: Resources,
+  start: number,
+): Generator<WorkerState> {
+  let count = 0;
+  for (const [from, to] of [[start, index.size], [0, start]] as const) {
+    let leaf = nextFittingLeaf(index, demand, from);
+    while (leaf >= 0 && leaf < to && count < SERVICE_CANDIDATES) {
+      yield index.leaves[leaf]!;
+      count += 1;
+      leaf = nextFittingLeaf(index, demand, leaf + 1);
+    }
+  }
+}
+
+/** The share of a worker's dominant resource that a task would leave free. */
+function leftOver(worker: WorkerState, demand: Resources): number {
+  const { free, capacity: { resources } } = worker;
+  const cpu = demand.cpuMillis / (resources.cpuMillis || 1);
+  const memory = demand.memoryMb / (resources.memoryMb || 1);
+  const accelerators = demand.accelerators / (resources.accelerators || 1);
+  if (accelerators >= cpu && accelerators >= memory && accelerators > 0) {
+    return free.accelerators / resources.accelerators - accelerators;
+  }
+  return cpu >= memory
+    ? free.cpuMillis / (resources.cpuMillis || 1) - cpu
+    : free.memoryMb / (resources.memoryMb || 1) - memory;
+}
--- /dev/null
+++ b/src/placement/placement.ts
@@ -0,0 +1,65 @@
+import type { Resources } from "../model/mod.ts";
+import { createFreeIndex, type FreeIndex } from "./free_index.ts";
+import type { Lane } from "./lane.ts";
+import type { PlacementOptions } from "./placement_options.ts";
+import type { TaskEntry } from "./task_entry.ts";
+import type { WorkerState } from "./worker_state.ts";
+
+/**
+ * The state of a placement core: plain data, changed in place by
+ * `stepPlacement` alone.
+ */
+export type Placement = {
+  options: PlacementOptions;
+  workers: Map<string, WorkerState>;
+  /** Workers without accelerators. */
+  plain: FreeIndex<WorkerState>;
+  /** Workers with accelerators. */
+  accelerated: FreeIndex<WorkerState>;
+  /** Every task that waits or has room on a worker. */
+  tasks: Map<string, TaskEntry>;
+  lanes: Map<string, Lane>;
+  /** Lanes in which tasks wait. */
+  activeLanes: Set<Lane>;
+  queued: number;
+  /** Tasks that have room on a worker. */
+  running: number;
+  /** Waiting tasks by declared urgency, from 0. */
+  queuedByUrgency: number[];
+  /** Replicas of each service request by rack. */
+  replicas: Map<string, Map<string, number>>;
+  /** Room held by each agreement. */
+  held: Map<string, Resources>;
+  /** The part of each agreement's share that this instance may use. */
+  shares: Map<string, Resources>;
+};
+
+/**
+ * Creates a placement core without workers or tasks.
+ *
+ * @example
+ * ```ts
+ * const placement = createPlacement({
+ *   preference: "waiting",
+ *   randomness,
+ *   maxQueuedTasks: 10_000,
+ * });
+ * ```
+ */
+export function createPlacement(options: PlacementOptions): Placement {
+  return {
+    options,
+    workers: new Map(),
+    plain: createFreeIndex(),
+    accelerated: createFreeIndex(),
+    tasks: new Map(),
+    lanes: new Map(),
+    activeLanes: new Set(),
+    queued: 0,
+    running: 0,
+    queuedByUrgency: new Array(10).fill(0),
+    replicas: new Map(),
+    held: new Map(),
+    shares: new Map(),
+  };
+}
--- /dev/null
+++ b/src/placement/rank.ts
@@ -0,0 +1,60 @@
+/**
+ * The order in which waiting work gets room.
+ *
+ * @module
+ */
+import { MOST_URGENT, NO_RESOURCES, RESOURCE_NAMES } from "../model/mod.ts";
+import type { Lane } from "./lane.ts";
+import type { Placement } from "./placement.ts";
+import { firstGroup } from "./queue.ts";
+
+/** Waiting this long makes work one step more urgent, in milliseconds. */
+export const AGEING_STEP_MS = 30_000;
+/** Age alone never makes work as urgent as the most urgent. */
+const MOST_URGENT_BY_AGE = MOST_URGENT - 1;
+
+/** The lanes in which tasks wait, in the order in which they get room. */
+export function rankLanes(placement: Placement, atMs: number): Lane[] {
+  const ranks = new Map<Lane, Rank>();
+  for (const lane of placement.activeLanes) {
+    ranks.set(lane, rankOf(placement, lane, atMs));
+  }
+  const lanes = [...placement.activeLanes];
+  return lanes.sort((a, b) => compareRanks(ranks.get(a)!, ranks.get(b)!));
+}
+
+/** Urgency raised by the time waited; the most urgent stays first. */
+export function agedUrgency(urgency: number, waitedMs: number): number {
+  if (urgency > MOST_URGENT_BY_AGE) return urgency;
+  const raised = urgency + Math.floor(waitedMs / AGEING_STEP_MS);
+  return Math.min(raised, MOST_URGENT_BY_AGE);
+}
+
+/** The part of its share that an agreement holds, by its largest resource. */
+export function shareHeld(placement: Placement, agreement: string): number {
+  const share = placement.shares.get(agreement);
+  if (share === undefined) return 0;
+  const held = placement.held.get(agreement) ?? NO_RESOURCES;
+  let most = 0;
+  for (const name of RESOURCE_NAMES) {
+    if (held[name] <= 0) continue;
+    most = Math.max(most, share[name] > 0 ? held[name] / share[name] : 1);
+  }
+  return most;
+}
+
+type Rank = { urgency: number; held: number; queuedAtMs: number };
+
+function rankOf(placement: Placement, lane: Lane, atMs: number): Rank {
+  const queuedAtMs = firstGroup(lane)?.queuedAtMs ?? atMs;
+  return {
+    urgency: agedUrgency(lane.urgency, atMs - queuedAtMs),
+    held: shareHeld(placement, lane.agreement),
+    queuedAtMs,
+  };
+}
+
+function compareRanks(a: Rank, b: Rank): number {
+  return b.urgency - a.urgency || a.held - b.held ||
+    a.queuedAtMs - b.queuedAtMs;
+}
--- /dev/null
+++ b/src/placement/step_placement.ts
@@ -0,0 +1,165 @@
+import { assertNever } from "../base/mod.ts";
+import type { TaskRecord } from "../model/mod.ts";
+import type { Placement } from "./placement.ts";
+import type { PlacementCommand } from "./placement_command.ts";
+import type { PlacementEvent, StartRefusal } from "./placement_event.ts";
+import { fillWorker, placeAll, placeGroup } from "./place.ts";
+import { dequeueTask, enqueueTasks, requeueTask } from "./queue.ts";
+import { refreshLeaf, removePlaced } from "./room.ts";
+import type { Step } from "./step.ts";
+import type { PlacedTask } from "./task_entry.ts";
+import { forgetWorker, joinWorker, takeOver } from "./workers.ts";
+import type { WorkerState } from "./worker_state.ts";
+
+/**
+ * Works one event into a placement core and returns what the driver has to
+ * do. The same events at the same times, with the same randomness, give the
+ * same commands.
+ *
+ * @example
+ * ```ts
+ * const commands = stepPlacement(placement, { kind: "ticked" }, clock.nowMs());
+ * for (const command of commands) run(command);
+ * ```
+ *
+ * @param placement the core, changed in place
+ * @param event what happened
+ * @param atMs the wall clock, in milliseconds since the epoch
+ */
+export function stepPlacement(
+  placement: Placement,
+  event: PlacementEvent,
+  atMs: number,
+): PlacementCommand[] {
+  const step: Step = { placement, atMs, commands: [] };
+  applyEvent(step, event);
+  return step.commands;
+}
+
+function applyEvent(step: Step, event: PlacementEvent): void {
+  const { placement, atMs } = step;
+  switch (event.kind) {
+    case "workerJoined":
+      return fillWorker(step, joinWorker(placement, event, atMs));
+    case "workerLost":
+      return withWorker(
+        step,
+        event.worker,
+        (worker) => forgetWorker(placement, worker),
+      );
+    case "workerLeaving":
+      return withWorker(step, event.worker, (worker) => {
+        worker.leaving = true;
+        refreshLeaf(placement, worker);
+      });
+    case "workerReachable":
+      return withWorker(step, event.worker, (worker) => {
+        worker.reachable = event.reachable;
+        refreshLeaf(placement, worker);
+        if (event.reachable) fillWorker(step, worker);
+      });
+    case "submitted": {
+      const group = enqueueTasks(placement, event.request, event.tasks, atMs);
+      if (group !== undefined) placeGroup(step, group);
+      return;
+    }
+    case "startConfirmed":
+      return withPlaced(step, event.worker, event.taskId, (placed) => {
+        placed.confirmed = true;
+      });
+    case "startRefused":
+      return withPlaced(
+        step,
+        event.worker,
+        event.taskId,
+        (placed) => returnRefused(step, placed, event.refusal),
+      );
+    case "taskChanged":
+      return withWorker(
+        step,
+        event.worker,
+        (worker) => changeTask(step, worker, event.record),
+      );
+    case "withdrawn":
+      return withdraw(step, event.taskIds);
+    case "manifestChanged":
+      return;
+    case "sharesCut":
+      placement.shares = event.shares;
+      return;
+    case "ticked":
+      return placeAll(step);
+    default:
+      return assertNever(event);
+  }
+}
+
+function withWorker(
+  step: Step,
+  id: string,
+  use: (worker: WorkerState) => void,
+): void {
+  const worker = step.placement.workers.get(id);
+  if (worker !== undefined) use(worker);
+}
+
+function withPlaced(
+  step: Step,
+  workerId: string,
+  taskId: string,
+  use: (placed: PlacedTask) => void,
+): void {
+  const placed = step.placement.workers.get(workerId)?.placed.get(taskId);
+  if (placed !== undefined) use(placed);
+}
+
+function returnRefused(
+  step: Step,
+  placed: PlacedTask,
+  refusal: StartRefusal,
+): void {
+  const { placement } = step;
+  const { worker, task, group } = placed;
+  if (placed.confirmed) return;
+  removePlaced(placement, placed);
+  if (refusal === "stale") worker.stale = true;
+  if (refusal === "leaving") worker.leaving = true;
+  refreshLeaf(placement, worker);
+  if (placed.withdrawn || group === undefined) return;
+  requeueTask(placement, group, task);
+}
+
+function changeTask(step: Step, worker: WorkerState, record: TaskRecord): void {
+  const { placement, atMs } = step;
+  const placed = worker.placed.get(record.task.id);
+  if (record.state === "running") {
+    if (placed === undefined) takeOver(placement, worker, record, atMs);
+    else placed.confirmed = true;
+    return;
+  }
+  if (placed === undefined) return;
+  if (record.task.attempt < placed.task.attempt) return;
+  removePlaced(placement, placed);
+  fillWorker(step, worker);
+}
+
+function withdraw(step: Step, taskIds: string[]): void {
+  const { placement, commands } = step;
+  for (const taskId of taskIds) {
+    const entry = placement.tasks.get(taskId);
+    if (entry === undefined) continue;
+    if (entry.kind === "queued") {
+      dequeueTask(placement, entry);
+      continue;
+    }
+    entry.withdrawn = true;
+    const { id, token } = entry.worker;
+    commands.push({
+      kind: "yield",
+      worker: id,
+      token,
+      taskId,
+      yielding: "stop",
+    });
+  }
+}
--- /dev/null
+++ b/src/placement/worker_state.ts
@@ -0,0 +1,20 @@
+import type { Resources, WorkerAddress, WorkerCapacity } from "../model/mod.ts";
+import type { PlacedTask } from "./task_entry.ts";
+
+/** A worker that this instance owns, with what it holds. */
+export type WorkerState = {
+  id: string;
+  address: WorkerAddress;
+  capacity: WorkerCapacity;
+  token: number;
+  /** Room that no task holds; below zero after a careless predecessor. */
+  free: Resources;
+  freeSlots: number;
+  placed: Map<string, PlacedTask>;
+  leaving: boolean;
+  reachable: boolean;
+  /** Whether the worker refused the token; a peer may hold it now. */
+  stale: boolean;
+  /** Position in the index of free room. */
+  leaf: number;
+};
