--- a/src/log_state/fold_manifest.ts
+++ b/src/log_state/fold_manifest.ts
@@ -1,6 +1,7 @@
 import type { LogRecordOf } from "./log_record.ts";
 import type { LogState } from "./log_state.ts";
 import type { ManifestEntry } from "./manifest_entry.ts";
+import { addAgreed } from "./usage_day.ts";
 
 /** How many published changes are kept for the history and for verdicts. */
 export const MAX_HISTORY_ENTRIES = 1_000;
@@ -43,6 +44,7 @@
     author: record.author,
     changeId: record.changeId,
   };
+  accrueAgreed(state);
   state.folded = { version: offset, entry };
   applyManifest(state, offset, entry);
 }
@@ -89,6 +91,14 @@
   return { kind: "lost", versionInForce: state.folded.version };
 }
 
+/** What was agreed until now is added up before the agreements change. */
+function accrueAgreed(state: LogState): void {
+  const { usage, folded, clockMs } = state;
+  const fromMs = usage.agreedUpToMs ?? clockMs;
+  addAgreed(usage.days, folded.entry?.manifest, fromMs, clockMs);
+  usage.agreedUpToMs = clockMs;
+}
+
 function findChange(state: LogState, changeId: string) {
   return state.history.findLast((entry) => entry.changeId === changeId);
 }
--- a/src/log_state/fold_usage_test.ts
+++ b/src/log_state/fold_usage_test.ts
@@ -78,8 +78,8 @@
         )
       ),
       ([records, shuffled]) => {
-        const plain = daysSoFar(foldRecords(records), CLOCK_MS);
-        const other = daysSoFar(foldRecords(shuffled), CLOCK_MS);
+        const plain = daysSoFar(foldRecords(records), undefined, CLOCK_MS);
+        const other = daysSoFar(foldRecords(shuffled), undefined, CLOCK_MS);
         assert.deepEqual(other, plain);
       },
     ),
@@ -93,16 +93,16 @@
     recordOf([usageAt(0, 9)]),
     recordOf([usageAt(0, 7)]),
   ]);
-  const day = daysSoFar(state, CLOCK_MS).get(START_MS);
-  assert.equal(day?.agreements.get("press/desk")?.cpuMillisMs, 9);
+  const day = daysSoFar(state, undefined, CLOCK_MS).get(START_MS);
+  assert.equal(day?.used.get("press/desk")?.cpuMillisMs, 9);
 });
 
 test("usage: an hour reported under two tokens counts both", () => {
   const state = foldRecords([
     recordOf([usageAt(0, 5), { ...usageAt(0, 2), token: 2 }]),
   ]);
-  const day = daysSoFar(state, CLOCK_MS).get(START_MS);
-  assert.equal(day?.agreements.get("press/desk")?.cpuMillisMs, 7);
+  const day = daysSoFar(state, undefined, CLOCK_MS).get(START_MS);
+  assert.equal(day?.used.get("press/desk")?.cpuMillisMs, 7);
 });
 
 test("usage: after an outage of the log no hour is dropped", () => {
@@ -110,9 +110,9 @@
   const state = foldRecords(
     hours.map((hour) => recordOf([usageAt(hour, 1)], HOUR_MS)),
   );
-  const days = daysSoFar(state, CLOCK_MS);
+  const days = daysSoFar(state, undefined, CLOCK_MS);
   const total = [...days.values()].map((day) =>
-    day.agreements.get("press/desk")?.cpuMillisMs
+    day.used.get("press/desk")?.cpuMillisMs
   );
   assert.deepEqual(total, [24, 24]);
   assert.equal(state.refusedRecords, 0);
@@ -123,7 +123,7 @@
     recordOf([usageAt(0, 1)], HOUR_MS),
     recordOf([usageAt(5, 1)], HOUR_MS / 2),
   ]);
-  const day = daysSoFar(state, CLOCK_MS).get(START_MS);
+  const day = daysSoFar(state, undefined, CLOCK_MS).get(START_MS);
   assert.equal(day?.observedMs, 1.5 * HOUR_MS);
   assert.equal(day?.unobservedMs, 4.5 * HOUR_MS);
 });
@@ -136,7 +136,9 @@
   const seen = [];
   for (const record of records) {
     foldUsage(state, record, CLOCK_MS);
-    seen.push(daysSoFar(state, CLOCK_MS).get(START_MS)?.unobservedMs);
+    seen.push(
+      daysSoFar(state, undefined, CLOCK_MS).get(START_MS)?.unobservedMs,
+    );
   }
   const missing = seen.map((ms) => (ms ?? 0) / HOUR_MS);
   assert.deepEqual(missing, [0.75, 1.5, 4.25, 5, 8.75, 22.75]);
@@ -150,8 +152,8 @@
     recordOf([{ ...usageAt(6, 1), hourMs: START_MS + 17 }]),
   ]);
   assert.equal(state.refusedRecords, 3);
-  const day = daysSoFar(state, CLOCK_MS).get(START_MS);
-  assert.equal(day?.agreements.get("press/desk")?.cpuMillisMs, 1);
+  const day = daysSoFar(state, undefined, CLOCK_MS).get(START_MS);
+  assert.equal(day?.used.get("press/desk")?.cpuMillisMs, 1);
 });
 
 test("usage: a forgotten worker is closed, and its hours never count twice", () => {
@@ -160,8 +162,8 @@
   forgetUsage(state, laterMs);
   assert.equal(state.workers.size, 0);
   foldUsage(state, recordOf([usageAt(0, 1)], HOUR_MS), laterMs);
-  const day = daysSoFar(state, laterMs).get(START_MS);
-  assert.equal(day?.agreements.get("press/desk")?.cpuMillisMs, 1);
+  const day = daysSoFar(state, undefined, laterMs).get(START_MS);
+  assert.equal(day?.used.get("press/desk")?.cpuMillisMs, 1);
 });
 
 test("usage: memory is bounded by workers and days, not by records", () => {
--- a/src/log_state/log_fake_test.ts
+++ b/src/log_state/log_fake_test.ts
@@ -5,6 +5,7 @@
  */
 import * as fc from "fast-check";
 import type { LogEntry, LogPage } from "../hosts/mod.ts";
+import type { Agreement } from "../model/mod.ts";
 import {
   createLogState,
   foldPage,
@@ -159,7 +160,27 @@
     changeId,
     baseVersion,
     author: `author of ${changeId}`,
-    manifest: { customers: [{ name: changeId }], agreements: [] },
+    manifest: {
+      customers: [{ name: changeId }],
+      agreements: [agreementOf("a"), agreementOf(changeId)],
+    },
+  };
+}
+
+function agreementOf(customer: string): Agreement {
+  return {
+    name: "a",
+    customer,
+    share: { cpuMillis: 3_000, memoryMb: 5, accelerators: 1 },
+    work: [{
+      name: "batch",
+      policy: { kind: "batch" },
+      urgency: 1,
+      idempotent: true,
+      durable: true,
+      demand: { cpuMillis: 1, memoryMb: 1, accelerators: 0 },
+      durationMs: 1,
+    }],
   };
 }
 
--- a/src/log_state/snapshot_state.ts
+++ b/src/log_state/snapshot_state.ts
@@ -32,9 +32,11 @@
     dayMs: v.number(),
     observedMs: v.number(),
     unobservedMs: v.number(),
-    agreements: v.array(agreementUsageSchema),
+    used: v.array(agreementUsageSchema),
+    agreed: v.array(agreementUsageSchema),
   })),
   refusedRecords: v.number(),
+  agreedUpToMs: v.optional(v.number()),
   forgottenAtMs: v.number(),
 });
 
--- a/src/log_state/snapshot_usage.ts
+++ b/src/log_state/snapshot_usage.ts
@@ -6,6 +6,7 @@
 import type { SnapshotUsage } from "./snapshot_state.ts";
 import { agreementName } from "./usage_day.ts";
 import type {
+  AgreementUsage,
   DayUsage,
   OpenHour,
   UsageState,
@@ -32,9 +33,13 @@
     })),
     days: [...usage.days.values()].map((day) => ({
       ...day,
-      agreements: [...day.agreements.values()],
+      used: [...day.used.values()],
+      agreed: [...day.agreed.values()],
     })),
     refusedRecords: usage.refusedRecords,
+    ...(usage.agreedUpToMs === undefined
+      ? {}
+      : { agreedUpToMs: usage.agreedUpToMs }),
     forgottenAtMs: usage.forgottenAtMs,
   };
 }
@@ -58,19 +63,27 @@
   }
   const days = new Map<number, DayUsage>();
   for (const day of data.days) {
-    const named = day.agreements.map((used) =>
-      [agreementName(used), used] as const
-    );
-    days.set(day.dayMs, { ...day, agreements: new Map(named) });
+    days.set(day.dayMs, {
+      ...day,
+      used: byName(day.used),
+      agreed: byName(day.agreed),
+    });
   }
   return {
     workers,
     days,
     refusedRecords: data.refusedRecords,
+    agreedUpToMs: data.agreedUpToMs,
     forgottenAtMs: data.forgottenAtMs,
   };
 }
 
+function byName(
+  agreements: AgreementUsage[],
+): Map<string, AgreementUsage> {
+  return new Map(agreements.map((used) => [agreementName(used), used]));
+}
+
 type SnapshotHour = SnapshotUsage["workers"][number]["open"][number];
 
 function encodeHour(hour: OpenHour): SnapshotHour {
--- a/src/log_state/usage_day.ts
+++ b/src/log_state/usage_day.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Manifest } from "../model/mod.ts";
 import type {
   AgreementUsage,
   DayUsage,
@@ -20,7 +21,7 @@
  *
  * @example
  * ```ts
- * day.agreements.get(agreementName({ customer: "press", agreement: "desk" }));
+ * day.used.get(agreementName({ customer: "press", agreement: "desk" }));
  * ```
  */
 export function agreementName(
@@ -47,7 +48,8 @@
     dayMs,
     observedMs: 0,
     unobservedMs: 0,
-    agreements: new Map(),
+    used: new Map(),
+    agreed: new Map(),
   };
   days.set(dayMs, created);
   return created;
@@ -72,24 +74,60 @@
   const observedMs = Math.min(HOUR_MS, sum(hour.observedMs.values()));
   day.observedMs += observedMs;
   day.unobservedMs += Math.max(0, passedMs - observedMs);
-  for (const used of hour.usage.values()) addUsed(day.agreements, used);
+  for (const used of hour.usage.values()) addAgreement(day.used, used);
 }
 
 /**
- * Adds what the open hours hold so far to a copy of the closed days.
+ * Adds what a manifest agrees over a time to the days of that time.
  *
  * @example
  * ```ts
- * const days = daysSoFar(state.usage, state.clockMs);
+ * addAgreed(state.usage.days, oldManifest, sinceMs, state.clockMs);
+ * ```
+ */
+export function addAgreed(
+  days: Map<number, DayUsage>,
+  manifest: Manifest | undefined,
+  fromMs: number,
+  toMs: number,
+): void {
+  let atMs = fromMs;
+  while (manifest !== undefined && atMs < toMs) {
+    const day = dayOf(days, atMs);
+    const endMs = Math.min(toMs, day.dayMs + DAY_MS);
+    for (const { customer, name, share } of manifest.agreements) {
+      addAgreement(day.agreed, {
+        customer,
+        agreement: name,
+        cpuMillisMs: share.cpuMillis * (endMs - atMs),
+        memoryMbMs: share.memoryMb * (endMs - atMs),
+        acceleratorMs: share.accelerators * (endMs - atMs),
+      });
+    }
+    atMs = endMs;
+  }
+}
+
+/**
+ * Adds what the open hours hold so far, and what was agreed since the last
+ * change of the manifest, to a copy of the closed days.
+ *
+ * @example
+ * ```ts
+ * const { usage, folded, clockMs } = state;
+ * const days = daysSoFar(usage, folded.entry?.manifest, clockMs);
  * ```
  *
+ * @param manifest the newest manifest that was folded from the log
  * @param clockMs the log's own time, in milliseconds since the epoch
  */
 export function daysSoFar(
   usage: UsageState,
+  manifest: Manifest | undefined,
   clockMs: number,
 ): Map<number, DayUsage> {
   const days = copyDays(usage.days);
+  addAgreed(days, manifest, usage.agreedUpToMs ?? clockMs, clockMs);
   for (const its of usage.workers.values()) {
     let nextMs = its.lastClosedMs === undefined
       ? undefined
@@ -110,16 +148,24 @@
 function copyDays(days: Map<number, DayUsage>): Map<number, DayUsage> {
   const copy = new Map<number, DayUsage>();
   for (const day of days.values()) {
-    const agreements = new Map<string, AgreementUsage>();
-    for (const [name, used] of day.agreements) {
-      agreements.set(name, { ...used });
-    }
-    copy.set(day.dayMs, { ...day, agreements });
+    copy.set(day.dayMs, {
+      ...day,
+      used: copyAgreements(day.used),
+      agreed: copyAgreements(day.agreed),
+    });
   }
   return copy;
 }
 
-function addUsed(
+function copyAgreements(
+  agreements: Map<string, AgreementUsage>,
+): Map<string, AgreementUsage> {
+  const copy = new Map<string, AgreementUsage>();
+  for (const [name, used] of agreements) copy.set(name, { ...used });
+  return copy;
+}
+
+function addAgreement(
   agreements: Map<string, AgreementUsage>,
   used: AgreementUsage,
 ): void {
--- a/src/log_state/usage_state.ts
+++ b/src/log_state/usage_state.ts
@@ -1,5 +1,5 @@
-/** Amounts of the resources used over a time. */
-export type UsedAmounts = {
+/** Amounts of the resources, added up over a time. */
+export type ResourceTime = {
   /** Thousandths of a core times milliseconds. */
   cpuMillisMs: number;
   /** MiB times milliseconds. */
@@ -8,8 +8,8 @@
   acceleratorMs: number;
 };
 
-/** What one agreement used. */
-export type AgreementUsage = UsedAmounts & {
+/** What one agreement used, or what was agreed with it. */
+export type AgreementUsage = ResourceTime & {
   customer: string;
   agreement: string;
 };
@@ -43,8 +43,10 @@
   observedMs: number;
   /** Time of workers that nobody observed, in milliseconds. */
   unobservedMs: number;
-  /** By customer and agreement. */
-  agreements: Map<string, AgreementUsage>;
+  /** What was used, by customer and agreement. */
+  used: Map<string, AgreementUsage>;
+  /** What the manifests in force agreed, by customer and agreement. */
+  agreed: Map<string, AgreementUsage>;
 };
 
 /** Usage folded from the log: open hours by worker, closed ones by day. */
@@ -53,6 +55,8 @@
   days: Map<number, DayUsage>;
   /** How many records were not added: after the close, or misdated. */
   refusedRecords: number;
+  /** Up to when the days contain what was agreed; undefined before any. */
+  agreedUpToMs: number | undefined;
   /** The hour at which old days and workers were last dropped. */
   forgottenAtMs: number;
 };
@@ -70,6 +74,7 @@
     workers: new Map(),
     days: new Map(),
     refusedRecords: 0,
+    agreedUpToMs: undefined,
     forgottenAtMs: 0,
   };
 }
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./account/mod.ts";
 export * from "./base/mod.ts";
 export * from "./diagnostics/mod.ts";
 export * from "./hosts/mod.ts";
