--- a/src/mod.ts
+++ b/src/mod.ts
@@ -3,8 +3,10 @@
  *
  * @module
  */
+export * from "./account/mod.ts";
 export * from "./base/mod.ts";
 export * from "./diagnostics/mod.ts";
 export * from "./hosts/mod.ts";
 export * from "./log_state/mod.ts";
 export * from "./model/mod.ts";
+export * from "./time_line/mod.ts";
