Serve a request from end to end: the reducer, its driver and the HTTP interfaces

Cause: the parts (membership, placement, log fold, clients) had nothing that joined them.

What: src/instance is one reducer per entry instance.

Ruled out: async functions over shared state (their order under test depends on the event loop; a generator's depends only on which effect completes next).

Also: install.mjs compares the lock file by content. By time it took every fresh work tree for out of date and installed again.

--- a/scripts/install.mjs
+++ b/scripts/install.mjs
@@ -1,27 +1,29 @@
 /**
- * Installs the declared packages when they are missing or out of date.
+ * Installs the declared packages when they are missing or differ from the
+ * lock file that was installed last. The comparison is by content, since a
+ * fresh checkout gives the lock file a new time.
  *
  * @module
  */
 import { spawnSync } from "node:child_process";
-import { existsSync, statSync } from "node:fs";
+import { createHash } from "node:crypto";
+import { existsSync, readFileSync, writeFileSync } from "node:fs";
 import { dirname, join } from "node:path";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
 
 const root = join(dirname(fileURLToPath(import.meta.url)), "..");
 const lockFile = join(root, "package-lock.json");
-const stamp = join(root, "node_modules", ".package-lock.json");
+const stamp = join(root, "node_modules", ".installed-lock");
 
-if (!isCurrent()) {
+const digest = createHash("sha256").update(readFileSync(lockFile))
+  .digest("hex");
+
+if (!existsSync(stamp) || readFileSync(stamp, "utf8") !== digest) {
   const done = spawnSync("npm", ["ci", "--no-fund", "--no-audit"], {
     cwd: root,
     stdio: "inherit",
   });
   process.exitCode = done.status ?? 1;
-}
-
-function isCurrent() {
-  return existsSync(stamp) &&
-    statSync(stamp).mtimeMs >= statSync(lockFile).mtimeMs;
+  if (process.exitCode === 0) writeFileSync(stamp, digest);
 }
--- a/src/diagnostics/diagnostics.ts
+++ b/src/diagnostics/diagnostics.ts
@@ -88,6 +88,14 @@
   ),
   waitingToStart: message(5004, "The request waits to start."),
   stillRunning: message(5005, "The request is running."),
+  publishUndecided: error(
+    5008,
+    "The log did not answer; the change may still take effect.",
+  ),
+  outcomeForgotten: message(
+    5007,
+    "The request ended too long ago to tell how.",
+  ),
   notSubmitted: message(5006, "Nothing was submitted under this id yet."),
   usageWrong: error(6001, "{0}"),
   daemonUnreachable: error(6002, "No instance answered at {0}: {1}."),
--- /dev/null
+++ b/src/instance/adoption_flow.ts
@@ -0,0 +1,167 @@
+/**
+ * Goes on with durable work whose home is gone. Of several instances that try
+ * to adopt a request, the log lets one win.
+ *
+ * @module
+ */
+import {
+  holderOf,
+  isSettled,
+  membersOf,
+  memberState,
+  rendezvousOrder,
+} from "../membership/mod.ts";
+import {
+  type AcceptedRequest,
+  acceptedRequests,
+  adoptionOf,
+  endedOf,
+} from "../log_state/mod.ts";
+import type { Request } from "../model/mod.ts";
+import { commit, commitInBackground } from "./appends.ts";
+import type { Flow } from "./flow.ts";
+import { searchZone, type ZoneSearch } from "./lookups.ts";
+import { homeOf } from "./report_flow.ts";
+import { splitRequestId } from "./request_ids.ts";
+import {
+  applyRecord,
+  enterRequest,
+  queueTasks,
+  resolveLostRun,
+} from "./requests.ts";
+import { note, type Scheduler, selfHolder } from "./scheduler.ts";
+import type { TaskEntry } from "./request_entry.ts";
+import { LOG_TOPIC } from "./topics.ts";
+import { sleep, waitForNotice } from "./waits.ts";
+
+/** How often work to adopt is looked for. */
+const ADOPTION_INTERVAL_MS = 1_000;
+/** How long an adoption waits for the log. */
+const ADOPTION_TIMEOUT_MS = 5_000;
+
+/** Adopts durable work whose home is settled, for as long as it runs. */
+export function* adoptRequests(scheduler: Scheduler): Flow<void> {
+  while (true) {
+    yield* sleep(ADOPTION_INTERVAL_MS);
+    if (scheduler.draining || !scheduler.logReachable) continue;
+    appendCopies(scheduler);
+    for (const accepted of [...acceptedRequests(scheduler.log)]) {
+      const duty = dutyTo(scheduler, accepted);
+      if (duty === "none") continue;
+      if (duty === "adopt") {
+        if (!(yield* claimAdoption(scheduler, accepted))) continue;
+      }
+      yield* takeUp(scheduler, accepted.request);
+    }
+  }
+}
+
+/** Puts the copies that were kept for peers into the log, which is back. */
+function appendCopies(scheduler: Scheduler): void {
+  for (const request of scheduler.copies.values()) {
+    commitInBackground(scheduler, { kind: "accepted", request });
+  }
+  scheduler.copies.clear();
+}
+
+/** What this instance has to do about a durable request. */
+type AdoptionDuty =
+  /** Nothing: its home is well, or another instance adopts it. */
+  | "none"
+  /** Win the adoption in the log first. */
+  | "adopt"
+  /** The adoption is won; the tasks were not looked for yet. */
+  | "resume";
+
+function dutyTo(
+  scheduler: Scheduler,
+  accepted: AcceptedRequest,
+): AdoptionDuty {
+  const { request, holder: adopter } = accepted;
+  const { zone } = splitRequestId(request.id).home;
+  if (zone !== scheduler.self.zone) return "none";
+  const home = homeOf(scheduler, request.id);
+  if (home === selfHolder(scheduler)) {
+    const isOpen = !scheduler.requests.has(request.id);
+    return adopter !== undefined && isOpen ? "resume" : "none";
+  }
+  const state = memberState(scheduler.membership, home);
+  if (state === "live" || state === "leaving") return "none";
+  if (!isSettled(scheduler.membership, home, [zone])) return "none";
+  const members = membersOf(scheduler.membership, zone);
+  const first = rendezvousOrder(members, request.id)[0];
+  const isFirst = first !== undefined &&
+    holderOf(first) === selfHolder(scheduler);
+  return isFirst ? "adopt" : "none";
+}
+
+/** Tries to become the home of a request; of several, the log lets one win. */
+function* claimAdoption(
+  scheduler: Scheduler,
+  accepted: AcceptedRequest,
+): Flow<boolean> {
+  const holder = selfHolder(scheduler);
+  const requestId = accepted.request.id;
+  const epoch = accepted.epoch + 1;
+  const record = { kind: "adopted", requestId, epoch, holder } as const;
+  if (!(yield* commit(scheduler, record, ADOPTION_TIMEOUT_MS))) return false;
+  yield* waitForNotice(LOG_TOPIC, ADOPTION_TIMEOUT_MS);
+  return adoptionOf(scheduler.log, requestId)?.holder === holder;
+}
+
+/** Takes up a request that this instance adopted: finds or queues its tasks. */
+function* takeUp(scheduler: Scheduler, request: Request): Flow<void> {
+  const holder = selfHolder(scheduler);
+  const search = yield* searchZone(scheduler, request.id, []);
+  if (!search.complete || holder !== selfHolder(scheduler)) return;
+  if (endedOf(scheduler.log, request.id) !== undefined) return;
+  if (homeOf(scheduler, request.id) !== holder) return;
+  const known = scheduler.requests.get(request.id);
+  if (known?.role === "home") return;
+  note(scheduler, "request.adopted", request.id);
+  const entry = enterRequest(
+    scheduler,
+    request,
+    request.tasks,
+    "home",
+    holder,
+    "log",
+  );
+  const unstarted: TaskEntry[] = [];
+  for (const task of entry.tasks.values()) {
+    if (!takeSighting(scheduler, task, search)) unstarted.push(task);
+  }
+  if (search.witnessedSinceMs < request.acceptedAtMs) {
+    queueTasks(scheduler, entry, unstarted);
+    return;
+  }
+  for (const task of unstarted) {
+    resolveLostRun(scheduler, entry, task, "that left the list");
+  }
+}
+
+/** Follows a task that some instance or worker of the zone knows. */
+function takeSighting(
+  scheduler: Scheduler,
+  task: TaskEntry,
+  search: ZoneSearch,
+): boolean {
+  const sighting = search.sightings.get(task.task.id);
+  if (sighting?.kind === "record") {
+    const { worker, token, record } = sighting;
+    task.task = { ...task.task, attempt: record.task.attempt };
+    task.progress = {
+      kind: "away",
+      worker,
+      token,
+      lapsesAtMs: Number.POSITIVE_INFINITY,
+      seen: true,
+    };
+    applyRecord(scheduler, worker, token, record);
+    return true;
+  }
+  const guest = search.queuedAt.get(task.task.id);
+  if (guest === undefined) return false;
+  task.progress = { kind: "moved", guest };
+  return true;
+}
--- /dev/null
+++ b/src/instance/held_worker.ts
@@ -0,0 +1,30 @@
+import type { Holder } from "../membership/mod.ts";
+import type {
+  TaskId,
+  TaskRecord,
+  WorkerAddress,
+  WorkerCapacity,
+} from "../model/mod.ts";
+
+/** A worker whose lease this instance holds. */
+export type HeldWorker = {
+  address: WorkerAddress;
+  capacity: WorkerCapacity;
+  /** The incarnation under which the lease was taken. */
+  holder: Holder;
+  token: number;
+  leaseMs: number;
+  /** Until when the lease is sure to last (steady clock, ms). */
+  validUntilMs: number;
+  /** When the lease has lapsed at the latest (steady clock, ms). */
+  lapsesAtMs: number;
+  /** Number of the last event that was seen. */
+  lastEvent: number;
+  /** Everything the worker runs or remembers. */
+  records: Map<TaskId, TaskRecord>;
+  /** Whether the last renewal was answered. */
+  reachable: boolean;
+  leaving: boolean;
+  /** Bars that the worker has acknowledged. */
+  acknowledgedBars: Set<Holder>;
+};
--- /dev/null
+++ b/src/instance/lease_flow.ts
@@ -0,0 +1,218 @@
+/**
+ * Ownership of one worker: acquires its lease when this instance should own
+ * it, and renews it for as long as it does.
+ *
+ * @module
+ */
+import * as v from "valibot";
+import {
+  acknowledgeBars,
+  barsFor,
+  desiredOwner,
+  hasZonePeers,
+  memberState,
+} from "../membership/mod.ts";
+import type { CurrentLease, Fault } from "../hosts/mod.ts";
+import type { Renewal } from "../model/mod.ts";
+import type { Flow } from "./flow.ts";
+import type { HeldWorker } from "./held_worker.ts";
+import {
+  loseWorker,
+  setReachable,
+  takeRecord,
+  takeWorker,
+} from "./held_workers.ts";
+import { applyPlacement } from "./placement_driver.ts";
+import {
+  isSelf,
+  type KnownWorker,
+  note,
+  type Scheduler,
+  selfHolder,
+} from "./scheduler.ts";
+import { isFenced } from "./start_flow.ts";
+import { OWNERSHIP_TOPIC } from "./topics.ts";
+import { observe, takeUsage } from "./usage_flow.ts";
+import { acquireWorker, renewWorker, sleep, waitForNotice } from "./waits.ts";
+
+/** How often ownership is looked at when nothing changes. */
+const OWNERSHIP_POLL_MS = 500;
+/** Delay before a failed renewal is sent again. */
+const RENEW_RETRY_MS = 250;
+/** First delay before a worker is taken back from a live peer. */
+const FIRST_CONTEST_DELAY_MS = 1_000;
+/** Longest delay before a worker is taken back from a live peer. */
+const MAX_CONTEST_DELAY_MS = 30_000;
+/** How long a worker that cannot be reached is left to the peers. */
+const UNREACHABLE_MS = 5_000;
+
+const currentLeaseSchema = v.object({
+  token: v.number(),
+  holder: v.string(),
+  lapsed: v.boolean(),
+});
+
+/** Owns a worker whenever it should, until the worker leaves the list. */
+export function* ownWorker(
+  scheduler: Scheduler,
+  worker: string,
+): Flow<void> {
+  let expectedToken = 0;
+  let contestDelayMs = FIRST_CONTEST_DELAY_MS;
+  let wasFenced = false;
+  while (true) {
+    const known = scheduler.workers.get(worker);
+    if (known === undefined) return;
+    if (!shouldOwn(scheduler, known)) {
+      yield* waitForNotice(OWNERSHIP_TOPIC, OWNERSHIP_POLL_MS);
+      continue;
+    }
+    const holder = selfHolder(scheduler);
+    const sentAtMs = scheduler.moment.steadyMs;
+    const command = { holder, expectedToken };
+    const result = yield* acquireWorker(known.address, command);
+    if (result.isErr()) {
+      const current = currentLeaseOf(result.error);
+      if (current === undefined) {
+        yield* leaveToPeers(scheduler, worker);
+        continue;
+      }
+      expectedToken = current.token;
+      if (wasFenced && isLiveLease(scheduler, current)) {
+        // Two views differ: the worker must not go back and forth.
+        yield* sleep(contestDelayMs);
+        contestDelayMs = Math.min(contestDelayMs * 2, MAX_CONTEST_DELAY_MS);
+        wasFenced = false;
+      }
+      continue;
+    }
+    expectedToken = result.value.token;
+    if (holder !== selfHolder(scheduler)) continue;
+    const held = takeWorker(scheduler, known, result.value, holder, sentAtMs);
+    const tookAtMs = scheduler.moment.steadyMs;
+    yield* renewUntilLost(scheduler, held);
+    wasFenced = true;
+    const heldMs = scheduler.moment.steadyMs - tookAtMs;
+    if (heldMs > MAX_CONTEST_DELAY_MS) contestDelayMs = FIRST_CONTEST_DELAY_MS;
+  }
+}
+
+/** Renews a lease until it is lost, and takes in what the worker tells. */
+function* renewUntilLost(
+  scheduler: Scheduler,
+  held: HeldWorker,
+): Flow<void> {
+  const worker = held.address.id;
+  while (isCurrent(scheduler, held)) {
+    const sentAtMs = scheduler.moment.steadyMs;
+    const barred = barsFor(scheduler.membership)
+      .filter((bar) => !held.acknowledgedBars.has(bar));
+    const result = yield* renewWorker(held.address, {
+      token: held.token,
+      afterEvent: held.lastEvent,
+      waitMs: scheduler.options.renewWaitMs,
+      barred,
+    });
+    if (!isCurrent(scheduler, held)) return;
+    if (result.isOk()) {
+      takeRenewal(scheduler, held, result.value, sentAtMs, barred);
+      continue;
+    }
+    if (isFenced(result.error)) {
+      loseWorker(scheduler, held, "fenced");
+      return;
+    }
+    setReachable(scheduler, held, false);
+    const nowMs = scheduler.moment.steadyMs;
+    if (result.error.kind === "unknown") {
+      held.lapsesAtMs = nowMs + held.leaseMs;
+    }
+    if (nowMs >= held.validUntilMs) {
+      loseWorker(scheduler, held, "lapsed");
+      yield* leaveToPeers(scheduler, worker);
+      return;
+    }
+    yield* sleep(RENEW_RETRY_MS);
+  }
+}
+
+/**
+ * Tells whether the lease is still ours; gives it up where this instance has
+ * a new incarnation or the worker left the list.
+ */
+function isCurrent(scheduler: Scheduler, held: HeldWorker): boolean {
+  if (scheduler.held.get(held.address.id) !== held) return false;
+  if (!scheduler.workers.has(held.address.id)) {
+    loseWorker(scheduler, held, "lapsed");
+    return false;
+  }
+  if (held.holder === selfHolder(scheduler)) return true;
+  loseWorker(scheduler, held, "fenced");
+  return false;
+}
+
+function takeRenewal(
+  scheduler: Scheduler,
+  held: HeldWorker,
+  renewal: Renewal,
+  sentAtMs: number,
+  barred: string[],
+): void {
+  const worker = held.address.id;
+  held.leaseMs = renewal.leaseMs;
+  observe(scheduler, held, sentAtMs);
+  held.validUntilMs = sentAtMs + renewal.leaseMs;
+  held.lapsesAtMs = scheduler.moment.steadyMs + renewal.leaseMs;
+  setReachable(scheduler, held, true);
+  for (const bar of barred) held.acknowledgedBars.add(bar);
+  if (barred.length > 0) acknowledgeBars(scheduler.membership, worker, barred);
+  held.lastEvent = renewal.lastEvent;
+  for (const record of renewal.changed) takeRecord(scheduler, held, record);
+  for (const usage of renewal.usage) takeUsage(scheduler, usage);
+  if (!renewal.leaving || held.leaving) return;
+  held.leaving = true;
+  note(scheduler, "worker.leaving", worker);
+  applyPlacement(scheduler, { kind: "workerLeaving", worker });
+}
+
+function shouldOwn(scheduler: Scheduler, known: KnownWorker): boolean {
+  if (scheduler.draining) return false;
+  const worker = known.address.id;
+  if (known.address.zone !== scheduler.self.zone) return false;
+  if (scheduler.unreachable.has(worker)) return false;
+  if (!isAnnounced(scheduler, worker)) return false;
+  const owner = desiredOwner(scheduler.membership, known.address);
+  return owner?.id === scheduler.self.id;
+}
+
+/**
+ * Tells whether the peers of the zone know the worker too. Otherwise they
+ * could settle this incarnation without asking it. An instance that has never
+ * had a peer in its zone needs no witness.
+ */
+function isAnnounced(scheduler: Scheduler, worker: string): boolean {
+  if (scheduler.announced.has(worker)) return true;
+  if (hasZonePeers(scheduler.membership)) return false;
+  scheduler.announced.add(worker);
+  return true;
+}
+
+/** Tells whether a live peer holds the worker under a lease that lasts. */
+function isLiveLease(scheduler: Scheduler, current: CurrentLease): boolean {
+  if (current.lapsed || current.holder === "") return false;
+  if (isSelf(scheduler, current.holder)) return false;
+  return memberState(scheduler.membership, current.holder) === "live";
+}
+
+function* leaveToPeers(scheduler: Scheduler, worker: string): Flow<void> {
+  scheduler.unreachable.add(worker);
+  note(scheduler, "worker.unreachable", worker);
+  yield* sleep(UNREACHABLE_MS);
+  scheduler.unreachable.delete(worker);
+}
+
+function currentLeaseOf(fault: Fault): CurrentLease | undefined {
+  if (fault.kind !== "refused") return undefined;
+  const parsed = v.safeParse(currentLeaseSchema, fault.data);
+  return parsed.success ? parsed.output : undefined;
+}
--- /dev/null
+++ b/src/instance/lookups.ts
@@ -0,0 +1,239 @@
+/**
+ * What is known of tasks, here and at the peers of the zone.
+ *
+ * @module
+ */
+import {
+  barsFor,
+  type Holder,
+  holderOf,
+  knownWorkers,
+  membersOf,
+  unsettledHolders,
+} from "../membership/mod.ts";
+import type { Instance, TaskId } from "../model/mod.ts";
+import type { Result } from "neverthrow";
+import type { Fault } from "../hosts/mod.ts";
+import type { Flow } from "./flow.ts";
+import {
+  type LookupAnswer,
+  lookupAnswerSchema,
+  type Sighting,
+} from "./peer_message.ts";
+import type { TaskEntry } from "./request_entry.ts";
+import { findTask } from "./requests.ts";
+import { type Scheduler, selfHolder } from "./scheduler.ts";
+import { callPeer, gather } from "./waits.ts";
+
+/** Time-out of one lookup. */
+const LOOKUP_TIMEOUT_MS = 1_500;
+
+/** What a whole zone knows of some tasks. */
+export type ZoneSearch = {
+  sightings: Map<TaskId, Sighting>;
+  /**
+   * Whether every worker of the zone was asked through its present owner, and
+   * every incarnation of the zone that is gone is settled. Only then does a
+   * task without a sighting surely not run, and never will.
+   */
+  complete: boolean;
+  /** Which peer has a task queued. */
+  queuedAt: Map<TaskId, Holder>;
+  /**
+   * Since when no worker vanished unseen (wall clock, ms). What was sent to a
+   * worker that vanished earlier may have run without a record.
+   */
+  witnessedSinceMs: number;
+  /** A final outcome that some instance remembers. */
+  outcome: LookupAnswer["outcome"];
+};
+
+/** Answers a lookup from what this instance knows. */
+export function lookUpHere(
+  scheduler: Scheduler,
+  requestId: string | undefined,
+  taskIds: TaskId[],
+): LookupAnswer {
+  const sightings = new Map<TaskId, Sighting>();
+  for (const held of scheduler.held.values()) {
+    for (const taskId of taskIds) {
+      const record = held.records.get(taskId);
+      if (record === undefined) continue;
+      const worker = held.address.id;
+      const token = held.token;
+      prefer(sightings, { kind: "record", worker, token, record });
+    }
+    if (requestId === undefined) continue;
+    for (const record of held.records.values()) {
+      if (record.task.requestId !== requestId) continue;
+      const worker = held.address.id;
+      const token = held.token;
+      prefer(sightings, { kind: "record", worker, token, record });
+    }
+  }
+  addOwnTasks(scheduler, requestId, taskIds, sightings);
+  const entry = requestId === undefined
+    ? undefined
+    : scheduler.requests.get(requestId);
+  return {
+    holder: selfHolder(scheduler),
+    held: [...scheduler.held.values()].map((held) => ({
+      worker: held.address.id,
+      token: held.token,
+    })),
+    barred: barsFor(scheduler.membership),
+    sightings: [...sightings.values()],
+    startedAtMs: scheduler.startedAtMs,
+    goneWorkers: [...scheduler.goneWorkers].map(([worker, atMs]) => ({
+      worker,
+      atMs,
+    })),
+    outcome: entry?.role === "home" ? entry.outcome : undefined,
+  };
+}
+
+/** Asks one peer what it knows of some tasks. */
+export function* lookUpAt(
+  peer: Instance,
+  requestId: string | undefined,
+  taskIds: TaskId[],
+): Flow<Result<LookupAnswer, Fault>> {
+  return yield* callPeer(
+    peer.url,
+    { kind: "lookup", requestId, taskIds },
+    lookupAnswerSchema,
+    LOOKUP_TIMEOUT_MS,
+  );
+}
+
+/** Asks the whole zone of this instance what it knows of some tasks. */
+export function* searchZone(
+  scheduler: Scheduler,
+  requestId: string | undefined,
+  taskIds: TaskId[],
+): Flow<ZoneSearch> {
+  const { zone } = scheduler.self;
+  const self = selfHolder(scheduler);
+  const isSettledBefore = isZoneSettled(scheduler);
+  const peers = membersOf(scheduler.membership, zone)
+    .filter((peer) => holderOf(peer) !== self);
+  const answers = yield* gather(
+    scheduler.runner,
+    peers.map((peer) => lookUpAt(peer, requestId, taskIds)),
+  );
+  const sightings = new Map<TaskId, Sighting>();
+  const held = new Set<string>();
+  let outcome: LookupAnswer["outcome"];
+  let complete = isSettledBefore && isZoneSettled(scheduler);
+  const here = lookUpHere(scheduler, requestId, taskIds);
+  const known = answers.flatMap((answer) =>
+    answer.isOk() ? [answer.value] : []
+  );
+  if (known.length < answers.length) complete = false;
+  const all = [here, ...known];
+  const queuedAt = new Map<TaskId, Holder>();
+  for (const answer of all) {
+    for (const { worker } of answer.held) held.add(worker);
+    for (const sighting of answer.sightings) {
+      prefer(sightings, sighting);
+      if (sighting.kind !== "queued" || answer === here) continue;
+      queuedAt.set(sighting.taskId, answer.holder);
+    }
+    outcome ??= answer.outcome;
+  }
+  for (const worker of knownWorkers(scheduler.membership, zone)) {
+    if (!held.has(worker)) complete = false;
+  }
+  const witnessedSinceMs = witnessedSince(all);
+  return { sightings, complete, queuedAt, witnessedSinceMs, outcome };
+}
+
+function witnessedSince(answers: LookupAnswer[]): number {
+  const startedAtMs = Math.min(...answers.map((answer) => answer.startedAtMs));
+  const goneAtMs = answers.flatMap((answer) =>
+    answer.goneWorkers.map((gone) => gone.atMs)
+  );
+  return Math.max(startedAtMs, ...goneAtMs);
+}
+
+/** Returns the task that a sighting speaks of. */
+export function taskIdOfSighting(sighting: Sighting): TaskId {
+  return sighting.kind === "record" ? sighting.record.task.id : sighting.taskId;
+}
+
+function isZoneSettled(scheduler: Scheduler): boolean {
+  const { zone } = scheduler.self;
+  return unsettledHolders(scheduler.membership, zone).length === 0;
+}
+
+function addOwnTasks(
+  scheduler: Scheduler,
+  requestId: string | undefined,
+  taskIds: TaskId[],
+  sightings: Map<TaskId, Sighting>,
+): void {
+  for (const taskId of taskIds) {
+    const found = findTask(scheduler, taskId);
+    if (found === undefined) continue;
+    const sighting = sightingOf(found.task);
+    if (sighting !== undefined) prefer(sightings, sighting);
+  }
+  if (requestId === undefined) return;
+  const entry = scheduler.requests.get(requestId);
+  for (const task of entry?.tasks.values() ?? []) {
+    const sighting = sightingOf(task);
+    if (sighting !== undefined) prefer(sightings, sighting);
+  }
+}
+
+/** Says of a task what its progress tells, where no worker of ours knows it. */
+function sightingOf(task: TaskEntry): Sighting | undefined {
+  const taskId = task.task.id;
+  const { progress } = task;
+  switch (progress.kind) {
+    case "queued":
+    case "starting":
+    case "running":
+    case "away":
+    case "moved":
+      return { kind: "queued", taskId };
+    case "returned":
+      return { kind: "returned", taskId };
+    case "ended":
+      if (progress.outcome.kind !== "didNotRun") return undefined;
+      return {
+        kind: "refused",
+        taskId,
+        code: REFUSED_EARLIER_CODE,
+        cause: progress.outcome.cause,
+      };
+  }
+}
+
+const REFUSED_EARLIER_CODE = 5001;
+
+/** Keeps the sighting that says more of a task. */
+function prefer(
+  sightings: Map<TaskId, Sighting>,
+  sighting: Sighting,
+): void {
+  const taskId = taskIdOfSighting(sighting);
+  const known = sightings.get(taskId);
+  if (known === undefined || rank(sighting) > rank(known)) {
+    sightings.set(taskId, sighting);
+  }
+}
+
+/** An ended run says more than a live one, and any run more than a queue. */
+function rank(sighting: Sighting): number {
+  switch (sighting.kind) {
+    case "record":
+      return sighting.record.state === "finished" ? 5 : 4;
+    case "queued":
+      return 3;
+    case "refused":
+      return 2;
+    case "returned":
+      return 1;
+  }
+}
--- /dev/null
+++ b/src/instance/membership_flow.ts
@@ -0,0 +1,130 @@
+/**
+ * Exchanges heartbeats, and gives up an incarnation that was barred.
+ *
+ * @module
+ */
+import {
+  advance,
+  buildHeartbeat,
+  type Heartbeat,
+  heartbeatSchema,
+  holderOf,
+  isSelfBarred,
+  peersToBeat,
+  receiveHeartbeat,
+  reincarnate,
+} from "../membership/mod.ts";
+import { placementLoad } from "../placement/mod.ts";
+import type { Flow } from "./flow.ts";
+import { applyPlacement } from "./placement_driver.ts";
+import { requeueUnstarted } from "./requests.ts";
+import { notify, spawn } from "./runner.ts";
+import { note, type Scheduler, selfHolder } from "./scheduler.ts";
+import { OWNERSHIP_TOPIC } from "./topics.ts";
+import { callPeer, sleep } from "./waits.ts";
+
+/** How often membership is looked at. */
+const MEMBERSHIP_TICK_MS = 100;
+/** Time-out of one heartbeat. */
+const HEARTBEAT_TIMEOUT_MS = 1_000;
+/** Largest random part of an incarnation. */
+const MAX_INCARNATION_PART = 36 ** 4 - 1;
+
+/** Keeps the membership up to date for as long as it runs. */
+export function* keepMembership(scheduler: Scheduler): Flow<void> {
+  while (true) {
+    const { membership, moment } = scheduler;
+    const { barred } = advance(membership, moment.steadyMs);
+    for (const instance of barred) {
+      note(scheduler, "member.barred", holderOf(instance));
+    }
+    if (barred.length > 0) notify(scheduler.runner, OWNERSHIP_TOPIC);
+    if (isSelfBarred(membership)) takeNewIncarnation(scheduler);
+    for (const peer of peersToBeat(membership, moment.steadyMs)) {
+      spawn(scheduler.runner, beat(scheduler, peer.url));
+    }
+    yield* sleep(MEMBERSHIP_TICK_MS);
+  }
+}
+
+/** Builds the heartbeat that tells a peer about this instance. */
+export function heartbeatNow(scheduler: Scheduler): Heartbeat {
+  return buildHeartbeat(scheduler.membership, {
+    leaving: scheduler.draining,
+    version: scheduler.log.version,
+    held: [...scheduler.held.values()].map((held) => ({
+      worker: held.address.id,
+      token: held.token,
+    })),
+    unreachable: unreachableWorkers(scheduler),
+    load: placementLoad(scheduler.placement),
+  });
+}
+
+/** Takes in a heartbeat, whether it came as a call or as an answer. */
+export function takeHeartbeat(
+  scheduler: Scheduler,
+  heartbeat: Heartbeat,
+): void {
+  receiveHeartbeat(scheduler.membership, heartbeat, scheduler.moment.steadyMs);
+  for (const worker of heartbeat.workers) {
+    if (heartbeat.from.zone !== scheduler.self.zone) break;
+    scheduler.announced.add(worker);
+  }
+}
+
+/** Makes a new incarnation, which no process has used before. */
+export function newIncarnation(scheduler: Scheduler): string {
+  const random = scheduler.randomness.integer(0, MAX_INCARNATION_PART);
+  return scheduler.moment.wallMs.toString(36) + random.toString(36);
+}
+
+function* beat(scheduler: Scheduler, url: string): Flow<void> {
+  const sentBy = selfHolder(scheduler);
+  const result = yield* callPeer(
+    url,
+    { kind: "heartbeat", heartbeat: heartbeatNow(scheduler) },
+    heartbeatSchema,
+    HEARTBEAT_TIMEOUT_MS,
+  );
+  if (result.isErr()) return;
+  if (sentBy !== selfHolder(scheduler)) return;
+  takeHeartbeat(scheduler, result.value);
+}
+
+function unreachableWorkers(scheduler: Scheduler): string[] {
+  const silent = [...scheduler.held.values()]
+    .filter((held) => !held.reachable)
+    .map((held) => held.address.id);
+  return [...new Set([...scheduler.unreachable, ...silent])];
+}
+
+/**
+ * Goes on under a new incarnation. Peers may already have told callers that
+ * requests of the old one did not run, so none of them is started any more.
+ */
+function takeNewIncarnation(scheduler: Scheduler): void {
+  const before = selfHolder(scheduler);
+  scheduler.formerHolders.add(before);
+  scheduler.self = {
+    ...scheduler.self,
+    incarnation: newIncarnation(scheduler),
+  };
+  scheduler.timeLine.incarnation = scheduler.self.incarnation;
+  reincarnate(scheduler.membership, scheduler.self);
+  note(scheduler, "instance.reincarnated", selfHolder(scheduler), before);
+  for (const entry of scheduler.requests.values()) {
+    const isDurable = entry.durability !== "none" && entry.role === "home";
+    for (const task of entry.tasks.values()) {
+      if (task.progress.kind !== "queued") continue;
+      const taskIds = [task.task.id];
+      applyPlacement(scheduler, { kind: "withdrawn", taskIds });
+      if (!isDurable) requeueUnstarted(scheduler, entry, task);
+    }
+    // Another instance adopts durable work through the log.
+    if (isDurable && entry.outcome === undefined) {
+      scheduler.requests.delete(entry.request.id);
+    }
+  }
+  notify(scheduler.runner, OWNERSHIP_TOPIC);
+}
--- /dev/null
+++ b/src/instance/peer_flow.ts
@@ -0,0 +1,146 @@
+/**
+ * Answers the messages of other entry instances.
+ *
+ * @module
+ */
+import { assertNever } from "../base/mod.ts";
+import { type Heartbeat, isBarred } from "../membership/mod.ts";
+import { withdrawForPeer } from "./cancel_flow.ts";
+import type { Flow } from "./flow.ts";
+import { lookUpHere } from "./lookups.ts";
+import { heartbeatNow, takeHeartbeat } from "./membership_flow.ts";
+import type {
+  Acceptance,
+  LookupAnswer,
+  ManifestAnswer,
+  PeerMessage,
+} from "./peer_message.ts";
+import { cancel, read } from "./read_flow.ts";
+import { applySighting } from "./recovery_flow.ts";
+import { applyRecord, enterRequest, queueTasks } from "./requests.ts";
+import { note, type Scheduler } from "./scheduler.ts";
+import { submit } from "./submit_flow.ts";
+import type { CallAnswer } from "./view.ts";
+
+/** What a peer is answered. */
+export type PeerAnswer =
+  | Heartbeat
+  | CallAnswer
+  | LookupAnswer
+  | Acceptance
+  | ManifestAnswer;
+
+type Move = Extract<PeerMessage, { kind: "move" }>;
+type Report = Extract<PeerMessage, { kind: "report" }>;
+
+/** Answers one message of a peer. */
+export function* answerPeer(
+  scheduler: Scheduler,
+  message: PeerMessage,
+): Flow<PeerAnswer> {
+  switch (message.kind) {
+    case "heartbeat":
+      takeHeartbeat(scheduler, message.heartbeat);
+      return heartbeatNow(scheduler);
+    case "submit":
+      return yield* submit(
+        scheduler,
+        message.customer,
+        message.requestId,
+        message.submission,
+        message.waitMs,
+        true,
+      );
+    case "read": {
+      const { customer, requestId, waitMs } = message;
+      return yield* read(scheduler, customer, requestId, waitMs, true);
+    }
+    case "cancel":
+      return yield* cancel(
+        scheduler,
+        message.customer,
+        message.requestId,
+        true,
+      );
+    case "lookup":
+      return lookUpHere(scheduler, message.requestId, message.taskIds);
+    case "move":
+      return takeMove(scheduler, message);
+    case "report":
+      return takeReport(scheduler, message);
+    case "withdraw":
+      withdrawForPeer(scheduler, message.taskIds);
+      return { accepted: true };
+    case "copy":
+      scheduler.copies.set(message.request.id, message.request);
+      note(scheduler, "request.copied", message.request.id);
+      return { accepted: true };
+    case "manifest":
+      return manifestAfter(scheduler, message.afterVersion);
+    default:
+      return assertNever(message);
+  }
+}
+
+/**
+ * Takes over tasks for a peer. A barred peer gets nothing taken over, since
+ * others may already have said that its requests did not run.
+ */
+function takeMove(scheduler: Scheduler, move: Move): Acceptance {
+  const { membership } = scheduler;
+  if (isBarred(membership, move.from)) return { accepted: false };
+  if (isBarred(membership, move.home)) return { accepted: false };
+  const known = scheduler.requests.get(move.request.id);
+  if (known === undefined) {
+    if (scheduler.draining) return { accepted: false };
+    const { request, tasks, home } = move;
+    const entry = enterRequest(
+      scheduler,
+      request,
+      tasks,
+      "guest",
+      home,
+      "none",
+    );
+    note(scheduler, "request.taken", request.id);
+    queueTasks(scheduler, entry, [...entry.tasks.values()]);
+    return { accepted: true };
+  }
+  for (const task of move.tasks) {
+    const before = known.tasks.get(task.index);
+    if (before !== undefined && before.progress.kind !== "returned") continue;
+    if (scheduler.draining) return { accepted: false };
+    const taken = {
+      task,
+      progress: { kind: "queued" },
+      startedOn: undefined,
+    } as const;
+    known.tasks.set(task.index, { ...taken });
+    const entered = known.tasks.get(task.index);
+    if (entered !== undefined) queueTasks(scheduler, known, [entered]);
+    known.outcome = undefined;
+    known.endedAtMs = undefined;
+  }
+  return { accepted: true };
+}
+
+function takeReport(scheduler: Scheduler, report: Report): Acceptance {
+  for (const update of report.updates) {
+    if (update.kind === "record") {
+      const { worker, token, record } = update;
+      applyRecord(scheduler, worker, token, record);
+    } else {
+      applySighting(scheduler, report.from, update);
+    }
+  }
+  return { accepted: true };
+}
+
+function manifestAfter(
+  scheduler: Scheduler,
+  afterVersion: number,
+): ManifestAnswer {
+  const { version, inForce } = scheduler.log;
+  if (version <= afterVersion || inForce === undefined) return { version };
+  return { version, entry: inForce };
+}
--- /dev/null
+++ b/src/instance/read_flow.ts
@@ -0,0 +1,160 @@
+/**
+ * Reads and cancels requests.
+ *
+ * @module
+ */
+import { assertNever } from "../base/mod.ts";
+import { diagnostics } from "../diagnostics/mod.ts";
+import { endedOf } from "../log_state/mod.ts";
+import { cancelHere } from "./cancel_flow.ts";
+import type { Flow } from "./flow.ts";
+import { answerForLostHome } from "./lost_home.ts";
+import {
+  homeSettled,
+  RETRY_AFTER_MS,
+  unknownId,
+  unreachable,
+} from "./refusals.ts";
+import { homeOf } from "./report_flow.ts";
+import { readRequestId, type RequestIdParts } from "./request_ids.ts";
+import type { RequestEntry } from "./request_entry.ts";
+import { forward, MAX_WAIT_MS, routeOf } from "./routes.ts";
+import { type Scheduler, selfHolder } from "./scheduler.ts";
+import { requestTopic } from "./topics.ts";
+import type { CallAnswer, View } from "./view.ts";
+import { emptyView, viewOf } from "./views.ts";
+import { waitForNotice } from "./waits.ts";
+
+/** Reads a request, waiting for its outcome for a while. */
+export function* read(
+  scheduler: Scheduler,
+  customer: string,
+  requestId: string,
+  waitMs: number,
+  isForwarded: boolean,
+): Flow<CallAnswer> {
+  const { secret } = scheduler.options;
+  const parts = readRequestId(secret, requestId, customer);
+  if (parts === undefined) return unknownId();
+  const route = routeOf(scheduler, requestId, parts, isForwarded);
+  switch (route.kind) {
+    case "here":
+      return yield* readHere(scheduler, requestId, parts, waitMs);
+    case "peer": {
+      const message = { kind: "read", customer, requestId, waitMs } as const;
+      return yield* forward(route.peer, requestId, message, waitMs);
+    }
+    case "search":
+      return yield* answerForLostHome(scheduler, requestId, parts);
+    case "unreachable":
+      return unreachable(requestId);
+    default:
+      return assertNever(route);
+  }
+}
+
+/** Cancels a request: what waits is forgotten, what runs is stopped. */
+export function* cancel(
+  scheduler: Scheduler,
+  customer: string,
+  requestId: string,
+  isForwarded: boolean,
+): Flow<CallAnswer> {
+  const { secret } = scheduler.options;
+  const parts = readRequestId(secret, requestId, customer);
+  if (parts === undefined) return unknownId();
+  const route = routeOf(scheduler, requestId, parts, isForwarded);
+  switch (route.kind) {
+    case "here": {
+      const entry = scheduler.requests.get(requestId);
+      if (entry === undefined) {
+        return yield* readHere(scheduler, requestId, parts, 0);
+      }
+      cancelHere(scheduler, entry);
+      return { kind: "view", view: viewOf(entry) };
+    }
+    case "peer": {
+      const message = { kind: "cancel", customer, requestId } as const;
+      return yield* forward(route.peer, requestId, message, 0);
+    }
+    case "search":
+      return yield* answerForLostHome(scheduler, requestId, parts);
+    case "unreachable":
+      return unreachable(requestId);
+    default:
+      return assertNever(route);
+  }
+}
+
+/** Lists the requests of a customer that this instance is the home of. */
+export function listRequests(scheduler: Scheduler, customer: string): View[] {
+  return [...scheduler.requests.values()]
+    .filter((entry) => entry.role === "home")
+    .filter((entry) => entry.request.customer === customer)
+    .map(viewOf);
+}
+
+function* readHere(
+  scheduler: Scheduler,
+  requestId: string,
+  parts: RequestIdParts,
+  waitMs: number,
+): Flow<CallAnswer> {
+  const entry = scheduler.requests.get(requestId);
+  if (entry !== undefined) {
+    return yield* waitForOutcome(scheduler, entry, waitMs);
+  }
+  const past = pastView(scheduler, requestId, parts);
+  if (past !== undefined) return { kind: "view", view: past };
+  const { template } = diagnostics.notSubmitted;
+  return {
+    kind: "view",
+    view: emptyView(requestId, {
+      kind: "notKnownYet",
+      state: "issued",
+      cause: template,
+      retryAfterMs: RETRY_AFTER_MS,
+    }),
+  };
+}
+
+/** Waits until the outcome is final, or the wait is over. */
+export function* waitForOutcome(
+  scheduler: Scheduler,
+  entry: RequestEntry,
+  waitMs: number,
+): Flow<CallAnswer> {
+  const untilMs = scheduler.moment.steadyMs + Math.min(waitMs, MAX_WAIT_MS);
+  while (entry.outcome === undefined) {
+    const leftMs = untilMs - scheduler.moment.steadyMs;
+    if (leftMs <= 0) break;
+    yield* waitForNotice(requestTopic(entry.request.id), leftMs);
+  }
+  return { kind: "view", view: viewOf(entry) };
+}
+
+/**
+ * Says what is known of a request that the table does not have although its
+ * home is this process: it ended long ago, or belonged to an incarnation that
+ * was barred, or was never submitted (then undefined).
+ */
+export function pastView(
+  scheduler: Scheduler,
+  requestId: string,
+  parts: RequestIdParts,
+): View | undefined {
+  const ended = endedOf(scheduler.log, requestId);
+  if (ended !== undefined) return emptyView(requestId, ended);
+  if (parts.sequence < scheduler.forgottenBelow) {
+    const { template } = diagnostics.outcomeForgotten;
+    return emptyView(requestId, {
+      kind: "notKnownYet",
+      state: "lost",
+      cause: template,
+      retryAfterMs: 0,
+    });
+  }
+  const home = homeOf(scheduler, requestId);
+  if (home === selfHolder(scheduler)) return undefined;
+  return emptyView(requestId, homeSettled());
+}
--- /dev/null
+++ b/src/instance/scheduler.ts
@@ -0,0 +1,178 @@
+import type { Randomness } from "../hosts/mod.ts";
+import {
+  createLogState,
+  type LogRecord,
+  type LogState,
+} from "../log_state/mod.ts";
+import {
+  createMembership,
+  type Holder,
+  holderOf,
+  type Membership,
+} from "../membership/mod.ts";
+import type {
+  Instance,
+  Request,
+  RequestId,
+  Usage,
+  WorkerAddress,
+} from "../model/mod.ts";
+import { createPlacement, type Placement } from "../placement/mod.ts";
+import {
+  createTimeLine,
+  recordEvent,
+  type TimeLine,
+} from "../time_line/mod.ts";
+import type { HeldWorker } from "./held_worker.ts";
+import type { RequestEntry } from "./request_entry.ts";
+import { createRunner, type Runner } from "./runner.ts";
+import type { Moment } from "./scheduler_event.ts";
+import type { SchedulerOptions } from "./scheduler_options.ts";
+
+/** A worker that the instance list or a peer named. */
+export type KnownWorker = { address: WorkerAddress; leaving: boolean };
+
+/** A record on its way into the log. */
+export type PendingAppend = { record: LogRecord; topic: string };
+
+/** Time for which a worker was observed in an hour, cumulative. */
+export type Observation = {
+  worker: string;
+  token: number;
+  hourMs: number;
+  observedMs: number;
+};
+
+/** The whole state of one entry instance. */
+export type Scheduler = {
+  self: Instance;
+  /** Earlier incarnations of this process, which were barred. */
+  formerHolders: Set<Holder>;
+  options: SchedulerOptions;
+  randomness: Randomness;
+  moment: Moment;
+  runner: Runner;
+  membership: Membership;
+  placement: Placement;
+  log: LogState;
+  logReachable: boolean;
+  /** Whether the log was read to its end once. */
+  logCaughtUp: boolean;
+  pendingAppends: PendingAppend[];
+  workers: Map<string, KnownWorker>;
+  held: Map<string, HeldWorker>;
+  /** Workers that could not be reached a moment ago. */
+  unreachable: Set<string>;
+  /** Workers that the zone's peers know too, or that need no witness. */
+  announced: Set<string>;
+  /** When workers vanished from the list (wall clock, ms). */
+  goneWorkers: Map<string, number>;
+  /** When this process started (wall clock, ms). */
+  startedAtMs: number;
+  requests: Map<RequestId, RequestEntry>;
+  /** Durable requests of peers, kept while the log is down. */
+  copies: Map<RequestId, Request>;
+  /** Sequence number of the next request id. */
+  nextSequence: number;
+  /** Requests with a lower sequence number may have been forgotten. */
+  forgottenBelow: number;
+  usage: Map<string, Usage>;
+  observations: Map<string, Observation>;
+  /** Keys of usage and observations that the log does not have yet. */
+  dirtyUsage: Set<string>;
+  timeLine: TimeLine;
+  draining: boolean;
+  /** Whether nothing is left to hand over. */
+  drained: boolean;
+};
+
+/**
+ * Creates the state of an entry instance that has just started.
+ *
+ * @example
+ * ```ts
+ * const scheduler = createScheduler(self, options, randomness, moment);
+ * const commands = step(scheduler, { kind: "started" }, moment);
+ * ```
+ *
+ * @param self this incarnation; it must never have been used before
+ */
+export function createScheduler(
+  self: Instance,
+  options: SchedulerOptions,
+  randomness: Randomness,
+  moment: Moment,
+): Scheduler {
+  return {
+    self,
+    formerHolders: new Set(),
+    options,
+    randomness,
+    moment,
+    runner: createRunner(),
+    membership: createMembership(self, {
+      deadAfterMs: options.deadAfterMs,
+      zoneBeatMs: options.heartbeatMs,
+      remoteBeatMs: options.remoteHeartbeatMs,
+      seeds: options.seeds,
+    }),
+    placement: createPlacement({
+      preference: options.preference,
+      randomness,
+      maxQueuedTasks: options.maxQueuedTasks,
+    }),
+    log: createLogState(),
+    logReachable: false,
+    logCaughtUp: false,
+    pendingAppends: [],
+    workers: new Map(),
+    held: new Map(),
+    unreachable: new Set(),
+    announced: new Set(),
+    goneWorkers: new Map(),
+    startedAtMs: moment.wallMs,
+    requests: new Map(),
+    copies: new Map(),
+    nextSequence: 1,
+    forgottenBelow: 0,
+    usage: new Map(),
+    observations: new Map(),
+    dirtyUsage: new Set(),
+    timeLine: createTimeLine({
+      process: self.id,
+      incarnation: self.incarnation,
+      capacity: TIME_LINE_EVENTS,
+    }),
+    draining: false,
+    drained: false,
+  };
+}
+
+/** How many events of the time line an instance keeps. */
+const TIME_LINE_EVENTS = 5_000;
+
+/** Returns the holder under which this instance takes leases now. */
+export function selfHolder(scheduler: Scheduler): Holder {
+  return holderOf(scheduler.self);
+}
+
+/** Tells whether a holder is this process, in this or an earlier incarnation. */
+export function isSelf(scheduler: Scheduler, holder: Holder): boolean {
+  return holder === selfHolder(scheduler) ||
+    scheduler.formerHolders.has(holder);
+}
+
+/** Adds an event to the time line of this instance. */
+export function note(
+  scheduler: Scheduler,
+  name: string,
+  subject?: string,
+  detail?: string,
+): void {
+  recordEvent(scheduler.timeLine, {
+    atMs: scheduler.moment.wallMs,
+    name,
+    ...(subject === undefined ? {} : { subject }),
+    ...(detail === undefined ? {} : { detail }),
+  });
+}
--- a/src/membership/holder.ts
+++ b/src/membership/holder.ts
@@ -11,7 +11,9 @@
  * holderOf(instance); // "kigali-1/k3f9"
  * ```
  */
-export function holderOf(instance: Instance): Holder {
+export function holderOf(
+  instance: Pick<Instance, "id" | "incarnation">,
+): Holder {
   return `${instance.id}/${instance.incarnation}`;
 }
 
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -16,6 +16,7 @@
 export * from "./member.ts";
 export * from "./membership.ts";
 export * from "./ownership.ts";
+export * from "./peer_views.ts";
 export * from "./peers_to_beat.ts";
 export * from "./receive_heartbeat.ts";
 export * from "./receive_list.ts";
--- a/src/model/outcome.ts
+++ b/src/model/outcome.ts
@@ -55,9 +55,12 @@
     cause: v.string(),
   }),
   v.object({
-    /** The request may be queued, running, or held by an unreachable home. */
+    /**
+     * The request may be queued, running, or held by an unreachable home. In
+     * the state "lost" a worker was lost for good and nobody will ever know.
+     */
     kind: v.literal("notKnownYet"),
-    state: v.picklist(["issued", "queued", "running", "unreachable"]),
+    state: v.picklist(["issued", "queued", "running", "unreachable", "lost"]),
     cause: v.string(),
     retryAfterMs: v.number(),
   }),
--- /dev/null
+++ b/src/server/authentication.ts
@@ -0,0 +1,74 @@
+/**
+ * Bearer tokens of customers, operators and peers.
+ *
+ * @module
+ */
+import { equalSecrets } from "../base/mod.ts";
+import { diagnostics } from "../diagnostics/mod.ts";
+import { refusal } from "./problem_document.ts";
+import { RefusedCall } from "./refused_call.ts";
+import type { RouteCall } from "./route.ts";
+
+const UNAUTHENTICATED = 401;
+const FORBIDDEN = 403;
+
+/** Who may call what. */
+export type Credentials = {
+  /** Tokens by customer. */
+  customers: Record<string, string[]>;
+  /** Token by operator. */
+  operators: Record<string, string>;
+  /** The secret shared by the entry instances. */
+  secret: string;
+};
+
+/**
+ * Returns the customer whose token a call carries.
+ *
+ * @throws {RefusedCall} with status 401 for an unknown token
+ */
+export function customerOf(call: RouteCall, credentials: Credentials): string {
+  const token = bearerToken(call);
+  for (const [customer, tokens] of Object.entries(credentials.customers)) {
+    if (tokens.some((known) => equalSecrets(known, token))) return customer;
+  }
+  throw new RefusedCall(
+    refusal(UNAUTHENTICATED, diagnostics.unauthenticated),
+  );
+}
+
+/**
+ * Returns the operator whose token a call carries.
+ *
+ * @throws {RefusedCall} with status 401 or 403
+ */
+export function operatorOf(call: RouteCall, credentials: Credentials): string {
+  const token = bearerToken(call);
+  for (const [operator, known] of Object.entries(credentials.operators)) {
+    if (equalSecrets(known, token)) return operator;
+  }
+  customerOf(call, credentials);
+  throw new RefusedCall(refusal(FORBIDDEN, diagnostics.forbidden));
+}
+
+/**
+ * Checks that a call comes from another entry instance.
+ *
+ * @throws {RefusedCall} with status 401
+ */
+export function checkPeer(call: RouteCall, credentials: Credentials): void {
+  if (equalSecrets(bearerToken(call), credentials.secret)) return;
+  throw new RefusedCall(
+    refusal(UNAUTHENTICATED, diagnostics.unauthenticated),
+  );
+}
+
+function bearerToken(call: RouteCall): string {
+  const header = call.headers["authorization"];
+  if (typeof header !== "string" || !header.startsWith("Bearer ")) {
+    throw new RefusedCall(
+      refusal(UNAUTHENTICATED, diagnostics.unauthenticated),
+    );
+  }
+  return header.slice("Bearer ".length).trim();
+}
--- /dev/null
+++ b/src/server/route.ts
@@ -0,0 +1,17 @@
+import type { HttpAnswer } from "./http_answer.ts";
+
+/** A call as a route sees it. */
+export type RouteCall = {
+  method: string;
+  /** The path, split at its slashes and decoded, without the empty first. */
+  path: string[];
+  query: URLSearchParams;
+  headers: Record<string, string | string[] | undefined>;
+  /** Reads the body as JSON; answers by itself if that fails. */
+  body(): Promise<unknown>;
+};
+
+/** Answers a call, or returns undefined for paths that are not its own. */
+export type Route = (
+  call: RouteCall,
+) => Promise<HttpAnswer | undefined> | HttpAnswer | undefined;
