--- /dev/null
+++ b/stand_ins/local_cluster/http_api.ts
@@ -0,0 +1,61 @@
+import { Agent, request } from "undici";
+
+const MAX_CONNECTIONS = 64;
+
+/** An answer to a call, or the reason why there is none. */
+export type Reply =
+  | { kind: "answered"; status: number; body: unknown }
+  | { kind: "failed"; cause: string };
+
+/** Calls the JSON interfaces of the processes under test. */
+export type HttpApi = {
+  call(
+    method: "GET" | "POST" | "PUT" | "DELETE",
+    url: string,
+    options?: CallOptions,
+  ): Promise<Reply>;
+  close(): Promise<void>;
+};
+
+/** Options of one call. */
+export type CallOptions = {
+  token?: string;
+  body?: unknown;
+  headers?: Record<string, string>;
+  timeoutMs?: number;
+};
+
+const DEFAULT_TIMEOUT_MS = 10_000;
+
+/** Builds an HTTP client for callers and operators. */
+export function createHttpApi(): HttpApi {
+  const dispatcher = new Agent({ connections: MAX_CONNECTIONS });
+
+  async function call(
+    method: "GET" | "POST" | "PUT" | "DELETE",
+    url: string,
+    options: CallOptions = {},
+  ): Promise<Reply> {
+    const { token, body, timeoutMs = DEFAULT_TIMEOUT_MS } = options;
+    const headers: Record<string, string> = { ...options.headers };
+    if (token !== undefined) headers["authorization"] = `Bearer ${token}`;
+    if (body !== undefined) headers["content-type"] = "application/json";
+    try {
+      const reply = await request(url, {
+        dispatcher,
+        method,
+        headers,
+        signal: AbortSignal.timeout(timeoutMs),
+        body: body === undefined ? null : JSON.stringify(body),
+      });
+      const text = await reply.body.text();
+      const parsed = text === "" ? undefined : JSON.parse(text);
+      return { kind: "answered", status: reply.statusCode, body: parsed };
+    } catch (error) {
+      const cause = error instanceof Error ? error.message : String(error);
+      return { kind: "failed", cause };
+    }
+  }
+
+  return { call, close: () => dispatcher.destroy() };
+}
--- /dev/null
+++ b/stand_ins/local_cluster/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * A whole cluster on one machine, of real processes on 127.0.0.1: the
+ * stand-ins in one process and every entry instance in its own. For the
+ * quickstart and for tests; the product starts no processes.
+ *
+ * @module
+ */
+export * from "./http_api.ts";
+export * from "./local_cluster.ts";
+export * from "./program.ts";
+export * from "./submitter.ts";
+export * from "./verdict.ts";
--- /dev/null
+++ b/stand_ins/local_cluster/submitter.ts
@@ -0,0 +1,123 @@
+import { setTimeout as delay } from "node:timers/promises";
+import * as v from "valibot";
+import {
+  type Outcome,
+  outcomeSchema,
+  type Submission,
+} from "../../src/model/mod.ts";
+import type { HttpApi, Reply } from "./http_api.ts";
+
+const WAIT_MS = 2_000;
+const RETRY_DELAY_MS = 100;
+const CREATED = 201;
+const FIRST_CLIENT_ERROR = 400;
+const FIRST_SERVER_ERROR = 500;
+
+const issuedSchema = v.object({ id: v.string() });
+const viewSchema = v.object({ id: v.string(), outcome: outcomeSchema });
+
+/** What a caller wants to have done once. */
+export type Order = {
+  /** Name of the order in reports. */
+  key: string;
+  token: string;
+  submission: Submission;
+  idempotent: boolean;
+};
+
+/** What came of an order, as its caller heard it. */
+export type HeardOrder = {
+  order: Order;
+  /** Request ids under which it was submitted; the last one counts. */
+  ids: string[];
+  /** The final outcome, if there was one within the time. */
+  outcome: Outcome | undefined;
+  /** Every answer that was neither a success nor expected. */
+  complaints: string[];
+};
+
+/** Where and how long orders are submitted. */
+export type SubmitterOptions = {
+  api: HttpApi;
+  /** Base URLs of the entry instances, dead ones included. */
+  urls: string[];
+  /** How long an order is pursued, in milliseconds. */
+  patienceMs: number;
+};
+
+/**
+ * Submits an order as a careful caller does: it repeats under the same id, at
+ * any instance, until the outcome is final, and takes a new id only after it
+ * was told that nothing ran.
+ *
+ * @param first index of the instance that is tried first
+ */
+export async function submitOrder(
+  options: SubmitterOptions,
+  order: Order,
+  first: number,
+): Promise<HeardOrder> {
+  const heard: HeardOrder = {
+    order,
+    ids: [],
+    outcome: undefined,
+    complaints: [],
+  };
+  const untilMs = performance.now() + options.patienceMs;
+  let turn = first;
+  let id: string | undefined;
+  while (performance.now() < untilMs) {
+    const url = options.urls[turn % options.urls.length]!;
+    if (id === undefined) {
+      id = await issueId(options.api, url, order, heard);
+      if (id !== undefined) heard.ids.push(id);
+    }
+    const outcome = id === undefined
+      ? undefined
+      : await submitOnce(options.api, url, order, id, heard);
+    if (outcome?.kind === "ran") return { ...heard, outcome };
+    if (outcome?.kind === "didNotRun") id = undefined;
+    if (outcome?.kind !== "notKnownYet") turn += 1;
+    if (outcome === undefined) await delay(RETRY_DELAY_MS);
+  }
+  return heard;
+}
+
+async function issueId(
+  api: HttpApi,
+  url: string,
+  order: Order,
+  heard: HeardOrder,
+): Promise<string | undefined> {
+  const reply = await api.call("POST", `${url}/v1/requests`, {
+    token: order.token,
+  });
+  complain(heard, reply);
+  if (reply.kind === "failed" || reply.status !== CREATED) return undefined;
+  return v.parse(issuedSchema, reply.body).id;
+}
+
+async function submitOnce(
+  api: HttpApi,
+  url: string,
+  order: Order,
+  id: string,
+  heard: HeardOrder,
+): Promise<Outcome | undefined> {
+  const path = `${url}/v1/requests/${id}?waitMs=${WAIT_MS}`;
+  const { token, submission: body } = order;
+  const reply = await api.call("PUT", path, { token, body });
+  complain(heard, reply);
+  if (reply.kind === "failed" || reply.status >= FIRST_CLIENT_ERROR) {
+    return undefined;
+  }
+  return v.parse(viewSchema, reply.body).outcome;
+}
+
+/** Notes an answer that blames the caller, which did nothing wrong. */
+function complain(heard: HeardOrder, reply: Reply): void {
+  if (reply.kind === "failed") return;
+  const { status } = reply;
+  if (status < FIRST_CLIENT_ERROR || status >= FIRST_SERVER_ERROR) return;
+  heard.complaints.push(`${status} ${JSON.stringify(reply.body)}`);
+}
