--- a/stand_ins/local_cluster/http_api.ts
+++ b/stand_ins/local_cluster/http_api.ts
@@ -5,7 +5,8 @@
 /** An answer to a call, or the reason why there is none. */
 export type Reply =
   | { kind: "answered"; status: number; body: unknown }
-  | { kind: "failed"; cause: string };
+  /** `unsent` tells that no connection could be opened. */
+  | { kind: "failed"; unsent: boolean; cause: string };
 
 /** Calls the JSON interfaces of the processes under test. */
 export type HttpApi = {
@@ -52,8 +53,9 @@
       const parsed = text === "" ? undefined : JSON.parse(text);
       return { kind: "answered", status: reply.statusCode, body: parsed };
     } catch (error) {
-      const cause = error instanceof Error ? error.message : String(error);
-      return { kind: "failed", cause };
+      const { code, message } = error as Error & { code?: string };
+      const unsent = code === "ECONNREFUSED";
+      return { kind: "failed", unsent, cause: `${code ?? ""} ${message}` };
     }
   }
 
--- a/stand_ins/local_cluster/mod.ts
+++ b/stand_ins/local_cluster/mod.ts
@@ -9,4 +9,5 @@
 export * from "./local_cluster.ts";
 export * from "./program.ts";
 export * from "./submitter.ts";
+export * from "./test_cluster.ts";
 export * from "./verdict.ts";
--- a/stand_ins/local_cluster/submitter.ts
+++ b/stand_ins/local_cluster/submitter.ts
@@ -22,7 +22,6 @@
   key: string;
   token: string;
   submission: Submission;
-  idempotent: boolean;
 };
 
 /** What came of an order, as its caller heard it. */
@@ -32,15 +31,17 @@
   ids: string[];
   /** The final outcome, if there was one within the time. */
   outcome: Outcome | undefined;
-  /** Every answer that was neither a success nor expected. */
+  /** Every answer that blames the caller, which did nothing wrong. */
   complaints: string[];
+  /** Every call that broke off after its connection was open. */
+  cuts: string[];
 };
 
 /** Where and how long orders are submitted. */
 export type SubmitterOptions = {
   api: HttpApi;
-  /** Base URLs of the entry instances, dead ones included. */
-  urls: string[];
+  /** Base URLs of the entry instances that callers are sent to now. */
+  urls(): string[];
   /** How long an order is pursued, in milliseconds. */
   patienceMs: number;
 };
@@ -62,12 +63,14 @@
     ids: [],
     outcome: undefined,
     complaints: [],
+    cuts: [],
   };
   const untilMs = performance.now() + options.patienceMs;
   let turn = first;
   let id: string | undefined;
   while (performance.now() < untilMs) {
-    const url = options.urls[turn % options.urls.length]!;
+    const urls = options.urls();
+    const url = urls[turn % urls.length]!;
     if (id === undefined) {
       id = await issueId(options.api, url, order, heard);
       if (id !== undefined) heard.ids.push(id);
@@ -114,9 +117,12 @@
   return v.parse(viewSchema, reply.body).outcome;
 }
 
-/** Notes an answer that blames the caller, which did nothing wrong. */
+/** Notes an answer that blames the caller, and a call that broke off. */
 function complain(heard: HeardOrder, reply: Reply): void {
-  if (reply.kind === "failed") return;
+  if (reply.kind === "failed") {
+    if (!reply.unsent) heard.cuts.push(reply.cause);
+    return;
+  }
   const { status } = reply;
   if (status < FIRST_CLIENT_ERROR || status >= FIRST_SERVER_ERROR) return;
   heard.complaints.push(`${status} ${JSON.stringify(reply.body)}`);
--- a/stand_ins/local_cluster/verdict_test.ts
+++ b/stand_ins/local_cluster/verdict_test.ts
@@ -68,13 +68,14 @@
   output: unknown,
 ): WorkerAudit {
   const outputs = runs.map(({ taskId }) => ({ taskId, output }));
-  return { worker, runs, outputs, twice: [], overCapacity: 0 };
+  const lease = { token: 1, holder: "entry-1/a", lapsed: false };
+  return { worker, lease, runs, outputs, twice: [], overCapacity: 0 };
 }
 
 function heardOf(ids = ["r1"]): HeardOrder {
   const submission = { agreement: "a", work: "w", tasks: [{}] };
-  const order = { key: "order-1", token: "t", submission, idempotent: false };
-  return { order, ids, outcome: outcomeOf("card"), complaints: [] };
+  const order = { key: "order-1", token: "t", submission };
+  return { order, ids, outcome: outcomeOf("card"), complaints: [], cuts: [] };
 }
 
 function outcomeOf(output: unknown): Outcome {
--- a/stand_ins/worker/audit.ts
+++ b/stand_ins/worker/audit.ts
@@ -1,3 +1,4 @@
+import type { CurrentLease } from "../../src/hosts/mod.ts";
 import {
   addResources,
   fitsInto,
@@ -29,6 +30,8 @@
 /** What a worker saw, counted apart from the code that admits tasks. */
 export type WorkerAudit = {
   worker: string;
+  /** Who holds the worker at present. */
+  lease: CurrentLease;
   runs: AuditedRun[];
   outputs: AuditedOutput[];
   /** Task ids that started more than once without being idempotent. */
@@ -49,7 +52,7 @@
   throttled(taskId: string, freed: Resources): void;
   closed(taskId: string, ended: string): void;
   finished(taskId: string, output: unknown): void;
-  report(): WorkerAudit;
+  report(lease: CurrentLease): WorkerAudit;
 };
 
 /** Builds an auditor that knows the true capacity of its worker. */
@@ -93,8 +96,9 @@
     finished(taskId, output) {
       outputs.push({ taskId, output });
     },
-    report: () => ({
+    report: (lease) => ({
       worker,
+      lease,
       runs,
       outputs,
       twice: startedTwice(runs),
--- a/stand_ins/worker/worker.ts
+++ b/stand_ins/worker/worker.ts
@@ -18,6 +18,7 @@
   throttle,
 } from "./commands.ts";
 import { noteChange, wakeWaiters } from "./journal.ts";
+import { describeLease } from "./lease.ts";
 import { type WorkerControl, workerControlSchema } from "./worker_control.ts";
 import { type WorkerOptions, workerOptionsSchema } from "./worker_options.ts";
 import {
@@ -48,7 +49,7 @@
 export function createWorker(options: WorkerOptions): Worker {
   const settings = v.parse(workerOptionsSchema, options);
   const state = createWorkerState(settings);
-  const audit = () => state.audit.report();
+  const audit = () => state.audit.report(describeLease(state.lease));
   const server = createJsonServer<WorkerControl>({
     seed: settings.seed,
     connections: settings.capacity.connections,
