--- /dev/null
+++ b/src/telemetry/log_part.ts
@@ -0,0 +1,15 @@
+/** The parts of the daemon that write logs; the name is the prefix. */
+export const LOG_PARTS = [
+  "daemon",
+  "server",
+  "membership",
+  "leases",
+  "placement",
+  "requests",
+  "log",
+  "manifest",
+  "account",
+] as const;
+
+/** A part of the daemon that writes logs. */
+export type LogPart = typeof LOG_PARTS[number];
--- /dev/null
+++ b/src/telemetry/logger.ts
@@ -0,0 +1,146 @@
+import type { Writable } from "node:stream";
+import * as winston from "winston";
+import type { LogPart } from "./log_part.ts";
+
+/** The levels of log entries, the most severe first. */
+export const LOG_LEVELS = ["error", "warn", "info", "debug"] as const;
+
+/** The level of a log entry. */
+export type LogLevel = typeof LOG_LEVELS[number];
+
+/** How log entries are written: one line of text, or one JSON object. */
+export const LOG_FORMATS = ["line", "json"] as const;
+
+/** How log entries are written. */
+export type LogFormat = typeof LOG_FORMATS[number];
+
+/** Settings of the logger. */
+export type LogSettings = {
+  level: LogLevel;
+  format: LogFormat;
+  /** Id of the instance, written with each entry. */
+  process: string;
+  /** Where entries go; the standard output if absent. */
+  stream?: Writable;
+};
+
+/** Values that belong to an entry, such as a worker's id. */
+export type LogFields = Record<string, string | number | boolean>;
+
+/** Writes the entries of one part. */
+export type PartLogger = {
+  [level in LogLevel]: (sentence: string, fields?: LogFields) => void;
+};
+
+/** Writes log entries. */
+export type Logger = {
+  /** The logger of one part, whose name is the prefix of each entry. */
+  part(name: LogPart): PartLogger;
+  /** Resolves once all entries are written; nothing can be logged after. */
+  close(): Promise<void>;
+};
+
+const LEVEL_WIDTH = Math.max(...LOG_LEVELS.map((level) => level.length));
+
+/**
+ * Creates the logger of a process. Logging never throws and never rejects.
+ *
+ * @example
+ * ```ts
+ * const logger = createLogger({ level: "info", format: "line", process: id });
+ * logger.part("leases").info("Acquired the worker.", { worker: "worker-3" });
+ * // 2026-12-04T08:30:00.025Z info  leases: Acquired the worker. worker=worker-3
+ * ```
+ */
+export function createLogger(settings: LogSettings): Logger {
+  const sink = winston.createLogger({
+    level: settings.level,
+    levels: levelNumbers(),
+    format: formatOf(settings),
+    transports: [transportOf(settings.stream)],
+    exitOnError: false,
+  });
+  sink.on("error", () => {
+    // A log that cannot be written must not stop the daemon.
+  });
+  return {
+    part: (name) => createPartLogger(sink, name),
+    close: () => closeSink(sink),
+  };
+}
+
+function levelNumbers(): Record<string, number> {
+  return Object.fromEntries(LOG_LEVELS.map((level, index) => [level, index]));
+}
+
+function transportOf(stream: Writable | undefined): winston.transport {
+  if (stream === undefined) return new winston.transports.Console();
+  return new winston.transports.Stream({ stream });
+}
+
+function formatOf(settings: LogSettings): winston.Logform.Format {
+  const { combine, timestamp, printf } = winston.format;
+  switch (settings.format) {
+    case "line":
+      return combine(timestamp(), printf(lineOf));
+    case "json":
+      return combine(
+        timestamp(),
+        printf((entry) => jsonOf(entry, settings.process)),
+      );
+  }
+}
+
+function lineOf(entry: winston.Logform.TransformableInfo): string {
+  const { level, message, timestamp, part, fields } = entry;
+  const pairs = Object.entries(fields ?? {}).map(([key, value]) =>
+    ` ${key}=${textOf(value)}`
+  );
+  const text = `${message}${pairs.join("")}`;
+  return `${timestamp} ${level.padEnd(LEVEL_WIDTH)} ${part}: ${oneLine(text)}`;
+}
+
+function jsonOf(
+  entry: winston.Logform.TransformableInfo,
+  process: string,
+): string {
+  const { level, message, timestamp, part, fields } = entry;
+  const head = { time: timestamp, level, process, part, message };
+  return oneLine(JSON.stringify({ ...head, ...(fields ?? {}) }));
+}
+
+function textOf(value: unknown): string {
+  const text = String(value);
+  return /[\s"=]/.test(text) ? JSON.stringify(text) : text;
+}
+
+/** Text from outside must not be able to forge another entry. */
+function oneLine(text: string): string {
+  // deno-lint-ignore no-control-regex
+  return text.replace(/[\u0000-\u001f\u007f\u2028\u2029]/g, escapeCharacter);
+}
+
+function escapeCharacter(character: string): string {
+  const code = character.charCodeAt(0).toString(16);
+  return `\\u${code.padStart(4, "0")}`;
+}
+
+function createPartLogger(sink: winston.Logger, part: LogPart): PartLogger {
+  const write =
+    (level: LogLevel) => (sentence: string, fields?: LogFields): void => {
+      sink.log({ level, message: sentence, part, fields });
+    };
+  return {
+    error: write("error"),
+    warn: write("warn"),
+    info: write("info"),
+    debug: write("debug"),
+  };
+}
+
+function closeSink(sink: winston.Logger): Promise<void> {
+  return new Promise((resolve) => {
+    sink.once("finish", () => resolve());
+    sink.end();
+  });
+}
