Move work over zones, own workers by rack, split the table of requests

Cause: a gang larger than what one instance owns waited for ever (trial: 3 tasks of 4 accelerators in a zone of two owners), and a request whose zone has no fitting worker had nowhere to go.

What: ownership goes by rack, so one owner can start a gang on a whole rack; tasks move within the zone first, then the region, then further, as far as the setting spill allows; a guest without room hands tasks back, and a request moves once a second at most. Before anybody says "did not run" in place of a lost home, every zone that a task could have moved to is asked and settled.

Ruled out: pointers to spilled requests at zone peers (two lost instances would lose the pointer and a task could be reported as not run while it runs).

--- a/src/daemon/run_instance.ts
+++ b/src/daemon/run_instance.ts
@@ -101,6 +101,7 @@
       ...DEFAULT_SCHEDULER_OPTIONS,
       secret: cluster.secret,
       seeds: cluster.seeds,
+      spill: cluster.spill,
       preference: cluster.preference,
       heartbeatMs: lease.heartbeatMs,
       deadAfterMs: lease.deadAfterMs,
--- a/src/instance/adoption_flow.ts
+++ b/src/instance/adoption_flow.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import {
+  type Holder,
   holderOf,
   isSettled,
   membersOf,
@@ -20,15 +21,12 @@
 import type { Request } from "../model/mod.ts";
 import { commit, commitInBackground } from "./appends.ts";
 import type { Flow } from "./flow.ts";
-import { searchZone, type ZoneSearch } from "./lookups.ts";
+import { type Search, searchPeers, zonesInReach } from "./lookups.ts";
 import { homeOf } from "./report_flow.ts";
 import { splitRequestId } from "./request_ids.ts";
-import {
-  applyRecord,
-  enterRequest,
-  queueTasks,
-  resolveLostRun,
-} from "./requests.ts";
+import { enterRequest } from "./requests.ts";
+import { queueTasks, resolveLostRun } from "./task_queue.ts";
+import { applyRecord } from "./task_record.ts";
 import { note, type Scheduler, selfHolder } from "./scheduler.ts";
 import type { TaskEntry } from "./request_entry.ts";
 import { LOG_TOPIC } from "./topics.ts";
@@ -48,10 +46,10 @@
     for (const accepted of [...acceptedRequests(scheduler.log)]) {
       const duty = dutyTo(scheduler, accepted);
       if (duty === "none") continue;
-      if (duty === "adopt") {
-        if (!(yield* claimAdoption(scheduler, accepted))) continue;
-      }
-      yield* takeUp(scheduler, accepted.request);
+      const isNew = duty === "adopt";
+      const lost = isNew ? homeOf(scheduler, accepted.request.id) : undefined;
+      if (isNew && !(yield* claimAdoption(scheduler, accepted))) continue;
+      yield* takeUp(scheduler, accepted.request, lost);
     }
   }
 }
@@ -87,7 +85,8 @@
   }
   const state = memberState(scheduler.membership, home);
   if (state === "live" || state === "leaving") return "none";
-  if (!isSettled(scheduler.membership, home, [zone])) return "none";
+  const zones = zonesInReach(scheduler);
+  if (!isSettled(scheduler.membership, home, zones)) return "none";
   const members = membersOf(scheduler.membership, zone);
   const first = rendezvousOrder(members, request.id)[0];
   const isFirst = first !== undefined &&
@@ -110,9 +109,13 @@
 }
 
 /** Takes up a request that this instance adopted: finds or queues its tasks. */
-function* takeUp(scheduler: Scheduler, request: Request): Flow<void> {
+function* takeUp(
+  scheduler: Scheduler,
+  request: Request,
+  lost: Holder | undefined,
+): Flow<void> {
   const holder = selfHolder(scheduler);
-  const search = yield* searchZone(scheduler, request.id, []);
+  const search = yield* searchPeers(scheduler, lost, request.id, []);
   if (!search.complete || holder !== selfHolder(scheduler)) return;
   if (endedOf(scheduler.log, request.id) !== undefined) return;
   if (homeOf(scheduler, request.id) !== holder) return;
@@ -144,7 +147,7 @@
 function takeSighting(
   scheduler: Scheduler,
   task: TaskEntry,
-  search: ZoneSearch,
+  search: Search,
 ): boolean {
   const sighting = search.sightings.get(task.task.id);
   if (sighting?.kind === "record") {
--- a/src/instance/list_flow.ts
+++ b/src/instance/list_flow.ts
@@ -30,12 +30,13 @@
 function takeList(scheduler: Scheduler, list: InstanceList): void {
   receiveList(scheduler.membership, list, scheduler.moment.steadyMs);
   const listed = new Set(list.workers.map((worker) => worker.id));
-  for (const worker of scheduler.workers.keys()) {
+  for (const worker of scheduler.listedWorkers) {
     if (listed.has(worker)) continue;
     scheduler.workers.delete(worker);
     scheduler.goneWorkers.set(worker, scheduler.moment.wallMs);
     note(scheduler, "worker.gone", worker);
   }
+  scheduler.listedWorkers = listed;
   const { zone } = scheduler.self;
   for (const { leaving, ...address } of list.workers) {
     if (address.zone !== zone) continue;
--- a/src/instance/lookups.ts
+++ b/src/instance/lookups.ts
@@ -7,6 +7,7 @@
   barsFor,
   type Holder,
   holderOf,
+  isSettled,
   knownWorkers,
   membersOf,
   unsettledHolders,
@@ -28,13 +29,13 @@
 /** Time-out of one lookup. */
 const LOOKUP_TIMEOUT_MS = 1_500;
 
-/** What a whole zone knows of some tasks. */
-export type ZoneSearch = {
+/** What every instance that could have tasks knows of them. */
+export type Search = {
   sightings: Map<TaskId, Sighting>;
   /**
-   * Whether every worker of the zone was asked through its present owner, and
-   * every incarnation of the zone that is gone is settled. Only then does a
-   * task without a sighting surely not run, and never will.
+   * Whether every worker was asked through its present owner, and every
+   * incarnation that is gone is settled. Only then does a task without a
+   * sighting surely not run, and never will.
    */
   complete: boolean;
   /** Which peer has a task queued. */
@@ -106,16 +107,22 @@
   );
 }
 
-/** Asks the whole zone of this instance what it knows of some tasks. */
-export function* searchZone(
+/**
+ * Asks every instance to which tasks could have moved what it knows of them.
+ *
+ * @param lost the incarnation that had the tasks last, where it is known
+ */
+export function* searchPeers(
   scheduler: Scheduler,
+  lost: Holder | undefined,
   requestId: string | undefined,
   taskIds: TaskId[],
-): Flow<ZoneSearch> {
-  const { zone } = scheduler.self;
+): Flow<Search> {
+  const { membership } = scheduler;
+  const zones = zonesInReach(scheduler);
   const self = selfHolder(scheduler);
-  const isSettledBefore = isZoneSettled(scheduler);
-  const peers = membersOf(scheduler.membership, zone)
+  const isSettledBefore = areSettled(scheduler, lost, zones);
+  const peers = zones.flatMap((zone) => membersOf(membership, zone))
     .filter((peer) => holderOf(peer) !== self);
   const answers = yield* gather(
     scheduler.runner,
@@ -124,7 +131,7 @@
   const sightings = new Map<TaskId, Sighting>();
   const held = new Set<string>();
   let outcome: LookupAnswer["outcome"];
-  let complete = isSettledBefore && isZoneSettled(scheduler);
+  let complete = isSettledBefore && areSettled(scheduler, lost, zones);
   const here = lookUpHere(scheduler, requestId, taskIds);
   const known = answers.flatMap((answer) =>
     answer.isOk() ? [answer.value] : []
@@ -141,8 +148,10 @@
     }
     outcome ??= answer.outcome;
   }
-  for (const worker of knownWorkers(scheduler.membership, zone)) {
-    if (!held.has(worker)) complete = false;
+  for (const zone of zones) {
+    for (const worker of knownWorkers(membership, zone)) {
+      if (!held.has(worker)) complete = false;
+    }
   }
   const witnessedSinceMs = witnessedSince(all);
   return { sightings, complete, queuedAt, witnessedSinceMs, outcome };
@@ -161,9 +170,30 @@
   return sighting.kind === "record" ? sighting.record.task.id : sighting.taskId;
 }
 
-function isZoneSettled(scheduler: Scheduler): boolean {
-  const { zone } = scheduler.self;
-  return unsettledHolders(scheduler.membership, zone).length === 0;
+/** Lists the zones to which tasks of this zone can move. */
+export function zonesInReach(scheduler: Scheduler): string[] {
+  const { membership, options, self } = scheduler;
+  if (options.spill === "zone") return [self.zone];
+  const zones = new Set([self.zone]);
+  for (const listed of membership.listed) zones.add(listed.zone);
+  for (const member of membership.members.values()) {
+    zones.add(member.instance.zone);
+  }
+  return [...zones].sort();
+}
+
+/**
+ * Tells whether nothing of a lost incarnation can start any more, and nothing
+ * that it moved to another lost one.
+ */
+function areSettled(
+  scheduler: Scheduler,
+  lost: Holder | undefined,
+  zones: string[],
+): boolean {
+  const { membership } = scheduler;
+  if (lost !== undefined && !isSettled(membership, lost, zones)) return false;
+  return zones.every((zone) => unsettledHolders(membership, zone).length === 0);
 }
 
 function addOwnTasks(
--- a/src/instance/lost_home.ts
+++ b/src/instance/lost_home.ts
@@ -1,5 +1,5 @@
 /**
- * What became of a request whose home is gone, by the records of its zone.
+ * What became of a request whose home is gone, by the records of its peers.
  *
  * @module
  */
@@ -7,10 +7,11 @@
 import { endedOf } from "../log_state/mod.ts";
 import type { Outcome, TaskOutcome, TaskRecord } from "../model/mod.ts";
 import type { Flow } from "./flow.ts";
-import { searchZone, type ZoneSearch } from "./lookups.ts";
+import { type Search, searchPeers } from "./lookups.ts";
 import { homeSettled, notKnown, RETRY_AFTER_MS } from "./refusals.ts";
+import { homeOf } from "./report_flow.ts";
 import type { RequestIdParts } from "./request_ids.ts";
-import { outcomeOf } from "./requests.ts";
+import { outcomeOf } from "./task_end.ts";
 import type { Scheduler } from "./scheduler.ts";
 import type { CallAnswer } from "./view.ts";
 import { emptyView } from "./views.ts";
@@ -18,7 +19,7 @@
 /** Allowance for clocks that differ between instances. */
 const CLOCK_ALLOWANCE_MS = 60_000;
 
-/** Finds out in the zone what became of a request whose home is gone. */
+/** Finds out from the peers what became of a request whose home is gone. */
 export function* answerForLostHome(
   scheduler: Scheduler,
   requestId: string,
@@ -28,7 +29,8 @@
   if (ended !== undefined) {
     return { kind: "view", view: emptyView(requestId, ended) };
   }
-  const search = yield* searchZone(scheduler, requestId, []);
+  const home = homeOf(scheduler, requestId);
+  const search = yield* searchPeers(scheduler, home, requestId, []);
   const outcome = search.outcome ??
     outcomeOfSearch(search, isSure(scheduler, requestId, parts, search));
   return { kind: "view", view: emptyView(requestId, outcome) };
@@ -39,7 +41,7 @@
   scheduler: Scheduler,
   requestId: string,
   parts: RequestIdParts,
-  search: ZoneSearch,
+  search: Search,
 ): boolean {
   const isAccepted = scheduler.log.requests.has(requestId) ||
     scheduler.copies.has(requestId);
@@ -49,7 +51,7 @@
 }
 
 /** Puts the answer together from the records that workers remember. */
-function outcomeOfSearch(search: ZoneSearch, sure: boolean): Outcome {
+function outcomeOfSearch(search: Search, sure: boolean): Outcome {
   const sightings = [...search.sightings.values()];
   const records = sightings.flatMap((sighting) =>
     sighting.kind === "record" ? [sighting] : []
--- a/src/instance/membership_flow.ts
+++ b/src/instance/membership_flow.ts
@@ -17,7 +17,7 @@
 import { placementLoad } from "../placement/mod.ts";
 import type { Flow } from "./flow.ts";
 import { applyPlacement } from "./placement_driver.ts";
-import { requeueUnstarted } from "./requests.ts";
+import { requeueUnstarted } from "./task_queue.ts";
 import { notify, spawn } from "./runner.ts";
 import { note, type Scheduler, selfHolder } from "./scheduler.ts";
 import { OWNERSHIP_TOPIC } from "./topics.ts";
--- a/src/instance/move_flow.ts
+++ b/src/instance/move_flow.ts
@@ -1,5 +1,5 @@
 /**
- * Hands unstarted tasks to a peer of the zone that has room for them.
+ * Hands unstarted tasks to a peer that has room for them.
  *
  * @module
  */
@@ -15,18 +15,22 @@
 import { acceptanceSchema, type PeerMessage } from "./peer_message.ts";
 import { applyPlacement } from "./placement_driver.ts";
 import type { RequestEntry, TaskEntry } from "./request_entry.ts";
-import { findTask, requeueUnstarted } from "./requests.ts";
+import { findTask } from "./requests.ts";
+import { requeueUnstarted } from "./task_queue.ts";
+import { zonesInReach } from "./lookups.ts";
 import { note, type Scheduler, selfHolder } from "./scheduler.ts";
 import { callPeer, sleep } from "./waits.ts";
 
+/** The shortest time between two moves of one request. */
+const MOVE_INTERVAL_MS = 1_000;
 /** Time-out of one move. */
 const MOVE_TIMEOUT_MS = 1_500;
 /** Delay before a move whose effect is unknown is sent again. */
 const MOVE_RETRY_MS = 500;
 
 /**
- * Moves queued tasks of one request to the peer of the zone that has the most
- * room, if one has enough. The tasks stay ours to answer for.
+ * Moves queued tasks of one request to a peer that has room for them. The
+ * tasks stay ours to answer for. A guest hands them back to their home.
  */
 export function* moveTasks(
   scheduler: Scheduler,
@@ -34,8 +38,14 @@
   taskIds: string[],
 ): Flow<void> {
   const entry = scheduler.requests.get(requestId);
-  if (entry === undefined || entry.role !== "home") return;
+  if (entry === undefined) return;
+  if (entry.role === "guest") {
+    returnTasks(scheduler, entry, taskIds);
+    return;
+  }
   if (entry.home !== selfHolder(scheduler)) return;
+  const { steadyMs } = scheduler.moment;
+  if (steadyMs - (entry.movedAtMs ?? 0) < MOVE_INTERVAL_MS) return;
   const tasks = taskIds.flatMap((taskId) => {
     const found = findTask(scheduler, taskId);
     return found !== undefined && isMovable(found.task) ? [found.task] : [];
@@ -44,6 +54,7 @@
   const guest = chooseGuest(scheduler, tasks);
   if (guest === undefined) return;
   const holder = holderOf(guest);
+  entry.movedAtMs = steadyMs;
   applyPlacement(scheduler, {
     kind: "withdrawn",
     taskIds: tasks.map((task) => task.task.id),
@@ -94,13 +105,46 @@
   return true;
 }
 
+/** Hands tasks that found no room back to their home, which may move them. */
+function returnTasks(
+  scheduler: Scheduler,
+  entry: RequestEntry,
+  taskIds: string[],
+): void {
+  for (const taskId of taskIds) {
+    const found = findTask(scheduler, taskId);
+    if (found === undefined || !isMovable(found.task)) continue;
+    applyPlacement(scheduler, { kind: "withdrawn", taskIds: [taskId] });
+    requeueUnstarted(scheduler, entry, found.task);
+  }
+}
+
 function isMovable(task: TaskEntry): boolean {
   return task.progress.kind === "queued" && task.startedOn === undefined;
 }
 
+/** Prefers a peer of the zone, then of the region, then any other. */
 function chooseGuest(
   scheduler: Scheduler,
   tasks: TaskEntry[],
+): Instance | undefined {
+  const { self } = scheduler;
+  const peers = zonesInReach(scheduler)
+    .flatMap((zone) => membersOf(scheduler.membership, zone));
+  const near = peers.filter((peer) => peer.zone === self.zone);
+  const regional = peers.filter((peer) =>
+    peer.zone !== self.zone && peer.region === self.region
+  );
+  const remote = peers.filter((peer) => peer.region !== self.region);
+  return roomiest(scheduler, near, tasks) ??
+    roomiest(scheduler, regional, tasks) ??
+    roomiest(scheduler, remote, tasks);
+}
+
+function roomiest(
+  scheduler: Scheduler,
+  peers: Instance[],
+  tasks: TaskEntry[],
 ): Instance | undefined {
   const self = selfHolder(scheduler);
   const demand = tasks.reduce(
@@ -109,7 +153,7 @@
   );
   let best: Instance | undefined;
   let bestRank = -1;
-  for (const peer of membersOf(scheduler.membership, scheduler.self.zone)) {
+  for (const peer of peers) {
     if (holderOf(peer) === self) continue;
     const load = loadOf(scheduler.membership, holderOf(peer));
     if (load === undefined) continue;
--- a/src/instance/peer_flow.ts
+++ b/src/instance/peer_flow.ts
@@ -17,7 +17,9 @@
 } from "./peer_message.ts";
 import { cancel, read } from "./read_flow.ts";
 import { applySighting } from "./recovery_flow.ts";
-import { applyRecord, enterRequest, queueTasks } from "./requests.ts";
+import { enterRequest } from "./requests.ts";
+import { queueTasks } from "./task_queue.ts";
+import { applyRecord } from "./task_record.ts";
 import { note, type Scheduler } from "./scheduler.ts";
 import { submit } from "./submit_flow.ts";
 import type { CallAnswer } from "./view.ts";
--- a/src/instance/placement_driver.ts
+++ b/src/instance/placement_driver.ts
@@ -10,7 +10,8 @@
   stepPlacement,
 } from "../placement/mod.ts";
 import { moveTasks } from "./move_flow.ts";
-import { endUnstarted, findTask } from "./requests.ts";
+import { findTask } from "./requests.ts";
+import { endUnstarted } from "./task_end.ts";
 import { spawn } from "./runner.ts";
 import type { Scheduler } from "./scheduler.ts";
 import { makeYield, startOnWorker } from "./start_flow.ts";
--- a/src/instance/recovery_flow.ts
+++ b/src/instance/recovery_flow.ts
@@ -6,17 +6,12 @@
  */
 import { memberOf, othersRuledOut, ownerHint } from "../membership/mod.ts";
 import type { Flow } from "./flow.ts";
-import { lookUpAt, searchZone, taskIdOfSighting } from "./lookups.ts";
+import { lookUpAt, searchPeers, taskIdOfSighting } from "./lookups.ts";
 import type { LookupAnswer, Sighting } from "./peer_message.ts";
-import {
-  applyRecord,
-  endUnstarted,
-  findTask,
-  type FoundTask,
-  mayRepeat,
-  requeueUnstarted,
-  resolveLostRun,
-} from "./requests.ts";
+import { findTask, type FoundTask } from "./requests.ts";
+import { endUnstarted } from "./task_end.ts";
+import { mayRepeat, requeueUnstarted, resolveLostRun } from "./task_queue.ts";
+import { applyRecord } from "./task_record.ts";
 import type { Progress } from "./request_entry.ts";
 import type { Scheduler } from "./scheduler.ts";
 import { sleep } from "./waits.ts";
@@ -85,7 +80,7 @@
   }
   for (const { entry, task } of found) {
     if (!isStill(task.progress, worker)) continue;
-    if (!scheduler.workers.has(worker)) {
+    if (!scheduler.listedWorkers.has(worker)) {
       resolveLostRun(scheduler, entry, task, worker);
       continue;
     }
@@ -157,7 +152,7 @@
     }
     return;
   }
-  const search = yield* searchZone(scheduler, undefined, taskIds);
+  const search = yield* searchPeers(scheduler, guest, undefined, taskIds);
   for (const { entry, task } of found) {
     if (!isStillMoved(task.progress, guest)) continue;
     const sighting = search.sightings.get(task.task.id);
--- a/src/instance/request_entry.ts
+++ b/src/instance/request_entry.ts
@@ -52,6 +52,8 @@
   /** By index; a guest has only the tasks that were moved to it. */
   tasks: Map<number, TaskEntry>;
   cancelled: boolean;
+  /** When tasks were last moved to a peer (steady clock, ms). */
+  movedAtMs: number | undefined;
   /** Number of the diagnostic that says why its first task did not run. */
   refusalCode?: number;
   /** The final outcome. */
--- a/src/instance/scheduler.ts
+++ b/src/instance/scheduler.ts
@@ -59,7 +59,10 @@
   /** Whether the log was read to its end once. */
   logCaughtUp: boolean;
   pendingAppends: PendingAppend[];
+  /** The workers of the own zone. */
   workers: Map<string, KnownWorker>;
+  /** The workers of every zone by the latest list. */
+  listedWorkers: Set<string>;
   held: Map<string, HeldWorker>;
   /** Workers that could not be reached a moment ago. */
   unreachable: Set<string>;
@@ -126,6 +129,7 @@
     logCaughtUp: false,
     pendingAppends: [],
     workers: new Map(),
+    listedWorkers: new Set(),
     held: new Map(),
     unreachable: new Set(),
     announced: new Set(),
--- a/src/instance/scheduler_options.ts
+++ b/src/instance/scheduler_options.ts
@@ -4,6 +4,8 @@
   secret: string;
   /** Base URLs of peers to contact first. */
   seeds: string[];
+  /** How far a request that finds no room may move. */
+  spill: "zone" | "cluster";
   /** What placement weighs most. */
   preference: "waiting" | "cost";
   /** Interval between heartbeats within the zone, in milliseconds. */
@@ -31,6 +33,7 @@
   SchedulerOptions,
   "secret" | "seeds"
 > = {
+  spill: "cluster",
   preference: "waiting",
   heartbeatMs: 500,
   remoteHeartbeatMs: 3_000,
--- a/src/instance/start_flow.ts
+++ b/src/instance/start_flow.ts
@@ -11,7 +11,9 @@
 import type { HeldWorker } from "./held_worker.ts";
 import { loseWorker } from "./held_workers.ts";
 import { applyPlacement } from "./placement_driver.ts";
-import { applyRecord, findTask, requeueUnstarted } from "./requests.ts";
+import { findTask } from "./requests.ts";
+import { requeueUnstarted } from "./task_queue.ts";
+import { applyRecord } from "./task_record.ts";
 import { note, type Scheduler } from "./scheduler.ts";
 import { sleep, startTask, yieldTask } from "./waits.ts";
 
--- a/src/instance/submit_flow.ts
+++ b/src/instance/submit_flow.ts
@@ -27,7 +27,8 @@
   type RequestIdParts,
 } from "./request_ids.ts";
 import type { Durability, RequestEntry } from "./request_entry.ts";
-import { enterRequest, queueTasks } from "./requests.ts";
+import { enterRequest } from "./requests.ts";
+import { queueTasks } from "./task_queue.ts";
 import { forward, routeOf } from "./routes.ts";
 import { note, type Scheduler, selfHolder } from "./scheduler.ts";
 import { LOG_TOPIC } from "./topics.ts";
--- /dev/null
+++ b/src/instance/task_record.ts
@@ -0,0 +1,110 @@
+/**
+ * Takes in what workers remember of tasks.
+ *
+ * @module
+ */
+import type { TaskRecord } from "../model/mod.ts";
+import { applyPlacement } from "./placement_driver.ts";
+import type { RequestEntry, TaskEntry } from "./request_entry.ts";
+import { findTask } from "./requests.ts";
+import { notify } from "./runner.ts";
+import { note, type Scheduler } from "./scheduler.ts";
+import { endTask, outcomeOf } from "./task_end.ts";
+import { mayRepeat, repeatTask } from "./task_queue.ts";
+import { requestTopic } from "./topics.ts";
+
+/** How often a failing idempotent task is run at the most. */
+const MAX_FAILED_ATTEMPTS = 3;
+
+/**
+ * Takes in what a worker says of a task. The record is the truth about its
+ * run, whoever passed it on.
+ *
+ * @param token the token under which the teller holds the worker
+ */
+export function applyRecord(
+  scheduler: Scheduler,
+  worker: string,
+  token: number,
+  record: TaskRecord,
+): void {
+  const found = findTask(scheduler, record.task.id);
+  if (found === undefined) return;
+  const { entry, task } = found;
+  if (task.progress.kind === "ended") return;
+  const isOld = record.task.attempt < task.task.attempt;
+  if (isOld && record.state !== "finished") return;
+  task.startedOn = worker;
+  switch (record.state) {
+    case "running":
+      setRunning(scheduler, entry, task, worker, token);
+      break;
+    case "checkpointed":
+      // The placement core queues the task again for the same worker.
+      task.progress = { kind: "queued" };
+      break;
+    case "finished":
+    case "failed":
+    case "stopped":
+      applyEnd(scheduler, entry, task, worker, record);
+      break;
+  }
+}
+
+function setRunning(
+  scheduler: Scheduler,
+  entry: RequestEntry,
+  task: TaskEntry,
+  worker: string,
+  token: number,
+): void {
+  const isNew = task.progress.kind !== "running" &&
+    task.progress.kind !== "moved";
+  const held = scheduler.held.get(worker);
+  if (held !== undefined && held.token === token) {
+    task.progress = { kind: "running", worker, token };
+  } else if (task.progress.kind !== "moved") {
+    task.progress = {
+      kind: "away",
+      worker,
+      token,
+      lapsesAtMs: Number.POSITIVE_INFINITY,
+      seen: true,
+    };
+  }
+  if (isNew) note(scheduler, "task.started", task.task.id, worker);
+  notify(scheduler.runner, requestTopic(entry.request.id));
+}
+
+function applyEnd(
+  scheduler: Scheduler,
+  entry: RequestEntry,
+  task: TaskEntry,
+  worker: string,
+  record: TaskRecord,
+): void {
+  if (repeatsAfter(scheduler, entry, task, record)) {
+    repeatTask(scheduler, entry, task);
+    return;
+  }
+  withdrawFromPlacement(scheduler, task);
+  endTask(scheduler, entry, task, outcomeOf(worker, record));
+}
+
+function repeatsAfter(
+  scheduler: Scheduler,
+  entry: RequestEntry,
+  task: TaskEntry,
+  record: TaskRecord,
+): boolean {
+  if (!mayRepeat(scheduler, entry, task)) return false;
+  if (task.task.policy.kind === "service") return true;
+  if (record.state === "stopped") return true;
+  return record.state === "failed" &&
+    task.task.attempt < MAX_FAILED_ATTEMPTS;
+}
+
+function withdrawFromPlacement(scheduler: Scheduler, task: TaskEntry): void {
+  if (task.progress.kind !== "queued") return;
+  applyPlacement(scheduler, { kind: "withdrawn", taskIds: [task.task.id] });
+}
--- a/src/membership/ownership.ts
+++ b/src/membership/ownership.ts
@@ -6,7 +6,8 @@
 
 /**
  * Tells which instance should own a worker: the first live member of its zone
- * in rendezvous order that does not report the worker unreachable.
+ * in rendezvous order that does not report the worker unreachable. The order
+ * goes by rack, so that one instance can start a gang on a whole rack.
  *
  * @example
  * ```ts
@@ -21,7 +22,7 @@
 ): Instance | undefined {
   const candidates = membersOf(membership, worker.zone)
     .filter((instance) => !reportsUnreachable(membership, instance, worker.id));
-  return rendezvousOrder(candidates, worker.id)[0];
+  return rendezvousOrder(candidates, worker.rack)[0];
 }
 
 /**
