--- /dev/null
+++ b/src/cli/client_settings.ts
@@ -0,0 +1,81 @@
+import { readFileSync } from "node:fs";
+import { err, ok, type Result } from "neverthrow";
+import * as v from "valibot";
+import { diagnostics, formatDiagnostic } from "../diagnostics/mod.ts";
+import {
+  formatSettingsFaults,
+  parseIni,
+  readSection,
+  type SettingsFault,
+  tokenSchema,
+  unknownSection,
+  urlSchema,
+} from "../settings/mod.ts";
+import { type CommandFault, commandFault } from "./command_fault.ts";
+import { exitCodes } from "./exit_codes.ts";
+
+const SECTION = "client";
+
+const clientSettingsSchema = v.object({
+  url: v.optional(urlSchema),
+  token: v.optional(tokenSchema),
+});
+
+/** Address and token that a settings file of the command line gives. */
+export type ClientSettings = Partial<
+  v.InferOutput<typeof clientSettingsSchema>
+>;
+
+/**
+ * Reads the settings file of the command line: INI with one section,
+ * `[client]`, which gives `url` and `token`.
+ *
+ * @example
+ * ```ts
+ * const settings = readClientSettings("samphirestage.ini");
+ * ```
+ *
+ * @returns the settings, or every fault of the file at once
+ */
+export function readClientSettings(
+  path: string,
+): Result<ClientSettings, CommandFault> {
+  return readText(path).andThen((text) => {
+    const ini = parseIni(text);
+    const faults: SettingsFault[] = [];
+    for (const name of ini.keys()) {
+      if (name !== SECTION) faults.push(unknownSection(name, [SECTION]));
+    }
+    const given = ini.get(SECTION) ?? new Map();
+    const settings = readSection(SECTION, clientSettingsSchema, given, faults);
+    return faults.length === 0 ? ok(settings) : err(faultOf(path, faults));
+  });
+}
+
+function readText(path: string): Result<string, CommandFault> {
+  try {
+    return ok(readFileSync(path, "utf8"));
+  } catch (error) {
+    const cause = error instanceof Error && "code" in error
+      ? String(error.code)
+      : String(error);
+    const { settingsUnreadable } = diagnostics;
+    return err(
+      commandFault(exitCodes.usage, settingsUnreadable, path, cause),
+    );
+  }
+}
+
+function faultOf(path: string, faults: SettingsFault[]): CommandFault {
+  const { settingsUnreadable } = diagnostics;
+  return {
+    exitCode: exitCodes.usage,
+    code: settingsUnreadable.code,
+    message: formatDiagnostic(
+      settingsUnreadable,
+      path,
+      `${faults.length} faults`,
+    ),
+    details: formatSettingsFaults(faults).split("\n"),
+  };
+}
--- /dev/null
+++ b/src/cli/command_fault.ts
@@ -0,0 +1,71 @@
+import {
+  type DiagnosticMessage,
+  diagnostics,
+  formatDiagnostic,
+} from "../diagnostics/mod.ts";
+import type { Fault } from "../hosts/mod.ts";
+import { type ExitCode, exitCodes } from "./exit_codes.ts";
+
+/** Why a command was not carried out. */
+export type CommandFault = {
+  exitCode: ExitCode;
+  /** Number of the diagnostic. */
+  code: number;
+  /** One line for a person; more may follow in `details`. */
+  message: string;
+  details?: string[];
+};
+
+/**
+ * Builds the fault of a wrong command line.
+ *
+ * @example
+ * ```ts
+ * usageFault("--month must look like 2026-04.");
+ * ```
+ */
+export function usageFault(message: string): CommandFault {
+  const { usageWrong } = diagnostics;
+  return {
+    exitCode: exitCodes.usage,
+    code: usageWrong.code,
+    message: formatDiagnostic(usageWrong, message),
+  };
+}
+
+/**
+ * Builds a fault from a row of the table of diagnostics.
+ *
+ * @example
+ * ```ts
+ * commandFault(exitCodes.usage, diagnostics.manifestUnreadable, path, cause);
+ * ```
+ */
+export function commandFault(
+  exitCode: ExitCode,
+  diagnostic: DiagnosticMessage,
+  ...values: (string | number)[]
+): CommandFault {
+  const message = formatDiagnostic(diagnostic, ...values);
+  return { exitCode, code: diagnostic.code, message };
+}
+
+/**
+ * Turns the fault of a call to an instance into the fault of a command.
+ *
+ * @example
+ * ```ts
+ * const status = await client.status();
+ * if (status.isErr()) return err(callFault(status.error));
+ * ```
+ */
+export function callFault(fault: Fault): CommandFault {
+  const { code, message } = fault;
+  return { exitCode: exitCodeOf(fault), code, message };
+}
+
+function exitCodeOf(fault: Fault): ExitCode {
+  if (fault.kind !== "refused") return exitCodes.unreachable;
+  const hasLostRace = fault.code === diagnostics.manifestRaced.code;
+  return hasLostRace ? exitCodes.lostRace : exitCodes.refused;
+}
--- /dev/null
+++ b/src/cli/commands/drain.ts
@@ -0,0 +1,33 @@
+import { defineCommand } from "citty";
+import { err, ok } from "neverthrow";
+import type { ApiClient } from "../api_client.ts";
+import { callFault } from "../command_fault.ts";
+import { describeCommand } from "../command_meta.ts";
+import { connectionArguments } from "../connection.ts";
+import { exitCodes } from "../exit_codes.ts";
+import { type CommandResult, runRemote } from "../run_command.ts";
+import type { Terminal } from "../terminal.ts";
+
+/** Builds the command that makes an instance hand over and stop. */
+export function createDrainCommand(terminal: Terminal) {
+  return defineCommand({
+    meta: describeCommand(
+      "drain",
+      "Makes an instance finish what is in flight, hand over and stop",
+      ["samphirestage drain --url http://10.1.0.11:8001"],
+    ),
+    args: connectionArguments,
+    run: (context) => runRemote(terminal, context, drainInstance),
+  });
+}
+
+async function drainInstance(client: ApiClient): Promise<CommandResult> {
+  const drained = await client.drain();
+  if (drained.isErr()) return err(callFault(drained.error));
+  const { url } = client.connection;
+  return ok({
+    data: { url, leaving: true },
+    text: `${url} hands over and stops.`,
+    exitCode: exitCodes.ok,
+  });
+}
--- /dev/null
+++ b/src/cli/commands/manifest/history.ts
@@ -0,0 +1,54 @@
+import { defineCommand } from "citty";
+import { err, ok } from "neverthrow";
+import type { HistoryEntry } from "../../../log_state/mod.ts";
+import type { ApiClient } from "../../api_client.ts";
+import { callFault } from "../../command_fault.ts";
+import { describeCommand } from "../../command_meta.ts";
+import { connectionArguments } from "../../connection.ts";
+import { exitCodes } from "../../exit_codes.ts";
+import { type CommandResult, runRemote } from "../../run_command.ts";
+import { renderTable } from "../../table.ts";
+import type { Terminal } from "../../terminal.ts";
+import { formatTime } from "../../units.ts";
+
+/** Builds the command that lists the published changes of the manifest. */
+export function createHistoryCommand(terminal: Terminal) {
+  return defineCommand({
+    meta: describeCommand(
+      "history",
+      "Lists the published changes, those that lost a race included",
+      ["samphirestage manifest history"],
+    ),
+    args: connectionArguments,
+    run: (context) => runRemote(terminal, context, showHistory),
+  });
+}
+
+async function showHistory(client: ApiClient): Promise<CommandResult> {
+  const history = await client.manifestHistory();
+  if (history.isErr()) return err(callFault(history.error));
+  return ok({
+    data: history.value,
+    text: renderVersions(history.value.versions),
+    exitCode: exitCodes.ok,
+  });
+}
+
+function renderVersions(versions: HistoryEntry[]): string {
+  return renderTable([
+    { heading: "VERSION", align: "right", cell: ({ version }) => `${version}` },
+    { heading: "BASE", align: "right", cell: baseText },
+    { heading: "RESULT", cell: resultText },
+    { heading: "PUBLISHED", cell: ({ atMs }) => formatTime(atMs) },
+    { heading: "AUTHOR", cell: ({ author }) => author },
+    { heading: "CHANGE", cell: ({ changeId }) => changeId },
+  ], versions);
+}
+
+function baseText({ baseVersion }: HistoryEntry): string {
+  return baseVersion < 0 ? "-" : `${baseVersion}`;
+}
+
+function resultText({ accepted }: HistoryEntry): string {
+  return accepted ? "accepted" : "lost the race";
+}
--- /dev/null
+++ b/src/cli/commands/manifest/in_force.ts
@@ -0,0 +1,79 @@
+import { defineCommand } from "citty";
+import { err, ok } from "neverthrow";
+import type { Member } from "../../answers/mod.ts";
+import type { ApiClient } from "../../api_client.ts";
+import { callFault } from "../../command_fault.ts";
+import { describeCommand } from "../../command_meta.ts";
+import { connectionArguments } from "../../connection.ts";
+import { type ExitCode, exitCodes } from "../../exit_codes.ts";
+import { type CommandResult, runRemote } from "../../run_command.ts";
+import { renderTable } from "../../table.ts";
+import type { Terminal } from "../../terminal.ts";
+
+/** What an instance itself says of the manifest in force there. */
+type InForceRow = {
+  instance: string;
+  zone: string;
+  /** Absent where the instance did not answer; -1 for none. */
+  version?: number;
+};
+
+/** Builds the command that asks each instance which version is in force. */
+export function createInForceCommand(terminal: Terminal) {
+  return defineCommand({
+    meta: describeCommand(
+      "in-force",
+      "Asks each instance which version is in force there",
+      ["samphirestage manifest in-force"],
+    ),
+    args: connectionArguments,
+    run: (context) => runRemote(terminal, context, askInstances),
+  });
+}
+
+async function askInstances(client: ApiClient): Promise<CommandResult> {
+  const status = await client.status();
+  if (status.isErr()) return err(callFault(status.error));
+  const members = status.value.members.filter(isExpectedToAnswer);
+  const rows = await Promise.all(
+    members.map((member) => askMember(client, member)),
+  );
+  return ok({
+    data: { instances: rows },
+    text: renderRows(rows),
+    exitCode: exitCodeOf(rows),
+  });
+}
+
+function isExpectedToAnswer({ state }: Member): boolean {
+  return state === "live" || state === "leaving";
+}
+
+async function askMember(
+  client: ApiClient,
+  member: Member,
+): Promise<InForceRow> {
+  const row = { instance: member.id, zone: member.zone };
+  if (member.url === undefined) return row;
+  const status = await client.at(member.url).status();
+  return status.match(({ version }) => ({ ...row, version }), () => row);
+}
+
+function exitCodeOf(rows: InForceRow[]): ExitCode {
+  const versions = new Set(rows.map(({ version }) => version));
+  const isSettled = versions.size === 1 && !versions.has(undefined);
+  return isSettled ? exitCodes.ok : exitCodes.notKnownYet;
+}
+
+function renderRows(rows: InForceRow[]): string {
+  return renderTable([
+    { heading: "INSTANCE", cell: ({ instance }) => instance },
+    { heading: "ZONE", cell: ({ zone }) => zone },
+    { heading: "IN FORCE", cell: versionText },
+  ], rows);
+}
+
+function versionText({ version }: InForceRow): string {
+  if (version === undefined) return "no answer";
+  return version < 0 ? "none" : `version ${version}`;
+}
--- /dev/null
+++ b/src/cli/commands/manifest/publish.ts
@@ -0,0 +1,189 @@
+import { defineCommand } from "citty";
+import { err, ok, type Result } from "neverthrow";
+import { digest } from "../../../base/mod.ts";
+import { diagnostics } from "../../../diagnostics/mod.ts";
+import type { Fault } from "../../../hosts/mod.ts";
+import { diffManifests } from "../../../manifest/mod.ts";
+import type { Manifest } from "../../../model/mod.ts";
+import type { ManifestInForce } from "../../answers/mod.ts";
+import type { ApiClient, ManifestChangeRequest } from "../../api_client.ts";
+import { callFault, type CommandFault } from "../../command_fault.ts";
+import { describeCommand } from "../../command_meta.ts";
+import { connectionArguments } from "../../connection.ts";
+import { exitCodes } from "../../exit_codes.ts";
+import { readWholeNumber } from "../../numbers.ts";
+import { readManifestFile } from "../../read_manifest_file.ts";
+import type { Report } from "../../report.ts";
+import { type CommandResult, runRemote } from "../../run_command.ts";
+import type { Environment, Terminal } from "../../terminal.ts";
+
+/** The base version of the first manifest. */
+const NO_VERSION = -1;
+const CHANGE_ID_LENGTH = 16;
+
+type PublishFlags = {
+  file: string;
+  base?: string | undefined;
+  "change-id"?: string | undefined;
+  author?: string | undefined;
+};
+
+/** Builds the command that publishes a manifest. */
+export function createPublishCommand(terminal: Terminal) {
+  return defineCommand({
+    meta: describeCommand(
+      "publish",
+      "Publishes a manifest on top of the version that it was built on",
+      [
+        "samphirestage manifest publish manifest.json",
+        "samphirestage manifest publish manifest.json --base 41 --change-id build-812",
+      ],
+    ),
+    args: {
+      ...connectionArguments,
+      file: {
+        type: "positional",
+        required: true,
+        description: "JSON file with the manifest",
+      },
+      base: {
+        type: "string",
+        description: "Version that it builds on; else the one in force",
+        valueHint: "version",
+      },
+      "change-id": {
+        type: "string",
+        description: "Makes a repeat harmless; else a digest of the change",
+      },
+      author: {
+        type: "string",
+        description: "Who publishes; else the user of the environment",
+      },
+    },
+    run: (context) =>
+      runRemote(
+        terminal,
+        context,
+        (client) => publishFile(terminal, client, context.args),
+      ),
+  });
+}
+
+async function publishFile(
+  terminal: Terminal,
+  client: ApiClient,
+  flags: PublishFlags,
+): Promise<CommandResult> {
+  const manifest = readManifestFile(terminal, flags.file);
+  if (manifest.isErr()) return err(manifest.error);
+  if (flags.base !== undefined) {
+    const base = readWholeNumber(
+      "--base",
+      flags.base,
+      NO_VERSION,
+      Number.MAX_SAFE_INTEGER,
+    );
+    if (base.isErr()) return err(base.error);
+    const change = changeOf(terminal, flags, manifest.value, base.value);
+    return publishChange(client, change);
+  }
+  const inForce = await readInForce(client);
+  if (inForce.isErr()) return err(callFault(inForce.error));
+  if (inForce.value !== undefined && isSame(inForce.value, manifest.value)) {
+    return ok(reportUnchanged(inForce.value));
+  }
+  const baseVersion = inForce.value?.version ?? NO_VERSION;
+  const change = changeOf(terminal, flags, manifest.value, baseVersion);
+  return publishChange(client, change);
+}
+
+async function readInForce(
+  client: ApiClient,
+): Promise<Result<ManifestInForce | undefined, Fault>> {
+  const status = await client.status();
+  if (status.isErr()) return err(status.error);
+  if (status.value.version === NO_VERSION) return ok(undefined);
+  return client.manifestInForce();
+}
+
+function isSame(inForce: ManifestInForce, manifest: Manifest): boolean {
+  return diffManifests(inForce.manifest, manifest).length === 0;
+}
+
+function changeOf(
+  terminal: Terminal,
+  flags: PublishFlags,
+  manifest: Manifest,
+  baseVersion: number,
+): ManifestChangeRequest {
+  return {
+    changeId: flags["change-id"] ?? digestChange(manifest, baseVersion),
+    baseVersion,
+    author: flags.author ?? userOf(terminal.environment),
+    manifest,
+  };
+}
+
+/** The base counts too: going back to earlier content is a new change. */
+function digestChange(manifest: Manifest, baseVersion: number): string {
+  const text = JSON.stringify({ baseVersion, manifest });
+  return digest(text).slice(0, CHANGE_ID_LENGTH);
+}
+
+function userOf(environment: Environment): string {
+  return environment["USER"] ?? environment["USERNAME"] ?? "unknown";
+}
+
+async function publishChange(
+  client: ApiClient,
+  change: ManifestChangeRequest,
+): Promise<CommandResult> {
+  const published = await client.publish(change);
+  if (published.isErr()) {
+    return err(await explainFailure(client, change, published.error));
+  }
+  const { version } = published.value;
+  const { changeId, baseVersion } = change;
+  return ok({
+    data: { version, baseVersion, changeId },
+    text: `Version ${version} is published (change ${changeId}).`,
+    exitCode: exitCodes.ok,
+  });
+}
+
+function reportUnchanged(inForce: ManifestInForce): Report {
+  const { version, changeId } = inForce;
+  return {
+    data: { version, baseVersion: version, changeId },
+    text: `Version ${version} has this content already; nothing is published.`,
+    exitCode: exitCodes.ok,
+  };
+}
+
+async function explainFailure(
+  client: ApiClient,
+  change: ManifestChangeRequest,
+  fault: Fault,
+): Promise<CommandFault> {
+  const base = callFault(fault);
+  if (fault.kind === "unknown") {
+    const repeat =
+      `--base ${change.baseVersion} --change-id ${change.changeId}`;
+    const details = [
+      "It is not known whether the manifest was published.",
+      `Publish it again with ${repeat}; a repeat is harmless.`,
+    ];
+    return { ...base, exitCode: exitCodes.notKnownYet, details };
+  }
+  if (fault.code !== diagnostics.manifestRaced.code) return base;
+  const winner = await client.manifestInForce();
+  return winner.match(
+    (inForce) => ({ ...base, details: [describeWinner(inForce)] }),
+    () => base,
+  );
+}
+
+function describeWinner(inForce: ManifestInForce): string {
+  const { version, author, changeId } = inForce;
+  return `Version ${version} by ${author} (change ${changeId}) is in force.`;
+}
--- /dev/null
+++ b/src/cli/commands/status.ts
@@ -0,0 +1,64 @@
+import { defineCommand } from "citty";
+import { err, ok } from "neverthrow";
+import type { InstanceStatus } from "../answers/mod.ts";
+import type { ApiClient } from "../api_client.ts";
+import { callFault } from "../command_fault.ts";
+import { describeCommand } from "../command_meta.ts";
+import { connectionArguments } from "../connection.ts";
+import { exitCodes } from "../exit_codes.ts";
+import { type CommandResult, runRemote } from "../run_command.ts";
+import { renderFields, renderTable } from "../table.ts";
+import type { Terminal } from "../terminal.ts";
+
+/** Builds the command that shows an instance and whom it sees. */
+export function createStatusCommand(terminal: Terminal) {
+  return defineCommand({
+    meta: describeCommand(
+      "status",
+      "Shows an instance and the members that it sees",
+      ["samphirestage status --url http://10.1.0.11:8001"],
+    ),
+    args: connectionArguments,
+    run: (context) => runRemote(terminal, context, showStatus),
+  });
+}
+
+async function showStatus(client: ApiClient): Promise<CommandResult> {
+  const status = await client.status();
+  if (status.isErr()) return err(callFault(status.error));
+  return ok({
+    data: status.value,
+    text: renderStatus(status.value),
+    exitCode: exitCodes.ok,
+  });
+}
+
+function renderStatus(status: InstanceStatus): string {
+  const fields = renderFields([
+    ["instance", status.instance],
+    ["state", stateText(status)],
+    ["manifest", formatVersion(status.version)],
+    ["log", status.logReachable ? "reachable" : "unreachable"],
+    ["workers", `${status.workers}`],
+    ["queued", `${status.queued}`],
+    ["running", `${status.running}`],
+  ]);
+  const members = renderTable([
+    { heading: "MEMBER", cell: ({ id }) => id },
+    { heading: "ZONE", cell: ({ zone }) => zone },
+    { heading: "STATE", cell: ({ state }) => state },
+    { heading: "MANIFEST", cell: ({ version }) => formatVersion(version) },
+    { heading: "URL", cell: ({ url }) => url ?? "-" },
+  ], status.members);
+  return `${fields}\n\n${members}`;
+}
+
+function stateText(status: InstanceStatus): string {
+  if (status.leaving) return "leaving";
+  return status.ready ? "ready" : "not ready";
+}
+
+function formatVersion(version: number | undefined): string {
+  if (version === undefined) return "-";
+  return version < 0 ? "none" : `version ${version}`;
+}
--- /dev/null
+++ b/src/cli/commands/submit.ts
@@ -0,0 +1,139 @@
+import { defineCommand } from "citty";
+import { err, ok, type Result } from "neverthrow";
+import type { Fault } from "../../hosts/mod.ts";
+import type { Submission } from "../../model/mod.ts";
+import type { RequestView } from "../answers/mod.ts";
+import type { ApiClient } from "../api_client.ts";
+import { awaitRequest, LONGEST_WAIT_MS } from "../await_request.ts";
+import { callFault, type CommandFault } from "../command_fault.ts";
+import { describeCommand } from "../command_meta.ts";
+import { connectionArguments } from "../connection.ts";
+import { exitCodes } from "../exit_codes.ts";
+import { readWholeNumber } from "../numbers.ts";
+import { reportRequest } from "../render_request.ts";
+import { type CommandResult, runRemote } from "../run_command.ts";
+import { readSubmission, type SubmissionFlags } from "../submission_flags.ts";
+import type { Terminal } from "../terminal.ts";
+
+const DAY_MS = 86_400_000;
+
+type SubmitFlags = SubmissionFlags & {
+  id?: string | undefined;
+  key?: string | undefined;
+  "wait-ms": string;
+};
+
+/** Builds the command that submits work and waits for its outcome. */
+export function createSubmitCommand(terminal: Terminal) {
+  return defineCommand({
+    meta: describeCommand(
+      "submit",
+      "Submits work and waits for its outcome",
+      [
+        `samphirestage submit --agreement order-desk --work proof --payload '{"card": 7}'`,
+        "samphirestage submit --file run.json --key run-2026-04-12 --wait-ms 0",
+      ],
+    ),
+    args: {
+      ...connectionArguments,
+      agreement: { type: "string", description: "Agreement that it counts to" },
+      work: { type: "string", description: "Kind of work" },
+      tasks: {
+        type: "string",
+        default: "1",
+        description: "How many like tasks to submit",
+      },
+      payload: { type: "string", description: "Payload of each task, as JSON" },
+      file: {
+        type: "string",
+        description: "JSON file with the whole submission; - for the input",
+      },
+      "deadline-ms": {
+        type: "string",
+        description: "How long it may wait to start, in milliseconds",
+      },
+      id: {
+        type: "string",
+        description: "Submit again under an id that was issued before",
+      },
+      key: {
+        type: "string",
+        description: "Submit under an idempotency key in place of an id",
+      },
+      "wait-ms": {
+        type: "string",
+        default: "10000",
+        description: "How long to wait for the outcome, in milliseconds",
+      },
+    },
+    run: (context) =>
+      runRemote(
+        terminal,
+        context,
+        (client) => submitWork(terminal, client, context.args),
+      ),
+  });
+}
+
+async function submitWork(
+  terminal: Terminal,
+  client: ApiClient,
+  flags: SubmitFlags,
+): Promise<CommandResult> {
+  const submission = readSubmission(terminal, flags);
+  if (submission.isErr()) return err(submission.error);
+  const wait = readWholeNumber("--wait-ms", flags["wait-ms"], 0, DAY_MS);
+  if (wait.isErr()) return err(wait.error);
+  const firstWaitMs = Math.min(wait.value, LONGEST_WAIT_MS);
+  const first = flags.key === undefined
+    ? await submitUnderId(client, flags.id, submission.value, firstWaitMs)
+    : await submitUnderKey(client, flags.key, submission.value, firstWaitMs);
+  if (first.isErr()) return err(first.error);
+  const leftMs = wait.value - firstWaitMs;
+  const last = await awaitRequest(client, first.value, leftMs);
+  if (last.isErr()) return err(mayHaveRun(last.error, readAgain(first.value)));
+  return ok(reportRequest(last.value));
+}
+
+async function submitUnderId(
+  client: ApiClient,
+  givenId: string | undefined,
+  submission: Submission,
+  waitMs: number,
+): Promise<Result<RequestView, CommandFault>> {
+  const id = givenId === undefined ? await issueId(client) : ok(givenId);
+  if (id.isErr()) return err(id.error);
+  const view = await client.submit(id.value, submission, waitMs);
+  const advice = `Submit it again with --id ${id.value}; it runs once.`;
+  return view.mapErr((fault) => mayHaveRun(fault, advice));
+}
+
+async function submitUnderKey(
+  client: ApiClient,
+  key: string,
+  submission: Submission,
+  waitMs: number,
+): Promise<Result<RequestView, CommandFault>> {
+  const view = await client.submitUnderKey(key, submission, waitMs);
+  const advice = `Submit it again with --key ${key}; it runs once.`;
+  return view.mapErr((fault) => mayHaveRun(fault, advice));
+}
+
+async function issueId(
+  client: ApiClient,
+): Promise<Result<string, CommandFault>> {
+  const issued = await client.issue();
+  return issued.map(({ id }) => id).mapErr(callFault);
+}
+
+function readAgain(view: RequestView): string {
+  return `Read it with: samphirestage read ${view.id}`;
+}
+
+/** A call whose effect is unknown may have been accepted, and may run. */
+function mayHaveRun(fault: Fault, advice: string): CommandFault {
+  const base = callFault(fault);
+  if (fault.kind !== "unknown") return base;
+  const details = ["It is not known whether the request runs.", advice];
+  return { ...base, exitCode: exitCodes.notKnownYet, details };
+}
--- /dev/null
+++ b/src/cli/connection.ts
@@ -0,0 +1,95 @@
+import { err, ok, type Result } from "neverthrow";
+import * as v from "valibot";
+import { urlSchema } from "../settings/mod.ts";
+import type { Connection } from "./api_client.ts";
+import { type ClientSettings, readClientSettings } from "./client_settings.ts";
+import { type CommandFault, usageFault } from "./command_fault.ts";
+import type { Environment } from "./terminal.ts";
+
+const URL_VARIABLE = "SAMPHIRESTAGE_URL";
+const TOKEN_VARIABLE = "SAMPHIRESTAGE_TOKEN";
+/** What a header may hold without spaces. */
+const HEADER_VALUE = /^[!-~]+$/;
+
+/** The flag of every command that prints data. */
+export const outputArguments = {
+  json: {
+    type: "boolean",
+    description: "Print the data as JSON",
+  },
+} as const;
+
+/** The flags of every command that talks to an entry instance. */
+export const connectionArguments = {
+  ...outputArguments,
+  url: {
+    type: "string",
+    description: `URL of an entry instance; else ${URL_VARIABLE}`,
+  },
+  token: {
+    type: "string",
+    description: `Bearer token; else ${TOKEN_VARIABLE}`,
+  },
+  settings: {
+    type: "string",
+    description: "INI file with url and token in its section [client]",
+    valueHint: "file",
+  },
+} as const;
+
+/** What the flags say of the connection. */
+export type ConnectionFlags = {
+  url?: string | undefined;
+  token?: string | undefined;
+  settings?: string | undefined;
+};
+
+/**
+ * Finds address and token: flags go before the environment, and this goes
+ * before the settings file.
+ *
+ * @example
+ * ```ts
+ * const connection = readConnection(args, terminal.environment);
+ * ```
+ */
+export function readConnection(
+  flags: ConnectionFlags,
+  environment: Environment,
+): Result<Connection, CommandFault> {
+  const settings = readFileOf(flags);
+  if (settings.isErr()) return err(settings.error);
+  const { url, token } = settings.value;
+  const chosenUrl = flags.url ?? environment[URL_VARIABLE] ?? url;
+  const chosenToken = flags.token ?? environment[TOKEN_VARIABLE] ?? token;
+  if (chosenToken !== undefined && !HEADER_VALUE.test(chosenToken)) {
+    return err(
+      usageFault("The token holds characters that no token may hold."),
+    );
+  }
+  return checkUrl(chosenUrl).map((checked) =>
+    connectionOf(checked, chosenToken)
+  );
+}
+
+function readFileOf(
+  flags: ConnectionFlags,
+): Result<ClientSettings, CommandFault> {
+  if (flags.settings === undefined) return ok({});
+  return readClientSettings(flags.settings);
+}
+
+function checkUrl(url: string | undefined): Result<string, CommandFault> {
+  if (url === undefined) {
+    const ways = `--url, ${URL_VARIABLE} or --settings`;
+    return err(usageFault(`No instance is named; give ${ways}.`));
+  }
+  if (!v.is(urlSchema, url)) {
+    return err(usageFault(`"${url}" is not an http:// or https:// URL.`));
+  }
+  return ok(url);
+}
+
+function connectionOf(url: string, token: string | undefined): Connection {
+  return token === undefined ? { url } : { url, token };
+}
--- /dev/null
+++ b/src/cli/files.ts
@@ -0,0 +1,86 @@
+import { readFileSync } from "node:fs";
+import { err, ok, type Result } from "neverthrow";
+import type { DiagnosticMessage } from "../diagnostics/mod.ts";
+import {
+  type CommandFault,
+  commandFault,
+  usageFault,
+} from "./command_fault.ts";
+import { exitCodes } from "./exit_codes.ts";
+import type { Terminal } from "./terminal.ts";
+
+const STANDARD_INPUT = "-";
+
+/**
+ * Reads a file that the user names; `-` stands for the standard input.
+ *
+ * @example
+ * ```ts
+ * const text = readNamedFile(terminal, "manifest.json", manifestUnreadable);
+ * ```
+ *
+ * @param diagnostic the message where it cannot be read, given path and cause
+ */
+export function readNamedFile(
+  terminal: Terminal,
+  path: string,
+  diagnostic: DiagnosticMessage,
+): Result<string, CommandFault> {
+  try {
+    const isInput = path === STANDARD_INPUT;
+    return ok(isInput ? terminal.readInput() : readFileSync(path, "utf8"));
+  } catch (error) {
+    const cause = causeOf(error);
+    return err(commandFault(exitCodes.usage, diagnostic, path, cause));
+  }
+}
+
+/**
+ * Reads a JSON file that the user names; `-` stands for the standard input.
+ *
+ * @example
+ * ```ts
+ * const json = readJsonFile(terminal, "manifest.json", manifestUnreadable);
+ * ```
+ */
+export function readJsonFile(
+  terminal: Terminal,
+  path: string,
+  diagnostic: DiagnosticMessage,
+): Result<unknown, CommandFault> {
+  const text = readNamedFile(terminal, path, diagnostic);
+  return text.andThen((content) =>
+    parseJson(content).mapErr((cause) =>
+      commandFault(exitCodes.usage, diagnostic, path, cause)
+    )
+  );
+}
+
+/**
+ * Parses JSON that the user gives on the command line.
+ *
+ * @example
+ * ```ts
+ * const payload = parseJsonArgument("--payload", args.payload);
+ * ```
+ */
+export function parseJsonArgument(
+  name: string,
+  text: string,
+): Result<unknown, CommandFault> {
+  const json = parseJson(text);
+  return json.mapErr((cause) => usageFault(`${name} is no JSON: ${cause}.`));
+}
+
+function parseJson(text: string): Result<unknown, string> {
+  try {
+    return ok(JSON.parse(text));
+  } catch (error) {
+    return err(causeOf(error));
+  }
+}
+
+function causeOf(error: unknown): string {
+  if (!(error instanceof Error)) return String(error);
+  return "code" in error ? String(error.code) : error.message;
+}
--- /dev/null
+++ b/src/cli/help.ts
@@ -0,0 +1,50 @@
+import { stripVTControlCharacters } from "node:util";
+import { type CommandDef, renderUsage } from "citty";
+import { exitCodes } from "./exit_codes.ts";
+
+/**
+ * Renders the help of a command: what the parser knows of it, examples, and
+ * the exit codes.
+ *
+ * @example
+ * ```ts
+ * terminal.write(await renderHelp(command, ["samphirestage", "manifest"]));
+ * ```
+ *
+ * @param groups the names of the groups that the command stands in
+ */
+export async function renderHelp(
+  command: CommandDef,
+  groups: string[],
+): Promise<string> {
+  const parent = { meta: { name: groups.join(" ") } };
+  const usage = await renderUsage(command, parent);
+  const parts = [
+    stripVTControlCharacters(usage).replace(/ +$/gm, ""),
+    renderExamples(command),
+    renderExitCodes(),
+  ];
+  return parts.filter((part) => part !== "").join("\n\n") + "\n";
+}
+
+function renderExamples(command: CommandDef): string {
+  const { meta } = command;
+  const examples = typeof meta === "object" && "examples" in meta
+    ? meta.examples
+    : [];
+  if (!Array.isArray(examples) || examples.length === 0) return "";
+  return ["EXAMPLES", "", ...examples.map((line) => `  ${line}`)].join("\n");
+}
+
+function renderExitCodes(): string {
+  const meanings = [
+    `${exitCodes.ok} done`,
+    `${exitCodes.refused} refused or did not run`,
+    `${exitCodes.usage} wrong command line or file`,
+    `${exitCodes.unreachable} no usable answer from an instance`,
+    `${exitCodes.notKnownYet} not known yet`,
+    `${exitCodes.lostRace} lost a race`,
+    `${exitCodes.taskFailed} ran, but a task failed`,
+  ];
+  return ["EXIT CODES", "", ...meanings.map((line) => `  ${line}`)].join("\n");
+}
--- /dev/null
+++ b/src/cli/main_command.ts
@@ -0,0 +1,37 @@
+import { defineCommand } from "citty";
+import { describeCommand } from "./command_meta.ts";
+import { createCancelCommand } from "./commands/cancel.ts";
+import { createDrainCommand } from "./commands/drain.ts";
+import { createExplainCommand } from "./commands/explain.ts";
+import { createManifestCommand } from "./commands/manifest/mod.ts";
+import { createReadCommand } from "./commands/read.ts";
+import { createStatusCommand } from "./commands/status.ts";
+import { createSubmitCommand } from "./commands/submit.ts";
+import { createTasksCommand } from "./commands/tasks.ts";
+import { createWorkersCommand } from "./commands/workers.ts";
+import type { Terminal } from "./terminal.ts";
+
+/** Builds the whole command line. */
+export function createMainCommand(terminal: Terminal) {
+  return defineCommand({
+    meta: describeCommand(
+      "samphirestage",
+      "Submits work to a cluster and operates it",
+      [
+        "samphirestage status --url http://10.1.0.11:8001 --token TOKEN",
+        "samphirestage submit --agreement order-desk --work proof",
+      ],
+    ),
+    subCommands: {
+      submit: createSubmitCommand(terminal),
+      read: createReadCommand(terminal),
+      cancel: createCancelCommand(terminal),
+      tasks: createTasksCommand(terminal),
+      workers: createWorkersCommand(terminal),
+      status: createStatusCommand(terminal),
+      explain: createExplainCommand(terminal),
+      manifest: createManifestCommand(terminal),
+      drain: createDrainCommand(terminal),
+    },
+  });
+}
--- /dev/null
+++ b/src/cli/numbers.ts
@@ -0,0 +1,24 @@
+import { err, ok, type Result } from "neverthrow";
+import { type CommandFault, usageFault } from "./command_fault.ts";
+
+/**
+ * Reads a whole number that the user gives to a flag.
+ *
+ * @example
+ * ```ts
+ * const waitMs = readWholeNumber("--wait-ms", args["wait-ms"], 0, DAY_MS);
+ * ```
+ *
+ * @returns the number, or a fault that says what is allowed
+ */
+export function readWholeNumber(
+  name: string,
+  text: string,
+  low: number,
+  high: number,
+): Result<number, CommandFault> {
+  const value = /^-?[0-9]{1,15}$/.test(text) ? Number(text) : Number.NaN;
+  if (value >= low && value <= high) return ok(value);
+  const allowed = `a whole number from ${low} to ${high}`;
+  return err(usageFault(`${name} is "${text}"; allowed: ${allowed}.`));
+}
--- /dev/null
+++ b/src/cli/read_manifest_file.ts
@@ -0,0 +1,44 @@
+import { err, ok, type Result } from "neverthrow";
+import { diagnostics, formatDiagnostic } from "../diagnostics/mod.ts";
+import {
+  checkManifest,
+  formatManifestFaults,
+  type ManifestFault,
+} from "../manifest/mod.ts";
+import type { Manifest } from "../model/mod.ts";
+import type { CommandFault } from "./command_fault.ts";
+import { exitCodes } from "./exit_codes.ts";
+import { readJsonFile } from "./files.ts";
+import type { Terminal } from "./terminal.ts";
+
+/**
+ * Reads and checks a manifest that the user names.
+ *
+ * @example
+ * ```ts
+ * const manifest = readManifestFile(terminal, "manifest.json");
+ * ```
+ *
+ * @returns the manifest, or a fault that lists all that is wrong with it
+ */
+export function readManifestFile(
+  terminal: Terminal,
+  path: string,
+): Result<Manifest, CommandFault> {
+  const json = readJsonFile(terminal, path, diagnostics.manifestUnreadable);
+  if (json.isErr()) return err(json.error);
+  const checked = checkManifest(json.value);
+  if (checked.isErr()) return err(invalidFault(path, checked.error));
+  return ok(checked.value);
+}
+
+function invalidFault(path: string, faults: ManifestFault[]): CommandFault {
+  const { manifestInvalid } = diagnostics;
+  const cause = faults.length === 1 ? "1 fault" : `${faults.length} faults`;
+  return {
+    exitCode: exitCodes.refused,
+    code: manifestInvalid.code,
+    message: formatDiagnostic(manifestInvalid, path, cause),
+    details: formatManifestFaults(faults).split("\n"),
+  };
+}
--- /dev/null
+++ b/src/cli/run_cli.ts
@@ -0,0 +1,73 @@
+import { type CommandDef, runCommand } from "citty";
+import { usageFault } from "./command_fault.ts";
+import { type ExitCode, exitCodes } from "./exit_codes.ts";
+import { findCommand } from "./find_command.ts";
+import { renderHelp } from "./help.ts";
+import { createMainCommand } from "./main_command.ts";
+import { printFault } from "./run_command.ts";
+import type { Terminal } from "./terminal.ts";
+import { VERSION } from "./version.ts";
+
+const HELP_FLAGS = ["--help", "-h"];
+
+/**
+ * Runs one command line.
+ *
+ * @example
+ * ```ts
+ * process.exitCode = await runCli(["status", "--json"], terminal);
+ * ```
+ *
+ * @param words the command line without the name of the program
+ * @returns the exit code; what the user got wrong is printed, never thrown
+ */
+export async function runCli(
+  words: string[],
+  terminal: Terminal,
+): Promise<ExitCode> {
+  if (words.length === 1 && words[0] === "--version") {
+    terminal.write(`${VERSION}\n`);
+    return exitCodes.ok;
+  }
+  const found = findCommand(createMainCommand(terminal), words);
+  if (found.kind === "unknown") {
+    return refuse(terminal, words, `"${found.word}" is not a known command.`);
+  }
+  const { command, groups, rest } = found;
+  if (rest.some((word) => HELP_FLAGS.includes(word))) {
+    terminal.write(await renderHelp(command, groups));
+    return exitCodes.ok;
+  }
+  if (command.run === undefined) {
+    terminal.writeError(await renderHelp(command, groups));
+    return exitCodes.usage;
+  }
+  return await runFound(terminal, command, rest);
+}
+
+async function runFound(
+  terminal: Terminal,
+  command: CommandDef,
+  rest: string[],
+): Promise<ExitCode> {
+  try {
+    const { result } = await runCommand(command, { rawArgs: rest });
+    return result as ExitCode;
+  } catch (error) {
+    if (!isUsageError(error)) throw error;
+    return refuse(terminal, rest, `${error.message}.`);
+  }
+}
+
+/** The parser throws errors of its own class, which it does not export. */
+function isUsageError(error: unknown): error is Error {
+  return error instanceof Error && error.name === "CLIError";
+}
+
+function refuse(
+  terminal: Terminal,
+  words: string[],
+  message: string,
+): ExitCode {
+  return printFault(terminal, usageFault(message), words.includes("--json"));
+}
--- /dev/null
+++ b/src/cli/run_command.ts
@@ -0,0 +1,101 @@
+import { err, type Result } from "neverthrow";
+import { type ApiClient, createApiClient } from "./api_client.ts";
+import type { CommandFault } from "./command_fault.ts";
+import { type ConnectionFlags, readConnection } from "./connection.ts";
+import type { ExitCode } from "./exit_codes.ts";
+import { checkInvocation, type Invocation } from "./invocation.ts";
+import type { Report } from "./report.ts";
+import type { Terminal } from "./terminal.ts";
+
+/** What a command comes to. */
+export type CommandResult = Result<Report, CommandFault>;
+
+/** The flags that every command has. */
+export type OutputFlags = { json?: boolean | undefined };
+
+/**
+ * Runs a command that needs no instance, and prints what it comes to.
+ *
+ * @example
+ * ```ts
+ * run: (context) => runLocal(terminal, context, () => checkFile(context.args))
+ * ```
+ */
+export async function runLocal(
+  terminal: Terminal,
+  invocation: Invocation & { args: OutputFlags },
+  body: () => CommandResult | Promise<CommandResult>,
+): Promise<ExitCode> {
+  const checked = checkInvocation(invocation);
+  const result = checked.isErr() ? err(checked.error) : await body();
+  const isJson = invocation.args.json === true;
+  return result.match(
+    (report) => printReport(terminal, report, isJson),
+    (fault) => printFault(terminal, fault, isJson),
+  );
+}
+
+/**
+ * Runs a command that talks to an instance, and prints what it comes to.
+ *
+ * @example
+ * ```ts
+ * run: (context) => runRemote(terminal, context, showStatus)
+ * ```
+ */
+export function runRemote(
+  terminal: Terminal,
+  invocation: Invocation & { args: OutputFlags & ConnectionFlags },
+  body: (client: ApiClient) => Promise<CommandResult>,
+): Promise<ExitCode> {
+  return runLocal(terminal, invocation, async () => {
+    const connection = readConnection(invocation.args, terminal.environment);
+    if (connection.isErr()) return err(connection.error);
+    const client = createApiClient(connection.value, terminal.signal);
+    try {
+      return await body(client);
+    } finally {
+      await client.close();
+    }
+  });
+}
+
+/**
+ * Prints why a command was not carried out.
+ *
+ * @example
+ * ```ts
+ * const exitCode = printFault(terminal, usageFault("..."), false);
+ * ```
+ */
+export function printFault(
+  terminal: Terminal,
+  fault: CommandFault,
+  isJson: boolean,
+): ExitCode {
+  const { code, message, details = [] } = fault;
+  if (isJson) {
+    terminal.writeError(toJsonText({ error: { code, message, details } }));
+    return fault.exitCode;
+  }
+  terminal.writeError(`samphirestage: ${message} (SS${code})\n`);
+  for (const line of details) terminal.writeError(`  ${line}\n`);
+  return fault.exitCode;
+}
+
+function printReport(
+  terminal: Terminal,
+  report: Report,
+  isJson: boolean,
+): ExitCode {
+  if (isJson) {
+    terminal.write(toJsonText(report.data));
+  } else if (report.text !== "") {
+    terminal.write(`${report.text}\n`);
+  }
+  return report.exitCode;
+}
+
+function toJsonText(data: unknown): string {
+  return `${JSON.stringify(data, undefined, 2)}\n`;
+}
--- /dev/null
+++ b/src/cli/submission_flags.ts
@@ -0,0 +1,92 @@
+import { err, ok, type Result } from "neverthrow";
+import * as v from "valibot";
+import { diagnostics } from "../diagnostics/mod.ts";
+import {
+  MAX_TASKS_PER_REQUEST,
+  type Submission,
+  submissionSchema,
+} from "../model/mod.ts";
+import {
+  type CommandFault,
+  commandFault,
+  usageFault,
+} from "./command_fault.ts";
+import { exitCodes } from "./exit_codes.ts";
+import { parseJsonArgument, readJsonFile } from "./files.ts";
+import { readWholeNumber } from "./numbers.ts";
+import type { Terminal } from "./terminal.ts";
+
+const DAY_MS = 86_400_000;
+
+/** What the flags of `submit` say of the work. */
+export type SubmissionFlags = {
+  file?: string | undefined;
+  agreement?: string | undefined;
+  work?: string | undefined;
+  tasks: string;
+  payload?: string | undefined;
+  "deadline-ms"?: string | undefined;
+};
+
+/**
+ * Builds a submission from the flags: the content of a file, or a number of
+ * like tasks of one kind of work.
+ *
+ * @example
+ * ```ts
+ * const submission = readSubmission(terminal, args);
+ * ```
+ */
+export function readSubmission(
+  terminal: Terminal,
+  flags: SubmissionFlags,
+): Result<Submission, CommandFault> {
+  if (flags.file !== undefined) return readFileSubmission(terminal, flags.file);
+  const { agreement, work } = flags;
+  if (agreement === undefined || work === undefined) {
+    return err(usageFault("Give --agreement and --work, or --file."));
+  }
+  const deadline = flags["deadline-ms"];
+  const payload = flags.payload === undefined
+    ? ok(undefined)
+    : parseJsonArgument("--payload", flags.payload);
+  const count = readWholeNumber(
+    "--tasks",
+    flags.tasks,
+    1,
+    MAX_TASKS_PER_REQUEST,
+  );
+  const deadlineMs = deadline === undefined
+    ? ok(undefined)
+    : readWholeNumber("--deadline-ms", deadline, 1, DAY_MS);
+  if (payload.isErr()) return err(payload.error);
+  if (count.isErr()) return err(count.error);
+  if (deadlineMs.isErr()) return err(deadlineMs.error);
+  return ok({
+    agreement,
+    work,
+    tasks: likeTasks(count.value, payload.value),
+    ...(deadlineMs.value === undefined ? {} : { deadlineMs: deadlineMs.value }),
+  });
+}
+
+function likeTasks(count: number, payload: unknown): Submission["tasks"] {
+  const task = payload === undefined ? {} : { payload };
+  return Array.from({ length: count }, () => task);
+}
+
+function readFileSubmission(
+  terminal: Terminal,
+  path: string,
+): Result<Submission, CommandFault> {
+  const { submissionInvalid } = diagnostics;
+  const json = readJsonFile(terminal, path, submissionInvalid);
+  return json.andThen((value) => {
+    const parsed = v.safeParse(submissionSchema, value);
+    if (parsed.success) return ok(parsed.output);
+    const [issue] = parsed.issues;
+    const place = v.getDotPath(issue) ?? "its top";
+    const cause = issue.message.replace(/\.$/, "");
+    return err(commandFault(exitCodes.usage, submissionInvalid, place, cause));
+  });
+}
--- /dev/null
+++ b/src/cli/testing/fake_instance.ts
@@ -0,0 +1,96 @@
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { text } from "node:stream/consumers";
+
+/** A fixed answer to a call, such as `GET /v1/operator/status`. */
+export type FakeAnswer = {
+  /** Method and path with its query. */
+  call: string;
+  status: number;
+  /** Sent as JSON; with `undefined`, the connection is cut instead. */
+  body?: unknown;
+};
+
+/** A small HTTP server that gives fixed answers. */
+export type FakeInstance = {
+  url: string;
+  /** The calls so far, one line each; emptied by the caller. */
+  calls: string[];
+  close(): Promise<void>;
+};
+
+/**
+ * Starts a server on 127.0.0.1 that gives fixed answers. Several answers to
+ * one call are given in turn, the last one from then on.
+ *
+ * @example
+ * ```ts
+ * const fake = await startFakeInstance([
+ *   { call: "GET /v1/operator/status", status: 200, body: status },
+ * ]);
+ * ```
+ */
+export async function startFakeInstance(
+  answers: FakeAnswer[],
+): Promise<FakeInstance> {
+  const calls: string[] = [];
+  const left = new Map<string, FakeAnswer[]>();
+  for (const answer of answers) {
+    left.set(answer.call, [...left.get(answer.call) ?? [], answer]);
+  }
+  const server = createServer(async (request, response) => {
+    const call = `${request.method} ${request.url}`;
+    calls.push(await describeCall(call, request));
+    respond(response, nextAnswer(left.get(call)));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  return {
+    url: `http://127.0.0.1:${port}`,
+    calls,
+    async close() {
+      server.closeAllConnections();
+      server.close();
+      await once(server, "close");
+    },
+  };
+}
+
+function nextAnswer(answers: FakeAnswer[] = []): FakeAnswer | undefined {
+  return answers.length > 1 ? answers.shift() : answers[0];
+}
+
+function respond(response: ServerResponse, answer?: FakeAnswer): void {
+  if (answer === undefined) {
+    response.writeHead(404, { "content-type": "application/problem+json" });
+    response.end(JSON.stringify({ code: 3009, title: "There is nothing." }));
+    return;
+  }
+  if (answer.body === undefined) {
+    response.destroy();
+    return;
+  }
+  response.writeHead(answer.status, { "content-type": "application/json" });
+  response.end(JSON.stringify(answer.body));
+}
+
+async function describeCall(
+  call: string,
+  request: IncomingMessage,
+): Promise<string> {
+  const { authorization, "idempotency-key": key } = request.headers;
+  const body = await text(request);
+  const parts = [
+    call,
+    authorization === undefined ? "without a token" : `as ${authorization}`,
+    key === undefined ? "" : `under key ${key}`,
+    body,
+  ];
+  return parts.filter((part) => part !== "").join(" ");
+}
--- a/src/diagnostics/diagnostics.ts
+++ b/src/diagnostics/diagnostics.ts
@@ -90,7 +90,6 @@
   stillRunning: message(5005, "The request is running."),
   notSubmitted: message(5006, "Nothing was submitted under this id yet."),
   usageWrong: error(6001, "{0}"),
-  daemonUnreachable: error(6002, "No instance answered at {0}: {1}."),
 } as const satisfies Record<string, DiagnosticMessage>;
 
 function error<const T extends string>(
