--- a/src/daemon/run_instance.ts
+++ b/src/daemon/run_instance.ts
@@ -14,6 +14,7 @@
   createRandomness,
   createSystemClock,
   createWorkerClient,
+  type HttpCaller,
 } from "../clients/mod.ts";
 import type { Clock } from "../hosts/mod.ts";
 import {
@@ -39,6 +40,9 @@
 const MAX_INCARNATION_PART = 36 ** 4 - 1;
 
 const CONNECTIONS_PER_ORIGIN = 8;
+const WAITING_CONNECTIONS_PER_ORIGIN = 256;
+/** Methods whose answer the peer may hold back. */
+const WAITING_METHODS = new Set(["submit", "read"]);
 const CONNECT_TIMEOUT_MS = 1_000;
 const COMMAND_TIMEOUT_MS = 1_500;
 const RENEW_MARGIN_MS = 1_500;
@@ -54,12 +58,12 @@
   const ending = new AbortController();
   const clock = createSystemClock();
   const scheduler = schedulerFrom(settings, clock);
-  const caller = createHttpCaller({
-    connectionsPerOrigin: CONNECTIONS_PER_ORIGIN,
-    connectTimeoutMs: CONNECT_TIMEOUT_MS,
-  });
+  const caller = createCaller(CONNECTIONS_PER_ORIGIN);
+  // A long wait for an answer must not hold up heartbeats.
+  const waitingCaller = createCaller(WAITING_CONNECTIONS_PER_ORIGIN);
   const { secret } = settings.cluster;
   const peers = createPeerClient(caller, { secret });
+  const waitingPeers = createPeerClient(waitingCaller, { secret });
   const driver = startDriver(scheduler, {
     clock,
     workers: createWorkerClient(caller, {
@@ -75,7 +79,11 @@
       url: settings.platform.listUrl,
       timeoutMs: LIST_TIMEOUT_MS,
     }),
-    callPeer: peers.call,
+    callPeer: (url, method, params, timeoutMs, signal) => {
+      const isWaiting = WAITING_METHODS.has(method);
+      const client = isWaiting ? waitingPeers : peers;
+      return client.call(url, method, params, timeoutMs, signal);
+    },
   }, ending.signal);
   const stopping = new AbortController();
   const server = serve(settings, scheduler, driver, () => stopping.abort());
@@ -84,10 +92,17 @@
   await once(stopping.signal, "abort");
   await stop(settings, scheduler, driver, server, clock);
   ending.abort();
-  await caller.close();
+  await Promise.all([caller.close(), waitingCaller.close()]);
   return 0;
 }
 
+function createCaller(connectionsPerOrigin: number): HttpCaller {
+  return createHttpCaller({
+    connectionsPerOrigin,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+  });
+}
+
 function schedulerFrom(settings: Settings, clock: Clock): Scheduler {
   const { id, zone, region, url } = settings.instance;
   const moment = { steadyMs: clock.steadyMs(), wallMs: clock.nowMs() };
--- a/src/diagnostics/diagnostics.ts
+++ b/src/diagnostics/diagnostics.ts
@@ -56,7 +56,7 @@
   queueFull: error(3013, "The queue is full; nothing was run."),
   keyUnavailable: error(
     3014,
-    "Idempotency keys need the log, which is down; nothing was run.",
+    "Idempotency keys need the log, which is down; this call ran nothing.",
   ),
   timedOut: error(3015, "The request was not read within {0} ms."),
   forbidden: error(3016, "The token does not allow this."),
--- a/src/instance/adoption_flow.ts
+++ b/src/instance/adoption_flow.ts
@@ -22,13 +22,15 @@
 import { commit, commitInBackground } from "./appends.ts";
 import type { Flow } from "./flow.ts";
 import { type Search, searchPeers, zonesInReach } from "./lookups.ts";
+import { awayAt } from "./recovery_flow.ts";
 import { homeOf } from "./report_flow.ts";
 import { splitRequestId } from "./request_ids.ts";
 import { enterRequest } from "./requests.ts";
 import { queueTasks, resolveLostRun } from "./task_queue.ts";
+import { endTask } from "./task_end.ts";
 import { applyRecord } from "./task_record.ts";
 import { note, type Scheduler, selfHolder } from "./scheduler.ts";
-import type { TaskEntry } from "./request_entry.ts";
+import type { RequestEntry, TaskEntry } from "./request_entry.ts";
 import { LOG_TOPIC } from "./topics.ts";
 import { sleep, waitForNotice } from "./waits.ts";
 
@@ -56,10 +58,17 @@
 
 /** Puts the copies that were kept for peers into the log, which is back. */
 function appendCopies(scheduler: Scheduler): void {
-  for (const request of scheduler.copies.values()) {
+  const { log } = scheduler;
+  for (const [id, copy] of scheduler.copies) {
+    if (log.requests.has(id) || log.ended.has(id)) {
+      scheduler.copies.delete(id);
+      continue;
+    }
+    if (copy.isAppending) continue;
+    copy.isAppending = true;
+    const { request } = copy;
     commitInBackground(scheduler, { kind: "accepted", request });
   }
-  scheduler.copies.clear();
 }
 
 /** What this instance has to do about a durable request. */
@@ -130,8 +139,11 @@
     holder,
     "log",
   );
+  entry.moveEpoch = search.moveEpoch;
+  endKnown(scheduler, entry);
   const unstarted: TaskEntry[] = [];
   for (const task of entry.tasks.values()) {
+    if (task.progress.kind === "ended") continue;
     if (!takeSighting(scheduler, task, search)) unstarted.push(task);
   }
   if (search.witnessedSinceMs < request.acceptedAtMs) {
@@ -143,6 +155,15 @@
   }
 }
 
+/** Ends the tasks whose outcome the log has. */
+function endKnown(scheduler: Scheduler, entry: RequestEntry): void {
+  const accepted = scheduler.log.requests.get(entry.request.id);
+  for (const outcome of accepted?.ended ?? []) {
+    const task = entry.tasks.get(outcome.index);
+    if (task !== undefined) endTask(scheduler, entry, task, outcome);
+  }
+}
+
 /** Follows a task that some instance or worker of the zone knows. */
 function takeSighting(
   scheduler: Scheduler,
@@ -151,16 +172,10 @@
 ): boolean {
   const sighting = search.sightings.get(task.task.id);
   if (sighting?.kind === "record") {
-    const { worker, token, record } = sighting;
-    task.task = { ...task.task, attempt: record.task.attempt };
-    task.progress = {
-      kind: "away",
-      worker,
-      token,
-      lapsesAtMs: Number.POSITIVE_INFINITY,
-      seen: true,
-    };
-    applyRecord(scheduler, worker, token, record);
+    const { attempt } = sighting.record.task;
+    task.task = { ...task.task, attempt };
+    task.progress = awayAt(scheduler, sighting);
+    applyRecord(scheduler, sighting);
     return true;
   }
   const guest = search.queuedAt.get(task.task.id);
--- a/src/instance/checked_request.ts
+++ b/src/instance/checked_request.ts
@@ -53,7 +53,8 @@
     agreement: agreement.name,
     work: work.name,
     digest: submissionDigest(submission),
-    durable: work.durable,
+    // A service outlives its home, so that its replicas are kept up.
+    durable: work.durable || work.policy.kind === "service",
     acceptedAtMs: nowMs,
     ...(deadlineMs === undefined ? {} : { startByMs: nowMs + deadlineMs }),
     tasks: submission.tasks.map((task, index) => ({
--- a/src/instance/held_worker.ts
+++ b/src/instance/held_worker.ts
@@ -13,6 +13,8 @@
   /** The incarnation under which the lease was taken. */
   holder: Holder;
   token: number;
+  /** Names the run of the worker's process; it remembers nothing older. */
+  boot: string;
   leaseMs: number;
   /** Until when the lease is sure to last (steady clock, ms). */
   validUntilMs: number;
--- a/src/instance/held_workers.ts
+++ b/src/instance/held_workers.ts
@@ -10,8 +10,8 @@
 import type { HeldWorker } from "./held_worker.ts";
 import { applyPlacement } from "./placement_driver.ts";
 import { reportForeignRecord } from "./report_flow.ts";
-import { requeueUnstarted } from "./task_queue.ts";
-import { applyRecord } from "./task_record.ts";
+import { resolveUnremembered } from "./unremembered.ts";
+import { applyRecord, seenAt } from "./task_record.ts";
 import { notify } from "./runner.ts";
 import { type KnownWorker, note, type Scheduler } from "./scheduler.ts";
 import { OWNERSHIP_TOPIC } from "./topics.ts";
@@ -34,6 +34,7 @@
     capacity: acquisition.capacity,
     holder,
     token: acquisition.token,
+    boot: acquisition.boot,
     leaseMs: acquisition.leaseMs,
     validUntilMs: sentAtMs + acquisition.leaseMs,
     lapsesAtMs: scheduler.moment.steadyMs + acquisition.leaseMs,
@@ -46,6 +47,7 @@
   for (const record of acquisition.records) {
     held.records.set(record.task.id, record);
   }
+  noteBoot(scheduler, worker, held.boot);
   scheduler.held.set(worker, held);
   note(scheduler, "worker.acquired", worker, `token ${held.token}`);
   applyPlacement(scheduler, {
@@ -59,12 +61,21 @@
     applyPlacement(scheduler, { kind: "workerLeaving", worker });
   }
   for (const record of acquisition.records) {
-    applyRecord(scheduler, worker, held.token, record);
+    applyRecord(scheduler, seenAt(held, record));
   }
   resolveFromRecords(scheduler, held);
   return held;
 }
 
+/** A worker that started anew has lost its records, as if it had vanished. */
+function noteBoot(scheduler: Scheduler, worker: string, boot: string): void {
+  const before = scheduler.boots.get(worker);
+  scheduler.boots.set(worker, boot);
+  if (before === undefined || before === boot) return;
+  scheduler.goneWorkers.set(worker, scheduler.moment.wallMs);
+  note(scheduler, "worker.restarted", worker);
+}
+
 /** Forgets a worker; what it ran for us is now away. */
 export function loseWorker(
   scheduler: Scheduler,
@@ -84,6 +95,8 @@
         kind: "away",
         worker,
         token: held.token,
+        boot: held.boot,
+        sinceMs: scheduler.moment.steadyMs,
         lapsesAtMs: held.lapsesAtMs,
         seen: progress.kind === "running",
       };
@@ -102,7 +115,7 @@
   const worker = held.address.id;
   held.records.set(record.task.id, record);
   applyPlacement(scheduler, { kind: "taskChanged", worker, record });
-  applyRecord(scheduler, worker, held.token, record);
+  applyRecord(scheduler, seenAt(held, record));
   reportForeignRecord(scheduler, held, record);
 }
 
@@ -129,9 +142,8 @@
       const { progress } = task;
       if (progress.kind !== "away") continue;
       if (progress.worker !== held.address.id) continue;
-      if (progress.token >= held.token) continue;
       if (held.records.has(task.task.id)) continue;
-      requeueUnstarted(scheduler, entry, task);
+      resolveUnremembered(scheduler, entry, task, held);
     }
   }
 }
--- a/src/instance/housekeeping_flow.ts
+++ b/src/instance/housekeeping_flow.ts
@@ -10,14 +10,13 @@
 import { splitRequestId } from "./request_ids.ts";
 import type { RequestEntry } from "./request_entry.ts";
 import type { Scheduler } from "./scheduler.ts";
+import { RECORD_RETENTION_MS } from "./unremembered.ts";
 import { sleep } from "./waits.ts";
 
 /** How often the placement core looks at the time. */
 const PLACEMENT_TICK_MS = 100;
 /** How often old entries are looked for. */
 const FORGET_INTERVAL_MS = 10_000;
-/** How long a worker remembers the records of ended tasks. */
-const RECORD_RETENTION_MS = 3_600_000;
 /** How long it is remembered that a worker vanished. */
 const GONE_RETENTION_MS = 86_400_000;
 
@@ -57,7 +56,7 @@
 
 /** Durable work is forgotten only once the log has its end. */
 function isKeptElsewhere(scheduler: Scheduler, entry: RequestEntry): boolean {
-  if (entry.role === "guest" || entry.durability === "none") return true;
+  if (entry.role === "guest" || !entry.request.durable) return true;
   return endedOf(scheduler.log, entry.request.id) !== undefined;
 }
 
--- a/src/instance/lease_flow.ts
+++ b/src/instance/lease_flow.ts
@@ -10,6 +10,7 @@
   barsFor,
   desiredOwner,
   hasZonePeers,
+  membersOf,
   memberState,
 } from "../membership/mod.ts";
 import type { CurrentLease, Fault } from "../hosts/mod.ts";
@@ -187,12 +188,18 @@
 
 /**
  * Tells whether the peers of the zone know the worker too. Otherwise they
- * could settle this incarnation without asking it. An instance that has never
- * had a peer in its zone needs no witness.
+ * could settle this incarnation without asking it. An instance that finds
+ * itself alone in its zone goes on without.
  */
 function isAnnounced(scheduler: Scheduler, worker: string): boolean {
   if (scheduler.announced.has(worker)) return true;
-  if (hasZonePeers(scheduler.membership)) return false;
+  const { membership, moment, options, self } = scheduler;
+  const hasPeer = membersOf(membership, self.zone)
+    .some((peer) => peer.id !== self.id);
+  const aloneMs = moment.steadyMs - scheduler.startedSteadyMs;
+  const mayHavePeers = hasZonePeers(membership) &&
+    aloneMs < options.deadAfterMs;
+  if (hasPeer || mayHavePeers) return false;
   scheduler.announced.add(worker);
   return true;
 }
--- a/src/instance/lookups.ts
+++ b/src/instance/lookups.ts
@@ -21,9 +21,9 @@
   lookupAnswerSchema,
   type Sighting,
 } from "./peer_message.ts";
-import type { TaskEntry } from "./request_entry.ts";
+import type { RequestEntry, TaskEntry } from "./request_entry.ts";
 import { findTask } from "./requests.ts";
-import { type Scheduler, selfHolder } from "./scheduler.ts";
+import { isKept, type Scheduler, selfHolder } from "./scheduler.ts";
 import { callPeer, gather } from "./waits.ts";
 
 /** Time-out of one lookup. */
@@ -40,11 +40,15 @@
   complete: boolean;
   /** Which peer has a task queued. */
   queuedAt: Map<TaskId, Holder>;
+  /** The highest number of any move of the tasks that is known. */
+  moveEpoch: number;
   /**
    * Since when no worker vanished unseen (wall clock, ms). What was sent to a
    * worker that vanished earlier may have run without a record.
    */
   witnessedSinceMs: number;
+  /** Whether some instance knows the request as durable work. */
+  kept: boolean;
   /** A final outcome that some instance remembers. */
   outcome: LookupAnswer["outcome"];
 };
@@ -61,15 +65,15 @@
       const record = held.records.get(taskId);
       if (record === undefined) continue;
       const worker = held.address.id;
-      const token = held.token;
-      prefer(sightings, { kind: "record", worker, token, record });
+      const { token, boot } = held;
+      prefer(sightings, { kind: "record", worker, token, boot, record });
     }
     if (requestId === undefined) continue;
     for (const record of held.records.values()) {
       if (record.task.requestId !== requestId) continue;
       const worker = held.address.id;
-      const token = held.token;
-      prefer(sightings, { kind: "record", worker, token, record });
+      const { token, boot } = held;
+      prefer(sightings, { kind: "record", worker, token, boot, record });
     }
   }
   addOwnTasks(scheduler, requestId, taskIds, sightings);
@@ -81,6 +85,7 @@
     held: [...scheduler.held.values()].map((held) => ({
       worker: held.address.id,
       token: held.token,
+      boot: held.boot,
     })),
     barred: barsFor(scheduler.membership),
     sightings: [...sightings.values()],
@@ -89,6 +94,7 @@
       worker,
       atMs,
     })),
+    kept: requestId !== undefined && isKept(scheduler, requestId),
     outcome: entry?.role === "home" ? entry.outcome : undefined,
   };
 }
@@ -139,10 +145,14 @@
   if (known.length < answers.length) complete = false;
   const all = [here, ...known];
   const queuedAt = new Map<TaskId, Holder>();
+  let moveEpoch = 0;
   for (const answer of all) {
     for (const { worker } of answer.held) held.add(worker);
     for (const sighting of answer.sightings) {
       prefer(sightings, sighting);
+      if (sighting.kind !== "record") {
+        moveEpoch = Math.max(moveEpoch, sighting.epoch);
+      }
       if (sighting.kind !== "queued" || answer === here) continue;
       queuedAt.set(sighting.taskId, answer.holder);
     }
@@ -154,7 +164,15 @@
     }
   }
   const witnessedSinceMs = witnessedSince(all);
-  return { sightings, complete, queuedAt, witnessedSinceMs, outcome };
+  return {
+    sightings,
+    complete,
+    queuedAt,
+    moveEpoch,
+    witnessedSinceMs,
+    kept: all.some((answer) => answer.kept),
+    outcome,
+  };
 }
 
 function witnessedSince(answers: LookupAnswer[]): number {
@@ -205,20 +223,24 @@
   for (const taskId of taskIds) {
     const found = findTask(scheduler, taskId);
     if (found === undefined) continue;
-    const sighting = sightingOf(found.task);
+    const sighting = sightingOf(found.entry, found.task);
     if (sighting !== undefined) prefer(sightings, sighting);
   }
   if (requestId === undefined) return;
   const entry = scheduler.requests.get(requestId);
   for (const task of entry?.tasks.values() ?? []) {
-    const sighting = sightingOf(task);
+    const sighting = entry && sightingOf(entry, task);
     if (sighting !== undefined) prefer(sightings, sighting);
   }
 }
 
 /** Says of a task what its progress tells, where no worker of ours knows it. */
-function sightingOf(task: TaskEntry): Sighting | undefined {
+function sightingOf(
+  entry: RequestEntry,
+  task: TaskEntry,
+): Sighting | undefined {
   const taskId = task.task.id;
+  const epoch = entry.moveEpoch;
   const { progress } = task;
   switch (progress.kind) {
     case "queued":
@@ -226,15 +248,16 @@
     case "running":
     case "away":
     case "moved":
-      return { kind: "queued", taskId };
+      return { kind: "queued", taskId, epoch };
     case "returned":
-      return { kind: "returned", taskId };
+      return { kind: "returned", taskId, epoch };
     case "ended":
       if (progress.outcome.kind !== "didNotRun") return undefined;
       return {
         kind: "refused",
         taskId,
-        code: REFUSED_EARLIER_CODE,
+        epoch,
+        code: entry.refusalCode ?? REFUSED_EARLIER_CODE,
         cause: progress.outcome.cause,
       };
   }
--- a/src/instance/lost_home.ts
+++ b/src/instance/lost_home.ts
@@ -6,24 +6,34 @@
 import { diagnostics } from "../diagnostics/mod.ts";
 import { endedOf } from "../log_state/mod.ts";
 import type { Outcome, TaskOutcome, TaskRecord } from "../model/mod.ts";
+import { commit } from "./appends.ts";
 import type { Flow } from "./flow.ts";
 import { type Search, searchPeers } from "./lookups.ts";
 import { homeSettled, notKnown, RETRY_AFTER_MS } from "./refusals.ts";
 import { homeOf } from "./report_flow.ts";
 import type { RequestIdParts } from "./request_ids.ts";
 import { outcomeOf } from "./task_end.ts";
-import type { Scheduler } from "./scheduler.ts";
+import { isKept, type Scheduler } from "./scheduler.ts";
+import { LOG_TOPIC } from "./topics.ts";
+import { ABSENCE_PROOF_MS } from "./unremembered.ts";
 import type { CallAnswer } from "./view.ts";
 import { emptyView } from "./views.ts";
+import { waitForNotice } from "./waits.ts";
 
-/** Allowance for clocks that differ between instances. */
-const CLOCK_ALLOWANCE_MS = 60_000;
+/** The most that the clocks of two instances differ by. */
+const CLOCK_ALLOWANCE_MS = 2_000;
+/** How long the log may take to void a request. */
+const VOID_TIMEOUT_MS = 2_000;
+
+/** Whether a request is durable work, as far as its caller has told. */
+export type KnownDurability = "durable" | "volatile" | "unknown";
 
 /** Finds out from the peers what became of a request whose home is gone. */
 export function* answerForLostHome(
   scheduler: Scheduler,
   requestId: string,
   parts: RequestIdParts,
+  durability: KnownDurability,
 ): Flow<CallAnswer> {
   const ended = endedOf(scheduler.log, requestId);
   if (ended !== undefined) {
@@ -31,23 +41,44 @@
   }
   const home = homeOf(scheduler, requestId);
   const search = yield* searchPeers(scheduler, home, requestId, []);
-  const outcome = search.outcome ??
-    outcomeOfSearch(search, isSure(scheduler, requestId, parts, search));
+  const found = search.outcome ??
+    outcomeOfSearch(search, isSure(scheduler, parts, search));
+  const isVoid = found.kind === "didNotRun" && search.outcome === undefined;
+  const outcome = isVoid && durability !== "volatile"
+    ? yield* voidInLog(scheduler, requestId)
+    : found;
   return { kind: "view", view: emptyView(requestId, outcome) };
 }
 
+/**
+ * Makes sure that a request is not accepted work after all, of which this
+ * instance has not read yet: the log decides which record came first.
+ */
+function* voidInLog(scheduler: Scheduler, requestId: string): Flow<Outcome> {
+  if (!scheduler.logReachable) return notKnown();
+  const record = { kind: "voided", requestId } as const;
+  if (!(yield* commit(scheduler, record, VOID_TIMEOUT_MS))) return notKnown();
+  const untilMs = scheduler.moment.steadyMs + VOID_TIMEOUT_MS;
+  while (true) {
+    const ended = endedOf(scheduler.log, requestId);
+    if (ended !== undefined) return ended;
+    const leftMs = untilMs - scheduler.moment.steadyMs;
+    if (leftMs <= 0 || isKept(scheduler, requestId)) return notKnown();
+    yield* waitForNotice(LOG_TOPIC, leftMs);
+  }
+}
+
 /** Tells whether a task that nobody has seen surely never ran. */
 function isSure(
   scheduler: Scheduler,
-  requestId: string,
   parts: RequestIdParts,
   search: Search,
 ): boolean {
-  const isAccepted = scheduler.log.requests.has(requestId) ||
-    scheduler.copies.has(requestId);
+  const { wallMs } = scheduler.moment;
   const issuedAtMs = parts.sequence - CLOCK_ALLOWANCE_MS;
+  const isRemembered = wallMs - issuedAtMs < ABSENCE_PROOF_MS;
   const isWitnessed = search.witnessedSinceMs < issuedAtMs;
-  return search.complete && !isAccepted && isWitnessed;
+  return search.complete && !search.kept && isRemembered && isWitnessed;
 }
 
 /** Puts the answer together from the records that workers remember. */
--- a/src/instance/membership_flow.ts
+++ b/src/instance/membership_flow.ts
@@ -19,7 +19,7 @@
 import { applyPlacement } from "./placement_driver.ts";
 import { requeueUnstarted } from "./task_queue.ts";
 import { notify, spawn } from "./runner.ts";
-import { note, type Scheduler, selfHolder } from "./scheduler.ts";
+import { keepCopy, note, type Scheduler, selfHolder } from "./scheduler.ts";
 import { OWNERSHIP_TOPIC } from "./topics.ts";
 import { callPeer, sleep } from "./waits.ts";
 
@@ -114,7 +114,7 @@
   reincarnate(scheduler.membership, scheduler.self);
   note(scheduler, "instance.reincarnated", selfHolder(scheduler), before);
   for (const entry of scheduler.requests.values()) {
-    const isDurable = entry.durability !== "none" && entry.role === "home";
+    const isDurable = entry.request.durable && entry.role === "home";
     for (const task of entry.tasks.values()) {
       if (task.progress.kind !== "queued") continue;
       const taskIds = [task.task.id];
@@ -124,6 +124,7 @@
     // Another instance adopts durable work through the log.
     if (isDurable && entry.outcome === undefined) {
       scheduler.requests.delete(entry.request.id);
+      keepCopy(scheduler, entry.request);
     }
   }
   notify(scheduler.runner, OWNERSHIP_TOPIC);
--- a/src/instance/move_flow.ts
+++ b/src/instance/move_flow.ts
@@ -55,6 +55,7 @@
   if (guest === undefined) return;
   const holder = holderOf(guest);
   entry.movedAtMs = steadyMs;
+  entry.moveEpoch++;
   applyPlacement(scheduler, {
     kind: "withdrawn",
     taskIds: tasks.map((task) => task.task.id),
@@ -85,10 +86,10 @@
     kind: "move",
     from: selfHolder(scheduler),
     home: entry.home,
+    epoch: entry.moveEpoch,
     request: { ...entry.request, tasks: [] },
     tasks: tasks.map((task) => task.task),
   };
-  let mayHaveArrived = false;
   while (memberOf(scheduler.membership, holderOf(guest)) !== undefined) {
     const result = yield* callPeer(
       guest.url,
@@ -96,9 +97,8 @@
       acceptanceSchema,
       MOVE_TIMEOUT_MS,
     );
-    if (result.isOk()) return result.value.accepted || mayHaveArrived;
-    if (result.error.kind === "unknown") mayHaveArrived = true;
-    if (result.error.kind !== "unknown" && !mayHaveArrived) return false;
+    // A peer that refuses a move refuses every copy of it that comes later.
+    if (result.isOk()) return result.value.accepted;
     yield* sleep(MOVE_RETRY_MS);
   }
   // The recovery of moved tasks finds out what the lost peer did with them.
--- a/src/instance/peer_flow.ts
+++ b/src/instance/peer_flow.ts
@@ -17,10 +17,9 @@
 } from "./peer_message.ts";
 import { cancel, read } from "./read_flow.ts";
 import { applySighting } from "./recovery_flow.ts";
-import { enterRequest } from "./requests.ts";
+import { enterRequest, enterTask } from "./requests.ts";
 import { queueTasks } from "./task_queue.ts";
-import { applyRecord } from "./task_record.ts";
-import { note, type Scheduler } from "./scheduler.ts";
+import { keepCopy, note, type Scheduler } from "./scheduler.ts";
 import { submit } from "./submit_flow.ts";
 import type { CallAnswer } from "./view.ts";
 
@@ -74,8 +73,7 @@
       withdrawForPeer(scheduler, message.taskIds);
       return { accepted: true };
     case "copy":
-      scheduler.copies.set(message.request.id, message.request);
-      note(scheduler, "request.copied", message.request.id);
+      keepCopy(scheduler, message.request);
       return { accepted: true };
     case "manifest":
       return manifestAfter(scheduler, message.afterVersion);
@@ -86,54 +84,38 @@
 
 /**
  * Takes over tasks for a peer. A barred peer gets nothing taken over, since
- * others may already have said that its requests did not run.
+ * others may already have said that its requests did not run. A move that
+ * comes again, or late, changes nothing.
  */
 function takeMove(scheduler: Scheduler, move: Move): Acceptance {
   const { membership } = scheduler;
   if (isBarred(membership, move.from)) return { accepted: false };
   if (isBarred(membership, move.home)) return { accepted: false };
   const known = scheduler.requests.get(move.request.id);
-  if (known === undefined) {
-    if (scheduler.draining) return { accepted: false };
-    const { request, tasks, home } = move;
-    const entry = enterRequest(
-      scheduler,
-      request,
-      tasks,
-      "guest",
-      home,
-      "none",
-    );
-    note(scheduler, "request.taken", request.id);
-    queueTasks(scheduler, entry, [...entry.tasks.values()]);
+  if (known?.role === "home") return { accepted: false };
+  if (known !== undefined && known.moveEpoch >= move.epoch) {
     return { accepted: true };
   }
-  for (const task of move.tasks) {
-    const before = known.tasks.get(task.index);
-    if (before !== undefined && before.progress.kind !== "returned") continue;
-    if (scheduler.draining) return { accepted: false };
-    const taken = {
-      task,
-      progress: { kind: "queued" },
-      startedOn: undefined,
-    } as const;
-    known.tasks.set(task.index, { ...taken });
-    const entered = known.tasks.get(task.index);
-    if (entered !== undefined) queueTasks(scheduler, known, [entered]);
-    known.outcome = undefined;
-    known.endedAtMs = undefined;
-  }
+  if (scheduler.draining) return { accepted: false };
+  const entry = known ??
+    enterRequest(scheduler, move.request, [], "guest", move.home, "none");
+  entry.home = move.home;
+  entry.moveEpoch = move.epoch;
+  entry.cancelled = false;
+  entry.outcome = undefined;
+  entry.endedAtMs = undefined;
+  note(scheduler, "request.taken", move.request.id);
+  queueTasks(
+    scheduler,
+    entry,
+    move.tasks.map((task) => enterTask(entry, task)),
+  );
   return { accepted: true };
 }
 
 function takeReport(scheduler: Scheduler, report: Report): Acceptance {
   for (const update of report.updates) {
-    if (update.kind === "record") {
-      const { worker, token, record } = update;
-      applyRecord(scheduler, worker, token, record);
-    } else {
-      applySighting(scheduler, report.from, update);
-    }
+    applySighting(scheduler, report.from, update);
   }
   return { accepted: true };
 }
--- a/src/instance/peer_message.ts
+++ b/src/instance/peer_message.ts
@@ -12,6 +12,39 @@
 const customer = v.string();
 const requestId = v.string();
 
+/** Schema of what an instance knows of one task. */
+export const sightingSchema = v.variant("kind", [
+  v.object({
+    kind: v.literal("record"),
+    worker: v.string(),
+    token: v.number(),
+    boot: v.string(),
+    record: taskRecordSchema,
+  }),
+  v.object({
+    kind: v.literal("queued"),
+    taskId: v.string(),
+    /** Number of the move by which the instance got the task. */
+    epoch: v.number(),
+  }),
+  v.object({
+    kind: v.literal("refused"),
+    taskId: v.string(),
+    epoch: v.number(),
+    code: v.number(),
+    cause: v.string(),
+  }),
+  v.object({
+    /** The task was handed over, and surely did not start. */
+    kind: v.literal("returned"),
+    taskId: v.string(),
+    epoch: v.number(),
+  }),
+]);
+
+/** What an instance knows of one task. */
+export type Sighting = v.InferOutput<typeof sightingSchema>;
+
 /** Schema of a message from one entry instance to another. */
 export const peerMessageSchema = v.variant("kind", [
   v.object({ kind: v.literal("heartbeat"), heartbeat: heartbeatSchema }),
@@ -40,6 +73,8 @@
     kind: v.literal("move"),
     from: v.string(),
     home: v.string(),
+    /** Number of the move among those of the request. */
+    epoch: v.number(),
     request: requestSchema,
     tasks: v.array(taskSchema),
   }),
@@ -47,21 +82,7 @@
     /** Tells the home what became of its tasks. */
     kind: v.literal("report"),
     from: v.string(),
-    updates: v.array(v.variant("kind", [
-      v.object({
-        kind: v.literal("record"),
-        worker: v.string(),
-        token: v.number(),
-        record: taskRecordSchema,
-      }),
-      v.object({
-        kind: v.literal("refused"),
-        taskId: v.string(),
-        code: v.number(),
-        cause: v.string(),
-      }),
-      v.object({ kind: v.literal("returned"), taskId: v.string() }),
-    ])),
+    updates: v.array(sightingSchema),
   }),
   v.object({
     /** Stops or forgets tasks that the receiver runs or queues for others. */
@@ -79,33 +100,15 @@
 /** A message from one entry instance to another. */
 export type PeerMessage = v.InferOutput<typeof peerMessageSchema>;
 
-/** Schema of what an instance knows of one task. */
-export const sightingSchema = v.variant("kind", [
-  v.object({
-    kind: v.literal("record"),
-    worker: v.string(),
-    token: v.number(),
-    record: taskRecordSchema,
-  }),
-  v.object({ kind: v.literal("queued"), taskId: v.string() }),
-  v.object({
-    kind: v.literal("refused"),
-    taskId: v.string(),
-    code: v.number(),
-    cause: v.string(),
-  }),
-  /** The task was handed over, and surely did not start. */
-  v.object({ kind: v.literal("returned"), taskId: v.string() }),
-]);
-
-/** What an instance knows of one task. */
-export type Sighting = v.InferOutput<typeof sightingSchema>;
-
 /** Schema of the answer to a lookup. */
 export const lookupAnswerSchema = v.object({
   holder: v.string(),
   /** Every worker that the instance holds, with its token. */
-  held: v.array(v.object({ worker: v.string(), token: v.number() })),
+  held: v.array(v.object({
+    worker: v.string(),
+    token: v.number(),
+    boot: v.string(),
+  })),
   /** Every holder that the instance has barred. */
   barred: v.array(v.string()),
   sightings: v.array(sightingSchema),
@@ -113,6 +116,8 @@
   startedAtMs: v.number(),
   /** When workers vanished from the list since then (wall clock, ms). */
   goneWorkers: v.array(v.object({ worker: v.string(), atMs: v.number() })),
+  /** Whether the request is durable work that is accepted and not ended. */
+  kept: v.boolean(),
   /** The final outcome, where the instance is or was the home. */
   outcome: v.optional(outcomeSchema),
 });
--- a/src/instance/read_flow.ts
+++ b/src/instance/read_flow.ts
@@ -11,6 +11,7 @@
 import { answerForLostHome } from "./lost_home.ts";
 import {
   homeSettled,
+  notKnown,
   RETRY_AFTER_MS,
   unknownId,
   unreachable,
@@ -19,7 +20,7 @@
 import { readRequestId, type RequestIdParts } from "./request_ids.ts";
 import type { RequestEntry } from "./request_entry.ts";
 import { forward, MAX_WAIT_MS, routeOf } from "./routes.ts";
-import { type Scheduler, selfHolder } from "./scheduler.ts";
+import { isKept, type Scheduler, selfHolder } from "./scheduler.ts";
 import { requestTopic } from "./topics.ts";
 import type { CallAnswer, View } from "./view.ts";
 import { emptyView, viewOf } from "./views.ts";
@@ -45,7 +46,7 @@
       return yield* forward(route.peer, requestId, message, waitMs);
     }
     case "search":
-      return yield* answerForLostHome(scheduler, requestId, parts);
+      return yield* answerForLostHome(scheduler, requestId, parts, "unknown");
     case "unreachable":
       return unreachable(requestId);
     default:
@@ -78,7 +79,7 @@
       return yield* forward(route.peer, requestId, message, 0);
     }
     case "search":
-      return yield* answerForLostHome(scheduler, requestId, parts);
+      return yield* answerForLostHome(scheduler, requestId, parts, "unknown");
     case "unreachable":
       return unreachable(requestId);
     default:
@@ -154,6 +155,7 @@
       retryAfterMs: 0,
     });
   }
+  if (isKept(scheduler, requestId)) return emptyView(requestId, notKnown());
   const home = homeOf(scheduler, requestId);
   if (home === selfHolder(scheduler)) return undefined;
   return emptyView(requestId, homeSettled());
--- a/src/instance/recovery_flow.ts
+++ b/src/instance/recovery_flow.ts
@@ -11,9 +11,10 @@
 import { findTask, type FoundTask } from "./requests.ts";
 import { endUnstarted } from "./task_end.ts";
 import { mayRepeat, requeueUnstarted, resolveLostRun } from "./task_queue.ts";
-import { applyRecord } from "./task_record.ts";
+import { applyRecord, seenAt } from "./task_record.ts";
 import type { Progress } from "./request_entry.ts";
 import type { Scheduler } from "./scheduler.ts";
+import { resolveUnremembered } from "./unremembered.ts";
 import { sleep } from "./waits.ts";
 
 /** How often tasks that are away or moved are asked for. */
@@ -100,12 +101,11 @@
   if (held === undefined) return;
   for (const { entry, task } of found) {
     if (!isStill(task.progress, worker)) continue;
-    if (task.progress.token > held.token) continue;
     const record = held.records.get(task.task.id);
     if (record !== undefined) {
-      applyRecord(scheduler, worker, held.token, record);
-    } else if (task.progress.token < held.token) {
-      requeueUnstarted(scheduler, entry, task);
+      applyRecord(scheduler, seenAt(held, record));
+    } else {
+      resolveUnremembered(scheduler, entry, task, held);
     }
   }
 }
@@ -126,13 +126,11 @@
   );
   for (const { entry, task } of found) {
     if (!isStill(task.progress, worker)) continue;
-    if (task.progress.token > lease.token) continue;
     const sighting = sightings.get(task.task.id);
     if (sighting?.kind === "record") {
-      const { record } = sighting;
-      applyRecord(scheduler, sighting.worker, sighting.token, record);
-    } else if (task.progress.token < lease.token) {
-      requeueUnstarted(scheduler, entry, task);
+      applyRecord(scheduler, sighting);
+    } else {
+      resolveUnremembered(scheduler, entry, task, lease);
     }
   }
 }
@@ -158,15 +156,8 @@
     const sighting = search.sightings.get(task.task.id);
     if (sighting?.kind === "record") {
       // The guest is gone; the worker's present owner tells from now on.
-      task.progress = {
-        kind: "away",
-        worker: sighting.worker,
-        token: sighting.token,
-        lapsesAtMs: Number.POSITIVE_INFINITY,
-        seen: true,
-      };
-      const { worker, token, record } = sighting;
-      applyRecord(scheduler, worker, token, record);
+      task.progress = awayAt(scheduler, sighting);
+      applyRecord(scheduler, sighting);
     } else if (search.complete) {
       const isWitnessed = search.witnessedSinceMs < entry.request.acceptedAtMs;
       if (isWitnessed) requeueUnstarted(scheduler, entry, task);
@@ -175,6 +166,23 @@
   }
 }
 
+/** Follows a task on a worker that a peer holds. */
+export function awayAt(
+  scheduler: Scheduler,
+  lease: { worker: string; token: number; boot: string },
+): Away {
+  const { worker, token, boot } = lease;
+  return {
+    kind: "away",
+    worker,
+    token,
+    boot,
+    sinceMs: scheduler.moment.steadyMs,
+    lapsesAtMs: Number.POSITIVE_INFINITY,
+    seen: true,
+  };
+}
+
 /** Takes in what a guest says of a task that was moved to it. */
 export function applySighting(
   scheduler: Scheduler,
@@ -186,16 +194,18 @@
   const { entry, task } = found;
   switch (sighting.kind) {
     case "record":
-      applyRecord(scheduler, sighting.worker, sighting.token, sighting.record);
+      applyRecord(scheduler, sighting);
       break;
     case "queued":
       break;
     case "refused":
       if (!isStillMoved(task.progress, guest)) break;
+      if (sighting.epoch !== entry.moveEpoch) break;
       endUnstarted(scheduler, entry, task, sighting.code, sighting.cause);
       break;
     case "returned":
       if (!isStillMoved(task.progress, guest)) break;
+      if (sighting.epoch !== entry.moveEpoch) break;
       requeueUnstarted(scheduler, entry, task);
       break;
   }
--- a/src/instance/refusals.ts
+++ b/src/instance/refusals.ts
@@ -36,7 +36,7 @@
 /** Refuses an id that was not issued to the customer. */
 export function unknownId(): CallAnswer {
   const { code, template } = diagnostics.requestIdInvalid;
-  return problem(404, code, template, false);
+  return problem(404, code, template);
 }
 
 /** Refuses another submission under a used id or key. */
@@ -48,7 +48,7 @@
 /** Refuses an idempotency key while the log is down. */
 export function keyUnavailable(): CallAnswer {
   const { code, template } = diagnostics.keyUnavailable;
-  return problem(503, code, template, false);
+  return problem(503, code, template);
 }
 
 /** Answers that nobody who can tell can be reached. */
--- a/src/instance/report_flow.ts
+++ b/src/instance/report_flow.ts
@@ -9,7 +9,11 @@
 import type { TaskRecord } from "../model/mod.ts";
 import type { Flow } from "./flow.ts";
 import type { HeldWorker } from "./held_worker.ts";
-import { acceptanceSchema, type PeerMessage } from "./peer_message.ts";
+import {
+  acceptanceSchema,
+  type PeerMessage,
+  type Sighting,
+} from "./peer_message.ts";
 import { requestIdOf } from "./requests.ts";
 import { spawn } from "./runner.ts";
 import { isSelf, type Scheduler, selfHolder } from "./scheduler.ts";
@@ -23,17 +27,11 @@
 /** Time-out of one report. */
 const REPORT_TIMEOUT_MS = 1_000;
 
-/** One line of a report. */
-export type Update = Extract<
-  PeerMessage,
-  { kind: "report" }
->["updates"][number];
-
 /** Sends updates to the home of their tasks, in the background. */
 export function reportToHome(
   scheduler: Scheduler,
   home: Holder,
-  updates: Update[],
+  updates: Sighting[],
 ): void {
   if (isSelf(scheduler, home)) return;
   spawn(scheduler.runner, sendReport(scheduler, home, updates));
@@ -53,6 +51,7 @@
     kind: "record",
     worker: held.address.id,
     token: held.token,
+    boot: held.boot,
     record,
   }]);
 }
@@ -68,7 +67,7 @@
 function* sendReport(
   scheduler: Scheduler,
   home: Holder,
-  updates: Update[],
+  updates: Sighting[],
 ): Flow<void> {
   for (let tries = 0; tries < MAX_REPORT_TRIES; tries++) {
     const member = memberOf(scheduler.membership, home);
--- a/src/instance/request_entry.ts
+++ b/src/instance/request_entry.ts
@@ -13,6 +13,10 @@
     kind: "away";
     worker: string;
     token: number;
+    /** The run of the worker's process that the task was sent to. */
+    boot: string;
+    /** Since when the task is away (steady clock, ms). */
+    sinceMs: number;
     /** When the lease of that time lapses at the latest (steady, ms). */
     lapsesAtMs: number;
     /** Whether a record of the run was seen. */
@@ -54,6 +58,8 @@
   cancelled: boolean;
   /** When tasks were last moved to a peer (steady clock, ms). */
   movedAtMs: number | undefined;
+  /** Number of the latest move; tells an old message from a new one. */
+  moveEpoch: number;
   /** Number of the diagnostic that says why its first task did not run. */
   refusalCode?: number;
   /** The final outcome. */
--- a/src/instance/requests.ts
+++ b/src/instance/requests.ts
@@ -54,16 +54,22 @@
     tasks: new Map(),
     cancelled: false,
     movedAtMs: undefined,
+    moveEpoch: 0,
     outcome: undefined,
     endedAtMs: undefined,
   };
-  for (const task of tasks) {
-    entry.tasks.set(task.index, {
-      task,
-      progress: { kind: "queued" },
-      startedOn: undefined,
-    });
-  }
+  for (const task of tasks) enterTask(entry, task);
   scheduler.requests.set(request.id, entry);
   return entry;
 }
+
+/** Enters a task into its request without queueing it. */
+export function enterTask(entry: RequestEntry, task: Task): TaskEntry {
+  const entered: TaskEntry = {
+    task,
+    progress: { kind: "queued" },
+    startedOn: undefined,
+  };
+  entry.tasks.set(task.index, entered);
+  return entered;
+}
--- a/src/instance/scheduler.ts
+++ b/src/instance/scheduler.ts
@@ -35,6 +35,13 @@
 /** A record on its way into the log. */
 export type PendingAppend = { record: LogRecord; topic: string };
 
+/** A durable request, kept until the log has it. */
+export type KeptCopy = {
+  request: Request;
+  /** Whether its record is on its way into the log. */
+  isAppending: boolean;
+};
+
 /** Time for which a worker was observed in an hour, cumulative. */
 export type Observation = {
   worker: string;
@@ -68,13 +75,17 @@
   unreachable: Set<string>;
   /** Workers that the zone's peers know too, or that need no witness. */
   announced: Set<string>;
+  /** The latest run of each worker's process that was seen. */
+  boots: Map<string, string>;
   /** When workers vanished from the list (wall clock, ms). */
   goneWorkers: Map<string, number>;
   /** When this process started (wall clock, ms). */
   startedAtMs: number;
+  /** When this process started (steady clock, ms). */
+  startedSteadyMs: number;
   requests: Map<RequestId, RequestEntry>;
-  /** Durable requests of peers, kept while the log is down. */
-  copies: Map<RequestId, Request>;
+  /** Durable requests kept here until the log has them. */
+  copies: Map<RequestId, KeptCopy>;
   /** Sequence number of the next request id. */
   nextSequence: number;
   /** Requests with a lower sequence number may have been forgotten. */
@@ -133,8 +144,10 @@
     held: new Map(),
     unreachable: new Set(),
     announced: new Set(),
+    boots: new Map(),
     goneWorkers: new Map(),
     startedAtMs: moment.wallMs,
+    startedSteadyMs: moment.steadyMs,
     requests: new Map(),
     copies: new Map(),
     nextSequence: 1,
@@ -166,6 +179,19 @@
     scheduler.formerHolders.has(holder);
 }
 
+/** Keeps a durable request until the log has it. */
+export function keepCopy(scheduler: Scheduler, request: Request): void {
+  if (scheduler.copies.has(request.id)) return;
+  scheduler.copies.set(request.id, { request, isAppending: false });
+  note(scheduler, "request.copied", request.id);
+}
+
+/** Tells whether durable work is accepted and not ended, as far as is known. */
+export function isKept(scheduler: Scheduler, requestId: string): boolean {
+  return scheduler.log.requests.has(requestId) ||
+    scheduler.copies.has(requestId);
+}
+
 /** Adds an event to the time line of this instance. */
 export function note(
   scheduler: Scheduler,
--- a/src/instance/start_flow.ts
+++ b/src/instance/start_flow.ts
@@ -13,7 +13,7 @@
 import { applyPlacement } from "./placement_driver.ts";
 import { findTask } from "./requests.ts";
 import { requeueUnstarted } from "./task_queue.ts";
-import { applyRecord } from "./task_record.ts";
+import { applyRecord, seenAt } from "./task_record.ts";
 import { note, type Scheduler } from "./scheduler.ts";
 import { sleep, startTask, yieldTask } from "./waits.ts";
 
@@ -41,7 +41,7 @@
     if (held === undefined) return;
     const result = yield* startTask(held.address, token, task);
     if (result.isOk()) {
-      confirmStart(scheduler, worker, token, result.value);
+      confirmStart(scheduler, held, result.value);
       return;
     }
     if (heldUnder(scheduler, worker, token) === undefined) return;
@@ -102,7 +102,7 @@
   if (heldUnder(scheduler, address.id, token) === undefined) return true;
   const record = result.value;
   if (record !== undefined) {
-    confirmStart(scheduler, address.id, token, record);
+    confirmStart(scheduler, held, record);
     return true;
   }
   surelyUnstarted(scheduler, address.id, task, "invalid");
@@ -111,11 +111,11 @@
 
 function confirmStart(
   scheduler: Scheduler,
-  worker: string,
-  token: number,
+  sent: HeldWorker,
   record: TaskRecord,
 ): void {
-  const held = heldUnder(scheduler, worker, token);
+  const worker = sent.address.id;
+  const held = heldUnder(scheduler, worker, sent.token);
   const taskId = record.task.id;
   if (held !== undefined) {
     const seen = held.records.get(taskId);
@@ -125,7 +125,7 @@
     applyPlacement(scheduler, { kind: "startConfirmed", worker, taskId });
     applyPlacement(scheduler, { kind: "taskChanged", worker, record });
   }
-  applyRecord(scheduler, worker, token, record);
+  applyRecord(scheduler, seenAt(sent, record));
 }
 
 function refuseStart(
--- a/src/instance/submit_flow.ts
+++ b/src/instance/submit_flow.ts
@@ -4,13 +4,14 @@
  * @module
  */
 import { assertNever } from "../base/mod.ts";
-import { claimOf } from "../log_state/mod.ts";
+import { diagnostics } from "../diagnostics/mod.ts";
+import { type Claim, claimOf } from "../log_state/mod.ts";
 import { holderOf, membersOf } from "../membership/mod.ts";
 import type { Submission } from "../model/mod.ts";
 import { commit, commitInBackground } from "./appends.ts";
 import { checkSubmission, submissionDigest } from "./checked_request.ts";
 import type { Flow } from "./flow.ts";
-import { answerForLostHome } from "./lost_home.ts";
+import { answerForLostHome, type KnownDurability } from "./lost_home.ts";
 import { acceptanceSchema, type PeerMessage } from "./peer_message.ts";
 import { pastView, waitForOutcome } from "./read_flow.ts";
 import {
@@ -81,7 +82,12 @@
         waitMs,
       }, waitMs);
     case "search":
-      return yield* answerForLostHome(scheduler, requestId, parts);
+      return yield* answerForLostHome(
+        scheduler,
+        requestId,
+        parts,
+        durabilityOf(scheduler, customer, submission),
+      );
     case "unreachable":
       return unreachable(requestId);
     default:
@@ -98,30 +104,73 @@
   waitMs: number,
 ): Flow<CallAnswer> {
   const refusal = refusalWhenUnready(scheduler);
-  if (refusal !== undefined) return refusal;
+  if (refusal !== undefined) return withoutVerdict(refusal);
   const digest = submissionDigest(submission);
-  let claim = claimOf(scheduler.log, customer, key);
-  if (claim === undefined) {
-    const requestId = nextRequestId(scheduler, customer);
-    const record = { kind: "claim", customer, key, digest, requestId } as const;
-    if (!scheduler.logReachable) return keyUnavailable();
-    const isDurable = yield* commit(scheduler, record, CLAIM_TIMEOUT_MS);
-    if (!isDurable) return keyUnavailable();
-    claim = claimOf(scheduler.log, customer, key);
-    if (claim === undefined) yield* waitForNotice(LOG_TOPIC, CLAIM_TIMEOUT_MS);
-    claim = claimOf(scheduler.log, customer, key);
-    if (claim === undefined) return keyUnavailable();
+  let claim = claimOf(scheduler.log, customer, key) ??
+    (yield* claimKey(scheduler, customer, key, digest, undefined));
+  while (claim !== undefined) {
+    if (claim.digest !== digest) return conflict();
+    const { requestId } = claim;
+    const answer = yield* submit(
+      scheduler,
+      customer,
+      requestId,
+      submission,
+      waitMs,
+      false,
+    );
+    if (!isHomeSettled(answer)) return answer;
+    // The request surely did not run: the key goes on with another one.
+    claim = yield* claimKey(scheduler, customer, key, digest, requestId);
   }
-  if (claim.digest !== digest) return conflict();
-  const { requestId } = claim;
-  return yield* submit(
-    scheduler,
+  return keyUnavailable();
+}
+
+/**
+ * Binds a key to a new request id through the log.
+ *
+ * @param replaces the request that the key was bound to and that did not run
+ * @returns the claim that holds, which may be another caller's
+ */
+function* claimKey(
+  scheduler: Scheduler,
+  customer: string,
+  key: string,
+  digest: string,
+  replaces: string | undefined,
+): Flow<Claim | undefined> {
+  if (!scheduler.logReachable) return undefined;
+  const requestId = nextRequestId(scheduler, customer);
+  const isDurable = yield* commit(scheduler, {
+    kind: "claim",
     customer,
+    key,
+    digest,
     requestId,
-    submission,
-    waitMs,
-    false,
-  );
+    ...(replaces === undefined ? {} : { replaces }),
+  }, CLAIM_TIMEOUT_MS);
+  if (!isDurable) return undefined;
+  const untilMs = scheduler.moment.steadyMs + CLAIM_TIMEOUT_MS;
+  while (true) {
+    const claim = claimOf(scheduler.log, customer, key);
+    if (claim !== undefined && claim.requestId !== replaces) return claim;
+    const leftMs = untilMs - scheduler.moment.steadyMs;
+    if (leftMs <= 0) return undefined;
+    yield* waitForNotice(LOG_TOPIC, leftMs);
+  }
+}
+
+/** An earlier call under the same key may have run, whatever became of this. */
+function withoutVerdict(answer: CallAnswer): CallAnswer {
+  if (answer.kind !== "problem") return answer;
+  const { ran: _ran, ...rest } = answer;
+  return rest;
+}
+
+function isHomeSettled(answer: CallAnswer): boolean {
+  return answer.kind === "view" &&
+    answer.view.outcome.kind === "didNotRun" &&
+    answer.view.outcome.code === diagnostics.homeSettled.code;
 }
 
 function* submitHere(
@@ -171,6 +220,19 @@
   return yield* waitForOutcome(scheduler, entry, waitMs);
 }
 
+/** Says whether a submission is durable work by the manifest in force. */
+function durabilityOf(
+  scheduler: Scheduler,
+  customer: string,
+  submission: Submission,
+): KnownDurability {
+  const { manifest } = scheduler.log;
+  if (manifest === undefined) return "unknown";
+  const request = checkSubmission(manifest, "", customer, submission, 0);
+  if (request.isErr()) return "unknown";
+  return request.value.durable ? "durable" : "volatile";
+}
+
 /**
  * Keeps durable work in the log, or at a peer of the zone while the log is
  * down. It may start meanwhile, since its home answers for it either way.
--- a/src/instance/task_end.ts
+++ b/src/instance/task_end.ts
@@ -23,6 +23,7 @@
   note(scheduler, `task.${outcome.kind}`, task.task.id);
   notify(scheduler.runner, requestTopic(entry.request.id));
   if (entry.outcome !== undefined) return;
+  recordProgress(scheduler, entry, outcome);
   for (const other of entry.tasks.values()) {
     if (other.progress.kind !== "ended") return;
   }
@@ -52,6 +53,7 @@
     reportToHome(scheduler, entry.home, [{
       kind: "refused",
       taskId: task.task.id,
+      epoch: entry.moveEpoch,
       code,
       cause,
     }]);
@@ -86,11 +88,24 @@
   }
 }
 
+/** Puts the end of a task of durable work into the log. */
+function recordProgress(
+  scheduler: Scheduler,
+  entry: RequestEntry,
+  outcome: TaskOutcome,
+): void {
+  if (entry.role !== "home" || !entry.request.durable) return;
+  if (entry.tasks.size === 1) return;
+  const requestId = entry.request.id;
+  const outcomes = [outcome];
+  commitInBackground(scheduler, { kind: "progressed", requestId, outcomes });
+}
+
 function finishRequest(scheduler: Scheduler, entry: RequestEntry): void {
   entry.outcome = outcomeOfRequest(entry);
   entry.endedAtMs = scheduler.moment.steadyMs;
   note(scheduler, "request.ended", entry.request.id, entry.outcome.kind);
-  if (entry.role === "home" && entry.durability !== "none") {
+  if (entry.role === "home" && entry.request.durable) {
     commitInBackground(scheduler, {
       kind: "ended",
       requestId: entry.request.id,
--- a/src/instance/task_queue.ts
+++ b/src/instance/task_queue.ts
@@ -48,6 +48,7 @@
     reportToHome(scheduler, entry.home, [{
       kind: "returned",
       taskId: task.task.id,
+      epoch: entry.moveEpoch,
     }]);
     return;
   }
--- a/src/instance/task_record.ts
+++ b/src/instance/task_record.ts
@@ -6,6 +6,8 @@
 import type { TaskRecord } from "../model/mod.ts";
 import { applyPlacement } from "./placement_driver.ts";
 import type { RequestEntry, TaskEntry } from "./request_entry.ts";
+import type { HeldWorker } from "./held_worker.ts";
+import { awayAt } from "./recovery_flow.ts";
 import { findTask } from "./requests.ts";
 import { notify } from "./runner.ts";
 import { note, type Scheduler } from "./scheduler.ts";
@@ -16,18 +18,27 @@
 /** How often a failing idempotent task is run at the most. */
 const MAX_FAILED_ATTEMPTS = 3;
 
+/** A record, and the lease under which its worker told it. */
+export type SeenRecord = {
+  worker: string;
+  token: number;
+  /** The run of the worker's process that remembers the task. */
+  boot: string;
+  record: TaskRecord;
+};
+
+/** Joins a record with the lease of the worker that told it. */
+export function seenAt(held: HeldWorker, record: TaskRecord): SeenRecord {
+  const { token, boot } = held;
+  return { worker: held.address.id, token, boot, record };
+}
+
 /**
  * Takes in what a worker says of a task. The record is the truth about its
  * run, whoever passed it on.
- *
- * @param token the token under which the teller holds the worker
  */
-export function applyRecord(
-  scheduler: Scheduler,
-  worker: string,
-  token: number,
-  record: TaskRecord,
-): void {
+export function applyRecord(scheduler: Scheduler, seen: SeenRecord): void {
+  const { worker, record } = seen;
   const found = findTask(scheduler, record.task.id);
   if (found === undefined) return;
   const { entry, task } = found;
@@ -37,7 +48,7 @@
   task.startedOn = worker;
   switch (record.state) {
     case "running":
-      setRunning(scheduler, entry, task, worker, token);
+      setRunning(scheduler, entry, task, seen);
       break;
     case "checkpointed":
       // The placement core queues the task again for the same worker.
@@ -55,22 +66,16 @@
   scheduler: Scheduler,
   entry: RequestEntry,
   task: TaskEntry,
-  worker: string,
-  token: number,
+  seen: SeenRecord,
 ): void {
+  const { worker, token } = seen;
   const isNew = task.progress.kind !== "running" &&
     task.progress.kind !== "moved";
   const held = scheduler.held.get(worker);
   if (held !== undefined && held.token === token) {
     task.progress = { kind: "running", worker, token };
   } else if (task.progress.kind !== "moved") {
-    task.progress = {
-      kind: "away",
-      worker,
-      token,
-      lapsesAtMs: Number.POSITIVE_INFINITY,
-      seen: true,
-    };
+    task.progress = awayAt(scheduler, seen);
   }
   if (isNew) note(scheduler, "task.started", task.task.id, worker);
   notify(scheduler.runner, requestTopic(entry.request.id));
--- a/src/log_state/accepted_request.ts
+++ b/src/log_state/accepted_request.ts
@@ -1,5 +1,5 @@
 import * as v from "valibot";
-import { requestSchema } from "../model/mod.ts";
+import { requestSchema, taskOutcomeSchema } from "../model/mod.ts";
 
 /** Schema of durable work that has not ended. */
 export const acceptedRequestSchema = v.object({
@@ -8,6 +8,8 @@
   epoch: v.number(),
   /** `instance/incarnation` of the adopter; absent at epoch 0. */
   holder: v.optional(v.string()),
+  /** Outcomes of the tasks that have ended. */
+  ended: v.optional(v.array(taskOutcomeSchema), []),
 });
 
 /** Durable work that has not ended, and who is responsible for it. */
--- a/src/log_state/fold_claim.ts
+++ b/src/log_state/fold_claim.ts
@@ -6,7 +6,8 @@
 export const CLAIM_RETENTION_MS = 24 * 3_600_000;
 
 /**
- * Folds a claim of an idempotency key; the first claim holds.
+ * Folds a claim of an idempotency key; the first claim holds, until one
+ * replaces it whose request surely did not run.
  *
  * @example
  * ```ts
@@ -18,7 +19,8 @@
   record: LogRecordOf<"claim">,
 ): void {
   const name = claimName(record.customer, record.key);
-  if (state.claims.has(name)) return;
+  const known = state.claims.get(name);
+  if (known !== undefined && known.requestId !== record.replaces) return;
   state.claims.set(name, {
     customer: record.customer,
     key: record.key,
--- a/src/log_state/fold_page.ts
+++ b/src/log_state/fold_page.ts
@@ -7,6 +7,8 @@
   foldAccepted,
   foldAdopted,
   foldEnded,
+  foldProgressed,
+  foldVoided,
   forgetEnded,
 } from "./fold_request.ts";
 import { foldUsage, forgetUsage } from "./fold_usage.ts";
@@ -102,6 +104,10 @@
       return foldAccepted(state, record);
     case "adopted":
       return foldAdopted(state, record);
+    case "progressed":
+      return foldProgressed(state, record);
+    case "voided":
+      return foldVoided(state, record);
     case "ended":
       return foldEnded(state, record);
     case "usage":
--- a/src/log_state/fold_page_test.ts
+++ b/src/log_state/fold_page_test.ts
@@ -314,7 +314,7 @@
   appendFake(log, accepted);
   const state = foldAll(log);
   assert.deepEqual([...acceptedRequests(state)], [
-    { request, epoch: 1, holder: "first/1" },
+    { request, epoch: 1, holder: "first/1", ended: [] },
   ]);
   assert.deepEqual(adoptionOf(state, "r"), { epoch: 1, holder: "first/1" });
   const outcome = { kind: "ran", tasks: [] };
--- a/src/log_state/fold_request.ts
+++ b/src/log_state/fold_request.ts
@@ -1,3 +1,4 @@
+import { diagnostics } from "../diagnostics/mod.ts";
 import type { Outcome } from "../model/mod.ts";
 import type { AcceptedRequest } from "./accepted_request.ts";
 import type { LogRecordOf } from "./log_record.ts";
@@ -28,7 +29,48 @@
 ): void {
   const { id } = record.request;
   if (state.requests.has(id) || state.ended.has(id)) return;
-  state.requests.set(id, { request: record.request, epoch: 0 });
+  state.requests.set(id, { request: record.request, epoch: 0, ended: [] });
+}
+
+/**
+ * Folds the outcomes of some tasks of durable work; the first of each task
+ * holds. Workers forget tasks sooner than long work ends.
+ *
+ * @example
+ * ```ts
+ * foldProgressed(state, record);
+ * ```
+ */
+export function foldProgressed(
+  state: LogState,
+  record: LogRecordOf<"progressed">,
+): void {
+  const accepted = state.requests.get(record.requestId);
+  if (accepted === undefined) return;
+  const known = new Set(accepted.ended.map((outcome) => outcome.index));
+  const added = record.outcomes.filter((outcome) => !known.has(outcome.index));
+  if (added.length === 0) return;
+  const ended = [...accepted.ended, ...added];
+  state.requests.set(record.requestId, { ...accepted, ended });
+}
+
+/**
+ * Folds that a request surely did not run and never will. It has no effect on
+ * work that was accepted before, and work accepted after it is ignored.
+ *
+ * @example
+ * ```ts
+ * foldVoided(state, record);
+ * ```
+ */
+export function foldVoided(
+  state: LogState,
+  record: LogRecordOf<"voided">,
+): void {
+  if (state.requests.has(record.requestId)) return;
+  const { code, template } = diagnostics.homeSettled;
+  const outcome = { kind: "didNotRun", code, cause: template } as const;
+  foldEnded(state, { kind: "ended", requestId: record.requestId, outcome });
 }
 
 /**
@@ -46,11 +88,8 @@
   const accepted = state.requests.get(record.requestId);
   if (accepted === undefined) return;
   if (record.epoch !== accepted.epoch + 1) return;
-  state.requests.set(record.requestId, {
-    request: accepted.request,
-    epoch: record.epoch,
-    holder: record.holder,
-  });
+  const { epoch, holder } = record;
+  state.requests.set(record.requestId, { ...accepted, epoch, holder });
 }
 
 /**
--- a/src/log_state/log_record.ts
+++ b/src/log_state/log_record.ts
@@ -3,6 +3,7 @@
   manifestSchema,
   outcomeSchema,
   requestSchema,
+  taskOutcomeSchema,
   usageSchema,
 } from "../model/mod.ts";
 
@@ -32,6 +33,8 @@
     key: v.string(),
     digest: v.string(),
     requestId: v.string(),
+    /** The claimed request that surely did not run, if this one follows it. */
+    replaces: v.optional(v.string()),
   }),
   v.object({
     /** Durable work, kept until every task has ended. */
@@ -47,6 +50,17 @@
     /** `instance/incarnation` of the new home. */
     holder: v.string(),
   }),
+  v.object({
+    /** Tasks of durable work that have ended while others have not. */
+    kind: v.literal("progressed"),
+    requestId: v.string(),
+    outcomes: v.array(taskOutcomeSchema),
+  }),
+  v.object({
+    /** A request whose home is gone and that surely never ran. */
+    kind: v.literal("voided"),
+    requestId: v.string(),
+  }),
   v.object({
     /** Durable work whose outcome is final. */
     kind: v.literal("ended"),
--- a/src/model/worker.ts
+++ b/src/model/worker.ts
@@ -57,6 +57,8 @@
   /** How long the lease lasts after each renewal, in milliseconds. */
   leaseMs: v.number(),
   capacity: workerCapacitySchema,
+  /** Changes when the worker's process starts anew and has forgotten all. */
+  boot: v.string(),
   /** Everything that the worker runs or remembers. */
   records: v.array(taskRecordSchema),
   /** Number of the latest event; renewals ask for those after it. */
--- a/src/server/problem_document.ts
+++ b/src/server/problem_document.ts
@@ -37,12 +37,15 @@
   };
 }
 
-/** Builds a problem document for a call that changed nothing. */
+/**
+ * Builds a problem document for a call that changed nothing. It does not say
+ * whether an earlier call for the same request ran.
+ */
 export function refusal(
   status: number,
   message: DiagnosticMessage,
   ...values: (string | number)[]
 ): HttpAnswer {
   const detail = formatDiagnostic(message, ...values);
-  return problemDocument(status, message.code, detail, false);
+  return problemDocument(status, message.code, detail);
 }
--- a/stand_ins/worker/commands.ts
+++ b/stand_ins/worker/commands.ts
@@ -72,6 +72,7 @@
     token: lease.token,
     leaseMs: state.settings.leaseMs,
     capacity: state.settings.capacity,
+    boot: state.boot,
     records: [...state.runs.values()].map((run) => run.record),
     lastEvent: state.journal.lastEvent,
   };
--- a/stand_ins/worker/worker_state.ts
+++ b/stand_ins/worker/worker_state.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from "node:crypto";
 import {
   addResources,
   fitsInto,
@@ -37,6 +38,8 @@
 /** Everything that a worker knows. */
 export type WorkerState = {
   settings: WorkerSettings;
+  /** Names this run of the worker, which remembers nothing older. */
+  boot: string;
   lease: Lease;
   /** Every task that runs, waits at a checkpoint or is remembered. */
   runs: Map<string, Run>;
@@ -61,6 +64,7 @@
 export function createWorkerState(settings: WorkerSettings): WorkerState {
   return {
     settings,
+    boot: randomUUID(),
     lease: createLease(),
     runs: new Map(),
     running: new Map(),
