Store requests and manifest changes by their differences

A log entry for a job of hundreds of like tasks repeated every field of every task, and a change of one agreement repeated the whole manifest, for each of the 36 readers. The form in the log is now separate from the record that the program handles; group commit packs, the fold unpacks. A change whose order the difference cannot express is still written whole.

--- a/src/log_state/fold_manifest.ts
+++ b/src/log_state/fold_manifest.ts
@@ -1,6 +1,9 @@
+import { assertNever } from "../base/mod.ts";
+import type { Manifest } from "../model/mod.ts";
 import type { LogRecordOf } from "./log_record.ts";
 import type { LogState } from "./log_state.ts";
 import type { ManifestEntry } from "./manifest_entry.ts";
+import { applyPatch, diffManifests } from "./manifest_patch.ts";
 import { addAgreed } from "./usage_day.ts";
 
 /** How many published changes are kept for the history and for verdicts. */
@@ -13,6 +16,36 @@
   /** The change was not read back from the log yet. */
   | { kind: "pending" };
 
+/** A change of the manifest that an operator publishes. */
+export type ManifestChange = ManifestEntry & {
+  /** The version that the change was built on; -1 for none. */
+  baseVersion: number;
+};
+
+/**
+ * Makes the record of a change: by its difference where the base version is
+ * the one in force in the log, in whole otherwise.
+ *
+ * @example
+ * ```ts
+ * const record = manifestRecordOf(state, change);
+ * await commit.append(record, signal);
+ * ```
+ */
+export function manifestRecordOf(
+  state: LogState,
+  change: ManifestChange,
+): LogRecordOf<"manifest" | "manifestPatch"> {
+  const { changeId, baseVersion, author, manifest } = change;
+  const { version, entry } = state.folded;
+  const patch = entry !== undefined && version === baseVersion
+    ? diffManifests(entry.manifest, manifest)
+    : undefined;
+  const head = { changeId, baseVersion, author };
+  if (patch === undefined) return { kind: "manifest", ...head, manifest };
+  return { kind: "manifestPatch", ...head, patch };
+}
+
 /**
  * Folds a published manifest: it wins if it was built on the version in
  * force. A repeat of a change that was decided before has no effect.
@@ -25,10 +58,11 @@
 export function foldManifest(
   state: LogState,
   offset: number,
-  record: LogRecordOf<"manifest">,
+  record: LogRecordOf<"manifest" | "manifestPatch">,
 ): void {
   if (findChange(state, record.changeId) !== undefined) return;
-  const accepted = record.baseVersion === state.folded.version;
+  const manifest = manifestOf(state, record);
+  const accepted = manifest !== undefined;
   state.history.push({
     version: offset,
     baseVersion: record.baseVersion,
@@ -40,7 +74,7 @@
   if (state.history.length > MAX_HISTORY_ENTRIES) state.history.shift();
   if (!accepted) return;
   const entry = {
-    manifest: record.manifest,
+    manifest,
     author: record.author,
     changeId: record.changeId,
   };
@@ -91,6 +125,23 @@
   return { kind: "lost", versionInForce: state.folded.version };
 }
 
+/** The manifest after a change; undefined where its base is not in force. */
+function manifestOf(
+  state: LogState,
+  record: LogRecordOf<"manifest" | "manifestPatch">,
+): Manifest | undefined {
+  const { version, entry } = state.folded;
+  if (record.baseVersion !== version) return undefined;
+  switch (record.kind) {
+    case "manifest":
+      return record.manifest;
+    case "manifestPatch":
+      return entry && applyPatch(entry.manifest, record.patch);
+    default:
+      return assertNever(record);
+  }
+}
+
 /** What was agreed until now is added up before the agreements change. */
 function accrueAgreed(state: LogState): void {
   const { usage, folded, clockMs } = state;
--- a/src/log_state/fold_page.ts
+++ b/src/log_state/fold_page.ts
@@ -1,4 +1,3 @@
-import * as v from "valibot";
 import { assertNever } from "../base/mod.ts";
 import type { LogEntry, LogPage } from "../hosts/mod.ts";
 import { foldClaim, forgetClaims } from "./fold_claim.ts";
@@ -11,13 +10,13 @@
 } from "./fold_request.ts";
 import { foldUsage, forgetUsage } from "./fold_usage.ts";
 import type { LogRecord } from "./log_record.ts";
-import { logRecordSchema } from "./log_record.ts";
 import type { LogState } from "./log_state.ts";
 import {
   considerSnapshot,
   isCompleteSnapshot,
   restoreSnapshot,
 } from "./snapshot.ts";
+import { readRecord } from "./stored_record.ts";
 
 /** What a page changed. */
 export type FoldedPage = {
@@ -74,8 +73,8 @@
     if (entry.offset < state.nextOffset) continue;
     state.nextOffset = entry.offset + 1;
     advanceClock(state, entry.atMs);
-    const parsed = v.safeParse(logRecordSchema, entry.data);
-    if (parsed.success) foldRecord(state, entry.offset, parsed.output);
+    const record = readRecord(entry.data);
+    if (record !== undefined) foldRecord(state, entry.offset, record);
   }
 }
 
@@ -91,6 +90,7 @@
 function foldRecord(state: LogState, offset: number, record: LogRecord): void {
   switch (record.kind) {
     case "manifest":
+    case "manifestPatch":
       return foldManifest(state, offset, record);
     case "snapshot":
       if (!isCompleteSnapshot(record)) return;
--- a/src/log_state/group_commit.ts
+++ b/src/log_state/group_commit.ts
@@ -3,6 +3,7 @@
 import { diagnostics, formatDiagnostic } from "../diagnostics/mod.ts";
 import type { Clock, Fault, LogHost } from "../hosts/mod.ts";
 import type { LogRecord } from "./log_record.ts";
+import { storeRecord } from "./stored_record.ts";
 
 /** Least time between the starts of two appends, in milliseconds. */
 export const MIN_APPEND_GAP_MS = 125;
@@ -139,7 +140,7 @@
   state.startedMs = host.clock.steadyMs();
   const unsent = batch.filter((waiter) => !waiter.mayBeAppended);
   for (const waiter of unsent) waiter.mayBeAppended = true;
-  const records = batch.map((waiter) => waiter.record);
+  const records = batch.map((waiter) => storeRecord(waiter.record));
   const result = await host.log.append(records, host.signal);
   if (result.isOk()) return settleBatch(state, batch, result.value);
   state.failures += 1;
--- a/src/log_state/log_fake_test.ts
+++ b/src/log_state/log_fake_test.ts
@@ -167,7 +167,8 @@
   };
 }
 
-function agreementOf(customer: string): Agreement {
+/** An agreement of a customer. */
+export function agreementOf(customer: string): Agreement {
   return {
     name: "a",
     customer,
--- a/src/log_state/log_record.ts
+++ b/src/log_state/log_record.ts
@@ -5,6 +5,7 @@
   requestSchema,
   usageSchema,
 } from "../model/mod.ts";
+import { manifestPatchSchema } from "./manifest_patch.ts";
 
 /** Schema of an entry's data in the log. */
 export const logRecordSchema = v.variant("kind", [
@@ -18,6 +19,15 @@
     author: v.string(),
     manifest: manifestSchema,
   }),
+  v.object({
+    /** A change of the manifest, by its difference from the base version. */
+    kind: v.literal("manifestPatch"),
+    changeId: v.string(),
+    /** Offset of the record whose manifest this one changes. */
+    baseVersion: v.number(),
+    author: v.string(),
+    patch: manifestPatchSchema,
+  }),
   v.object({
     /** The fold up to an offset, appended again before the log trims it. */
     kind: v.literal("snapshot"),
--- a/src/log_state/mod.ts
+++ b/src/log_state/mod.ts
@@ -10,6 +10,8 @@
 export { CLAIM_RETENTION_MS, claimOf } from "./fold_claim.ts";
 export {
   applyManifest,
+  type ManifestChange,
+  manifestRecordOf,
   type ManifestVerdict,
   manifestVerdict,
   MAX_HISTORY_ENTRIES,
@@ -29,6 +31,7 @@
 export * from "./log_record.ts";
 export * from "./log_state.ts";
 export * from "./manifest_entry.ts";
+export { readRecord, type StoredRecord, storeRecord } from "./stored_record.ts";
 export { needsRepair, needsSnapshot, takeSnapshot } from "./snapshot.ts";
 export * from "./usage_day.ts";
 export * from "./usage_state.ts";
--- a/src/log_state/snapshot.ts
+++ b/src/log_state/snapshot.ts
@@ -11,6 +11,7 @@
 import { applyManifest } from "./fold_manifest.ts";
 import { logRecordSchema, type SnapshotRecord } from "./log_record.ts";
 import type { LogState } from "./log_state.ts";
+import { packRequest, unpackRequest } from "./packed_request.ts";
 import { type SnapshotState, snapshotStateSchema } from "./snapshot_state.ts";
 import { decodeUsage, encodeUsage } from "./snapshot_usage.ts";
 
@@ -35,7 +36,10 @@
     ...(entry === undefined ? {} : { inForce: entry }),
     history: state.history,
     claims: [...state.claims.values()],
-    requests: [...state.requests.values()],
+    requests: [...state.requests.values()].map((accepted) => ({
+      ...accepted,
+      request: packRequest(accepted.request),
+    })),
     ended: [...state.ended].map(([requestId, atMs]) => ({ requestId, atMs })),
     outcomes: [...state.outcomes.values()],
     usage: encodeUsage(state.usage),
@@ -165,7 +169,10 @@
   state.history = data.history;
   state.claims = new Map(data.claims.map(nameClaim));
   state.requests = new Map(
-    data.requests.map((accepted) => [accepted.request.id, accepted]),
+    data.requests.map((accepted) => [
+      accepted.request.id,
+      { ...accepted, request: unpackRequest(accepted.request) },
+    ]),
   );
   state.ended = new Map(
     data.ended.map(({ requestId, atMs }) => [requestId, atMs]),
--- a/src/log_state/snapshot_state.ts
+++ b/src/log_state/snapshot_state.ts
@@ -1,9 +1,9 @@
 import * as v from "valibot";
-import { acceptedRequestSchema } from "./accepted_request.ts";
 import { claimSchema } from "./claim.ts";
 import { endedRequestSchema } from "./ended_request.ts";
 import { historyEntrySchema } from "./history_entry.ts";
 import { manifestEntrySchema } from "./manifest_entry.ts";
+import { packedRequestSchema } from "./packed_request.ts";
 
 const agreementUsageSchema = v.object({
   customer: v.string(),
@@ -49,7 +49,11 @@
   inForce: v.optional(manifestEntrySchema),
   history: v.array(historyEntrySchema),
   claims: v.array(claimSchema),
-  requests: v.array(acceptedRequestSchema),
+  requests: v.array(v.object({
+    request: packedRequestSchema,
+    epoch: v.number(),
+    holder: v.optional(v.string()),
+  })),
   ended: v.array(v.object({ requestId: v.string(), atMs: v.number() })),
   outcomes: v.array(endedRequestSchema),
   usage: usageStateSchema,
