Append through the group commit of the log state

Cause: the instance had an appender of its own beside createGroupCommit, and a record that the log refuses would have held back every later one for ever.

What: the append effect carries one record, the driver joins appends with createGroupCommit, which halves a refused batch until the bad record stands alone. Manifests are published as differences where that is possible.

--- a/src/daemon/driver.ts
+++ b/src/daemon/driver.ts
@@ -15,6 +15,7 @@
   type SchedulerEvent,
   step,
 } from "../instance/mod.ts";
+import { createGroupCommit, type GroupCommit } from "../log_state/mod.ts";
 import { observeLamport } from "../time_line/mod.ts";
 import type { HostSet } from "./host_set.ts";
 
@@ -32,6 +33,8 @@
   scheduler: Scheduler;
   hosts: HostSet;
   signal: AbortSignal;
+  /** Joins the appends of this process into batches. */
+  groupCommit: GroupCommit;
   events: EventEmitter;
   /** Ends the timers of effects that were abandoned. */
   timers: Map<number, AbortController>;
@@ -59,6 +62,11 @@
     scheduler,
     hosts,
     signal,
+    groupCommit: createGroupCommit({
+      log: hosts.log,
+      clock: hosts.clock,
+      signal,
+    }),
     events: new EventEmitter(),
     timers: new Map(),
     answers: new Map(),
@@ -154,7 +162,7 @@
     case "peer":
       return callPeer(running, effect);
     case "append":
-      return hosts.log.append(effect.records, signal);
+      return running.groupCommit.append(effect.record, signal);
     case "readLog":
       return hosts.log.read(effect.fromOffset, effect.waitMs, signal);
     case "readList":
--- a/src/instance/appends.ts
+++ b/src/instance/appends.ts
@@ -6,33 +6,29 @@
  */
 import type { LogRecord } from "../log_state/mod.ts";
 import type { Flow } from "./flow.ts";
-import { notify } from "./runner.ts";
-import type { Scheduler } from "./scheduler.ts";
-import { APPEND_TOPIC } from "./topics.ts";
-import { appendRecords, sleep, waitForNotice } from "./waits.ts";
+import { notify, spawn } from "./runner.ts";
+import { note, type Scheduler } from "./scheduler.ts";
+import { appendRecord, sleep, waitForNotice } from "./waits.ts";
 
-/** How long the appender sleeps while there is nothing to append. */
-const IDLE_WAIT_MS = 60_000;
-/** The shortest time between two appends of one instance. */
-const APPEND_GAP_MS = 50;
-/** Delay after a failed append. */
+/** Delay before a failed append is made again. */
 const APPEND_RETRY_MS = 250;
-/** The most records in one append. */
-const MAX_APPEND_RECORDS = 500;
 
-/** Queues a record for the log without waiting for it. */
+/**
+ * Puts a record into the log without waiting for it.
+ *
+ * @returns the topic that is notified when the record is durable
+ */
 export function commitInBackground(
   scheduler: Scheduler,
   record: LogRecord,
 ): string {
   const topic = `appended:${scheduler.runner.nextNumber++}`;
-  scheduler.pendingAppends.push({ record, topic });
-  notify(scheduler.runner, APPEND_TOPIC);
+  spawn(scheduler.runner, appendUntilDurable(scheduler, record, topic));
   return topic;
 }
 
 /**
- * Queues a record for the log and waits until it is durable.
+ * Puts a record into the log and waits until it is durable.
  *
  * @returns whether it became durable within the time-out; if not, it is still
  * on its way
@@ -46,23 +42,23 @@
   return yield* waitForNotice(topic, timeoutMs);
 }
 
-/** Appends what is pending, one call at a time, for as long as it runs. */
-export function* appendPending(scheduler: Scheduler): Flow<void> {
+function* appendUntilDurable(
+  scheduler: Scheduler,
+  record: LogRecord,
+  topic: string,
+): Flow<void> {
+  scheduler.pendingAppends++;
   while (true) {
-    if (scheduler.pendingAppends.length === 0) {
-      yield* waitForNotice(APPEND_TOPIC, IDLE_WAIT_MS);
-      continue;
+    const result = yield* appendRecord(record);
+    if (result.isOk()) {
+      notify(scheduler.runner, topic);
+      break;
     }
-    const batch = scheduler.pendingAppends.slice(0, MAX_APPEND_RECORDS);
-    const records = batch.map((pending) => pending.record);
-    const result = yield* appendRecords(records);
-    scheduler.logReachable = result.isOk();
-    if (result.isErr()) {
-      yield* sleep(APPEND_RETRY_MS);
-      continue;
+    if (result.error.kind === "refused") {
+      note(scheduler, "log.refused", record.kind, result.error.message);
+      break;
     }
-    scheduler.pendingAppends.splice(0, batch.length);
-    for (const pending of batch) notify(scheduler.runner, pending.topic);
-    yield* sleep(APPEND_GAP_MS);
+    yield* sleep(APPEND_RETRY_MS);
   }
+  scheduler.pendingAppends--;
 }
--- a/src/instance/drain_flow.ts
+++ b/src/instance/drain_flow.ts
@@ -46,7 +46,7 @@
   const hasPeers = membersOf(membership, self.zone)
     .some((peer) => holderOf(peer) !== selfHolder(scheduler));
   if (hasPeers && scheduler.held.size > 0) return false;
-  if (scheduler.pendingAppends.length > 0) return false;
+  if (scheduler.pendingAppends > 0) return false;
   for (const entry of scheduler.requests.values()) {
     if (entry.outcome === undefined && !isService(entry)) return false;
   }
--- a/src/instance/effect.ts
+++ b/src/instance/effect.ts
@@ -19,6 +19,7 @@
     yielding: Yielding;
   }
   | { kind: "peer"; url: string; message: PeerMessage; timeoutMs: number }
-  | { kind: "append"; records: LogRecord[] }
+  /** Appends one record; the driver joins appends into batches. */
+  | { kind: "append"; record: LogRecord }
   | { kind: "readLog"; fromOffset: number; waitMs: number }
   | { kind: "readList" };
--- a/src/instance/publish_flow.ts
+++ b/src/instance/publish_flow.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { diagnostics, formatDiagnostic } from "../diagnostics/mod.ts";
-import { manifestVerdict } from "../log_state/mod.ts";
+import { manifestRecordOf, manifestVerdict } from "../log_state/mod.ts";
 import type { Manifest } from "../model/mod.ts";
 import { commit } from "./appends.ts";
 import type { Flow } from "./flow.ts";
@@ -27,13 +27,9 @@
 ): Flow<CallAnswer> {
   const untilMs = scheduler.moment.steadyMs + PUBLISH_TIMEOUT_MS;
   if (manifestVerdict(scheduler.log, changeId).kind === "pending") {
-    yield* commit(scheduler, {
-      kind: "manifest",
-      changeId,
-      baseVersion,
-      author,
-      manifest,
-    }, PUBLISH_TIMEOUT_MS);
+    const change = { changeId, baseVersion, author, manifest };
+    const record = manifestRecordOf(scheduler.log, change);
+    yield* commit(scheduler, record, PUBLISH_TIMEOUT_MS);
   }
   while (true) {
     const verdict = manifestVerdict(scheduler.log, changeId);
--- a/src/instance/scheduler.ts
+++ b/src/instance/scheduler.ts
@@ -1,9 +1,5 @@
 import type { Randomness } from "../hosts/mod.ts";
-import {
-  createLogState,
-  type LogRecord,
-  type LogState,
-} from "../log_state/mod.ts";
+import { createLogState, type LogState } from "../log_state/mod.ts";
 import {
   createMembership,
   type Holder,
@@ -32,9 +28,6 @@
 /** A worker that the instance list or a peer named. */
 export type KnownWorker = { address: WorkerAddress; leaving: boolean };
 
-/** A record on its way into the log. */
-export type PendingAppend = { record: LogRecord; topic: string };
-
 /** A durable request, kept until the log has it. */
 export type KeptCopy = {
   request: Request;
@@ -65,7 +58,8 @@
   logReachable: boolean;
   /** Whether the log was read to its end once. */
   logCaughtUp: boolean;
-  pendingAppends: PendingAppend[];
+  /** How many records are on their way into the log. */
+  pendingAppends: number;
   /** The workers of the own zone. */
   workers: Map<string, KnownWorker>;
   /** The workers of every zone by the latest list. */
@@ -138,7 +132,7 @@
     log: createLogState(),
     logReachable: false,
     logCaughtUp: false,
-    pendingAppends: [],
+    pendingAppends: 0,
     workers: new Map(),
     listedWorkers: new Set(),
     held: new Map(),
--- a/src/instance/step.ts
+++ b/src/instance/step.ts
@@ -6,7 +6,6 @@
  */
 import { assertNever } from "../base/mod.ts";
 import { adoptRequests } from "./adoption_flow.ts";
-import { appendPending } from "./appends.ts";
 import type { Call } from "./call.ts";
 import { drainInstance } from "./drain_flow.ts";
 import type { Flow } from "./flow.ts";
@@ -73,7 +72,6 @@
     followList(scheduler),
     followLog(scheduler),
     followPeerManifests(scheduler),
-    appendPending(scheduler),
     recoverTasks(scheduler),
     adoptRequests(scheduler),
     recordUsage(scheduler),
--- a/src/instance/topics.ts
+++ b/src/instance/topics.ts
@@ -9,9 +9,6 @@
   return `request:${requestId}`;
 }
 
-/** Records wait to be appended to the log. */
-export const APPEND_TOPIC = "append";
-
 /** A page of the log was folded. */
 export const LOG_TOPIC = "log";
 
--- a/src/instance/waits.ts
+++ b/src/instance/waits.ts
@@ -79,11 +79,11 @@
   return result as Result<TaskRecord | undefined, Fault>;
 }
 
-/** Appends records to the log in one call. */
-export function* appendRecords(
-  records: LogRecord[],
+/** Appends a record to the log. */
+export function* appendRecord(
+  record: LogRecord,
 ): Flow<Result<number, Fault>> {
-  return (yield { kind: "append", records }) as Result<number, Fault>;
+  return (yield { kind: "append", record }) as Result<number, Fault>;
 }
 
 /** Reads the log from an offset. */
--- a/src/log_state/snapshot_state.ts
+++ b/src/log_state/snapshot_state.ts
@@ -1,4 +1,5 @@
 import * as v from "valibot";
+import { acceptedRequestSchema } from "./accepted_request.ts";
 import { claimSchema } from "./claim.ts";
 import { endedRequestSchema } from "./ended_request.ts";
 import { historyEntrySchema } from "./history_entry.ts";
@@ -50,9 +51,8 @@
   history: v.array(historyEntrySchema),
   claims: v.array(claimSchema),
   requests: v.array(v.object({
+    ...acceptedRequestSchema.entries,
     request: packedRequestSchema,
-    epoch: v.number(),
-    holder: v.optional(v.string()),
   })),
   ended: v.array(v.object({ requestId: v.string(), atMs: v.number() })),
   outcomes: v.array(endedRequestSchema),
