--- a/stand_ins/local_cluster/submitter.ts
+++ b/stand_ins/local_cluster/submitter.ts
@@ -31,6 +31,8 @@
   ids: string[];
   /** The final outcome, if there was one within the time. */
   outcome: Outcome | undefined;
+  /** The latest answer of any kind, for reports. */
+  latest: string;
   /** Every answer that blames the caller, which did nothing wrong. */
   complaints: string[];
   /** Every call that broke off after its connection was open. */
@@ -62,6 +64,7 @@
     order,
     ids: [],
     outcome: undefined,
+    latest: "none",
     complaints: [],
     cuts: [],
   };
@@ -95,7 +98,7 @@
   const reply = await api.call("POST", `${url}/v1/requests`, {
     token: order.token,
   });
-  complain(heard, reply);
+  note(heard, reply);
   if (reply.kind === "failed" || reply.status !== CREATED) return undefined;
   return v.parse(issuedSchema, reply.body).id;
 }
@@ -110,15 +113,16 @@
   const path = `${url}/v1/requests/${id}?waitMs=${WAIT_MS}`;
   const { token, submission: body } = order;
   const reply = await api.call("PUT", path, { token, body });
-  complain(heard, reply);
+  note(heard, reply);
   if (reply.kind === "failed" || reply.status >= FIRST_CLIENT_ERROR) {
     return undefined;
   }
   return v.parse(viewSchema, reply.body).outcome;
 }
 
-/** Notes an answer that blames the caller, and a call that broke off. */
-function complain(heard: HeardOrder, reply: Reply): void {
+/** Notes an answer, above all one that blames the caller or broke off. */
+function note(heard: HeardOrder, reply: Reply): void {
+  heard.latest = JSON.stringify(reply);
   if (reply.kind === "failed") {
     if (!reply.unsent) heard.cuts.push(reply.cause);
     return;
--- a/stand_ins/local_cluster/verdict.ts
+++ b/stand_ins/local_cluster/verdict.ts
@@ -51,7 +51,9 @@
   outputs: Map<string, unknown>,
 ): string | undefined {
   const { outcome, ids, order } = heard;
-  if (outcome?.kind !== "ran") return "its caller heard no final answer";
+  if (outcome?.kind !== "ran") {
+    return `its caller heard no final answer, but ${heard.latest}`;
+  }
   const id = ids[ids.length - 1];
   const count = order.submission.tasks.length;
   if (outcome.tasks.length !== count) return "the answer is not whole";
--- a/stand_ins/local_cluster/verdict_test.ts
+++ b/stand_ins/local_cluster/verdict_test.ts
@@ -75,7 +75,8 @@
 function heardOf(ids = ["r1"]): HeardOrder {
   const submission = { agreement: "a", work: "w", tasks: [{}] };
   const order = { key: "order-1", token: "t", submission };
-  return { order, ids, outcome: outcomeOf("card"), complaints: [], cuts: [] };
+  const notes = { latest: "none", complaints: [], cuts: [] };
+  return { order, ids, outcome: outcomeOf("card"), ...notes };
 }
 
 function outcomeOf(output: unknown): Outcome {
