Refuse, offload, and set failing workers aside

Queues had no bound, and deadlines did nothing.

A worker is set aside after three failures in a row, weighted by how well the same kind does elsewhere, and probed with one idempotent task at a time. The union of events grows by `peersKnown`: nothing is refused as unrunnable before the driver has told what peers own, since an instance sees only its own workers. Diagnostic 4006 is new, for a start that a worker rejects.

Two unit tests counted all commands of a submission; they now count starts and, apart from them, the offloads that the same step asks for.

Ruled out: a fixed failure rate per worker, which takes good workers out when a kind of work can never succeed (one test does that).

--- a/src/diagnostics/diagnostics.ts
+++ b/src/diagnostics/diagnostics.ts
@@ -70,6 +70,7 @@
     4005,
     "The queue is full of more urgent work; nothing was run.",
   ),
+  startInvalid: error(4006, "Worker {0} rejects the task as invalid."),
   homeSettled: message(
     5001,
     "The home of the request is gone, and no worker has run it.",
--- a/src/placement/place.ts
+++ b/src/placement/place.ts
@@ -7,17 +7,14 @@
 import type { Policy } from "../model/mod.ts";
 import { chooseWorker } from "./choose_worker.ts";
 import type { Lane } from "./lane.ts";
-import {
-  dequeueTask,
-  firstGroup,
-  waitingGroups,
-  waitingTasks,
-} from "./queue.ts";
+import { hasExpired } from "./limits.ts";
+import { dequeueTask, waitingGroups, waitingTasks } from "./queue.ts";
 import { rankLanes } from "./rank.ts";
-import { addPlaced, hasRoom, returnRoom, takeRoom } from "./room.ts";
+import { addPlaced, hasRoom, isUsable, returnRoom, takeRoom } from "./room.ts";
 import type { Step } from "./step.ts";
 import type { PlacedTask, QueuedTask } from "./task_entry.ts";
 import type { WaitingGroup } from "./waiting_group.ts";
+import { workerToProbe } from "./worker_health.ts";
 import type { WorkerState } from "./worker_state.ts";
 
 /** How many groups of one lane are tried when room has come free. */
@@ -25,6 +22,7 @@
 
 /** Places as many tasks of a group as its policy and the room allow. */
 export function placeGroup(step: Step, group: WaitingGroup): void {
+  if (hasExpired(group, step.atMs)) return;
   const { kind }: Policy = group.policy;
   switch (kind) {
     case "batch":
@@ -39,7 +37,7 @@
 
 /** Gives the room of one worker to the waiting tasks, most urgent first. */
 export function fillWorker(step: Step, worker: WorkerState): void {
-  if (step.placement.queued === 0) return;
+  if (step.placement.queued === 0 || !isUsable(worker)) return;
   for (const lane of rankLanes(step.placement, step.atMs)) {
     if (worker.freeSlots < 1) return;
     fillFromLane(step, worker, lane);
@@ -77,6 +75,7 @@
     group,
   };
   placement.tasks.set(task.id, placed);
+  if (worker.health.kind === "probed") worker.health.taskId = task.id;
   addPlaced(placement, placed);
   commands.push({
     kind: "start",
@@ -87,8 +86,10 @@
 }
 
 function placeEach(step: Step, group: WaitingGroup): void {
-  for (const queued of waitingTasks(step.placement, group)) {
-    const worker = chooseWorker(step.placement, queued.task, queued.demand);
+  const { placement } = step;
+  for (const queued of waitingTasks(placement, group)) {
+    const worker = workerToProbe(placement, queued.task) ??
+      chooseWorker(placement, queued.task, queued.demand);
     if (worker === undefined) return;
     startTask(step, queued, worker);
   }
@@ -117,11 +118,11 @@
   for (const group of waitingGroups(lane)) {
     if (tried >= GROUPS_TRIED) return;
     tried += 1;
+    if (hasExpired(group, step.atMs)) continue;
     if (group.policy.kind === "batch") fillFromGroup(step, worker, group);
     else placeGroup(step, group);
     if (worker.freeSlots < 1) return;
   }
-  firstGroup(lane);
 }
 
 function fillFromGroup(
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -2,7 +2,10 @@
 import { createFreeIndex, type FreeIndex } from "./free_index.ts";
 import type { Lane } from "./lane.ts";
 import type { PlacementOptions } from "./placement_options.ts";
+import type { Shape } from "./shape.ts";
 import type { TaskEntry } from "./task_entry.ts";
+import type { WaitingGroup } from "./waiting_group.ts";
+import type { FailureRate } from "./worker_health.ts";
 import type { WorkerState } from "./worker_state.ts";
 
 /**
@@ -28,6 +31,24 @@
   queuedByUrgency: number[];
   /** Replicas of each service request by rack. */
   replicas: Map<string, Map<string, number>>;
+  /** Workers that are set aside because they fail all they start. */
+  suspended: Set<WorkerState>;
+  /** Workers that run one task at most, to see whether they work again. */
+  probed: Set<WorkerState>;
+  /** Failures by kind of work. */
+  failures: Map<string, FailureRate>;
+  /** Workers on which nothing starts until a time, in milliseconds. */
+  paused: Map<WorkerState, number>;
+  /** How many workers of each capacity this instance owns. */
+  shapes: Map<string, Shape>;
+  /** The workers of peers; undefined until the driver tells of them. */
+  peers: Shape[] | undefined;
+  /** Groups that came before the workers were known. */
+  unchecked: Set<WaitingGroup>;
+  /** Groups with a start deadline. */
+  deadlines: Set<WaitingGroup>;
+  /** When waiting groups were last offered to peers, in milliseconds. */
+  offloadedAtMs: number;
   /** Room held by each agreement. */
   held: Map<string, Resources>;
   /** The part of each agreement's share that this instance may use. */
@@ -59,6 +80,15 @@
     running: 0,
     queuedByUrgency: new Array(10).fill(0),
     replicas: new Map(),
+    suspended: new Set(),
+    probed: new Set(),
+    failures: new Map(),
+    paused: new Map(),
+    shapes: new Map(),
+    peers: undefined,
+    unchecked: new Set(),
+    deadlines: new Set(),
+    offloadedAtMs: -Infinity,
     held: new Map(),
     shares: new Map(),
   };
--- a/src/placement/placement_event.ts
+++ b/src/placement/placement_event.ts
@@ -7,6 +7,7 @@
   WorkerAddress,
   WorkerCapacity,
 } from "../model/mod.ts";
+import type { Shape } from "./shape.ts";
 
 /** Why an instance no longer places on a worker. */
 export type WorkerLoss =
@@ -48,6 +49,12 @@
   | { kind: "taskChanged"; worker: string; record: TaskRecord }
   /** Forget tasks that are queued, and stop those that run. */
   | { kind: "withdrawn"; taskIds: string[] }
+  /**
+   * All workers that peers own, by capacity. Nothing is refused as unrunnable
+   * before the driver has told of them; an empty list says that there are
+   * none.
+   */
+  | { kind: "peersKnown"; shapes: Shape[] }
   | { kind: "manifestChanged"; manifest: Manifest }
   /** The part of each agreement's share that this instance may use. */
   | { kind: "sharesCut"; shares: Map<string, Resources> }
--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -1,11 +1,14 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { Policy, Request, Task } from "../model/mod.ts";
 import {
-  createPlacement,
+  emptyPlacement,
+  end,
+  offered,
+  submit,
+  twoWorkers,
+} from "./fixture_test.ts";
+import {
   explainTask,
-  type Placement,
-  type PlacementCommand,
   placementLoad,
   queuedTasks,
   runningTasks,
@@ -25,7 +28,9 @@
 test("placement: a worker never gets more than its capacity", () => {
   const placement = twoWorkers();
   const commands = submit(placement, "a", 20, "batch");
-  assert.equal(commands.length, 8);
+  assert.equal(commands.filter(({ kind }) => kind === "start").length, 8);
+  const rest = commands.filter(({ kind }) => kind !== "start");
+  assert.deepEqual(rest.map(offered), [12]);
   assert.equal(queuedTasks(placement).length, 12);
   for (const id of ["w0", "w1"]) {
     assert.equal(runningTasks(placement, id).length, 4);
@@ -53,7 +58,7 @@
 test("placement: a gang starts as a whole or not at all", () => {
   const placement = twoWorkers();
   submit(placement, "a", 1, "batch");
-  assert.deepEqual(submit(placement, "g", 8, "gang"), []);
+  assert.deepEqual(submit(placement, "g", 8, "gang").map(offered), [8]);
   assert.equal(submit(placement, "h", 7, "gang").length, 7);
 });
 
@@ -72,57 +77,104 @@
   assert.deepEqual(again.map((c) => c.kind === "start" && c.worker), ["w1"]);
 });
 
-function twoWorkers(): Placement {
-  const placement = createPlacement({
-    preference: "waiting",
-    randomness: { integer: (low) => low },
-    maxQueuedTasks: 100,
-  });
-  for (const id of ["w0", "w1"]) {
-    stepPlacement(placement, {
-      kind: "workerJoined",
-      worker: { id, url: "", zone: "z", region: "r", rack: `rack-${id}` },
-      capacity: {
-        resources: { cpuMillis: 4000, memoryMb: 4000, accelerators: 0 },
-        slots: 8,
-        connections: 64,
-      },
-      token: 1,
-      records: [],
-    }, 0);
+test("placement: a worker that fails everything is set aside, then probed", () => {
+  const placement = twoWorkers();
+  const failed: string[] = [];
+  for (let i = 0; i < 40; i++) {
+    for (
+      const command of submit(placement, `a${i}`, 1, "batch", { atMs: 10 * i })
+    ) {
+      if (command.kind !== "start") continue;
+      const state = command.worker === "w0" ? "failed" : "finished";
+      if (state === "failed") failed.push(command.worker);
+      end(placement, command.worker, command.task, state, 10 * i + 5);
+    }
   }
-  return placement;
-}
+  assert.ok(failed.length <= 6, `${failed.length} failures`);
+  stepPlacement(placement, { kind: "ticked" }, 60_000);
+  const probe = submit(placement, "p", 2, "batch", { atMs: 60_001 });
+  const workers = probe.map((c) => c.kind === "start" ? c.worker : c.kind);
+  assert.deepEqual(workers, ["w0", "w1"]);
+  const task = runningTasks(placement, "w0")[0]!;
+  end(placement, "w0", task, "finished", 60_010);
+  const next = submit(placement, "q", 7, "batch", { atMs: 60_020 });
+  assert.equal(next.filter(({ kind }) => kind === "start").length, 7);
+});
 
-function submit(
-  placement: Placement,
-  id: string,
-  count: number,
-  kind: Policy["kind"],
-): PlacementCommand[] {
-  const policy: Policy = kind === "gang" ? { kind, holdMs: 1000 } : { kind };
-  const common = { customer: "c", agreement: "c-a", work: kind };
-  const tasks = Array.from({ length: count }, (_, index): Task => ({
-    ...common,
-    id: `${id}/${index}`,
-    requestId: id,
-    index,
-    count,
-    attempt: 1,
-    policy,
-    urgency: 3,
-    idempotent: true,
-    demand: { cpuMillis: 1000, memoryMb: 100, accelerators: 0 },
-    durationMs: 1000,
-    payload: undefined,
-  }));
-  const request: Request = {
-    ...common,
-    id,
-    digest: id,
-    durable: false,
-    acceptedAtMs: 0,
-    tasks,
-  };
-  return stepPlacement(placement, { kind: "submitted", request, tasks }, 0);
-}
+test("placement: work that always fails takes few workers out", () => {
+  const placement = twoWorkers();
+  for (let i = 0; i < 40; i++) {
+    for (
+      const command of submit(placement, `a${i}`, 1, "batch", { atMs: 10 * i })
+    ) {
+      if (command.kind !== "start") continue;
+      end(placement, command.worker, command.task, "failed", 10 * i + 5);
+    }
+  }
+  assert.ok(placement.suspended.size <= 1);
+});
+
+test("placement: unrunnable work is refused once the workers are known", () => {
+  const placement = twoWorkers();
+  const early = submit(placement, "g", 9, "gang");
+  assert.deepEqual(early.map(offered), [9]);
+  const known = stepPlacement(placement, { kind: "peersKnown", shapes: [] }, 1);
+  assert.equal(known.length, 9);
+  assert.ok(known.every((c) => c.kind === "refuse" && c.code === 4003));
+  const huge = submit(placement, "h", 1, "batch", {
+    atMs: 1,
+    cpuMillis: 99_000,
+  });
+  assert.ok(huge.every((c) => c.kind === "refuse" && c.code === 4001));
+  assert.equal(huge.length, 1);
+});
+
+test("placement: a peer that can hold the work keeps it from refusal", () => {
+  const placement = twoWorkers();
+  const resources = { cpuMillis: 99_000, memoryMb: 99_000, accelerators: 0 };
+  const shapes = [{ resources, slots: 8, count: 1 }];
+  stepPlacement(placement, { kind: "peersKnown", shapes }, 1);
+  assert.deepEqual(
+    submit(placement, "h", 1, "batch", { atMs: 1, cpuMillis: 99_000 }).map(
+      offered,
+    ),
+    [
+      1,
+    ],
+  );
+});
+
+test("placement: no workers known means wait", () => {
+  const placement = emptyPlacement();
+  stepPlacement(placement, { kind: "peersKnown", shapes: [] }, 0);
+  assert.deepEqual(submit(placement, "a", 1, "batch").map(offered), [1]);
+});
+
+test("placement: a full queue refuses the newest least urgent work", () => {
+  const placement = twoWorkers();
+  submit(placement, "first", 58, "batch");
+  submit(placement, "second", 50, "batch");
+  const over = submit(placement, "urgent", 3, "batch", { atMs: 1, urgency: 8 });
+  const refused = over.flatMap((c) => c.kind === "refuse" ? [c.taskId] : []);
+  assert.deepEqual(refused, ["second/49", "second/48", "second/47"]);
+  assert.equal(placementLoad(placement).queued, 100);
+});
+
+test("placement: nothing starts after its deadline", () => {
+  const placement = twoWorkers();
+  const started = submit(placement, "a", 9, "batch", { startByMs: 50 });
+  const running = started.find((c) => c.kind === "start")!.task;
+  const late = stepPlacement(placement, { kind: "ticked" }, 50);
+  assert.deepEqual(late.map((c) => c.kind === "refuse" && c.code), [4002]);
+  assert.deepEqual(end(placement, "w0", running, "finished", 51), []);
+});
+
+test("placement: a wave of withdrawals leaves nothing queued", () => {
+  const placement = twoWorkers();
+  submit(placement, "a", 100, "batch");
+  const taskIds = Array.from({ length: 100 }, (_, i) => `a/${i}`);
+  const commands = stepPlacement(placement, { kind: "withdrawn", taskIds }, 1);
+  assert.equal(placementLoad(placement).queued, 0);
+  assert.equal(commands.length, 8);
+  assert.ok(commands.every((c) => c.kind === "yield" && c.yielding === "stop"));
+});
--- a/src/placement/queue.ts
+++ b/src/placement/queue.ts
@@ -38,6 +38,8 @@
   };
   for (const task of fresh) addQueued(placement, group, task);
   listGroup(group);
+  placement.unchecked.add(group);
+  if (group.startByMs !== undefined) placement.deadlines.add(group);
   return group;
 }
 
@@ -58,7 +60,10 @@
   const { task, group } = queued;
   if (placement.tasks.get(task.id) === queued) placement.tasks.delete(task.id);
   changeWaiting(placement, group, -1);
-  if (group.waiting === 0) group.listed = false;
+  if (group.waiting > 0) return;
+  group.listed = false;
+  placement.unchecked.delete(group);
+  placement.deadlines.delete(group);
 }
 
 /** The tasks of a group that still wait, in order. */
--- a/src/placement/room.ts
+++ b/src/placement/room.ts
@@ -27,13 +27,18 @@
 
 /** Whether a worker may be given new tasks. */
 export function isUsable(worker: WorkerState): boolean {
-  return !worker.leaving && worker.reachable && !worker.stale;
+  return !worker.leaving && worker.reachable && !worker.stale &&
+    !worker.paused && worker.health.kind === "trusted";
 }
 
 /** Whether a task would fit on a worker now. */
 export function hasRoom(worker: WorkerState, demand: Resources): boolean {
-  return isUsable(worker) && worker.freeSlots >= 1 &&
-    fitsInto(demand, worker.free);
+  return isUsable(worker) && hasSpace(worker, demand);
+}
+
+/** Whether a task would fit on a worker if the worker were usable. */
+export function hasSpace(worker: WorkerState, demand: Resources): boolean {
+  return worker.freeSlots >= 1 && fitsInto(demand, worker.free);
 }
 
 /** Brings a worker's leaf in line with its state. */
--- a/src/placement/step_placement.ts
+++ b/src/placement/step_placement.ts
@@ -3,13 +3,24 @@
 import type { Placement } from "./placement.ts";
 import type { PlacementCommand } from "./placement_command.ts";
 import type { PlacementEvent, StartRefusal } from "./placement_event.ts";
+import {
+  refuseExpired,
+  refuseInvalid,
+  refuseLate,
+  refuseOverload,
+  refuseUnrunnable,
+} from "./limits.ts";
+import { offloadGroup, offloadWaiting } from "./offload.ts";
 import { fillWorker, placeAll, placeGroup } from "./place.ts";
 import { dequeueTask, enqueueTasks, requeueTask } from "./queue.ts";
 import { refreshLeaf, removePlaced } from "./room.ts";
 import type { Step } from "./step.ts";
 import type { PlacedTask } from "./task_entry.ts";
+import type { WaitingGroup } from "./waiting_group.ts";
 import { forgetWorker, joinWorker, takeOver } from "./workers.ts";
+import { endSuspensions, noteEnding } from "./worker_health.ts";
 import type { WorkerState } from "./worker_state.ts";
+import { endPauses, pauseWorker } from "./worker_pause.ts";
 
 /**
  * Works one event into a placement core and returns what the driver has to
@@ -60,7 +71,7 @@
       });
     case "submitted": {
       const group = enqueueTasks(placement, event.request, event.tasks, atMs);
-      if (group !== undefined) placeGroup(step, group);
+      if (group !== undefined) admitGroup(step, group);
       return;
     }
     case "startConfirmed":
@@ -82,18 +93,38 @@
       );
     case "withdrawn":
       return withdraw(step, event.taskIds);
+    case "peersKnown":
+      placement.peers = event.shapes;
+      return refuseLate(step);
     case "manifestChanged":
       return;
     case "sharesCut":
       placement.shares = event.shares;
       return;
     case "ticked":
-      return placeAll(step);
+      return tick(step);
     default:
       return assertNever(event);
   }
 }
 
+function admitGroup(step: Step, group: WaitingGroup): void {
+  refuseUnrunnable(step, group);
+  placeGroup(step, group);
+  refuseOverload(step);
+  offloadGroup(step, group);
+}
+
+function tick(step: Step): void {
+  const { placement, atMs } = step;
+  endSuspensions(placement, atMs);
+  endPauses(placement, atMs);
+  refuseLate(step);
+  refuseExpired(step);
+  placeAll(step);
+  offloadWaiting(step);
+}
+
 function withWorker(
   step: Step,
   id: string,
@@ -118,14 +149,16 @@
   placed: PlacedTask,
   refusal: StartRefusal,
 ): void {
-  const { placement } = step;
+  const { placement, atMs } = step;
   const { worker, task, group } = placed;
   if (placed.confirmed) return;
   removePlaced(placement, placed);
   if (refusal === "stale") worker.stale = true;
   if (refusal === "leaving") worker.leaving = true;
+  if (refusal === "capacity") pauseWorker(placement, worker, atMs);
   refreshLeaf(placement, worker);
   if (placed.withdrawn || group === undefined) return;
+  if (refusal === "invalid") return refuseInvalid(step, task.id, worker.id);
   requeueTask(placement, group, task);
 }
 
@@ -140,6 +173,9 @@
   if (placed === undefined) return;
   if (record.task.attempt < placed.task.attempt) return;
   removePlaced(placement, placed);
+  if (record.state === "finished" || record.state === "failed") {
+    noteEnding(placement, placed, record.state === "failed", atMs);
+  }
   fillWorker(step, worker);
 }
 
--- a/src/placement/worker_state.ts
+++ b/src/placement/worker_state.ts
@@ -1,5 +1,6 @@
 import type { Resources, WorkerAddress, WorkerCapacity } from "../model/mod.ts";
 import type { PlacedTask } from "./task_entry.ts";
+import type { WorkerHealth } from "./worker_health.ts";
 
 /** A worker that this instance owns, with what it holds. */
 export type WorkerState = {
@@ -15,6 +16,9 @@
   reachable: boolean;
   /** Whether the worker refused the token; a peer may hold it now. */
   stale: boolean;
+  health: WorkerHealth;
+  /** Whether the worker takes nothing for a moment. */
+  paused: boolean;
   /** Position in the index of free room. */
   leaf: number;
 };
--- a/src/placement/workers.ts
+++ b/src/placement/workers.ts
@@ -9,7 +9,9 @@
 import type { PlacementEvent } from "./placement_event.ts";
 import { dequeueTask } from "./queue.ts";
 import { addPlaced, indexOf, refreshLeaf, removePlaced } from "./room.ts";
+import { countShape } from "./shape.ts";
 import type { PlacedTask } from "./task_entry.ts";
+import { forgetHealth } from "./worker_health.ts";
 import type { WorkerState } from "./worker_state.ts";
 
 /** A worker that joined. */
@@ -30,6 +32,7 @@
   const worker = createWorker(joined);
   worker.leaf = addLeaf(indexOf(placement, worker), worker);
   placement.workers.set(worker.id, worker);
+  countShape(placement.shapes, worker.capacity, 1);
   refreshLeaf(placement, worker);
   for (const record of joined.records) {
     if (record.state === "running") takeOver(placement, worker, record, atMs);
@@ -45,6 +48,9 @@
   }
   removeLeaf(indexOf(placement, worker), worker.leaf);
   placement.workers.delete(worker.id);
+  placement.paused.delete(worker);
+  countShape(placement.shapes, worker.capacity, -1);
+  forgetHealth(placement, worker);
 }
 
 /** Counts a task that a worker runs, whoever started it. */
@@ -84,6 +90,8 @@
     leaving: false,
     reachable: true,
     stale: false,
+    paused: false,
+    health: { kind: "trusted", suspicion: 0 },
     leaf: -1,
   };
 }
