Tell failing workers from work that always fails

With ten workers the weighting itself let two good workers be set aside.

Now a failure counts against its worker only while the same kind of work has failed nowhere else since its last success. This replaces the moving average, which is gone.

--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -5,7 +5,6 @@
 import type { Shape } from "./shape.ts";
 import type { TaskEntry } from "./task_entry.ts";
 import type { WaitingGroup } from "./waiting_group.ts";
-import type { FailureRate } from "./worker_health.ts";
 import type { WorkerState } from "./worker_state.ts";
 
 /**
@@ -35,8 +34,8 @@
   suspended: Set<WorkerState>;
   /** Workers that run one task at most, to see whether they work again. */
   probed: Set<WorkerState>;
-  /** Failures by kind of work. */
-  failures: Map<string, FailureRate>;
+  /** Where each kind of work failed since it last succeeded. */
+  failedOn: Map<string, string>;
   /** Workers on which nothing starts until a time, in milliseconds. */
   paused: Map<WorkerState, number>;
   /** How many workers of each capacity this instance owns. */
@@ -82,7 +81,7 @@
     replicas: new Map(),
     suspended: new Set(),
     probed: new Set(),
-    failures: new Map(),
+    failedOn: new Map(),
     paused: new Map(),
     shapes: new Map(),
     peers: undefined,
--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -3,6 +3,7 @@
 import {
   emptyPlacement,
   end,
+  join,
   offered,
   submit,
   twoWorkers,
@@ -102,16 +103,17 @@
 });
 
 test("placement: work that always fails takes few workers out", () => {
-  const placement = twoWorkers();
+  const placement = emptyPlacement();
+  for (let i = 0; i < 10; i++) join(placement, `w${i}`);
   for (let i = 0; i < 40; i++) {
-    for (
-      const command of submit(placement, `a${i}`, 1, "batch", { atMs: 10 * i })
-    ) {
+    const atMs = 10 * i;
+    const commands = submit(placement, `a${i}`, 30, "batch", { atMs });
+    for (const command of commands) {
       if (command.kind !== "start") continue;
-      end(placement, command.worker, command.task, "failed", 10 * i + 5);
+      end(placement, command.worker, command.task, "failed", atMs + 5);
     }
   }
-  assert.ok(placement.suspended.size <= 1);
+  assert.ok(placement.suspended.size <= 1, `${placement.suspended.size} aside`);
 });
 
 test("placement: unrunnable work is refused once the workers are known", () => {
--- a/src/placement/worker_health.ts
+++ b/src/placement/worker_health.ts
@@ -1,9 +1,9 @@
 /**
  * Workers that fail all they start: set aside, then probed with one task.
  *
- * A failure counts against its worker only as far as the same kind of work
- * succeeds elsewhere, so that work which can never succeed does not take
- * good workers out.
+ * A failure counts against its worker only while the same kind of work fails
+ * nowhere else, so that work which can never succeed does not take good
+ * workers out.
  *
  * @module
  */
@@ -14,14 +14,14 @@
 import type { PlacedTask } from "./task_entry.ts";
 import type { WorkerState } from "./worker_state.ts";
 
-/** Failures in a row, weighted, after which a worker is set aside. */
+/** Failures in a row after which a worker is set aside. */
 const MOST_SUSPICION = 3;
 const FIRST_SUSPENSION_MS = 10_000;
 const LONGEST_SUSPENSION_MS = 300_000;
 /** At most this part of the workers is set aside at once. */
 const MOST_SET_ASIDE = 0.5;
-/** How much the latest ending weighs in the failure rate of a kind. */
-const RATE_WEIGHT = 0.2;
+/** Stands for more than one worker. */
+const SEVERAL = "";
 
 /** Whether a worker runs what it is given, as far as it is known. */
 export type WorkerHealth =
@@ -31,14 +31,6 @@
   /** Runs at most one task, whose end decides. */
   | { kind: "probed"; taskId: string | undefined; suspensionMs: number };
 
-/** How often a kind of work fails, leaving out one bad worker. */
-export type FailureRate = {
-  /** Moving average of failures, from 0 to 1. */
-  rate: number;
-  /** The worker on which the kind failed last. */
-  worker: string;
-};
-
 /** Works a success or a failure into the health of a worker. */
 export function noteEnding(
   placement: Placement,
@@ -48,7 +40,7 @@
 ): void {
   const { worker, task } = placed;
   const weight = failed ? failureWeight(placement, worker, task) : 0;
-  if (!failed) noteSuccess(placement, task);
+  if (!failed) placement.failedOn.delete(kindOf(task));
   const { health } = worker;
   switch (health.kind) {
     case "trusted":
@@ -124,26 +116,19 @@
   refreshLeaf(placement, worker);
 }
 
-/** How much a failure says of its worker, from 0 to 1. */
+/**
+ * How much a failure says of its worker: nothing where the same kind of work
+ * failed on another worker, too, and has not succeeded since.
+ */
 function failureWeight(
   placement: Placement,
   worker: WorkerState,
   task: Task,
 ): number {
   const key = kindOf(task);
-  const failures = placement.failures.get(key) ?? { rate: 0, worker: "" };
-  const weight = 1 - failures.rate;
-  if (failures.worker !== worker.id) {
-    failures.rate += RATE_WEIGHT * (1 - failures.rate);
-    failures.worker = worker.id;
-  }
-  placement.failures.set(key, failures);
-  return weight;
-}
-
-function noteSuccess(placement: Placement, task: Task): void {
-  const failures = placement.failures.get(kindOf(task));
-  if (failures !== undefined) failures.rate *= 1 - RATE_WEIGHT;
+  const failedOn = placement.failedOn.get(key) ?? worker.id;
+  placement.failedOn.set(key, failedOn === worker.id ? worker.id : SEVERAL);
+  return failedOn === worker.id ? 1 : 0;
 }
 
 function kindOf(task: Task): string {
