Test the command line by golden sessions against fixed answers

Each session compares the whole terminal, and every call to the instance, with a file in src/cli/baselines. Problem documents are read by the command line itself: the shared client keeps the title of a problem only, and drops its detail and its 'ran: false', which must reach the user.

publish no longer sends the local user as author; the operator whose token is sent is the better witness. Its default change id covers the base version too: with the content alone, going back to earlier content would count as a repeat and change nothing.

--- a/src/cli/answers/instance_status.ts
+++ b/src/cli/answers/instance_status.ts
@@ -3,13 +3,14 @@
 /** Schema of an entry instance as another one sees it. */
 export const memberSchema = v.object({
   id: v.string(),
+  incarnation: v.string(),
   zone: v.string(),
   /** `live`, `leaving`, `dead` or `barred`. */
   state: v.string(),
-  /** Base URL by IP number, where it is known. */
-  url: v.optional(v.string()),
+  /** Base URL by IP number. */
+  url: v.string(),
   /** Version of the manifest in force there; -1 for none. */
-  version: v.optional(v.number()),
+  version: v.number(),
 });
 
 /** An entry instance as another one sees it. */
@@ -19,12 +20,19 @@
 export const instanceStatusSchema = v.object({
   /** The instance's id. */
   instance: v.string(),
+  /** Names this run of the instance; a new one at each start. */
+  incarnation: v.string(),
+  zone: v.string(),
+  /** Base URL by IP number. */
+  url: v.string(),
   /** Whether the instance takes requests. */
   ready: v.boolean(),
   /** Version of the manifest in force; -1 for none. */
   version: v.number(),
-  /** All known instances, this one included. */
+  /** The peers that it has heard of. */
   members: v.array(memberSchema),
+  /** Incarnations that no command is taken from any more. */
+  barred: v.array(v.string()),
   /** How many workers the instance holds. */
   workers: v.number(),
   /** How many tasks wait here. */
--- a/src/cli/answers/worker_row.ts
+++ b/src/cli/answers/worker_row.ts
@@ -1,18 +1,19 @@
 import * as v from "valibot";
-import { resourcesSchema, workerCapacitySchema } from "../../model/mod.ts";
+import { resourcesSchema } from "../../model/mod.ts";
 
 /** Schema of a worker as an entry instance lists it. */
 export const workerRowSchema = v.object({
   id: v.string(),
   zone: v.string(),
   rack: v.string(),
+  /** `held`, `silent`, `leaving` or `elsewhere`. */
   state: v.string(),
-  /** The current fencing token. */
-  token: v.number(),
+  /** The current fencing token; absent where another instance holds it. */
+  token: v.optional(v.number()),
   /** How many tasks run there. */
   tasks: v.number(),
-  used: resourcesSchema,
-  capacity: workerCapacitySchema,
+  used: v.optional(resourcesSchema),
+  capacity: v.optional(resourcesSchema),
 });
 
 /** A worker as an entry instance lists it. */
--- /dev/null
+++ b/src/cli/api_caller.ts
@@ -0,0 +1,159 @@
+import { err, ok, type Result } from "neverthrow";
+import { Pool } from "undici";
+import * as v from "valibot";
+import { assertNever } from "../base/mod.ts";
+import { faultOf } from "../clients/fault_of.ts";
+import { exchangeHttp, type HttpExchange } from "../clients/http_exchange.ts";
+import type { HttpRequest } from "../clients/mod.ts";
+import { diagnostics } from "../diagnostics/mod.ts";
+import type { Fault } from "../hosts/mod.ts";
+import { problemSchema } from "./problem.ts";
+
+const CONNECT_TIMEOUT_MS = 3_000;
+const CONNECTIONS_PER_ORIGIN = 2;
+const FIRST_SUCCESS_STATUS = 200;
+const FIRST_REDIRECT_STATUS = 300;
+
+/** Calls entry instances and reads their problem documents. */
+export type ApiCaller = {
+  /**
+   * Makes a call and returns the parsed JSON of a 2xx answer. A `refused`
+   * fault carries the problem document as its data.
+   */
+  call(request: HttpRequest): Promise<Result<unknown, Fault>>;
+  /** Closes every connection. */
+  close(): Promise<void>;
+};
+
+/**
+ * Builds a caller of entry instances.
+ *
+ * @example
+ * ```ts
+ * const caller = createApiCaller(terminal.signal);
+ * const answer = await caller.call(request);
+ * await caller.close();
+ * ```
+ *
+ * @param signal ends calls in flight
+ */
+export function createApiCaller(signal: AbortSignal): ApiCaller {
+  const pools = new Map<string, Pool>();
+  const neverRetired = new AbortController().signal;
+  return {
+    async call(request) {
+      const exchange = await exchangeHttp(
+        poolOf(pools, request.url),
+        request,
+        request.timeoutMs,
+        signal,
+        neverRetired,
+      );
+      return resultOf(request, exchange);
+    },
+    async close() {
+      await Promise.all([...pools.values()].map((pool) => pool.destroy()));
+    },
+  };
+}
+
+function poolOf(pools: Map<string, Pool>, url: string): Pool {
+  const { origin } = new URL(url);
+  const known = pools.get(origin);
+  if (known !== undefined) return known;
+  const pool = new Pool(origin, {
+    connections: CONNECTIONS_PER_ORIGIN,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+  });
+  pools.set(origin, pool);
+  return pool;
+}
+
+function resultOf(
+  request: HttpRequest,
+  exchange: HttpExchange,
+): Result<unknown, Fault> {
+  const { peer, timeoutMs, maxAnswerBytes } = request;
+  switch (exchange.kind) {
+    case "answered":
+      return readAnswer(request, exchange.status, exchange.text);
+    case "timedOut": {
+      const kind = exchange.sent ? "unknown" : "unsent";
+      const { callTimedOut } = diagnostics;
+      return err(faultOf(request, kind, callTimedOut, [peer, timeoutMs]));
+    }
+    case "aborted":
+      return err(lostFault(request, exchange.sent, "interrupted"));
+    case "broken":
+      return err(lostFault(request, exchange.sent, exchange.cause));
+    case "oversized":
+      return err(invalidFault(request, `longer than ${maxAnswerBytes} bytes`));
+    case "moved":
+      return err(lostFault(request, false, "the connection was given up"));
+    default:
+      return assertNever(exchange);
+  }
+}
+
+function readAnswer(
+  request: HttpRequest,
+  status: number,
+  text: string,
+): Result<unknown, Fault> {
+  const json = parseJson(text);
+  if (json.isErr()) return err(invalidFault(request, json.error));
+  const isSuccess = status >= FIRST_SUCCESS_STATUS &&
+    status < FIRST_REDIRECT_STATUS;
+  return isSuccess
+    ? ok(json.value)
+    : err(readProblem(request, status, json.value));
+}
+
+/** A problem document is a refusal: the instance itself turned the call down. */
+function readProblem(
+  request: HttpRequest,
+  status: number,
+  json: unknown,
+): Fault {
+  const { step, peer } = request;
+  const parsed = v.safeParse(problemSchema, json);
+  if (!parsed.success) {
+    const { callRefused } = diagnostics;
+    const cause = "no reason given";
+    return faultOf(request, "unknown", callRefused, [peer, status, cause]);
+  }
+  const { code, detail } = parsed.output;
+  return {
+    kind: "refused",
+    code,
+    step,
+    peer,
+    message: detail,
+    data: parsed.output,
+  };
+}
+
+function parseJson(text: string): Result<unknown, string> {
+  if (text === "") return ok(undefined);
+  try {
+    return ok(JSON.parse(text));
+  } catch (error) {
+    return err(error instanceof Error ? error.message : String(error));
+  }
+}
+
+function lostFault(
+  request: HttpRequest,
+  sent: boolean,
+  cause: string,
+): Fault {
+  const { connectionLost, peerUnreachable } = diagnostics;
+  return sent
+    ? faultOf(request, "unknown", connectionLost, [request.peer, cause])
+    : faultOf(request, "unsent", peerUnreachable, [request.peer, cause]);
+}
+
+function invalidFault(request: HttpRequest, cause: string): Fault {
+  const { answerInvalid } = diagnostics;
+  return faultOf(request, "unknown", answerInvalid, [request.peer, cause]);
+}
--- a/src/cli/api_client.ts
+++ b/src/cli/api_client.ts
@@ -1,12 +1,10 @@
 import type { Result } from "neverthrow";
 import * as v from "valibot";
+import { type Account, accountSchema } from "../account/mod.ts";
 import { checkAnswer } from "../clients/check_answer.ts";
-import {
-  createHttpCaller,
-  type HttpCaller,
-  type HttpRequest,
-} from "../clients/mod.ts";
+import type { HttpRequest } from "../clients/mod.ts";
 import type { Fault } from "../hosts/mod.ts";
+import { type View, viewSchema } from "../instance/view.ts";
 import type { Manifest, Submission } from "../model/mod.ts";
 import {
   type Explanation,
@@ -17,8 +15,6 @@
   manifestHistorySchema,
   type ManifestInForce,
   manifestInForceSchema,
-  type RequestView,
-  requestViewSchema,
   type TaskList,
   taskListSchema,
   type TimeLinePage,
@@ -26,10 +22,9 @@
   type WorkerList,
   workerListSchema,
 } from "./answers/mod.ts";
+import { type ApiCaller, createApiCaller } from "./api_caller.ts";
 
-const CONNECT_TIMEOUT_MS = 3_000;
 const CALL_TIMEOUT_MS = 10_000;
-const CONNECTIONS_PER_ORIGIN = 2;
 const MAX_ANSWER_BYTES = 268_435_456;
 
 /** Where an entry instance is reached, and the token that is sent. */
@@ -45,7 +40,8 @@
   changeId: string;
   /** The version that the change builds on; -1 for none. */
   baseVersion: number;
-  author: string;
+  /** Absent for the operator whose token is sent. */
+  author?: string;
   manifest: Manifest;
 };
 
@@ -64,15 +60,15 @@
     id: string,
     submission: Submission,
     waitMs: number,
-  ): Answer<RequestView>;
+  ): Answer<View>;
   /** Submits work under the caller's own idempotency key. */
   submitUnderKey(
     key: string,
     submission: Submission,
     waitMs: number,
-  ): Answer<RequestView>;
-  read(id: string, waitMs: number): Answer<RequestView>;
-  cancel(id: string): Answer<RequestView>;
+  ): Answer<View>;
+  read(id: string, waitMs: number): Answer<View>;
+  cancel(id: string): Answer<View>;
   status(): Answer<InstanceStatus>;
   workers(): Answer<WorkerList>;
   tasks(): Answer<TaskList>;
@@ -81,7 +77,7 @@
   manifestHistory(): Answer<ManifestHistory>;
   publish(change: ManifestChangeRequest): Answer<{ version: number }>;
   /** @param month the month, such as `2026-04` */
-  account(month: string): Answer<unknown>;
+  account(month: string): Answer<Account>;
   /** @param after number of the last event that is known already */
   timeLine(after: number): Answer<TimeLinePage>;
   drain(): Answer<unknown>;
@@ -114,31 +110,26 @@
   connection: Connection,
   signal: AbortSignal,
 ): ApiClient {
-  const caller = createHttpCaller({
-    connectionsPerOrigin: CONNECTIONS_PER_ORIGIN,
-    connectTimeoutMs: CONNECT_TIMEOUT_MS,
-  });
-  return createClientOver(caller, connection, signal);
+  return createClientOver(createApiCaller(signal), connection);
 }
 
 function createClientOver(
-  caller: HttpCaller,
+  caller: ApiCaller,
   connection: Connection,
-  signal: AbortSignal,
 ): ApiClient {
   async function send<Value>(
     schema: v.GenericSchema<unknown, Value>,
     call: Call,
   ): Answer<Value> {
     const request = requestOf(connection, call);
-    return checkAnswer(request, schema, await caller.call(request, signal));
+    return checkAnswer(request, schema, await caller.call(request));
   }
 
   return {
     connection,
     issue: () => send(issuedSchema, post("request.issue", "/v1/requests")),
     submit: (id, submission, waitMs) =>
-      send(requestViewSchema, {
+      send(viewSchema, {
         step: "request.submit",
         method: "PUT",
         path: `${requestPath(id)}?waitMs=${waitMs}`,
@@ -146,18 +137,18 @@
         waitMs,
       }),
     submitUnderKey: (key, submission, waitMs) =>
-      send(requestViewSchema, {
+      send(viewSchema, {
         ...post("request.submit", `/v1/requests?waitMs=${waitMs}`, submission),
         headers: { "idempotency-key": key },
         waitMs,
       }),
     read: (id, waitMs) =>
-      send(requestViewSchema, {
+      send(viewSchema, {
         ...get("request.read", `${requestPath(id)}?waitMs=${waitMs}`),
         waitMs,
       }),
     cancel: (id) =>
-      send(requestViewSchema, {
+      send(viewSchema, {
         step: "request.cancel",
         method: "DELETE",
         path: requestPath(id),
@@ -176,12 +167,12 @@
         post("manifest.publish", "/v1/operator/manifest", change),
       ),
     account: (month) =>
-      send(v.unknown(), operatorGet(`account?month=${month}`)),
+      send(accountSchema, operatorGet(`account?month=${month}`)),
     timeLine: (after) =>
       send(timeLinePageSchema, operatorGet(`timeline?after=${after}`)),
     drain: () =>
       send(v.unknown(), post("instance.drain", "/v1/operator/drain")),
-    at: (url) => createClientOver(caller, { ...connection, url }, signal),
+    at: (url) => createClientOver(caller, { ...connection, url }),
     close: () => caller.close(),
   };
 }
--- a/src/cli/command_fault.ts
+++ b/src/cli/command_fault.ts
@@ -1,3 +1,4 @@
+import * as v from "valibot";
 import {
   type DiagnosticMessage,
   diagnostics,
@@ -5,6 +6,7 @@
 } from "../diagnostics/mod.ts";
 import type { Fault } from "../hosts/mod.ts";
 import { type ExitCode, exitCodes } from "./exit_codes.ts";
+import { problemSchema } from "./problem.ts";
 
 /** Why a command was not carried out. */
 export type CommandFault = {
@@ -14,6 +16,8 @@
   /** One line for a person; more may follow in `details`. */
   message: string;
   details?: string[];
+  /** False where an instance said that nothing ran. */
+  ran?: false;
 };
 
 /**
@@ -61,7 +65,10 @@
  */
 export function callFault(fault: Fault): CommandFault {
   const { code, message } = fault;
-  return { exitCode: exitCodeOf(fault), code, message };
+  const base = { exitCode: exitCodeOf(fault), code, message };
+  const saysNothingRan = fault.kind === "refused" &&
+    v.is(problemSchema, fault.data) && fault.data.ran === false;
+  return saysNothingRan ? { ...base, ran: false } : base;
 }
 
 function exitCodeOf(fault: Fault): ExitCode {
--- a/src/cli/commands/manifest/in_force.ts
+++ b/src/cli/commands/manifest/in_force.ts
@@ -6,6 +6,7 @@
 import { describeCommand } from "../../command_meta.ts";
 import { connectionArguments } from "../../connection.ts";
 import { type ExitCode, exitCodes } from "../../exit_codes.ts";
+import { shouldAnswer } from "../../instances.ts";
 import { type CommandResult, runRemote } from "../../run_command.ts";
 import { renderTable } from "../../table.ts";
 import type { Terminal } from "../../terminal.ts";
@@ -34,10 +35,11 @@
 async function askInstances(client: ApiClient): Promise<CommandResult> {
   const status = await client.status();
   if (status.isErr()) return err(callFault(status.error));
-  const members = status.value.members.filter(isExpectedToAnswer);
+  const { instance, zone, version, members } = status.value;
   const rows = await Promise.all(
-    members.map((member) => askMember(client, member)),
+    members.filter(shouldAnswer).map((peer) => askPeer(client, peer)),
   );
+  rows.unshift({ instance, zone, version });
   return ok({
     data: { instances: rows },
     text: renderRows(rows),
@@ -45,17 +47,12 @@
   });
 }
 
-function isExpectedToAnswer({ state }: Member): boolean {
-  return state === "live" || state === "leaving";
-}
-
-async function askMember(
+async function askPeer(
   client: ApiClient,
-  member: Member,
+  peer: Member,
 ): Promise<InForceRow> {
-  const row = { instance: member.id, zone: member.zone };
-  if (member.url === undefined) return row;
-  const status = await client.at(member.url).status();
+  const row = { instance: peer.id, zone: peer.zone };
+  const status = await client.at(peer.url).status();
   return status.match(({ version }) => ({ ...row, version }), () => row);
 }
 
--- a/src/cli/commands/manifest/publish.ts
+++ b/src/cli/commands/manifest/publish.ts
@@ -15,7 +15,7 @@
 import { readManifestFile } from "../../read_manifest_file.ts";
 import type { Report } from "../../report.ts";
 import { type CommandResult, runRemote } from "../../run_command.ts";
-import type { Environment, Terminal } from "../../terminal.ts";
+import type { Terminal } from "../../terminal.ts";
 
 /** The base version of the first manifest. */
 const NO_VERSION = -1;
@@ -57,7 +57,7 @@
       },
       author: {
         type: "string",
-        description: "Who publishes; else the user of the environment",
+        description: "Who publishes; else the operator whose token is sent",
       },
     },
     run: (context) =>
@@ -84,7 +84,7 @@
       Number.MAX_SAFE_INTEGER,
     );
     if (base.isErr()) return err(base.error);
-    const change = changeOf(terminal, flags, manifest.value, base.value);
+    const change = changeOf(flags, manifest.value, base.value);
     return publishChange(client, change);
   }
   const inForce = await readInForce(client);
@@ -93,7 +93,7 @@
     return ok(reportUnchanged(inForce.value));
   }
   const baseVersion = inForce.value?.version ?? NO_VERSION;
-  const change = changeOf(terminal, flags, manifest.value, baseVersion);
+  const change = changeOf(flags, manifest.value, baseVersion);
   return publishChange(client, change);
 }
 
@@ -111,15 +111,15 @@
 }
 
 function changeOf(
-  terminal: Terminal,
   flags: PublishFlags,
   manifest: Manifest,
   baseVersion: number,
 ): ManifestChangeRequest {
+  const { author } = flags;
   return {
     changeId: flags["change-id"] ?? digestChange(manifest, baseVersion),
     baseVersion,
-    author: flags.author ?? userOf(terminal.environment),
+    ...(author === undefined ? {} : { author }),
     manifest,
   };
 }
@@ -130,10 +130,6 @@
   return digest(text).slice(0, CHANGE_ID_LENGTH);
 }
 
-function userOf(environment: Environment): string {
-  return environment["USER"] ?? environment["USERNAME"] ?? "unknown";
-}
-
 async function publishChange(
   client: ApiClient,
   change: ManifestChangeRequest,
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -10,12 +10,12 @@
 import { renderFields, renderTable } from "../table.ts";
 import type { Terminal } from "../terminal.ts";
 
-/** Builds the command that shows an instance and whom it sees. */
+/** Builds the command that shows an instance and the peers that it sees. */
 export function createStatusCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
       "status",
-      "Shows an instance and the members that it sees",
+      "Shows an instance and the peers that it sees",
       ["samphirestage status --url http://10.1.0.11:8001"],
     ),
     args: connectionArguments,
@@ -35,20 +35,23 @@
 
 function renderStatus(status: InstanceStatus): string {
   const fields = renderFields([
-    ["instance", status.instance],
+    ["instance", `${status.instance}/${status.incarnation}`],
+    ["zone", status.zone],
     ["state", stateText(status)],
     ["manifest", formatVersion(status.version)],
     ["log", status.logReachable ? "reachable" : "unreachable"],
     ["workers", `${status.workers}`],
     ["queued", `${status.queued}`],
     ["running", `${status.running}`],
+    ["barred", status.barred.join(", ") || "none"],
   ]);
+  if (status.members.length === 0) return fields;
   const members = renderTable([
-    { heading: "MEMBER", cell: ({ id }) => id },
+    { heading: "PEER", cell: ({ id, incarnation }) => `${id}/${incarnation}` },
     { heading: "ZONE", cell: ({ zone }) => zone },
     { heading: "STATE", cell: ({ state }) => state },
     { heading: "MANIFEST", cell: ({ version }) => formatVersion(version) },
-    { heading: "URL", cell: ({ url }) => url ?? "-" },
+    { heading: "URL", cell: ({ url }) => url },
   ], status.members);
   return `${fields}\n\n${members}`;
 }
@@ -58,7 +61,6 @@
   return status.ready ? "ready" : "not ready";
 }
 
-function formatVersion(version: number | undefined): string {
-  if (version === undefined) return "-";
+function formatVersion(version: number): string {
   return version < 0 ? "none" : `version ${version}`;
 }
--- a/src/cli/commands/submit.ts
+++ b/src/cli/commands/submit.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Fault } from "../../hosts/mod.ts";
 import type { Submission } from "../../model/mod.ts";
-import type { RequestView } from "../answers/mod.ts";
+import type { View } from "../../instance/view.ts";
 import type { ApiClient } from "../api_client.ts";
 import { awaitRequest, LONGEST_WAIT_MS } from "../await_request.ts";
 import { callFault, type CommandFault } from "../command_fault.ts";
@@ -100,7 +100,7 @@
   givenId: string | undefined,
   submission: Submission,
   waitMs: number,
-): Promise<Result<RequestView, CommandFault>> {
+): Promise<Result<View, CommandFault>> {
   const id = givenId === undefined ? await issueId(client) : ok(givenId);
   if (id.isErr()) return err(id.error);
   const view = await client.submit(id.value, submission, waitMs);
@@ -113,7 +113,7 @@
   key: string,
   submission: Submission,
   waitMs: number,
-): Promise<Result<RequestView, CommandFault>> {
+): Promise<Result<View, CommandFault>> {
   const view = await client.submitUnderKey(key, submission, waitMs);
   const advice = `Submit it again with --key ${key}; it runs once.`;
   return view.mapErr((fault) => mayHaveRun(fault, advice));
@@ -126,7 +126,7 @@
   return issued.map(({ id }) => id).mapErr(callFault);
 }
 
-function readAgain(view: RequestView): string {
+function readAgain(view: View): string {
   return `Read it with: samphirestage read ${view.id}`;
 }
 
--- a/src/cli/commands/workers.ts
+++ b/src/cli/commands/workers.ts
@@ -1,5 +1,6 @@
 import { defineCommand } from "citty";
 import { err, ok } from "neverthrow";
+import type { Resources } from "../../model/mod.ts";
 import type { WorkerRow } from "../answers/mod.ts";
 import type { ApiClient } from "../api_client.ts";
 import { callFault } from "../command_fault.ts";
@@ -11,6 +12,9 @@
 import type { Terminal } from "../terminal.ts";
 import { formatCores, formatGibibytes } from "../units.ts";
 
+/** Shown of a worker that another instance holds. */
+const UNKNOWN = "-";
+
 /** Builds the command that lists the workers that an instance knows. */
 export function createWorkersCommand(terminal: Terminal) {
   return defineCommand({
@@ -43,28 +47,34 @@
     { heading: "ZONE", cell: ({ zone }) => zone },
     { heading: "RACK", cell: ({ rack }) => rack },
     { heading: "STATE", cell: ({ state }) => state },
-    { heading: "TOKEN", align: "right", cell: ({ token }) => `${token}` },
-    { heading: "TASKS", align: "right", cell: tasksText },
+    { heading: "TOKEN", align: "right", cell: tokenText },
+    { heading: "TASKS", align: "right", cell: ({ tasks }) => `${tasks}` },
     { heading: "CORES", align: "right", cell: coresText },
     { heading: "GIB", align: "right", cell: memoryText },
     { heading: "ACCELERATORS", align: "right", cell: acceleratorsText },
   ], workers);
 }
 
-function tasksText({ tasks, capacity }: WorkerRow): string {
-  return `${tasks}/${capacity.slots}`;
+function tokenText({ token }: WorkerRow): string {
+  return token === undefined ? UNKNOWN : `${token}`;
+}
+
+function coresText(row: WorkerRow): string {
+  return usedOf(row, ({ cpuMillis }) => formatCores(cpuMillis));
 }
 
-function coresText({ used, capacity }: WorkerRow): string {
-  const all = formatCores(capacity.resources.cpuMillis);
-  return `${formatCores(used.cpuMillis)}/${all}`;
+function memoryText(row: WorkerRow): string {
+  return usedOf(row, ({ memoryMb }) => formatGibibytes(memoryMb));
 }
 
-function memoryText({ used, capacity }: WorkerRow): string {
-  const all = formatGibibytes(capacity.resources.memoryMb);
-  return `${formatGibibytes(used.memoryMb)}/${all}`;
+function acceleratorsText(row: WorkerRow): string {
+  return usedOf(row, ({ accelerators }) => `${accelerators}`);
 }
 
-function acceleratorsText({ used, capacity }: WorkerRow): string {
-  return `${used.accelerators}/${capacity.resources.accelerators}`;
+function usedOf(
+  { used, capacity }: WorkerRow,
+  format: (resources: Resources) => string,
+): string {
+  if (used === undefined || capacity === undefined) return UNKNOWN;
+  return `${format(used)}/${format(capacity)}`;
 }
--- a/src/cli/files.ts
+++ b/src/cli/files.ts
@@ -69,7 +69,7 @@
   text: string,
 ): Result<unknown, CommandFault> {
   const json = parseJson(text);
-  return json.mapErr((cause) => usageFault(`${name} is no JSON: ${cause}.`));
+  return json.mapErr(() => usageFault(`${name} is no JSON: ${text}`));
 }
 
 function parseJson(text: string): Result<unknown, string> {
--- a/src/cli/help.ts
+++ b/src/cli/help.ts
@@ -20,7 +20,7 @@
   const parent = { meta: { name: groups.join(" ") } };
   const usage = await renderUsage(command, parent);
   const parts = [
-    stripVTControlCharacters(usage).replace(/ +$/gm, ""),
+    stripVTControlCharacters(usage).replace(/ +$/gm, "").trimEnd(),
     renderExamples(command),
     renderExitCodes(),
   ];
--- a/src/cli/main_command.ts
+++ b/src/cli/main_command.ts
@@ -1,5 +1,6 @@
 import { defineCommand } from "citty";
 import { describeCommand } from "./command_meta.ts";
+import { createAccountCommand } from "./commands/account.ts";
 import { createCancelCommand } from "./commands/cancel.ts";
 import { createDrainCommand } from "./commands/drain.ts";
 import { createExplainCommand } from "./commands/explain.ts";
@@ -8,6 +9,7 @@
 import { createStatusCommand } from "./commands/status.ts";
 import { createSubmitCommand } from "./commands/submit.ts";
 import { createTasksCommand } from "./commands/tasks.ts";
+import { createTimeLineCommand } from "./commands/timeline.ts";
 import { createWorkersCommand } from "./commands/workers.ts";
 import type { Terminal } from "./terminal.ts";
 
@@ -31,6 +33,8 @@
       status: createStatusCommand(terminal),
       explain: createExplainCommand(terminal),
       manifest: createManifestCommand(terminal),
+      account: createAccountCommand(terminal),
+      timeline: createTimeLineCommand(terminal),
       drain: createDrainCommand(terminal),
     },
   });
--- /dev/null
+++ b/src/cli/manifest_session_test.ts
@@ -0,0 +1,170 @@
+import { readFileSync } from "node:fs";
+import { test } from "node:test";
+import type { FakeAnswer } from "./testing/fake_instance.ts";
+import { repositoryFile } from "./testing/golden_file.ts";
+import { problemAnswer } from "./testing/problem.ts";
+import { checkSession } from "./testing/session.ts";
+
+const PRESS = "examples/press/manifest.json";
+const COOPERATIVE = "examples/cooperative/manifest.json";
+
+function manifestOf(path: string): unknown {
+  return JSON.parse(readFileSync(repositoryFile(path), "utf8"));
+}
+
+function statusWith(version: number): FakeAnswer {
+  return {
+    call: "GET /v1/operator/status",
+    status: 200,
+    body: {
+      instance: "kigali-1",
+      incarnation: "i4",
+      zone: "kigali",
+      url: "http://127.0.0.1:8001",
+      ready: version >= 0,
+      version,
+      members: [],
+      barred: [],
+      workers: 0,
+      queued: 0,
+      running: 0,
+      logReachable: true,
+      leaving: false,
+    },
+  };
+}
+
+function inForce(version: number, path: string): FakeAnswer {
+  return {
+    call: "GET /v1/operator/manifest",
+    status: 200,
+    body: {
+      version,
+      manifest: manifestOf(path),
+      author: "uwimana",
+      changeId: "build-812",
+    },
+  };
+}
+
+function published(version: number): FakeAnswer {
+  const call = "POST /v1/operator/manifest";
+  return { call, status: 200, body: { version } };
+}
+
+const WRONG = JSON.stringify({
+  customers: [{ name: "order-desk" }, { name: "order-desk" }],
+  agreements: [{
+    name: "proofs",
+    customer: "ordr-desk",
+    share: { cpuMillis: 32, memoryMb: 131072, accelerators: 0 },
+    work: [{
+      name: "proof",
+      policy: { kind: "batch" },
+      urgency: 8,
+      idempotent: true,
+      demand: { cpuMillis: 1000, memoryMb: 512, accelerators: 0 },
+      durationMs: 400,
+    }],
+  }],
+});
+
+test("session: manifests are checked and compared", () =>
+  checkSession({
+    name: "manifest_check",
+    answers: [inForce(41, COOPERATIVE)],
+    input: WRONG,
+    lines: [
+      `manifest check ${PRESS}`,
+      `manifest check ${PRESS} --json`,
+      "manifest check -",
+      "manifest check - --json",
+      `manifest diff ${PRESS} --before ${PRESS}`,
+      `manifest diff ${PRESS} --before ${COOPERATIVE}`,
+      `manifest diff ${COOPERATIVE}`,
+    ],
+  }));
+
+test("session: the schema is the committed one", () =>
+  checkSession({
+    name: "manifest_schema",
+    answers: [],
+    lines: ["manifest schema"],
+  }));
+
+test("session: manifests are published", () =>
+  checkSession({
+    name: "manifest_publish",
+    answers: [
+      statusWith(-1),
+      statusWith(41),
+      inForce(41, PRESS),
+      published(41),
+      published(44),
+    ],
+    lines: [
+      `manifest publish ${PRESS}`,
+      `manifest publish ${PRESS}`,
+      `manifest publish ${COOPERATIVE} --author derwent`,
+      `manifest publish ${COOPERATIVE} --base 41 --change-id build-900 --json`,
+    ],
+  }));
+
+test("session: a publication loses a race, or its answer", () =>
+  checkSession({
+    name: "manifest_race",
+    answers: [
+      problemAnswer(
+        "POST /v1/operator/manifest",
+        409,
+        1103,
+        "Version 43 was built on version 40, but version 41 is in force.",
+        false,
+      ),
+      { call: "POST /v1/operator/manifest", status: 0 },
+      inForce(41, COOPERATIVE),
+    ],
+    lines: [
+      `manifest publish ${PRESS} --base 40`,
+      `manifest publish ${PRESS} --base 40`,
+      `manifest publish ${PRESS} --base x`,
+    ],
+  }));
+
+test("session: the history of the manifest", () =>
+  checkSession({
+    name: "manifest_history",
+    answers: [{
+      call: "GET /v1/operator/manifest/history",
+      status: 200,
+      body: {
+        versions: [
+          {
+            version: 12,
+            baseVersion: -1,
+            author: "uwimana",
+            changeId: "build-790",
+            atMs: 1796265600000,
+            accepted: true,
+          },
+          {
+            version: 41,
+            baseVersion: 12,
+            author: "uwimana",
+            changeId: "build-812",
+            atMs: 1796265660000,
+            accepted: true,
+          },
+          {
+            version: 43,
+            baseVersion: 12,
+            author: "derwent",
+            changeId: "8c1f0a9e2b7d4c55",
+            atMs: 1796265660400,
+            accepted: false,
+          },
+        ],
+      },
+    }],
+    lines: ["manifest history", "manifest history --json"],
+  }));
--- /dev/null
+++ b/src/cli/operator_session_test.ts
@@ -0,0 +1,258 @@
+import { test } from "node:test";
+import type { FakeAnswer } from "./testing/fake_instance.ts";
+import { problemAnswer } from "./testing/problem.ts";
+import { checkSession } from "./testing/session.ts";
+
+const STATUS: FakeAnswer = {
+  call: "GET /v1/operator/status",
+  status: 200,
+  body: {
+    instance: "kigali-1",
+    incarnation: "i4",
+    zone: "kigali",
+    url: "http://127.0.0.1:8001",
+    ready: true,
+    version: 41,
+    members: [
+      {
+        id: "huye-1",
+        incarnation: "i9",
+        zone: "huye",
+        url: "http://127.0.0.1:1",
+        state: "live",
+        version: 40,
+      },
+      {
+        id: "musanze-1",
+        incarnation: "i2",
+        zone: "musanze",
+        url: "http://127.0.0.1:1",
+        state: "dead",
+        version: 12,
+      },
+    ],
+    barred: ["musanze-1/i2"],
+    workers: 8,
+    queued: 3,
+    running: 12,
+    logReachable: false,
+    leaving: false,
+  },
+};
+const ALONE: FakeAnswer = {
+  ...STATUS,
+  body: { ...STATUS.body as object, members: [] },
+};
+const WORKERS: FakeAnswer = {
+  call: "GET /v1/operator/workers",
+  status: 200,
+  body: {
+    workers: [
+      {
+        id: "kigali-w1",
+        zone: "kigali",
+        rack: "r1",
+        state: "held",
+        token: 7,
+        tasks: 2,
+        used: { cpuMillis: 5500, memoryMb: 20480, accelerators: 1 },
+        capacity: { cpuMillis: 128000, memoryMb: 524288, accelerators: 8 },
+      },
+      {
+        id: "kigali-w2",
+        zone: "kigali",
+        rack: "r1",
+        state: "elsewhere",
+        tasks: 0,
+      },
+    ],
+  },
+};
+const TASKS: FakeAnswer = {
+  call: "GET /v1/operator/tasks",
+  status: 200,
+  body: {
+    tasks: [
+      {
+        id: "kigali.kigali-1.i4.17.kq3v0Zb1m8Qw2xYa/0",
+        customer: "order-desk",
+        agreement: "order-desk",
+        work: "proof",
+        state: "running",
+        worker: "kigali-w1",
+        waitedMs: 4,
+      },
+      {
+        id: "kigali.kigali-1.i4.18.9vTg5Hb1k8Qw2xYb/0",
+        customer: "portrait-imaging",
+        agreement: "portrait-imaging",
+        work: "model-training",
+        state: "queued",
+        waitedMs: 754000,
+      },
+    ],
+  },
+};
+
+test("session: an operator looks at an instance", () =>
+  checkSession({
+    name: "operator",
+    answers: [
+      STATUS,
+      WORKERS,
+      TASKS,
+      {
+        call: "GET /v1/operator/explain/kigali.kigali-1.i4.18.9vTg5Hb1k8Qw2xYb",
+        status: 200,
+        body: {
+          id: "kigali.kigali-1.i4.18.9vTg5Hb1k8Qw2xYb",
+          lines: [
+            "home kigali-1/i4 (this instance) is live",
+            "task 0 attempt 1 waits: no worker has 4 free accelerators",
+          ],
+        },
+      },
+      {
+        call: "POST /v1/operator/drain",
+        status: 202,
+        body: { draining: true },
+      },
+    ],
+    lines: [
+      "status",
+      "status --json",
+      "workers",
+      "workers --json",
+      "tasks",
+      "tasks --customer portrait-imaging --state queued",
+      "tasks --state queued --json",
+      "explain kigali.kigali-1.i4.18.9vTg5Hb1k8Qw2xYb",
+      "drain",
+    ],
+  }));
+
+test("session: an operator without the right token", () =>
+  checkSession({
+    name: "operator_refused",
+    answers: [
+      problemAnswer(
+        "GET /v1/operator/status",
+        403,
+        3016,
+        "The token does not allow this.",
+        false,
+      ),
+      problemAnswer(
+        "GET /v1/operator/tasks",
+        401,
+        3004,
+        "The token is missing or not known.",
+        false,
+      ),
+      { call: "GET /v1/operator/workers", status: 502, body: "bad gateway" },
+    ],
+    environment: { SAMPHIRESTAGE_TOKEN: undefined },
+    lines: [
+      "status --token sample-token-order-desk",
+      "tasks",
+      "workers",
+    ],
+  }));
+
+test("session: the month's account", () =>
+  checkSession({
+    name: "account",
+    answers: [{
+      call: "GET /v1/operator/account?month=2026-12",
+      status: 200,
+      body: {
+        month: "2026-12",
+        asOf: "2026-12-03T10:00:00.000Z",
+        closed: false,
+        complete: true,
+        observedHours: 1530,
+        unobservedHours: 102.5,
+        refusedRecords: 0,
+        days: [
+          { day: "2026-12-01", observedHours: 816, unobservedHours: 0 },
+          { day: "2026-12-02", observedHours: 714, unobservedHours: 102.5 },
+        ],
+        rows: [
+          {
+            customer: "funeral-homes",
+            agreement: "funeral-homes",
+            resource: "cpuMillis",
+            unit: "core-hours",
+            used: 30120.5,
+            agreed: 30720,
+            overuse: 0,
+            lent: 599.5,
+          },
+          {
+            customer: "parish-offices",
+            agreement: "parish-offices",
+            resource: "accelerators",
+            unit: "accelerator-hours",
+            used: 800,
+            agreed: 768,
+            overuse: 32,
+            lent: 0,
+          },
+        ],
+      },
+    }],
+    lines: [
+      "account --month 2026-12",
+      "account --month 2026-12 --csv",
+      "account --month 2026-12 --json",
+    ],
+  }));
+
+const EVENTS: FakeAnswer = {
+  call: "GET /v1/operator/timeline?after=0",
+  status: 200,
+  body: {
+    events: [
+      {
+        process: "kigali-1",
+        incarnation: "i4",
+        lamport: 4,
+        atMs: 1796265600250,
+        name: "task.started",
+        subject: "kigali.kigali-1.i4.17.kq3v0Zb1m8Qw2xYa/0",
+        detail: "on kigali-w1",
+      },
+      {
+        process: "kigali-1",
+        incarnation: "i4",
+        lamport: 3,
+        atMs: 1796265600246,
+        name: "request.accepted",
+        subject: "kigali.kigali-1.i4.17.kq3v0Zb1m8Qw2xYa",
+      },
+    ],
+    last: 4,
+  },
+};
+
+test("session: the time line, with an instance that does not answer", () =>
+  checkSession({
+    name: "timeline",
+    answers: [STATUS, EVENTS],
+    lines: [
+      "timeline",
+      "timeline --instances http://127.0.0.1:1",
+      "timeline --json",
+    ],
+  }));
+
+test("session: which version is in force on each instance", () =>
+  checkSession({
+    name: "manifest_in_force",
+    answers: [STATUS, STATUS, ALONE],
+    lines: [
+      "manifest in-force",
+      "manifest in-force --json",
+      "manifest in-force",
+    ],
+  }));
--- a/src/cli/render_request.ts
+++ b/src/cli/render_request.ts
@@ -1,6 +1,6 @@
 import { assertNever } from "../base/mod.ts";
 import type { Outcome, TaskOutcome } from "../model/mod.ts";
-import type { RequestView } from "./answers/mod.ts";
+import type { View } from "../instance/view.ts";
 import { type ExitCode, exitCodes } from "./exit_codes.ts";
 import type { Report } from "./report.ts";
 import { renderFields, renderTable } from "./table.ts";
@@ -16,11 +16,11 @@
  * const report = reportRequest(view);
  * ```
  */
-export function reportRequest(view: RequestView): Report {
+export function reportRequest(view: View): Report {
   const fields = renderFields([
     ["request", view.id],
     ["outcome", outcomeText(view.outcome)],
-    ["kept", view.durability],
+    ["kept", keptText(view.durability)],
   ]);
   const table = taskTable(view);
   return {
@@ -42,6 +42,19 @@
   return outcome.kind !== "notKnownYet";
 }
 
+function keptText(durability: View["durability"]): string {
+  switch (durability) {
+    case "log":
+      return "in the log";
+    case "peer":
+      return "at a peer";
+    case "none":
+      return "at its home only";
+    default:
+      return assertNever(durability);
+  }
+}
+
 function outcomeText(outcome: Outcome): string {
   switch (outcome.kind) {
     case "ran":
@@ -72,7 +85,7 @@
   }
 }
 
-function taskTable(view: RequestView): string {
+function taskTable(view: View): string {
   if (view.outcome.kind === "ran") return outcomeTable(view.outcome.tasks);
   return view.tasks.length === 0 ? "" : stateTable(view.tasks);
 }
@@ -87,7 +100,7 @@
   ], tasks);
 }
 
-function stateTable(tasks: RequestView["tasks"]): string {
+function stateTable(tasks: View["tasks"]): string {
   return renderTable([
     { heading: "TASK", align: "right", cell: ({ index }) => `${index}` },
     { heading: "STATE", cell: ({ state }) => state },
--- a/src/cli/run_command.ts
+++ b/src/cli/run_command.ts
@@ -75,7 +75,8 @@
 ): ExitCode {
   const { code, message, details = [] } = fault;
   if (isJson) {
-    terminal.writeError(toJsonText({ error: { code, message, details } }));
+    const { exitCode: _, ...error } = fault;
+    terminal.writeError(toJsonText({ error }));
     return fault.exitCode;
   }
   terminal.writeError(`samphirestage: ${message} (SS${code})\n`);
--- a/src/cli/testing/fake_instance.ts
+++ b/src/cli/testing/fake_instance.ts
@@ -7,12 +7,15 @@
 import type { AddressInfo } from "node:net";
 import { text } from "node:stream/consumers";
 
+/** What stands for the fake instance's address in answers and golden files. */
+export const SHOWN_URL = "http://127.0.0.1:8001";
+
 /** A fixed answer to a call, such as `GET /v1/operator/status`. */
 export type FakeAnswer = {
   /** Method and path with its query. */
   call: string;
   status: number;
-  /** Sent as JSON; with `undefined`, the connection is cut instead. */
+  /** Sent as JSON; without it, the connection is cut instead. */
   body?: unknown;
 };
 
@@ -46,13 +49,14 @@
   const server = createServer(async (request, response) => {
     const call = `${request.method} ${request.url}`;
     calls.push(await describeCall(call, request));
-    respond(response, nextAnswer(left.get(call)));
+    respond(response, nextAnswer(left.get(call)), url);
   });
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
+  const url = `http://127.0.0.1:${port}`;
   return {
-    url: `http://127.0.0.1:${port}`,
+    url,
     calls,
     async close() {
       server.closeAllConnections();
@@ -66,18 +70,17 @@
   return answers.length > 1 ? answers.shift() : answers[0];
 }
 
-function respond(response: ServerResponse, answer?: FakeAnswer): void {
-  if (answer === undefined) {
-    response.writeHead(404, { "content-type": "application/problem+json" });
-    response.end(JSON.stringify({ code: 3009, title: "There is nothing." }));
-    return;
-  }
-  if (answer.body === undefined) {
+function respond(
+  response: ServerResponse,
+  answer: FakeAnswer | undefined,
+  url: string,
+): void {
+  if (answer?.body === undefined) {
     response.destroy();
     return;
   }
   response.writeHead(answer.status, { "content-type": "application/json" });
-  response.end(JSON.stringify(answer.body));
+  response.end(JSON.stringify(answer.body).replaceAll(SHOWN_URL, url));
 }
 
 async function describeCall(
--- a/src/cli/testing/session.ts
+++ b/src/cli/testing/session.ts
@@ -3,13 +3,11 @@
 import {
   type FakeAnswer,
   type FakeInstance,
+  SHOWN_URL,
   startFakeInstance,
 } from "./fake_instance.ts";
 import { assertGolden } from "./golden_file.ts";
 
-/** What stands for the fake instance's address in a golden file. */
-const SHOWN_URL = "http://127.0.0.1:8001";
-
 /** A session at a terminal against one fake instance. */
 export type Session = {
   /** Name of the golden file, without its ending. */
