Name the change, not a version, in the message of a lost race

Seen in a trial of the command line against a real cluster: the instance fills the message with the change id, since a change that lost has no version.

--- a/src/cli/manifest_session_test.ts
+++ b/src/cli/manifest_session_test.ts
@@ -118,7 +118,7 @@
         "POST /v1/operator/manifest",
         409,
         1103,
-        "Version 43 was built on version 40, but version 41 is in force.",
+        "Change 97d4a90fc114ed8a was built on version 40, but version 41 is in force.",
         false,
       ),
       { call: "POST /v1/operator/manifest", status: 0 },
--- a/src/diagnostics/diagnostics.ts
+++ b/src/diagnostics/diagnostics.ts
@@ -19,7 +19,7 @@
   manifestUnreadable: error(1102, "The manifest {0} cannot be read: {1}."),
   manifestRaced: error(
     1103,
-    "Version {0} was built on version {1}, but version {2} is in force.",
+    "Change {0} was built on version {1}, but version {2} is in force.",
   ),
   peerUnreachable: error(2001, "{0} cannot be reached: {1}."),
   callTimedOut: error(2002, "{0} did not answer within {1} ms."),
