--- a/src/log_state/log_record.ts
+++ b/src/log_state/log_record.ts
@@ -3,8 +3,10 @@
   manifestSchema,
   outcomeSchema,
   requestSchema,
+  taskOutcomeSchema,
   usageSchema,
 } from "../model/mod.ts";
+import { manifestPatchSchema } from "./manifest_patch.ts";
 
 /** Schema of an entry's data in the log. */
 export const logRecordSchema = v.variant("kind", [
@@ -18,6 +20,15 @@
     author: v.string(),
     manifest: manifestSchema,
   }),
+  v.object({
+    /** A change of the manifest, by its difference from the base version. */
+    kind: v.literal("manifestPatch"),
+    changeId: v.string(),
+    /** Offset of the record whose manifest this one changes. */
+    baseVersion: v.number(),
+    author: v.string(),
+    patch: manifestPatchSchema,
+  }),
   v.object({
     /** The fold up to an offset, appended again before the log trims it. */
     kind: v.literal("snapshot"),
@@ -32,6 +43,8 @@
     key: v.string(),
     digest: v.string(),
     requestId: v.string(),
+    /** The claimed request that surely did not run, if this one follows it. */
+    replaces: v.optional(v.string()),
   }),
   v.object({
     /** Durable work, kept until every task has ended. */
@@ -47,6 +60,17 @@
     /** `instance/incarnation` of the new home. */
     holder: v.string(),
   }),
+  v.object({
+    /** Tasks of durable work that have ended while others have not. */
+    kind: v.literal("progressed"),
+    requestId: v.string(),
+    outcomes: v.array(taskOutcomeSchema),
+  }),
+  v.object({
+    /** A request whose home is gone and that surely never ran. */
+    kind: v.literal("voided"),
+    requestId: v.string(),
+  }),
   v.object({
     /** Durable work whose outcome is final. */
     kind: v.literal("ended"),
