--- a/src/membership/bars.ts
+++ b/src/membership/bars.ts
@@ -33,7 +33,9 @@
   }
   if (membership.bars.has(holder)) return;
   const acknowledged = new Set<string>();
-  membership.bars.set(holder, { holder, zone, sinceMs, acknowledged });
+  const member = membership.members.get(holder);
+  const knew = new Set(member?.heartbeat.workers);
+  membership.bars.set(holder, { holder, zone, sinceMs, acknowledged, knew });
   membership.members.delete(holder);
 }
 
@@ -103,6 +105,7 @@
     }
   }
   membership.held = next;
+  if (next.size > 0) membership.everHeld = true;
 }
 
 /**
@@ -120,4 +123,5 @@
   membership.selfBarred = membership.bars.has(holderOf(self));
   barHolder(membership, holderOf(before), before.zone);
   setHeld(membership, []);
+  membership.everHeld = false;
 }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -21,6 +21,8 @@
   id: string;
   zone: string;
   leaving: boolean;
+  /** When this instance first heard of it, on the steady clock. */
+  knownSinceMs: number;
   /** The latest list known to show it, in milliseconds since the epoch. */
   listedAsOfMs: number;
 };
@@ -32,6 +34,8 @@
   /** When the bar was first made, on this instance's steady clock. */
   sinceMs: number;
   acknowledged: Set<string>;
+  /** Workers that the incarnation knew when it was last heard here. */
+  knew: Set<string>;
 };
 
 /** What one instance knows of its peers. */
@@ -44,6 +48,8 @@
   members: Map<Holder, Member>;
   /** The incarnation heard last, by instance id. */
   latest: Map<string, Holder>;
+  /** Ids of the instances that were heard, here or by a peer barring them. */
+  heardOf: Set<string>;
   bars: Map<Holder, BarEntry>;
   /** Barred incarnations found settled, each joined with the zone. */
   settled: Set<string>;
@@ -53,8 +59,12 @@
   listedAsOfMs: number;
   listed: ListedInstance[];
   workers: Map<string, KnownWorker>;
+  /** Workers that every peer of the zone is known to know. */
+  shared: Set<string>;
   /** The workers that this instance holds, by id. */
   held: Map<string, HeldWorker>;
+  /** Whether this incarnation has ever held a worker. */
+  everHeld: boolean;
   /** The workers that this instance cannot reach. */
   unreachable: Set<string>;
   /** When each address was last sent a heartbeat, on the steady clock. */
@@ -83,6 +93,7 @@
     nowMs: 0,
     members: new Map(),
     latest: new Map(),
+    heardOf: new Set([self.id]),
     bars: new Map(),
     settled: new Set(),
     selfBarred: false,
@@ -90,7 +101,9 @@
     listedAsOfMs: -1,
     listed: [],
     workers: new Map(),
+    shared: new Set(),
     held: new Map(),
+    everHeld: false,
     unreachable: new Set(),
     beatenAtMs: new Map(),
   };
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -21,4 +21,5 @@
 export * from "./receive_list.ts";
 export * from "./rendezvous.ts";
 export * from "./settlement.ts";
+export * from "./shared.ts";
 export * from "./views.ts";
--- a/src/membership/receive_heartbeat.ts
+++ b/src/membership/receive_heartbeat.ts
@@ -1,7 +1,7 @@
 import type { Instance } from "../model/mod.ts";
 import { BAR_RETENTION_MS, barHolder, isBarred } from "./bars.ts";
 import type { Heartbeat } from "./heartbeat.ts";
-import { holderOf } from "./holder.ts";
+import { holderOf, instanceIdOf } from "./holder.ts";
 import type { Membership } from "./membership.ts";
 import { tick } from "./tick.ts";
 
@@ -35,6 +35,7 @@
     heardAtMs: membership.nowMs,
   });
   membership.latest.set(heartbeat.from.id, holder);
+  membership.heardOf.add(heartbeat.from.id);
   if (!before) supersede(membership, heartbeat.from);
 }
 
@@ -53,6 +54,7 @@
     const ageMs = Math.max(0, heartbeat.sentAtMs - bar.sinceMs);
     if (ageMs >= BAR_RETENTION_MS) continue;
     barHolder(membership, bar.holder, bar.zone, membership.nowMs - ageMs);
+    membership.heardOf.add(instanceIdOf(bar.holder));
   }
 }
 
@@ -69,6 +71,7 @@
       id,
       zone,
       leaving: false,
+      knownSinceMs: membership.nowMs,
       listedAsOfMs: heartbeat.listedAsOfMs,
     });
   }
--- a/src/membership/receive_list.ts
+++ b/src/membership/receive_list.ts
@@ -25,7 +25,9 @@
   membership.listed = list.instances;
   for (const worker of list.workers) addWorker(membership, worker, list.asOfMs);
   for (const [id, worker] of membership.workers) {
-    if (worker.listedAsOfMs < list.asOfMs) membership.workers.delete(id);
+    if (worker.listedAsOfMs >= list.asOfMs) continue;
+    membership.workers.delete(id);
+    membership.shared.delete(id);
   }
 }
 
@@ -38,6 +40,7 @@
   membership.workers.set(worker.id, {
     id: worker.id,
     zone: worker.zone,
+    knownSinceMs: known?.knownSinceMs ?? membership.nowMs,
     leaving: worker.leaving || (known?.leaving ?? false),
     listedAsOfMs: Math.max(asOfMs, known?.listedAsOfMs ?? asOfMs),
   });
--- a/src/membership/settlement.ts
+++ b/src/membership/settlement.ts
@@ -1,5 +1,5 @@
 import { isBarred, isSelfBarred } from "./bars.ts";
-import { type Holder, instanceIdOf } from "./holder.ts";
+import type { Holder } from "./holder.ts";
 import type { Member } from "./member.ts";
 import type { Membership } from "./membership.ts";
 import { heardMembers } from "./views.ts";
@@ -15,6 +15,9 @@
  *   is barred has its bar acknowledged by all those workers too;
  * - no instance is listed in the zones of which nothing was ever heard.
  *
+ * Once found true, it stays true: what comes up later is kept from the
+ * incarnation by {@linkcode isShared}.
+ *
  * @example
  * ```ts
  * if (isSettled(membership, holder, ["kigali"])) answerDidNotRun();
@@ -155,12 +158,7 @@
 }
 
 function allListedKnown(membership: Membership, zone: string): boolean {
-  const heard = new Set<string>([membership.self.id]);
-  for (const member of membership.members.values()) {
-    heard.add(member.instance.id);
-  }
-  for (const entry of membership.bars.keys()) heard.add(instanceIdOf(entry));
   return membership.listed.every((listed) =>
-    listed.zone !== zone || heard.has(listed.id)
+    listed.zone !== zone || membership.heardOf.has(listed.id)
   );
 }
