Hand bars over with the lease, and refuse what no worker can ever hold

Cause: the model test of settlement showed that a bar known to one peer and the workers is lost with that peer, and that a worker taken over between its first acquisition and its first renewal has no bars.

What: acquisitions carry bars both ways; a worker is used first only when every judge of the zone knows it (isShared). The placement core is told of the peers' capacity while all known workers are held, so that unrunnable work is refused with its reason and nothing else is.

--- a/src/clients/worker_client_test.ts
+++ b/src/clients/worker_client_test.ts
@@ -56,7 +56,7 @@
 test("worker client: a stale token is refused with the lease", async () => {
   await withWorker(async (host, address) => {
     await acquire(host, address, "a/1", 0);
-    const command = { holder: "b/1", expectedToken: 0 };
+    const command = { holder: "b/1", expectedToken: 0, barred: [] };
     const late = await host.acquire(address, command, NEVER);
     const fault = late._unsafeUnwrapErr();
     assert.equal(fault.kind, "refused");
@@ -103,7 +103,7 @@
   const caller = createCaller();
   const host = createClient(caller);
   const address = { id: "worker-1", url: server.url, ...PLACE };
-  const command = { holder: "a/1", expectedToken: 0 };
+  const command = { holder: "a/1", expectedToken: 0, barred: [] };
   const answer = await host.acquire(address, command, NEVER);
   const fault = answer._unsafeUnwrapErr();
   await caller.close();
@@ -152,7 +152,7 @@
   holder: string,
   expectedToken: number,
 ): Promise<number> {
-  const command = { holder, expectedToken };
+  const command = { holder, expectedToken, barred: [] };
   const acquired = await host.acquire(address, command, NEVER);
   return acquired._unsafeUnwrap().token;
 }
--- a/src/hosts/worker_host.ts
+++ b/src/hosts/worker_host.ts
@@ -15,6 +15,8 @@
   holder: string;
   /** The token that the caller believes is current; 0 for a new worker. */
   expectedToken: number;
+  /** Holders that the worker must refuse from now on, in any command. */
+  barred: string[];
 };
 
 /** Data of a refused acquisition: who holds the worker now. */
--- a/src/instance/held_worker.ts
+++ b/src/instance/held_worker.ts
@@ -27,6 +27,4 @@
   /** Whether the last renewal was answered. */
   reachable: boolean;
   leaving: boolean;
-  /** Bars that the worker has acknowledged. */
-  acknowledgedBars: Set<Holder>;
 };
--- a/src/instance/held_workers.ts
+++ b/src/instance/held_workers.ts
@@ -6,7 +6,7 @@
  */
 import type { Acquisition, TaskRecord } from "../model/mod.ts";
 import type { WorkerLoss } from "../placement/mod.ts";
-import type { Holder } from "../membership/mod.ts";
+import { type Holder, setHeld } from "../membership/mod.ts";
 import type { HeldWorker } from "./held_worker.ts";
 import { applyPlacement } from "./placement_driver.ts";
 import { reportForeignRecord } from "./report_flow.ts";
@@ -42,13 +42,13 @@
     records: new Map(),
     reachable: true,
     leaving: known.leaving,
-    acknowledgedBars: new Set(),
   };
   for (const record of acquisition.records) {
     held.records.set(record.task.id, record);
   }
   noteBoot(scheduler, worker, held.boot);
   scheduler.held.set(worker, held);
+  setHeld(scheduler.membership, heldLeases(scheduler));
   note(scheduler, "worker.acquired", worker, `token ${held.token}`);
   applyPlacement(scheduler, {
     kind: "workerJoined",
@@ -67,6 +67,16 @@
   return held;
 }
 
+/** Lists the leases that this instance holds. */
+export function heldLeases(
+  scheduler: Scheduler,
+): { worker: string; token: number }[] {
+  return [...scheduler.held.values()].map(({ address, token }) => ({
+    worker: address.id,
+    token,
+  }));
+}
+
 /** A worker that started anew has lost its records, as if it had vanished. */
 function noteBoot(scheduler: Scheduler, worker: string, boot: string): void {
   const before = scheduler.boots.get(worker);
@@ -85,6 +95,7 @@
   const worker = held.address.id;
   if (scheduler.held.get(worker) !== held) return;
   scheduler.held.delete(worker);
+  setHeld(scheduler.membership, heldLeases(scheduler));
   note(scheduler, "worker.lost", worker, loss);
   for (const entry of scheduler.requests.values()) {
     for (const task of entry.tasks.values()) {
--- a/src/instance/housekeeping_flow.ts
+++ b/src/instance/housekeeping_flow.ts
@@ -5,7 +5,9 @@
  * @module
  */
 import { endedOf } from "../log_state/mod.ts";
+import { heardMembers, knownWorkers } from "../membership/mod.ts";
 import type { Flow } from "./flow.ts";
+import { zonesInReach } from "./lookups.ts";
 import { applyPlacement } from "./placement_driver.ts";
 import { splitRequestId } from "./request_ids.ts";
 import type { RequestEntry } from "./request_entry.ts";
@@ -15,6 +17,8 @@
 
 /** How often the placement core looks at the time. */
 const PLACEMENT_TICK_MS = 100;
+/** How often the placement core is told of the workers of peers. */
+const PEERS_INTERVAL_MS = 1_000;
 /** How often old entries are looked for. */
 const FORGET_INTERVAL_MS = 10_000;
 /** How long it is remembered that a worker vanished. */
@@ -28,6 +32,29 @@
   }
 }
 
+/**
+ * Tells the placement core which workers the peers hold, so that it refuses
+ * what can never run. It is told only while every known worker is held, since
+ * the capacity of the others is not known.
+ */
+export function* tellOfPeers(scheduler: Scheduler): Flow<void> {
+  while (true) {
+    yield* sleep(PEERS_INTERVAL_MS);
+    const { membership } = scheduler;
+    const zones = zonesInReach(scheduler);
+    const shapes = heardMembers(membership)
+      .filter((member) => zones.includes(member.instance.zone))
+      .flatMap((member) => member.heartbeat.load.shapes);
+    const known = zones.flatMap((zone) => knownWorkers(membership, zone));
+    const held = shapes.reduce(
+      (sum, shape) => sum + shape.count,
+      scheduler.held.size,
+    );
+    if (known.length === 0 || held < known.length) continue;
+    applyPlacement(scheduler, { kind: "peersKnown", shapes });
+  }
+}
+
 /** Forgets old entries at intervals, for as long as it runs. */
 export function* forgetOld(scheduler: Scheduler): Flow<void> {
   while (true) {
--- a/src/instance/lease_flow.ts
+++ b/src/instance/lease_flow.ts
@@ -7,10 +7,12 @@
 import * as v from "valibot";
 import {
   acknowledgeBars,
+  barHolder,
   barsFor,
   desiredOwner,
-  hasZonePeers,
-  membersOf,
+  type Holder,
+  isShared,
+  markUsed,
   memberState,
 } from "../membership/mod.ts";
 import type { CurrentLease, Fault } from "../hosts/mod.ts";
@@ -70,7 +72,8 @@
     }
     const holder = selfHolder(scheduler);
     const sentAtMs = scheduler.moment.steadyMs;
-    const command = { holder, expectedToken };
+    const barred = barsFor(scheduler.membership, worker);
+    const command = { holder, expectedToken, barred };
     const result = yield* acquireWorker(known.address, command);
     if (result.isErr()) {
       const current = currentLeaseOf(result.error);
@@ -79,6 +82,7 @@
         continue;
       }
       expectedToken = current.token;
+      if (current.token > 0) markUsed(scheduler.membership, worker);
       if (wasFenced && isLiveLease(scheduler, current)) {
         // Two views differ: the worker must not go back and forth.
         yield* sleep(contestDelayMs);
@@ -88,8 +92,10 @@
       continue;
     }
     expectedToken = result.value.token;
+    takeBars(scheduler, known, result.value.barred);
     if (holder !== selfHolder(scheduler)) continue;
     const held = takeWorker(scheduler, known, result.value, holder, sentAtMs);
+    acknowledgeBars(scheduler.membership, worker, barred);
     const tookAtMs = scheduler.moment.steadyMs;
     yield* renewUntilLost(scheduler, held);
     wasFenced = true;
@@ -106,8 +112,7 @@
   const worker = held.address.id;
   while (isCurrent(scheduler, held)) {
     const sentAtMs = scheduler.moment.steadyMs;
-    const barred = barsFor(scheduler.membership)
-      .filter((bar) => !held.acknowledgedBars.has(bar));
+    const barred = barsFor(scheduler.membership, worker);
     const result = yield* renewWorker(held.address, {
       token: held.token,
       afterEvent: held.lastEvent,
@@ -165,8 +170,7 @@
   held.validUntilMs = sentAtMs + renewal.leaseMs;
   held.lapsesAtMs = scheduler.moment.steadyMs + renewal.leaseMs;
   setReachable(scheduler, held, true);
-  for (const bar of barred) held.acknowledgedBars.add(bar);
-  if (barred.length > 0) acknowledgeBars(scheduler.membership, worker, barred);
+  acknowledgeBars(scheduler.membership, worker, barred);
   held.lastEvent = renewal.lastEvent;
   for (const record of renewal.changed) takeRecord(scheduler, held, record);
   for (const usage of renewal.usage) takeUsage(scheduler, usage);
@@ -181,27 +185,20 @@
   const worker = known.address.id;
   if (known.address.zone !== scheduler.self.zone) return false;
   if (scheduler.unreachable.has(worker)) return false;
-  if (!isAnnounced(scheduler, worker)) return false;
+  if (!isShared(scheduler.membership, worker)) return false;
   const owner = desiredOwner(scheduler.membership, known.address);
   return owner?.id === scheduler.self.id;
 }
 
-/**
- * Tells whether the peers of the zone know the worker too. Otherwise they
- * could settle this incarnation without asking it. An instance that finds
- * itself alone in its zone goes on without.
- */
-function isAnnounced(scheduler: Scheduler, worker: string): boolean {
-  if (scheduler.announced.has(worker)) return true;
-  const { membership, moment, options, self } = scheduler;
-  const hasPeer = membersOf(membership, self.zone)
-    .some((peer) => peer.id !== self.id);
-  const aloneMs = moment.steadyMs - scheduler.startedSteadyMs;
-  const mayHavePeers = hasZonePeers(membership) &&
-    aloneMs < options.deadAfterMs;
-  if (hasPeer || mayHavePeers) return false;
-  scheduler.announced.add(worker);
-  return true;
+/** A worker hands its bars on, also those that only a lost peer knew. */
+function takeBars(
+  scheduler: Scheduler,
+  known: KnownWorker,
+  barred: Holder[],
+): void {
+  for (const holder of barred) {
+    barHolder(scheduler.membership, holder, known.address.zone);
+  }
 }
 
 /** Tells whether a live peer holds the worker under a lease that lasts. */
--- a/src/instance/membership_flow.ts
+++ b/src/instance/membership_flow.ts
@@ -16,6 +16,7 @@
 } from "../membership/mod.ts";
 import { placementLoad } from "../placement/mod.ts";
 import type { Flow } from "./flow.ts";
+import { heldLeases } from "./held_workers.ts";
 import { applyPlacement } from "./placement_driver.ts";
 import { requeueUnstarted } from "./task_queue.ts";
 import { notify, spawn } from "./runner.ts";
@@ -52,10 +53,7 @@
   return buildHeartbeat(scheduler.membership, {
     leaving: scheduler.draining,
     version: scheduler.log.version,
-    held: [...scheduler.held.values()].map((held) => ({
-      worker: held.address.id,
-      token: held.token,
-    })),
+    held: heldLeases(scheduler),
     unreachable: unreachableWorkers(scheduler),
     load: placementLoad(scheduler.placement),
   });
@@ -67,10 +65,6 @@
   heartbeat: Heartbeat,
 ): void {
   receiveHeartbeat(scheduler.membership, heartbeat, scheduler.moment.steadyMs);
-  for (const worker of heartbeat.workers) {
-    if (heartbeat.from.zone !== scheduler.self.zone) break;
-    scheduler.announced.add(worker);
-  }
 }
 
 /** Makes a new incarnation, which no process has used before. */
--- a/src/instance/scheduler.ts
+++ b/src/instance/scheduler.ts
@@ -67,16 +67,12 @@
   held: Map<string, HeldWorker>;
   /** Workers that could not be reached a moment ago. */
   unreachable: Set<string>;
-  /** Workers that the zone's peers know too, or that need no witness. */
-  announced: Set<string>;
   /** The latest run of each worker's process that was seen. */
   boots: Map<string, string>;
   /** When workers vanished from the list (wall clock, ms). */
   goneWorkers: Map<string, number>;
   /** When this process started (wall clock, ms). */
   startedAtMs: number;
-  /** When this process started (steady clock, ms). */
-  startedSteadyMs: number;
   requests: Map<RequestId, RequestEntry>;
   /** Durable requests kept here until the log has them. */
   copies: Map<RequestId, KeptCopy>;
@@ -137,11 +133,9 @@
     listedWorkers: new Set(),
     held: new Map(),
     unreachable: new Set(),
-    announced: new Set(),
     boots: new Map(),
     goneWorkers: new Map(),
     startedAtMs: moment.wallMs,
-    startedSteadyMs: moment.steadyMs,
     requests: new Map(),
     copies: new Map(),
     nextSequence: 1,
--- a/src/instance/step.ts
+++ b/src/instance/step.ts
@@ -9,7 +9,7 @@
 import type { Call } from "./call.ts";
 import { drainInstance } from "./drain_flow.ts";
 import type { Flow } from "./flow.ts";
-import { forgetOld, tickPlacement } from "./housekeeping_flow.ts";
+import { forgetOld, tellOfPeers, tickPlacement } from "./housekeeping_flow.ts";
 import { followList } from "./list_flow.ts";
 import { followLog, followPeerManifests } from "./log_flow.ts";
 import { keepMembership } from "./membership_flow.ts";
@@ -76,6 +76,7 @@
     adoptRequests(scheduler),
     recordUsage(scheduler),
     tickPlacement(scheduler),
+    tellOfPeers(scheduler),
     forgetOld(scheduler),
   ];
   for (const flow of flows) spawn(scheduler.runner, flow);
--- a/src/membership/load.ts
+++ b/src/membership/load.ts
@@ -11,6 +11,12 @@
   free: resourcesSchema,
   /** How many tasks run on those workers. */
   running: v.number(),
+  /** How many workers of each capacity the instance holds. */
+  shapes: v.array(v.object({
+    resources: resourcesSchema,
+    slots: v.number(),
+    count: v.number(),
+  })),
 });
 
 /** How busy an instance and its workers are. */
--- a/src/membership/testing/zone_model.ts
+++ b/src/membership/testing/zone_model.ts
@@ -35,6 +35,7 @@
   queuedByUrgency: [],
   free: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
   running: 0,
+  shapes: [],
 };
 
 /** A worker with its own record of what was started there. */
--- a/src/membership/views_test.ts
+++ b/src/membership/views_test.ts
@@ -21,6 +21,7 @@
     queuedByUrgency: [],
     free: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
     running: 0,
+    shapes: [],
   },
 };
 
--- a/src/model/worker.ts
+++ b/src/model/worker.ts
@@ -59,6 +59,8 @@
   capacity: workerCapacitySchema,
   /** Changes when the worker's process starts anew and has forgotten all. */
   boot: v.string(),
+  /** Holders that the worker refuses. */
+  barred: v.array(v.string()),
   /** Everything that the worker runs or remembers. */
   records: v.array(taskRecordSchema),
   /** Number of the latest event; renewals ask for those after it. */
--- a/src/placement/placement_load.ts
+++ b/src/placement/placement_load.ts
@@ -6,6 +6,7 @@
   type Task,
 } from "../model/mod.ts";
 import type { Placement } from "./placement.ts";
+import type { Shape } from "./shape.ts";
 import { isUsable } from "./room.ts";
 
 /** What an instance tells its peers of its load. */
@@ -17,6 +18,8 @@
   free: Resources;
   /** Tasks that have room on a worker. */
   running: number;
+  /** How many workers of each capacity there are. */
+  shapes: Shape[];
 };
 
 /**
@@ -37,6 +40,7 @@
     queuedByUrgency: [...placement.queuedByUrgency],
     free,
     running: placement.running,
+    shapes: [...placement.shapes.values()],
   };
 }
 
--- a/stand_ins/worker/commands.ts
+++ b/stand_ins/worker/commands.ts
@@ -37,6 +37,7 @@
 const acquireSchema = v.object({
   holder: v.pipe(v.string(), v.minLength(1)),
   expectedToken: v.number(),
+  barred: v.optional(v.array(v.string()), []),
 });
 
 const renewSchema = v.object({
@@ -60,6 +61,7 @@
   lapseIfDue(state);
   if (lease.barred.has(holder)) return barred(state, holder);
   if (expectedToken !== lease.token) return stale(state, expectedToken);
+  for (const other of parsed.output.barred) lease.barred.add(other);
   accrue(state);
   lease.token += 1;
   lease.holder = holder;
@@ -73,6 +75,7 @@
     leaseMs: state.settings.leaseMs,
     capacity: state.settings.capacity,
     boot: state.boot,
+    barred: [...lease.barred],
     records: [...state.runs.values()].map((run) => run.record),
     lastEvent: state.journal.lastEvent,
   };
