Log and count what the time line records

Cause: the daemon wrote no logs and no metrics.

What: one table maps each event of the time line to its part, level, sentence and counter; a test holds the table against the events that the instance notes.

--- a/src/daemon/run_instance.ts
+++ b/src/daemon/run_instance.ts
@@ -21,6 +21,7 @@
   createScheduler,
   DEFAULT_SCHEDULER_OPTIONS,
   type Scheduler,
+  selfHolder,
 } from "../instance/mod.ts";
 import {
   createCallerRoute,
@@ -30,7 +31,14 @@
   createPeerRoute,
 } from "../server/mod.ts";
 import type { Settings } from "../settings/mod.ts";
+import {
+  createLogger,
+  createMetrics,
+  type Logger,
+  type MetricSettings,
+} from "../telemetry/mod.ts";
 import { type Driver, startDriver } from "./driver.ts";
+import { reportEvents } from "./report_events.ts";
 
 /** How often a stopping process looks whether it may end. */
 const STOP_POLL_MS = 100;
@@ -39,6 +47,7 @@
 /** Largest random part of an incarnation. */
 const MAX_INCARNATION_PART = 36 ** 4 - 1;
 
+const FAILURE_EXIT_CODE = 1;
 const CONNECTIONS_PER_ORIGIN = 8;
 const WAITING_CONNECTIONS_PER_ORIGIN = 256;
 /** Methods whose answer the peer may hold back. */
@@ -85,6 +94,11 @@
       return client.call(url, method, params, timeoutMs, signal);
     },
   }, ending.signal);
+  const logger = createLogger({ ...settings.log, process: scheduler.self.id });
+  const metrics = await createMetrics(metricsFrom(settings));
+  const reporting = reportEvents(scheduler, logger, metrics, ending.signal);
+  driver.done.catch((error) => fail(logger, error));
+  logger.part("daemon").info("Started.", { holder: selfHolder(scheduler) });
   const stopping = new AbortController();
   const server = serve(settings, scheduler, driver, () => stopping.abort());
   process.once("SIGTERM", () => stopping.abort());
@@ -92,10 +106,27 @@
   await once(stopping.signal, "abort");
   await stop(settings, scheduler, driver, server, clock);
   ending.abort();
-  await Promise.all([caller.close(), waitingCaller.close()]);
+  await Promise.all([caller.close(), waitingCaller.close(), reporting]);
+  logger.part("daemon").info("Stopped.");
+  await Promise.all([logger.close(), metrics.close()]);
   return 0;
 }
 
+/** A reducer that failed has lost its state; only a new process can go on. */
+async function fail(logger: Logger, error: unknown): Promise<void> {
+  const cause = error instanceof Error ? error.stack ?? error.message : error;
+  logger.part("daemon").error("Failed.", { cause: String(cause) });
+  await logger.close();
+  process.exit(FAILURE_EXIT_CODE);
+}
+
+function metricsFrom(settings: Settings): MetricSettings | undefined {
+  const { metrics, instance } = settings;
+  return metrics === undefined
+    ? undefined
+    : { ...metrics, process: instance.id };
+}
+
 function createCaller(connectionsPerOrigin: number): HttpCaller {
   return createHttpCaller({
     connectionsPerOrigin,
