Send of a heartbeat only what changed since the peer's last one

A link keeps what the peer acknowledged; digests find out a lost frame or a restart, and the next frame is whole. A call is answered with a heartbeat, so of two peers only one calls.

Members of other zones now count as dead after three missed heartbeats of their own interval: before, an interval as long as the limit for the own zone made them flicker.

--- a/src/membership/build_heartbeat.ts
+++ b/src/membership/build_heartbeat.ts
@@ -38,7 +38,6 @@
   membership.selfLeaving = extras.leaving;
   membership.unreachable = new Set(extras.unreachable);
   setHeld(membership, extras.held);
-  const ownZone = membership.self.zone;
   const entries = [...membership.bars.values()];
   return {
     from: membership.self,
@@ -47,10 +46,9 @@
     version: extras.version,
     held: sortBy(extras.held, (entry) => entry.worker),
     unreachable: [...extras.unreachable].sort(),
-    workers: knownWorkers(membership, ownZone),
+    workers: knownWorkers(membership, membership.self.zone),
     listedAsOfMs: membership.listedAsOfMs,
     heard: heardMembers(membership)
-      .filter((member) => member.instance.zone === ownZone)
       .map((member) => holderOf(member.instance))
       .sort(),
     bars: sortBy(
--- a/src/membership/heartbeat.ts
+++ b/src/membership/heartbeat.ts
@@ -20,7 +20,7 @@
   workers: v.array(v.string()),
   /** When the sender's instance list was true, in ms since the epoch. */
   listedAsOfMs: v.number(),
-  /** Holders of the sender's zone that the sender hears itself. */
+  /** Holders that the sender hears itself. */
   heard: v.array(v.string()),
   bars: v.array(barSchema),
   load: loadSchema,
--- /dev/null
+++ b/src/membership/heartbeat_frame.ts
@@ -0,0 +1,39 @@
+import * as v from "valibot";
+import { heartbeatSchema } from "./heartbeat.ts";
+
+const { from, held, unreachable, workers, heard, bars } =
+  heartbeatSchema.entries;
+const { sentAtMs, leaving, version, listedAsOfMs, load } =
+  heartbeatSchema.entries;
+
+/** Schema of the parts of a heartbeat that seldom change. */
+export const heartbeatSectionsSchema = v.object({
+  from: v.optional(from),
+  held: v.optional(held),
+  unreachable: v.optional(unreachable),
+  workers: v.optional(workers),
+  heard: v.optional(heard),
+  bars: v.optional(bars),
+});
+
+/** The parts of a heartbeat that seldom change; an absent one did not. */
+export type HeartbeatSections = v.InferOutput<typeof heartbeatSectionsSchema>;
+
+/** Schema of a heartbeat as it is sent. */
+export const heartbeatFrameSchema = v.object({
+  sentAtMs,
+  leaving,
+  version,
+  listedAsOfMs,
+  load,
+  /** Digest of all sections once this frame is applied. */
+  digest: v.string(),
+  /** Digest of the sections that the absent ones are taken from. */
+  base: v.optional(v.string()),
+  /** Digest of the sections that the sender has of the receiver. */
+  have: v.optional(v.string()),
+  sections: heartbeatSectionsSchema,
+});
+
+/** A heartbeat as it is sent: whole, or what changed since one received. */
+export type HeartbeatFrame = v.InferOutput<typeof heartbeatFrameSchema>;
--- /dev/null
+++ b/src/membership/heartbeat_link.ts
@@ -0,0 +1,136 @@
+import { digest } from "../base/mod.ts";
+import type { Heartbeat } from "./heartbeat.ts";
+import type { HeartbeatFrame, HeartbeatSections } from "./heartbeat_frame.ts";
+
+const DIGEST_LENGTH = 12;
+const SECTION_NAMES = [
+  "from",
+  "held",
+  "unreachable",
+  "workers",
+  "heard",
+  "bars",
+] as const satisfies (keyof HeartbeatSections)[];
+
+/** A heartbeat and the digest of its sections. */
+type DigestedHeartbeat = { heartbeat: Heartbeat; digest: string };
+
+/** What two peers know of each other's latest heartbeats; one per peer. */
+export type HeartbeatLink = {
+  /** The heartbeat sent last. */
+  sent?: DigestedHeartbeat;
+  /** The latest heartbeat that the peer is known to have. */
+  acknowledged?: DigestedHeartbeat;
+  /** The heartbeat received last. */
+  received?: DigestedHeartbeat;
+};
+
+/**
+ * Creates the link to a peer with which nothing was exchanged.
+ *
+ * @example
+ * ```ts
+ * const link = createHeartbeatLink();
+ * ```
+ */
+export function createHeartbeatLink(): HeartbeatLink {
+  return {};
+}
+
+/**
+ * Writes a heartbeat as a frame, leaving out the sections that the peer is
+ * known to have.
+ *
+ * @example
+ * ```ts
+ * const frame = writeHeartbeat(link, buildHeartbeat(membership, extras));
+ * ```
+ */
+export function writeHeartbeat(
+  link: HeartbeatLink,
+  heartbeat: Heartbeat,
+): HeartbeatFrame {
+  const { acknowledged, received } = link;
+  link.sent = { heartbeat, digest: sectionsDigest(heartbeat) };
+  return {
+    sentAtMs: heartbeat.sentAtMs,
+    leaving: heartbeat.leaving,
+    version: heartbeat.version,
+    listedAsOfMs: heartbeat.listedAsOfMs,
+    load: heartbeat.load,
+    digest: link.sent.digest,
+    ...(acknowledged && { base: acknowledged.digest }),
+    ...(received && { have: received.digest }),
+    sections: changedSections(heartbeat, acknowledged?.heartbeat),
+  };
+}
+
+/**
+ * Reads a frame. What the peer says to have is noted first, so that the next
+ * frame is whole when the peer lacks what the last one left out.
+ *
+ * @example
+ * ```ts
+ * const heartbeat = readHeartbeat(link, frame);
+ * if (heartbeat) receiveHeartbeat(membership, heartbeat, nowMs);
+ * ```
+ *
+ * @returns undefined where the frame builds on a heartbeat that is not here
+ */
+export function readHeartbeat(
+  link: HeartbeatLink,
+  frame: HeartbeatFrame,
+): Heartbeat | undefined {
+  noteAcknowledged(link, frame.have);
+  const base = frame.base === undefined ? undefined : link.received?.heartbeat;
+  const sections = { ...base, ...frame.sections };
+  const { from, held, unreachable, workers, heard, bars } = sections;
+  if (!from || !held || !unreachable || !workers || !heard || !bars) {
+    return undefined;
+  }
+  const { sentAtMs, leaving, version, listedAsOfMs, load } = frame;
+  const heartbeat: Heartbeat = {
+    from,
+    sentAtMs,
+    leaving,
+    version,
+    held,
+    unreachable,
+    workers,
+    listedAsOfMs,
+    heard,
+    bars,
+    load,
+  };
+  if (sectionsDigest(heartbeat) !== frame.digest) return undefined;
+  link.received = { heartbeat, digest: frame.digest };
+  return heartbeat;
+}
+
+function noteAcknowledged(
+  link: HeartbeatLink,
+  have: string | undefined,
+): void {
+  const { sent, acknowledged } = link;
+  if (sent && have === sent.digest) {
+    link.acknowledged = sent;
+    return;
+  }
+  if (acknowledged && have === acknowledged.digest) return;
+  delete link.acknowledged;
+}
+
+function changedSections(
+  heartbeat: Heartbeat,
+  base: Heartbeat | undefined,
+): HeartbeatSections {
+  const changed = SECTION_NAMES.filter((name) =>
+    !base || JSON.stringify(base[name]) !== JSON.stringify(heartbeat[name])
+  );
+  return Object.fromEntries(changed.map((name) => [name, heartbeat[name]]));
+}
+
+function sectionsDigest(heartbeat: Heartbeat): string {
+  const sections = SECTION_NAMES.map((name) => heartbeat[name]);
+  return digest(JSON.stringify(sections)).slice(0, DIGEST_LENGTH);
+}
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -9,6 +9,8 @@
 export * from "./bar.ts";
 export * from "./bars.ts";
 export * from "./heartbeat.ts";
+export * from "./heartbeat_frame.ts";
+export * from "./heartbeat_link.ts";
 export * from "./held_worker.ts";
 export * from "./holder.ts";
 export * from "./build_heartbeat.ts";
--- a/src/membership/peers_to_beat.ts
+++ b/src/membership/peers_to_beat.ts
@@ -5,6 +5,12 @@
 import { tick } from "./tick.ts";
 import { memberState } from "./views.ts";
 
+/**
+ * By how much the peer with the higher id waits longer, so that one of two
+ * peers calls and the other answers.
+ */
+const SECOND_CALLER_FACTOR = 1.5;
+
 /** An address that is due for a heartbeat. */
 export type PeerToBeat = {
   url: string;
@@ -46,7 +52,9 @@
 
 function isDue(membership: Membership, address: Address): boolean {
   const { zoneBeatMs, remoteBeatMs } = membership.options;
-  const periodMs = address.inZone ? zoneBeatMs : remoteBeatMs;
+  const beatMs = address.inZone ? zoneBeatMs : remoteBeatMs;
+  const isSecond = address.known && address.known.id < membership.self.id;
+  const periodMs = isSecond ? beatMs * SECOND_CALLER_FACTOR : beatMs;
   const lastMs = membership.beatenAtMs.get(address.url);
   return lastMs === undefined || membership.nowMs - lastMs >= periodMs;
 }
--- a/src/membership/receive_heartbeat.ts
+++ b/src/membership/receive_heartbeat.ts
@@ -35,10 +35,20 @@
     heardAtMs: membership.nowMs,
   });
   membership.latest.set(heartbeat.from.id, holder);
+  noteExchange(membership, heartbeat);
   membership.heardOf.add(heartbeat.from.id);
   if (!before) supersede(membership, heartbeat.from);
 }
 
+/**
+ * Puts off the next heartbeat to a peer that hears this instance: each call is
+ * answered with a heartbeat, so one call serves both.
+ */
+function noteExchange(membership: Membership, heartbeat: Heartbeat): void {
+  if (!heartbeat.heard.includes(holderOf(membership.self))) return;
+  membership.beatenAtMs.set(heartbeat.from.url, membership.nowMs);
+}
+
 /** Bars the incarnations of the own zone that a new one replaces. */
 function supersede(membership: Membership, instance: Instance): void {
   if (instance.zone !== membership.self.zone) return;
--- a/src/membership/views.ts
+++ b/src/membership/views.ts
@@ -3,6 +3,9 @@
 import type { Member, MemberState } from "./member.ts";
 import type { Membership } from "./membership.ts";
 
+/** How many heartbeats of another zone's member may be missed. */
+const SILENT_REMOTE_BEATS = 3;
+
 /**
  * Tells how this instance sees an incarnation.
  *
@@ -65,8 +68,12 @@
 
 /** Tells whether a member's own heartbeat arrived within the limit. */
 export function isHeard(membership: Membership, member: Member): boolean {
+  const { deadAfterMs, remoteBeatMs } = membership.options;
   const silentMs = membership.nowMs - member.heardAtMs;
-  return silentMs < membership.options.deadAfterMs;
+  if (member.instance.zone === membership.self.zone) {
+    return silentMs < deadAfterMs;
+  }
+  return silentMs < Math.max(deadAfterMs, remoteBeatMs * SILENT_REMOTE_BEATS);
 }
 
 /** Lists the members that are live or leaving, with their last heartbeats. */
