--- a/src/diagnostics/diagnostics.ts
+++ b/src/diagnostics/diagnostics.ts
@@ -19,7 +19,7 @@
   manifestUnreadable: error(1102, "The manifest {0} cannot be read: {1}."),
   manifestRaced: error(
     1103,
-    "Version {0} was built on version {1}, but version {2} is in force.",
+    "Change {0} was built on version {1}, but version {2} is in force.",
   ),
   peerUnreachable: error(2001, "{0} cannot be reached: {1}."),
   callTimedOut: error(2002, "{0} did not answer within {1} ms."),
@@ -74,6 +74,7 @@
     4005,
     "The queue is full of more urgent work; nothing was run.",
   ),
+  startInvalid: error(4006, "Worker {0} rejects the task as invalid."),
   homeSettled: message(
     5001,
     "The home of the request is gone, and no worker has run it.",
--- a/src/instance/scheduler.ts
+++ b/src/instance/scheduler.ts
@@ -1,9 +1,5 @@
 import type { Randomness } from "../hosts/mod.ts";
-import {
-  createLogState,
-  type LogRecord,
-  type LogState,
-} from "../log_state/mod.ts";
+import { createLogState, type LogState } from "../log_state/mod.ts";
 import {
   createMembership,
   type Holder,
@@ -32,9 +28,6 @@
 /** A worker that the instance list or a peer named. */
 export type KnownWorker = { address: WorkerAddress; leaving: boolean };
 
-/** A record on its way into the log. */
-export type PendingAppend = { record: LogRecord; topic: string };
-
 /** A durable request, kept until the log has it. */
 export type KeptCopy = {
   request: Request;
@@ -65,7 +58,8 @@
   logReachable: boolean;
   /** Whether the log was read to its end once. */
   logCaughtUp: boolean;
-  pendingAppends: PendingAppend[];
+  /** How many records are on their way into the log. */
+  pendingAppends: number;
   /** The workers of the own zone. */
   workers: Map<string, KnownWorker>;
   /** The workers of every zone by the latest list. */
@@ -73,16 +67,12 @@
   held: Map<string, HeldWorker>;
   /** Workers that could not be reached a moment ago. */
   unreachable: Set<string>;
-  /** Workers that the zone's peers know too, or that need no witness. */
-  announced: Set<string>;
   /** The latest run of each worker's process that was seen. */
   boots: Map<string, string>;
   /** When workers vanished from the list (wall clock, ms). */
   goneWorkers: Map<string, number>;
   /** When this process started (wall clock, ms). */
   startedAtMs: number;
-  /** When this process started (steady clock, ms). */
-  startedSteadyMs: number;
   requests: Map<RequestId, RequestEntry>;
   /** Durable requests kept here until the log has them. */
   copies: Map<RequestId, KeptCopy>;
@@ -138,16 +128,14 @@
     log: createLogState(),
     logReachable: false,
     logCaughtUp: false,
-    pendingAppends: [],
+    pendingAppends: 0,
     workers: new Map(),
     listedWorkers: new Set(),
     held: new Map(),
     unreachable: new Set(),
-    announced: new Set(),
     boots: new Map(),
     goneWorkers: new Map(),
     startedAtMs: moment.wallMs,
-    startedSteadyMs: moment.steadyMs,
     requests: new Map(),
     copies: new Map(),
     nextSequence: 1,
--- a/src/instance/step.ts
+++ b/src/instance/step.ts
@@ -6,11 +6,10 @@
  */
 import { assertNever } from "../base/mod.ts";
 import { adoptRequests } from "./adoption_flow.ts";
-import { appendPending } from "./appends.ts";
 import type { Call } from "./call.ts";
 import { drainInstance } from "./drain_flow.ts";
 import type { Flow } from "./flow.ts";
-import { forgetOld, tickPlacement } from "./housekeeping_flow.ts";
+import { forgetOld, tellOfPeers, tickPlacement } from "./housekeeping_flow.ts";
 import { followList } from "./list_flow.ts";
 import { followLog, followPeerManifests } from "./log_flow.ts";
 import { keepMembership } from "./membership_flow.ts";
@@ -73,11 +72,11 @@
     followList(scheduler),
     followLog(scheduler),
     followPeerManifests(scheduler),
-    appendPending(scheduler),
     recoverTasks(scheduler),
     adoptRequests(scheduler),
     recordUsage(scheduler),
     tickPlacement(scheduler),
+    tellOfPeers(scheduler),
     forgetOld(scheduler),
   ];
   for (const flow of flows) spawn(scheduler.runner, flow);
