Send heartbeats as differences between the instances

Cause: a whole heartbeat at 36 instances and 1,000 workers is several kilobytes; the control budget is 3 KB/s.

What: the instances exchange frames through the link of src/membership; a frame that builds on something the peer does not have is answered by a whole one.

--- a/src/instance/membership_flow.ts
+++ b/src/instance/membership_flow.ts
@@ -6,13 +6,17 @@
 import {
   advance,
   buildHeartbeat,
-  type Heartbeat,
-  heartbeatSchema,
+  createHeartbeatLink,
+  type HeartbeatFrame,
+  heartbeatFrameSchema,
+  type HeartbeatLink,
   holderOf,
   isSelfBarred,
   peersToBeat,
+  readHeartbeat,
   receiveHeartbeat,
   reincarnate,
+  writeHeartbeat,
 } from "../membership/mod.ts";
 import { placementLoad } from "../placement/mod.ts";
 import type { Flow } from "./flow.ts";
@@ -48,23 +52,14 @@
   }
 }
 
-/** Builds the heartbeat that tells a peer about this instance. */
-export function heartbeatNow(scheduler: Scheduler): Heartbeat {
-  return buildHeartbeat(scheduler.membership, {
-    leaving: scheduler.draining,
-    version: scheduler.log.version,
-    held: heldLeases(scheduler),
-    unreachable: unreachableWorkers(scheduler),
-    load: placementLoad(scheduler.placement),
-  });
-}
-
-/** Takes in a heartbeat, whether it came as a call or as an answer. */
-export function takeHeartbeat(
+/** Takes in the heartbeat of a peer, and answers with our own. */
+export function answerHeartbeat(
   scheduler: Scheduler,
-  heartbeat: Heartbeat,
-): void {
-  receiveHeartbeat(scheduler.membership, heartbeat, scheduler.moment.steadyMs);
+  sender: string,
+  frame: HeartbeatFrame,
+): HeartbeatFrame {
+  takeFrame(scheduler, sender, frame);
+  return frameFor(scheduler, sender);
 }
 
 /** Makes a new incarnation, which no process has used before. */
@@ -75,15 +70,46 @@
 
 function* beat(scheduler: Scheduler, url: string): Flow<void> {
   const sentBy = selfHolder(scheduler);
+  const sender = scheduler.self.url;
   const result = yield* callPeer(
     url,
-    { kind: "heartbeat", heartbeat: heartbeatNow(scheduler) },
-    heartbeatSchema,
+    { kind: "heartbeat", sender, frame: frameFor(scheduler, url) },
+    heartbeatFrameSchema,
     HEARTBEAT_TIMEOUT_MS,
   );
   if (result.isErr()) return;
   if (sentBy !== selfHolder(scheduler)) return;
-  takeHeartbeat(scheduler, result.value);
+  takeFrame(scheduler, url, result.value);
+}
+
+function takeFrame(
+  scheduler: Scheduler,
+  url: string,
+  frame: HeartbeatFrame,
+): void {
+  const heartbeat = readHeartbeat(linkOf(scheduler, url), frame);
+  if (heartbeat === undefined) return;
+  const { membership, moment } = scheduler;
+  receiveHeartbeat(membership, heartbeat, moment.steadyMs);
+}
+
+function frameFor(scheduler: Scheduler, url: string): HeartbeatFrame {
+  const heartbeat = buildHeartbeat(scheduler.membership, {
+    leaving: scheduler.draining,
+    version: scheduler.log.version,
+    held: heldLeases(scheduler),
+    unreachable: unreachableWorkers(scheduler),
+    load: placementLoad(scheduler.placement),
+  });
+  return writeHeartbeat(linkOf(scheduler, url), heartbeat);
+}
+
+function linkOf(scheduler: Scheduler, url: string): HeartbeatLink {
+  const known = scheduler.links.get(url);
+  if (known !== undefined) return known;
+  const link = createHeartbeatLink();
+  scheduler.links.set(url, link);
+  return link;
 }
 
 function unreachableWorkers(scheduler: Scheduler): string[] {
--- a/src/instance/peer_flow.ts
+++ b/src/instance/peer_flow.ts
@@ -4,11 +4,11 @@
  * @module
  */
 import { assertNever } from "../base/mod.ts";
-import { type Heartbeat, isBarred } from "../membership/mod.ts";
+import { type HeartbeatFrame, isBarred } from "../membership/mod.ts";
 import { withdrawForPeer } from "./cancel_flow.ts";
 import type { Flow } from "./flow.ts";
 import { lookUpHere } from "./lookups.ts";
-import { heartbeatNow, takeHeartbeat } from "./membership_flow.ts";
+import { answerHeartbeat } from "./membership_flow.ts";
 import type {
   Acceptance,
   LookupAnswer,
@@ -25,7 +25,7 @@
 
 /** What a peer is answered. */
 export type PeerAnswer =
-  | Heartbeat
+  | HeartbeatFrame
   | CallAnswer
   | LookupAnswer
   | Acceptance
@@ -41,8 +41,7 @@
 ): Flow<PeerAnswer> {
   switch (message.kind) {
     case "heartbeat":
-      takeHeartbeat(scheduler, message.heartbeat);
-      return heartbeatNow(scheduler);
+      return answerHeartbeat(scheduler, message.sender, message.frame);
     case "submit":
       return yield* submit(
         scheduler,
--- a/src/instance/peer_message.ts
+++ b/src/instance/peer_message.ts
@@ -1,6 +1,6 @@
 import * as v from "valibot";
 import { manifestEntrySchema } from "../log_state/mod.ts";
-import { heartbeatSchema } from "../membership/mod.ts";
+import { heartbeatFrameSchema } from "../membership/mod.ts";
 import {
   outcomeSchema,
   requestSchema,
@@ -47,7 +47,12 @@
 
 /** Schema of a message from one entry instance to another. */
 export const peerMessageSchema = v.variant("kind", [
-  v.object({ kind: v.literal("heartbeat"), heartbeat: heartbeatSchema }),
+  v.object({
+    kind: v.literal("heartbeat"),
+    /** Base URL of the sender. */
+    sender: v.string(),
+    frame: heartbeatFrameSchema,
+  }),
   v.object({
     kind: v.literal("submit"),
     customer,
--- a/src/instance/scheduler.ts
+++ b/src/instance/scheduler.ts
@@ -2,6 +2,7 @@
 import { createLogState, type LogState } from "../log_state/mod.ts";
 import {
   createMembership,
+  type HeartbeatLink,
   type Holder,
   holderOf,
   type Membership,
@@ -53,6 +54,8 @@
   moment: Moment;
   runner: Runner;
   membership: Membership;
+  /** What was exchanged with each peer, by its base URL. */
+  links: Map<string, HeartbeatLink>;
   placement: Placement;
   log: LogState;
   logReachable: boolean;
@@ -120,6 +123,7 @@
       remoteBeatMs: options.remoteHeartbeatMs,
       seeds: options.seeds,
     }),
+    links: new Map(),
     placement: createPlacement({
       preference: options.preference,
       randomness,
