--- /dev/null
+++ b/peers_to_beat.js
@@ -0,0 +1,112 @@
+import { assertNever } from "../base/mod.js";
+import { exitCodes } from "./exit_codes.js";
+import { renderFields, renderTable } from "./table.js";
+/** How much of a task's output a table shows, in characters. */
+const MAX_DETAIL_LENGTH = 60;
+/**
+ * Reports where a request stands.
+ *
+ * @example
+ * ```ts
+ * const report = reportRequest(view);
+ * ```
+ */
+export function reportRequest(view) {
+    const fields = renderFields([
+        ["request", view.id],
+        ["outcome", outcomeText(view.outcome)],
+        ["kept", keptText(view.durability)],
+    ]);
+    const table = taskTable(view);
+    return {
+        data: view,
+        text: table === "" ? fields : `${fields}\n\n${table}`,
+        exitCode: exitCodeOf(view.outcome),
+    };
+}
+/**
+ * Tells whether a request's outcome will not change any more.
+ *
+ * @example
+ * ```ts
+ * if (isFinal(view.outcome)) return ok(view);
+ * ```
+ */
+export function isFinal(outcome) {
+    return outcome.kind !== "notKnownYet";
+}
+function keptText(durability) {
+    switch (durability) {
+        case "log":
+            return "in the log";
+        case "peer":
+            return "at a peer";
+        case "none":
+            return "at its home only";
+        default:
+            return assertNever(durability);
+    }
+}
+function outcomeText(outcome) {
+    switch (outcome.kind) {
+        case "ran":
+            return "ran";
+        case "didNotRun":
+            return `did not run: ${outcome.cause} (SS${outcome.code})`;
+        case "notKnownYet":
+            return `not known yet (${outcome.state}): ${outcome.cause}`;
+        default:
+            return assertNever(outcome);
+    }
+}
+function exitCodeOf(outcome) {
+    switch (outcome.kind) {
+        case "ran": {
+            const allFinished = outcome.tasks.every(({ kind }) => kind === "finished");
+            return allFinished ? exitCodes.ok : exitCodes.taskFailed;
+        }
+        case "didNotRun":
+            return exitCodes.refused;
+        case "notKnownYet":
+            return exitCodes.notKnownYet;
+        default:
+            return assertNever(outcome);
+    }
+}
+function taskTable(view) {
+    if (view.outcome.kind === "ran")
+        return outcomeTable(view.outcome.tasks);
+    return view.tasks.length === 0 ? "" : stateTable(view.tasks);
+}
+function outcomeTable(tasks) {
+    return renderTable([
+        { heading: "TASK", align: "right", cell: ({ index }) => `${index}` },
+        { heading: "OUTCOME", cell: ({ kind }) => kind },
+        { heading: "WORKER", cell: workerOf },
+        { heading: "ATTEMPT", align: "right", cell: attemptOf },
+        { heading: "DETAIL", cell: detailOf },
+    ], tasks);
+}
+function stateTable(tasks) {
+    return renderTable([
+        { heading: "TASK", align: "right", cell: ({ index }) => `${index}` },
+        { heading: "STATE", cell: ({ state }) => state },
+        { heading: "WORKER", cell: ({ worker }) => worker ?? "-" },
+        { heading: "ATTEMPT", align: "right", cell: ({ attempt }) => `${attempt}` },
+    ], tasks);
+}
+function workerOf(task) {
+    return "worker" in task ? task.worker : "-";
+}
+function attemptOf(task) {
+    return "attempt" in task ? `${task.attempt}` : "-";
+}
+function detailOf(task) {
+    if (task.kind !== "finished")
+        return task.cause;
+    const text = JSON.stringify(task.output) ?? "";
+    if (text.length <= MAX_DETAIL_LENGTH)
+        return text;
+    return `${text.slice(0, MAX_DETAIL_LENGTH - 3)}...`;
+}
+//# sourceMappingURL=render_request.js.map
