--- a/src/membership/heartbeat_frame.ts
+++ b/src/membership/heartbeat_frame.ts
@@ -1,10 +1,10 @@
 import * as v from "valibot";
 import { heartbeatSchema } from "./heartbeat.ts";
+import { loadSchema } from "./load.ts";
 
 const { from, held, unreachable, workers, heard, bars } =
   heartbeatSchema.entries;
-const { sentAtMs, leaving, version, listedAsOfMs, load } =
-  heartbeatSchema.entries;
+const { sentAtMs, leaving, version, listedAsOfMs } = heartbeatSchema.entries;
 
 /** Schema of the parts of a heartbeat that seldom change. */
 export const heartbeatSectionsSchema = v.object({
@@ -14,6 +14,8 @@
   workers: v.optional(workers),
   heard: v.optional(heard),
   bars: v.optional(bars),
+  /** The shapes of the load. */
+  shapes: v.optional(loadSchema.entries.shapes),
 });
 
 /** The parts of a heartbeat that seldom change; an absent one did not. */
@@ -25,7 +27,7 @@
   leaving,
   version,
   listedAsOfMs,
-  load,
+  load: v.omit(loadSchema, ["shapes"]),
   /** Digest of all sections once this frame is applied. */
   digest: v.string(),
   /** Digest of the sections that the absent ones are taken from. */
--- a/src/membership/heartbeat_link.ts
+++ b/src/membership/heartbeat_link.ts
@@ -1,6 +1,7 @@
 import { digest } from "../base/mod.ts";
 import type { Heartbeat } from "./heartbeat.ts";
 import type { HeartbeatFrame, HeartbeatSections } from "./heartbeat_frame.ts";
+import type { Load } from "./load.ts";
 
 const DIGEST_LENGTH = 12;
 const SECTION_NAMES = [
@@ -10,6 +11,7 @@
   "workers",
   "heard",
   "bars",
+  "shapes",
 ] as const satisfies (keyof HeartbeatSections)[];
 
 /** A heartbeat and the digest of its sections. */
@@ -57,7 +59,7 @@
     leaving: heartbeat.leaving,
     version: heartbeat.version,
     listedAsOfMs: heartbeat.listedAsOfMs,
-    load: heartbeat.load,
+    load: dynamicLoad(heartbeat.load),
     digest: link.sent.digest,
     ...(acknowledged && { base: acknowledged.digest }),
     ...(received && { have: received.digest }),
@@ -83,12 +85,13 @@
 ): Heartbeat | undefined {
   noteAcknowledged(link, frame.have);
   const base = frame.base === undefined ? undefined : link.received?.heartbeat;
-  const sections = { ...base, ...frame.sections };
-  const { from, held, unreachable, workers, heard, bars } = sections;
+  const sections = { ...(base && sectionsOf(base)), ...frame.sections };
+  const { from, held, unreachable, workers, heard, bars, shapes } = sections;
   if (!from || !held || !unreachable || !workers || !heard || !bars) {
     return undefined;
   }
-  const { sentAtMs, leaving, version, listedAsOfMs, load } = frame;
+  if (!shapes) return undefined;
+  const { sentAtMs, leaving, version, listedAsOfMs } = frame;
   const heartbeat: Heartbeat = {
     from,
     sentAtMs,
@@ -100,7 +103,7 @@
     listedAsOfMs,
     heard,
     bars,
-    load,
+    load: { ...frame.load, shapes },
   };
   if (sectionsDigest(heartbeat) !== frame.digest) return undefined;
   link.received = { heartbeat, digest: frame.digest };
@@ -124,13 +127,28 @@
   heartbeat: Heartbeat,
   base: Heartbeat | undefined,
 ): HeartbeatSections {
+  const sections = sectionsOf(heartbeat);
+  if (!base) return sections;
+  const before = sectionsOf(base);
   const changed = SECTION_NAMES.filter((name) =>
-    !base || JSON.stringify(base[name]) !== JSON.stringify(heartbeat[name])
+    JSON.stringify(before[name]) !== JSON.stringify(sections[name])
   );
-  return Object.fromEntries(changed.map((name) => [name, heartbeat[name]]));
+  return Object.fromEntries(changed.map((name) => [name, sections[name]]));
+}
+
+function sectionsOf(heartbeat: Heartbeat): Required<HeartbeatSections> {
+  const { from, held, unreachable, workers, heard, bars, load } = heartbeat;
+  const { shapes } = load;
+  return { from, held, unreachable, workers, heard, bars, shapes };
+}
+
+function dynamicLoad(load: Load): HeartbeatFrame["load"] {
+  const { queued, queuedByUrgency, free, running } = load;
+  return { queued, queuedByUrgency, free, running };
 }
 
 function sectionsDigest(heartbeat: Heartbeat): string {
-  const sections = SECTION_NAMES.map((name) => heartbeat[name]);
-  return digest(JSON.stringify(sections)).slice(0, DIGEST_LENGTH);
+  const sections = sectionsOf(heartbeat);
+  const values = SECTION_NAMES.map((name) => sections[name]);
+  return digest(JSON.stringify(values)).slice(0, DIGEST_LENGTH);
 }
--- a/src/membership/heartbeat_link_test.ts
+++ b/src/membership/heartbeat_link_test.ts
@@ -153,6 +153,13 @@
       queuedByUrgency: [40, 0, 0, 30, 0, 50, 0, 0, 0, 0],
       free: { cpuMillis: 123_000, memoryMb: 456_000, accelerators: 7 },
       running: 640,
+      shapes: [
+        {
+          resources: { cpuMillis: 32_000, memoryMb: 131_072, accelerators: 0 },
+          slots: 8,
+          count,
+        },
+      ],
     },
   };
 }
