End a stopped instance as soon as its work is handed over

Cause: the process stayed alive after a planned stop, first for the rest of its grace (the losing sleep of the race against the server's close was never ended), then for up to 10 s more (timers of flows that nobody waits for any longer).

Ruled out: connections that stay open; the listener refused connections 2 s after SIGTERM.

--- a/src/daemon/driver.ts
+++ b/src/daemon/driver.ts
@@ -83,6 +83,9 @@
     .observe((commands: SchedulerCommand[]) => {
       for (const command of commands) carryOut(running, command);
     });
+  signal.addEventListener("abort", () => {
+    for (const timer of running.timers.values()) timer.abort();
+  }, { once: true });
   emit(running, { kind: "started" });
   return {
     call(call) {
--- a/src/daemon/run_instance.ts
+++ b/src/daemon/run_instance.ts
@@ -210,6 +210,9 @@
   server.close();
   server.closeIdleConnections();
   const leftMs = Math.max(untilMs - clock.steadyMs(), STOP_POLL_MS);
-  await Promise.race([closed, clock.sleep(leftMs, never)]);
+  const waiting = new AbortController();
+  await Promise.race([closed, clock.sleep(leftMs, waiting.signal)]);
+  // A timer left running would keep the process alive.
+  waiting.abort();
   server.closeAllConnections();
 }
