Run the quickstart to its end on the real programs

Six entry instances, 235 orders from 16 callers, one instance killed, account and time line by the command line.

--- a/scripts/quickstart.ts
+++ b/scripts/quickstart.ts
@@ -8,7 +8,6 @@
  */
 import process from "node:process";
 import { readFileSync } from "node:fs";
-import { setTimeout as delay } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import * as v from "valibot";
 import { manifestSchema } from "../src/model/mod.ts";
@@ -34,8 +33,6 @@
 const PATIENCE_MS = 25_000;
 /** Share of the orders after which an entry instance is killed. */
 const KILL_AFTER_SHARE = 0.3;
-/** Time for usage reports to reach the log. */
-const REPORT_DELAY_MS = 1_000;
 
 process.exitCode = await main();
 
@@ -52,10 +49,10 @@
     ),
     customers: TOKENS,
   });
+  endWithSignals(cluster);
   try {
     console.log("Every instance is ready with the press's manifest.");
     const heard = await submitAll(cluster);
-    await delay(REPORT_DELAY_MS);
     const verdict = judge(await cluster.audits(), heard);
     const complaints = heard.flatMap((order) => order.complaints);
     await showAccount(cluster);
@@ -71,6 +68,15 @@
   }
 }
 
+/** Ends what was started when the quickstart itself is interrupted. */
+function endWithSignals(cluster: LocalCluster): void {
+  for (const signal of ["SIGINT", "SIGTERM"] as const) {
+    process.once(signal, () => {
+      cluster.close().finally(() => process.exit(1));
+    });
+  }
+}
+
 /** Submits every order from several callers at once, and kills an instance. */
 async function submitAll(cluster: LocalCluster): Promise<HeardOrder[]> {
   const orders = quickstartOrders();
--- a/scripts/quickstart_reports.ts
+++ b/scripts/quickstart_reports.ts
@@ -1,31 +1,64 @@
-import type { LocalCluster } from "../stand_ins/local_cluster/mod.ts";
+import { fileURLToPath } from "node:url";
+import * as v from "valibot";
+import {
+  type LocalCluster,
+  startProgram,
+  waitUntil,
+} from "../stand_ins/local_cluster/mod.ts";
 
+const COMMAND_LINE = fileURLToPath(
+  new URL("../src/cli/samphirestage.js", import.meta.url),
+);
 const LAST_EVENTS = 12;
+/** Longer than instances hold usage back before they write it to the log. */
+const USAGE_TIMEOUT_MS = 20_000;
 
-/** Prints the account of the month as an entry instance reports it. */
+const accountSchema = v.object({
+  rows: v.array(v.object({ used: v.optional(v.number()) })),
+});
+
+/** Waits for the usage of the orders, and prints the account of the month. */
 export async function showAccount(cluster: LocalCluster): Promise<void> {
   const month = new Date().toISOString().slice(0, "YYYY-MM".length);
-  const account = await ask(cluster, `/v1/operator/account?month=${month}`);
-  console.log(`Account of ${month}: ${JSON.stringify(account)}`);
+  const path = `/v1/operator/account?month=${month}`;
+  console.log("Waiting for the workers' usage to reach the account.");
+  await waitUntil("usage in the account", USAGE_TIMEOUT_MS, async () => {
+    const reply = await cluster.api.call("GET", urlOf(cluster) + path, {
+      token: cluster.operatorToken,
+    });
+    if (reply.kind === "failed" || reply.status !== 200) return false;
+    const { rows } = v.parse(accountSchema, reply.body);
+    return rows.some(({ used = 0 }) => used > 0);
+  });
+  console.log(`\nsamphirestage account --month ${month}`);
+  console.log(await runCommandLine(cluster, ["account", "--month", month]));
 }
 
-/** Prints the end of one instance's time line. */
+/** Prints the end of the time line over all instances. */
 export async function showTimeLine(cluster: LocalCluster): Promise<void> {
-  const line = await ask(cluster, "/v1/operator/timeline?after=0");
-  const { events = [] } = (line ?? {}) as { events?: unknown[] };
-  console.log(`Time line, the last of ${events.length} events:`);
-  for (const event of events.slice(-LAST_EVENTS)) {
-    console.log(`  ${JSON.stringify(event)}`);
-  }
+  const lines = (await runCommandLine(cluster, ["timeline"])).split("\n");
+  console.log(`samphirestage timeline, the last of ${lines.length} lines`);
+  console.log(lines.slice(-LAST_EVENTS).join("\n"), "\n");
 }
 
-/** Asks the first instance that answers. */
-async function ask(cluster: LocalCluster, path: string): Promise<unknown> {
-  for (const { url } of cluster.instances) {
-    const reply = await cluster.api.call("GET", url + path, {
-      token: cluster.operatorToken,
-    });
-    if (reply.kind === "answered" && reply.status === 200) return reply.body;
-  }
-  return undefined;
+async function runCommandLine(
+  cluster: LocalCluster,
+  argumentList: string[],
+): Promise<string> {
+  const connection = ["--url", urlOf(cluster), "--token"];
+  const program = startProgram("samphirestage", COMMAND_LINE, [
+    ...argumentList,
+    ...connection,
+    cluster.operatorToken,
+  ]);
+  await program.exited;
+  return program.output().trimEnd();
+}
+
+/** Base URL of an instance that still runs. */
+function urlOf(cluster: LocalCluster): string {
+  const running = cluster.instances.filter(({ program }) =>
+    !program.hasExited()
+  );
+  return running[0]!.url;
 }
