--- a/stand_ins/local_cluster/program.ts
+++ b/stand_ins/local_cluster/program.ts
@@ -6,6 +6,8 @@
 /** A program of the project that runs as a process of its own. */
 export type Program = {
   name: string;
+  /** Process id, while the process runs. */
+  pid: number | undefined;
   /** Everything that it has printed so far, up to a bound. */
   output(): string;
   hasExited(): boolean;
@@ -39,6 +41,7 @@
   child.stderr.setEncoding("utf8").on("data", keep);
   return {
     name,
+    pid: child.pid,
     output: () => chunks.join(""),
     hasExited: () => child.exitCode !== null || child.signalCode !== null,
     exited: exitOf(child),
