Take lent capacity back, and replace services on leaving workers

Cause: an agreement below its share waited until tasks of those above theirs ended; a service on a leaving worker had no successor before its end.

Capacity is lent while nobody entitled waits.

The union of commands grows by `replace`: the driver submits a successor under a new task id of the same request and withdraws the old task once the successor is confirmed. Ruled out: a successor under the same id, which would run one task in two places; doing it in the core, which can't know how the request's answer counts replicas.

--- a/bench/load_run.ts
+++ b/bench/load_run.ts
@@ -254,6 +254,8 @@
       run.tally.refused += 1;
       run.live.delete(command.taskId);
       return;
+    case "replace":
+      return;
     case "offload":
       run.tally.offloads += 1;
       return;
--- a/src/placement/checkpointed.ts
+++ b/src/placement/checkpointed.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Task } from "../model/mod.ts";
-import { demandOf } from "./learning.ts";
+import { demandOf, learnedOf } from "./learning.ts";
 import type { Placement } from "./placement.ts";
 import { agedUrgency } from "./rank.ts";
 import { hasRoom } from "./room.ts";
@@ -30,6 +30,7 @@
     worker,
     sinceMs: atMs,
     withdrawn: false,
+    learned: learnedOf(placement, task),
   };
   worker.checkpointed.set(task.id, entry);
   placement.tasks.set(task.id, entry);
@@ -56,7 +57,7 @@
     const waitedMs = step.atMs - sinceMs;
     if (withdrawn || waitedMs < RESUME_AFTER_MS) continue;
     if (agedUrgency(task.urgency, waitedMs) < leastUrgency) continue;
-    if (!hasRoom(worker, demandOf(step.placement, task))) continue;
+    if (!hasRoom(worker, demandOf(step.placement, entry))) continue;
     removeCheckpointed(step.placement, entry);
     sendStart(step, task, worker, undefined);
   }
--- a/src/placement/explain_task.ts
+++ b/src/placement/explain_task.ts
@@ -48,10 +48,10 @@
   queued: QueuedTask,
   atMs: number,
 ): string[] {
-  const { group, task } = queued;
+  const { group } = queued;
   const waitedMs = atMs - group.queuedAtMs;
   const urgency = agedUrgency(group.urgency, waitedMs);
-  const { cpuMillis, memoryMb, accelerators } = demandOf(placement, task);
+  const { cpuMillis, memoryMb, accelerators } = demandOf(placement, queued);
   return [
     `waits since ${waitedMs} ms with urgency ${urgency}`,
     `needs ${cpuMillis} cpuMillis, ${memoryMb} MiB, ` +
--- a/src/placement/fill_worker.ts
+++ b/src/placement/fill_worker.ts
@@ -44,7 +44,7 @@
   if (group.policy.kind === "gang") return placeGroup(step, group);
   for (const queued of waitingTasks(group)) {
     if (worker.hold?.group !== group) return;
-    if (!hasRoom(worker, demandOf(step.placement, queued.task))) return;
+    if (!hasRoom(worker, demandOf(step.placement, queued))) return;
     startTask(step, queued, worker);
   }
 }
@@ -87,7 +87,7 @@
   group: WaitingGroup,
 ): void {
   for (const queued of waitingTasks(group)) {
-    if (!hasRoom(worker, demandOf(step.placement, queued.task))) return;
+    if (!hasRoom(worker, demandOf(step.placement, queued))) return;
     if (!mayBackfill(step, queued, worker)) return;
     if (!maySpill(step, queued.task, worker)) return;
     startTask(step, queued, worker);
--- a/src/placement/holds.ts
+++ b/src/placement/holds.ts
@@ -139,7 +139,7 @@
     placement.held += 1;
     refreshLeaf(placement, worker);
   }
-  if (group.urgency >= PREEMPTING_URGENCY) preemptFor(step, hold);
+  preemptFor(step, hold);
 }
 
 function tasksToHold(group: WaitingGroup): number {
--- a/src/placement/learned_kind.ts
+++ b/src/placement/learned_kind.ts
@@ -88,11 +88,11 @@
 
 /** How long a task is expected to run, in milliseconds. */
 export function expectedRunMs(
-  kind: LearnedKind | undefined,
+  kind: LearnedKind,
   task: Task,
 ): number {
   if (task.policy.kind === "service") return Infinity;
-  return kind?.runMs ?? task.durationMs;
+  return kind.runMs ?? task.durationMs;
 }
 
 function refresh(kind: LearnedKind): void {
--- a/src/placement/place.ts
+++ b/src/placement/place.ts
@@ -75,7 +75,7 @@
   const overrides = task.urgency >= PREEMPTING_URGENCY &&
     (task.urgency > hold.group.urgency || isSharedHold(hold, task));
   if (overrides) return true;
-  const endMs = step.atMs + expectedMs(step.placement, task);
+  const endMs = step.atMs + expectedMs(queued);
   return endMs <= hold.startsAtMs;
 }
 
@@ -89,7 +89,7 @@
   const { placement } = step;
   for (const queued of waitingTasks(group)) {
     const worker = workerToProbe(placement, queued.task) ??
-      chooseWorker(placement, queued.task, demandOf(placement, queued.task)) ??
+      chooseWorker(placement, queued.task, demandOf(placement, queued)) ??
       heldWorker(step, queued);
     if (worker === undefined) return;
     startTask(step, queued, worker);
@@ -100,7 +100,7 @@
 function heldWorker(step: Step, queued: QueuedTask): WorkerState | undefined {
   const { placement } = step;
   if (placement.holds.size === 0) return undefined;
-  const demand = demandOf(placement, queued.task);
+  const demand = demandOf(placement, queued);
   for (const hold of placement.holds) {
     for (const worker of hold.workers.keys()) {
       if (!hasRoom(worker, demand)) continue;
--- a/src/placement/place_gang.ts
+++ b/src/placement/place_gang.ts
@@ -21,7 +21,7 @@
   const tasks = [...waitingTasks(group)];
   const taken: { worker: WorkerState; demand: Resources }[] = [];
   for (const queued of tasks) {
-    const demand = demandOf(placement, queued.task);
+    const demand = demandOf(placement, queued);
     const worker = workerFor(step, queued, demand);
     if (worker === undefined) break;
     takeRoom(placement, worker, demand);
--- a/src/placement/plan_hold.ts
+++ b/src/placement/plan_hold.ts
@@ -6,13 +6,12 @@
 import {
   addResources,
   fitsInto,
-  PREEMPTING_URGENCY,
   type Resources,
   subtractResources,
 } from "../model/mod.ts";
 import { demandOf, expectedEndMs } from "./learning.ts";
 import type { Placement } from "./placement.ts";
-import { isPreemptible } from "./preempt.ts";
+import { mayPreempt } from "./preempt.ts";
 import { waitingTasks } from "./queue.ts";
 import { indexFor, isUsable } from "./room.ts";
 import type { Step } from "./step.ts";
@@ -86,12 +85,11 @@
   group: WaitingGroup,
 ): { placed: PlacedTask; atMs: number }[] {
   const { placement, atMs } = step;
-  const preempts = group.urgency >= PREEMPTING_URGENCY;
   return [...worker.placed.values()]
     .filter(({ task }) => task.policy.kind !== "service")
     .map((placed) => {
-      const endMs = expectedEndMs(placement, placed, atMs);
-      const isShort = preempts && isPreemptible(placed, group.urgency);
+      const endMs = expectedEndMs(placed, atMs);
+      const isShort = mayPreempt(placement, placed, group);
       const at = isShort ? Math.min(endMs, atMs + CHECKPOINT_MS) : endMs;
       return { placed, atMs: at };
     })
@@ -124,8 +122,8 @@
   group: WaitingGroup,
 ): Resources {
   const most = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
-  for (const { task } of waitingTasks(group)) {
-    const demand = demandOf(placement, task);
+  for (const queued of waitingTasks(group)) {
+    const demand = demandOf(placement, queued);
     most.cpuMillis = Math.max(most.cpuMillis, demand.cpuMillis);
     most.memoryMb = Math.max(most.memoryMb, demand.memoryMb);
     most.accelerators = Math.max(most.accelerators, demand.accelerators);
--- a/src/placement/preempt.ts
+++ b/src/placement/preempt.ts
@@ -13,28 +13,48 @@
 } from "../model/mod.ts";
 import type { Hold } from "./hold.ts";
 import { demandOf } from "./learning.ts";
+import type { Placement } from "./placement.ts";
 import { waitingTasks } from "./queue.ts";
+import { shareUsed } from "./rank.ts";
 import type { Step } from "./step.ts";
 import type { PlacedTask } from "./task_entry.ts";
+import type { WaitingGroup } from "./waiting_group.ts";
 import type { WorkerState } from "./worker_state.ts";
 
 /** How long each way of giving way is given, in milliseconds. */
 const YIELD_STEP_MS = 250;
 
-/** Whether a task may be made to give way to work of an urgency. */
-export function isPreemptible(placed: PlacedTask, urgency: number): boolean {
+/** Whether a task may be made to give way to a group. */
+export function mayPreempt(
+  placement: Placement,
+  placed: PlacedTask,
+  group: WaitingGroup,
+): boolean {
   const { task, confirmed, withdrawn } = placed;
-  return task.policy.kind === "batch" && confirmed && !withdrawn &&
-    task.urgency < PREEMPTING_URGENCY && task.urgency < urgency;
+  const isBatch = task.policy.kind === "batch" && confirmed && !withdrawn &&
+    task.urgency < PREEMPTING_URGENCY;
+  if (!isBatch) return false;
+  return group.urgency >= PREEMPTING_URGENCY ||
+    isLent(placement, task.agreement, group.agreement);
+}
+
+/** Whether one agreement uses what another is entitled to and waits for. */
+function isLent(
+  placement: Placement,
+  borrower: string,
+  entitled: string,
+): boolean {
+  return placement.shares.has(entitled) &&
+    shareUsed(placement, borrower) > 1 && shareUsed(placement, entitled) < 1;
 }
 
 /** Makes room on the workers of a hold. */
 export function preemptFor(step: Step, hold: Hold): void {
   const [first] = waitingTasks(hold.group);
   if (first === undefined) return;
-  const demand = demandOf(step.placement, first.task);
+  const demand = demandOf(step.placement, first);
   for (const [worker, count] of hold.workers) {
-    preemptOn(step, worker, demand, count, hold.group.urgency);
+    preemptOn(step, worker, demand, count, hold.group);
   }
 }
 
@@ -46,9 +66,11 @@
     if (yielding === undefined || atMs - yielding.atMs < YIELD_STEP_MS) {
       continue;
     }
-    const next = nextYielding(placed, yielding.how);
+    const next = yielding.how === yielding.last
+      ? undefined
+      : nextYielding(placed, yielding.how);
     if (next === undefined) placement.yielding.delete(placed);
-    else yieldTask(step, placed, next);
+    else yieldTask(step, placed, next, yielding.last);
   }
 }
 
@@ -57,29 +79,52 @@
   worker: WorkerState,
   demand: Resources,
   count: number,
-  urgency: number,
+  group: WaitingGroup,
 ): void {
+  const last = lastResort(group);
   let { free, freeSlots } = worker;
   const need = times(demand, count);
-  for (const placed of victims(worker, urgency)) {
+  for (const placed of victims(step.placement, worker, group)) {
     if (freeSlots >= count && fitsInto(need, free)) return;
     free = addResources(free, placed.reserved);
     freeSlots += 1;
-    if (placed.yielding === undefined) yieldTask(step, placed, "checkpoint");
+    if (placed.yielding !== undefined) placed.yielding.last = last;
+    else yieldTask(step, placed, "checkpoint", last);
   }
 }
 
-/** Tasks to preempt: the least urgent first, and of these the latest. */
-function victims(worker: WorkerState, urgency: number): PlacedTask[] {
+/** How far a group may go: what is lent is only taken back by checkpoint. */
+function lastResort(group: WaitingGroup): Yielding {
+  return group.urgency >= PREEMPTING_URGENCY ? "stop" : "checkpoint";
+}
+
+/**
+ * Tasks to preempt: the least urgent first, then those of the agreement that
+ * is furthest above its share, then the latest.
+ */
+function victims(
+  placement: Placement,
+  worker: WorkerState,
+  group: WaitingGroup,
+): PlacedTask[] {
+  const used = ({ task }: PlacedTask) => shareUsed(placement, task.agreement);
   return [...worker.placed.values()]
-    .filter((placed) => isPreemptible(placed, urgency))
-    .sort((a, b) => a.task.urgency - b.task.urgency || b.sinceMs - a.sinceMs);
+    .filter((placed) => mayPreempt(placement, placed, group))
+    .sort((a, b) =>
+      a.task.urgency - b.task.urgency || used(b) - used(a) ||
+      b.sinceMs - a.sinceMs
+    );
 }
 
-function yieldTask(step: Step, placed: PlacedTask, how: Yielding): void {
+function yieldTask(
+  step: Step,
+  placed: PlacedTask,
+  how: Yielding,
+  last: Yielding,
+): void {
   const { placement, atMs, commands } = step;
   const { worker, task } = placed;
-  placed.yielding = { how, atMs };
+  placed.yielding = { how, atMs, last };
   placement.yielding.add(placed);
   commands.push({
     kind: "yield",
--- a/src/placement/queue.ts
+++ b/src/placement/queue.ts
@@ -9,6 +9,7 @@
   type Resources,
   type Task,
 } from "../model/mod.ts";
+import { learnedOf } from "./learning.ts";
 import type { Lane } from "./lane.ts";
 import type { Placement } from "./placement.ts";
 import type { QueuedTask } from "./task_entry.ts";
@@ -110,6 +111,7 @@
     task,
     group,
     waits: true,
+    learned: learnedOf(placement, task),
   };
   const { lane } = group;
   lane.smallest = smallerOf(lane.smallest, task.demand);
--- a/src/placement/send_start.ts
+++ b/src/placement/send_start.ts
@@ -1,5 +1,5 @@
 import type { Task } from "../model/mod.ts";
-import { demandOf } from "./learning.ts";
+import { demandOf, learnedOf } from "./learning.ts";
 import { addPlaced } from "./room.ts";
 import type { Step } from "./step.ts";
 import type { PlacedTask } from "./task_entry.ts";
@@ -19,11 +19,13 @@
   group: WaitingGroup | undefined,
 ): void {
   const { placement, atMs, commands } = step;
+  const learned = learnedOf(placement, task);
   const placed: PlacedTask = {
     kind: "placed",
     task,
     worker,
-    reserved: demandOf(placement, task),
+    learned,
+    reserved: demandOf(placement, { task, learned }),
     confirmed: false,
     sinceMs: atMs,
     withdrawn: false,
--- a/src/placement/step_placement.ts
+++ b/src/placement/step_placement.ts
@@ -71,6 +71,7 @@
       );
     case "workerLeaving":
       return withWorker(step, event.worker, (worker) => {
+        if (!worker.leaving) replaceServices(step, worker);
         worker.leaving = true;
         unhold(placement, worker);
         refreshLeaf(placement, worker);
@@ -121,6 +122,15 @@
   }
 }
 
+/** Asks for successors of the services on a worker that is leaving. */
+function replaceServices(step: Step, worker: WorkerState): void {
+  for (const { task, withdrawn } of worker.placed.values()) {
+    if (task.policy.kind !== "service" || !task.idempotent) continue;
+    if (withdrawn) continue;
+    step.commands.push({ kind: "replace", worker: worker.id, task });
+  }
+}
+
 function admitGroup(step: Step, group: WaitingGroup): void {
   refuseUnrunnable(step, group);
   placeGroup(step, group);
--- a/src/placement/task_entry.ts
+++ b/src/placement/task_entry.ts
@@ -1,5 +1,6 @@
 import type { Yielding } from "../hosts/mod.ts";
 import type { Resources, Task } from "../model/mod.ts";
+import type { LearnedKind } from "./learned_kind.ts";
 import type { WaitingGroup } from "./waiting_group.ts";
 import type { WorkerState } from "./worker_state.ts";
 
@@ -7,6 +8,7 @@
 export type QueuedTask = {
   kind: "queued";
   task: Task;
+  learned: LearnedKind;
   group: WaitingGroup;
   /** Whether the task still waits. */
   waits: boolean;
@@ -16,6 +18,7 @@
 export type PlacedTask = {
   kind: "placed";
   task: Task;
+  learned: LearnedKind;
   worker: WorkerState;
   /** Room held on the worker until the task has surely ended. */
   reserved: Resources;
@@ -25,8 +28,8 @@
   sinceMs: number;
   /** Whether the task is to be stopped and forgotten. */
   withdrawn: boolean;
-  /** How the task was last asked to give way, and when. */
-  yielding: { how: Yielding; atMs: number } | undefined;
+  /** How the task was last asked to give way, when, and how far it goes. */
+  yielding: { how: Yielding; atMs: number; last: Yielding } | undefined;
   /** Where the task goes back to when the worker refuses the start. */
   group: WaitingGroup | undefined;
 };
@@ -35,6 +38,7 @@
 export type CheckpointedTask = {
   kind: "checkpointed";
   task: Task;
+  learned: LearnedKind;
   worker: WorkerState;
   /** Since when the task waits, in milliseconds. */
   sinceMs: number;
--- a/src/placement/workers.ts
+++ b/src/placement/workers.ts
@@ -7,6 +7,7 @@
 import { addCheckpointed, removeCheckpointed } from "./checkpointed.ts";
 import { addLeaf, removeLeaf } from "./free_index.ts";
 import { unhold } from "./holds.ts";
+import { learnedOf } from "./learning.ts";
 import type { Placement } from "./placement.ts";
 import type { PlacementEvent } from "./placement_event.ts";
 import { dequeueTask } from "./queue.ts";
@@ -77,6 +78,7 @@
     kind: "placed",
     task,
     worker,
+    learned: learnedOf(placement, task),
     reserved: task.demand,
     confirmed: true,
     sinceMs: atMs,
