--- /dev/null
+++ b/examples/check_manifest.ts
@@ -0,0 +1,42 @@
+/**
+ * Embeds the checks of manifests: a build step reports every fault, and what
+ * the next manifest changes.
+ *
+ * @module
+ */
+import {
+  checkManifest,
+  diffManifests,
+  formatManifestChanges,
+  formatManifestFaults,
+} from "samphirestage";
+
+const SHARE = { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 0 };
+const PROOF = {
+  name: "proof",
+  policy: { kind: "batch" },
+  urgency: 8,
+  idempotent: true,
+  demand: { cpuMillis: 2_000, memoryMb: 4_096, accelerators: 0 },
+  durationMs: 400,
+};
+
+const before = checkManifest(manifestWith("order-desk", PROOF));
+const after = checkManifest(manifestWith("order-desk", {
+  ...PROOF,
+  urgency: 9,
+}));
+if (before.isOk() && after.isOk()) {
+  console.log(formatManifestChanges(diffManifests(before.value, after.value)));
+}
+
+const wrong = checkManifest(manifestWith("order-dsk", {
+  ...PROOF,
+  demand: { ...PROOF.demand, accelerators: 1 },
+}));
+if (wrong.isErr()) console.log(formatManifestFaults(wrong.error));
+
+function manifestWith(customer: string, work: object): unknown {
+  const agreement = { name: "proofs", customer, share: SHARE, work: [work] };
+  return { customers: [{ name: "order-desk" }], agreements: [agreement] };
+}
--- a/src/manifest/diff_manifests.ts
+++ b/src/manifest/diff_manifests.ts
@@ -1,6 +1,6 @@
 import { compareStrings } from "../base/mod.ts";
 import type { Manifest } from "../model/mod.ts";
-import type { ManifestChange } from "./manifest_change.ts";
+import type { ManifestDifference } from "./manifest_difference.ts";
 
 type Fields = Record<string, unknown>;
 
@@ -19,7 +19,7 @@
 export function diffManifests(
   before: Manifest,
   after: Manifest,
-): ManifestChange[] {
+): ManifestDifference[] {
   const changes = [...diffFields("", byName(before), byName(after))];
   return changes.sort((left, right) => compareStrings(left.path, right.path));
 }
@@ -28,7 +28,7 @@
   path: string,
   before: Fields,
   after: Fields,
-): Generator<ManifestChange> {
+): Generator<ManifestDifference> {
   for (const key of new Set([...Object.keys(before), ...Object.keys(after)])) {
     const keyPath = path === "" ? key : `${path}/${key}`;
     yield* diffValue(keyPath, before[key], after[key]);
@@ -39,7 +39,7 @@
   path: string,
   before: unknown,
   after: unknown,
-): Generator<ManifestChange> {
+): Generator<ManifestDifference> {
   if (before === after) return;
   if (isFields(before) && isFields(after)) {
     yield* diffFields(path, before, after);
--- a/src/manifest/format_manifest_changes.ts
+++ b/src/manifest/format_manifest_changes.ts
@@ -1,5 +1,5 @@
 import { assertNever } from "../base/mod.ts";
-import type { ManifestChange } from "./manifest_change.ts";
+import type { ManifestDifference } from "./manifest_difference.ts";
 
 /**
  * Renders the changes between two manifests, one line each: `+` for what was
@@ -11,11 +11,11 @@
  * // "~ agreements/proofs/share/cpuMillis: 400000 -> 500000"
  * ```
  */
-export function formatManifestChanges(changes: ManifestChange[]): string {
+export function formatManifestChanges(changes: ManifestDifference[]): string {
   return changes.map(formatChange).join("\n");
 }
 
-function formatChange(change: ManifestChange): string {
+function formatChange(change: ManifestDifference): string {
   switch (change.kind) {
     case "added":
       return `+ ${change.path}${formatAfterColon(change.after)}`;
--- a/src/manifest/manifest_change.ts
+++ b/src/manifest/manifest_difference.ts
@@ -1,5 +1,5 @@
 /** One difference between two manifests. */
-export type ManifestChange =
+export type ManifestDifference =
   /** A customer, agreement, kind of work or optional field appeared. */
   | { kind: "added"; path: string; after: unknown }
   | { kind: "removed"; path: string; before: unknown }
--- a/src/manifest/mod.ts
+++ b/src/manifest/mod.ts
@@ -7,6 +7,6 @@
 export * from "./check_manifest.ts";
 export * from "./diff_manifests.ts";
 export * from "./format_manifest_changes.ts";
-export * from "./manifest_change.ts";
+export * from "./manifest_difference.ts";
 export { formatManifestFaults, type ManifestFault } from "./manifest_fault.ts";
 export * from "./manifest_json_schema.ts";
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -8,5 +8,8 @@
 export * from "./diagnostics/mod.ts";
 export * from "./hosts/mod.ts";
 export * from "./log_state/mod.ts";
+export * from "./manifest/mod.ts";
+export * from "./membership/mod.ts";
 export * from "./model/mod.ts";
+export * from "./placement/mod.ts";
 export * from "./time_line/mod.ts";
