--- /dev/null
+++ b/src/limits/limits_test.ts
@@ -0,0 +1,131 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import {
+  admit,
+  backoffDelayMs,
+  createAdmission,
+  createRetryBudget,
+  HOP_ALLOWANCE_MS,
+  noteFirstAttempt,
+  passedTimeMs,
+  releaseAdmitted,
+  spendRetry,
+} from "./mod.ts";
+
+const SEED = 20_253;
+
+test("retry budget: retries stay a fixed part of the first attempts", () => {
+  const budget = createRetryBudget(
+    { retriesPerAttempt: 0.1, retriesPerS: 0, maxSaved: 10 },
+    0,
+  );
+  let retries = 0;
+  for (let attempt = 0; attempt < 1_000; attempt++) {
+    noteFirstAttempt(budget);
+    for (let failure = 0; failure < 5; failure++) {
+      if (spendRetry(budget, attempt)) retries += 1;
+    }
+  }
+  assert.ok(retries <= 0.1 * 1_000 + 10, `${retries} retries`);
+  assert.ok(retries >= 0.1 * 1_000, `${retries} retries`);
+});
+
+test("retry budget: time alone earns a few, and a clock that goes back none", () => {
+  const budget = createRetryBudget(
+    { retriesPerAttempt: 0, retriesPerS: 1, maxSaved: 2 },
+    0,
+  );
+  assert.deepEqual([1, 2, 3].map(() => spendRetry(budget, 0)), [
+    true,
+    true,
+    false,
+  ]);
+  assert.ok(spendRetry(budget, 1_000));
+  assert.equal(spendRetry(budget, 500), false);
+  assert.equal(spendRetry(budget, 1_000), false);
+});
+
+test("backoff: delays double up to the maximum, and differ", () => {
+  const options = { firstMs: 100, maxMs: 5_000 };
+  const low = { integer: (least: number) => least };
+  const high = { integer: (_: number, most: number) => most };
+  const retries = [1, 2, 3, 7, 1_000];
+  assert.deepEqual(retries.map((n) => backoffDelayMs(options, n, high)), [
+    100,
+    200,
+    400,
+    5_000,
+    5_000,
+  ]);
+  assert.deepEqual(retries.map((n) => backoffDelayMs(options, n, low)), [
+    50,
+    100,
+    200,
+    2_500,
+    2_500,
+  ]);
+});
+
+test("deadline: each hop leaves less time, and none is passed on too late", () => {
+  assert.equal(passedTimeMs(1_000, 0), 1_000 - HOP_ALLOWANCE_MS);
+  assert.equal(passedTimeMs(1_000, 1_000 - HOP_ALLOWANCE_MS), undefined);
+  assert.equal(passedTimeMs(1_000, 2_000), undefined);
+});
+
+test("admission: a flood gives way to a customer with less", () => {
+  const admission = createAdmission({ capacity: 10, customerCapacity: 10 });
+  for (let n = 0; n < 10; n++) admit(admission, "flood", 1);
+  assert.deepEqual(admit(admission, "flood", 1), { kind: "refused" });
+  assert.deepEqual(admit(admission, "press", 2), {
+    kind: "admitted",
+    shed: [{ customer: "flood", units: 2 }],
+  });
+  assert.deepEqual(admit(admission, "press", 4), { kind: "refused" });
+  releaseAdmitted(admission, "flood", 3);
+  assert.deepEqual(admit(admission, "press", 3), {
+    kind: "admitted",
+    shed: [],
+  });
+});
+
+test("admission: whoever stays within an equal part is neither refused nor shed", () => {
+  const customers = ["a", "b", "c", "polite"];
+  const capacity = 40;
+  const equal = capacity / customers.length;
+  const steps = fc.array(
+    fc.record({
+      customer: fc.constantFrom(...customers),
+      units: fc.integer({ min: 1, max: 15 }),
+      leaves: fc.boolean(),
+    }),
+    { maxLength: 200 },
+  );
+  fc.assert(
+    fc.property(steps, (list) => {
+      const admission = createAdmission({ capacity, customerCapacity: 30 });
+      for (const { customer, units, leaves } of list) {
+        const held = admission.waiting.get(customer) ?? 0;
+        if (leaves) {
+          releaseAdmitted(admission, customer, units);
+          continue;
+        }
+        const isPolite = customer === "polite";
+        const asked = isPolite ? Math.min(units, equal - held) : units;
+        if (asked === 0) continue;
+        const decision = admit(admission, customer, asked);
+        if (isPolite) assert.equal(decision.kind, "admitted");
+        if (decision.kind === "admitted") {
+          assert.ok(decision.shed.every((work) => work.customer !== "polite"));
+        }
+        const total = [...admission.waiting.values()].reduce(
+          (a, b) => a + b,
+          0,
+        );
+        assert.equal(total, admission.total);
+        assert.ok(total <= capacity);
+      }
+    }),
+    { seed: SEED, numRuns: 2_000 },
+  );
+});
--- /dev/null
+++ b/src/limits/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * Limits that keep overload from spreading: retry budget, backoff, admission,
+ * deadlines, and the cutting of shares. Pure: clock readings and randomness
+ * are passed in.
+ *
+ * @module
+ */
+export * from "./admission.ts";
+export * from "./backoff.ts";
+export * from "./deadline.ts";
+export * from "./retry_budget.ts";
+export * from "./share_book.ts";
+export * from "./cut_shares.ts";
