--- a/src/model/outcome.ts
+++ b/src/model/outcome.ts
@@ -7,7 +7,7 @@
     index: v.number(),
     worker: v.string(),
     attempt: v.number(),
-    output: v.unknown(),
+    output: v.optional(v.unknown()),
   }),
   v.object({
     kind: v.literal("failed"),
--- a/src/model/task.ts
+++ b/src/model/task.ts
@@ -22,7 +22,7 @@
   demand: resourcesSchema,
   /** How long the task is expected to run, in milliseconds. */
   durationMs: v.number(),
-  payload: v.unknown(),
+  payload: v.optional(v.unknown()),
 });
 
 /** One task of a request, with all that a worker needs to run it. */
