--- a/src/membership/heartbeat_link.ts
+++ b/src/membership/heartbeat_link.ts
@@ -12,10 +12,16 @@
   "heard",
   "bars",
   "shapes",
-] as const satisfies (keyof HeartbeatSections)[];
+] as const satisfies SectionName[];
 
-/** A heartbeat and the digest of its sections. */
-type DigestedHeartbeat = { heartbeat: Heartbeat; digest: string };
+/** A heartbeat with its sections as text and the digest of them all. */
+type DigestedHeartbeat = {
+  heartbeat: Heartbeat;
+  texts: Map<SectionName, string>;
+  digest: string;
+};
+
+type SectionName = keyof HeartbeatSections;
 
 /** What two peers know of each other's latest heartbeats; one per peer. */
 export type HeartbeatLink = {
@@ -53,17 +59,18 @@
   heartbeat: Heartbeat,
 ): HeartbeatFrame {
   const { acknowledged, received } = link;
-  link.sent = { heartbeat, digest: sectionsDigest(heartbeat) };
+  const sent = digestHeartbeat(heartbeat);
+  link.sent = sent;
   return {
     sentAtMs: heartbeat.sentAtMs,
     leaving: heartbeat.leaving,
     version: heartbeat.version,
     listedAsOfMs: heartbeat.listedAsOfMs,
     load: dynamicLoad(heartbeat.load),
-    digest: link.sent.digest,
+    digest: sent.digest,
     ...(acknowledged && { base: acknowledged.digest }),
     ...(received && { have: received.digest }),
-    sections: changedSections(heartbeat, acknowledged?.heartbeat),
+    sections: changedSections(sent, acknowledged),
   };
 }
 
@@ -105,8 +112,9 @@
     bars,
     load: { ...frame.load, shapes },
   };
-  if (sectionsDigest(heartbeat) !== frame.digest) return undefined;
-  link.received = { heartbeat, digest: frame.digest };
+  const received = digestHeartbeat(heartbeat);
+  if (received.digest !== frame.digest) return undefined;
+  link.received = received;
   return heartbeat;
 }
 
@@ -124,14 +132,12 @@
 }
 
 function changedSections(
-  heartbeat: Heartbeat,
-  base: Heartbeat | undefined,
+  sent: DigestedHeartbeat,
+  base: DigestedHeartbeat | undefined,
 ): HeartbeatSections {
-  const sections = sectionsOf(heartbeat);
-  if (!base) return sections;
-  const before = sectionsOf(base);
+  const sections = sectionsOf(sent.heartbeat);
   const changed = SECTION_NAMES.filter((name) =>
-    JSON.stringify(before[name]) !== JSON.stringify(sections[name])
+    base?.texts.get(name) !== sent.texts.get(name)
   );
   return Object.fromEntries(changed.map((name) => [name, sections[name]]));
 }
@@ -147,8 +153,12 @@
   return { queued, queuedByUrgency, free, running };
 }
 
-function sectionsDigest(heartbeat: Heartbeat): string {
+function digestHeartbeat(heartbeat: Heartbeat): DigestedHeartbeat {
   const sections = sectionsOf(heartbeat);
-  const values = SECTION_NAMES.map((name) => sections[name]);
-  return digest(JSON.stringify(values)).slice(0, DIGEST_LENGTH);
+  const texts = new Map<SectionName, string>();
+  for (const name of SECTION_NAMES) {
+    texts.set(name, JSON.stringify(sections[name]));
+  }
+  const whole = digest([...texts.values()].join());
+  return { heartbeat, texts, digest: whole.slice(0, DIGEST_LENGTH) };
 }
