Start successors of services on leaving workers

Cause: the placement core asks for a successor (replace), and nobody answered.

What: the home queues a successor under a new task id of the request and stops the replica once the successor runs; an owner that is not the home tells it. An adopter enters successors that it finds at the workers.

--- a/examples/place_tasks.ts
+++ b/examples/place_tasks.ts
@@ -89,6 +89,9 @@
       case "offload":
         console.log(`offer ${command.requestId} to peers`);
         break;
+      case "replace":
+        console.log(`replace ${command.task.id} on ${command.worker}`);
+        break;
       default:
         console.log(`${command.kind} ${command.taskId}`);
     }
--- a/src/daemon/event_report.ts
+++ b/src/daemon/event_report.ts
@@ -58,6 +58,11 @@
   "request.taken": report("requests", "debug", "Took work for a peer."),
   "request.copied": report("requests", "info", "Kept a copy for the log."),
   "request.adopted": report("requests", "info", "Adopted durable work."),
+  "service.replacing": report(
+    "placement",
+    "info",
+    "Starting a successor of a replica on a leaving worker.",
+  ),
   "task.started": report(
     "placement",
     "debug",
--- a/src/instance/adoption_flow.ts
+++ b/src/instance/adoption_flow.ts
@@ -25,7 +25,7 @@
 import { awayAt } from "./recovery_flow.ts";
 import { homeOf } from "./report_flow.ts";
 import { splitRequestId } from "./request_ids.ts";
-import { enterRequest } from "./requests.ts";
+import { enterRequest, enterTask } from "./requests.ts";
 import { queueTasks, resolveLostRun } from "./task_queue.ts";
 import { endTask } from "./task_end.ts";
 import { applyRecord } from "./task_record.ts";
@@ -140,6 +140,7 @@
     "log",
   );
   entry.moveEpoch = search.moveEpoch;
+  enterSuccessors(entry, search);
   endKnown(scheduler, entry);
   const unstarted: TaskEntry[] = [];
   for (const task of entry.tasks.values()) {
@@ -155,6 +156,15 @@
   }
 }
 
+/** Enters replicas that the lost home started in place of others. */
+function enterSuccessors(entry: RequestEntry, search: Search): void {
+  for (const sighting of search.sightings.values()) {
+    if (sighting.kind !== "record") continue;
+    const { task } = sighting.record;
+    if (!entry.tasks.has(task.index)) enterTask(entry, task);
+  }
+}
+
 /** Ends the tasks whose outcome the log has. */
 function endKnown(scheduler: Scheduler, entry: RequestEntry): void {
   const accepted = scheduler.log.requests.get(entry.request.id);
--- a/src/instance/cancel_flow.ts
+++ b/src/instance/cancel_flow.ts
@@ -31,12 +31,20 @@
   if (entry.cancelled || entry.outcome !== undefined) return;
   entry.cancelled = true;
   note(scheduler, "request.cancelled", entry.request.id);
-  const queued = [...entry.tasks.values()]
-    .filter((task) => task.progress.kind === "queued");
-  forgetQueued(scheduler, entry, queued);
-  for (const task of entry.tasks.values()) {
-    stopStarted(scheduler, task);
-  }
+  const tasks = [...entry.tasks.values()];
+  const isQueued = (task: TaskEntry) => task.progress.kind === "queued";
+  forgetQueued(scheduler, entry, tasks.filter(isQueued));
+  for (const task of tasks) stopStarted(scheduler, task);
+}
+
+/** Forgets a task that waits, or stops it wherever it runs. */
+export function stopTask(
+  scheduler: Scheduler,
+  entry: RequestEntry,
+  task: TaskEntry,
+): void {
+  if (task.progress.kind === "queued") forgetQueued(scheduler, entry, [task]);
+  else stopStarted(scheduler, task);
 }
 
 /** Stops or forgets tasks on the request of a peer that answers for them. */
--- a/src/instance/lookups.ts
+++ b/src/instance/lookups.ts
@@ -150,7 +150,7 @@
     for (const { worker } of answer.held) held.add(worker);
     for (const sighting of answer.sightings) {
       prefer(sightings, sighting);
-      if (sighting.kind !== "record") {
+      if (sighting.kind !== "record" && sighting.kind !== "leaving") {
         moveEpoch = Math.max(moveEpoch, sighting.epoch);
       }
       if (sighting.kind !== "queued" || answer === here) continue;
@@ -288,5 +288,7 @@
       return 2;
     case "returned":
       return 1;
+    case "leaving":
+      return 0;
   }
 }
--- a/src/instance/peer_message.ts
+++ b/src/instance/peer_message.ts
@@ -34,6 +34,12 @@
     code: v.number(),
     cause: v.string(),
   }),
+  v.object({
+    /** A service replica whose worker is about to leave. */
+    kind: v.literal("leaving"),
+    taskId: v.string(),
+    worker: v.string(),
+  }),
   v.object({
     /** The task was handed over, and surely did not start. */
     kind: v.literal("returned"),
--- a/src/instance/placement_driver.ts
+++ b/src/instance/placement_driver.ts
@@ -12,6 +12,7 @@
 import { moveTasks } from "./move_flow.ts";
 import { findTask } from "./requests.ts";
 import { endUnstarted } from "./task_end.ts";
+import { replaceOrReport } from "./replace_service.ts";
 import { spawn } from "./runner.ts";
 import type { Scheduler } from "./scheduler.ts";
 import { makeYield, startOnWorker } from "./start_flow.ts";
@@ -54,6 +55,9 @@
       endUnstarted(scheduler, entry, task, command.code, command.cause);
       break;
     }
+    case "replace":
+      replaceOrReport(scheduler, command.worker, command.task);
+      break;
     case "offload":
       spawn(
         scheduler.runner,
--- a/src/instance/recovery_flow.ts
+++ b/src/instance/recovery_flow.ts
@@ -12,6 +12,7 @@
 import { endUnstarted } from "./task_end.ts";
 import { mayRepeat, requeueUnstarted, resolveLostRun } from "./task_queue.ts";
 import { applyRecord, seenAt } from "./task_record.ts";
+import { replaceReplica } from "./replace_service.ts";
 import type { Progress } from "./request_entry.ts";
 import type { Scheduler } from "./scheduler.ts";
 import { resolveUnremembered } from "./unremembered.ts";
@@ -198,6 +199,9 @@
       break;
     case "queued":
       break;
+    case "leaving":
+      replaceReplica(scheduler, entry, task);
+      break;
     case "refused":
       if (!isStillMoved(task.progress, guest)) break;
       if (sighting.epoch !== entry.moveEpoch) break;
--- a/src/instance/request_entry.ts
+++ b/src/instance/request_entry.ts
@@ -34,6 +34,10 @@
   progress: Progress;
   /** The worker on which the current attempt is known to have started. */
   startedOn: string | undefined;
+  /** Index of the replica that this task takes the place of. */
+  replaces?: number;
+  /** Index of the task that takes the place of this replica. */
+  successor?: number;
 };
 
 /** What this instance is to a request. */
--- a/src/instance/task_record.ts
+++ b/src/instance/task_record.ts
@@ -12,6 +12,7 @@
 import { notify } from "./runner.ts";
 import { note, type Scheduler } from "./scheduler.ts";
 import { endTask, outcomeOf } from "./task_end.ts";
+import { stopTask } from "./cancel_flow.ts";
 import { mayRepeat, repeatTask } from "./task_queue.ts";
 import { requestTopic } from "./topics.ts";
 
@@ -77,10 +78,23 @@
   } else if (task.progress.kind !== "moved") {
     task.progress = awayAt(scheduler, seen);
   }
+  stopReplaced(scheduler, entry, task);
   if (isNew) note(scheduler, "task.started", task.task.id, worker);
   notify(scheduler.runner, requestTopic(entry.request.id));
 }
 
+/** A successor runs: the replica in whose place it is may end. */
+function stopReplaced(
+  scheduler: Scheduler,
+  entry: RequestEntry,
+  successor: TaskEntry,
+): void {
+  if (successor.replaces === undefined) return;
+  const replica = entry.tasks.get(successor.replaces);
+  if (replica === undefined || replica.progress.kind === "ended") return;
+  stopTask(scheduler, entry, replica);
+}
+
 function applyEnd(
   scheduler: Scheduler,
   entry: RequestEntry,
@@ -103,6 +117,7 @@
   record: TaskRecord,
 ): boolean {
   if (!mayRepeat(scheduler, entry, task)) return false;
+  if (task.successor !== undefined) return false;
   if (task.task.policy.kind === "service") return true;
   if (record.state === "stopped") return true;
   return record.state === "failed" &&
