Bound admission, retries and shares in the instance

Cause: the limits stood beside the instance without being used.

What: a full queue refuses waiting work of the customers that hold the most of it, so a flood of one leaves the others their part; retries of starts, moves, reports and withdrawals spend one budget with exponential backoff; shares are cut by zone capacity and evenly between the instances of a zone.

--- a/src/daemon/event_report.ts
+++ b/src/daemon/event_report.ts
@@ -54,6 +54,11 @@
     "requestsEnded",
   ),
   "request.cancelled": report("requests", "info", "Cancelled a request."),
+  "request.shed": report(
+    "requests",
+    "warn",
+    "Refused waiting work of a customer that holds too much of the queue.",
+  ),
   "request.moved": report("requests", "debug", "Moved work to a peer."),
   "request.taken": report("requests", "debug", "Took work for a peer."),
   "request.copied": report("requests", "info", "Kept a copy for the log."),
--- a/src/instance/cancel_flow.ts
+++ b/src/instance/cancel_flow.ts
@@ -11,15 +11,14 @@
 import type { RequestEntry, TaskEntry } from "./request_entry.ts";
 import { findTask } from "./requests.ts";
 import { endUnstarted } from "./task_end.ts";
+import { waitToRetry } from "./retry.ts";
 import { spawn } from "./runner.ts";
 import { note, type Scheduler } from "./scheduler.ts";
 import { makeYield } from "./start_flow.ts";
-import { callPeer, sleep } from "./waits.ts";
+import { callPeer } from "./waits.ts";
 
 /** How often a withdrawal is sent to the peer that has the task. */
 const MAX_WITHDRAW_TRIES = 20;
-/** Delay before a withdrawal is sent again. */
-const WITHDRAW_RETRY_MS = 500;
 /** Time-out of one withdrawal. */
 const WITHDRAW_TIMEOUT_MS = 1_000;
 
@@ -141,6 +140,6 @@
       );
       if (result.isOk()) return;
     }
-    yield* sleep(WITHDRAW_RETRY_MS);
+    yield* waitToRetry(scheduler, tries + 1);
   }
 }
--- a/src/instance/move_flow.ts
+++ b/src/instance/move_flow.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { hash32 } from "../base/mod.ts";
+import { noteFirstAttempt } from "../limits/mod.ts";
 import { holderOf, loadOf, memberOf, membersOf } from "../membership/mod.ts";
 import {
   addResources,
@@ -18,15 +19,14 @@
 import { findTask } from "./requests.ts";
 import { requeueUnstarted } from "./task_queue.ts";
 import { zonesInReach } from "./lookups.ts";
+import { waitToRetry } from "./retry.ts";
 import { note, type Scheduler, selfHolder } from "./scheduler.ts";
-import { callPeer, sleep } from "./waits.ts";
+import { callPeer } from "./waits.ts";
 
 /** The shortest time between two moves of one request. */
 const MOVE_INTERVAL_MS = 1_000;
 /** Time-out of one move. */
 const MOVE_TIMEOUT_MS = 1_500;
-/** Delay before a move whose effect is unknown is sent again. */
-const MOVE_RETRY_MS = 500;
 
 /**
  * Moves queued tasks of one request to a peer that has room for them. The
@@ -90,7 +90,8 @@
     request: { ...entry.request, tasks: [] },
     tasks: tasks.map((task) => task.task),
   };
-  while (memberOf(scheduler.membership, holderOf(guest)) !== undefined) {
+  noteFirstAttempt(scheduler.retryBudget);
+  for (let retry = 1; isReachable(scheduler, guest); retry++) {
     const result = yield* callPeer(
       guest.url,
       message,
@@ -99,12 +100,16 @@
     );
     // A peer that refuses a move refuses every copy of it that comes later.
     if (result.isOk()) return result.value.accepted;
-    yield* sleep(MOVE_RETRY_MS);
+    yield* waitToRetry(scheduler, retry);
   }
   // The recovery of moved tasks finds out what the lost peer did with them.
   return true;
 }
 
+function isReachable(scheduler: Scheduler, guest: Instance): boolean {
+  return memberOf(scheduler.membership, holderOf(guest)) !== undefined;
+}
+
 /** Hands tasks that found no room back to their home, which may move them. */
 function returnTasks(
   scheduler: Scheduler,
--- a/src/instance/refusals.ts
+++ b/src/instance/refusals.ts
@@ -33,6 +33,12 @@
   return problem(503, message.code, formatDiagnostic(message, cause), false);
 }
 
+/** Refuses work for which the queue has no room; nothing was run. */
+export function queueFull(): CallAnswer {
+  const { code, template } = diagnostics.queueFull;
+  return problem(503, code, template, false);
+}
+
 /** Refuses an id that was not issued to the customer. */
 export function unknownId(): CallAnswer {
   const { code, template } = diagnostics.requestIdInvalid;
--- a/src/instance/report_flow.ts
+++ b/src/instance/report_flow.ts
@@ -15,15 +15,14 @@
   type Sighting,
 } from "./peer_message.ts";
 import { requestIdOf } from "./requests.ts";
+import { waitToRetry } from "./retry.ts";
 import { spawn } from "./runner.ts";
 import { isSelf, type Scheduler, selfHolder } from "./scheduler.ts";
 import { splitRequestId } from "./request_ids.ts";
-import { callPeer, sleep } from "./waits.ts";
+import { callPeer } from "./waits.ts";
 
 /** How often a report is tried. */
 const MAX_REPORT_TRIES = 3;
-/** Delay before a report is tried again. */
-const REPORT_RETRY_MS = 300;
 /** Time-out of one report. */
 const REPORT_TIMEOUT_MS = 1_000;
 
@@ -81,6 +80,6 @@
       REPORT_TIMEOUT_MS,
     );
     if (result.isOk()) return;
-    yield* sleep(REPORT_RETRY_MS);
+    yield* waitToRetry(scheduler, tries + 1);
   }
 }
--- a/src/instance/scheduler.ts
+++ b/src/instance/scheduler.ts
@@ -1,5 +1,12 @@
 import type { Randomness } from "../hosts/mod.ts";
 import { createLogState, type LogState } from "../log_state/mod.ts";
+import {
+  createRetryBudget,
+  createShareBook,
+  type RetryBudget,
+  type RetryBudgetOptions,
+  type ShareBook,
+} from "../limits/mod.ts";
 import {
   createMembership,
   type HeartbeatLink,
@@ -52,11 +59,15 @@
   options: SchedulerOptions;
   randomness: Randomness;
   moment: Moment;
+  /** Bounds how many calls are tried again. */
+  retryBudget: RetryBudget;
   runner: Runner;
   membership: Membership;
   /** What was exchanged with each peer, by its base URL. */
   links: Map<string, HeartbeatLink>;
   placement: Placement;
+  /** From what the agreements' shares are cut. */
+  shareBook: ShareBook;
   log: LogState;
   logReachable: boolean;
   /** Whether the log was read to its end once. */
@@ -116,6 +127,7 @@
     options,
     randomness,
     moment,
+    retryBudget: createRetryBudget(RETRY_BUDGET, moment.steadyMs),
     runner: createRunner(),
     membership: createMembership(self, {
       deadAfterMs: options.deadAfterMs,
@@ -129,6 +141,7 @@
       randomness,
       maxQueuedTasks: options.maxQueuedTasks,
     }),
+    shareBook: createShareBook(),
     log: createLogState(),
     logReachable: false,
     logCaughtUp: false,
@@ -157,6 +170,12 @@
   };
 }
 
+/** A tenth of the first attempts may be tried again, and some more by time. */
+const RETRY_BUDGET: RetryBudgetOptions = {
+  retriesPerAttempt: 0.1,
+  retriesPerS: 20,
+  maxSaved: 200,
+};
 /** How many events of the time line an instance keeps. */
 const TIME_LINE_EVENTS = 5_000;
 
--- a/src/instance/start_flow.ts
+++ b/src/instance/start_flow.ts
@@ -5,6 +5,7 @@
  */
 import { diagnostics } from "../diagnostics/mod.ts";
 import type { Fault, Yielding } from "../hosts/mod.ts";
+import { noteFirstAttempt } from "../limits/mod.ts";
 import type { Task, TaskId, TaskRecord } from "../model/mod.ts";
 import type { StartRefusal } from "../placement/mod.ts";
 import type { Flow } from "./flow.ts";
@@ -14,11 +15,10 @@
 import { findTask } from "./requests.ts";
 import { requeueUnstarted } from "./task_queue.ts";
 import { applyRecord, seenAt } from "./task_record.ts";
+import { waitToRetry } from "./retry.ts";
 import { note, type Scheduler } from "./scheduler.ts";
-import { sleep, startTask, yieldTask } from "./waits.ts";
+import { startTask, yieldTask } from "./waits.ts";
 
-/** Delay before a start or yield command is sent again. */
-const COMMAND_RETRY_MS = 200;
 /** How often an unsent start is tried before another worker is chosen. */
 const MAX_UNSENT_STARTS = 2;
 /** How often a yield command is tried. */
@@ -36,6 +36,8 @@
 ): Flow<void> {
   let mayHaveArrived = false;
   let unsent = 0;
+  let retries = 0;
+  noteFirstAttempt(scheduler.retryBudget);
   while (true) {
     const held = heldUnder(scheduler, worker, token);
     if (held === undefined) return;
@@ -65,7 +67,8 @@
         mayHaveArrived = true;
         break;
     }
-    yield* sleep(COMMAND_RETRY_MS);
+    retries++;
+    yield* waitToRetry(scheduler, retries);
   }
 }
 
@@ -82,7 +85,7 @@
     if (held === undefined) return;
     const result = yield* yieldTask(held.address, token, taskId, yielding);
     if (result.isOk() || result.error.kind === "refused") return;
-    yield* sleep(COMMAND_RETRY_MS);
+    yield* waitToRetry(scheduler, tries + 1);
   }
 }
 
--- a/src/instance/step.ts
+++ b/src/instance/step.ts
@@ -21,6 +21,7 @@
 import type { Scheduler } from "./scheduler.ts";
 import type { SchedulerCommand } from "./scheduler_command.ts";
 import type { Moment, SchedulerEvent } from "./scheduler_event.ts";
+import { keepShares } from "./share_flow.ts";
 import { issue, submit, submitKeyed } from "./submit_flow.ts";
 import { OWNERSHIP_TOPIC } from "./topics.ts";
 import { recordUsage } from "./usage_flow.ts";
@@ -77,6 +78,7 @@
     recordUsage(scheduler),
     tickPlacement(scheduler),
     tellOfPeers(scheduler),
+    keepShares(scheduler),
     forgetOld(scheduler),
   ];
   for (const flow of flows) spawn(scheduler.runner, flow);
--- a/src/instance/submit_flow.ts
+++ b/src/instance/submit_flow.ts
@@ -8,6 +8,7 @@
 import { type Claim, claimOf } from "../log_state/mod.ts";
 import { holderOf, membersOf } from "../membership/mod.ts";
 import type { Submission } from "../model/mod.ts";
+import { makeRoom } from "./admission.ts";
 import { commit, commitInBackground } from "./appends.ts";
 import { checkSubmission, submissionDigest } from "./checked_request.ts";
 import type { Flow } from "./flow.ts";
@@ -18,6 +19,7 @@
   conflict,
   keyUnavailable,
   notReady,
+  queueFull,
   refusalWhenUnready,
   unknownId,
   unreachable,
@@ -204,6 +206,7 @@
   );
   if (checked.isErr()) return checked.error;
   const request = checked.value;
+  if (!makeRoom(scheduler, customer, request.tasks.length)) return queueFull();
   const entry = enterRequest(
     scheduler,
     request,
