--- a/src/membership/advance.ts
+++ b/src/membership/advance.ts
@@ -6,10 +6,13 @@
 import { tick } from "./tick.ts";
 import { heardMembers, memberState } from "./views.ts";
 
+/** A gap between two calls of this part of the limit counts as a pause. */
+const PAUSE_FACTOR = 0.5;
+
 /**
  * Moves the clock on, and bars the members of the own zone that neither this
- * instance nor a live peer of the zone has heard for too long. Members of
- * other zones only count as dead: their own zone decides.
+ * instance nor a live peer of the zone has heard for too long. After
+ * a pause of this process they get that time anew. Members of other zones only count as dead: their own zone decides.
  *
  * @example
  * ```ts
@@ -24,6 +27,8 @@
   atMs: number,
 ): { barred: Instance[] } {
   tick(membership, atMs);
+  if (wasPaused(membership)) excuseSilence(membership);
+  membership.advancedAtMs = membership.nowMs;
   forgetOldBars(membership);
   const vouched = vouchedHolders(membership);
   const barred: Instance[] = [];
@@ -37,6 +42,20 @@
   return { barred };
 }
 
+/** Tells whether this process itself has stood still since the last call. */
+function wasPaused(membership: Membership): boolean {
+  const { advancedAtMs, nowMs, options } = membership;
+  if (advancedAtMs === undefined) return false;
+  return nowMs - advancedAtMs > options.deadAfterMs * PAUSE_FACTOR;
+}
+
+/** What a paused process did not hear says nothing of its peers. */
+function excuseSilence(membership: Membership): void {
+  for (const member of membership.members.values()) {
+    member.heardAtMs = Math.max(member.heardAtMs, membership.nowMs);
+  }
+}
+
 function forgetOldBars(membership: Membership): void {
   for (const [holder, entry] of membership.bars) {
     if (membership.nowMs - entry.sinceMs < BAR_RETENTION_MS) continue;
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -44,6 +44,8 @@
   options: MembershipOptions;
   /** When the latest event arrived, on the steady clock. */
   nowMs: number;
+  /** When silence was last looked at, on the steady clock. */
+  advancedAtMs: number | undefined;
   /** Incarnations that were heard and are not barred. */
   members: Map<Holder, Member>;
   /** The incarnation heard last, by instance id. */
@@ -91,6 +93,7 @@
     self,
     options,
     nowMs: 0,
+    advancedAtMs: undefined,
     members: new Map(),
     latest: new Map(),
     heardOf: new Set([self.id]),
--- a/src/membership/views_test.ts
+++ b/src/membership/views_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import type { Instance } from "../model/mod.ts";
 import {
+  advance,
   buildHeartbeat,
   createMembership,
   holderOf,
@@ -39,6 +40,19 @@
   assert.equal(memberState(a, holder), "dead");
 });
 
+test("membership: a paused process does not bar the peers it did not hear", () => {
+  const paused = createMembership(instance("a"), OPTIONS);
+  const peer = createMembership(instance("b"), OPTIONS);
+  const holder = holderOf(peer.self);
+  receiveHeartbeat(paused, buildHeartbeat(peer, IDLE), 0);
+  advance(paused, 0);
+  assert.deepEqual(advance(paused, 60_000).barred, []);
+  assert.equal(memberState(paused, holder), "live");
+  advance(paused, 60_000 + OPTIONS.deadAfterMs / 2);
+  advance(paused, 60_000 + OPTIONS.deadAfterMs);
+  assert.equal(memberState(paused, holder), "barred");
+});
+
 function instance(id: string): Instance {
   return {
     id,
