Answer callers of a lost home while they wait

What: the wait ends when the peer is barred, and a call that reached nobody who can tell is made again until its wait is over.

Ruled out: shorter time-outs (a home may hold an answer back for a minute).

--- a/src/instance/membership_flow.ts
+++ b/src/instance/membership_flow.ts
@@ -23,6 +23,7 @@
 import { heldLeases } from "./held_workers.ts";
 import { applyPlacement } from "./placement_driver.ts";
 import { requeueUnstarted } from "./task_queue.ts";
+import { endLostForwards } from "./routes.ts";
 import { notify, spawn } from "./runner.ts";
 import { keepCopy, note, type Scheduler, selfHolder } from "./scheduler.ts";
 import { OWNERSHIP_TOPIC } from "./topics.ts";
@@ -44,6 +45,7 @@
       note(scheduler, "member.barred", holderOf(instance));
     }
     if (barred.length > 0) notify(scheduler.runner, OWNERSHIP_TOPIC);
+    endLostForwards(scheduler);
     if (isSelfBarred(membership)) takeNewIncarnation(scheduler);
     for (const peer of peersToBeat(membership, moment.steadyMs)) {
       spawn(scheduler.runner, beat(scheduler, peer.url));
--- a/src/instance/read_flow.ts
+++ b/src/instance/read_flow.ts
@@ -19,7 +19,7 @@
 import { homeOf } from "./report_flow.ts";
 import { readRequestId, type RequestIdParts } from "./request_ids.ts";
 import type { RequestEntry } from "./request_entry.ts";
-import { forward, MAX_WAIT_MS, routeOf } from "./routes.ts";
+import { forward, MAX_WAIT_MS, routeOf, untilReached } from "./routes.ts";
 import { isKept, type Scheduler, selfHolder } from "./scheduler.ts";
 import { requestTopic } from "./topics.ts";
 import type { CallAnswer, View } from "./view.ts";
@@ -37,13 +37,30 @@
   const { secret } = scheduler.options;
   const parts = readRequestId(secret, requestId, customer);
   if (parts === undefined) return unknownId();
+  return yield* untilReached(
+    scheduler,
+    waitMs,
+    (leftMs) =>
+      readOnce(scheduler, customer, requestId, parts, leftMs, isForwarded),
+  );
+}
+
+function* readOnce(
+  scheduler: Scheduler,
+  customer: string,
+  requestId: string,
+  parts: RequestIdParts,
+  waitMs: number,
+  isForwarded: boolean,
+): Flow<CallAnswer> {
   const route = routeOf(scheduler, requestId, parts, isForwarded);
   switch (route.kind) {
     case "here":
       return yield* readHere(scheduler, requestId, parts, waitMs);
     case "peer": {
       const message = { kind: "read", customer, requestId, waitMs } as const;
-      return yield* forward(route.peer, requestId, message, waitMs);
+      const { peer } = route;
+      return yield* forward(scheduler, peer, requestId, message, waitMs);
     }
     case "search":
       return yield* answerForLostHome(scheduler, requestId, parts, "unknown");
@@ -76,7 +93,7 @@
     }
     case "peer": {
       const message = { kind: "cancel", customer, requestId } as const;
-      return yield* forward(route.peer, requestId, message, 0);
+      return yield* forward(scheduler, route.peer, requestId, message, 0);
     }
     case "search":
       return yield* answerForLostHome(scheduler, requestId, parts, "unknown");
--- a/src/instance/scheduler.ts
+++ b/src/instance/scheduler.ts
@@ -90,6 +90,8 @@
   requests: Map<RequestId, RequestEntry>;
   /** Durable requests kept here until the log has them. */
   copies: Map<RequestId, KeptCopy>;
+  /** Peers that calls were passed on to, by the topic that ends the wait. */
+  forwards: Map<string, Holder>;
   /** Sequence number of the next request id. */
   nextSequence: number;
   /** Requests with a lower sequence number may have been forgotten. */
@@ -155,6 +157,7 @@
     startedAtMs: moment.wallMs,
     requests: new Map(),
     copies: new Map(),
+    forwards: new Map(),
     nextSequence: 1,
     forgottenBelow: 0,
     usage: new Map(),
--- a/src/instance/submit_flow.ts
+++ b/src/instance/submit_flow.ts
@@ -32,7 +32,7 @@
 import type { Durability, RequestEntry } from "./request_entry.ts";
 import { enterRequest } from "./requests.ts";
 import { queueTasks } from "./task_queue.ts";
-import { forward, routeOf } from "./routes.ts";
+import { forward, routeOf, untilReached } from "./routes.ts";
 import { note, type Scheduler, selfHolder } from "./scheduler.ts";
 import { LOG_TOPIC } from "./topics.ts";
 import type { CallAnswer } from "./view.ts";
@@ -64,25 +64,38 @@
   const { secret } = scheduler.options;
   const parts = readRequestId(secret, requestId, customer);
   if (parts === undefined) return unknownId();
+  const submitted = { customer, requestId, submission };
+  return yield* untilReached(
+    scheduler,
+    waitMs,
+    (leftMs) => submitOnce(scheduler, submitted, parts, leftMs, isForwarded),
+  );
+}
+
+/** A submission with its customer and its id. */
+type Submitted = {
+  customer: string;
+  requestId: string;
+  submission: Submission;
+};
+
+function* submitOnce(
+  scheduler: Scheduler,
+  submitted: Submitted,
+  parts: RequestIdParts,
+  waitMs: number,
+  isForwarded: boolean,
+): Flow<CallAnswer> {
+  const { customer, requestId, submission } = submitted;
   const route = routeOf(scheduler, requestId, parts, isForwarded);
   switch (route.kind) {
     case "here":
-      return yield* submitHere(
-        scheduler,
-        customer,
-        requestId,
-        parts,
-        submission,
-        waitMs,
-      );
-    case "peer":
-      return yield* forward(route.peer, requestId, {
-        kind: "submit",
-        customer,
-        requestId,
-        submission,
-        waitMs,
-      }, waitMs);
+      return yield* submitHere(scheduler, submitted, parts, waitMs);
+    case "peer": {
+      const message = { kind: "submit", ...submitted, waitMs } as const;
+      const { peer } = route;
+      return yield* forward(scheduler, peer, requestId, message, waitMs);
+    }
     case "search":
       return yield* answerForLostHome(
         scheduler,
@@ -177,12 +190,11 @@
 
 function* submitHere(
   scheduler: Scheduler,
-  customer: string,
-  requestId: string,
+  submitted: Submitted,
   parts: RequestIdParts,
-  submission: Submission,
   waitMs: number,
 ): Flow<CallAnswer> {
+  const { customer, requestId, submission } = submitted;
   const known = scheduler.requests.get(requestId);
   if (known !== undefined) {
     if (known.request.digest !== submissionDigest(submission)) {
