--- a/src/instance/testing/fake_worker.ts
+++ b/src/instance/testing/fake_worker.ts
@@ -26,6 +26,7 @@
 
 /** How long a lease lasts. */
 export const LEASE_MS = 1_500;
+const TOKENS_PER_BOOT = 1_000;
 /** The largest amount of everything that a worker runs at once. */
 export const CAPACITY: WorkerCapacity = {
   resources: { cpuMillis: 2_000, memoryMb: 2_000, accelerators: 0 },
@@ -112,11 +113,15 @@
   worker.alive = false;
 }
 
-/** Starts the process of a worker anew. */
+/**
+ * Starts the process of a worker anew. It has forgotten everything, but its
+ * tokens go on rising, as workers promise.
+ */
 export function rebootWorker(worker: FakeWorker): void {
   const { address, boot, listed, leaving } = worker;
   Object.assign(worker, createFakeWorker(address));
   worker.boot = boot + 1;
+  worker.token = boot * TOKENS_PER_BOOT;
   worker.listed = listed;
   worker.leaving = leaving;
 }
--- a/src/instance/testing/model_cluster.ts
+++ b/src/instance/testing/model_cluster.ts
@@ -93,6 +93,7 @@
   /** How many changes were accepted by the version they were built on. */
   accepted: Map<number, number>;
   nextIncarnation: number;
+  nextChange: number;
 };
 
 /** Which instances and workers there are. */
@@ -117,6 +118,7 @@
     manifests: new Map(),
     accepted: new Map(),
     nextIncarnation: 1,
+    nextChange: 1,
   };
   appendEntry(cluster.platform, {
     kind: "manifest",
@@ -160,6 +162,17 @@
   publishList(cluster.platform, instances, cluster.workers, asOfMs);
 }
 
+/** Adds a worker under a new name, up to a few. */
+export function joinWorker(cluster: ModelCluster): void {
+  const { length } = cluster.workers;
+  if (length >= MAX_WORKERS) return;
+  const zone = zoneOf(cluster.workers[0]!.address.id);
+  cluster.workers.push(createFakeWorker(addressOf(`${zone}-w${length}`)));
+  publish(cluster);
+}
+
+const MAX_WORKERS = 5;
+
 /** Moves the clock on and runs what is due, until something is violated. */
 export function runFor(cluster: ModelCluster, durationMs: number): void {
   const untilMs = cluster.nowMs + durationMs;
--- a/src/instance/testing/model_schedule.ts
+++ b/src/instance/testing/model_schedule.ts
@@ -13,6 +13,7 @@
   callProcess,
   createModelCluster,
   deliver,
+  joinWorker,
   type ModelCluster,
   type ModelProcess,
   type ModelShape,
@@ -23,7 +24,7 @@
 import { PLATFORM } from "./model_network.ts";
 
 /** The kinds of steps; calls stand more often than failures. */
-export const MODEL_STEP_KINDS = [
+export const STEP_KINDS = [
   "order",
   "order",
   "order",
@@ -41,7 +42,7 @@
   "pause",
   "resume",
   "restart",
-  "workerRestart",
+  "workerDie",
   "workerLeave",
   "workerJoin",
   "logDown",
@@ -50,9 +51,18 @@
   "drain",
 ] as const;
 
+/** The same, with workers that restart under their old name. */
+export const STEP_KINDS_WITH_RESTARTS = [
+  ...STEP_KINDS,
+  "workerRestart",
+  "workerRestart",
+] as const;
+
+type StepKind = typeof STEP_KINDS_WITH_RESTARTS[number];
+
 /** One step; the numbers choose instances, workers and the like. */
 export type ModelStep = {
-  kind: typeof MODEL_STEP_KINDS[number];
+  kind: StepKind;
   a: number;
   b: number;
   /** How long the clock runs after the step, in milliseconds. */
@@ -79,20 +89,24 @@
 /** Longest wait of a submission or read for its outcome. */
 const MAX_WAIT_MS = 800;
 
-/** Generates schedules. */
-export const scheduleArbitrary: fc.Arbitrary<ModelSchedule> = fc.record({
-  shape: fc.constantFrom(ONE_ZONE, ONE_ZONE, TWO_ZONES),
-  seed: fc.integer({ min: 1, max: 2 ** 30 }),
-  steps: fc.array(
-    fc.record({
-      kind: fc.constantFrom(...MODEL_STEP_KINDS),
-      a: fc.nat({ max: 5 }),
-      b: fc.nat({ max: 11 }),
-      thenMs: fc.constantFrom(0, 5, 30, 200, 700),
-    }),
-    { minLength: 4, maxLength: 24, size: "max" },
-  ),
-});
+/** Generates schedules of some kinds of steps. */
+export function arbitrarySchedule(
+  kinds: readonly StepKind[],
+): fc.Arbitrary<ModelSchedule> {
+  return fc.record({
+    shape: fc.constantFrom(ONE_ZONE, ONE_ZONE, TWO_ZONES),
+    seed: fc.integer({ min: 1, max: 2 ** 30 }),
+    steps: fc.array(
+      fc.record({
+        kind: fc.constantFrom(...kinds),
+        a: fc.nat({ max: 5 }),
+        b: fc.nat({ max: 11 }),
+        thenMs: fc.constantFrom(0, 5, 30, 200, 700),
+      }),
+      { minLength: 4, maxLength: 24, size: "max" },
+    ),
+  });
+}
 
 /** Runs a schedule, and returns the cluster as it was at the end. */
 export function runSchedule(schedule: ModelSchedule): ModelCluster {
@@ -157,20 +171,18 @@
       return;
     case "restart":
       return restartProcess(cluster, index);
+    case "workerDie":
+      return killWorker(worker, cluster.nowMs);
     case "workerRestart":
       killWorker(worker, cluster.nowMs);
-      if (b < 6) rebootWorker(worker);
-      return;
+      return rebootWorker(worker);
     case "workerLeave":
       worker.leaving = true;
       if (b >= 6) killWorker(worker, cluster.nowMs);
       if (b >= 6) worker.listed = false;
       return publish(cluster);
     case "workerJoin":
-      if (!worker.alive) rebootWorker(worker);
-      worker.listed = true;
-      worker.leaving = false;
-      return publish(cluster);
+      return joinWorker(cluster);
     case "logDown":
       cluster.platform.logDown = !cluster.platform.logDown;
       return;
@@ -292,10 +304,10 @@
 ): void {
   const baseVersion = first.scheduler.log.version;
   [first, second].forEach((process, number) => {
-    const changeId = `${cluster.nowMs}-${number}`;
+    const changeId = `change-${cluster.nextChange++}`;
     const manifest = {
       ...MANIFEST,
-      customers: [...MANIFEST.customers, { name: `c${b}-${changeId}` }],
+      customers: [...MANIFEST.customers, { name: `${changeId}-${b}` }],
     };
     const call = {
       kind: "publish" as const,
