Excuse silence after a pause without faking a heartbeat

The pause rule set the time of the last heartbeat, which othersRuledOut takes as proof that a peer was heard: a process that woke could have run an idempotent task again while a peer's worker still ran it.

--- a/src/membership/advance.ts
+++ b/src/membership/advance.ts
@@ -11,8 +11,9 @@
 
 /**
  * Moves the clock on, and bars the members of the own zone that neither this
- * instance nor a live peer of the zone has heard for too long. After
- * a pause of this process they get that time anew. Members of other zones only count as dead: their own zone decides.
+ * instance nor a live peer of the zone has heard for too long. After a pause
+ * of this process they get that time anew. Members of other zones only count
+ * as dead: their own zone decides.
  *
  * @example
  * ```ts
@@ -49,10 +50,13 @@
   return nowMs - advancedAtMs > options.deadAfterMs * PAUSE_FACTOR;
 }
 
-/** What a paused process did not hear says nothing of its peers. */
+/**
+ * What a paused process did not hear says nothing of its peers. They were not
+ * heard either, so the time of the last heartbeat stays.
+ */
 function excuseSilence(membership: Membership): void {
   for (const member of membership.members.values()) {
-    member.heardAtMs = Math.max(member.heardAtMs, membership.nowMs);
+    member.silentSinceMs = membership.nowMs;
   }
 }
 
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -11,4 +11,6 @@
   heartbeat: Heartbeat;
   /** When the latest heartbeat arrived, on the steady clock. */
   heardAtMs: number;
+  /** Since when its silence counts, on the steady clock. */
+  silentSinceMs: number;
 };
--- a/src/membership/receive_heartbeat.ts
+++ b/src/membership/receive_heartbeat.ts
@@ -33,6 +33,7 @@
     instance: heartbeat.from,
     heartbeat,
     heardAtMs: membership.nowMs,
+    silentSinceMs: membership.nowMs,
   });
   membership.latest.set(heartbeat.from.id, holder);
   noteExchange(membership, heartbeat);
--- a/src/membership/views.ts
+++ b/src/membership/views.ts
@@ -69,7 +69,7 @@
 /** Tells whether a member's own heartbeat arrived within the limit. */
 export function isHeard(membership: Membership, member: Member): boolean {
   const { deadAfterMs, remoteBeatMs } = membership.options;
-  const silentMs = membership.nowMs - member.heardAtMs;
+  const silentMs = membership.nowMs - member.silentSinceMs;
   if (member.instance.zone === membership.self.zone) {
     return silentMs < deadAfterMs;
   }
