--- a/bench/tally.ts
+++ b/bench/tally.ts
@@ -23,6 +23,9 @@
   ended: number;
   refused: number;
   offloads: number;
+  events: number;
+  commands: number;
+  startCommands: number;
   failures: number;
   /** Tasks that failed for good. */
   lost: number;
@@ -50,6 +53,9 @@
     ended: 0,
     refused: 0,
     offloads: 0,
+    events: 0,
+    commands: 0,
+    startCommands: 0,
     failures: 0,
     lost: 0,
     cancelled: 0,
--- a/src/placement/choose_worker.ts
+++ b/src/placement/choose_worker.ts
@@ -14,8 +14,6 @@
 import type { Placement } from "./placement.ts";
 import type { WorkerState } from "./worker_state.ts";
 
-/** How many workers with room are compared for one batch task. */
-const BATCH_CANDIDATES = 8;
 /** How many workers with room are compared for one replica of a service. */
 const SERVICE_CANDIDATES = 64;
 
@@ -56,7 +54,7 @@
   switch (kind) {
     case "batch":
     case "gang":
-      return bestFit(index, demand);
+      return firstFit(index, demand);
     case "service":
       return spread(placement, index, task, demand);
     default:
@@ -64,24 +62,13 @@
   }
 }
 
-/** The worker of the first few with room that is left the fullest. */
-function bestFit(
+/** The first worker with room: filling in one order packs tightly. */
+function firstFit(
   index: FreeIndex<WorkerState>,
   demand: Resources,
 ): WorkerState | undefined {
-  let best: WorkerState | undefined;
-  let least = Infinity;
-  let leaf = nextFittingLeaf(index, demand, 0);
-  for (let i = 0; leaf >= 0 && i < BATCH_CANDIDATES; i++) {
-    const worker = index.leaves[leaf]!;
-    const left = leftOver(worker, demand);
-    if (left < least) {
-      least = left;
-      best = worker;
-    }
-    leaf = nextFittingLeaf(index, demand, leaf + 1);
-  }
-  return best;
+  const leaf = nextFittingLeaf(index, demand, 0);
+  return leaf < 0 ? undefined : index.leaves[leaf];
 }
 
 /** The worker on the rack with the fewest replicas of the same request. */
--- a/src/placement/holds.ts
+++ b/src/placement/holds.ts
@@ -20,6 +20,8 @@
 
 /** Work that is neither urgent nor a gang waits this long without a hold. */
 const PATIENCE_MS = 5_000;
+/** Where control costs weigh most, urgent work preempts after this time. */
+const URGENT_PATIENCE_MS = 400;
 /** How long a hold lasts for work that is not a gang. */
 const HOLD_MS = 30_000;
 /** How many groups below the preempting urgency have holds at once. */
@@ -35,6 +37,7 @@
 export function holdAtOnce(step: Step, group: WaitingGroup): void {
   if (group.waiting === 0 || group.hold !== undefined) return;
   if (group.urgency < PREEMPTING_URGENCY) return;
+  if (!isPatienceOver(step, group)) return;
   takeHold(step, group);
 }
 
@@ -53,15 +56,13 @@
 
 /** Takes holds for the groups that have waited long enough, in order. */
 export function takeHolds(step: Step): void {
-  const { placement, atMs } = step;
+  const { placement } = step;
   if (placement.queued === 0) return;
   for (const group of groupsToHold(step)) {
     if (group.hold !== undefined) continue;
     const isUrgent = group.urgency >= PREEMPTING_URGENCY;
     if (!isUrgent && placement.holds.size >= MOST_HOLDS) return;
-    if (isUrgent || atMs - group.queuedAtMs >= patienceMs(group.policy)) {
-      takeHold(step, group);
-    }
+    if (isPatienceOver(step, group)) takeHold(step, group);
   }
 }
 
@@ -125,11 +126,11 @@
 function takeHold(step: Step, group: WaitingGroup): void {
   const { placement, atMs } = step;
   const limit = Math.max(1, Math.floor(MOST_HELD * placement.workers.size));
+  if (placement.held >= limit) return;
   const plan = planHold(step, group, tasksToHold(group));
   if (plan === undefined) return;
   const isGang = group.policy.kind === "gang";
   if (!isGang && placement.held + plan.workers.size > limit) return;
-  if (isGang && placement.held > limit) return;
   const untilMs = atMs + holdMs(group.policy);
   const hold: Hold = { group, untilMs, ...plan };
   placement.holds.add(hold);
@@ -148,8 +149,13 @@
   return Math.min(group.waiting, TASKS_HELD);
 }
 
-function patienceMs(policy: Policy): number {
-  return policy.kind === "gang" ? 0 : PATIENCE_MS;
+function isPatienceOver({ placement, atMs }: Step, group: WaitingGroup) {
+  const waitedMs = atMs - group.queuedAtMs;
+  if (group.urgency >= PREEMPTING_URGENCY) {
+    const { preference } = placement.options;
+    return preference === "waiting" || waitedMs >= URGENT_PATIENCE_MS;
+  }
+  return group.policy.kind === "gang" || waitedMs >= PATIENCE_MS;
 }
 
 function holdMs(policy: Policy): number {
