Mend deadlines of repeats, and explain what keeps a task waiting

Cause: read again, three faults. A later attempt of a request past its start deadline was never placed and never refused. A refused start that went back to the queue was no longer watched for its deadline. A worker that was acquired again forgot that it was leaving.

A baseline of the bench tried only the first 16 waiting requests, so that "least loaded" started nothing at the design size; it now passes over a kind of work only after that kind has found no room.

What is kept of agreements that are no longer in force is forgotten with the manifest. The two deadline tests fail on a scratch copy without the mends.

--- a/bench/baseline.ts
+++ b/bench/baseline.ts
@@ -15,9 +15,6 @@
 import type { PlacementCommand, PlacementEvent } from "../src/placement/mod.ts";
 import type { Scheduler } from "./scheduler.ts";
 
-/** How many waiting requests are tried when room has come free. */
-const REQUESTS_TRIED = 16;
-
 /** How a baseline chooses. */
 export type BaselineKind =
   /** Any worker with room, at random. */
@@ -45,6 +42,8 @@
   byId: Map<string, BaselineWorker>;
   /** Waiting requests; a gang's tasks stay together. */
   queue: Task[][];
+  /** Every kind of work seen; one that failed is not tried again at once. */
+  kinds: Set<string>;
 };
 
 /** Creates a baseline. */
@@ -58,6 +57,7 @@
     workers: [],
     byId: new Map(),
     queue: [],
+    kinds: new Set(),
   };
   return (event) => step(baseline, event);
 }
@@ -94,6 +94,7 @@
 }
 
 function enqueue(baseline: Baseline, tasks: Task[]): void {
+  for (const { work } of tasks) baseline.kinds.add(work);
   const isGang = tasks[0]?.policy.kind === "gang";
   const requests = isGang ? [tasks] : tasks.map((task) => [task]);
   const { queue } = baseline;
@@ -107,15 +108,17 @@
 }
 
 function serve(baseline: Baseline, commands: PlacementCommand[]): void {
-  const { queue, kind } = baseline;
-  const tries = kind === "first come" ? 1 : REQUESTS_TRIED;
-  let failed = 0;
-  for (let i = 0; i < queue.length && failed < tries;) {
-    if (startTogether(baseline, queue[i]!, commands)) {
+  const { queue, kind, kinds } = baseline;
+  const failed = new Set<string>();
+  for (let i = 0; i < queue.length && failed.size < kinds.size;) {
+    const { work } = queue[i]![0]!;
+    if (failed.has(work)) {
+      i += 1;
+    } else if (startTogether(baseline, queue[i]!, commands)) {
       queue.splice(i, 1);
     } else {
-      failed += 1;
-      i += 1;
+      if (kind === "first come") return;
+      failed.add(work);
     }
   }
 }
--- a/src/placement/explain_task.ts
+++ b/src/placement/explain_task.ts
@@ -1,8 +1,12 @@
 import { assertNever } from "../base/mod.ts";
 import { demandOf } from "./learning.ts";
 import type { Placement } from "./placement.ts";
+import { fitsInto, type Resources } from "../model/mod.ts";
 import { agedUrgency } from "./rank.ts";
+import { hasSpace } from "./room.ts";
 import type { PlacedTask, QueuedTask } from "./task_entry.ts";
+import type { WaitingGroup } from "./waiting_group.ts";
+import type { WorkerState } from "./worker_state.ts";
 
 /**
  * Explains why a task waits, or where it runs, in short lines for operators.
@@ -56,6 +60,35 @@
     `waits since ${waitedMs} ms with urgency ${urgency}`,
     `needs ${cpuMillis} cpuMillis, ${memoryMb} MiB, ` +
     `${accelerators} accelerators`,
-    `${placement.workers.size} workers here, none with the room`,
+    ...explainHold(group),
+    ...explainWorkers(placement, demandOf(placement, queued)),
   ];
 }
+
+function explainHold({ hold }: WaitingGroup): string[] {
+  if (hold === undefined) return [];
+  const workers = [...hold.workers.keys()].map(({ id }) => id);
+  return [`has a hold on ${workers.join(", ")}`];
+}
+
+/** Counts the workers by what keeps the task off them. */
+function explainWorkers(placement: Placement, demand: Resources): string[] {
+  const counts = new Map<string, number>();
+  for (const worker of placement.workers.values()) {
+    const reason = obstacle(worker, demand);
+    counts.set(reason, (counts.get(reason) ?? 0) + 1);
+  }
+  if (counts.size === 0) return ["no workers here yet"];
+  return [...counts].map(([reason, count]) => `${count} workers ${reason}`);
+}
+
+function obstacle(worker: WorkerState, demand: Resources): string {
+  if (!fitsInto(demand, worker.capacity.resources)) return "are too small";
+  if (worker.leaving) return "are leaving";
+  if (!worker.reachable || worker.stale) return "cannot be reached";
+  if (worker.health.kind !== "trusted") return "fail what they start";
+  if (!hasSpace(worker, demand)) return "are full";
+  if (worker.hold !== undefined) return "are held for other work";
+  if (worker.paused) return "refused a start just now";
+  return "have room";
+}
--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -171,6 +171,43 @@
   assert.deepEqual(end(placement, "w0", running, "finished", 51), []);
 });
 
+test("placement: a later attempt is not bound by the start deadline", () => {
+  const placement = twoWorkers();
+  const again = submit(placement, "a", 1, "batch", {
+    atMs: 100,
+    startByMs: 50,
+    attempt: 2,
+  });
+  assert.equal(again.filter(({ kind }) => kind === "start").length, 1);
+});
+
+test("placement: a refused start is still bound by the deadline", () => {
+  const placement = twoWorkers();
+  submit(placement, "a", 1, "batch", { startByMs: 50 });
+  stepPlacement(placement, {
+    kind: "startRefused",
+    worker: "w0",
+    taskId: "a/0",
+    refusal: "capacity",
+  }, 49);
+  const late = stepPlacement(placement, { kind: "ticked" }, 60);
+  assert.deepEqual(late.map((c) => c.kind === "refuse" && c.code), [4002]);
+});
+
+test("placement: a waiting task is explained", () => {
+  const placement = twoWorkers();
+  submit(placement, "a", 8, "batch");
+  submit(placement, "b", 1, "batch");
+  const event = { kind: "workerLeaving", worker: "w0" } as const;
+  stepPlacement(placement, event, 1);
+  assert.deepEqual(explainTask(placement, "b/0", 10), [
+    "waits since 10 ms with urgency 3",
+    "needs 1000 cpuMillis, 100 MiB, 0 accelerators",
+    "1 workers are leaving",
+    "1 workers are full",
+  ]);
+});
+
 test("placement: a wave of withdrawals leaves nothing queued", () => {
   const placement = twoWorkers();
   submit(placement, "a", 100, "batch");
--- a/src/placement/queue.ts
+++ b/src/placement/queue.ts
@@ -34,7 +34,7 @@
     policy: first.policy,
     urgency: first.urgency,
     queuedAtMs: atMs,
-    startByMs: request.startByMs,
+    startByMs: first.attempt === 1 ? request.startByMs : undefined,
     tasks: [],
     waiting: 0,
     next: 0,
@@ -61,6 +61,7 @@
   const last = group.tasks.pop();
   if (last !== undefined) putBefore(group, last);
   listGroup(group);
+  if (group.startByMs !== undefined) placement.deadlines.add(group);
 }
 
 /** Takes a task out of the queue. */
--- a/src/placement/step_placement.ts
+++ b/src/placement/step_placement.ts
@@ -19,6 +19,7 @@
   takeUrgentHolds,
   unhold,
 } from "./holds.ts";
+import { forgetAgreements } from "./forget_agreements.ts";
 import { fillWorker } from "./fill_worker.ts";
 import { placeAll, placeGroup } from "./place.ts";
 import { pressOn } from "./preempt.ts";
@@ -111,7 +112,7 @@
       placement.peers = event.shapes;
       return refuseLate(step);
     case "manifestChanged":
-      return;
+      return forgetAgreements(placement, event.manifest);
     case "sharesCut":
       placement.shares = event.shares;
       return;
--- a/src/placement/workers.ts
+++ b/src/placement/workers.ts
@@ -32,7 +32,7 @@
   const known = placement.workers.get(joined.worker.id);
   const pending = known === undefined ? [] : pendingStarts(known);
   if (known !== undefined) forgetWorker(placement, known);
-  const worker = createWorker(joined);
+  const worker = createWorker(joined, known?.leaving ?? false);
   worker.leaf = addLeaf(indexOf(placement, worker), worker);
   placement.workers.set(worker.id, worker);
   countShape(placement.shapes, worker.capacity, 1);
@@ -105,7 +105,7 @@
   }
 }
 
-function createWorker(joined: JoinedWorker): WorkerState {
+function createWorker(joined: JoinedWorker, leaving: boolean): WorkerState {
   const { worker, capacity, token } = joined;
   return {
     id: worker.id,
@@ -117,7 +117,7 @@
     placed: new Map(),
     checkpointed: new Map(),
     hold: undefined,
-    leaving: false,
+    leaving,
     reachable: true,
     stale: false,
     paused: false,
