--- /dev/null
+++ b/examples/spend_retries.ts
@@ -0,0 +1,35 @@
+/**
+ * Embeds the retry budget: a service that fails every call gets little more
+ * than its first attempts, however eager the callers are to repeat.
+ *
+ * @module
+ */
+import { createRetryBudget, noteFirstAttempt, spendRetry } from "samphirestage";
+
+const CALLS = 1_000;
+const ATTEMPTS_PER_CALL = 4;
+const CALL_INTERVAL_MS = 10;
+
+const budget = createRetryBudget({
+  retriesPerAttempt: 0.1,
+  retriesPerS: 1,
+  maxSaved: 10,
+}, 0);
+
+let sent = 0;
+for (let call = 0; call < CALLS; call++) {
+  noteFirstAttempt(budget);
+  sent += 1 + retriesOf(call * CALL_INTERVAL_MS);
+}
+console.log(`${CALLS} calls, ${ATTEMPTS_PER_CALL} attempts wanted for each`);
+console.log(`without a budget: ${CALLS * ATTEMPTS_PER_CALL} attempts`);
+console.log(`with the budget: ${sent} attempts`);
+
+/** Every attempt fails; repeats until the budget or the caller gives up. */
+function retriesOf(atMs: number): number {
+  let retries = 0;
+  while (retries + 1 < ATTEMPTS_PER_CALL && spendRetry(budget, atMs)) {
+    retries += 1;
+  }
+  return retries;
+}
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./base/mod.ts";
 export * from "./diagnostics/mod.ts";
 export * from "./hosts/mod.ts";
+export * from "./limits/mod.ts";
 export * from "./log_state/mod.ts";
 export * from "./manifest/mod.ts";
 export * from "./membership/mod.ts";
