List every event on the operators' page, held to the daemon's table

The table is generated into the page between two marks, and written anew only with SAMPHIRESTAGE_UPDATE_BASELINES=1.

--- a/src/settings/operating_page_test.ts
+++ b/src/settings/operating_page_test.ts
@@ -3,6 +3,8 @@
 import { test } from "node:test";
 import type * as v from "valibot";
 import { repositoryFile } from "../cli/testing/golden_file.ts";
+import { assertGoldenSection } from "../cli/testing/golden_section.ts";
+import { eventReports } from "../daemon/event_report.ts";
 import { allowedText } from "./read_section.ts";
 import { metricsSection, sections } from "./sections.ts";
 
@@ -39,3 +41,16 @@
     }
   });
 }
+
+test("operators' page: every event is listed", () => {
+  const rows = Object.entries(eventReports).map(([name, report]) =>
+    `| \`${name}\` | ${report.part} | ${report.level} | ${report.sentence} |`
+  );
+  const table = [
+    "| event | part | level | log entry |",
+    "| --- | --- | --- | --- |",
+    ...rows,
+  ];
+  const text = `\n${table.join("\n")}\n\n`;
+  assertGoldenSection("docs/OPERATING.md", "events", text);
+});
