--- a/src/instance/cancel_flow.ts
+++ b/src/instance/cancel_flow.ts
@@ -11,15 +11,14 @@
 import type { RequestEntry, TaskEntry } from "./request_entry.ts";
 import { findTask } from "./requests.ts";
 import { endUnstarted } from "./task_end.ts";
+import { waitToRetry } from "./retry.ts";
 import { spawn } from "./runner.ts";
 import { note, type Scheduler } from "./scheduler.ts";
 import { makeYield } from "./start_flow.ts";
-import { callPeer, sleep } from "./waits.ts";
+import { callPeer } from "./waits.ts";
 
 /** How often a withdrawal is sent to the peer that has the task. */
 const MAX_WITHDRAW_TRIES = 20;
-/** Delay before a withdrawal is sent again. */
-const WITHDRAW_RETRY_MS = 500;
 /** Time-out of one withdrawal. */
 const WITHDRAW_TIMEOUT_MS = 1_000;
 
@@ -31,12 +30,20 @@
   if (entry.cancelled || entry.outcome !== undefined) return;
   entry.cancelled = true;
   note(scheduler, "request.cancelled", entry.request.id);
-  const queued = [...entry.tasks.values()]
-    .filter((task) => task.progress.kind === "queued");
-  forgetQueued(scheduler, entry, queued);
-  for (const task of entry.tasks.values()) {
-    stopStarted(scheduler, task);
-  }
+  const tasks = [...entry.tasks.values()];
+  const isQueued = (task: TaskEntry) => task.progress.kind === "queued";
+  forgetQueued(scheduler, entry, tasks.filter(isQueued));
+  for (const task of tasks) stopStarted(scheduler, task);
+}
+
+/** Forgets a task that waits, or stops it wherever it runs. */
+export function stopTask(
+  scheduler: Scheduler,
+  entry: RequestEntry,
+  task: TaskEntry,
+): void {
+  if (task.progress.kind === "queued") forgetQueued(scheduler, entry, [task]);
+  else stopStarted(scheduler, task);
 }
 
 /** Stops or forgets tasks on the request of a peer that answers for them. */
@@ -133,6 +140,6 @@
       );
       if (result.isOk()) return;
     }
-    yield* sleep(WITHDRAW_RETRY_MS);
+    yield* waitToRetry(scheduler, tries + 1);
   }
 }
--- a/src/instance/scheduler.ts
+++ b/src/instance/scheduler.ts
@@ -1,5 +1,12 @@
 import type { Randomness } from "../hosts/mod.ts";
 import { createLogState, type LogState } from "../log_state/mod.ts";
+import {
+  createRetryBudget,
+  createShareBook,
+  type RetryBudget,
+  type RetryBudgetOptions,
+  type ShareBook,
+} from "../limits/mod.ts";
 import {
   createMembership,
   type HeartbeatLink,
@@ -52,11 +59,15 @@
   options: SchedulerOptions;
   randomness: Randomness;
   moment: Moment;
+  /** Bounds how many calls are tried again. */
+  retryBudget: RetryBudget;
   runner: Runner;
   membership: Membership;
   /** What was exchanged with each peer, by its base URL. */
   links: Map<string, HeartbeatLink>;
   placement: Placement;
+  /** From what the agreements' shares are cut. */
+  shareBook: ShareBook;
   log: LogState;
   logReachable: boolean;
   /** Whether the log was read to its end once. */
@@ -79,6 +90,8 @@
   requests: Map<RequestId, RequestEntry>;
   /** Durable requests kept here until the log has them. */
   copies: Map<RequestId, KeptCopy>;
+  /** Peers that calls were passed on to, by the topic that ends the wait. */
+  forwards: Map<string, Holder>;
   /** Sequence number of the next request id. */
   nextSequence: number;
   /** Requests with a lower sequence number may have been forgotten. */
@@ -116,6 +129,7 @@
     options,
     randomness,
     moment,
+    retryBudget: createRetryBudget(RETRY_BUDGET, moment.steadyMs),
     runner: createRunner(),
     membership: createMembership(self, {
       deadAfterMs: options.deadAfterMs,
@@ -129,6 +143,7 @@
       randomness,
       maxQueuedTasks: options.maxQueuedTasks,
     }),
+    shareBook: createShareBook(),
     log: createLogState(),
     logReachable: false,
     logCaughtUp: false,
@@ -142,6 +157,7 @@
     startedAtMs: moment.wallMs,
     requests: new Map(),
     copies: new Map(),
+    forwards: new Map(),
     nextSequence: 1,
     forgottenBelow: 0,
     usage: new Map(),
@@ -157,6 +173,12 @@
   };
 }
 
+/** A tenth of the first attempts may be tried again, and some more by time. */
+const RETRY_BUDGET: RetryBudgetOptions = {
+  retriesPerAttempt: 0.1,
+  retriesPerS: 20,
+  maxSaved: 200,
+};
 /** How many events of the time line an instance keeps. */
 const TIME_LINE_EVENTS = 5_000;
 
--- a/src/placement/choose_worker.ts
+++ b/src/placement/choose_worker.ts
@@ -4,13 +4,16 @@
  * @module
  */
 import { assertNever } from "../base/mod.ts";
-import type { Policy, Resources, Task } from "../model/mod.ts";
+import {
+  type Policy,
+  PREEMPTING_URGENCY,
+  type Resources,
+  type Task,
+} from "../model/mod.ts";
 import { type FreeIndex, nextFittingLeaf } from "./free_index.ts";
 import type { Placement } from "./placement.ts";
 import type { WorkerState } from "./worker_state.ts";
 
-/** How many workers with room are compared for one batch task. */
-const BATCH_CANDIDATES = 8;
 /** How many workers with room are compared for one replica of a service. */
 const SERVICE_CANDIDATES = 64;
 
@@ -27,8 +30,18 @@
   if (demand.accelerators > 0) {
     return chooseFrom(placement, placement.accelerated, task, demand);
   }
-  return chooseFrom(placement, placement.plain, task, demand) ??
-    chooseFrom(placement, placement.accelerated, task, demand);
+  const plain = chooseFrom(placement, placement.plain, task, demand);
+  if (plain !== undefined || !mayUseAccelerated(placement, task)) return plain;
+  return chooseFrom(placement, placement.accelerated, task, demand);
+}
+
+/**
+ * Whether a task may go to a worker with accelerators. Work that needs none
+ * stays away while work that does is waiting, lest it strand accelerators.
+ */
+export function mayUseAccelerated(placement: Placement, task: Task): boolean {
+  return task.demand.accelerators > 0 || placement.queuedAccelerated === 0 ||
+    task.urgency >= PREEMPTING_URGENCY;
 }
 
 function chooseFrom(
@@ -41,7 +54,7 @@
   switch (kind) {
     case "batch":
     case "gang":
-      return bestFit(index, demand);
+      return firstFit(index, demand);
     case "service":
       return spread(placement, index, task, demand);
     default:
@@ -49,24 +62,13 @@
   }
 }
 
-/** The worker of the first few with room that is left the fullest. */
-function bestFit(
+/** The first worker with room: filling in one order packs tightly. */
+function firstFit(
   index: FreeIndex<WorkerState>,
   demand: Resources,
 ): WorkerState | undefined {
-  let best: WorkerState | undefined;
-  let least = Infinity;
-  let leaf = nextFittingLeaf(index, demand, 0);
-  for (let i = 0; leaf >= 0 && i < BATCH_CANDIDATES; i++) {
-    const worker = index.leaves[leaf]!;
-    const left = leftOver(worker, demand);
-    if (left < least) {
-      least = left;
-      best = worker;
-    }
-    leaf = nextFittingLeaf(index, demand, leaf + 1);
-  }
-  return best;
+  const leaf = nextFittingLeaf(index, demand, 0);
+  return leaf < 0 ? undefined : index.leaves[leaf];
 }
 
 /** The worker on the rack with the fewest replicas of the same request. */
