--- a/src/instance/testing/model_schedule.ts
+++ b/src/instance/testing/model_schedule.ts
@@ -76,11 +76,13 @@
   steps: ModelStep[];
 };
 
-const ONE_ZONE: ModelShape = {
+/** Three instances in one zone. */
+export const ONE_ZONE: ModelShape = {
   instances: ["kigali-a", "kigali-b", "kigali-c"],
   workers: ["kigali-w0", "kigali-w1", "kigali-w2"],
 };
-const TWO_ZONES: ModelShape = {
+/** Two instances in one zone, one in another. */
+export const TWO_ZONES: ModelShape = {
   instances: ["kigali-a", "kigali-b", "huye-a"],
   workers: ["kigali-w0", "kigali-w1", "huye-w0"],
 };
--- a/src/membership/settlement.ts
+++ b/src/membership/settlement.ts
@@ -83,6 +83,29 @@
   return [...found].sort();
 }
 
+/**
+ * Lists the workers of a zone that this instance knows or a live member
+ * reports, in order. A member with an older list may still report a worker
+ * that has left; who wants to know what ran has to wait until that member has
+ * noticed, since nobody else may have seen the worker go.
+ *
+ * @example
+ * ```ts
+ * const isWitnessed = reportedWorkers(membership, "kigali").every(isHeld);
+ * ```
+ */
+export function reportedWorkers(
+  membership: Membership,
+  zone: string,
+): string[] {
+  const found = new Set(knownWorkers(membership, zone));
+  for (const { instance, heartbeat } of heardMembers(membership)) {
+    if (instance.zone !== zone) continue;
+    for (const worker of heartbeat.workers) found.add(worker);
+  }
+  return [...found].sort();
+}
+
 function isSettledIn(
   membership: Membership,
   holder: Holder,
--- a/src/membership/settlement_test.ts
+++ b/src/membership/settlement_test.ts
@@ -1,7 +1,16 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { holderOf, isBarred, isSelfBarred, isSettled } from "./mod.ts";
-import { type Holder, isShared, knownWorkers, receiveList } from "./mod.ts";
+import {
+  type Holder,
+  holderOf,
+  isBarred,
+  isSelfBarred,
+  isSettled,
+  isShared,
+  knownWorkers,
+  receiveList,
+  reportedWorkers,
+} from "./mod.ts";
 import {
   createZoneModel,
   runStep,
@@ -93,6 +102,11 @@
   assert.equal(isSettled(membership(zone, A), dead, [ZONE]), false);
   receiveList(membership(zone, A), { ...list, asOfMs: 9 }, zone.nowMs);
   assert.ok(isSettled(membership(zone, A), dead, [ZONE]));
+  assert.deepEqual(knownWorkers(membership(zone, A), ZONE), ["w0"]);
+  assert.deepEqual(reportedWorkers(membership(zone, A), ZONE), ["w0", "w1"]);
+  receiveList(membership(zone, B), { ...list, asOfMs: 9 }, zone.nowMs);
+  run(zone, "beatAll", B);
+  assert.deepEqual(reportedWorkers(membership(zone, A), ZONE), ["w0"]);
 });
 
 test("settlement: a listed instance that was never heard holds it up", () => {
