Own workers alike on both sides of a cut between two members

In a schedule with one pair cut, a worker changed hands at every renewal, some 150 ms apart, since each side left the other out of the rendezvous. Members that live peers hear are now candidates too; the test fails without it. The model's workers tell the time of the wall clock: before, records were dropped as too old. Ninth regression: a move whose answer was lost is refused when it is repeated after a bar, although it was accepted (known red).

--- a/src/instance/regressions_model_test.ts
+++ b/src/instance/regressions_model_test.ts
@@ -86,6 +86,19 @@
   ]);
 });
 
+test("regression: a repeated move is not refused once it was accepted", () => {
+  check(ONE_ZONE, 208254997, [
+    step("workerLeave", 0, 1, 200),
+    step("workerDie", 0, 0, 30),
+    step("order", 0, 9, 5),
+    step("cutOff", 5, 4, 700),
+    step("heal", 0, 0, 0),
+    step("order", 0, 0, 0),
+    step("order", 0, 0, 0),
+    step("order", 0, 0, 200),
+  ]);
+});
+
 function check(
   shape: ModelSchedule["shape"],
   seed: number,
--- a/src/instance/testing/fake_worker.ts
+++ b/src/instance/testing/fake_worker.ts
@@ -24,6 +24,8 @@
   type WorkerCapacity,
 } from "../../model/mod.ts";
 
+/** The workers' wall clock at the start of a schedule, in milliseconds. */
+export const START_MS = 1_700_000_000_000;
 /** How long a lease lasts. */
 export const LEASE_MS = 1_500;
 const TOKENS_PER_BOOT = 1_000;
@@ -212,7 +214,11 @@
     endedAtMs: undefined,
     finished: false,
   };
-  const record: TaskRecord = { task, state: "running", startedAtMs: nowMs };
+  const record: TaskRecord = {
+    task,
+    state: "running",
+    startedAtMs: START_MS + nowMs,
+  };
   const run = {
     record,
     history: isResumed ? earlier.history : history,
@@ -266,7 +272,7 @@
   run.record = {
     ...run.record,
     state,
-    ...(state === "checkpointed" ? {} : { endedAtMs: atMs }),
+    ...(state === "checkpointed" ? {} : { endedAtMs: START_MS + atMs }),
     ...(state === "finished"
       ? { output: outputOf(task.id, task.payload) }
       : {}),
--- a/src/instance/testing/model_cluster.ts
+++ b/src/instance/testing/model_cluster.ts
@@ -15,7 +15,7 @@
   type SchedulerOptions,
   step,
 } from "../mod.ts";
-import { createFakeWorker, type FakeWorker } from "./fake_worker.ts";
+import { createFakeWorker, type FakeWorker, START_MS } from "./fake_worker.ts";
 import {
   appendEntry,
   createFakePlatform,
@@ -37,8 +37,8 @@
   type TimerQueue,
 } from "./timer_queue.ts";
 
-/** Wall clock at the start of a schedule, in milliseconds. */
-export const START_MS = 1_700_000_000_000;
+export { START_MS };
+
 /** How long ago the first processes were started, in milliseconds. */
 const EARLIER_MS = 60_000;
 
--- a/src/instance/testing/model_network.ts
+++ b/src/instance/testing/model_network.ts
@@ -17,6 +17,7 @@
   renew,
   settleWorker,
   start,
+  START_MS,
   yieldTask,
 } from "./fake_worker.ts";
 import { checkStart } from "./model_checks.ts";
@@ -25,7 +26,6 @@
   later,
   type ModelCluster,
   type ModelProcess,
-  START_MS,
 } from "./model_cluster.ts";
 
 /** Time-out of a command to a worker, in milliseconds. */
--- a/src/membership/advance.ts
+++ b/src/membership/advance.ts
@@ -1,10 +1,9 @@
 import type { Instance } from "../model/mod.ts";
 import { BAR_RETENTION_MS, barHolder } from "./bars.ts";
-import { type Holder, holderOf } from "./holder.ts";
 import type { Membership } from "./membership.ts";
 import { settlementKey } from "./settlement.ts";
 import { tick } from "./tick.ts";
-import { heardMembers, memberState } from "./views.ts";
+import { memberState, vouchedHolders } from "./views.ts";
 
 /** A gap between two calls of this part of the limit counts as a pause. */
 const PAUSE_FACTOR = 0.5;
@@ -67,14 +66,3 @@
     membership.settled.delete(settlementKey(holder, entry.zone));
   }
 }
-
-/** Collects whom the live peers of the own zone hear themselves. */
-function vouchedHolders(membership: Membership): Set<Holder> {
-  const vouched = new Set<Holder>();
-  for (const member of heardMembers(membership)) {
-    if (member.instance.zone !== membership.self.zone) continue;
-    for (const holder of member.heartbeat.heard) vouched.add(holder);
-    vouched.add(holderOf(member.instance));
-  }
-  return vouched;
-}
--- a/src/membership/ownership.ts
+++ b/src/membership/ownership.ts
@@ -2,11 +2,16 @@
 import { type Holder, holderOf } from "./holder.ts";
 import type { Membership } from "./membership.ts";
 import { rendezvousOrder } from "./rendezvous.ts";
-import { heardMembers, membersOf } from "./views.ts";
+import {
+  heardMembers,
+  membersOf,
+  memberState,
+  vouchedHolders,
+} from "./views.ts";
 
 /**
- * Tells which instance should own a worker: the first live member of its zone
- * in rendezvous order that does not report the worker unreachable. The order
+ * Tells which instance should own a worker: the first member of its zone that
+ * is live, here or at a live peer, in rendezvous order that does not report the worker unreachable. The order
  * goes by rack, so that one instance can start a gang on a whole rack.
  *
  * @example
@@ -20,11 +25,30 @@
   membership: Membership,
   worker: WorkerAddress,
 ): Instance | undefined {
-  const candidates = membersOf(membership, worker.zone)
+  const candidates = ownersOf(membership, worker.zone)
     .filter((instance) => !reportsUnreachable(membership, instance, worker.id));
   return rendezvousOrder(candidates, worker.rack)[0];
 }
 
+/**
+ * Lists the instances that may own workers of a zone: the live members, and
+ * those that this instance does not hear but live peers do. Otherwise two
+ * members that are cut off from each other would take workers from each other
+ * for as long as the cut lasts.
+ */
+function ownersOf(membership: Membership, zone: string): Instance[] {
+  const owners = membersOf(membership, zone);
+  if (zone !== membership.self.zone) return owners;
+  for (const holder of vouchedHolders(membership)) {
+    const member = membership.members.get(holder);
+    if (member === undefined || member.heartbeat.leaving) continue;
+    if (memberState(membership, holder) === "dead") {
+      owners.push(member.instance);
+    }
+  }
+  return owners;
+}
+
 /**
  * Tells who holds a worker by the latest heartbeats, and under which token;
  * the highest token counts.
--- a/src/membership/views.ts
+++ b/src/membership/views.ts
@@ -84,6 +84,20 @@
   });
 }
 
+/**
+ * Collects whom the live peers of the own zone hear themselves, and those
+ * peers. A cut between two members alone leaves both of them vouched for.
+ */
+export function vouchedHolders(membership: Membership): Set<Holder> {
+  const vouched = new Set<Holder>();
+  for (const { instance, heartbeat } of heardMembers(membership)) {
+    if (instance.zone !== membership.self.zone) continue;
+    for (const holder of heartbeat.heard) vouched.add(holder);
+    vouched.add(holderOf(instance));
+  }
+  return vouched;
+}
+
 function ownState(membership: Membership): MemberState {
   if (membership.selfBarred) return "barred";
   return membership.selfLeaving ? "leaving" : "live";
