--- a/src/daemon/samphirestaged.ts
+++ b/src/daemon/samphirestaged.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import "./engine_flags.ts";
 import process from "node:process";
 import { defineCommand, runMain } from "citty";
 import { checkSettingsFile, formatSettingsFaults } from "../settings/mod.ts";
