Store usage in rows; fold a record's hours oldest first; measure control

Cause of the fold's change, a real fault: a record that spans more hours than stay open (held back by an outage of the log) was folded in the order of its lists, so that its own later hours closed its earlier ones, and the observed time of the first was refused.

--- a/bench/control/bench_orders.ts
+++ b/bench/control/bench_orders.ts
@@ -1,10 +1,14 @@
 import {
   type HeardOrder,
   type HttpApi,
+  type Order,
   submitOrder,
 } from "../../stand_ins/local_cluster/mod.ts";
 import { agreementName, TOKEN } from "./bench_manifest.ts";
 
+/** Kinds of work of the bench; letters are durable. */
+export type BenchWork = "urgent" | "letters";
+
 const CALLERS = 16;
 const PATIENCE_MS = 30_000;
 const RUN_MS = 20;
@@ -26,7 +30,11 @@
     while (next < count) {
       const index = next;
       next += 1;
-      const heard = await submitOrder(options, orderOf(index), index);
+      const heard = await submitOrder(
+        options,
+        benchOrder(index, workOf(index)),
+        index,
+      );
       ran += hasRun(heard);
     }
   }
@@ -34,18 +42,23 @@
   return ran;
 }
 
-function orderOf(index: number) {
+/** Builds an order of one short task. */
+export function benchOrder(index: number, work: BenchWork): Order {
   return {
     key: `order-${index}`,
     token: TOKEN,
     submission: {
       agreement: agreementName(0),
-      work: index % 2 === 0 ? "urgent" : "letters",
+      work,
       tasks: [{ payload: { runMs: RUN_MS, output: `order ${index}` } }],
     },
   };
 }
 
+function workOf(index: number): BenchWork {
+  return index % 2 === 0 ? "urgent" : "letters";
+}
+
 function hasRun(heard: HeardOrder): number {
   return heard.outcome?.kind === "ran" ? 1 : 0;
 }
--- a/bench/control/process_status.ts
+++ b/bench/control/process_status.ts
@@ -19,6 +19,10 @@
   privateBytes: number;
   /** Processor time used since the start, in milliseconds. */
   processorMs: number;
+  /** Bytes read and written by system calls; nearly all on sockets. */
+  transferredBytes: number;
+  /** Number of those system calls; about one for each message. */
+  transfers: number;
 };
 
 /**
@@ -29,6 +33,7 @@
 export function readProcessStatus(pid: number): ProcessStatus {
   const status = readFileSync(`/proc/${pid}/status`, "utf8");
   const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
+  const io = readFileSync(`/proc/${pid}/io`, "utf8");
   const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
   const ticks = Number(fields[USER_TICKS_FIELD]) +
     Number(fields[SYSTEM_TICKS_FIELD]);
@@ -36,6 +41,8 @@
     residentBytes: readKib(status, "VmRSS"),
     privateBytes: readKib(status, "RssAnon"),
     processorMs: ticks * MS_PER_TICK,
+    transferredBytes: readCount(io, "rchar") + readCount(io, "wchar"),
+    transfers: readCount(io, "syscr") + readCount(io, "syscw"),
   };
 }
 
@@ -43,3 +50,8 @@
   const [, kib] = new RegExp(`^${name}:\\s+(\\d+) kB$`, "m").exec(status) ?? [];
   return Number(kib ?? Number.NaN) * BYTES_PER_KIB;
 }
+
+function readCount(io: string, name: string): number {
+  const [, count] = new RegExp(`^${name}: (\\d+)$`, "m").exec(io) ?? [];
+  return Number(count ?? Number.NaN);
+}
--- a/src/log_state/fold_usage.ts
+++ b/src/log_state/fold_usage.ts
@@ -30,8 +30,15 @@
   record: LogRecordOf<"usage">,
   clockMs: number,
 ): void {
-  for (const item of record.usage) foldUsed(usage, item, clockMs);
-  for (const item of record.observed) foldObserved(usage, item, clockMs);
+  // A record that was held back may span more hours than stay open.
+  for (const hourMs of hoursOf(record)) {
+    for (const item of record.usage) {
+      if (item.hourMs === hourMs) foldUsed(usage, item, clockMs);
+    }
+    for (const item of record.observed) {
+      if (item.hourMs === hourMs) foldObserved(usage, item, clockMs);
+    }
+  }
 }
 
 /**
@@ -57,6 +64,14 @@
   }
 }
 
+/** The hours that a record tells of, oldest first. */
+function hoursOf(record: LogRecordOf<"usage">): number[] {
+  const hours = new Set<number>();
+  for (const { hourMs } of record.usage) hours.add(hourMs);
+  for (const { hourMs } of record.observed) hours.add(hourMs);
+  return [...hours].sort((left, right) => left - right);
+}
+
 function foldUsed(usage: UsageState, item: Usage, clockMs: number): void {
   const hour = openHour(usage, item.worker, item.hourMs, clockMs);
   if (hour === undefined) return;
--- a/src/log_state/fold_usage_test.ts
+++ b/src/log_state/fold_usage_test.ts
@@ -118,6 +118,16 @@
   assert.equal(state.refusedRecords, 0);
 });
 
+test("usage: one record of many hours, in any order, drops none", () => {
+  const hours = [7, 0, 3, 11, 5, 1, 9];
+  const usage = hours.map((hour) => usageAt(hour, 1));
+  const state = foldRecords([recordOf(usage, HOUR_MS)]);
+  const day = daysSoFar(state, undefined, CLOCK_MS).get(START_MS);
+  assert.equal(day?.used.get("press/desk")?.cpuMillisMs, hours.length);
+  assert.equal(day?.observedMs, hours.length * HOUR_MS);
+  assert.equal(state.refusedRecords, 0);
+});
+
 test("usage: hours without a record are unobserved, not zero", () => {
   const state = foldRecords([
     recordOf([usageAt(0, 1)], HOUR_MS),
--- a/src/log_state/log_fake_test.ts
+++ b/src/log_state/log_fake_test.ts
@@ -121,6 +121,17 @@
   observedMs: fc.integer({ min: 0, max: HOUR_MS }),
 });
 
+/** A time within the retention of every generated usage record. */
+export const USAGE_CLOCK_MS = START_MS + 24 * HOUR_MS;
+
+/** Usage records of two workers in a few hours. */
+export const usageRecordArbitrary = fc.record({
+  kind: fc.constant("usage" as const),
+  observer: name,
+  usage: fc.array(usageItem, { maxLength: 6 }),
+  observed: fc.array(observedItem, { maxLength: 6 }),
+});
+
 /** Any record but a manifest or a snapshot. */
 export const recordArbitrary: fc.Arbitrary<LogRecord> = fc.oneof(
   fc.record({
@@ -142,12 +153,7 @@
     requestId,
     outcome: { kind: "ran", tasks: [] },
   })),
-  fc.record({
-    kind: fc.constant("usage" as const),
-    observer: name,
-    usage: fc.array(usageItem, { maxLength: 3 }),
-    observed: fc.array(observedItem, { maxLength: 3 }),
-  }),
+  usageRecordArbitrary,
 );
 
 /** A manifest that names one customer. */
--- a/src/log_state/stored_record.ts
+++ b/src/log_state/stored_record.ts
@@ -11,10 +11,12 @@
   packRequest,
   unpackRequest,
 } from "./packed_request.ts";
+import { packedUsageSchema, packUsage, unpackUsage } from "./packed_usage.ts";
 
 const storedRecordSchema = v.variant("kind", [
   logRecordSchema,
   v.object({ kind: v.literal("packed"), request: packedRequestSchema }),
+  v.object({ kind: v.literal("packedUsage"), usage: packedUsageSchema }),
 ]);
 
 /** A record as it is stored in the log. */
@@ -29,8 +31,14 @@
  * ```
  */
 export function storeRecord(record: LogRecord): StoredRecord {
-  if (record.kind !== "accepted") return record;
-  return { kind: "packed", request: packRequest(record.request) };
+  switch (record.kind) {
+    case "accepted":
+      return { kind: "packed", request: packRequest(record.request) };
+    case "usage":
+      return { kind: "packedUsage", usage: packUsage(record) };
+    default:
+      return record;
+  }
 }
 
 /**
@@ -47,6 +55,12 @@
   const parsed = v.safeParse(storedRecordSchema, data);
   if (!parsed.success) return undefined;
   const record = parsed.output;
-  if (record.kind !== "packed") return record;
-  return { kind: "accepted", request: unpackRequest(record.request) };
+  switch (record.kind) {
+    case "packed":
+      return { kind: "accepted", request: unpackRequest(record.request) };
+    case "packedUsage":
+      return unpackUsage(record.usage);
+    default:
+      return record;
+  }
 }
--- a/src/log_state/stored_record_test.ts
+++ b/src/log_state/stored_record_test.ts
@@ -2,8 +2,11 @@
 import { test } from "node:test";
 import * as fc from "fast-check";
 import type { Manifest, Request } from "../model/mod.ts";
+import { foldUsage } from "./fold_usage.ts";
 import {
   createLogState,
+  createUsageState,
+  daysSoFar,
   type LogRecord,
   manifestRecordOf,
   readRecord,
@@ -15,6 +18,8 @@
   catchUp,
   createLogFake,
   SEED,
+  USAGE_CLOCK_MS,
+  usageRecordArbitrary,
 } from "./log_fake_test.ts";
 
 const taskArbitrary = fc.record({
@@ -64,6 +69,25 @@
   );
 });
 
+test("stored record: usage is read as it was stored, for every order", () => {
+  fc.assert(
+    fc.property(usageRecordArbitrary, (record) => {
+      const stored = JSON.parse(JSON.stringify(storeRecord(record)));
+      const read = readRecord(stored);
+      assert.ok(read?.kind === "usage");
+      const expected = createUsageState();
+      foldUsage(expected, record, USAGE_CLOCK_MS);
+      const state = createUsageState();
+      foldUsage(state, read, USAGE_CLOCK_MS);
+      const daysOf = (usage: typeof state) =>
+        daysSoFar(usage, undefined, USAGE_CLOCK_MS);
+      assert.deepEqual(daysOf(state), daysOf(expected));
+      assert.equal(read.usage.length, record.usage.length);
+    }),
+    { seed: SEED, numRuns: 300 },
+  );
+});
+
 const manifestArbitrary: fc.Arbitrary<Manifest> = fc.record({
   customers: fc.uniqueArray(fc.constantFrom("a", "b", "c", "d"))
     .map((names) => names.map((name) => ({ name }))),
