Tell a change that may still take effect from one that was refused

A problem document under another server error than 503 or 507 now means an unknown effect: 'publish' and 'submit' end with 4 and say how to repeat.

--- a/src/cli/api_caller.ts
+++ b/src/cli/api_caller.ts
@@ -13,12 +13,16 @@
 const CONNECTIONS_PER_ORIGIN = 2;
 const FIRST_SUCCESS_STATUS = 200;
 const FIRST_REDIRECT_STATUS = 300;
+const FIRST_SERVER_ERROR_STATUS = 500;
+/** Server errors by which an instance turns the call down as a whole. */
+const REFUSING_SERVER_ERRORS = [503, 507];
 
 /** Calls entry instances and reads their problem documents. */
 export type ApiCaller = {
   /**
-   * Makes a call and returns the parsed JSON of a 2xx answer. A `refused`
-   * fault carries the problem document as its data.
+   * Makes a call and returns the parsed JSON of a 2xx answer. A fault that
+   * comes of a problem document carries it as its data; it is `refused` unless
+   * the status says that the call may still take effect.
    */
   call(request: HttpRequest): Promise<Result<unknown, Fault>>;
   /** Closes every connection. */
@@ -109,7 +113,6 @@
     : err(readProblem(request, status, json.value));
 }
 
-/** A problem document is a refusal: the instance itself turned the call down. */
 function readProblem(
   request: HttpRequest,
   status: number,
@@ -123,8 +126,10 @@
     return faultOf(request, "unknown", callRefused, [peer, status, cause]);
   }
   const { code, detail } = parsed.output;
+  const isRefusal = status < FIRST_SERVER_ERROR_STATUS ||
+    REFUSING_SERVER_ERRORS.includes(status);
   return {
-    kind: "refused",
+    kind: isRefusal ? "refused" : "unknown",
     code,
     step,
     peer,
--- a/src/cli/manifest_session_test.ts
+++ b/src/cli/manifest_session_test.ts
@@ -122,9 +122,16 @@
         false,
       ),
       { call: "POST /v1/operator/manifest", status: 0 },
+      problemAnswer(
+        "POST /v1/operator/manifest",
+        504,
+        5008,
+        "The log did not answer; the change may still take effect.",
+      ),
       inForce(41, COOPERATIVE),
     ],
     lines: [
+      `manifest publish ${PRESS} --base 40`,
       `manifest publish ${PRESS} --base 40`,
       `manifest publish ${PRESS} --base 40`,
       `manifest publish ${PRESS} --base x`,
