End quietly when the reader of a pipe goes away

'samphirestage timeline | head' ended with a stack trace of EPIPE. Every builder of a command has its example now.

--- a/src/cli/commands/account.ts
+++ b/src/cli/commands/account.ts
@@ -15,7 +15,14 @@
 
 type AccountFlags = { month: string; csv?: boolean | undefined };
 
-/** Builds the command that shows what was used against what was agreed. */
+/**
+ * Builds the command that shows what was used against what was agreed.
+ *
+ * @example
+ * ```ts
+ * const command = createAccountCommand(terminal);
+ * ```
+ */
 export function createAccountCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/commands/cancel.ts
+++ b/src/cli/commands/cancel.ts
@@ -9,7 +9,14 @@
 import { type CommandResult, runRemote } from "../run_command.ts";
 import type { Terminal } from "../terminal.ts";
 
-/** Builds the command that cancels a request. */
+/**
+ * Builds the command that cancels a request.
+ *
+ * @example
+ * ```ts
+ * const command = createCancelCommand(terminal);
+ * ```
+ */
 export function createCancelCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/commands/drain.ts
+++ b/src/cli/commands/drain.ts
@@ -8,7 +8,14 @@
 import { type CommandResult, runRemote } from "../run_command.ts";
 import type { Terminal } from "../terminal.ts";
 
-/** Builds the command that makes an instance hand over and stop. */
+/**
+ * Builds the command that makes an instance hand over and stop.
+ *
+ * @example
+ * ```ts
+ * const command = createDrainCommand(terminal);
+ * ```
+ */
 export function createDrainCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -8,7 +8,14 @@
 import { type CommandResult, runRemote } from "../run_command.ts";
 import type { Terminal } from "../terminal.ts";
 
-/** Builds the command that tells why a request waits, or where it ran. */
+/**
+ * Builds the command that tells why a request waits, or where it ran.
+ *
+ * @example
+ * ```ts
+ * const command = createExplainCommand(terminal);
+ * ```
+ */
 export function createExplainCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/commands/manifest/check.ts
+++ b/src/cli/commands/manifest/check.ts
@@ -8,7 +8,14 @@
 import { runLocal } from "../../run_command.ts";
 import type { Terminal } from "../../terminal.ts";
 
-/** Builds the command that checks a manifest without publishing it. */
+/**
+ * Builds the command that checks a manifest without publishing it.
+ *
+ * @example
+ * ```ts
+ * const command = createCheckCommand(terminal);
+ * ```
+ */
 export function createCheckCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/commands/manifest/diff.ts
+++ b/src/cli/commands/manifest/diff.ts
@@ -12,7 +12,14 @@
 import { type CommandResult, runLocal, runRemote } from "../../run_command.ts";
 import type { Terminal } from "../../terminal.ts";
 
-/** Builds the command that lists the differences between two manifests. */
+/**
+ * Builds the command that lists the differences between two manifests.
+ *
+ * @example
+ * ```ts
+ * const command = createDiffCommand(terminal);
+ * ```
+ */
 export function createDiffCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/commands/manifest/history.ts
+++ b/src/cli/commands/manifest/history.ts
@@ -11,7 +11,14 @@
 import type { Terminal } from "../../terminal.ts";
 import { formatTime } from "../../units.ts";
 
-/** Builds the command that lists the published changes of the manifest. */
+/**
+ * Builds the command that lists the published changes of the manifest.
+ *
+ * @example
+ * ```ts
+ * const command = createHistoryCommand(terminal);
+ * ```
+ */
 export function createHistoryCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/commands/manifest/in_force.ts
+++ b/src/cli/commands/manifest/in_force.ts
@@ -19,7 +19,14 @@
   version?: number;
 };
 
-/** Builds the command that asks each instance which version is in force. */
+/**
+ * Builds the command that asks each instance which version is in force.
+ *
+ * @example
+ * ```ts
+ * const command = createInForceCommand(terminal);
+ * ```
+ */
 export function createInForceCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/commands/manifest/mod.ts
+++ b/src/cli/commands/manifest/mod.ts
@@ -13,7 +13,14 @@
 import { createPublishCommand } from "./publish.ts";
 import { createSchemaCommand } from "./schema.ts";
 
-/** Builds the group of commands that concern the manifest. */
+/**
+ * Builds the group of commands that concern the manifest.
+ *
+ * @example
+ * ```ts
+ * const command = createManifestCommand(terminal);
+ * ```
+ */
 export function createManifestCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/commands/manifest/publish.ts
+++ b/src/cli/commands/manifest/publish.ts
@@ -28,7 +28,14 @@
   author?: string | undefined;
 };
 
-/** Builds the command that publishes a manifest. */
+/**
+ * Builds the command that publishes a manifest.
+ *
+ * @example
+ * ```ts
+ * const command = createPublishCommand(terminal);
+ * ```
+ */
 export function createPublishCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/commands/manifest/schema.ts
+++ b/src/cli/commands/manifest/schema.ts
@@ -7,7 +7,14 @@
 import { runLocal } from "../../run_command.ts";
 import type { Terminal } from "../../terminal.ts";
 
-/** Builds the command that prints the JSON Schema of a manifest. */
+/**
+ * Builds the command that prints the JSON Schema of a manifest.
+ *
+ * @example
+ * ```ts
+ * const command = createSchemaCommand(terminal);
+ * ```
+ */
 export function createSchemaCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/commands/read.ts
+++ b/src/cli/commands/read.ts
@@ -14,7 +14,14 @@
 
 type ReadFlags = { id: string; "wait-ms": string };
 
-/** Builds the command that reads or awaits the outcome of a request. */
+/**
+ * Builds the command that reads or awaits the outcome of a request.
+ *
+ * @example
+ * ```ts
+ * const command = createReadCommand(terminal);
+ * ```
+ */
 export function createReadCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -10,7 +10,14 @@
 import { renderFields, renderTable } from "../table.ts";
 import type { Terminal } from "../terminal.ts";
 
-/** Builds the command that shows an instance and the peers that it sees. */
+/**
+ * Builds the command that shows an instance and the peers that it sees.
+ *
+ * @example
+ * ```ts
+ * const command = createStatusCommand(terminal);
+ * ```
+ */
 export function createStatusCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/commands/submit.ts
+++ b/src/cli/commands/submit.ts
@@ -23,7 +23,14 @@
   "wait-ms": string;
 };
 
-/** Builds the command that submits work and waits for its outcome. */
+/**
+ * Builds the command that submits work and waits for its outcome.
+ *
+ * @example
+ * ```ts
+ * const command = createSubmitCommand(terminal);
+ * ```
+ */
 export function createSubmitCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/commands/tasks.ts
+++ b/src/cli/commands/tasks.ts
@@ -16,7 +16,14 @@
   state?: string | undefined;
 };
 
-/** Builds the command that lists the tasks that an instance knows. */
+/**
+ * Builds the command that lists the tasks that an instance knows.
+ *
+ * @example
+ * ```ts
+ * const command = createTasksCommand(terminal);
+ * ```
+ */
 export function createTasksCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/commands/timeline.ts
+++ b/src/cli/commands/timeline.ts
@@ -31,7 +31,14 @@
 /** What one instance answered. */
 type Answered = { url: string; events: Result<TimeLineEvent[], Fault> };
 
-/** Builds the command that merges the time lines of all instances. */
+/**
+ * Builds the command that merges the time lines of all instances.
+ *
+ * @example
+ * ```ts
+ * const command = createTimeLineCommand(terminal);
+ * ```
+ */
 export function createTimeLineCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/commands/workers.ts
+++ b/src/cli/commands/workers.ts
@@ -15,7 +15,14 @@
 /** Shown of a worker that another instance holds. */
 const UNKNOWN = "-";
 
-/** Builds the command that lists the workers that an instance knows. */
+/**
+ * Builds the command that lists the workers that an instance knows.
+ *
+ * @example
+ * ```ts
+ * const command = createWorkersCommand(terminal);
+ * ```
+ */
 export function createWorkersCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/main_command.ts
+++ b/src/cli/main_command.ts
@@ -13,7 +13,14 @@
 import { createWorkersCommand } from "./commands/workers.ts";
 import type { Terminal } from "./terminal.ts";
 
-/** Builds the whole command line. */
+/**
+ * Builds the whole command line.
+ *
+ * @example
+ * ```ts
+ * const command = createMainCommand(terminal);
+ * ```
+ */
 export function createMainCommand(terminal: Terminal) {
   return defineCommand({
     meta: describeCommand(
--- a/src/cli/process_terminal.ts
+++ b/src/cli/process_terminal.ts
@@ -15,6 +15,8 @@
 export function processTerminal(): Terminal {
   const interrupted = new AbortController();
   process.once("SIGINT", () => interrupted.abort());
+  process.stdout.on("error", ignoreClosedPipe);
+  process.stderr.on("error", ignoreClosedPipe);
   return {
     write: (text) => void process.stdout.write(text),
     writeError: (text) => void process.stderr.write(text),
@@ -23,3 +25,8 @@
     signal: interrupted.signal,
   };
 }
+
+/** The reader of a pipe, such as `head`, may have seen enough. */
+function ignoreClosedPipe(error: Error & { code?: string }): void {
+  if (error.code !== "EPIPE") throw error;
+}
--- /dev/null
+++ b/src/cli/process_terminal_test.ts
@@ -0,0 +1,16 @@
+import assert from "node:assert/strict";
+import { spawn } from "node:child_process";
+import process from "node:process";
+import { text } from "node:stream/consumers";
+import { test } from "node:test";
+import { repositoryFile } from "./testing/golden_file.ts";
+
+test("terminal: a reader that goes away ends the command quietly", async () => {
+  const program = repositoryFile("dist/src/cli/samphirestage.js");
+  const words = ["manifest", "schema"];
+  const child = spawn(process.execPath, [program, ...words]);
+  const ended = new Promise((resolve) => child.once("close", resolve));
+  child.stdout.destroy();
+  assert.equal(await text(child.stderr), "");
+  assert.equal(await ended, 0);
+});
