Show that an instance takes manifests that contradict themselves (known red)

The command line checks a manifest whole before it publishes; the instance itself checks the schema only. The test publishes one without its customers over the operators' route: 200 in place of 400.

--- /dev/null
+++ b/src/manifest/published_manifest_test.ts
@@ -0,0 +1,57 @@
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { test } from "node:test";
+import { repositoryFile } from "../cli/testing/golden_file.ts";
+import type { Manifest } from "../model/mod.ts";
+import { createOperatorRoute, type OperatorRouteHost } from "../server/mod.ts";
+
+const TOKEN = "token-of-the-operator";
+
+/** Publishes a manifest over an operator's route; returns status and code. */
+async function publish(
+  manifest: Manifest,
+): Promise<{ status: number; code: unknown; published: number }> {
+  let published = 0;
+  const credentials = {
+    customers: {},
+    operators: { uwimana: TOKEN },
+    secret: "",
+  };
+  const host = {
+    credentials,
+    call: () => {
+      published += 1;
+      return Promise.resolve({ kind: "published", version: 7 });
+    },
+  };
+  // Publishing reads nothing of the scheduler.
+  const route = createOperatorRoute(host as unknown as OperatorRouteHost);
+  const answer = await route({
+    method: "POST",
+    path: ["v1", "operator", "manifest"],
+    query: new URLSearchParams(),
+    headers: { authorization: `Bearer ${TOKEN}` },
+    body: () =>
+      Promise.resolve({ changeId: "build-1", baseVersion: 0, manifest }),
+  });
+  assert.ok(answer !== undefined);
+  const { status, body } = answer;
+  const code = (body as { code?: unknown }).code;
+  return { status, code, published };
+}
+
+function pressManifest(): Manifest {
+  const path = repositoryFile("examples/press/manifest.json");
+  return JSON.parse(readFileSync(path, "utf8"));
+}
+
+test("manifest: an instance takes a manifest whose parts fit", async () => {
+  const answer = await publish(pressManifest());
+  assert.deepEqual(answer, { status: 200, code: undefined, published: 1 });
+});
+
+test("manifest: an instance refuses one whose parts do not fit", async () => {
+  const manifest = pressManifest();
+  const answer = await publish({ ...manifest, customers: [] });
+  assert.deepEqual(answer, { status: 400, code: 1101, published: 0 });
+});
