Try settings and manifests with any text, and mend what it found

Seeded properties: any text is read or refused with reasons; any JSON likewise; a manifest damaged at any one place is refused with a path, or differs from the one before. 2,000 cases each.

--- a/src/cli/client_settings.ts
+++ b/src/cli/client_settings.ts
@@ -4,6 +4,7 @@
 import { diagnostics, formatDiagnostic } from "../diagnostics/mod.ts";
 import {
   formatSettingsFaults,
+  type IniSection,
   parseIni,
   readSection,
   type SettingsFault,
@@ -40,8 +41,7 @@
 export function readClientSettings(
   path: string,
 ): Result<ClientSettings, CommandFault> {
-  return readText(path).andThen((text) => {
-    const ini = parseIni(text);
+  return readSections(path).andThen((ini) => {
     const faults: SettingsFault[] = [];
     for (const name of ini.keys()) {
       if (name !== SECTION) faults.push(unknownSection(name, [SECTION]));
@@ -52,17 +52,21 @@
   });
 }
 
-function readText(path: string): Result<string, CommandFault> {
+function readSections(
+  path: string,
+): Result<Map<string, IniSection>, CommandFault> {
+  const { settingsUnreadable } = diagnostics;
+  return readText(path).andThen(parseIni).mapErr((cause) =>
+    commandFault(exitCodes.usage, settingsUnreadable, path, cause)
+  );
+}
+
+function readText(path: string): Result<string, string> {
   try {
     return ok(readFileSync(path, "utf8"));
   } catch (error) {
-    const cause = error instanceof Error && "code" in error
-      ? String(error.code)
-      : String(error);
-    const { settingsUnreadable } = diagnostics;
-    return err(
-      commandFault(exitCodes.usage, settingsUnreadable, path, cause),
-    );
+    const hasCode = error instanceof Error && "code" in error;
+    return err(hasCode ? String(error.code) : String(error));
   }
 }
 
--- /dev/null
+++ b/src/manifest/any_json_test.ts
@@ -0,0 +1,57 @@
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { test } from "node:test";
+import fc from "fast-check";
+import { repositoryFile } from "../cli/testing/golden_file.ts";
+import { checkManifest, diffManifests } from "./mod.ts";
+
+const SEED = 20_261_204;
+const RUNS = 2_000;
+const PATH = repositoryFile("examples/press/manifest.json");
+
+type Node = Record<string, unknown> | unknown[];
+
+/** Lists every object and array within a JSON value. */
+function nodesOf(value: unknown): Node[] {
+  if (typeof value !== "object" || value === null) return [];
+  return [value as Node, ...Object.values(value).flatMap(nodesOf)];
+}
+
+/** Replaces one value, wherever the numbers point, by another. */
+function damage(manifest: unknown, at: number, to: unknown): void {
+  const slots = nodesOf(manifest).flatMap((node) =>
+    Object.keys(node).map((key) => ({ node, key }))
+  );
+  const { node, key } = slots[at % slots.length]!;
+  Object.assign(node, { [key]: to });
+}
+
+test("manifest: any JSON is taken or refused with reasons", () => {
+  fc.assert(
+    fc.property(fc.jsonValue(), (json) => {
+      const checked = checkManifest(json);
+      if (checked.isErr()) assert.ok(checked.error.length > 0);
+    }),
+    { seed: SEED, numRuns: RUNS },
+  );
+});
+
+test("manifest: damage is found, or makes another manifest", () => {
+  const text = readFileSync(PATH, "utf8");
+  const before = checkManifest(JSON.parse(text))._unsafeUnwrap();
+  fc.assert(
+    fc.property(fc.nat(), fc.jsonValue(), (at, to) => {
+      const json = JSON.parse(text);
+      damage(json, at, to);
+      const checked = checkManifest(json);
+      if (checked.isErr()) {
+        assert.ok(checked.error.every(({ path }) => path.startsWith("$")));
+        return;
+      }
+      const isSame = JSON.stringify(json) === JSON.stringify(JSON.parse(text));
+      const changes = diffManifests(before, checked.value);
+      assert.equal(changes.length === 0, isSame);
+    }),
+    { seed: SEED, numRuns: RUNS },
+  );
+});
--- /dev/null
+++ b/src/settings/any_text_test.ts
@@ -0,0 +1,48 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { formatSettingsFaults, readSettings } from "./mod.ts";
+import { SECTION_NAMES } from "./read_settings.ts";
+import { metricsSection, sections } from "./sections.ts";
+
+const SEED = 20_261_204;
+const RUNS = 2_000;
+
+const keys = [...Object.values(sections), metricsSection]
+  .flatMap((section) => Object.keys(section.entries));
+const oddText = fc.oneof(
+  fc.string(),
+  fc.constantFrom(
+    "",
+    "true",
+    "null",
+    "'null'",
+    `'{"a":1}'`,
+    "'[1,2]'",
+    "__proto__",
+    "constructor",
+    "a.b",
+    "[]",
+    "=",
+  ),
+);
+const line = fc.oneof(
+  fc.tuple(fc.constantFrom(...keys), oddText)
+    .map(([key, value]) => `${key} = ${value}`),
+  fc.tuple(oddText, oddText).map(([key, value]) => `${key}=${value}`),
+  fc.constantFrom(...SECTION_NAMES).map((name) => `[${name}]`),
+  oddText.map((name) => `[${name}]`),
+  oddText,
+);
+
+test("settings: any text is read or refused with reasons, never thrown at", () => {
+  fc.assert(
+    fc.property(fc.array(line, { maxLength: 30 }), (lines) => {
+      const read = readSettings(lines.join("\n"), () => "");
+      if (read.isOk()) return;
+      assert.ok(read.error.length > 0);
+      assert.ok(formatSettingsFaults(read.error).startsWith("SS"));
+    }),
+    { seed: SEED, numRuns: RUNS },
+  );
+});
--- a/src/settings/check_settings_file.ts
+++ b/src/settings/check_settings_file.ts
@@ -1,10 +1,9 @@
 import { readFileSync } from "node:fs";
 import { dirname, resolve } from "node:path";
 import { err, type Result } from "neverthrow";
-import { diagnostics, formatDiagnostic } from "../diagnostics/mod.ts";
 import { readSettings } from "./read_settings.ts";
 import type { Settings } from "./settings.ts";
-import type { SettingsFault } from "./settings_fault.ts";
+import { type SettingsFault, unreadableSettings } from "./settings_fault.ts";
 
 /**
  * Reads and checks a settings file. The path of a secret's file counts from
@@ -21,7 +20,9 @@
   path: string,
 ): Result<Settings, SettingsFault[]> {
   const text = tryRead(path);
-  if (text instanceof Error) return err([unreadable(path, text)]);
+  if (text instanceof Error) {
+    return err([unreadableSettings(path, causeOf(text))]);
+  }
   return readSettings(text, readBeside(path));
 }
 
@@ -37,14 +38,6 @@
   }
 }
 
-function unreadable(path: string, error: Error): SettingsFault {
-  const { settingsUnreadable } = diagnostics;
-  const cause = "code" in error ? String(error.code) : error.message;
-  return {
-    code: settingsUnreadable.code,
-    section: "",
-    given: path,
-    allowed: "a readable file",
-    message: formatDiagnostic(settingsUnreadable, path, cause),
-  };
+function causeOf(error: Error): string {
+  return "code" in error ? String(error.code) : error.message;
 }
--- a/src/settings/ini_section.ts
+++ b/src/settings/ini_section.ts
@@ -1,4 +1,5 @@
 import { parse } from "ini";
+import { err, ok, type Result } from "neverthrow";
 
 /** The values of one section of an INI file; a repeated key has several. */
 export type IniSection = Map<string, string[]>;
@@ -9,13 +10,29 @@
  *
  * @example
  * ```ts
- * parseIni("[log]\nlevel = info").get("log"); // Map { "level" => ["info"] }
+ * parseIni("[log]\nlevel = info").map((ini) => ini.get("log"));
+ * // ok(Map { "level" => ["info"] })
  * ```
+ *
+ * @returns the sections, or the cause where the parser gives up
  */
-export function parseIni(text: string): Map<string, IniSection> {
-  const found = new Map<string, IniSection>();
-  addSection(found, "", parse(text, { bracketedArray: false }));
-  return found;
+export function parseIni(
+  text: string,
+): Result<Map<string, IniSection>, string> {
+  return tryParse(text).map((content) => {
+    const found = new Map<string, IniSection>();
+    addSection(found, "", content);
+    return found;
+  });
+}
+
+/** The parser throws at some keys in quotes, such as a repeated `'null'`. */
+function tryParse(text: string): Result<Record<string, unknown>, string> {
+  try {
+    return ok(parse(text, { bracketedArray: false }));
+  } catch (error) {
+    return err(error instanceof Error ? error.message : String(error));
+  }
 }
 
 /**
--- a/src/settings/mod.ts
+++ b/src/settings/mod.ts
@@ -8,7 +8,7 @@
 export type { FileReader } from "./secret.ts";
 export * from "./settings.ts";
 export { formatSettingsFaults, type SettingsFault } from "./settings_fault.ts";
-export { parseIni } from "./ini_section.ts";
+export { type IniSection, parseIni } from "./ini_section.ts";
 export { readSection } from "./read_section.ts";
 export { unknownSection } from "./settings_fault.ts";
 export { tokenSchema, urlSchema } from "./values.ts";
--- a/src/settings/read_settings.ts
+++ b/src/settings/read_settings.ts
@@ -8,7 +8,11 @@
 import { type FileReader, missingSecret, readSecret } from "./secret.ts";
 import { metricsSection, sections } from "./sections.ts";
 import type { Settings } from "./settings.ts";
-import { type SettingsFault, unknownSection } from "./settings_fault.ts";
+import {
+  type SettingsFault,
+  unknownSection,
+  unreadableSettings,
+} from "./settings_fault.ts";
 import { nameSchema, tokenListSchema, tokenSchema } from "./values.ts";
 
 /** The names of all sections, in the order in which they are documented. */
@@ -36,7 +40,9 @@
   text: string,
   readFile: FileReader = readTextFile,
 ): Result<Settings, SettingsFault[]> {
-  const ini = parseIni(text);
+  const parsed = parseIni(text);
+  if (parsed.isErr()) return err([unreadableSettings("text", parsed.error)]);
+  const ini = parsed.value;
   const faults = [...unknownSections(ini)];
   const values = readSections(ini, faults);
   const secret = readSecret(values.cluster, readFile, faults);
--- a/src/settings/settings_fault.ts
+++ b/src/settings/settings_fault.ts
@@ -106,3 +106,27 @@
   const message = formatDiagnostic(sectionUnknown, section, allowed);
   return { code: sectionUnknown.code, section, allowed, message };
 }
+
+/**
+ * Builds the fault of settings that cannot be read at all.
+ *
+ * @example
+ * ```ts
+ * unreadableSettings("/etc/samphirestage.ini", "ENOENT");
+ * ```
+ *
+ * @param source the file, or what else stands for it
+ */
+export function unreadableSettings(
+  source: string,
+  cause: string,
+): SettingsFault {
+  const { settingsUnreadable } = diagnostics;
+  return {
+    code: settingsUnreadable.code,
+    section: "",
+    given: source,
+    allowed: "a readable INI file",
+    message: formatDiagnostic(settingsUnreadable, source, cause),
+  };
+}
