--- a/src/cli/api_client.ts
+++ b/src/cli/api_client.ts
@@ -15,6 +15,8 @@
   manifestHistorySchema,
   type ManifestInForce,
   manifestInForceSchema,
+  type RequestList,
+  requestListSchema,
   type TaskList,
   taskListSchema,
   type TimeLinePage,
@@ -69,6 +71,8 @@
   ): Answer<View>;
   read(id: string, waitMs: number): Answer<View>;
   cancel(id: string): Answer<View>;
+  /** Lists the customer's own requests that this instance knows. */
+  list(): Answer<RequestList>;
   status(): Answer<InstanceStatus>;
   workers(): Answer<WorkerList>;
   tasks(): Answer<TaskList>;
@@ -153,6 +157,7 @@
         method: "DELETE",
         path: requestPath(id),
       }),
+    list: () => send(requestListSchema, get("request.list", "/v1/requests")),
     status: () => send(instanceStatusSchema, operatorGet("status")),
     workers: () => send(workerListSchema, operatorGet("workers")),
     tasks: () => send(taskListSchema, operatorGet("tasks")),
--- a/src/cli/caller_session_test.ts
+++ b/src/cli/caller_session_test.ts
@@ -174,3 +174,16 @@
       "cancel ../x",
     ],
   }));
+
+test("session: a customer lists its requests", () =>
+  checkSession({
+    name: "requests",
+    answers: [{
+      call: "GET /v1/requests",
+      status: 200,
+      body: {
+        requests: [view("", RAN), view("", QUEUED)].map(({ body }) => body),
+      },
+    }],
+    lines: ["requests", "requests --json"],
+  }));
--- a/src/cli/main_command.ts
+++ b/src/cli/main_command.ts
@@ -6,6 +6,7 @@
 import { createExplainCommand } from "./commands/explain.ts";
 import { createManifestCommand } from "./commands/manifest/mod.ts";
 import { createReadCommand } from "./commands/read.ts";
+import { createRequestsCommand } from "./commands/requests.ts";
 import { createStatusCommand } from "./commands/status.ts";
 import { createSubmitCommand } from "./commands/submit.ts";
 import { createTasksCommand } from "./commands/tasks.ts";
@@ -35,6 +36,7 @@
       submit: createSubmitCommand(terminal),
       read: createReadCommand(terminal),
       cancel: createCancelCommand(terminal),
+      requests: createRequestsCommand(terminal),
       tasks: createTasksCommand(terminal),
       workers: createWorkersCommand(terminal),
       status: createStatusCommand(terminal),
--- a/src/cli/render_request.ts
+++ b/src/cli/render_request.ts
@@ -55,7 +55,15 @@
   }
 }
 
-function outcomeText(outcome: Outcome): string {
+/**
+ * Renders an outcome in a few words.
+ *
+ * @example
+ * ```ts
+ * outcomeText(view.outcome); // "not known yet (queued): ..."
+ * ```
+ */
+export function outcomeText(outcome: Outcome): string {
   switch (outcome.kind) {
     case "ran":
       return "ran";
