Read files in one place

The cause of a file that cannot be read was worked out in four places. The standard input goes the same way now, so an input that cannot be read is a fault and no stack trace.

--- a/src/cli/client_settings.ts
+++ b/src/cli/client_settings.ts
@@ -1,4 +1,3 @@
-import { readFileSync } from "node:fs";
 import { err, ok, type Result } from "neverthrow";
 import * as v from "valibot";
 import { diagnostics, formatDiagnostic } from "../diagnostics/mod.ts";
@@ -7,6 +6,7 @@
   type IniSection,
   parseIni,
   readSection,
+  readTextFile,
   type SettingsFault,
   tokenSchema,
   unknownSection,
@@ -56,20 +56,11 @@
   path: string,
 ): Result<Map<string, IniSection>, CommandFault> {
   const { settingsUnreadable } = diagnostics;
-  return readText(path).andThen(parseIni).mapErr((cause) =>
+  return readTextFile(path).andThen(parseIni).mapErr((cause) =>
     commandFault(exitCodes.usage, settingsUnreadable, path, cause)
   );
 }
 
-function readText(path: string): Result<string, string> {
-  try {
-    return ok(readFileSync(path, "utf8"));
-  } catch (error) {
-    const hasCode = error instanceof Error && "code" in error;
-    return err(hasCode ? String(error.code) : String(error));
-  }
-}
-
 function faultOf(path: string, faults: SettingsFault[]): CommandFault {
   const { settingsUnreadable } = diagnostics;
   return {
--- a/src/cli/commands/timeline.ts
+++ b/src/cli/commands/timeline.ts
@@ -4,7 +4,7 @@
 import * as v from "valibot";
 import type { Fault } from "../../hosts/mod.ts";
 import type { TimeLineEvent } from "../../model/mod.ts";
-import { urlSchema } from "../../settings/mod.ts";
+import { causeOf, urlSchema } from "../../settings/mod.ts";
 import {
   mergeTimeLines,
   renderTimeLineHtml,
@@ -129,8 +129,7 @@
   try {
     writeFileSync(path, renderTimeLineHtml(events));
   } catch (error) {
-    const cause = error instanceof Error ? error.message : String(error);
-    return err(usageFault(`${path} cannot be written: ${cause}.`));
+    return err(usageFault(`${path} cannot be written: ${causeOf(error)}.`));
   }
   return ok({
     data: { events, page: path },
--- a/src/cli/files.ts
+++ b/src/cli/files.ts
@@ -1,6 +1,6 @@
-import { readFileSync } from "node:fs";
 import { err, ok, type Result } from "neverthrow";
 import type { DiagnosticMessage } from "../diagnostics/mod.ts";
+import { causeOf, readTextFile } from "../settings/mod.ts";
 import {
   type CommandFault,
   commandFault,
@@ -26,13 +26,12 @@
   path: string,
   diagnostic: DiagnosticMessage,
 ): Result<string, CommandFault> {
-  try {
-    const isInput = path === STANDARD_INPUT;
-    return ok(isInput ? terminal.readInput() : readFileSync(path, "utf8"));
-  } catch (error) {
-    const cause = causeOf(error);
-    return err(commandFault(exitCodes.usage, diagnostic, path, cause));
-  }
+  const text = path === STANDARD_INPUT
+    ? terminal.readInput()
+    : readTextFile(path);
+  return text.mapErr((cause) =>
+    commandFault(exitCodes.usage, diagnostic, path, cause)
+  );
 }
 
 /**
@@ -79,8 +78,3 @@
     return err(causeOf(error));
   }
 }
-
-function causeOf(error: unknown): string {
-  if (!(error instanceof Error)) return String(error);
-  return "code" in error ? String(error.code) : error.message;
-}
--- a/src/cli/process_terminal.ts
+++ b/src/cli/process_terminal.ts
@@ -1,5 +1,5 @@
-import { readFileSync } from "node:fs";
 import process from "node:process";
+import { readTextFile } from "../settings/mod.ts";
 import type { Terminal } from "./terminal.ts";
 
 const STANDARD_INPUT = 0;
@@ -20,7 +20,7 @@
   return {
     write: (text) => void process.stdout.write(text),
     writeError: (text) => void process.stderr.write(text),
-    readInput: () => readFileSync(STANDARD_INPUT, "utf8"),
+    readInput: () => readTextFile(STANDARD_INPUT),
     environment: process.env,
     signal: interrupted.signal,
   };
--- a/src/cli/testing/session.ts
+++ b/src/cli/testing/session.ts
@@ -1,3 +1,4 @@
+import { ok } from "neverthrow";
 import { runCli } from "../run_cli.ts";
 import type { Environment, Terminal } from "../terminal.ts";
 import {
@@ -55,7 +56,7 @@
   const terminal: Terminal = {
     write: (text) => void printed.push(text),
     writeError: (text) => void printed.push(text.replace(/^(?=.)/gm, "! ")),
-    readInput: () => session.input ?? "",
+    readInput: () => ok(session.input ?? ""),
     environment: {
       SAMPHIRESTAGE_URL: fake.url,
       SAMPHIRESTAGE_TOKEN: "sample-token",
--- a/src/settings/check_settings_file.ts
+++ b/src/settings/check_settings_file.ts
@@ -2,6 +2,8 @@
 import { dirname, resolve } from "node:path";
 import { err, type Result } from "neverthrow";
 import { readSettings } from "./read_settings.ts";
+import { readTextFile } from "./read_text_file.ts";
+import type { FileReader } from "./secret.ts";
 import type { Settings } from "./settings.ts";
 import { type SettingsFault, unreadableSettings } from "./settings_fault.ts";
 
@@ -19,25 +21,11 @@
 export function checkSettingsFile(
   path: string,
 ): Result<Settings, SettingsFault[]> {
-  const text = tryRead(path);
-  if (text instanceof Error) {
-    return err([unreadableSettings(path, causeOf(text))]);
-  }
-  return readSettings(text, readBeside(path));
+  const text = readTextFile(path);
+  if (text.isErr()) return err([unreadableSettings(path, text.error)]);
+  return readSettings(text.value, readBeside(path));
 }
 
-function readBeside(path: string): (named: string) => string {
+function readBeside(path: string): FileReader {
   return (named) => readFileSync(resolve(dirname(path), named), "utf8");
 }
-
-function tryRead(path: string): string | Error {
-  try {
-    return readFileSync(path, "utf8");
-  } catch (error) {
-    return error instanceof Error ? error : new Error(String(error));
-  }
-}
-
-function causeOf(error: Error): string {
-  return "code" in error ? String(error.code) : error.message;
-}
--- a/src/settings/mod.ts
+++ b/src/settings/mod.ts
@@ -12,3 +12,4 @@
 export { readSection } from "./read_section.ts";
 export { unknownSection } from "./settings_fault.ts";
 export { tokenSchema, urlSchema } from "./values.ts";
+export { causeOf, readTextFile } from "./read_text_file.ts";
