--- a/src/cli/process_terminal.ts
+++ b/src/cli/process_terminal.ts
@@ -1,5 +1,5 @@
-import { readFileSync } from "node:fs";
 import process from "node:process";
+import { readTextFile } from "../settings/mod.ts";
 import type { Terminal } from "./terminal.ts";
 
 const STANDARD_INPUT = 0;
@@ -15,11 +15,18 @@
 export function processTerminal(): Terminal {
   const interrupted = new AbortController();
   process.once("SIGINT", () => interrupted.abort());
+  process.stdout.on("error", ignoreClosedPipe);
+  process.stderr.on("error", ignoreClosedPipe);
   return {
     write: (text) => void process.stdout.write(text),
     writeError: (text) => void process.stderr.write(text),
-    readInput: () => readFileSync(STANDARD_INPUT, "utf8"),
+    readInput: () => readTextFile(STANDARD_INPUT),
     environment: process.env,
     signal: interrupted.signal,
   };
 }
+
+/** The reader of a pipe, such as `head`, may have seen enough. */
+function ignoreClosedPipe(error: Error & { code?: string }): void {
+  if (error.code !== "EPIPE") throw error;
+}
