Age work by 120 s a step

Cause: with 30 s a step the order by urgency dissolved under overload.

Tried and reverted: keeping the room of an urgent task for the next one for 320 ms.

--- a/src/placement/rank.ts
+++ b/src/placement/rank.ts
@@ -9,7 +9,7 @@
 import { firstGroup } from "./queue.ts";
 
 /** Waiting this long makes work one step more urgent, in milliseconds. */
-export const AGEING_STEP_MS = 30_000;
+export const AGEING_STEP_MS = 120_000;
 /** Age alone never makes work as urgent as the most urgent. */
 const MOST_URGENT_BY_AGE = MOST_URGENT - 1;
 
