Keep a worker in use when an old token is refused

Cause: read again, a start that was pending while its worker was acquired anew is refused as stale under the old token; the core then hid the worker until its next acquisition, though the new token is good. A placed task now carries the token under which it was sent.

Tests besides: a worker acquired again keeps starts without an answer, and records of running tasks count while remembered ones do not.

--- a/src/placement/fixture_test.ts
+++ b/src/placement/fixture_test.ts
@@ -1,4 +1,10 @@
-import type { Policy, Request, Resources, Task } from "../model/mod.ts";
+import type {
+  Policy,
+  Request,
+  Resources,
+  Task,
+  TaskRecord,
+} from "../model/mod.ts";
 import {
   createPlacement,
   type Placement,
@@ -17,6 +23,13 @@
   attempt?: number;
 };
 
+/** What differs from the usual in a worker that joins. */
+export type UnusualWorker = {
+  accelerators?: number;
+  token?: number;
+  records?: TaskRecord[];
+};
+
 /** The tasks that commands start, as `task at worker`. */
 export function starts(commands: PlacementCommand[]): string[] {
   return commands.flatMap((c) =>
@@ -67,7 +80,7 @@
 export function join(
   placement: Placement,
   id: string,
-  accelerators = 0,
+  { accelerators = 0, token = 1, records = [] }: UnusualWorker = {},
 ): PlacementCommand[] {
   return stepPlacement(placement, {
     kind: "workerJoined",
@@ -77,8 +90,8 @@
       slots: 8,
       connections: 64,
     },
-    token: 1,
-    records: [],
+    token,
+    records,
   }, 0);
 }
 
--- a/src/placement/invariants_test.ts
+++ b/src/placement/invariants_test.ts
@@ -120,7 +120,10 @@
     case "join": {
       const id = `w${truth.nextWorker++}`;
       truth.workers.set(id, new Map());
-      return carryOut(truth, join(truth.placement, id, move.pick % 2));
+      return carryOut(
+        truth,
+        join(truth.placement, id, { accelerators: move.pick % 2 }),
+      );
     }
     case "lose":
       return withWorker(truth, move.pick, (worker) => {
--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -4,6 +4,7 @@
   emptyPlacement,
   end,
   join,
+  makeTasks,
   offered,
   submit,
   twoWorkers,
@@ -208,6 +209,42 @@
   ]);
 });
 
+test("placement: a worker acquired again keeps starts without an answer", () => {
+  const placement = twoWorkers();
+  submit(placement, "a", 1, "batch");
+  join(placement, "w0");
+  assert.deepEqual(runningTasks(placement, "w0").map(({ id }) => id), ["a/0"]);
+  assert.deepEqual(submit(placement, "a", 1, "batch"), []);
+});
+
+test("placement: a refusal of an old token says nothing of the new one", () => {
+  const placement = emptyPlacement();
+  join(placement, "w0");
+  submit(placement, "a", 1, "batch");
+  join(placement, "w0", { token: 2 });
+  stepPlacement(placement, {
+    kind: "startRefused",
+    worker: "w0",
+    taskId: "a/0",
+    refusal: "stale",
+  }, 10);
+  const again = stepPlacement(placement, { kind: "ticked" }, 20);
+  assert.deepEqual(again.map((c) => c.kind === "start" && c.token), [2]);
+});
+
+test("placement: records of running tasks count, remembered ones do not", () => {
+  const placement = emptyPlacement();
+  const [running, ended] = makeTasks("x", 2, "batch", {});
+  const records = [
+    { task: running!, state: "running" as const, startedAtMs: 0 },
+    { task: ended!, state: "finished" as const, startedAtMs: 0, endedAtMs: 1 },
+  ];
+  submit(placement, "x", 1, "batch");
+  assert.deepEqual(join(placement, "w0", { records }), []);
+  assert.equal(workerUsage(placement, "w0").cpuMillis, 1000);
+  assert.equal(placementLoad(placement).queued, 0);
+});
+
 test("placement: a wave of withdrawals leaves nothing queued", () => {
   const placement = twoWorkers();
   submit(placement, "a", 100, "batch");
--- a/src/placement/send_start.ts
+++ b/src/placement/send_start.ts
@@ -25,6 +25,7 @@
     task,
     worker,
     learned,
+    token: worker.token,
     reserved: demandOf(placement, { task, learned }),
     confirmed: false,
     sinceMs: atMs,
--- a/src/placement/step_placement.ts
+++ b/src/placement/step_placement.ts
@@ -197,7 +197,9 @@
   const { worker, task, group } = placed;
   if (placed.confirmed) return;
   removePlaced(placement, placed);
-  if (refusal === "stale") worker.stale = true;
+  if (refusal === "stale" && placed.token === worker.token) {
+    worker.stale = true;
+  }
   if (refusal === "leaving") worker.leaving = true;
   if (refusal === "capacity") pauseWorker(placement, worker, atMs);
   if (!isUsable(worker)) unhold(placement, worker);
--- a/src/placement/task_entry.ts
+++ b/src/placement/task_entry.ts
@@ -22,6 +22,8 @@
   worker: WorkerState;
   /** Room held on the worker until the task has surely ended. */
   reserved: Resources;
+  /** The token under which the task was sent, or found running. */
+  token: number;
   /** Whether the worker confirmed that the task runs. */
   confirmed: boolean;
   /** When the start was sent or the run began, in milliseconds. */
--- a/src/placement/workers.ts
+++ b/src/placement/workers.ts
@@ -80,6 +80,7 @@
     worker,
     learned: learnedOf(placement, task),
     reserved: task.demand,
+    token: worker.token,
     confirmed: true,
     sinceMs: atMs,
     withdrawn: false,
