Keep a slot beside each free accelerator where waiting weighs most

Cause: a quarter of all accelerators could not be reached when the first task had to wait, since other work held the slots beside them.

--- a/src/placement/choose_worker.ts
+++ b/src/placement/choose_worker.ts
@@ -14,6 +14,8 @@
 import type { Placement } from "./placement.ts";
 import type { WorkerState } from "./worker_state.ts";
 
+/** How many workers with accelerators are tried for other work. */
+const SPARE_CANDIDATES = 64;
 /** How many workers with room are compared for one replica of a service. */
 const SERVICE_CANDIDATES = 64;
 
@@ -31,19 +33,52 @@
     return chooseFrom(placement, placement.accelerated, task, demand);
   }
   const plain = chooseFrom(placement, placement.plain, task, demand);
-  if (plain !== undefined || !mayUseAccelerated(placement, task)) return plain;
+  if (plain !== undefined) return plain;
+  if (!mayStrand(task)) return firstSpare(placement, demand, task);
   return chooseFrom(placement, placement.accelerated, task, demand);
 }
 
 /**
- * Whether a task may go to a worker with accelerators. Work that needs none
- * stays away while work that does is waiting, lest it strand accelerators.
+ * Whether a task may take a worker's room. Batch work that needs no
+ * accelerators leaves a slot beside each free one where waiting weighs most,
+ * and stays away altogether while work that needs them waits.
  */
-export function mayUseAccelerated(placement: Placement, task: Task): boolean {
-  return task.demand.accelerators > 0 || placement.queuedAccelerated === 0 ||
+export function mayUse(
+  placement: Placement,
+  worker: WorkerState,
+  task: Task,
+): boolean {
+  if (worker.capacity.resources.accelerators === 0 || mayStrand(task)) {
+    return true;
+  }
+  if (placement.queuedAccelerated > 0) return false;
+  return placement.options.preference === "cost" ||
+    worker.freeSlots > worker.free.accelerators;
+}
+
+/** Whether a task may take the room beside free accelerators in any case. */
+function mayStrand(task: Task): boolean {
+  return task.demand.accelerators > 0 || task.policy.kind !== "batch" ||
     task.urgency >= PREEMPTING_URGENCY;
 }
 
+/** The first worker with accelerators and with room to spare beside them. */
+function firstSpare(
+  placement: Placement,
+  demand: Resources,
+  task: Task,
+): WorkerState | undefined {
+  if (placement.queuedAccelerated > 0) return undefined;
+  const index = placement.accelerated;
+  let leaf = nextFittingLeaf(index, demand, 0);
+  for (let i = 0; leaf >= 0 && i < SPARE_CANDIDATES; i++) {
+    const worker = index.leaves[leaf]!;
+    if (mayUse(placement, worker, task)) return worker;
+    leaf = nextFittingLeaf(index, demand, leaf + 1);
+  }
+  return undefined;
+}
+
 function chooseFrom(
   placement: Placement,
   index: FreeIndex<WorkerState>,
--- a/src/placement/fill_worker.ts
+++ b/src/placement/fill_worker.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import { fitsInto, PREEMPTING_URGENCY, type Task } from "../model/mod.ts";
+import { fitsInto, PREEMPTING_URGENCY } from "../model/mod.ts";
 import { resumeTasks } from "./checkpointed.ts";
-import { mayUseAccelerated } from "./choose_worker.ts";
+import { mayUse } from "./choose_worker.ts";
 import type { Lane } from "./lane.ts";
 import { demandOf } from "./learning.ts";
 import { hasExpired } from "./limits.ts";
@@ -76,11 +76,6 @@
   return group.hold === undefined || worker.hold === group.hold;
 }
 
-function maySpill(step: Step, task: Task, worker: WorkerState): boolean {
-  return worker.capacity.resources.accelerators === 0 ||
-    mayUseAccelerated(step.placement, task);
-}
-
 function fillFromGroup(
   step: Step,
   worker: WorkerState,
@@ -89,7 +84,7 @@
   for (const queued of waitingTasks(group)) {
     if (!hasRoom(worker, demandOf(step.placement, queued))) return;
     if (!mayBackfill(step, queued, worker)) return;
-    if (!maySpill(step, queued.task, worker)) return;
+    if (!mayUse(step.placement, worker, queued.task)) return;
     startTask(step, queued, worker);
   }
 }
