--- a/src/diagnostics/diagnostics.ts
+++ b/src/diagnostics/diagnostics.ts
@@ -19,7 +19,7 @@
   manifestUnreadable: error(1102, "The manifest {0} cannot be read: {1}."),
   manifestRaced: error(
     1103,
-    "Version {0} was built on version {1}, but version {2} is in force.",
+    "Change {0} was built on version {1}, but version {2} is in force.",
   ),
   peerUnreachable: error(2001, "{0} cannot be reached: {1}."),
   callTimedOut: error(2002, "{0} did not answer within {1} ms."),
@@ -31,6 +31,10 @@
   taskBarred: error(2008, "Task {0} was stopped before it started."),
   holderBarred: error(2009, "Holder {0} is barred."),
   connectionLost: error(2010, "The connection to {0} was lost: {1}."),
+  appendAbandoned: error(
+    2011,
+    "The log has not confirmed the record of kind {0} in time.",
+  ),
   bodyTooLarge: error(3001, "The body is larger than {0} bytes."),
   bodyUnreadable: error(3002, "The body cannot be read as JSON: {0}."),
   submissionInvalid: error(3003, "The submission is invalid at {0}: {1}."),
@@ -52,7 +56,7 @@
   queueFull: error(3013, "The queue is full; nothing was run."),
   keyUnavailable: error(
     3014,
-    "Idempotency keys need the log, which is down; nothing was run.",
+    "Idempotency keys need the log, which is down; this call ran nothing.",
   ),
   timedOut: error(3015, "The request was not read within {0} ms."),
   forbidden: error(3016, "The token does not allow this."),
@@ -85,9 +89,16 @@
   ),
   waitingToStart: message(5004, "The request waits to start."),
   stillRunning: message(5005, "The request is running."),
+  publishUndecided: error(
+    5008,
+    "The log did not answer; the change may still take effect.",
+  ),
+  outcomeForgotten: message(
+    5007,
+    "The request ended too long ago to tell how.",
+  ),
   notSubmitted: message(5006, "Nothing was submitted under this id yet."),
   usageWrong: error(6001, "{0}"),
-  daemonUnreachable: error(6002, "No instance answered at {0}: {1}."),
 } as const satisfies Record<string, DiagnosticMessage>;
 
 function error<const T extends string>(
--- /dev/null
+++ b/src/instance/peer_flow.ts
@@ -0,0 +1,129 @@
+/**
+ * Answers the messages of other entry instances.
+ *
+ * @module
+ */
+import { assertNever } from "../base/mod.ts";
+import { type HeartbeatFrame, isBarred } from "../membership/mod.ts";
+import { withdrawForPeer } from "./cancel_flow.ts";
+import type { Flow } from "./flow.ts";
+import { lookUpHere } from "./lookups.ts";
+import { answerHeartbeat } from "./membership_flow.ts";
+import type {
+  Acceptance,
+  LookupAnswer,
+  ManifestAnswer,
+  PeerMessage,
+} from "./peer_message.ts";
+import { cancel, read } from "./read_flow.ts";
+import { applySighting } from "./recovery_flow.ts";
+import { enterRequest, enterTask } from "./requests.ts";
+import { queueTasks } from "./task_queue.ts";
+import { keepCopy, note, type Scheduler } from "./scheduler.ts";
+import { submit } from "./submit_flow.ts";
+import type { CallAnswer } from "./view.ts";
+
+/** What a peer is answered. */
+export type PeerAnswer =
+  | HeartbeatFrame
+  | CallAnswer
+  | LookupAnswer
+  | Acceptance
+  | ManifestAnswer;
+
+type Move = Extract<PeerMessage, { kind: "move" }>;
+type Report = Extract<PeerMessage, { kind: "report" }>;
+
+/** Answers one message of a peer. */
+export function* answerPeer(
+  scheduler: Scheduler,
+  message: PeerMessage,
+): Flow<PeerAnswer> {
+  switch (message.kind) {
+    case "heartbeat":
+      return answerHeartbeat(scheduler, message.sender, message.frame);
+    case "submit":
+      return yield* submit(
+        scheduler,
+        message.customer,
+        message.requestId,
+        message.submission,
+        message.waitMs,
+        true,
+      );
+    case "read": {
+      const { customer, requestId, waitMs } = message;
+      return yield* read(scheduler, customer, requestId, waitMs, true);
+    }
+    case "cancel":
+      return yield* cancel(
+        scheduler,
+        message.customer,
+        message.requestId,
+        true,
+      );
+    case "lookup":
+      return lookUpHere(scheduler, message.requestId, message.taskIds);
+    case "move":
+      return takeMove(scheduler, message);
+    case "report":
+      return takeReport(scheduler, message);
+    case "withdraw":
+      withdrawForPeer(scheduler, message.taskIds);
+      return { accepted: true };
+    case "copy":
+      keepCopy(scheduler, message.request);
+      return { accepted: true };
+    case "manifest":
+      return manifestAfter(scheduler, message.afterVersion);
+    default:
+      return assertNever(message);
+  }
+}
+
+/**
+ * Takes over tasks for a peer. A barred peer gets nothing taken over, since
+ * others may already have said that its requests did not run. A move that
+ * comes again, or late, changes nothing.
+ */
+function takeMove(scheduler: Scheduler, move: Move): Acceptance {
+  const { membership } = scheduler;
+  if (isBarred(membership, move.from)) return { accepted: false };
+  if (isBarred(membership, move.home)) return { accepted: false };
+  const known = scheduler.requests.get(move.request.id);
+  if (known?.role === "home") return { accepted: false };
+  if (known !== undefined && known.moveEpoch >= move.epoch) {
+    return { accepted: true };
+  }
+  if (scheduler.draining) return { accepted: false };
+  const entry = known ??
+    enterRequest(scheduler, move.request, [], "guest", move.home, "none");
+  entry.home = move.home;
+  entry.moveEpoch = move.epoch;
+  entry.cancelled = false;
+  entry.outcome = undefined;
+  entry.endedAtMs = undefined;
+  note(scheduler, "request.taken", move.request.id);
+  queueTasks(
+    scheduler,
+    entry,
+    move.tasks.map((task) => enterTask(entry, task)),
+  );
+  return { accepted: true };
+}
+
+function takeReport(scheduler: Scheduler, report: Report): Acceptance {
+  for (const update of report.updates) {
+    applySighting(scheduler, report.from, update);
+  }
+  return { accepted: true };
+}
+
+function manifestAfter(
+  scheduler: Scheduler,
+  afterVersion: number,
+): ManifestAnswer {
+  const { version, inForce } = scheduler.log;
+  if (version <= afterVersion || inForce === undefined) return { version };
+  return { version, entry: inForce };
+}
