--- a/src/instance/lookups.ts
+++ b/src/instance/lookups.ts
@@ -8,8 +8,8 @@
   type Holder,
   holderOf,
   isSettled,
-  knownWorkers,
   membersOf,
+  reportedWorkers,
   unsettledHolders,
 } from "../membership/mod.ts";
 import type { Instance, TaskId } from "../model/mod.ts";
@@ -159,7 +159,7 @@
     outcome ??= answer.outcome;
   }
   for (const zone of zones) {
-    for (const worker of knownWorkers(membership, zone)) {
+    for (const worker of reportedWorkers(membership, zone)) {
       if (!held.has(worker)) complete = false;
     }
   }
--- a/src/instance/read_flow.ts
+++ b/src/instance/read_flow.ts
@@ -85,7 +85,7 @@
   switch (route.kind) {
     case "here": {
       const entry = scheduler.requests.get(requestId);
-      if (entry === undefined) {
+      if (entry?.role !== "home") {
         return yield* readHere(scheduler, requestId, parts, 0);
       }
       cancelHere(scheduler, entry);
@@ -119,6 +119,7 @@
   waitMs: number,
 ): Flow<CallAnswer> {
   const entry = scheduler.requests.get(requestId);
+  if (entry?.role === "guest") return unreachable(requestId);
   if (entry !== undefined) {
     return yield* waitForOutcome(scheduler, entry, waitMs);
   }
--- a/src/instance/submit_flow.ts
+++ b/src/instance/submit_flow.ts
@@ -196,6 +196,7 @@
 ): Flow<CallAnswer> {
   const { customer, requestId, submission } = submitted;
   const known = scheduler.requests.get(requestId);
+  if (known?.role === "guest") return unreachable(requestId);
   if (known !== undefined) {
     if (known.request.digest !== submissionDigest(submission)) {
       return conflict();
--- a/src/instance/task_end.ts
+++ b/src/instance/task_end.ts
@@ -38,7 +38,15 @@
   code: number,
   cause: string,
 ): void {
-  if (task.startedOn !== undefined || task.task.attempt > 1) {
+  if (task.startedOn === undefined && task.task.attempt > 1) {
+    endTask(scheduler, entry, task, {
+      kind: "lost",
+      index: task.task.index,
+      cause,
+    });
+    return;
+  }
+  if (task.startedOn !== undefined) {
     endTask(scheduler, entry, task, {
       kind: "stopped",
       index: task.task.index,
--- a/src/instance/task_queue.ts
+++ b/src/instance/task_queue.ts
@@ -9,7 +9,7 @@
 import { reportToHome } from "./report_flow.ts";
 import type { RequestEntry, TaskEntry } from "./request_entry.ts";
 import { spawn } from "./runner.ts";
-import { note, type Scheduler, selfHolder } from "./scheduler.ts";
+import { keepCopy, note, type Scheduler, selfHolder } from "./scheduler.ts";
 import { endTask, endUnstarted } from "./task_end.ts";
 import { sleep } from "./waits.ts";
 
@@ -44,6 +44,7 @@
   task: TaskEntry,
 ): void {
   if (entry.role === "guest") {
+    applyPlacement(scheduler, { kind: "withdrawn", taskIds: [task.task.id] });
     task.progress = { kind: "returned" };
     reportToHome(scheduler, entry.home, [{
       kind: "returned",
@@ -58,6 +59,11 @@
     return;
   }
   applyPlacement(scheduler, { kind: "withdrawn", taskIds: [task.task.id] });
+  if (isBarred && entry.request.durable) {
+    keepCopy(scheduler, entry.request);
+    scheduler.requests.delete(entry.request.id);
+    return;
+  }
   const message = entry.cancelled
     ? diagnostics.cancelled
     : diagnostics.homeSettled;
