--- a/src/instance/lease_flow.ts
+++ b/src/instance/lease_flow.ts
@@ -205,7 +205,7 @@
 function isLiveLease(scheduler: Scheduler, current: CurrentLease): boolean {
   if (current.lapsed || current.holder === "") return false;
   if (isSelf(scheduler, current.holder)) return false;
-  return memberState(scheduler.membership, current.holder) === "live";
+  return memberState(scheduler.membership, current.holder) !== "barred";
 }
 
 function* leaveToPeers(scheduler: Scheduler, worker: string): Flow<void> {
--- a/src/instance/peer_flow.ts
+++ b/src/instance/peer_flow.ts
@@ -88,13 +88,13 @@
  */
 function takeMove(scheduler: Scheduler, move: Move): Acceptance {
   const { membership } = scheduler;
-  if (isBarred(membership, move.from)) return { accepted: false };
-  if (isBarred(membership, move.home)) return { accepted: false };
   const known = scheduler.requests.get(move.request.id);
-  if (known?.role === "home") return { accepted: false };
-  if (known !== undefined && known.moveEpoch >= move.epoch) {
+  if (known?.role === "guest" && known.moveEpoch >= move.epoch) {
     return { accepted: true };
   }
+  if (isBarred(membership, move.from)) return { accepted: false };
+  if (isBarred(membership, move.home)) return { accepted: false };
+  if (known?.role === "home") return { accepted: false };
   if (scheduler.draining) return { accepted: false };
   const entry = known ??
     enterRequest(scheduler, move.request, [], "guest", move.home, "none");
