--- a/bench/control/fold_cost.ts
+++ b/bench/control/fold_cost.ts
@@ -55,6 +55,7 @@
   return recordCost(tasks, (index) => ({
     kind: "ended",
     requestId: jobOf(index, 0).id,
+    holder: "i1/1",
     outcome: {
       kind: "ran",
       tasks: Array.from({ length: tasks }, (_, position) => ({
--- a/src/daemon/event_report.ts
+++ b/src/daemon/event_report.ts
@@ -34,7 +34,6 @@
   "worker.unreachable": report("leases", "warn", "Cannot acquire the worker."),
   "worker.leaving": report("leases", "info", "The worker is leaving."),
   "worker.gone": report("leases", "warn", "The worker left the list."),
-  "worker.restarted": report("leases", "warn", "The worker started anew."),
   "start.refused": report(
     "placement",
     "info",
--- a/src/instance/adoption_flow.ts
+++ b/src/instance/adoption_flow.ts
@@ -145,7 +145,7 @@
   const unstarted: TaskEntry[] = [];
   for (const task of entry.tasks.values()) {
     if (task.progress.kind === "ended") continue;
-    if (!takeSighting(scheduler, task, search)) unstarted.push(task);
+    if (!takeSighting(scheduler, entry, task, search)) unstarted.push(task);
   }
   if (search.witnessedSinceMs < request.acceptedAtMs) {
     queueTasks(scheduler, entry, unstarted);
@@ -177,6 +177,7 @@
 /** Follows a task that some instance or worker of the zone knows. */
 function takeSighting(
   scheduler: Scheduler,
+  entry: RequestEntry,
   task: TaskEntry,
   search: Search,
 ): boolean {
@@ -188,6 +189,10 @@
     applyRecord(scheduler, sighting);
     return true;
   }
+  if (sighting?.kind === "ended" && sighting.outcome.kind !== "lost") {
+    endTask(scheduler, entry, task, sighting.outcome);
+    return true;
+  }
   const guest = search.queuedAt.get(task.task.id);
   if (guest === undefined) return false;
   task.progress = { kind: "moved", guest };
--- a/src/instance/held_worker.ts
+++ b/src/instance/held_worker.ts
@@ -15,6 +15,8 @@
   token: number;
   /** Names the run of the worker's process; it remembers nothing older. */
   boot: string;
+  /** Since when the worker remembers tasks (wall clock, ms). */
+  rememberedSinceMs: number;
   leaseMs: number;
   /** Until when the lease is sure to last (steady clock, ms). */
   validUntilMs: number;
--- a/src/instance/held_workers.ts
+++ b/src/instance/held_workers.ts
@@ -35,6 +35,7 @@
     holder,
     token: acquisition.token,
     boot: acquisition.boot,
+    rememberedSinceMs: acquisition.rememberedSinceMs,
     leaseMs: acquisition.leaseMs,
     validUntilMs: sentAtMs + acquisition.leaseMs,
     lapsesAtMs: scheduler.moment.steadyMs + acquisition.leaseMs,
@@ -46,7 +47,6 @@
   for (const record of acquisition.records) {
     held.records.set(record.task.id, record);
   }
-  noteBoot(scheduler, worker, held.boot);
   scheduler.held.set(worker, held);
   setHeld(scheduler.membership, heldLeases(scheduler));
   note(scheduler, "worker.acquired", worker, `token ${held.token}`);
@@ -77,15 +77,6 @@
   }));
 }
 
-/** A worker that started anew has lost its records, as if it had vanished. */
-function noteBoot(scheduler: Scheduler, worker: string, boot: string): void {
-  const before = scheduler.boots.get(worker);
-  scheduler.boots.set(worker, boot);
-  if (before === undefined || before === boot) return;
-  scheduler.goneWorkers.set(worker, scheduler.moment.wallMs);
-  note(scheduler, "worker.restarted", worker);
-}
-
 /** Forgets a worker; what it ran for us is now away. */
 export function loseWorker(
   scheduler: Scheduler,
--- a/src/instance/lookups.ts
+++ b/src/instance/lookups.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { diagnostics } from "../diagnostics/mod.ts";
 import {
   barsFor,
   type Holder,
@@ -12,7 +13,7 @@
   reportedWorkers,
   unsettledHolders,
 } from "../membership/mod.ts";
-import type { Instance, TaskId } from "../model/mod.ts";
+import type { Instance, TaskId, TaskOutcome } from "../model/mod.ts";
 import type { Result } from "neverthrow";
 import type { Fault } from "../hosts/mod.ts";
 import type { Flow } from "./flow.ts";
@@ -43,8 +44,8 @@
   /** The highest number of any move of the tasks that is known. */
   moveEpoch: number;
   /**
-   * Since when no worker vanished unseen (wall clock, ms). What was sent to a
-   * worker that vanished earlier may have run without a record.
+   * Since when no worker vanished or forgot its tasks (wall clock, ms). What
+   * was sent to a worker before may have run without a record.
    */
   witnessedSinceMs: number;
   /** Whether some instance knows the request as durable work. */
@@ -86,6 +87,7 @@
       worker: held.address.id,
       token: held.token,
       boot: held.boot,
+      rememberedSinceMs: held.rememberedSinceMs,
     })),
     barred: barsFor(scheduler.membership),
     sightings: [...sightings.values()],
@@ -180,7 +182,10 @@
   const goneAtMs = answers.flatMap((answer) =>
     answer.goneWorkers.map((gone) => gone.atMs)
   );
-  return Math.max(startedAtMs, ...goneAtMs);
+  const rememberedSinceMs = answers.flatMap((answer) =>
+    answer.held.map((held) => held.rememberedSinceMs)
+  );
+  return Math.max(startedAtMs, ...goneAtMs, ...rememberedSinceMs);
 }
 
 /** Returns the task that a sighting speaks of. */
@@ -252,18 +257,22 @@
     case "returned":
       return { kind: "returned", taskId, epoch };
     case "ended":
-      if (progress.outcome.kind !== "didNotRun") return undefined;
-      return {
-        kind: "refused",
-        taskId,
-        epoch,
-        code: entry.refusalCode ?? REFUSED_EARLIER_CODE,
-        cause: progress.outcome.cause,
-      };
+      return sightingOfEnd(entry, taskId, progress.outcome);
   }
 }
 
-const REFUSED_EARLIER_CODE = 5001;
+function sightingOfEnd(
+  entry: RequestEntry,
+  taskId: TaskId,
+  outcome: TaskOutcome,
+): Sighting {
+  const epoch = entry.moveEpoch;
+  if (outcome.kind !== "didNotRun") {
+    return { kind: "ended", taskId, epoch, outcome };
+  }
+  const code = entry.refusalCode ?? diagnostics.homeSettled.code;
+  return { kind: "refused", taskId, epoch, code, cause: outcome.cause };
+}
 
 /** Keeps the sighting that says more of a task. */
 function prefer(
@@ -282,6 +291,7 @@
   switch (sighting.kind) {
     case "record":
       return sighting.record.state === "finished" ? 5 : 4;
+    case "ended":
     case "queued":
       return 3;
     case "refused":
--- a/src/instance/lost_home.ts
+++ b/src/instance/lost_home.ts
@@ -10,6 +10,7 @@
 import type { Flow } from "./flow.ts";
 import { type Search, searchPeers } from "./lookups.ts";
 import { homeSettled, notKnown, RETRY_AFTER_MS } from "./refusals.ts";
+import type { Sighting } from "./peer_message.ts";
 import { homeOf } from "./report_flow.ts";
 import type { RequestIdParts } from "./request_ids.ts";
 import { outcomeOf } from "./task_end.ts";
@@ -81,38 +82,54 @@
   return search.complete && !search.kept && isRemembered && isWitnessed;
 }
 
-/** Puts the answer together from the records that workers remember. */
+/** Puts the answer together from what workers and peers remember. */
 function outcomeOfSearch(search: Search, sure: boolean): Outcome {
   const sightings = [...search.sightings.values()];
+  if (sightings.some((sighting) => sighting.kind === "queued")) {
+    return notKnown();
+  }
   const records = sightings.flatMap((sighting) =>
-    sighting.kind === "record" ? [sighting] : []
+    sighting.kind === "record" ? [sighting.record] : []
+  );
+  if (records.some(isLive)) return running();
+  const ended = sightings.flatMap(endOf);
+  const count = records[0]?.task.count;
+  if (ended.length === 0) return sure ? homeSettled() : notKnown();
+  if (ended.some((outcome) => outcome.kind === "lost")) return notKnown();
+  if (count === undefined || ended.length < count && !sure) return notKnown();
+  const cause = diagnostics.homeSettled.template;
+  const tasks = Array.from(
+    { length: count },
+    (_, index): TaskOutcome =>
+      ended.find((outcome) => outcome.index === index) ??
+        { kind: "didNotRun", index, cause },
   );
-  const isWaiting = sightings.some((sighting) => sighting.kind === "queued");
-  if (isWaiting) return notKnown();
-  const first = records[0];
-  if (first === undefined) return sure ? homeSettled() : notKnown();
-  if (records.some(({ record }) => isLive(record))) {
-    return {
-      kind: "notKnownYet",
-      state: "running",
-      cause: diagnostics.stillRunning.template,
-      retryAfterMs: RETRY_AFTER_MS,
-    };
-  }
-  const { count } = first.record.task;
-  if (records.length < count && !sure) return notKnown();
-  const tasks: TaskOutcome[] = [];
-  for (let index = 0; index < count; index++) {
-    const sighting = records.find(({ record }) => record.task.index === index);
-    tasks.push(
-      sighting === undefined
-        ? { kind: "didNotRun", index, cause: diagnostics.homeSettled.template }
-        : outcomeOf(sighting.worker, sighting.record),
-    );
-  }
   return { kind: "ran", tasks };
 }
 
+function endOf(sighting: Sighting): TaskOutcome[] {
+  switch (sighting.kind) {
+    case "record":
+      return [outcomeOf(sighting.worker, sighting.record)];
+    case "ended":
+      return [sighting.outcome];
+    case "queued":
+    case "refused":
+    case "returned":
+    case "leaving":
+      return [];
+  }
+}
+
+function running(): Outcome {
+  return {
+    kind: "notKnownYet",
+    state: "running",
+    cause: diagnostics.stillRunning.template,
+    retryAfterMs: RETRY_AFTER_MS,
+  };
+}
+
 function isLive(record: TaskRecord): boolean {
   return record.state === "running" || record.state === "checkpointed";
 }
--- a/src/instance/peer_message.ts
+++ b/src/instance/peer_message.ts
@@ -5,6 +5,7 @@
   outcomeSchema,
   requestSchema,
   submissionSchema,
+  taskOutcomeSchema,
   taskRecordSchema,
   taskSchema,
 } from "../model/mod.ts";
@@ -34,6 +35,13 @@
     code: v.number(),
     cause: v.string(),
   }),
+  v.object({
+    /** How a task that was moved has ended, where no record is at hand. */
+    kind: v.literal("ended"),
+    taskId: v.string(),
+    epoch: v.number(),
+    outcome: taskOutcomeSchema,
+  }),
   v.object({
     /** A service replica whose worker is about to leave. */
     kind: v.literal("leaving"),
@@ -119,6 +127,7 @@
     worker: v.string(),
     token: v.number(),
     boot: v.string(),
+    rememberedSinceMs: v.number(),
   })),
   /** Every holder that the instance has barred. */
   barred: v.array(v.string()),
--- a/src/instance/recovery_flow.ts
+++ b/src/instance/recovery_flow.ts
@@ -9,11 +9,17 @@
 import { lookUpAt, searchPeers, taskIdOfSighting } from "./lookups.ts";
 import type { LookupAnswer, Sighting } from "./peer_message.ts";
 import { findTask, type FoundTask } from "./requests.ts";
-import { endUnstarted } from "./task_end.ts";
-import { mayRepeat, requeueUnstarted, resolveLostRun } from "./task_queue.ts";
+import { endTask, endUnstarted } from "./task_end.ts";
+import {
+  mayRepeat,
+  repeatTask,
+  requeueUnstarted,
+  resolveLostRun,
+} from "./task_queue.ts";
 import { applyRecord, seenAt } from "./task_record.ts";
 import { replaceReplica } from "./replace_service.ts";
-import type { Progress } from "./request_entry.ts";
+import type { Progress, RequestEntry, TaskEntry } from "./request_entry.ts";
+import type { TaskOutcome } from "../model/mod.ts";
 import type { Scheduler } from "./scheduler.ts";
 import { resolveUnremembered } from "./unremembered.ts";
 import { sleep } from "./waits.ts";
@@ -199,6 +205,11 @@
       break;
     case "queued":
       break;
+    case "ended":
+      if (!isStillMoved(task.progress, guest)) break;
+      if (sighting.epoch !== entry.moveEpoch) break;
+      endMoved(scheduler, entry, task, sighting.outcome);
+      break;
     case "leaving":
       replaceReplica(scheduler, entry, task);
       break;
@@ -215,6 +226,20 @@
   }
 }
 
+/** A guest that lost the run for good leaves it to the home to run it again. */
+function endMoved(
+  scheduler: Scheduler,
+  entry: RequestEntry,
+  task: TaskEntry,
+  outcome: TaskOutcome,
+): void {
+  if (outcome.kind === "lost" && mayRepeat(scheduler, entry, task)) {
+    repeatTask(scheduler, entry, task);
+  } else {
+    endTask(scheduler, entry, task, outcome);
+  }
+}
+
 function hasSurelyLapsed(scheduler: Scheduler, away: Away): boolean {
   const { leaseMarginMs } = scheduler.options;
   const lapsedAtMs = away.lapsesAtMs + leaseMarginMs;
--- a/src/instance/scheduler.ts
+++ b/src/instance/scheduler.ts
@@ -81,8 +81,6 @@
   held: Map<string, HeldWorker>;
   /** Workers that could not be reached a moment ago. */
   unreachable: Set<string>;
-  /** The latest run of each worker's process that was seen. */
-  boots: Map<string, string>;
   /** When workers vanished from the list (wall clock, ms). */
   goneWorkers: Map<string, number>;
   /** When this process started (wall clock, ms). */
@@ -152,7 +150,6 @@
     listedWorkers: new Set(),
     held: new Map(),
     unreachable: new Set(),
-    boots: new Map(),
     goneWorkers: new Map(),
     startedAtMs: moment.wallMs,
     requests: new Map(),
--- a/src/instance/testing/fake_worker.ts
+++ b/src/instance/testing/fake_worker.ts
@@ -65,6 +65,8 @@
   listed: boolean;
   leaving: boolean;
   boot: number;
+  /** Since when it remembers its runs (wall clock, ms). */
+  rememberedSinceMs: number;
   token: number;
   holder: string;
   lapsed: boolean;
@@ -83,6 +85,7 @@
     listed: true,
     leaving: false,
     boot: 1,
+    rememberedSinceMs: 0,
     token: 0,
     holder: "",
     lapsed: true,
@@ -119,10 +122,11 @@
  * Starts the process of a worker anew. It has forgotten everything, but its
  * tokens go on rising, as workers promise.
  */
-export function rebootWorker(worker: FakeWorker): void {
+export function rebootWorker(worker: FakeWorker, wallMs: number): void {
   const { address, boot, listed, leaving } = worker;
   Object.assign(worker, createFakeWorker(address));
   worker.boot = boot + 1;
+  worker.rememberedSinceMs = wallMs;
   worker.token = boot * TOKENS_PER_BOOT;
   worker.listed = listed;
   worker.leaving = leaving;
@@ -151,6 +155,7 @@
     leaseMs: LEASE_MS,
     capacity: CAPACITY,
     boot: String(worker.boot),
+    rememberedSinceMs: worker.rememberedSinceMs,
     barred: [...worker.barred],
     records: [...worker.runs.values()].map((run) => run.record),
     lastEvent: worker.lastEvent,
--- a/src/instance/testing/model_schedule.ts
+++ b/src/instance/testing/model_schedule.ts
@@ -20,6 +20,7 @@
   publish,
   restartProcess,
   runFor,
+  START_MS,
 } from "./model_cluster.ts";
 import { PLATFORM } from "./model_network.ts";
 
@@ -177,7 +178,7 @@
       return killWorker(worker, cluster.nowMs);
     case "workerRestart":
       killWorker(worker, cluster.nowMs);
-      return rebootWorker(worker);
+      return rebootWorker(worker, START_MS + cluster.nowMs);
     case "workerLeave":
       worker.leaving = true;
       if (b >= 6) killWorker(worker, cluster.nowMs);
--- a/src/log_state/fold_page_test.ts
+++ b/src/log_state/fold_page_test.ts
@@ -318,7 +318,10 @@
   ]);
   assert.deepEqual(adoptionOf(state, "r"), { epoch: 1, holder: "first/1" });
   const outcome = { kind: "ran", tasks: [] };
-  appendFake(log, { kind: "ended", requestId: "r", outcome });
+  const end = { kind: "ended", requestId: "r", outcome } as const;
+  appendFake(log, { ...end, holder: "home/1" });
+  assert.equal([...acceptedRequests(foldAll(log))].length, 1);
+  appendFake(log, { ...end, holder: "first/1" });
   appendFake(log, accepted);
   const ended = foldAll(log);
   assert.deepEqual([...acceptedRequests(ended)], []);
--- a/src/log_state/fold_request.ts
+++ b/src/log_state/fold_request.ts
@@ -46,7 +46,7 @@
   record: LogRecordOf<"progressed">,
 ): void {
   const accepted = state.requests.get(record.requestId);
-  if (accepted === undefined) return;
+  if (accepted === undefined || isReplaced(accepted, record.holder)) return;
   const known = new Set(accepted.ended.map((outcome) => outcome.index));
   const added = record.outcomes.filter((outcome) => !known.has(outcome.index));
   if (added.length === 0) return;
@@ -70,7 +70,7 @@
   if (state.requests.has(record.requestId)) return;
   const { code, template } = diagnostics.homeSettled;
   const outcome = { kind: "didNotRun", code, cause: template } as const;
-  foldEnded(state, { kind: "ended", requestId: record.requestId, outcome });
+  endRequest(state, record.requestId, outcome);
 }
 
 /**
@@ -104,17 +104,29 @@
   state: LogState,
   record: LogRecordOf<"ended">,
 ): void {
-  state.requests.delete(record.requestId);
-  if (state.ended.has(record.requestId)) return;
-  state.ended.set(record.requestId, state.clockMs);
-  state.outcomes.set(record.requestId, {
-    requestId: record.requestId,
-    atMs: state.clockMs,
-    outcome: record.outcome,
-  });
+  const accepted = state.requests.get(record.requestId);
+  if (accepted !== undefined && isReplaced(accepted, record.holder)) return;
+  endRequest(state, record.requestId, record.outcome);
+}
+
+function endRequest(
+  state: LogState,
+  requestId: string,
+  outcome: Outcome,
+): void {
+  state.requests.delete(requestId);
+  if (state.ended.has(requestId)) return;
+  const atMs = state.clockMs;
+  state.ended.set(requestId, atMs);
+  state.outcomes.set(requestId, { requestId, atMs, outcome });
   forgetOutcomes(state);
 }
 
+/** Tells whether another instance has adopted the work of a holder. */
+function isReplaced(accepted: AcceptedRequest, holder: string): boolean {
+  return accepted.holder !== undefined && accepted.holder !== holder;
+}
+
 /**
  * Drops what is kept of ended work after its retention.
  *
--- a/src/log_state/log_fake_test.ts
+++ b/src/log_state/log_fake_test.ts
@@ -148,11 +148,16 @@
     epoch: fc.integer({ min: 1, max: 3 }),
     holder: fc.constantFrom("i1/1", "i2/1"),
   }),
-  name.map((requestId): LogRecord => ({
-    kind: "ended",
-    requestId,
-    outcome: { kind: "ran", tasks: [] },
-  })),
+  fc.record({ requestId: name, holder: fc.constantFrom("i1/1", "i2/1") })
+    .map((record): LogRecord => ({
+      kind: "ended",
+      ...record,
+      outcome: { kind: "ran", tasks: [] },
+    })),
+  fc.record({
+    kind: fc.constant("voided" as const),
+    requestId: name,
+  }),
   usageRecordArbitrary,
 );
 
--- a/src/log_state/log_record.ts
+++ b/src/log_state/log_record.ts
@@ -64,6 +64,8 @@
     /** Tasks of durable work that have ended while others have not. */
     kind: v.literal("progressed"),
     requestId: v.string(),
+    /** Who answers for the work; ignored once another one has adopted it. */
+    holder: v.string(),
     outcomes: v.array(taskOutcomeSchema),
   }),
   v.object({
@@ -75,6 +77,8 @@
     /** Durable work whose outcome is final. */
     kind: v.literal("ended"),
     requestId: v.string(),
+    /** Who answers for the work; ignored once another one has adopted it. */
+    holder: v.string(),
     outcome: outcomeSchema,
   }),
   v.object({
--- a/src/model/worker.ts
+++ b/src/model/worker.ts
@@ -59,6 +59,8 @@
   capacity: workerCapacitySchema,
   /** Changes when the worker's process starts anew and has forgotten all. */
   boot: v.string(),
+  /** Since when the worker remembers tasks (its wall clock, ms). */
+  rememberedSinceMs: v.number(),
   /** Holders that the worker refuses. */
   barred: v.array(v.string()),
   /** Everything that the worker runs or remembers. */
--- a/src/server/operator_route.ts
+++ b/src/server/operator_route.ts
@@ -12,12 +12,12 @@
   tasksOf,
   workersOf,
 } from "../instance/mod.ts";
-import { manifestSchema } from "../model/mod.ts";
+import { checkManifest, formatManifestFaults } from "../manifest/mod.ts";
 import { eventsAfter } from "../time_line/mod.ts";
 import { operatorOf } from "./authentication.ts";
 import { type CallerRouteHost, toHttp } from "./caller_route.ts";
 import type { HttpAnswer } from "./http_answer.ts";
-import { refusal } from "./problem_document.ts";
+import { problemDocument, refusal } from "./problem_document.ts";
 import type { Route, RouteCall } from "./route.ts";
 
 const OK = 200;
@@ -34,7 +34,7 @@
   changeId: v.pipe(v.string(), v.minLength(1), v.maxLength(200)),
   baseVersion: v.pipe(v.number(), v.integer(), v.minValue(-1)),
   author: v.optional(v.string()),
-  manifest: manifestSchema,
+  manifest: v.unknown(),
 });
 
 /** Creates the route for operators. */
@@ -104,8 +104,21 @@
     const message = diagnostics.manifestInvalid;
     return refusal(MALFORMED, message, path, issue.message);
   }
-  const { author = operator, ...publication } = parsed.output;
-  return toHttp(await host.call({ kind: "publish", author, ...publication }));
+  const { author = operator, changeId, baseVersion } = parsed.output;
+  const manifest = checkManifest(parsed.output.manifest);
+  if (manifest.isErr()) {
+    const detail = formatManifestFaults(manifest.error);
+    return problemDocument(MALFORMED, diagnostics.manifestInvalid.code, detail);
+  }
+  return toHttp(
+    await host.call({
+      kind: "publish",
+      author,
+      changeId,
+      baseVersion,
+      manifest: manifest.value,
+    }),
+  );
 }
 
 function accountView(host: OperatorRouteHost, call: RouteCall): HttpAnswer {
--- a/stand_ins/worker/commands.ts
+++ b/stand_ins/worker/commands.ts
@@ -75,6 +75,7 @@
     leaseMs: state.settings.leaseMs,
     capacity: state.settings.capacity,
     boot: state.boot,
+    rememberedSinceMs: state.startedAtMs,
     barred: [...lease.barred],
     records: [...state.runs.values()].map((run) => run.record),
     lastEvent: state.journal.lastEvent,
--- a/stand_ins/worker/worker_state.ts
+++ b/stand_ins/worker/worker_state.ts
@@ -40,6 +40,8 @@
   settings: WorkerSettings;
   /** Names this run of the worker, which remembers nothing older. */
   boot: string;
+  /** When this run began, in milliseconds since the epoch. */
+  startedAtMs: number;
   lease: Lease;
   /** Every task that runs, waits at a checkpoint or is remembered. */
   runs: Map<string, Run>;
@@ -65,6 +67,7 @@
   return {
     settings,
     boot: randomUUID(),
+    startedAtMs: Date.now(),
     lease: createLease(),
     runs: new Map(),
     running: new Map(),
