Judge no lost home without its workers, and start clusters without flakes

The new process test kills an instance while its zone's workers are away. With the settling broken on a scratch copy ('sure' at once) callers hear 'did not run' of 4 to 7 tasks that ran, in three runs of three; it passes as it stands.

Two flakes were seen in the runs of all process tests together: - 'log down' failed once 2 s after its start, without a message kept. The likely cause is a port that was found free and then given to another test's process (not proved); ports now lie below the range that the system gives out, apart for each process. Not seen again in five runs. - 'planned stop' failed once, and 'kill' once on a scratch copy: a request stayed 'not known yet' for 90 s. Trace: both ids were issued 1540 ms and 1449 ms after the start of their home, and an id counts as witnessed only if some survivor had started 2000 ms before (isSure in lost_home.ts). That case is the documented caution, but it never resolves: a cluster that starts as a whole and loses an instance within its first seconds leaves its callers without an answer. Orders now start 2.5 s after all instances are ready; the fault itself is left to the owner of src/instance.

Two runs of all process tests after that: 8 of 8 each, 41 s and 33 s.

--- a/src/daemon/kill_process_test.ts
+++ b/src/daemon/kill_process_test.ts
@@ -14,6 +14,8 @@
 const ORDERS = 80;
 const KILL_AFTER = 20;
 const PATIENCE_MS = 60_000;
+/** Long enough that every caller has a task running, below the lease. */
+const LONG_RUN_MS = 500;
 /** Time for callers to ask about the lost home while its workers are away. */
 const ASKING_MS = 3_000;
 
@@ -35,13 +37,16 @@
 test("process: a killed instance is not judged without its workers", async () => {
   await withTestCluster(["hobart", "burnie"], async (cluster) => {
     const [victim, survivor] = instancesOf(cluster, "hobart");
+    const everywhere = cluster.instances.map((instance) => instance.url);
+    let urls = [victim!.url];
     let workersAreBack = Promise.resolve();
-    const orders = testOrders("receipt", ORDERS, 100);
+    const orders = testOrders("receipt", ORDERS, LONG_RUN_MS);
     const heard = await submitOrders(cluster, orders, (count) => {
       if (count !== KILL_AFTER) return;
       victim!.program.signal("SIGKILL");
+      urls = everywhere;
       workersAreBack = cutOffWorkers(cluster, survivor!);
-    });
+    }, () => urls);
     await workersAreBack;
     const verdict = await verdictOf(cluster, heard);
     assert.deepEqual(verdict.faults, []);
--- a/stand_ins/local_cluster/free_ports.ts
+++ b/stand_ins/local_cluster/free_ports.ts
@@ -1,22 +1,30 @@
-import { createServer, type Server } from "node:net";
-import type { AddressInfo } from "node:net";
+import { createServer } from "node:net";
+import process from "node:process";
 
-/** Finds ports of 127.0.0.1 that nobody listens on at present. */
+/** Below the ports that the system gives out by itself. */
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 20_000;
+const PORTS_PER_PROCESS = 40;
+
+/**
+ * Finds ports of 127.0.0.1 that nobody listens on at present. Processes look
+ * in different places, and the system gives none of these ports to others, so
+ * that the ports are still free when they are used.
+ */
 export async function findFreePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, openAny));
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(servers.map(closeServer));
+  const start = process.pid * PORTS_PER_PROCESS;
+  const ports: number[] = [];
+  for (let index = 0; ports.length < count; index += 1) {
+    const port = FIRST_PORT + (start + index) % PORT_COUNT;
+    if (await isFree(port)) ports.push(port);
+  }
   return ports;
 }
 
-function openAny(): Promise<Server> {
-  return new Promise((resolve, reject) => {
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
     const server = createServer();
-    server.once("error", reject);
-    server.listen(0, "127.0.0.1", () => resolve(server));
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
   });
 }
-
-function closeServer(server: Server): Promise<void> {
-  return new Promise((resolve) => server.close(() => resolve()));
-}
--- a/stand_ins/local_cluster/local_cluster.ts
+++ b/stand_ins/local_cluster/local_cluster.ts
@@ -21,6 +21,12 @@
 const START_TIMEOUT_MS = 60_000;
 const STOP_GRACE_MS = 20_000;
 const NO_VERSION = -1;
+/**
+ * Longer than the instances allow their clocks to differ by. A request id
+ * issued earlier stays "not known yet" when its home dies, since no instance
+ * has watched the workers from before it was issued.
+ */
+const WITNESS_DELAY_MS = 2_500;
 const OPERATOR_TOKEN = "operator-token-of-the-local-cluster";
 const SECRET = "secret-of-the-local-cluster";
 const STAND_INS = fileURLToPath(new URL("../main.js", import.meta.url));
@@ -69,7 +75,7 @@
 
 /**
  * Starts the stand-ins and the entry instances, publishes the manifest and
- * waits until every instance is ready.
+ * waits until every instance is ready and has watched the workers for a while.
  *
  * @throws when a process does not get ready in time
  */
@@ -91,6 +97,7 @@
     for (const { url, program } of instances) {
       await waitForStatus(api, `${url}/readyz`, program);
     }
+    await delay(WITNESS_DELAY_MS);
     return {
       api,
       instances,
