Explain a gang that one instance's workers cannot hold

Cause: a gang starts on the workers of one instance, but it is refused only when all workers together could not hold it; in between it waits for good, and nothing said so. The explanation now compares the two.

--- a/src/placement/explain_task.ts
+++ b/src/placement/explain_task.ts
@@ -4,6 +4,7 @@
 import { fitsInto, type Resources } from "../model/mod.ts";
 import { agedUrgency } from "./rank.ts";
 import { hasSpace } from "./room.ts";
+import { tasksHeldBy } from "./shape.ts";
 import type { PlacedTask, QueuedTask } from "./task_entry.ts";
 import type { WaitingGroup } from "./waiting_group.ts";
 import type { WorkerState } from "./worker_state.ts";
@@ -60,11 +61,24 @@
     `waits since ${waitedMs} ms with urgency ${urgency}`,
     `needs ${cpuMillis} cpuMillis, ${memoryMb} MiB, ` +
     `${accelerators} accelerators`,
+    ...explainGang(placement, queued),
     ...explainHold(group),
     ...explainWorkers(placement, demandOf(placement, queued)),
   ];
 }
 
+/** Compares a gang with all that the workers here could hold. */
+function explainGang(placement: Placement, queued: QueuedTask): string[] {
+  const { policy, waiting } = queued.group;
+  if (policy.kind !== "gang") return [];
+  const { demand } = queued.task;
+  let held = 0;
+  for (const shape of placement.shapes.values()) {
+    held += tasksHeldBy(shape, demand);
+  }
+  return [`starts with ${waiting} at once; empty workers here hold ${held}`];
+}
+
 function explainHold({ hold }: WaitingGroup): string[] {
   if (hold === undefined) return [];
   const workers = [...hold.workers.keys()].map(({ id }) => id);
--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -209,6 +209,13 @@
   ]);
 });
 
+test("placement: a gang that these workers cannot hold is explained", () => {
+  const placement = twoWorkers();
+  submit(placement, "g", 9, "gang");
+  const lines = explainTask(placement, "g/0", 10);
+  assert.ok(lines.includes("starts with 9 at once; empty workers here hold 8"));
+});
+
 test("placement: a worker acquired again keeps starts without an answer", () => {
   const placement = twoWorkers();
   submit(placement, "a", 1, "batch");
