Model: work that outlasts a lease

Found by breaking mechanisms on a scratch copy: without the check that no peer can have taken a worker (othersRuledOut), 5,000 schedules showed nothing, since every task ended before a lease did.

--- a/src/instance/testing/model_manifest.ts
+++ b/src/instance/testing/model_manifest.ts
@@ -5,6 +5,9 @@
 /** The agreement of the model's requests. */
 export const AGREEMENT = "press-orders";
 
+/** Work that runs longer than a lease lasts. */
+export const LONG_WORK = "render";
+
 const SHARE = { cpuMillis: 100_000, memoryMb: 100_000, accelerators: 0 };
 
 /** One kind of work of each sort. */
@@ -23,12 +26,15 @@
         idempotent: false,
         policy: { kind: "gang", holdMs: 1_000 },
       }),
+      work(LONG_WORK, { idempotent: true, durationMs: 4_000 }),
     ],
   }],
 };
 
-/** The names of the kinds of work. */
-export const WORK_NAMES = MANIFEST.agreements[0]!.work.map((kind) => kind.name);
+/** The names of the kinds of work that end soon. */
+export const WORK_NAMES = MANIFEST.agreements[0]!.work
+  .map((kind) => kind.name)
+  .filter((name) => name !== LONG_WORK);
 
 function work(name: string, more: Partial<WorkKind>): WorkKind {
   return {
--- a/src/instance/testing/model_schedule.ts
+++ b/src/instance/testing/model_schedule.ts
@@ -4,7 +4,13 @@
  * @module
  */
 import * as fc from "fast-check";
-import { AGREEMENT, CUSTOMER, MANIFEST, WORK_NAMES } from "./model_manifest.ts";
+import {
+  AGREEMENT,
+  CUSTOMER,
+  LONG_WORK,
+  MANIFEST,
+  WORK_NAMES,
+} from "./model_manifest.ts";
 import type { Submission } from "../../model/mod.ts";
 import type { CallAnswer } from "../view.ts";
 import { killWorker, rebootWorker } from "./fake_worker.ts";
@@ -131,6 +137,8 @@
 }
 
 const LAST_MS = 1_000;
+/** The number of an order that runs for long. */
+const LONG_ORDER = 11;
 
 function runStep(cluster: ModelCluster, step: ModelStep): void {
   const { a, b } = step;
@@ -211,7 +219,9 @@
     (raw) => {
       const answer = raw as CallAnswer;
       if (answer.kind !== "issued") return;
-      const work = WORK_NAMES[b % WORK_NAMES.length]!;
+      const work = b === LONG_ORDER
+        ? LONG_WORK
+        : WORK_NAMES[b % WORK_NAMES.length]!;
       const count = work === "gang" ? 2 : 1 + b % 3;
       const request = { id: answer.id, work, count, submissions: 0 };
       cluster.requests.push(request);
