--- a/bench/control/main.ts
+++ b/bench/control/main.ts
@@ -1,7 +1,8 @@
 /**
  * Measures what the control work costs, at several sizes each, on 127.0.0.1.
  *
- * Arguments: the parts to run, of `fold`, `idle` and `starts`; all if none.
+ * Arguments: the parts to run, of `fold`, `idle`, `zone` and
+ * `starts`; all if none.
  *
  * @module
  */
@@ -11,6 +12,7 @@
 import { measureFoldCost } from "./fold_cost.ts";
 import { measureIdleCost } from "./idle_cost.ts";
 import { measureStartCost } from "./start_cost.ts";
+import { measureZoneCost } from "./zone_cost.ts";
 
 const BYTES_PER_MIB = 1_048_576;
 
@@ -23,4 +25,5 @@
 );
 if (runs("fold")) measureFoldCost();
 if (runs("idle")) await measureIdleCost(build);
+if (runs("zone")) await measureZoneCost(build);
 if (runs("starts")) await measureStartCost(build);
