Read the list each 5 s and log usage each minute by default; outlive a broken log pipe

What: list_interval_ms (5 s) and usage_interval_ms (60 s) are settings, heartbeats in the zone go each second; the local cluster of the tests sets its own.

--- a/src/daemon/run_instance.ts
+++ b/src/daemon/run_instance.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { once } from "node:events";
+import { once, setMaxListeners } from "node:events";
 import type { Server } from "node:http";
 import process from "node:process";
 import {
@@ -65,6 +65,11 @@
  */
 export async function runInstance(settings: Settings): Promise<number> {
   const ending = new AbortController();
+  // One signal ends every call and timer of the process.
+  setMaxListeners(0, ending.signal);
+  // Logs that nobody reads any more must not end the process.
+  process.stdout.on("error", () => {});
+  process.stderr.on("error", () => {});
   const clock = createSystemClock();
   const scheduler = schedulerFrom(settings, clock);
   const caller = createCaller(CONNECTIONS_PER_ORIGIN);
@@ -140,7 +145,7 @@
   const randomness = createRandomness(moment.wallMs ^ process.pid);
   const part = randomness.integer(0, MAX_INCARNATION_PART).toString(36);
   const incarnation = moment.wallMs.toString(36) + part;
-  const { cluster, lease, limits } = settings;
+  const { cluster, lease, limits, platform } = settings;
   return createScheduler(
     { id, incarnation, zone, region, url },
     {
@@ -153,6 +158,8 @@
       deadAfterMs: lease.deadAfterMs,
       renewWaitMs: lease.renewWaitMs,
       leaseMarginMs: lease.marginMs,
+      listIntervalMs: platform.listIntervalMs,
+      usageIntervalMs: platform.usageIntervalMs,
       maxQueuedTasks: limits.maxQueuedTasks,
     },
     randomness,
--- a/src/instance/list_flow.ts
+++ b/src/instance/list_flow.ts
@@ -13,11 +13,18 @@
 import { OWNERSHIP_TOPIC } from "./topics.ts";
 import { readList, sleep } from "./waits.ts";
 
+/** Delay before the list is read again while it was never read. */
+const FIRST_READ_RETRY_MS = 500;
+
 /** Reads the list at intervals for as long as it runs. */
 export function* followList(scheduler: Scheduler): Flow<void> {
   let latestMs = 0;
   while (true) {
     const result = yield* readList();
+    if (result.isErr() && latestMs === 0) {
+      yield* sleep(FIRST_READ_RETRY_MS);
+      continue;
+    }
     if (result.isOk() && result.value.asOfMs >= latestMs) {
       latestMs = result.value.asOfMs;
       takeList(scheduler, result.value);
--- a/src/instance/log_flow.ts
+++ b/src/instance/log_flow.ts
@@ -6,6 +6,7 @@
 import {
   applyManifest,
   foldPage,
+  needsRepair,
   needsSnapshot,
   takeSnapshot,
 } from "../log_state/mod.ts";
@@ -28,6 +29,8 @@
 const READ_WAIT_MS = 5_000;
 /** Delay after a failed read. */
 const READ_RETRY_MS = 500;
+/** How long a reader that missed entries waits for a snapshot of others. */
+const REPAIR_PATIENCE_MS = 30_000;
 /** How often peers are asked for a newer manifest. */
 const GOSSIP_INTERVAL_MS = 500;
 /** Time-out of asking a peer for its manifest. */
@@ -35,6 +38,7 @@
 
 /** Reads and folds the log for as long as it runs. */
 export function* followLog(scheduler: Scheduler): Flow<void> {
+  let unsyncedSinceMs: number | undefined;
   while (true) {
     const result = yield* readLog(scheduler.log.nextOffset, READ_WAIT_MS);
     if (result.isErr()) {
@@ -51,13 +55,31 @@
     }
     if (manifestChanged) putInForce(scheduler);
     notify(scheduler.runner, LOG_TOPIC);
-    if (needsSnapshot(scheduler.log, page) && isSnapshotter(scheduler)) {
-      commitInBackground(scheduler, takeSnapshot(scheduler.log));
-      yield* sleep(READ_RETRY_MS);
-    }
+    unsyncedSinceMs = needsRepair(scheduler.log, page)
+      ? unsyncedSinceMs ?? scheduler.moment.steadyMs
+      : undefined;
+    const isDue = needsSnapshot(scheduler.log, page) ||
+      isRepairDue(scheduler, unsyncedSinceMs);
+    if (!isDue || !isSnapshotter(scheduler)) continue;
+    commitInBackground(scheduler, takeSnapshot(scheduler.log));
+    unsyncedSinceMs = undefined;
+    yield* sleep(READ_RETRY_MS);
   }
 }
 
+/**
+ * Tells whether nobody has written a snapshot for long enough after the log
+ * was trimmed past this reader. Then nobody who missed nothing is left.
+ */
+function isRepairDue(
+  scheduler: Scheduler,
+  unsyncedSinceMs: number | undefined,
+): boolean {
+  if (unsyncedSinceMs === undefined) return false;
+  const waitedMs = scheduler.moment.steadyMs - unsyncedSinceMs;
+  return waitedMs >= REPAIR_PATIENCE_MS;
+}
+
 /** Takes newer manifests from peers for as long as it runs. */
 export function* followPeerManifests(scheduler: Scheduler): Flow<void> {
   while (true) {
--- a/src/instance/scheduler_options.ts
+++ b/src/instance/scheduler_options.ts
@@ -35,13 +35,13 @@
 > = {
   spill: "cluster",
   preference: "waiting",
-  heartbeatMs: 500,
+  heartbeatMs: 1_000,
   remoteHeartbeatMs: 3_000,
   deadAfterMs: 3_000,
   renewWaitMs: 1_000,
   leaseMarginMs: 2_000,
-  listIntervalMs: 1_000,
-  usageIntervalMs: 10_000,
+  listIntervalMs: 5_000,
+  usageIntervalMs: 60_000,
   outcomeRetentionMs: 600_000,
   maxQueuedTasks: 20_000,
 };
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -14,6 +14,7 @@
 
 const DAY_MS = 86_400_000;
 const MINUTE_MS = 60_000;
+const HOUR_MS = 3_600_000;
 const MOST_TASKS = 10_000_000;
 const MOST_BYTES = 1_073_741_824;
 
@@ -44,9 +45,11 @@
   platform: v.object({
     log_url: urlSchema,
     list_url: urlSchema,
+    list_interval_ms: v.optional(wholeNumber(100, HOUR_MS), "5000"),
+    usage_interval_ms: v.optional(wholeNumber(100, HOUR_MS), "60000"),
   }),
   lease: v.object({
-    heartbeat_ms: v.optional(wholeNumber(10, MINUTE_MS), "500"),
+    heartbeat_ms: v.optional(wholeNumber(10, MINUTE_MS), "1000"),
     dead_after_ms: v.optional(wholeNumber(20, DAY_MS), "3000"),
     renew_wait_ms: v.optional(wholeNumber(1, MINUTE_MS), "1000"),
     margin_ms: v.optional(wholeNumber(0, DAY_MS), "2000"),
--- a/stand_ins/local_cluster/instance_settings.ts
+++ b/stand_ins/local_cluster/instance_settings.ts
@@ -40,7 +40,12 @@
       listen: `127.0.0.1:${port}`,
     },
     cluster: { secret: cluster.secret, seeds },
-    platform: { log_url: cluster.logUrl, list_url: cluster.listUrl },
+    platform: {
+      log_url: cluster.logUrl,
+      list_url: cluster.listUrl,
+      list_interval_ms: 1_000,
+      usage_interval_ms: 2_000,
+    },
     customers: cluster.customers,
     operators: { operator: cluster.operatorToken },
     ...cluster.sections,
