--- a/src/placement/offload.ts
+++ b/src/placement/offload.ts
@@ -12,6 +12,8 @@
 
 /** The driver is asked to move the same request once in this time. */
 const OFFLOAD_EVERY_MS = 1_000;
+/** Where control costs weigh most, this is the time for less urgent work. */
+const PATIENT_OFFLOAD_EVERY_MS = 10_000;
 /** Where control costs weigh most, work waits this long before it moves. */
 const PATIENCE_MS = 2_000;
 /** How many requests are offered to peers at once. */
@@ -52,10 +54,11 @@
   atMs: number,
 ): boolean {
   const { offloadedAtMs, queuedAtMs, urgency } = group;
-  if (offloadedAtMs !== undefined) {
-    return atMs - offloadedAtMs >= OFFLOAD_EVERY_MS;
-  }
   const isPatient = placement.options.preference === "cost" &&
     urgency < PREEMPTING_URGENCY;
+  if (offloadedAtMs !== undefined) {
+    const everyMs = isPatient ? PATIENT_OFFLOAD_EVERY_MS : OFFLOAD_EVERY_MS;
+    return atMs - offloadedAtMs >= everyMs;
+  }
   return !isPatient || atMs - queuedAtMs >= PATIENCE_MS;
 }
