Ask all instances for workers and tasks, and show versions in status

Cause: `workers` and `tasks` showed one instance's view, so most workers of a cluster stood as "elsewhere". They now ask every instance that should answer, as `timeline` does, and merge: a worker's row from the instance that holds it (the higher token where two say so), a task's row from its home. Where the home only says "moved", or has no row, the row comes from the instance that has the task, since a row "moved" names no worker. `timeline` uses the same path; its `silent` becomes `unanswered`, and the line moves from standard output to standard error.

`status` lists the instance among its peers and says on how many instances its version is. It stays one call and shows what the peers last said: asking each would make it wait for a frozen peer, and `manifest in-force` asks.

All of them now take the first instance's own address from its status, since behind a balancer the given address may lead to another one.

Tests: the golden session `operator_merged` has two fake instances that answer and one that does not. In `operator_refused`, status now answers before tasks and workers are refused, so the refusals checked are the same. The real session fixes the gap after the heading INSTANCE, as incarnations are 8 to 12 characters long.

--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -1,11 +1,12 @@
 import { defineCommand } from "citty";
 import { err, ok } from "neverthrow";
-import type { InstanceStatus } from "../answers/mod.ts";
+import type { InstanceStatus, Member } from "../answers/mod.ts";
 import type { ApiClient } from "../api_client.ts";
 import { callFault } from "../command_fault.ts";
 import { describeCommand } from "../command_meta.ts";
 import { connectionArguments } from "../connection.ts";
 import { exitCodes } from "../exit_codes.ts";
+import { shouldAnswer } from "../instances.ts";
 import { type CommandResult, runRemote } from "../run_command.ts";
 import { renderFields, renderTable } from "../table.ts";
 import type { Terminal } from "../terminal.ts";
@@ -45,22 +46,42 @@
     ["instance", `${status.instance}/${status.incarnation}`],
     ["zone", status.zone],
     ["state", stateText(status)],
-    ["manifest", formatVersion(status.version)],
+    ["manifest", manifestText(status)],
     ["log", status.logReachable ? "reachable" : "unreachable"],
     ["workers", `${status.workers}`],
     ["queued", `${status.queued}`],
     ["running", `${status.running}`],
     ["barred", status.barred.join(", ") || "none"],
   ]);
-  if (status.members.length === 0) return fields;
-  const members = renderTable([
-    { heading: "PEER", cell: ({ id, incarnation }) => `${id}/${incarnation}` },
+  const instances = renderTable([
+    {
+      heading: "INSTANCE",
+      cell: ({ id, incarnation }) => `${id}/${incarnation}`,
+    },
     { heading: "ZONE", cell: ({ zone }) => zone },
     { heading: "STATE", cell: ({ state }) => state },
     { heading: "MANIFEST", cell: ({ version }) => formatVersion(version) },
     { heading: "URL", cell: ({ url }) => url },
-  ], status.members);
-  return `${fields}\n\n${members}`;
+  ], [memberOf(status), ...status.members]);
+  return `${fields}\n\n${instances}`;
+}
+
+/** Shows the instance itself like one of its peers. */
+function memberOf(status: InstanceStatus): Member {
+  const { instance: id, incarnation, zone, url, version } = status;
+  return { id, incarnation, zone, url, version, state: stateText(status) };
+}
+
+/** Tells the version, and which instances have it as the peers last said. */
+function manifestText({ version, members }: InstanceStatus): string {
+  if (version < 0) return formatVersion(version);
+  const peers = members.filter(shouldAnswer);
+  const same = peers.filter((peer) => peer.version === version);
+  const others = peers.filter((peer) => peer.version !== version);
+  const counts = `on ${same.length + 1} of ${peers.length + 1} instances`;
+  const text = `${formatVersion(version)}, ${counts}`;
+  if (others.length === 0) return text;
+  return `${text}, not on ${others.map(({ id }) => id).join(", ")}`;
 }
 
 function stateText(status: InstanceStatus): string {
--- a/src/cli/commands/tasks.ts
+++ b/src/cli/commands/tasks.ts
@@ -1,11 +1,13 @@
 import { defineCommand } from "citty";
 import { err, ok } from "neverthrow";
-import type { TaskRow } from "../answers/mod.ts";
 import type { ApiClient } from "../api_client.ts";
 import { callFault } from "../command_fault.ts";
 import { describeCommand } from "../command_meta.ts";
 import { connectionArguments } from "../connection.ts";
 import { exitCodes } from "../exit_codes.ts";
+import { addUnanswered } from "../gathered_report.ts";
+import { askAllInstances } from "../instances.ts";
+import { type MergedTask, mergeTasks } from "../merge_tasks.ts";
 import { type CommandResult, runRemote } from "../run_command.ts";
 import { renderTable } from "../table.ts";
 import type { Terminal } from "../terminal.ts";
@@ -17,7 +19,7 @@
 };
 
 /**
- * Builds the command that lists the tasks that an instance knows.
+ * Builds the command that lists the tasks of all instances.
  *
  * @example
  * ```ts
@@ -28,7 +30,7 @@
   return defineCommand({
     meta: describeCommand(
       "tasks",
-      "Lists the tasks that wait or run",
+      "Lists the tasks of all instances that wait or run",
       [
         "samphirestage tasks",
         "samphirestage tasks --customer funeral-homes --state queued",
@@ -48,28 +50,31 @@
   client: ApiClient,
   filter: TaskFilter,
 ): Promise<CommandResult> {
-  const list = await client.tasks();
-  if (list.isErr()) return err(callFault(list.error));
-  const tasks = list.value.tasks.filter((task) => isWanted(task, filter));
-  return ok({
+  const gathered = await askAllInstances(client, (one) => one.tasks());
+  if (gathered.isErr()) return err(callFault(gathered.error));
+  const { answers, unanswered } = gathered.value;
+  const tasks = mergeTasks(answers).filter((task) => isWanted(task, filter));
+  const report = {
     data: { tasks },
     text: renderTasks(tasks),
     exitCode: exitCodes.ok,
-  });
+  };
+  return ok(addUnanswered(report, unanswered));
 }
 
-function isWanted(task: TaskRow, filter: TaskFilter): boolean {
+function isWanted(task: MergedTask, filter: TaskFilter): boolean {
   const { customer = task.customer, state = task.state } = filter;
   return task.customer === customer && task.state === state;
 }
 
-function renderTasks(tasks: TaskRow[]): string {
+function renderTasks(tasks: MergedTask[]): string {
   return renderTable([
     { heading: "TASK", cell: ({ id }) => id },
     { heading: "CUSTOMER", cell: ({ customer }) => customer },
     { heading: "AGREEMENT", cell: ({ agreement }) => agreement },
     { heading: "WORK", cell: ({ work }) => work },
     { heading: "STATE", cell: ({ state }) => state },
+    { heading: "INSTANCE", cell: ({ instance }) => instance },
     { heading: "WORKER", cell: ({ worker }) => worker ?? "-" },
     {
       heading: "WAITED",
--- a/src/cli/commands/timeline.ts
+++ b/src/cli/commands/timeline.ts
@@ -2,7 +2,6 @@
 import { defineCommand } from "citty";
 import { err, ok, type Result } from "neverthrow";
 import * as v from "valibot";
-import type { Fault } from "../../hosts/mod.ts";
 import type { TimeLineEvent } from "../../model/mod.ts";
 import { causeOf, urlSchema } from "../../settings/mod.ts";
 import {
@@ -15,7 +14,12 @@
 import { describeCommand } from "../command_meta.ts";
 import { connectionArguments } from "../connection.ts";
 import { exitCodes } from "../exit_codes.ts";
-import { findInstances } from "../instances.ts";
+import { addUnanswered } from "../gathered_report.ts";
+import {
+  type AskedInstance,
+  askInstances,
+  findInstances,
+} from "../instances.ts";
 import type { Report } from "../report.ts";
 import { type CommandResult, runRemote } from "../run_command.ts";
 import type { Terminal } from "../terminal.ts";
@@ -28,9 +32,6 @@
   html?: string | undefined;
 };
 
-/** What one instance answered. */
-type Answered = { url: string; events: Result<TimeLineEvent[], Fault> };
-
 /**
  * Builds the command that merges the time lines of all instances.
  *
@@ -76,44 +77,35 @@
   client: ApiClient,
   flags: TimeLineFlags,
 ): Promise<CommandResult> {
-  const urls = await chooseInstances(client, flags.instances);
-  if (urls.isErr()) return err(urls.error);
-  const answered = await Promise.all(
-    urls.value.map((url) => askInstance(client, url)),
-  );
-  const silent = answered.filter(({ events }) => events.isErr());
-  const [firstFault] = silent.flatMap(({ events }) =>
-    events.isErr() ? [events.error] : []
+  const instances = await chooseInstances(client, flags.instances);
+  if (instances.isErr()) return err(instances.error);
+  const gathered = await askInstances(
+    client,
+    instances.value,
+    (one) => one.timeLine(BEFORE_ALL_EVENTS),
   );
-  if (firstFault !== undefined && silent.length === answered.length) {
-    return err(callFault(firstFault));
-  }
-  const lists = answered.map(({ events }) => events.unwrapOr([]));
-  const events = mergeTimeLines(lists);
+  if (gathered.isErr()) return err(callFault(gathered.error));
+  const { answers, unanswered } = gathered.value;
+  const events = mergeTimeLines(answers.map(({ value }) => value.events));
   const report = flags.html === undefined
     ? ok(reportEvents(events))
     : writePage(flags.html, events);
-  return report.map((done) => addSilent(done, silent.map(({ url }) => url)));
+  return report.map((done) => addUnanswered(done, unanswered));
 }
 
 async function chooseInstances(
   client: ApiClient,
   given: string | undefined,
-): Promise<Result<string[], CommandFault>> {
+): Promise<Result<AskedInstance[], CommandFault>> {
   if (given === undefined) {
     return (await findInstances(client)).mapErr(callFault);
   }
   const urls = given.split(",").map((url) => url.trim());
   const wrong = urls.find((url) => !v.is(urlSchema, url));
-  if (wrong === undefined) return ok(urls);
+  if (wrong === undefined) return ok(urls.map((url) => ({ name: url, url })));
   return err(usageFault(`--instances names "${wrong}", which is no URL.`));
 }
 
-async function askInstance(client: ApiClient, url: string): Promise<Answered> {
-  const page = await client.at(url).timeLine(BEFORE_ALL_EVENTS);
-  return { url, events: page.map(({ events }) => events) };
-}
-
 function reportEvents(events: TimeLineEvent[]): Report {
   return {
     data: { events },
@@ -137,13 +129,3 @@
     exitCode: exitCodes.ok,
   });
 }
-
-/** Names the instances whose events are missing; the rest is shown. */
-function addSilent(report: Report, silent: string[]): Report {
-  if (silent.length === 0) return report;
-  return {
-    data: { ...report.data as object, silent },
-    text: `${report.text}\n\nWithout an answer: ${silent.join(", ")}`,
-    exitCode: exitCodes.notKnownYet,
-  };
-}
--- a/src/cli/commands/workers.ts
+++ b/src/cli/commands/workers.ts
@@ -1,22 +1,24 @@
 import { defineCommand } from "citty";
 import { err, ok } from "neverthrow";
 import type { Resources } from "../../model/mod.ts";
-import type { WorkerRow } from "../answers/mod.ts";
 import type { ApiClient } from "../api_client.ts";
 import { callFault } from "../command_fault.ts";
 import { describeCommand } from "../command_meta.ts";
 import { connectionArguments } from "../connection.ts";
 import { exitCodes } from "../exit_codes.ts";
+import { addUnanswered } from "../gathered_report.ts";
+import { askAllInstances } from "../instances.ts";
+import { type MergedWorker, mergeWorkers } from "../merge_workers.ts";
 import { type CommandResult, runRemote } from "../run_command.ts";
 import { renderTable } from "../table.ts";
 import type { Terminal } from "../terminal.ts";
 import { formatCores, formatGibibytes } from "../units.ts";
 
-/** Shown of a worker that another instance holds. */
+/** Shown of a worker that no instance says it holds. */
 const UNKNOWN = "-";
 
 /**
- * Builds the command that lists the workers that an instance knows.
+ * Builds the command that lists the workers of all instances.
  *
  * @example
  * ```ts
@@ -27,7 +29,7 @@
   return defineCommand({
     meta: describeCommand(
       "workers",
-      "Lists the workers, with what is used of each",
+      "Lists the workers of all instances, with what is used of each",
       [
         "samphirestage workers",
         "samphirestage workers --json",
@@ -39,21 +41,25 @@
 }
 
 async function listWorkers(client: ApiClient): Promise<CommandResult> {
-  const list = await client.workers();
-  if (list.isErr()) return err(callFault(list.error));
-  return ok({
-    data: list.value,
-    text: renderWorkers(list.value.workers),
+  const gathered = await askAllInstances(client, (one) => one.workers());
+  if (gathered.isErr()) return err(callFault(gathered.error));
+  const { answers, unanswered } = gathered.value;
+  const workers = mergeWorkers(answers);
+  const report = {
+    data: { workers },
+    text: renderWorkers(workers),
     exitCode: exitCodes.ok,
-  });
+  };
+  return ok(addUnanswered(report, unanswered));
 }
 
-function renderWorkers(workers: WorkerRow[]): string {
+function renderWorkers(workers: MergedWorker[]): string {
   return renderTable([
     { heading: "WORKER", cell: ({ id }) => id },
     { heading: "ZONE", cell: ({ zone }) => zone },
     { heading: "RACK", cell: ({ rack }) => rack },
     { heading: "STATE", cell: ({ state }) => state },
+    { heading: "INSTANCE", cell: ({ instance }) => instance ?? UNKNOWN },
     { heading: "TOKEN", align: "right", cell: tokenText },
     { heading: "TASKS", align: "right", cell: ({ tasks }) => `${tasks}` },
     { heading: "CORES", align: "right", cell: coresText },
@@ -62,24 +68,24 @@
   ], workers);
 }
 
-function tokenText({ token }: WorkerRow): string {
+function tokenText({ token }: MergedWorker): string {
   return token === undefined ? UNKNOWN : `${token}`;
 }
 
-function coresText(row: WorkerRow): string {
+function coresText(row: MergedWorker): string {
   return usedOf(row, ({ cpuMillis }) => formatCores(cpuMillis));
 }
 
-function memoryText(row: WorkerRow): string {
+function memoryText(row: MergedWorker): string {
   return usedOf(row, ({ memoryMb }) => formatGibibytes(memoryMb));
 }
 
-function acceleratorsText(row: WorkerRow): string {
+function acceleratorsText(row: MergedWorker): string {
   return usedOf(row, ({ accelerators }) => `${accelerators}`);
 }
 
 function usedOf(
-  { used, capacity }: WorkerRow,
+  { used, capacity }: MergedWorker,
   format: (resources: Resources) => string,
 ): string {
   if (used === undefined || capacity === undefined) return UNKNOWN;
--- a/src/cli/operator_session_test.ts
+++ b/src/cli/operator_session_test.ts
@@ -142,6 +142,7 @@
         "The token does not allow this.",
         false,
       ),
+      ALONE,
       problemAnswer(
         "GET /v1/operator/tasks",
         401,
--- a/src/cli/real_session_test.ts
+++ b/src/cli/real_session_test.ts
@@ -156,7 +156,10 @@
   return match === null ? word : ids[Number(match[1]) - 1] ?? word;
 }
 
-/** Puts fixed words where each run prints other ids, names and ports. */
+/**
+ * Puts fixed words where each run prints other ids, names and ports. The
+ * column of instances is as wide as an incarnation, which varies.
+ */
 function showLine({ as, line }: Line, output: string, ids: string[]): string {
   const shown = output
     .replace(ID, (id) => {
@@ -164,6 +167,7 @@
       return `ID-${ids.indexOf(id) + 1}`;
     })
     .replace(/kigali-1\/[a-z0-9]+/g, "kigali-1/INCARNATION")
+    .replace(/INSTANCE {2,}/g, "INSTANCE  ")
     .replace(/127\.0\.0\.1:[0-9]+/g, "127.0.0.1:8001");
   return `${as}$ samphirestage ${line}\n${shown}`;
 }
--- a/src/cli/run_command.ts
+++ b/src/cli/run_command.ts
@@ -73,15 +73,19 @@
   fault: CommandFault,
   isJson: boolean,
 ): ExitCode {
-  const { code, message, details = [] } = fault;
   if (isJson) {
     const { exitCode: _, ...error } = fault;
     terminal.writeError(toJsonText({ error }));
     return fault.exitCode;
   }
+  writeFault(terminal, fault);
+  return fault.exitCode;
+}
+
+function writeFault(terminal: Terminal, fault: CommandFault): void {
+  const { code, message, details = [] } = fault;
   terminal.writeError(`samphirestage: ${message} (SS${code})\n`);
   for (const line of details) terminal.writeError(`  ${line}\n`);
-  return fault.exitCode;
 }
 
 function printReport(
@@ -91,9 +95,10 @@
 ): ExitCode {
   if (isJson) {
     terminal.write(toJsonText(report.data));
-  } else if (report.text !== "") {
-    terminal.write(`${report.text}\n`);
+    return report.exitCode;
   }
+  if (report.text !== "") terminal.write(`${report.text}\n`);
+  for (const warning of report.warnings ?? []) writeFault(terminal, warning);
   return report.exitCode;
 }
 
--- a/src/cli/testing/fake_instance.ts
+++ b/src/cli/testing/fake_instance.ts
@@ -37,9 +37,14 @@
  *   { call: "GET /v1/operator/status", status: 200, body: status },
  * ]);
  * ```
+ *
+ * @param peers addresses by what stands for them in the answers
+ * @param shownUrl what stands for the fake's own address
  */
 export async function startFakeInstance(
   answers: FakeAnswer[],
+  peers: ReadonlyMap<string, string> = new Map(),
+  shownUrl: string = SHOWN_URL,
 ): Promise<FakeInstance> {
   const calls: string[] = [];
   const left = new Map<string, FakeAnswer[]>();
@@ -49,12 +54,13 @@
   const server = createServer(async (request, response) => {
     const call = `${request.method} ${request.url}`;
     calls.push(await describeCall(call, request));
-    respond(response, nextAnswer(left.get(call)), url);
+    respond(response, nextAnswer(left.get(call)), addresses);
   });
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
   const url = `http://127.0.0.1:${port}`;
+  const addresses = new Map([...peers, [shownUrl, url]]);
   return {
     url,
     calls,
@@ -73,14 +79,16 @@
 function respond(
   response: ServerResponse,
   answer: FakeAnswer | undefined,
-  url: string,
+  addresses: ReadonlyMap<string, string>,
 ): void {
   if (answer?.body === undefined) {
     response.destroy();
     return;
   }
   response.writeHead(answer.status, { "content-type": "application/json" });
-  response.end(JSON.stringify(answer.body).replaceAll(SHOWN_URL, url));
+  let body = JSON.stringify(answer.body);
+  for (const [shown, url] of addresses) body = body.replaceAll(shown, url);
+  response.end(body);
 }
 
 async function describeCall(
--- a/src/cli/testing/session.ts
+++ b/src/cli/testing/session.ts
@@ -9,11 +9,13 @@
 } from "./fake_instance.ts";
 import { assertGolden } from "./golden_file.ts";
 
-/** A session at a terminal against one fake instance. */
+/** A session at a terminal against fake instances. */
 export type Session = {
   /** Name of the golden file, without its ending. */
   name: string;
   answers: FakeAnswer[];
+  /** Answers of further instances, by what stands for their addresses. */
+  peers?: Record<string, FakeAnswer[]>;
   /** The command lines; each is split at its spaces outside of quotes. */
   lines: string[];
   environment?: Environment;
@@ -31,19 +33,28 @@
  * ```
  *
  * In the golden file, `>` marks a call to the instance and `!` a line of the
- * standard error output.
+ * standard error output. A call to a further instance names its address.
  */
 export async function checkSession(session: Session): Promise<void> {
-  const fake = await startFakeInstance(session.answers);
+  const peers = new Map<string, FakeInstance>();
+  for (const [shown, answers] of Object.entries(session.peers ?? {})) {
+    peers.set(shown, await startFakeInstance(answers, new Map(), shown));
+  }
+  const addresses = new Map([...peers].map(([shown, { url }]) => [shown, url]));
+  const fake = await startFakeInstance(session.answers, addresses);
   try {
     const parts: string[] = [];
     for (const line of session.lines) {
-      parts.push(await runLine(session, line, fake));
+      parts.push(await runLine(session, line, fake, peers));
+    }
+    let transcript = parts.join("\n").replaceAll(fake.url, SHOWN_URL);
+    for (const [shown, { url }] of peers) {
+      transcript = transcript.replaceAll(url, shown);
     }
-    const transcript = parts.join("\n").replaceAll(fake.url, SHOWN_URL);
     assertGolden(`src/cli/baselines/${session.name}.txt`, transcript);
   } finally {
     await fake.close();
+    for (const peer of peers.values()) await peer.close();
   }
 }
 
@@ -51,6 +62,7 @@
   session: Session,
   line: string,
   fake: FakeInstance,
+  peers: ReadonlyMap<string, FakeInstance>,
 ): Promise<string> {
   const printed: string[] = [];
   const terminal: Terminal = {
@@ -66,6 +78,11 @@
   };
   const exitCode = await runCli(splitLine(line), terminal);
   const calls = fake.calls.splice(0).map((call) => `> ${call}\n`);
+  for (const [shown, peer] of peers) {
+    for (const call of peer.calls.splice(0)) {
+      calls.push(`> ${shown} ${call}\n`);
+    }
+  }
   return [
     `$ samphirestage ${line}\n`,
     ...calls,
