End with 6 for lost work, and do not wait for it

Nobody will ever know of lost work, so it is final now.

The golden session `read_lost` fails without the mechanism (seen: one call more, exit 4).

--- a/src/cli/caller_session_test.ts
+++ b/src/cli/caller_session_test.ts
@@ -187,3 +187,17 @@
     }],
     lines: ["requests", "requests --json"],
   }));
+
+test("session: lost work is not waited for, and is no success", () =>
+  checkSession({
+    name: "read_lost",
+    answers: [20_000, 5_000].map((waitMs) =>
+      view(`GET /v1/requests/${ID}?waitMs=${waitMs}`, {
+        kind: "notKnownYet",
+        state: "lost",
+        cause: "Worker kigali-w3 was lost; the task may have run there.",
+        retryAfterMs: 0,
+      }, "lost")
+    ),
+    lines: [`read ${ID} --wait-ms 25000`],
+  }));
--- a/src/cli/exit_codes.ts
+++ b/src/cli/exit_codes.ts
@@ -12,7 +12,7 @@
   notKnownYet: 4,
   /** Another change of the manifest came first. */
   lostRace: 5,
-  /** The work ran, but a task failed, was stopped, or was lost. */
+  /** A task failed or was stopped, or was lost and may have run. */
   taskFailed: 6,
 } as const;
 
--- a/src/cli/render_request.ts
+++ b/src/cli/render_request.ts
@@ -39,7 +39,7 @@
  * ```
  */
 export function isFinal(outcome: Outcome): boolean {
-  return outcome.kind !== "notKnownYet";
+  return outcome.kind !== "notKnownYet" || outcome.state === "lost";
 }
 
 function keptText(durability: View["durability"]): string {
@@ -87,7 +87,7 @@
     case "didNotRun":
       return exitCodes.refused;
     case "notKnownYet":
-      return exitCodes.notKnownYet;
+      return isFinal(outcome) ? exitCodes.taskFailed : exitCodes.notKnownYet;
     default:
       return assertNever(outcome);
   }
