--- /dev/null
+++ b/src/cli/api_page_test.ts
@@ -0,0 +1,79 @@
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { test } from "node:test";
+import { diagnostics } from "../diagnostics/mod.ts";
+import { viewSchema } from "../instance/view.ts";
+import {
+  acquisitionSchema,
+  outcomeSchema,
+  renewalSchema,
+  submissionSchema,
+  taskOutcomeSchema,
+} from "../model/mod.ts";
+import {
+  instanceStatusSchema,
+  memberSchema,
+  taskRowSchema,
+  workerRowSchema,
+} from "./answers/mod.ts";
+import { repositoryFile } from "./testing/golden_file.ts";
+
+const PAGE = readFileSync(repositoryFile("docs/API.md"), "utf8");
+
+/** Objects that the page lists as `{first, second?, ...}`, by their fields. */
+const LISTED = {
+  view: viewSchema.entries,
+  viewTask: viewSchema.entries.tasks.item.entries,
+  submission: submissionSchema.entries,
+  member: memberSchema.entries,
+  workerRow: workerRowSchema.entries,
+  taskRow: taskRowSchema.entries,
+  acquisition: acquisitionSchema.entries,
+  capacity: acquisitionSchema.entries.capacity.entries,
+  renewal: renewalSchema.entries,
+};
+
+for (const [name, entries] of Object.entries(LISTED)) {
+  test(`interface page: the fields of ${name} are those of the code`, () => {
+    const fields = Object.entries(entries).map(([field, schema]) =>
+      schema.type === "optional" ? `${field}?` : field
+    );
+    const lists = PAGE.match(/\{[^{}]*\}/g) ?? [];
+    const listed = lists.map((list) =>
+      list.slice(1, -1).split(",").map((field) => field.trim()).sort().join()
+    );
+    assert.ok(listed.includes(fields.sort().join()), fields.join(", "));
+  });
+}
+
+test("interface page: each field of the status has a row", () => {
+  const rows = PAGE.slice(PAGE.indexOf("\n`Status`:")).split("\n\n")[1] ?? "";
+  const named = rows.split("\n").flatMap((row) =>
+    row.split("|")[1]?.match(/(?<=`)\w+(?=`)/g) ?? []
+  );
+  const fields = Object.keys(instanceStatusSchema.entries);
+  assert.deepEqual(named.sort(), fields.sort());
+});
+
+test("interface page: each kind and state of an outcome has a row", () => {
+  const kinds = [outcomeSchema, taskOutcomeSchema].flatMap(({ options }) =>
+    options.map(({ entries }) => entries.kind.literal)
+  );
+  const [, , notKnownYet] = outcomeSchema.options;
+  for (const name of [...kinds, ...notKnownYet.entries.state.options]) {
+    assert.match(PAGE, new RegExp(`^\\| [^|]*\`${name}\``, "m"));
+  }
+});
+
+test("interface page: every number in it is that of a diagnostic", () => {
+  const known = new Set<number>(
+    Object.values(diagnostics).map(({ code }) => code),
+  );
+  const named = PAGE.match(/\b[1-6][0-9]{3}\b/g) ?? [];
+  const INTERNAL_ERROR = 3000;
+  const MOST_TASKS = 1000;
+  for (const code of named.map(Number)) {
+    if (code === INTERNAL_ERROR || code === MOST_TASKS) continue;
+    assert.ok(known.has(code), `${code}`);
+  }
+});
