--- /dev/null
+++ b/bench/control/bundle_test.ts
@@ -0,0 +1,26 @@
+import assert from "node:assert/strict";
+import { spawnSync } from "node:child_process";
+import process from "node:process";
+import { test } from "node:test";
+import { fileURLToPath } from "node:url";
+
+const ROOT = fileURLToPath(new URL("../../../", import.meta.url));
+const USAGE_EXIT_CODE = 2;
+
+function run(...argumentList: string[]) {
+  return spawnSync(process.execPath, argumentList, {
+    cwd: ROOT,
+    encoding: "utf8",
+  });
+}
+
+test("bundle: both programs are built into one file each, and start", () => {
+  const built = run("scripts/bundle.mjs");
+  assert.equal(built.status, 0, built.stderr);
+  const daemon = run("dist/samphirestaged.mjs", "--check", "no-such-file.ini");
+  assert.equal(daemon.status, USAGE_EXIT_CODE);
+  assert.match(daemon.stderr, /no-such-file\.ini/);
+  const tool = run("dist/samphirestage.mjs", "--help");
+  assert.equal(tool.status, 0, tool.stderr);
+  assert.match(tool.stdout, /samphirestage/);
+});
