--- a/src/instance/testing/model_schedule.ts
+++ b/src/instance/testing/model_schedule.ts
@@ -4,7 +4,13 @@
  * @module
  */
 import * as fc from "fast-check";
-import { AGREEMENT, CUSTOMER, MANIFEST, WORK_NAMES } from "./model_manifest.ts";
+import {
+  AGREEMENT,
+  CUSTOMER,
+  LONG_WORK,
+  MANIFEST,
+  WORK_NAMES,
+} from "./model_manifest.ts";
 import type { Submission } from "../../model/mod.ts";
 import type { CallAnswer } from "../view.ts";
 import { killWorker, rebootWorker } from "./fake_worker.ts";
@@ -20,6 +26,7 @@
   publish,
   restartProcess,
   runFor,
+  START_MS,
 } from "./model_cluster.ts";
 import { PLATFORM } from "./model_network.ts";
 
@@ -131,6 +138,8 @@
 }
 
 const LAST_MS = 1_000;
+/** The number of an order that runs for long. */
+const LONG_ORDER = 11;
 
 function runStep(cluster: ModelCluster, step: ModelStep): void {
   const { a, b } = step;
@@ -177,7 +186,7 @@
       return killWorker(worker, cluster.nowMs);
     case "workerRestart":
       killWorker(worker, cluster.nowMs);
-      return rebootWorker(worker);
+      return rebootWorker(worker, START_MS + cluster.nowMs);
     case "workerLeave":
       worker.leaving = true;
       if (b >= 6) killWorker(worker, cluster.nowMs);
@@ -211,7 +220,9 @@
     (raw) => {
       const answer = raw as CallAnswer;
       if (answer.kind !== "issued") return;
-      const work = WORK_NAMES[b % WORK_NAMES.length]!;
+      const work = b === LONG_ORDER
+        ? LONG_WORK
+        : WORK_NAMES[b % WORK_NAMES.length]!;
       const count = work === "gang" ? 2 : 1 + b % 3;
       const request = { id: answer.id, work, count, submissions: 0 };
       cluster.requests.push(request);
