--- a/bench/control/main.ts
+++ b/bench/control/main.ts
@@ -1,7 +1,7 @@
 /**
  * Measures what the control work costs, at several sizes each, on 127.0.0.1.
  *
- * Arguments: the parts to run, of `fold`, `idle`, `zone` and
+ * Arguments: the parts to run, of `fold`, `list`, `idle`, `zone` and
  * `starts`; all if none.
  *
  * @module
@@ -11,6 +11,7 @@
 import { DAEMON_BUILDS } from "./daemon_build.ts";
 import { measureFoldCost } from "./fold_cost.ts";
 import { measureIdleCost } from "./idle_cost.ts";
+import { measureListCost } from "./list_cost.ts";
 import { measureStartCost } from "./start_cost.ts";
 import { measureZoneCost } from "./zone_cost.ts";
 
@@ -24,6 +25,7 @@
   `Node.js ${process.version}, ${cpus().length} cores, ${memoryMib} MiB`,
 );
 if (runs("fold")) measureFoldCost();
+if (runs("list")) await measureListCost();
 if (runs("idle")) await measureIdleCost(build);
 if (runs("zone")) await measureZoneCost(build);
 if (runs("starts")) await measureStartCost(build);
