--- a/src/instance/regressions_model_test.ts
+++ b/src/instance/regressions_model_test.ts
@@ -99,6 +99,15 @@
   ]);
 });
 
+test("regression: a barred home's move is refused, though it asks again", () => {
+  check(ONE_ZONE, 2, [
+    step("cutOff", 0, 0, 0),
+    step("retry", 0, 0, 700),
+    step("order", 0, 0, 700),
+    step("heal", 0, 0, 0),
+  ]);
+});
+
 function check(
   shape: ModelSchedule["shape"],
   seed: number,
