--- a/src/instance/regressions_model_test.ts
+++ b/src/instance/regressions_model_test.ts
@@ -108,6 +108,20 @@
   ]);
 });
 
+test("regression: an instance of another zone does not witness a worker's end", () => {
+  check(TWO_ZONES, 1, [
+    step("order", 0, 0, 30),
+    step("workerLeave", 0, 7, 0),
+    step("restart", 0, 0, 0),
+    step("lag", 5, 11, 0),
+    step("drain", 4, 0, 0),
+    step("order", 0, 0, 0),
+    step("order", 0, 0, 0),
+    step("order", 0, 0, 0),
+    step("order", 0, 0, 0),
+  ]);
+});
+
 function check(
   shape: ModelSchedule["shape"],
   seed: number,
