--- a/src/cli/client_settings.ts
+++ b/src/cli/client_settings.ts
@@ -1,11 +1,12 @@
-import { readFileSync } from "node:fs";
 import { err, ok, type Result } from "neverthrow";
 import * as v from "valibot";
 import { diagnostics, formatDiagnostic } from "../diagnostics/mod.ts";
 import {
   formatSettingsFaults,
+  type IniSection,
   parseIni,
   readSection,
+  readTextFile,
   type SettingsFault,
   tokenSchema,
   unknownSection,
@@ -40,8 +41,7 @@
 export function readClientSettings(
   path: string,
 ): Result<ClientSettings, CommandFault> {
-  return readText(path).andThen((text) => {
-    const ini = parseIni(text);
+  return readSections(path).andThen((ini) => {
     const faults: SettingsFault[] = [];
     for (const name of ini.keys()) {
       if (name !== SECTION) faults.push(unknownSection(name, [SECTION]));
@@ -52,18 +52,13 @@
   });
 }
 
-function readText(path: string): Result<string, CommandFault> {
-  try {
-    return ok(readFileSync(path, "utf8"));
-  } catch (error) {
-    const cause = error instanceof Error && "code" in error
-      ? String(error.code)
-      : String(error);
-    const { settingsUnreadable } = diagnostics;
-    return err(
-      commandFault(exitCodes.usage, settingsUnreadable, path, cause),
-    );
-  }
+function readSections(
+  path: string,
+): Result<Map<string, IniSection>, CommandFault> {
+  const { settingsUnreadable } = diagnostics;
+  return readTextFile(path).andThen(parseIni).mapErr((cause) =>
+    commandFault(exitCodes.usage, settingsUnreadable, path, cause)
+  );
 }
 
 function faultOf(path: string, faults: SettingsFault[]): CommandFault {
--- a/src/log_state/log_fake_test.ts
+++ b/src/log_state/log_fake_test.ts
@@ -121,6 +121,17 @@
   observedMs: fc.integer({ min: 0, max: HOUR_MS }),
 });
 
+/** A time within the retention of every generated usage record. */
+export const USAGE_CLOCK_MS = START_MS + 24 * HOUR_MS;
+
+/** Usage records of two workers in a few hours. */
+export const usageRecordArbitrary = fc.record({
+  kind: fc.constant("usage" as const),
+  observer: name,
+  usage: fc.array(usageItem, { maxLength: 6 }),
+  observed: fc.array(observedItem, { maxLength: 6 }),
+});
+
 /** Any record but a manifest or a snapshot. */
 export const recordArbitrary: fc.Arbitrary<LogRecord> = fc.oneof(
   fc.record({
@@ -137,17 +148,17 @@
     epoch: fc.integer({ min: 1, max: 3 }),
     holder: fc.constantFrom("i1/1", "i2/1"),
   }),
-  name.map((requestId): LogRecord => ({
-    kind: "ended",
-    requestId,
-    outcome: { kind: "ran", tasks: [] },
-  })),
+  fc.record({ requestId: name, holder: fc.constantFrom("i1/1", "i2/1") })
+    .map((record): LogRecord => ({
+      kind: "ended",
+      ...record,
+      outcome: { kind: "ran", tasks: [] },
+    })),
   fc.record({
-    kind: fc.constant("usage" as const),
-    observer: name,
-    usage: fc.array(usageItem, { maxLength: 3 }),
-    observed: fc.array(observedItem, { maxLength: 3 }),
+    kind: fc.constant("voided" as const),
+    requestId: name,
   }),
+  usageRecordArbitrary,
 );
 
 /** A manifest that names one customer. */
