--- a/src/instance/lookups.ts
+++ b/src/instance/lookups.ts
@@ -165,7 +165,16 @@
       if (!held.has(worker)) complete = false;
     }
   }
-  const witnessedSinceMs = witnessedSince(all);
+  const answersOf = (zone: string) =>
+    answers.flatMap((answer, index) =>
+      answer.isOk() && peers[index]?.zone === zone ? [answer.value] : []
+    );
+  const witnessedSinceMs = Math.max(...zones.map((zone) =>
+    witnessedSince([
+      ...(zone === scheduler.self.zone ? [here] : []),
+      ...answersOf(zone),
+    ])
+  ));
   return {
     sightings,
     complete,
@@ -177,6 +186,11 @@
   };
 }
 
+/**
+ * Tells since when no worker of a zone vanished unseen, by the answers of that
+ * zone. Instances of other zones may read older lists, and do not report the
+ * workers of this one.
+ */
 function witnessedSince(answers: LookupAnswer[]): number {
   const startedAtMs = Math.min(...answers.map((answer) => answer.startedAtMs));
   const goneAtMs = answers.flatMap((answer) =>
