Name the incarnation that a move is for

Cause (named as an assumption in docs/GUARANTEES.md): a move whose answer was lost is repeated at the guest's address; a guest that had started anew took it again, although its former incarnation may have started the task.

What: the move names its guest's incarnation; another one answers that it is a stranger, and the home finds out by settlement what became of the task.

--- a/src/instance/move_flow.ts
+++ b/src/instance/move_flow.ts
@@ -85,6 +85,7 @@
   const message: PeerMessage = {
     kind: "move",
     from: selfHolder(scheduler),
+    to: holderOf(guest),
     home: entry.home,
     epoch: entry.moveEpoch,
     request: { ...entry.request, tasks: [] },
@@ -99,7 +100,7 @@
       MOVE_TIMEOUT_MS,
     );
     // A peer that refuses a move refuses every copy of it that comes later.
-    if (result.isOk()) return result.value.accepted;
+    if (result.isOk() && !result.value.stranger) return result.value.accepted;
     yield* waitToRetry(scheduler, retry);
   }
   // The recovery of moved tasks finds out what the lost peer did with them.
--- a/src/instance/peer_flow.ts
+++ b/src/instance/peer_flow.ts
@@ -19,7 +19,13 @@
 import { applySighting } from "./recovery_flow.ts";
 import { enterRequest, enterTask } from "./requests.ts";
 import { queueTasks } from "./task_queue.ts";
-import { keepCopy, note, type Scheduler } from "./scheduler.ts";
+import {
+  isSelf,
+  keepCopy,
+  note,
+  type Scheduler,
+  selfHolder,
+} from "./scheduler.ts";
 import { submit } from "./submit_flow.ts";
 import type { CallAnswer } from "./view.ts";
 
@@ -88,6 +94,7 @@
  */
 function takeMove(scheduler: Scheduler, move: Move): Acceptance {
   const { membership } = scheduler;
+  if (!isSelf(scheduler, move.to)) return { accepted: false, stranger: true };
   const known = scheduler.requests.get(move.request.id);
   if (known?.role === "guest" && known.moveEpoch >= move.epoch) {
     return { accepted: true };
@@ -96,6 +103,7 @@
   if (isBarred(membership, move.home)) return { accepted: false };
   if (known?.role === "home") return { accepted: false };
   if (scheduler.draining) return { accepted: false };
+  if (move.to !== selfHolder(scheduler)) return { accepted: false };
   const entry = known ??
     enterRequest(scheduler, move.request, [], "guest", move.home, "none");
   entry.home = move.home;
--- a/src/instance/peer_message.ts
+++ b/src/instance/peer_message.ts
@@ -91,6 +91,8 @@
     /** Hands unstarted tasks to a peer, which starts them for the home. */
     kind: v.literal("move"),
     from: v.string(),
+    /** The incarnation that is asked; a later one knows nothing of it. */
+    to: v.string(),
     home: v.string(),
     /** Number of the move among those of the request. */
     epoch: v.number(),
@@ -155,7 +157,11 @@
 export type ManifestAnswer = v.InferOutput<typeof manifestAnswerSchema>;
 
 /** Schema of a plain yes or no. */
-export const acceptanceSchema = v.object({ accepted: v.boolean() });
+export const acceptanceSchema = v.object({
+  accepted: v.boolean(),
+  /** Whether another incarnation was asked, of which nothing is known here. */
+  stranger: v.optional(v.boolean()),
+});
 
 /** A plain yes or no. */
 export type Acceptance = v.InferOutput<typeof acceptanceSchema>;
