Run idempotent work again that a guest lost with its worker

The peer repeats nothing, since only a home may, and it never told the home that the lease has surely lapsed. It now ends the run as lost, which the home hears and repeats. Then the second attempt stayed queued at a home without workers: the placement core offered only first attempts to peers.

--- a/src/instance/recovery_flow.ts
+++ b/src/instance/recovery_flow.ts
@@ -92,7 +92,9 @@
       resolveLostRun(scheduler, entry, task, worker);
       continue;
     }
-    if (!mayRepeat(scheduler, entry, task)) continue;
+    // A guest leaves it to the home to run an idempotent task again.
+    const mayHandBack = entry.role === "guest" && task.task.idempotent;
+    if (!mayHandBack && !mayRepeat(scheduler, entry, task)) continue;
     if (!hasSurelyLapsed(scheduler, task.progress)) continue;
     resolveLostRun(scheduler, entry, task, worker);
   }
--- a/src/placement/offload.ts
+++ b/src/placement/offload.ts
@@ -22,7 +22,6 @@
   const { placement, atMs, commands } = step;
   if (group.waiting === 0 || !isDue(placement, group, atMs)) return;
   const taskIds = [...waitingTasks(group)]
-    .filter(({ task }) => task.attempt === 1)
     .map(({ task }) => task.id);
   if (taskIds.length === 0) return;
   const isWhole = taskIds.length === group.tasks.length;
