Ask each instance for its row of the status

Cause: the rows showed the versions that peers last said in heartbeats. In a trial on four real instances in two zones, right after a manifest came into force, `status` said "on 2 of 4 instances" of a version that all four had.

The help names lost work under exit code 6, and what status shows.

--- a/src/cli/answers/instance_status.ts
+++ b/src/cli/answers/instance_status.ts
@@ -5,7 +5,7 @@
   id: v.string(),
   incarnation: v.string(),
   zone: v.string(),
-  /** `live`, `leaving`, `dead` or `barred`. */
+  /** `live` or `leaving`; a peer that is not heard is not shown. */
   state: v.string(),
   /** Base URL by IP number. */
   url: v.string(),
@@ -29,7 +29,7 @@
   ready: v.boolean(),
   /** Version of the manifest in force; -1 for none. */
   version: v.number(),
-  /** The peers that it has heard of. */
+  /** The peers that it hears. */
   members: v.array(memberSchema),
   /** Incarnations that no command is taken from any more. */
   barred: v.array(v.string()),
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -1,18 +1,19 @@
 import { defineCommand } from "citty";
 import { err, ok } from "neverthrow";
-import type { InstanceStatus, Member } from "../answers/mod.ts";
+import type { InstanceStatus } from "../answers/mod.ts";
 import type { ApiClient } from "../api_client.ts";
 import { callFault } from "../command_fault.ts";
 import { describeCommand } from "../command_meta.ts";
 import { connectionArguments } from "../connection.ts";
 import { exitCodes } from "../exit_codes.ts";
-import { shouldAnswer } from "../instances.ts";
+import { addUnanswered } from "../gathered_report.ts";
+import { type AskedInstance, findPeers, gather } from "../instances.ts";
 import { type CommandResult, runRemote } from "../run_command.ts";
 import { renderFields, renderTable } from "../table.ts";
 import type { Terminal } from "../terminal.ts";
 
 /**
- * Builds the command that shows an instance and the peers that it sees.
+ * Builds the command that shows an instance, and a row for each peer.
  *
  * @example
  * ```ts
@@ -23,7 +24,7 @@
   return defineCommand({
     meta: describeCommand(
       "status",
-      "Shows an instance and the peers that it sees",
+      "Shows an instance, and the manifest version on it and its peers",
       ["samphirestage status --url http://10.1.0.11:8001"],
     ),
     args: connectionArguments,
@@ -32,56 +33,81 @@
 }
 
 async function showStatus(client: ApiClient): Promise<CommandResult> {
-  const status = await client.status();
-  if (status.isErr()) return err(callFault(status.error));
-  return ok({
-    data: status.value,
-    text: renderStatus(status.value),
+  const first = await client.status();
+  if (first.isErr()) return err(callFault(first.error));
+  const status = first.value;
+  const peers = findPeers(status);
+  const gathered = await gather(client, peers, (peer) => peer.status());
+  const statuses = [status, ...gathered.answers.map(({ value }) => value)];
+  const silent = gathered.unanswered.map(({ instance }) => instance);
+  const report = {
+    data: { ...status, instances: statuses.map(summaryOf) },
+    text: renderStatus(status, statuses, silent),
     exitCode: exitCodes.ok,
-  });
+  };
+  return ok(addUnanswered(report, gathered.unanswered));
+}
+
+/** What `--json` shows of each instance. */
+function summaryOf(status: InstanceStatus): object {
+  const { members: _members, barred: _barred, ...summary } = status;
+  return summary;
 }
 
-function renderStatus(status: InstanceStatus): string {
+function renderStatus(
+  status: InstanceStatus,
+  statuses: InstanceStatus[],
+  silent: AskedInstance[],
+): string {
   const fields = renderFields([
-    ["instance", `${status.instance}/${status.incarnation}`],
+    ["instance", nameOf(status)],
     ["zone", status.zone],
     ["state", stateText(status)],
-    ["manifest", manifestText(status)],
-    ["log", status.logReachable ? "reachable" : "unreachable"],
+    ["manifest", manifestText(status, statuses, silent)],
+    ["log", logText(status)],
     ["workers", `${status.workers}`],
     ["queued", `${status.queued}`],
     ["running", `${status.running}`],
     ["barred", status.barred.join(", ") || "none"],
   ]);
   const instances = renderTable([
-    {
-      heading: "INSTANCE",
-      cell: ({ id, incarnation }) => `${id}/${incarnation}`,
-    },
+    { heading: "INSTANCE", cell: nameOf },
     { heading: "ZONE", cell: ({ zone }) => zone },
-    { heading: "STATE", cell: ({ state }) => state },
+    { heading: "STATE", cell: stateText },
     { heading: "MANIFEST", cell: ({ version }) => formatVersion(version) },
+    { heading: "LOG", cell: logText },
+    { heading: "WORKERS", align: "right", cell: ({ workers }) => `${workers}` },
+    { heading: "QUEUED", align: "right", cell: ({ queued }) => `${queued}` },
+    { heading: "RUNNING", align: "right", cell: ({ running }) => `${running}` },
     { heading: "URL", cell: ({ url }) => url },
-  ], [memberOf(status), ...status.members]);
+  ], statuses);
   return `${fields}\n\n${instances}`;
 }
 
-/** Shows the instance itself like one of its peers. */
-function memberOf(status: InstanceStatus): Member {
-  const { instance: id, incarnation, zone, url, version } = status;
-  return { id, incarnation, zone, url, version, state: stateText(status) };
+/** Tells the version of an instance, and where it is in force. */
+function manifestText(
+  { version }: InstanceStatus,
+  statuses: InstanceStatus[],
+  silent: AskedInstance[],
+): string {
+  const others = statuses.filter((status) => status.version !== version);
+  const same = statuses.length - others.length;
+  const total = statuses.length + silent.length;
+  const parts = [
+    formatVersion(version),
+    `on ${same} of ${total} instances`,
+    ...others.map((status) => `not on ${nameOf(status)}`),
+    ...silent.map(({ name }) => `not known of ${name}`),
+  ];
+  return parts.join(", ");
+}
+
+function nameOf({ instance, incarnation }: InstanceStatus): string {
+  return `${instance}/${incarnation}`;
 }
 
-/** Tells the version, and which instances have it as the peers last said. */
-function manifestText({ version, members }: InstanceStatus): string {
-  if (version < 0) return formatVersion(version);
-  const peers = members.filter(shouldAnswer);
-  const same = peers.filter((peer) => peer.version === version);
-  const others = peers.filter((peer) => peer.version !== version);
-  const counts = `on ${same.length + 1} of ${peers.length + 1} instances`;
-  const text = `${formatVersion(version)}, ${counts}`;
-  if (others.length === 0) return text;
-  return `${text}, not on ${others.map(({ id }) => id).join(", ")}`;
+function logText({ logReachable }: InstanceStatus): string {
+  return logReachable ? "reachable" : "unreachable";
 }
 
 function stateText(status: InstanceStatus): string {
--- a/src/cli/help.ts
+++ b/src/cli/help.ts
@@ -44,7 +44,7 @@
     `${exitCodes.unreachable} no usable answer from an instance`,
     `${exitCodes.notKnownYet} not known yet`,
     `${exitCodes.lostRace} lost a race`,
-    `${exitCodes.taskFailed} ran, but a task failed`,
+    `${exitCodes.taskFailed} a task failed, was stopped or was lost`,
   ];
   return ["EXIT CODES", "", ...meanings.map((line) => `  ${line}`)].join("\n");
 }
--- a/src/cli/instances.ts
+++ b/src/cli/instances.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Fault } from "../hosts/mod.ts";
-import type { Member } from "./answers/mod.ts";
+import type { InstanceStatus, Member } from "./answers/mod.ts";
 import type { ApiClient } from "./api_client.ts";
 
 /** An entry instance that is asked. */
@@ -19,7 +19,6 @@
 
 /** What several instances answered, in the order in which they were named. */
 export type Gathered<Value> = {
-  /** At least one. */
   answers: InstanceAnswer<Value>[];
   unanswered: Unanswered[];
 };
@@ -36,12 +35,24 @@
   client: ApiClient,
 ): Promise<Result<AskedInstance[], Fault>> {
   const status = await client.status();
-  return status.map(({ instance, incarnation, url, members }) => [
-    { name: `${instance}/${incarnation}`, url },
-    ...members.filter(shouldAnswer).map(toAsked),
+  return status.map((first) => [
+    { name: `${first.instance}/${first.incarnation}`, url: first.url },
+    ...findPeers(first),
   ]);
 }
 
+/**
+ * Finds the peers that an instance says should answer.
+ *
+ * @example
+ * ```ts
+ * const gathered = await gather(client, findPeers(status), ask);
+ * ```
+ */
+export function findPeers({ members }: InstanceStatus): AskedInstance[] {
+  return members.filter(shouldAnswer).map(toAsked);
+}
+
 /**
  * Asks several instances the same at once.
  *
@@ -57,6 +68,27 @@
   instances: AskedInstance[],
   ask: (client: ApiClient) => Promise<Result<Value, Fault>>,
 ): Promise<Result<Gathered<Value>, Fault>> {
+  const gathered = await gather(client, instances, ask);
+  const [first] = gathered.unanswered;
+  if (first !== undefined && gathered.answers.length === 0) {
+    return err(first.fault);
+  }
+  return ok(gathered);
+}
+
+/**
+ * Asks several instances the same at once, of which all may fail to answer.
+ *
+ * @example
+ * ```ts
+ * const gathered = await gather(client, peers, (one) => one.status());
+ * ```
+ */
+export async function gather<Value>(
+  client: ApiClient,
+  instances: AskedInstance[],
+  ask: (client: ApiClient) => Promise<Result<Value, Fault>>,
+): Promise<Gathered<Value>> {
   const results = await Promise.all(
     instances.map((instance) => ask(client.at(instance.url))),
   );
@@ -67,11 +99,7 @@
       (fault) => gathered.unanswered.push({ instance, fault }),
     )
   );
-  const [first] = gathered.unanswered;
-  if (first !== undefined && gathered.answers.length === 0) {
-    return err(first.fault);
-  }
-  return ok(gathered);
+  return gathered;
 }
 
 /**
--- a/src/cli/merged_session_test.ts
+++ b/src/cli/merged_session_test.ts
@@ -20,11 +20,25 @@
     logReachable: true,
     leaving: false,
     members: [
-      memberOf("huye-1", "i9", HUYE_URL, 41),
-      memberOf("musanze-1", "i2", "http://127.0.0.1:1", 40),
+      memberOf("huye-1", "i9", HUYE_URL),
+      memberOf("musanze-1", "i2", "http://127.0.0.1:1"),
     ],
   },
 };
+const HUYE: FakeAnswer = {
+  ...CLUSTER,
+  body: {
+    ...CLUSTER.body as object,
+    instance: "huye-1",
+    incarnation: "i9",
+    zone: "huye",
+    url: HUYE_URL,
+    version: 40,
+    running: 3,
+    logReachable: false,
+    members: [],
+  },
+};
 const PROOF = {
   id: "kigali.kigali-1.i4.17.kq3v0Zb1m8Qw2xYa/0",
   customer: "order-desk",
@@ -53,6 +67,7 @@
     ],
     peers: {
       [HUYE_URL]: [
+        HUYE,
         workersAnswer([
           workerRow("huye-w1", "silent", 2),
           workerRow("kigali-w1", "elsewhere"),
@@ -68,6 +83,7 @@
     },
     lines: [
       "status",
+      "status --json",
       "workers",
       "workers --json",
       "tasks",
@@ -75,9 +91,9 @@
     ],
   }));
 
-function memberOf(id: string, incarnation: string, url: string, at: number) {
+function memberOf(id: string, incarnation: string, url: string) {
   const [zone = ""] = id.split("-");
-  return { id, incarnation, zone, url, state: "live", version: at };
+  return { id, incarnation, zone, url, state: "live", version: 41 };
 }
 
 function workersAnswer(workers: object[]): FakeAnswer {
