--- a/src/instance/regressions_model_test.ts
+++ b/src/instance/regressions_model_test.ts
@@ -122,6 +122,16 @@
   ]);
 });
 
+test("regression: a barred home does not use a worker that forgot its bars", () => {
+  check(ONE_ZONE, 7, [
+    step("lag", 0, 0, 700),
+    step("cutOff", 2, 11, 200),
+    step("race", 0, 0, 700),
+    step("order", 0, 0, 0),
+    step("workerRestart", 0, 0, 5),
+  ]);
+});
+
 function check(
   shape: ModelSchedule["shape"],
   seed: number,
