Use a worker that started anew only when nobody can have judged us; order unrun tasks again

Such a worker is used once every instance of the zone was heard since, or is gone, or is refused by another worker that obeys us.

--- a/src/instance/lease_flow.ts
+++ b/src/instance/lease_flow.ts
@@ -11,12 +11,13 @@
   barsFor,
   desiredOwner,
   type Holder,
+  isConfirmedSince,
   isShared,
   markUsed,
   memberState,
 } from "../membership/mod.ts";
 import type { CurrentLease, Fault } from "../hosts/mod.ts";
-import type { Renewal } from "../model/mod.ts";
+import type { Acquisition, Renewal } from "../model/mod.ts";
 import type { Flow } from "./flow.ts";
 import type { HeldWorker } from "./held_worker.ts";
 import {
@@ -38,6 +39,10 @@
 import { observe, takeUsage } from "./usage_flow.ts";
 import { acquireWorker, renewWorker, sleep, waitForNotice } from "./waits.ts";
 
+/** The most that the clocks of a worker and an instance differ by. */
+const CLOCK_ALLOWANCE_MS = 2_000;
+/** How often it is looked whether a new worker may be used. */
+const TRUST_POLL_MS = 100;
 /** How often ownership is looked at when nothing changes. */
 const OWNERSHIP_POLL_MS = 500;
 /** Delay before a failed renewal is sent again. */
@@ -94,6 +99,11 @@
     expectedToken = result.value.token;
     takeBars(scheduler, known, result.value.barred);
     if (holder !== selfHolder(scheduler)) continue;
+    if (!(yield* isTrusted(scheduler, worker, result.value))) {
+      yield* leaveToPeers(scheduler, worker);
+      continue;
+    }
+    if (holder !== selfHolder(scheduler)) continue;
     const held = takeWorker(scheduler, known, result.value, holder, sentAtMs);
     acknowledgeBars(scheduler.membership, worker, barred);
     const tookAtMs = scheduler.moment.steadyMs;
@@ -104,6 +114,36 @@
   }
 }
 
+/**
+ * Waits until a worker that has started anew may be used. It has forgotten its
+ * bars, and this incarnation may have been barred without having heard of it.
+ */
+function* isTrusted(
+  scheduler: Scheduler,
+  worker: string,
+  acquisition: Acquisition,
+): Flow<boolean> {
+  if (acquisition.rememberedSinceMs < barredSinceMs(scheduler)) return true;
+  const acquiredAtMs = scheduler.moment.steadyMs;
+  const untilMs = acquiredAtMs + acquisition.leaseMs / 2;
+  while (scheduler.moment.steadyMs < untilMs) {
+    const { membership } = scheduler;
+    if (isConfirmedSince(membership, worker, acquiredAtMs)) return true;
+    yield* sleep(TRUST_POLL_MS);
+  }
+  return false;
+}
+
+/**
+ * Returns from when on this incarnation can have been barred: it must have
+ * been silent for a while. A worker that remembers further back forgot none.
+ */
+function barredSinceMs(scheduler: Scheduler): number {
+  const { deadAfterMs } = scheduler.options;
+  const silentMs = Math.max(0, deadAfterMs - CLOCK_ALLOWANCE_MS);
+  return scheduler.incarnatedAtMs + silentMs;
+}
+
 /** Renews a lease until it is lost, and takes in what the worker tells. */
 function* renewUntilLost(
   scheduler: Scheduler,
--- a/src/instance/membership_flow.ts
+++ b/src/instance/membership_flow.ts
@@ -132,6 +132,7 @@
     ...scheduler.self,
     incarnation: newIncarnation(scheduler),
   };
+  scheduler.incarnatedAtMs = scheduler.moment.wallMs;
   scheduler.timeLine.incarnation = scheduler.self.incarnation;
   reincarnate(scheduler.membership, scheduler.self);
   note(scheduler, "instance.reincarnated", selfHolder(scheduler), before);
--- a/src/instance/scheduler.ts
+++ b/src/instance/scheduler.ts
@@ -83,6 +83,8 @@
   unreachable: Set<string>;
   /** When workers vanished from the list (wall clock, ms). */
   goneWorkers: Map<string, number>;
+  /** When this incarnation began (wall clock, ms). */
+  incarnatedAtMs: number;
   /** When this process started (wall clock, ms). */
   startedAtMs: number;
   requests: Map<RequestId, RequestEntry>;
@@ -151,6 +153,7 @@
     held: new Map(),
     unreachable: new Set(),
     goneWorkers: new Map(),
+    incarnatedAtMs: moment.wallMs,
     startedAtMs: moment.wallMs,
     requests: new Map(),
     copies: new Map(),
--- a/src/membership/shared.ts
+++ b/src/membership/shared.ts
@@ -1,3 +1,5 @@
+import { isSelfBarred } from "./bars.ts";
+import { instanceIdOf } from "./holder.ts";
 import type { Member } from "./member.ts";
 import type { BarEntry, KnownWorker, Membership } from "./membership.ts";
 import { isSettled } from "./settlement.ts";
@@ -39,6 +41,54 @@
   membership.shared.add(workerId);
 }
 
+/**
+ * Tells whether a worker that has forgotten its bars may be used: no instance
+ * of the zone can have judged this incarnation unheard. Each one was heard
+ * since a moment without barring us, or is gone, or is refused by another
+ * worker that obeys us.
+ *
+ * @example
+ * ```ts
+ * if (isConfirmedSince(membership, worker.id, acquiredAtMs)) use(worker);
+ * ```
+ *
+ * @param sinceMs when the worker was acquired, on the steady clock
+ */
+export function isConfirmedSince(
+  membership: Membership,
+  workerId: string,
+  sinceMs: number,
+): boolean {
+  if (isSelfBarred(membership)) return false;
+  const known = membership.workers.get(workerId);
+  const members = zoneMembers(membership);
+  const heard = new Set(
+    members.filter((member) => member.heardAtMs > sinceMs)
+      .map((member) => member.instance.id),
+  );
+  const listed = new Set(membership.listed.map((instance) => instance.id));
+  const isHarmless = (id: string) => heard.has(id) || !listed.has(id);
+  return members.every((member) => isHarmless(member.instance.id)) &&
+    barredInZone(membership).every((entry) =>
+      isHarmless(instanceIdOf(entry.holder)) ||
+      obeysElsewhere(membership, entry, workerId)
+    ) &&
+    (noListedUnheard(membership) ||
+      (known !== undefined && isOld(membership, known.knownSinceMs)));
+}
+
+/** Tells whether another worker obeys us and refuses a barred incarnation. */
+function obeysElsewhere(
+  membership: Membership,
+  entry: BarEntry,
+  workerId: string,
+): boolean {
+  return [...membership.held.keys()].some((held) =>
+    held !== workerId && membership.shared.has(held) &&
+    entry.acknowledged.has(held)
+  );
+}
+
 function isHeldByMember(membership: Membership, workerId: string): boolean {
   return heardMembers(membership).some((member) =>
     member.heartbeat.held.some((entry) => entry.worker === workerId)
--- a/stand_ins/local_cluster/verdict.ts
+++ b/stand_ins/local_cluster/verdict.ts
@@ -59,12 +59,29 @@
   if (outcome.tasks.length !== count) return "the answer is not whole";
   for (const [index, task] of outcome.tasks.entries()) {
     const taskId = `${id}/${index}`;
+    if (task.kind === "didNotRun" && heard.rest !== undefined) continue;
     if (!outputs.has(taskId)) return `no worker finished ${taskId}`;
     if (task.kind !== "finished") return `${taskId} was told as ${task.kind}`;
     const isRight = isDeepStrictEqual(task.output, outputs.get(taskId));
     if (!isRight) return `${taskId} has the answer of another task`;
   }
-  return undefined;
+  return faultOfRest(heard, outputs);
+}
+
+/** The tasks that did not run must have run under the order that followed. */
+function faultOfRest(
+  heard: HeardOrder,
+  outputs: Map<string, unknown>,
+): string | undefined {
+  const { outcome, rest } = heard;
+  if (rest === undefined) return undefined;
+  const unrun = outcome?.kind === "ran"
+    ? outcome.tasks.filter((task) => task.kind === "didNotRun")
+    : [];
+  if (rest.order.submission.tasks.length !== unrun.length) {
+    return "not every task that did not run was ordered again";
+  }
+  return faultOfAnswer(rest, outputs);
 }
 
 /** Finds tasks that started again without leave, or ran in two places. */
@@ -87,14 +104,22 @@
   runs: Map<string, AuditedRun[]>,
   heard: HeardOrder[],
 ): string[] {
-  return heard.flatMap(({ ids, order }) =>
-    ids.slice(0, -1).flatMap((id) =>
-      order.submission.tasks
-        .map((_task, index) => `${id}/${index}`)
-        .filter((taskId) => runs.has(taskId))
-        .map((taskId) => `${taskId} ran, but was said not to have run`)
-    )
+  return heard.flatMap(deniedTasks)
+    .filter((taskId) => runs.has(taskId))
+    .map((taskId) => `${taskId} ran, but was said not to have run`);
+}
+
+/** Lists every task of which the caller was told that it did not run. */
+function deniedTasks(heard: HeardOrder): string[] {
+  const { ids, order, outcome, rest } = heard;
+  const whole = ids.slice(0, -1).flatMap((id) =>
+    order.submission.tasks.map((_task, index) => `${id}/${index}`)
   );
+  const parts = outcome?.kind === "ran"
+    ? outcome.tasks.filter((task) => task.kind === "didNotRun")
+      .map((task) => `${ids.at(-1)}/${task.index}`)
+    : [];
+  return [...whole, ...parts, ...(rest === undefined ? [] : deniedTasks(rest))];
 }
 
 function hasOverlap(runs: AuditedRun[]): boolean {
--- a/stand_ins/local_cluster/verdict_test.ts
+++ b/stand_ins/local_cluster/verdict_test.ts
@@ -48,6 +48,24 @@
   assert.equal(judge(audits, wrong).lost, wrong.length);
 });
 
+test("verdict: a task that did not run must run under a later order", () => {
+  const partly: HeardOrder = {
+    ...heardOf(),
+    outcome: {
+      kind: "ran",
+      tasks: [{ kind: "didNotRun", index: 0, cause: "" }],
+    },
+  };
+  const audits = [auditOf("w1", [runOf("r2/0")], "card")];
+  assert.equal(judge(audits, [partly]).lost, 1);
+  const again = { ...partly, rest: heardOf(["r2"]) };
+  assert.deepEqual(judge(audits, [again]).faults, []);
+  const denied = [auditOf("w1", [runOf("r1/0"), runOf("r2/0")], "card")];
+  assert.equal(judge(denied, [again]).twice, 1);
+  const missing = { ...partly, rest: heardOf(["r3"]) };
+  assert.equal(judge(audits, [missing]).lost, 1);
+});
+
 function runOf(taskId: string, startedAtMs = 0, endedAtMs = 10): AuditedRun {
   return {
     taskId,
