Split the lookups; share what stood twice

Also: a task of another home that waits at a checkpoint goes on after a takeover (the core's start was dropped and its room kept for ever; found by reading, no test shows it), and a withdrawal stops it there.

--- a/bench/load/main.ts
+++ b/bench/load/main.ts
@@ -23,13 +23,14 @@
   startLocalCluster,
 } from "../../stand_ins/local_cluster/mod.ts";
 import { pressWorkers } from "./press_workers.ts";
-import { readProcessUsage } from "./process_usage.ts";
+import { readProcessStatus } from "../control/process_status.ts";
 
 const ZONES = ["kigali", "huye", "musanze"];
 const REGION = "rwanda";
 const TOKEN = "load-token-order-desk";
 const FRACTION_STEPS = 2 ** 30;
 const MICROS_PER_MS = 1_000;
+const BYTES_PER_MIB = 1_048_576;
 /** Time for the instances to acquire their workers. */
 const SETTLING_MS = 2_000;
 /** How long the callers wait for the last answers. */
@@ -180,9 +181,13 @@
 }
 
 function usageOf(cluster: LocalCluster) {
-  return cluster.instances.map(({ program }) =>
-    readProcessUsage(program.pid) ?? { cpuSeconds: 0, residentMb: 0 }
-  );
+  return cluster.instances.map(({ program }) => {
+    const status = readProcessStatus(program.pid ?? 0);
+    return {
+      cpuSeconds: status.processorMs / 1_000,
+      residentMb: status.residentBytes / BYTES_PER_MIB,
+    };
+  });
 }
 
 type Usages = ReturnType<typeof usageOf>;
--- a/src/instance/adoption_flow.ts
+++ b/src/instance/adoption_flow.ts
@@ -21,7 +21,7 @@
 import type { Request } from "../model/mod.ts";
 import { commit, commitInBackground } from "./appends.ts";
 import type { Flow } from "./flow.ts";
-import { type Search, searchPeers, zonesInReach } from "./lookups.ts";
+import { type Search, searchPeers, zonesInReach } from "./search.ts";
 import { awayAt } from "./recovery_flow.ts";
 import { homeOf } from "./report_flow.ts";
 import { splitRequestId } from "./request_ids.ts";
--- a/src/instance/cancel_flow.ts
+++ b/src/instance/cancel_flow.ts
@@ -113,7 +113,9 @@
     const worker = held.address.id;
     const isSent = progress?.kind === "starting" && progress.worker === worker;
     const record = held.records.get(taskId);
-    if (!isSent && record?.state !== "running") continue;
+    const isOpen = record?.state === "running" ||
+      record?.state === "checkpointed";
+    if (!isSent && !isOpen) continue;
     const flow = makeYield(scheduler, worker, held.token, taskId, "stop");
     spawn(scheduler.runner, flow);
   }
--- a/src/instance/housekeeping_flow.ts
+++ b/src/instance/housekeeping_flow.ts
@@ -7,7 +7,7 @@
 import { endedOf } from "../log_state/mod.ts";
 import { heardMembers, knownWorkers } from "../membership/mod.ts";
 import type { Flow } from "./flow.ts";
-import { zonesInReach } from "./lookups.ts";
+import { zonesInReach } from "./search.ts";
 import { applyPlacement } from "./placement_driver.ts";
 import { splitRequestId } from "./request_ids.ts";
 import type { RequestEntry } from "./request_entry.ts";
--- a/src/instance/lost_home.ts
+++ b/src/instance/lost_home.ts
@@ -8,7 +8,7 @@
 import type { Outcome, TaskOutcome, TaskRecord } from "../model/mod.ts";
 import { commit } from "./appends.ts";
 import type { Flow } from "./flow.ts";
-import { type Search, searchPeers } from "./lookups.ts";
+import { type Search, searchPeers } from "./search.ts";
 import { homeSettled, notKnown, RETRY_AFTER_MS } from "./refusals.ts";
 import type { Sighting } from "./peer_message.ts";
 import { homeOf } from "./report_flow.ts";
--- a/src/instance/move_flow.ts
+++ b/src/instance/move_flow.ts
@@ -18,7 +18,7 @@
 import type { RequestEntry, TaskEntry } from "./request_entry.ts";
 import { findTask } from "./requests.ts";
 import { requeueUnstarted } from "./task_queue.ts";
-import { zonesInReach } from "./lookups.ts";
+import { zonesInReach } from "./search.ts";
 import { waitToRetry } from "./retry.ts";
 import { note, type Scheduler, selfHolder } from "./scheduler.ts";
 import { callPeer } from "./waits.ts";
--- a/src/instance/placement_driver.ts
+++ b/src/instance/placement_driver.ts
@@ -76,8 +76,15 @@
   task: Task,
 ): void {
   const found = findTask(scheduler, task.id);
-  if (found === undefined) return;
-  found.task.progress = { kind: "starting", worker, token };
-  const flow = startOnWorker(scheduler, worker, token, found.task.task);
+  if (found !== undefined) {
+    found.task.progress = { kind: "starting", worker, token };
+  }
+  // A task of another home goes on here after a checkpoint on this worker.
+  const flow = startOnWorker(
+    scheduler,
+    worker,
+    token,
+    found?.task.task ?? task,
+  );
   spawn(scheduler.runner, flow);
 }
--- a/src/instance/recovery_flow.ts
+++ b/src/instance/recovery_flow.ts
@@ -6,7 +6,9 @@
  */
 import { memberOf, othersRuledOut, ownerHint } from "../membership/mod.ts";
 import type { Flow } from "./flow.ts";
-import { lookUpAt, searchPeers, taskIdOfSighting } from "./lookups.ts";
+import { lookUpAt } from "./lookups.ts";
+import { searchPeers } from "./search.ts";
+import { taskIdOfSighting } from "./sightings.ts";
 import type { LookupAnswer, Sighting } from "./peer_message.ts";
 import { findTask, type FoundTask } from "./requests.ts";
 import { endTask, endUnstarted } from "./task_end.ts";
--- a/stand_ins/base/mod.ts
+++ b/stand_ins/base/mod.ts
@@ -7,3 +7,4 @@
 export * from "./answer.ts";
 export * from "./fault_control.ts";
 export * from "./json_server.ts";
+export * from "./wait_for_wake.ts";
--- a/stand_ins/log/log.ts
+++ b/stand_ins/log/log.ts
@@ -9,6 +9,7 @@
   faultControlEntries,
   type JsonServer,
   refuse,
+  waitForWake,
 } from "../base/mod.ts";
 
 const MAX_ENTRIES_PER_PAGE = 1_000;
@@ -104,29 +105,11 @@
   const waitMs = Number(call.query.get("waitMs") ?? 0);
   state.reads += 1;
   if (from >= state.nextOffset && waitMs > 0) {
-    await waitForAppend(state, waitMs, call.signal);
+    await waitForWake(state.waiters, waitMs, call.signal);
   }
   return accept(pageFrom(state, from));
 }
 
-function waitForAppend(
-  state: State,
-  waitMs: number,
-  signal: AbortSignal,
-): Promise<void> {
-  return new Promise((resolve) => {
-    const wake = () => {
-      clearTimeout(timer);
-      state.waiters.delete(wake);
-      signal.removeEventListener("abort", wake);
-      resolve();
-    };
-    const timer = setTimeout(wake, waitMs);
-    state.waiters.add(wake);
-    signal.addEventListener("abort", wake);
-  });
-}
-
 function pageFrom(state: State, from: number): LogPage {
   const start = Math.max(0, from - state.firstOffset);
   return {
--- a/stand_ins/worker/commands.ts
+++ b/stand_ins/worker/commands.ts
@@ -5,13 +5,8 @@
 } from "../../src/diagnostics/mod.ts";
 import type { Acquisition, Renewal, TaskRecord } from "../../src/model/mod.ts";
 import { startSchema } from "../../src/model/mod.ts";
-import { accept, type Answer, refuse } from "../base/mod.ts";
-import {
-  changedAfter,
-  noteChange,
-  waitForChange,
-  wakeWaiters,
-} from "./journal.ts";
+import { accept, type Answer, refuse, waitForWake } from "../base/mod.ts";
+import { changedAfter, noteChange, wakeWaiters } from "./journal.ts";
 import { describeLease, extendLease, isCurrent } from "./lease.ts";
 import {
   accrue,
@@ -228,7 +223,7 @@
   while (!signal.aborted && isCurrent(state.lease, token)) {
     const leftMs = untilMs - performance.now();
     if (leftMs <= 0 || hasNews(state, afterEvent)) return;
-    await waitForChange(state.journal, leftMs, signal);
+    await waitForWake(state.journal.waiters, leftMs, signal);
   }
 }
 
--- a/stand_ins/worker/journal.ts
+++ b/stand_ins/worker/journal.ts
@@ -40,26 +40,3 @@
 ): void {
   journal.entries = journal.entries.filter((entry) => isKept(entry.subject));
 }
-
-/**
- * Resolves at the next wake-up, after a delay, or when the caller leaves.
- *
- * @param waitMs the delay in milliseconds
- */
-export function waitForChange(
-  journal: Journal,
-  waitMs: number,
-  signal: AbortSignal,
-): Promise<void> {
-  return new Promise((resolve) => {
-    const wake = () => {
-      clearTimeout(timer);
-      journal.waiters.delete(wake);
-      signal.removeEventListener("abort", wake);
-      resolve();
-    };
-    const timer = setTimeout(wake, waitMs);
-    journal.waiters.add(wake);
-    signal.addEventListener("abort", wake);
-  });
-}
