Number moves by task; let no refused call run late

Causes, both found by reading the flows as a newcomer: - the number of the latest move stood with the request: tasks that went with an earlier move could never be handed back, and would have waited for ever; - a call refused with "did not run" could run after all when a copy of it came late (a caller that repeats a slow call has two on the way). A refused id is remembered for a minute; a key whose request was refused goes on with another.

--- a/src/diagnostics/diagnostics.ts
+++ b/src/diagnostics/diagnostics.ts
@@ -93,6 +93,10 @@
     5008,
     "The log did not answer; the change may still take effect.",
   ),
+  refusedEarlier: message(
+    5009,
+    "The request was refused before; nothing was run.",
+  ),
   outcomeForgotten: message(
     5007,
     "The request ended too long ago to tell how.",
--- a/src/instance/adoption_flow.ts
+++ b/src/instance/adoption_flow.ts
@@ -195,6 +195,7 @@
   }
   const guest = search.queuedAt.get(task.task.id);
   if (guest === undefined) return false;
-  task.progress = { kind: "moved", guest };
+  task.progress = { kind: "moved", guest: guest.holder };
+  task.moveEpoch = guest.epoch;
   return true;
 }
--- a/src/instance/hostile_ids_test.ts
+++ b/src/instance/hostile_ids_test.ts
@@ -59,6 +59,28 @@
   assert.equal(cluster.checks.runs.length, started);
 });
 
+test("ids: a refused call that comes again late does not run", () => {
+  const cluster = createModelCluster(SHAPE, SEED);
+  runFor(cluster, 2_000);
+  const { scheduler } = cluster.processes[0]!;
+  const issued = ask(cluster, { kind: "issue", customer: CUSTOMER });
+  assert.equal(issued?.kind, "issued");
+  if (issued?.kind !== "issued") return;
+  const call = callsFor(issued.id)[0]!;
+  const { maxQueuedTasks } = scheduler.options;
+  scheduler.options.maxQueuedTasks = 0;
+  const refused = ask(cluster, call);
+  assert.equal(refused?.kind === "problem" && refused.ran, false);
+  scheduler.options.maxQueuedTasks = maxQueuedTasks;
+  const late = ask(cluster, call);
+  assert.equal(
+    late?.kind === "view" && late.view.outcome.kind,
+    "didNotRun",
+  );
+  runFor(cluster, 2_000);
+  assert.equal(cluster.checks.runs.length, 0);
+});
+
 /** Ids of other customers, zones, incarnations and secrets, and plain noise. */
 function forgedIds(scheduler: Scheduler): string[] {
   const { self, options } = scheduler;
--- a/src/instance/housekeeping_flow.ts
+++ b/src/instance/housekeeping_flow.ts
@@ -21,6 +21,8 @@
 const PEERS_INTERVAL_MS = 1_000;
 /** How often old entries are looked for. */
 const FORGET_INTERVAL_MS = 10_000;
+/** How long a refused call may have a copy on its way. */
+const REFUSAL_RETENTION_MS = 60_000;
 /** How long it is remembered that a worker vanished. */
 const GONE_RETENTION_MS = 86_400_000;
 
@@ -60,6 +62,7 @@
   while (true) {
     yield* sleep(FORGET_INTERVAL_MS);
     forgetRequests(scheduler);
+    forgetRefusals(scheduler);
     forgetRecords(scheduler);
     forgetGoneWorkers(scheduler);
   }
@@ -87,6 +90,14 @@
   return endedOf(scheduler.log, entry.request.id) !== undefined;
 }
 
+function forgetRefusals(scheduler: Scheduler): void {
+  const oldestMs = scheduler.moment.steadyMs - REFUSAL_RETENTION_MS;
+  for (const [id, refusedAtMs] of scheduler.refusedIds) {
+    if (refusedAtMs > oldestMs) return;
+    scheduler.refusedIds.delete(id);
+  }
+}
+
 function forgetRecords(scheduler: Scheduler): void {
   const oldestMs = scheduler.moment.wallMs - RECORD_RETENTION_MS;
   for (const held of scheduler.held.values()) {
--- a/src/instance/move_flow.ts
+++ b/src/instance/move_flow.ts
@@ -60,7 +60,10 @@
     kind: "withdrawn",
     taskIds: tasks.map((task) => task.task.id),
   });
-  for (const task of tasks) task.progress = { kind: "moved", guest: holder };
+  for (const task of tasks) {
+    task.progress = { kind: "moved", guest: holder };
+    task.moveEpoch = entry.moveEpoch;
+  }
   note(scheduler, "request.moved", requestId, guest.id);
   const accepted = yield* offerTasks(scheduler, entry, tasks, guest);
   if (accepted) return;
--- a/src/instance/move_test.ts
+++ b/src/instance/move_test.ts
@@ -2,6 +2,8 @@
 import { test } from "node:test";
 import { holderOf } from "../membership/mod.ts";
 import type { PeerMessage } from "./peer_message.ts";
+import { applySighting } from "./recovery_flow.ts";
+import { enterRequest } from "./requests.ts";
 import { selfHolder } from "./scheduler.ts";
 import {
   callProcess,
@@ -43,6 +45,34 @@
   assert.equal(cluster.checks.runs.length, 1);
 });
 
+test("move: a task sent by an earlier move of its request is handed back", () => {
+  const cluster = createModelCluster(SHAPE, 1);
+  runFor(cluster, 2_000);
+  const { scheduler } = cluster.processes[0]!;
+  const move = moveTo(cluster);
+  assert.equal(move.kind, "move");
+  if (move.kind !== "move") return;
+  const home = selfHolder(scheduler);
+  const [task] = move.tasks;
+  const entry = enterRequest(
+    scheduler,
+    move.request,
+    [task!],
+    "home",
+    home,
+    "none",
+  );
+  const sent = entry.tasks.get(0)!;
+  sent.progress = { kind: "moved", guest: move.to };
+  sent.moveEpoch = 1;
+  entry.moveEpoch = 2;
+  const taskId = task!.id;
+  applySighting(scheduler, move.to, { kind: "returned", taskId, epoch: 2 });
+  assert.equal(sent.progress.kind, "moved");
+  applySighting(scheduler, move.to, { kind: "returned", taskId, epoch: 1 });
+  assert.notEqual(sent.progress.kind, "moved");
+});
+
 /** A move of one task from the first instance to the second. */
 function moveTo(cluster: ModelCluster): PeerMessage {
   const [home, guest] = cluster.processes.map(({ scheduler }) => scheduler);
--- a/src/instance/read_flow.ts
+++ b/src/instance/read_flow.ts
@@ -173,6 +173,10 @@
       retryAfterMs: 0,
     });
   }
+  if (scheduler.refusedIds.has(requestId)) {
+    const { code, template } = diagnostics.refusedEarlier;
+    return emptyView(requestId, { kind: "didNotRun", code, cause: template });
+  }
   if (isKept(scheduler, requestId)) return emptyView(requestId, notKnown());
   const home = homeOf(scheduler, requestId);
   if (home === selfHolder(scheduler)) return undefined;
--- a/src/instance/recovery_flow.ts
+++ b/src/instance/recovery_flow.ts
@@ -211,7 +211,7 @@
       break;
     case "ended":
       if (!isStillMoved(task.progress, guest)) break;
-      if (sighting.epoch !== entry.moveEpoch) break;
+      if (sighting.epoch !== task.moveEpoch) break;
       endMoved(scheduler, entry, task, sighting.outcome);
       break;
     case "leaving":
@@ -219,12 +219,12 @@
       break;
     case "refused":
       if (!isStillMoved(task.progress, guest)) break;
-      if (sighting.epoch !== entry.moveEpoch) break;
+      if (sighting.epoch !== task.moveEpoch) break;
       endUnstarted(scheduler, entry, task, sighting.code, sighting.cause);
       break;
     case "returned":
       if (!isStillMoved(task.progress, guest)) break;
-      if (sighting.epoch !== entry.moveEpoch) break;
+      if (sighting.epoch !== task.moveEpoch) break;
       requeueUnstarted(scheduler, entry, task);
       break;
   }
--- a/src/instance/request_entry.ts
+++ b/src/instance/request_entry.ts
@@ -34,6 +34,8 @@
   progress: Progress;
   /** The worker on which the current attempt is known to have started. */
   startedOn: string | undefined;
+  /** Number of the move by which a home sent it, or a guest got it. */
+  moveEpoch: number;
   /** Index of the replica that this task takes the place of. */
   replaces?: number;
   /** Index of the task that takes the place of this replica. */
@@ -62,7 +64,7 @@
   cancelled: boolean;
   /** When tasks were last moved to a peer (steady clock, ms). */
   movedAtMs: number | undefined;
-  /** Number of the latest move; tells an old message from a new one. */
+  /** Number of the latest move; each task has that of its own. */
   moveEpoch: number;
   /** Number of the diagnostic that says why its first task did not run. */
   refusalCode?: number;
--- a/src/instance/requests.ts
+++ b/src/instance/requests.ts
@@ -69,6 +69,7 @@
     task,
     progress: { kind: "queued" },
     startedOn: undefined,
+    moveEpoch: entry.moveEpoch,
   };
   entry.tasks.set(task.index, entered);
   return entered;
--- a/src/instance/scheduler.ts
+++ b/src/instance/scheduler.ts
@@ -90,6 +90,11 @@
   requests: Map<RequestId, RequestEntry>;
   /** Durable requests kept here until the log has them. */
   copies: Map<RequestId, KeptCopy>;
+  /**
+   * When ids were refused with "did not run" (steady clock, ms). A copy of the
+   * call that comes late must not run after all.
+   */
+  refusedIds: Map<RequestId, number>;
   /** Peers that calls were passed on to, by the topic that ends the wait. */
   forwards: Map<string, Holder>;
   /** Sequence number of the next request id. */
@@ -157,6 +162,7 @@
     startedAtMs: moment.wallMs,
     requests: new Map(),
     copies: new Map(),
+    refusedIds: new Map(),
     forwards: new Map(),
     nextSequence: 1,
     forgottenBelow: 0,
--- a/src/instance/search.ts
+++ b/src/instance/search.ts
@@ -28,8 +28,8 @@
    * sighting surely not run, and never will.
    */
   complete: boolean;
-  /** Which peer has a task queued. */
-  queuedAt: Map<TaskId, Holder>;
+  /** Which peer has a task queued, and by which move. */
+  queuedAt: Map<TaskId, { holder: Holder; epoch: number }>;
   /** The highest number of any move of the tasks that is known. */
   moveEpoch: number;
   /**
@@ -74,7 +74,7 @@
   );
   if (known.length < answers.length) complete = false;
   const all = [here, ...known];
-  const queuedAt = new Map<TaskId, Holder>();
+  const queuedAt: Search["queuedAt"] = new Map();
   let moveEpoch = 0;
   for (const answer of all) {
     for (const { worker } of answer.held) held.add(worker);
@@ -84,7 +84,8 @@
         moveEpoch = Math.max(moveEpoch, sighting.epoch);
       }
       if (sighting.kind !== "queued" || answer === here) continue;
-      queuedAt.set(sighting.taskId, answer.holder);
+      const { taskId, epoch } = sighting;
+      queuedAt.set(taskId, { holder: answer.holder, epoch });
     }
     outcome ??= answer.outcome;
   }
--- a/src/instance/sightings.ts
+++ b/src/instance/sightings.ts
@@ -19,7 +19,7 @@
   task: TaskEntry,
 ): Sighting | undefined {
   const taskId = task.task.id;
-  const epoch = entry.moveEpoch;
+  const epoch = task.moveEpoch;
   const { progress } = task;
   switch (progress.kind) {
     case "queued":
@@ -31,7 +31,7 @@
     case "returned":
       return { kind: "returned", taskId, epoch };
     case "ended":
-      return sightingOfEnd(entry, taskId, progress.outcome);
+      return sightingOfEnd(entry, task, progress.outcome);
   }
 }
 
@@ -49,10 +49,11 @@
 
 function sightingOfEnd(
   entry: RequestEntry,
-  taskId: TaskId,
+  task: TaskEntry,
   outcome: TaskOutcome,
 ): Sighting {
-  const epoch = entry.moveEpoch;
+  const taskId = task.task.id;
+  const epoch = task.moveEpoch;
   if (outcome.kind !== "didNotRun") {
     return { kind: "ended", taskId, epoch, outcome };
   }
--- a/src/instance/submit_flow.ts
+++ b/src/instance/submit_flow.ts
@@ -3,11 +3,12 @@
  *
  * @module
  */
+import { err, ok, type Result } from "neverthrow";
 import { assertNever } from "../base/mod.ts";
 import { diagnostics } from "../diagnostics/mod.ts";
 import { type Claim, claimOf } from "../log_state/mod.ts";
 import { holderOf, membersOf } from "../membership/mod.ts";
-import type { Submission } from "../model/mod.ts";
+import type { Request, Submission } from "../model/mod.ts";
 import { makeRoom } from "./admission.ts";
 import { commit, commitInBackground } from "./appends.ts";
 import { checkSubmission, submissionDigest } from "./checked_request.ts";
@@ -42,6 +43,11 @@
 const LOG_PATIENCE_MS = 1_000;
 /** How long a keyed submission waits for its claim. */
 const CLAIM_TIMEOUT_MS = 2_000;
+/** Reasons for which a key goes on with another request. */
+const CLAIMABLE_CODES: number[] = [
+  diagnostics.homeSettled.code,
+  diagnostics.refusedEarlier.code,
+];
 /** Time-out of leaving a copy at a peer. */
 const COPY_TIMEOUT_MS = 1_000;
 
@@ -134,7 +140,7 @@
       waitMs,
       false,
     );
-    if (!isHomeSettled(answer)) return answer;
+    if (!mayClaimAgain(answer)) return answer;
     // The request surely did not run: the key goes on with another one.
     claim = yield* claimKey(scheduler, customer, key, digest, requestId);
   }
@@ -182,10 +188,12 @@
   return rest;
 }
 
-function isHomeSettled(answer: CallAnswer): boolean {
-  return answer.kind === "view" &&
-    answer.view.outcome.kind === "didNotRun" &&
-    answer.view.outcome.code === diagnostics.homeSettled.code;
+/** Tells whether a claim's request did not run, and not by its caller's wish. */
+function mayClaimAgain(answer: CallAnswer): boolean {
+  if (answer.kind !== "view") return false;
+  const { outcome } = answer.view;
+  return outcome.kind === "didNotRun" &&
+    CLAIMABLE_CODES.includes(outcome.code);
 }
 
 function* submitHere(
@@ -194,7 +202,7 @@
   parts: RequestIdParts,
   waitMs: number,
 ): Flow<CallAnswer> {
-  const { customer, requestId, submission } = submitted;
+  const { requestId, submission } = submitted;
   const known = scheduler.requests.get(requestId);
   if (known?.role === "guest") return unreachable(requestId);
   if (known !== undefined) {
@@ -205,21 +213,12 @@
   }
   const past = pastView(scheduler, requestId, parts);
   if (past !== undefined) return { kind: "view", view: past };
-  const refusal = refusalWhenUnready(scheduler);
-  if (refusal !== undefined) return refusal;
-  const { manifest } = scheduler.log;
-  if (manifest === undefined) return notReady("no manifest is in force");
-  const { wallMs } = scheduler.moment;
-  const checked = checkSubmission(
-    manifest,
-    requestId,
-    customer,
-    submission,
-    wallMs,
-  );
-  if (checked.isErr()) return checked.error;
+  const checked = admitSubmission(scheduler, submitted);
+  if (checked.isErr()) {
+    scheduler.refusedIds.set(requestId, scheduler.moment.steadyMs);
+    return checked.error;
+  }
   const request = checked.value;
-  if (!makeRoom(scheduler, customer, request.tasks.length)) return queueFull();
   const entry = enterRequest(
     scheduler,
     request,
@@ -236,6 +235,30 @@
   return yield* waitForOutcome(scheduler, entry, waitMs);
 }
 
+/** Checks whether a submission can be taken now, and makes room for it. */
+function admitSubmission(
+  scheduler: Scheduler,
+  submitted: Submitted,
+): Result<Request, CallAnswer> {
+  const refusal = refusalWhenUnready(scheduler);
+  if (refusal !== undefined) return err(refusal);
+  const { manifest } = scheduler.log;
+  if (manifest === undefined) return err(notReady("no manifest is in force"));
+  const { customer, requestId, submission } = submitted;
+  const { wallMs } = scheduler.moment;
+  const checked = checkSubmission(
+    manifest,
+    requestId,
+    customer,
+    submission,
+    wallMs,
+  );
+  if (checked.isErr()) return err(checked.error);
+  const count = checked.value.tasks.length;
+  if (!makeRoom(scheduler, customer, count)) return err(queueFull());
+  return ok(checked.value);
+}
+
 /** Says whether a submission is durable work by the manifest in force. */
 function durabilityOf(
   scheduler: Scheduler,
--- a/src/instance/task_end.ts
+++ b/src/instance/task_end.ts
@@ -49,7 +49,7 @@
     reportToHome(scheduler, entry.home, [{
       kind: "refused",
       taskId: task.task.id,
-      epoch: entry.moveEpoch,
+      epoch: task.moveEpoch,
       code,
       cause,
     }]);
--- a/src/instance/task_queue.ts
+++ b/src/instance/task_queue.ts
@@ -49,7 +49,7 @@
     reportToHome(scheduler, entry.home, [{
       kind: "returned",
       taskId: task.task.id,
-      epoch: entry.moveEpoch,
+      epoch: task.moveEpoch,
     }]);
     return;
   }
