Take an earlier move that comes late, task by task

Cause (read, then shown by the test): a guest that had got a later move of the same request answered "accepted" to an earlier one that it had never seen, and the home would have waited for those tasks for ever. What a guest has taken is now told by the number that each task came with, and a home takes back only the tasks of the move that was refused.

--- a/src/instance/move_flow.ts
+++ b/src/instance/move_flow.ts
@@ -65,10 +65,12 @@
     task.moveEpoch = entry.moveEpoch;
   }
   note(scheduler, "request.moved", requestId, guest.id);
+  const { moveEpoch } = entry;
   const accepted = yield* offerTasks(scheduler, entry, tasks, guest);
   if (accepted) return;
   for (const task of tasks) {
     const { progress } = task;
+    if (task.moveEpoch !== moveEpoch) continue;
     if (progress.kind !== "moved" || progress.guest !== holder) continue;
     requeueUnstarted(scheduler, entry, task);
   }
--- a/src/instance/move_test.ts
+++ b/src/instance/move_test.ts
@@ -73,6 +73,23 @@
   assert.notEqual(sent.progress.kind, "moved");
 });
 
+test("move: an earlier move that comes late still brings its tasks", () => {
+  const cluster = createModelCluster(SHAPE, 1);
+  runFor(cluster, 2_000);
+  const first = moveTo(cluster);
+  const second = moveTo(cluster);
+  if (first.kind !== "move" || second.kind !== "move") return;
+  const { requestId } = first.tasks[0]!;
+  const later = { ...second.tasks[0]!, id: `${requestId}/1`, index: 1 };
+  const answer = ask(cluster, { ...second, epoch: 2, tasks: [later] });
+  assert.deepEqual(answer, { accepted: true });
+  assert.deepEqual(ask(cluster, first), { accepted: true });
+  assert.deepEqual(ask(cluster, first), { accepted: true });
+  runFor(cluster, 1_000);
+  const started = cluster.checks.runs.map((run) => run.index).sort();
+  assert.deepEqual(started, [0, 1]);
+});
+
 /** A move of one task from the first instance to the second. */
 function moveTo(cluster: ModelCluster): PeerMessage {
   const [home, guest] = cluster.processes.map(({ scheduler }) => scheduler);
--- a/src/instance/peer_flow.ts
+++ b/src/instance/peer_flow.ts
@@ -5,6 +5,7 @@
  */
 import { assertNever } from "../base/mod.ts";
 import { type HeartbeatFrame, isBarred } from "../membership/mod.ts";
+import type { Task } from "../model/mod.ts";
 import { withdrawForPeer } from "./cancel_flow.ts";
 import type { Flow } from "./flow.ts";
 import { lookUpHere } from "./lookups.ts";
@@ -17,6 +18,7 @@
 } from "./peer_message.ts";
 import { cancel, read } from "./read_flow.ts";
 import { applySighting } from "./recovery_flow.ts";
+import type { RequestEntry } from "./request_entry.ts";
 import { enterRequest, enterTask } from "./requests.ts";
 import { queueTasks } from "./task_queue.ts";
 import {
@@ -96,9 +98,9 @@
   const { membership } = scheduler;
   if (!isSelf(scheduler, move.to)) return { accepted: false, stranger: true };
   const known = scheduler.requests.get(move.request.id);
-  if (known?.role === "guest" && known.moveEpoch >= move.epoch) {
-    return { accepted: true };
-  }
+  const taken = known?.role === "guest" ? known : undefined;
+  const tasks = move.tasks.filter((task) => !hasTaken(taken, task, move.epoch));
+  if (tasks.length === 0) return { accepted: true };
   if (isBarred(membership, move.from)) return { accepted: false };
   if (isBarred(membership, move.home)) return { accepted: false };
   if (known?.role === "home") return { accepted: false };
@@ -107,19 +109,27 @@
   const entry = known ??
     enterRequest(scheduler, move.request, [], "guest", move.home, "none");
   entry.home = move.home;
-  entry.moveEpoch = move.epoch;
+  entry.moveEpoch = Math.max(entry.moveEpoch, move.epoch);
   entry.cancelled = false;
   entry.outcome = undefined;
   entry.endedAtMs = undefined;
   note(scheduler, "request.taken", move.request.id);
-  queueTasks(
-    scheduler,
-    entry,
-    move.tasks.map((task) => enterTask(entry, task)),
-  );
+  const entered = tasks.map((task) => enterTask(entry, task));
+  for (const task of entered) task.moveEpoch = move.epoch;
+  queueTasks(scheduler, entry, entered);
   return { accepted: true };
 }
 
+/** Tells whether a guest got a task by this move or a later one. */
+function hasTaken(
+  entry: RequestEntry | undefined,
+  task: Task,
+  epoch: number,
+): boolean {
+  const known = entry?.tasks.get(task.index);
+  return known !== undefined && known.moveEpoch >= epoch;
+}
+
 function takeReport(scheduler: Scheduler, report: Report): Acceptance {
   for (const update of report.updates) {
     applySighting(scheduler, report.from, update);
