--- a/src/instance/read_flow.ts
+++ b/src/instance/read_flow.ts
@@ -3,12 +3,11 @@
  *
  * @module
  */
-import { assertNever } from "../base/mod.ts";
 import { diagnostics } from "../diagnostics/mod.ts";
 import { endedOf } from "../log_state/mod.ts";
+import { answerByRoute } from "./answer_by_route.ts";
 import { cancelHere } from "./cancel_flow.ts";
 import type { Flow } from "./flow.ts";
-import { answerForLostHome } from "./lost_home.ts";
 import {
   homeSettled,
   notKnown,
@@ -19,7 +18,7 @@
 import { homeOf } from "./report_flow.ts";
 import { readRequestId, type RequestIdParts } from "./request_ids.ts";
 import type { RequestEntry } from "./request_entry.ts";
-import { forward, MAX_WAIT_MS, routeOf, untilReached } from "./routes.ts";
+import { MAX_WAIT_MS, untilReached } from "./routes.ts";
 import { isKept, type Scheduler, selfHolder } from "./scheduler.ts";
 import { requestTopic } from "./topics.ts";
 import type { CallAnswer, View } from "./view.ts";
@@ -53,22 +52,14 @@
   waitMs: number,
   isForwarded: boolean,
 ): Flow<CallAnswer> {
-  const route = routeOf(scheduler, requestId, parts, isForwarded);
-  switch (route.kind) {
-    case "here":
-      return yield* readHere(scheduler, requestId, parts, waitMs);
-    case "peer": {
-      const message = { kind: "read", customer, requestId, waitMs } as const;
-      const { peer } = route;
-      return yield* forward(scheduler, peer, requestId, message, waitMs);
-    }
-    case "search":
-      return yield* answerForLostHome(scheduler, requestId, parts, "unknown");
-    case "unreachable":
-      return unreachable(requestId);
-    default:
-      return assertNever(route);
-  }
+  return yield* answerByRoute(scheduler, {
+    requestId,
+    parts,
+    message: { kind: "read", customer, requestId, waitMs },
+    durability: () => "unknown",
+    waitMs,
+    isForwarded,
+  }, () => readHere(scheduler, requestId, parts, waitMs));
 }
 
 /** Cancels a request: what waits is forgotten, what runs is stopped. */
@@ -81,35 +72,27 @@
   const { secret } = scheduler.options;
   const parts = readRequestId(secret, requestId, customer);
   if (parts === undefined) return unknownId();
-  const route = routeOf(scheduler, requestId, parts, isForwarded);
-  switch (route.kind) {
-    case "here": {
-      const entry = scheduler.requests.get(requestId);
-      if (entry?.role !== "home") {
-        return yield* readHere(scheduler, requestId, parts, 0);
-      }
-      cancelHere(scheduler, entry);
-      return { kind: "view", view: viewOf(entry) };
-    }
-    case "peer": {
-      const message = { kind: "cancel", customer, requestId } as const;
-      return yield* forward(scheduler, route.peer, requestId, message, 0);
-    }
-    case "search":
-      return yield* answerForLostHome(scheduler, requestId, parts, "unknown");
-    case "unreachable":
-      return unreachable(requestId);
-    default:
-      return assertNever(route);
-  }
+  return yield* answerByRoute(scheduler, {
+    requestId,
+    parts,
+    message: { kind: "cancel", customer, requestId },
+    durability: () => "unknown",
+    waitMs: 0,
+    isForwarded,
+  }, () => cancelOrReadHere(scheduler, requestId, parts));
 }
 
-/** Lists the requests of a customer that this instance is the home of. */
-export function listRequests(scheduler: Scheduler, customer: string): View[] {
-  return [...scheduler.requests.values()]
-    .filter((entry) => entry.role === "home")
-    .filter((entry) => entry.request.customer === customer)
-    .map(viewOf);
+function* cancelOrReadHere(
+  scheduler: Scheduler,
+  requestId: string,
+  parts: RequestIdParts,
+): Flow<CallAnswer> {
+  const entry = scheduler.requests.get(requestId);
+  if (entry?.role !== "home") {
+    return yield* readHere(scheduler, requestId, parts, 0);
+  }
+  cancelHere(scheduler, entry);
+  return { kind: "view", view: viewOf(entry) };
 }
 
 function* readHere(
--- a/src/instance/submit_flow.ts
+++ b/src/instance/submit_flow.ts
@@ -4,16 +4,16 @@
  * @module
  */
 import { err, ok, type Result } from "neverthrow";
-import { assertNever } from "../base/mod.ts";
 import { diagnostics } from "../diagnostics/mod.ts";
 import { type Claim, claimOf } from "../log_state/mod.ts";
 import { holderOf, membersOf } from "../membership/mod.ts";
 import type { Request, Submission } from "../model/mod.ts";
 import { makeRoom } from "./admission.ts";
+import { answerByRoute } from "./answer_by_route.ts";
 import { commit, commitInBackground } from "./appends.ts";
 import { checkSubmission, submissionDigest } from "./checked_request.ts";
 import type { Flow } from "./flow.ts";
-import { answerForLostHome, type KnownDurability } from "./lost_home.ts";
+import type { KnownDurability } from "./lost_home.ts";
 import { acceptanceSchema, type PeerMessage } from "./peer_message.ts";
 import { pastView, waitForOutcome } from "./read_flow.ts";
 import {
@@ -33,7 +33,7 @@
 import type { Durability, RequestEntry } from "./request_entry.ts";
 import { enterRequest } from "./requests.ts";
 import { queueTasks } from "./task_queue.ts";
-import { forward, routeOf, untilReached } from "./routes.ts";
+import { untilReached } from "./routes.ts";
 import { note, type Scheduler, selfHolder } from "./scheduler.ts";
 import { LOG_TOPIC } from "./topics.ts";
 import type { CallAnswer } from "./view.ts";
@@ -93,27 +93,14 @@
   isForwarded: boolean,
 ): Flow<CallAnswer> {
   const { customer, requestId, submission } = submitted;
-  const route = routeOf(scheduler, requestId, parts, isForwarded);
-  switch (route.kind) {
-    case "here":
-      return yield* submitHere(scheduler, submitted, parts, waitMs);
-    case "peer": {
-      const message = { kind: "submit", ...submitted, waitMs } as const;
-      const { peer } = route;
-      return yield* forward(scheduler, peer, requestId, message, waitMs);
-    }
-    case "search":
-      return yield* answerForLostHome(
-        scheduler,
-        requestId,
-        parts,
-        durabilityOf(scheduler, customer, submission),
-      );
-    case "unreachable":
-      return unreachable(requestId);
-    default:
-      return assertNever(route);
-  }
+  return yield* answerByRoute(scheduler, {
+    requestId,
+    parts,
+    message: { kind: "submit", ...submitted, waitMs },
+    durability: () => durabilityOf(scheduler, customer, submission),
+    waitMs,
+    isForwarded,
+  }, () => submitHere(scheduler, submitted, parts, waitMs));
 }
 
 /** Takes a submission under the caller's own idempotency key. */
