--- a/src/cli/api_caller.ts
+++ b/src/cli/api_caller.ts
@@ -80,7 +80,11 @@
   const { peer, timeoutMs, maxAnswerBytes } = request;
   switch (exchange.kind) {
     case "answered":
-      return readAnswer(request, exchange.status, exchange.text);
+      return readAnswer(
+        request,
+        exchange.status,
+        exchange.body.toString("utf8"),
+      );
     case "timedOut": {
       const kind = exchange.sent ? "unknown" : "unsent";
       const { callTimedOut } = diagnostics;
--- a/src/clients/http_caller.ts
+++ b/src/clients/http_caller.ts
@@ -8,7 +8,7 @@
 import type { HttpRequest } from "./http_request.ts";
 import { readRefusal } from "./refusal.ts";
 
-const KEEP_ALIVE_TIMEOUT_MS = 10_000;
+const DEFAULT_KEEP_ALIVE_MS = 10_000;
 const FIRST_SUCCESS_STATUS = 200;
 const FIRST_REDIRECT_STATUS = 300;
 
@@ -18,8 +18,13 @@
   connectionsPerOrigin: number;
   /** How long a connection may take to open, in milliseconds. */
   connectTimeoutMs: number;
+  /** How long an idle connection stays open, in milliseconds; 10 s. */
+  keepAliveMs?: number;
 };
 
+/** How a call over HTTP ended; the connections were not given up. */
+export type FinishedExchange = Exclude<HttpExchange, { kind: "moved" }>;
+
 /** Calls other processes over HTTP and says what a failure means. */
 export type HttpCaller = {
   /**
@@ -34,6 +39,11 @@
     request: HttpRequest,
     signal: AbortSignal,
   ): Promise<Result<unknown, Fault>>;
+  /** Makes a call and returns the status and body as they came. */
+  exchange(
+    request: HttpRequest,
+    signal: AbortSignal,
+  ): Promise<FinishedExchange>;
   /** Breaks every connection; calls in flight and later ones fail. */
   close(): Promise<void>;
 };
@@ -63,19 +73,21 @@
 export function createHttpCaller(options: HttpCallerOptions): HttpCaller {
   const state: State = { options, origins: new Map(), isClosed: false };
   return {
-    call: (request, signal) => call(state, request, signal),
+    call: async (request, signal) =>
+      resultOf(request, await exchange(state, request, signal)),
+    exchange: (request, signal) => exchange(state, request, signal),
     close: () => closeAll(state),
   };
 }
 
-async function call(
+async function exchange(
   state: State,
   request: HttpRequest,
   signal: AbortSignal,
-): Promise<Result<unknown, Fault>> {
+): Promise<FinishedExchange> {
   if (state.isClosed || !URL.canParse(request.path, request.url)) {
     const cause = state.isClosed ? "the process is stopping" : "no valid URL";
-    return err(brokenFault(request, false, cause));
+    return { kind: "broken", sent: false, cause };
   }
   const untilMs = performance.now() + request.timeoutMs;
   const { origin: name } = new URL(request.url);
@@ -89,18 +101,22 @@
       origin.retired.signal,
     );
     if (exchange.kind === "timedOut") retire(state, name, origin);
-    if (exchange.kind !== "moved") return resultOf(request, exchange);
+    if (exchange.kind !== "moved") return exchange;
   }
 }
 
 function resultOf(
   request: HttpRequest,
-  exchange: Exclude<HttpExchange, { kind: "moved" }>,
+  exchange: FinishedExchange,
 ): Result<unknown, Fault> {
   const { peer, timeoutMs, maxAnswerBytes } = request;
   switch (exchange.kind) {
     case "answered":
-      return readAnswer(request, exchange.status, exchange.text);
+      return readAnswer(
+        request,
+        exchange.status,
+        exchange.body.toString("utf8"),
+      );
     case "timedOut":
       return err(faultOf(
         request,
@@ -167,12 +183,13 @@
 function originOf(state: State, name: string): Origin {
   const known = state.origins.get(name);
   if (known !== undefined) return known;
-  const { connectionsPerOrigin, connectTimeoutMs } = state.options;
+  const { connectionsPerOrigin, connectTimeoutMs, keepAliveMs } = state.options;
+  const keepAliveTimeout = keepAliveMs ?? DEFAULT_KEEP_ALIVE_MS;
   const pool = new Pool(name, {
     connections: connectionsPerOrigin,
     pipelining: 1,
-    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-    keepAliveMaxTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    keepAliveTimeout,
+    keepAliveMaxTimeout: keepAliveTimeout,
     connect: { timeout: connectTimeoutMs },
   });
   const origin = { pool, retired: new AbortController() };
--- a/src/clients/http_exchange.ts
+++ b/src/clients/http_exchange.ts
@@ -4,7 +4,7 @@
 
 /** How one attempt to send a request and read its answer ended. */
 export type HttpExchange =
-  | { kind: "answered"; status: number; text: string }
+  | { kind: "answered"; status: number; body: Buffer }
   /** No answer, or no whole one; `sent` tells whether bytes may have left. */
   | { kind: "broken"; sent: boolean; cause: string }
   | { kind: "timedOut"; sent: boolean }
@@ -105,8 +105,7 @@
       else chunks.push(chunk);
     },
     onResponseEnd() {
-      const text = Buffer.concat(chunks).toString("utf8");
-      end({ kind: "answered", status, text });
+      end({ kind: "answered", status, body: Buffer.concat(chunks) });
     },
     onResponseError(_controller, error) {
       end({ kind: "broken", sent: isSent, cause: error.message });
@@ -135,6 +134,9 @@
   if (request.body === undefined) {
     return { ...options, headers: request.headers ?? {} };
   }
+  if (request.body instanceof Uint8Array) {
+    return { ...options, headers: request.headers ?? {}, body: request.body };
+  }
   const headers = { "content-type": "application/json", ...request.headers };
   return { ...options, headers, body: JSON.stringify(request.body) };
 }
--- a/src/clients/http_request.ts
+++ b/src/clients/http_request.ts
@@ -10,7 +10,7 @@
   /** Path and query below the base URL. */
   path: string;
   headers?: Record<string, string>;
-  /** Sent as JSON; nothing is sent where it is undefined. */
+  /** Bytes are sent as they are, anything else as JSON, undefined not. */
   body?: unknown;
   /** Time for the whole call, waiting for a connection included. */
   timeoutMs: number;
--- /dev/null
+++ b/src/domain/domain.ts
@@ -0,0 +1,49 @@
+import type { DomainCommand } from "./domain_command.ts";
+import type { DomainOptions } from "./domain_options.ts";
+import type { DomainWorker } from "./domain_worker.ts";
+import type { JobRun } from "./job_run.ts";
+import type { StepRun } from "./step_run.ts";
+
+/**
+ * The state of a scheduling domain: the jobs of its services and their
+ * workers. Plain data, changed in place by `stepDomain` alone.
+ */
+export type Domain = {
+  options: DomainOptions;
+  jobs: Map<string, JobRun>;
+  /** Steps whose predecessors are done, by key, until they are done. */
+  steps: Map<string, StepRun>;
+  /** Steps with waiting tasks. */
+  waiting: Set<StepRun>;
+  workers: Map<string, DomainWorker>;
+  /** Jobs with occurrences that are still to come. */
+  scheduled: Set<JobRun>;
+  /** What the driver has to do next. */
+  commands: DomainCommand[];
+  /** Keys whose records differ from the store's. */
+  dirty: Set<string>;
+  /** Share of workers that the policy allows, learned for each queue. */
+  allowedShares: Map<string, number>;
+};
+
+/**
+ * Creates a domain without jobs and workers.
+ *
+ * @example
+ * ```ts
+ * const domain = createDomain({ endedJobKeepMs: 120_000, earlyStartMs: 0 });
+ * ```
+ */
+export function createDomain(options: DomainOptions): Domain {
+  return {
+    options,
+    jobs: new Map(),
+    steps: new Map(),
+    waiting: new Set(),
+    workers: new Map(),
+    scheduled: new Set(),
+    commands: [],
+    dirty: new Set(),
+    allowedShares: new Map(),
+  };
+}
--- /dev/null
+++ b/src/domain/domain_worker.ts
@@ -0,0 +1,41 @@
+import type { Resources } from "../model/mod.ts";
+import type { StepRun } from "./step_run.ts";
+import type { WorkerListing } from "./worker_listing.ts";
+
+/** A worker of the domain with what it holds. */
+export type DomainWorker = {
+  id: string;
+  /** Absent while the list does not show the worker. */
+  listing: WorkerListing | undefined;
+  /** Whether a look under this epoch has succeeded. */
+  held: boolean;
+  /** Start of the incarnation that was seen last; 0 before the first look. */
+  bornMs: number;
+  /** Number of the last end that was taken in; restarts with the worker. */
+  lastEnd: number;
+  capacity: Resources;
+  used: Resources;
+  /** Processor time that opportunistic tasks ask for, in millicores. */
+  opportunisticCpu: number;
+  /** Placed tasks by name. */
+  placed: Map<string, PlacedRef>;
+  health: WorkerHealth;
+};
+
+/** Points at a placed task. */
+export type PlacedRef = {
+  run: StepRun;
+  index: number;
+  reserved: Resources;
+  /** Share of its speed that the task was last paced to, in percent. */
+  pacedTo: number;
+  /** Tail latency in ms for a service; processor use for anything else. */
+  reading: number;
+};
+
+/** What a worker's behaviour says about it. */
+export type WorkerHealth = {
+  consecutiveFailures: number;
+  /** Nothing is placed before this time, on the steady clock. */
+  avoidUntilMs: number;
+};
--- /dev/null
+++ b/src/domain/job_runs.ts
@@ -0,0 +1,241 @@
+/**
+ * The life of a job: its occurrences become due, their steps become ready in
+ * order, and the job ends.
+ *
+ * @module
+ */
+import type { Domain } from "./domain.ts";
+import type { Moment } from "./domain_event.ts";
+import type { Job } from "./job.ts";
+import type { JobRun, Occurrence } from "./job_run.ts";
+import { jobKey, stepRecordKey } from "./keys.ts";
+import { createStepAdvice } from "./step_advice.ts";
+import type { StepRun } from "./step_run.ts";
+import { stopTask } from "./stops.ts";
+import type { WaitingTask } from "./task_progress.ts";
+
+/** Creates the state of a job of which nothing has begun. */
+export function createJobRun(job: Job): JobRun {
+  return {
+    job,
+    occurrences: new Map(),
+    nextOccurrence: 0,
+    completedOccurrences: 0,
+    started: false,
+  };
+}
+
+/** Finds an occurrence, or adds it without ready steps. */
+export function openOccurrence(run: JobRun, number: number): Occurrence {
+  const known = run.occurrences.get(number);
+  if (known !== undefined) return known;
+  const occurrence = {
+    number,
+    dueAtMs: dueAtMs(run.job, number),
+    steps: new Map(),
+    completed: false,
+  };
+  run.occurrences.set(number, occurrence);
+  return occurrence;
+}
+
+/** When an occurrence is due, in milliseconds since the epoch. */
+export function dueAtMs(job: Job, number: number): number {
+  const { schedule } = job;
+  if (schedule === undefined) return job.acceptedAtMs;
+  return schedule.startAtMs + number * schedule.intervalMs;
+}
+
+/**
+ * Makes a step ready if its predecessors are done, and returns it; undefined
+ * where the job has no such step or a predecessor is not done.
+ */
+export function readyStep(
+  domain: Domain,
+  run: JobRun,
+  occurrence: Occurrence,
+  index: number,
+  nowMs: number,
+): StepRun | undefined {
+  const known = occurrence.steps.get(index);
+  if (known !== undefined) return known;
+  const step = run.job.steps[index];
+  if (step === undefined) return undefined;
+  const isDone = (predecessor: number) => {
+    const before = occurrence.steps.get(predecessor);
+    return before !== undefined && before.done === before.step.taskCount;
+  };
+  if (!step.after.every(isDone)) return undefined;
+  const created: StepRun = {
+    key: `${run.job.id}.${occurrence.number}.${index}`,
+    job: run,
+    occurrence: occurrence.number,
+    index,
+    step,
+    tasks: Array.from({ length: step.taskCount }, createWaitingTask),
+    waiting: step.taskCount,
+    done: 0,
+    gangFailures: 0,
+    gangFailedAttempt: 0,
+    advice: createStepAdvice(),
+    latestStartMs: latestStartMs(run.job, occurrence, index),
+    readyAtMs: nowMs,
+  };
+  occurrence.steps.set(index, created);
+  domain.steps.set(created.key, created);
+  domain.waiting.add(created);
+  return created;
+}
+
+function createWaitingTask(): WaitingTask {
+  return { kind: "waiting", attempt: 0, failures: 0, checkpoint: undefined };
+}
+
+/** The time by which a step has to start to meet the job's objective. */
+function latestStartMs(
+  job: Job,
+  occurrence: Occurrence,
+  index: number,
+): number {
+  const remaining = remainingChainMs(job);
+  const longest = Math.max(...remaining);
+  const { slackFactor, targetCompletionMs } = job.policy;
+  const objectiveMs = slackFactor * longest + targetCompletionMs;
+  return occurrence.dueAtMs + objectiveMs - (remaining[index] ?? 0);
+}
+
+/** For each step, the work from its start to the end of the job, in ms. */
+function remainingChainMs(job: Job): number[] {
+  const remaining = job.steps.map((step) => step.estimateMs);
+  for (let index = job.steps.length - 1; index >= 0; index -= 1) {
+    const step = job.steps[index]!;
+    for (const predecessor of step.after) {
+      const before = job.steps[predecessor];
+      if (before === undefined) continue;
+      remaining[predecessor] = Math.max(
+        remaining[predecessor]!,
+        before.estimateMs + remaining[index]!,
+      );
+    }
+  }
+  return remaining;
+}
+
+/** Opens the occurrences that are due. */
+export function openDueOccurrences(domain: Domain, moment: Moment): void {
+  for (const run of domain.scheduled) {
+    const total = run.job.schedule?.occurrences ?? 1;
+    while (
+      run.nextOccurrence < total &&
+      dueAtMs(run.job, run.nextOccurrence) <= moment.wallMs
+    ) {
+      const occurrence = openOccurrence(run, run.nextOccurrence);
+      run.nextOccurrence += 1;
+      makeStepsReady(domain, run, occurrence, moment);
+    }
+    if (run.nextOccurrence >= total) domain.scheduled.delete(run);
+  }
+}
+
+/** Makes every step of an occurrence ready whose predecessors are done. */
+export function makeStepsReady(
+  domain: Domain,
+  run: JobRun,
+  occurrence: Occurrence,
+  moment: Moment,
+): void {
+  run.job.steps.forEach((_, index) => {
+    if (occurrence.steps.has(index)) return;
+    const step = readyStep(domain, run, occurrence, index, moment.steadyMs);
+    if (step !== undefined) domain.dirty.add(stepRecordKey(step.key));
+  });
+}
+
+/** Takes in that all tasks of a step are done. */
+export function completeStep(
+  domain: Domain,
+  run: StepRun,
+  moment: Moment,
+): void {
+  const { job } = run;
+  const occurrence = job.occurrences.get(run.occurrence);
+  if (occurrence === undefined) return;
+  domain.waiting.delete(run);
+  makeStepsReady(domain, job, occurrence, moment);
+  const isComplete = job.job.steps.every((step, index) =>
+    occurrence.steps.get(index)?.done === step.taskCount
+  );
+  if (!isComplete || occurrence.completed) return;
+  occurrence.completed = true;
+  job.completedOccurrences += 1;
+  const total = job.job.schedule?.occurrences ?? 1;
+  if (job.completedOccurrences === total) {
+    endJob(domain, job, "completed", moment);
+  }
+}
+
+/** Ends a job, and stops what still runs of it. */
+export function endJob(
+  domain: Domain,
+  run: JobRun,
+  outcome: "completed" | "failed" | "cancelled",
+  moment: Moment,
+): void {
+  if (run.job.outcome !== "open") return;
+  run.job.outcome = outcome;
+  run.job.endedAtMs = moment.wallMs;
+  domain.dirty.add(jobKey(run.job.id));
+  domain.scheduled.delete(run);
+  for (const step of stepsOf(run)) {
+    domain.waiting.delete(step);
+    step.tasks.forEach((_, index) => stopTask(domain, step, index));
+  }
+  domain.commands.push({
+    kind: "report",
+    sentence: "The job ended.",
+    fields: {
+      job: run.job.id,
+      queue: run.job.policy.queue,
+      outcome,
+      ageMs: moment.wallMs - run.job.acceptedAtMs,
+      lateMs: Math.round(moment.wallMs - objectiveAtMs(run.job)),
+    },
+  });
+}
+
+/** When a job meets its objective at the latest, in ms since the epoch. */
+export function objectiveAtMs(job: Job): number {
+  const { slackFactor, targetCompletionMs } = job.policy;
+  const chainMs = Math.max(...remainingChainMs(job));
+  return dueAtMs(job, (job.schedule?.occurrences ?? 1) - 1) +
+    slackFactor * chainMs + targetCompletionMs;
+}
+
+/** Forgets jobs whose record has been kept for long enough. */
+export function forgetEndedJobs(domain: Domain, moment: Moment): void {
+  const beforeMs = moment.wallMs - domain.options.endedJobKeepMs;
+  for (const [id, run] of domain.jobs) {
+    const { endedAtMs } = run.job;
+    if (endedAtMs === undefined || endedAtMs > beforeMs) continue;
+    if (hasPlacedTasks(run)) continue;
+    domain.jobs.delete(id);
+    domain.dirty.add(jobKey(id));
+    for (const step of stepsOf(run)) {
+      domain.steps.delete(step.key);
+      domain.dirty.add(stepRecordKey(step.key));
+    }
+  }
+}
+
+function hasPlacedTasks(run: JobRun): boolean {
+  for (const step of stepsOf(run)) {
+    if (step.tasks.some((task) => task.kind === "placed")) return true;
+  }
+  return false;
+}
+
+function* stepsOf(run: JobRun): Generator<StepRun> {
+  for (const occurrence of run.occurrences.values()) {
+    yield* occurrence.steps.values();
+  }
+}
--- /dev/null
+++ b/src/domain/job_state.ts
@@ -0,0 +1,28 @@
+import type { Domain } from "./domain.ts";
+
+/** The state of a job as callers see it. */
+export type JobState =
+  | "pending"
+  | "running"
+  | "completed"
+  | "failed"
+  | "cancelled";
+
+/** The state of a job; undefined where the domain does not know it. */
+export function jobStateOf(domain: Domain, id: string): JobState | undefined {
+  const run = domain.jobs.get(id);
+  if (run === undefined) return undefined;
+  const { outcome } = run.job;
+  if (outcome !== "open") return outcome;
+  return run.started ? "running" : "pending";
+}
+
+/** How many open jobs of a queue have not started a task. */
+export function pendingJobs(domain: Domain, queue: string): number {
+  let count = 0;
+  for (const run of domain.jobs.values()) {
+    if (run.job.policy.queue !== queue || run.started) continue;
+    if (run.job.outcome === "open") count += 1;
+  }
+  return count;
+}
--- /dev/null
+++ b/src/domain/looks.ts
@@ -0,0 +1,217 @@
+/**
+ * What a worker lists, compared with what the domain believes.
+ *
+ * @module
+ */
+import type { Domain } from "./domain.ts";
+import type { DomainWorker, PlacedRef } from "./domain_worker.ts";
+import type { EndedRun, ListedRun, Look, Moment } from "./domain_event.ts";
+import { blamesWorker, endTask } from "./ends.ts";
+import { release } from "./placed.ts";
+import { parseTaskName, type StepRun, taskNameOf } from "./step_run.ts";
+import type { PlacedTask } from "./task_progress.ts";
+import { noteFailure, noteSuccess } from "./worker_health.ts";
+
+/** Takes in what a worker lists. */
+export function takeLook(
+  domain: Domain,
+  worker: DomainWorker,
+  look: Look,
+  moment: Moment,
+): void {
+  if (worker.bornMs !== look.bornMs) takeRebirth(domain, worker, look, moment);
+  const isFirst = !worker.held;
+  worker.held = true;
+  for (const ended of look.ended) takeEnd(domain, worker, ended, moment);
+  const running = new Set<string>();
+  for (const run of look.running) {
+    running.add(run.task);
+    takeRunning(domain, worker, run, moment);
+  }
+  for (const [name, ref] of worker.placed) {
+    if (running.has(name)) continue;
+    takeAbsence(domain, worker, name, ref, { look, isFirst, moment });
+  }
+}
+
+/** A worker that started anew runs nothing of what it ran before. */
+function takeRebirth(
+  domain: Domain,
+  worker: DomainWorker,
+  look: Look,
+  moment: Moment,
+): void {
+  const isKnown = worker.bornMs !== 0;
+  worker.bornMs = look.bornMs;
+  worker.lastEnd = 0;
+  if (!isKnown) return;
+  forgetTickets(domain, worker.id);
+  loseTasks(domain, worker, moment);
+}
+
+/** Takes every task off a worker that surely runs none of them. */
+export function loseTasks(
+  domain: Domain,
+  worker: DomainWorker,
+  moment: Moment,
+): void {
+  for (const [name, ref] of worker.placed) {
+    const task = ref.run.tasks[ref.index];
+    if (task?.kind === "placed" && task.worker === worker.id) {
+      endTask(domain, ref.run, ref.index, "lost", moment);
+    }
+    release(worker, name);
+  }
+}
+
+function forgetTickets(domain: Domain, worker: string): void {
+  for (const run of domain.steps.values()) run.advice.allowed.delete(worker);
+}
+
+function takeEnd(
+  domain: Domain,
+  worker: DomainWorker,
+  ended: EndedRun,
+  moment: Moment,
+): void {
+  if (ended.number <= worker.lastEnd) return;
+  worker.lastEnd = ended.number;
+  const found = findTask(domain, ended.task);
+  if (found === undefined) return;
+  const { run, index } = found;
+  const task = run.tasks[index];
+  if (task?.kind !== "placed" || task.worker !== worker.id) {
+    release(worker, ended.task);
+    return;
+  }
+  if (task.attempt !== ended.attempt) return;
+  if (ended.checkpoint !== "") task.checkpoint = ended.checkpoint;
+  if (run.step.gang) shareCheckpoint(run, task);
+  domain.commands.push({
+    kind: "report",
+    sentence: "A run ended.",
+    fields: {
+      job: run.job.job.id,
+      task: ended.task,
+      attempt: ended.attempt,
+      worker: worker.id,
+      end: ended.end,
+      ranMs: Math.round(moment.steadyMs - task.placedAtMs),
+    },
+  });
+  if (blamesWorker(ended.end)) noteFailure(worker, moment.steadyMs);
+  else if (ended.end === "done") noteSuccess(worker);
+  endTask(domain, run, index, ended.end, moment);
+}
+
+/** A checkpoint of any member is good for the whole gang. */
+function shareCheckpoint(run: StepRun, from: PlacedTask): void {
+  if (from.checkpoint === undefined) return;
+  for (const task of run.tasks) {
+    if (task.kind !== "done") task.checkpoint = from.checkpoint;
+  }
+}
+
+function takeRunning(
+  domain: Domain,
+  worker: DomainWorker,
+  listed: ListedRun,
+  moment: Moment,
+): void {
+  const ref = worker.placed.get(listed.task);
+  const task = ref?.run.tasks[ref.index];
+  if (
+    ref === undefined || task?.kind !== "placed" ||
+    task.worker !== worker.id || task.attempt !== listed.attempt
+  ) {
+    stopUnknown(domain, worker, listed, ref);
+    return;
+  }
+  ref.reading = listed.reading;
+  if (listed.checkpoint !== "") task.checkpoint = listed.checkpoint;
+  const { phase } = task;
+  if (phase.kind === "stopping") return;
+  const { percent } = listed;
+  const isProgress = phase.kind !== "running" || phase.percent !== percent;
+  const progressAtMs = isProgress ? moment.steadyMs : phase.progressAtMs;
+  task.phase = { kind: "running", percent, progressAtMs };
+}
+
+/** Something runs that the records do not know: it must not go on. */
+function stopUnknown(
+  domain: Domain,
+  worker: DomainWorker,
+  listed: ListedRun,
+  ref: PlacedRef | undefined,
+): void {
+  const task = ref?.run.tasks[ref.index];
+  // A member of a gang that is done ends by itself.
+  if (task?.kind === "done" && task.attempt === listed.attempt) return;
+  domain.commands.push({
+    kind: "order",
+    order: {
+      kind: "stop",
+      worker: worker.id,
+      task: listed.task,
+      attempt: listed.attempt,
+    },
+  });
+}
+
+type Absence = { look: Look; isFirst: boolean; moment: Moment };
+
+/** A placed task that the worker lists neither as running nor as ended. */
+function takeAbsence(
+  domain: Domain,
+  worker: DomainWorker,
+  name: string,
+  ref: PlacedRef,
+  { look, isFirst, moment }: Absence,
+): void {
+  const task = ref.run.tasks[ref.index];
+  if (task?.kind !== "placed" || task.worker !== worker.id) {
+    release(worker, name);
+    return;
+  }
+  const { phase } = task;
+  // Under the new epoch, no order of an earlier owner can start it any more.
+  const neverStarted = isFirst && phase.kind === "recorded";
+  // A confirmed stop bars the attempt.
+  const stopped = phase.kind === "stopping" &&
+    phase.confirmedAtMs !== undefined && phase.confirmedAtMs < look.sentAtMs;
+  if (neverStarted || stopped) {
+    endTask(domain, ref.run, ref.index, "lost", moment);
+  }
+}
+
+/** Finds a task by the name that workers know it by. */
+export function findTask(
+  domain: Domain,
+  name: string,
+): { run: StepRun; index: number } | undefined {
+  const parsed = parseTaskName(name);
+  if (parsed === undefined) return undefined;
+  const run = domain.steps.get(parsed.stepKey);
+  if (run === undefined || run.tasks[parsed.index] === undefined) {
+    return undefined;
+  }
+  return { run, index: parsed.index };
+}
+
+/** Re-orders the stop of every task whose stop was never confirmed. */
+export function repeatStops(domain: Domain, worker: DomainWorker): void {
+  for (const ref of worker.placed.values()) {
+    const task = ref.run.tasks[ref.index];
+    if (task?.kind !== "placed" || task.phase.kind !== "stopping") continue;
+    if (task.phase.confirmedAtMs !== undefined) continue;
+    domain.commands.push({
+      kind: "order",
+      order: {
+        kind: "stop",
+        worker: worker.id,
+        task: taskNameOf(ref.run, ref.index),
+        attempt: task.attempt,
+      },
+    });
+  }
+}
--- /dev/null
+++ b/src/domain/mod.ts
@@ -0,0 +1,15 @@
+/**
+ * A scheduling domain: the jobs of a service and the workers that run them.
+ * A pure core: events and the time go in, commands and records come out.
+ *
+ * @module
+ */
+export { createDomain, type Domain } from "./domain.ts";
+export * from "./domain_command.ts";
+export * from "./domain_event.ts";
+export * from "./domain_options.ts";
+export * from "./job.ts";
+export * from "./job_state.ts";
+export * from "./records.ts";
+export * from "./step_domain.ts";
+export * from "./worker_listing.ts";
--- /dev/null
+++ b/src/domain/placed.ts
@@ -0,0 +1,84 @@
+/**
+ * Placed tasks and the room that they hold on a worker.
+ *
+ * @module
+ */
+import {
+  addResources,
+  NO_RESOURCES,
+  type Resources,
+  subtractResources,
+} from "../model/mod.ts";
+import type { DomainWorker, PlacedRef } from "./domain_worker.ts";
+import type { Step } from "./job.ts";
+import { type StepRun, taskNameOf } from "./step_run.ts";
+import type { PlacedPhase } from "./task_progress.ts";
+
+const FULL_SPEED_PERCENT = 100;
+
+/** Creates a worker of which only the id is known. */
+export function createDomainWorker(id: string): DomainWorker {
+  return {
+    id,
+    listing: undefined,
+    held: false,
+    bornMs: 0,
+    lastEnd: 0,
+    capacity: NO_RESOURCES,
+    used: NO_RESOURCES,
+    opportunisticCpu: 0,
+    placed: new Map(),
+    health: { consecutiveFailures: 0, avoidUntilMs: 0 },
+  };
+}
+
+/** The room that a task of a step holds on a worker. */
+export function reservationOf(step: Step): Resources {
+  return step.opportunistic ? { ...step.demand, cpuMillis: 0 } : step.demand;
+}
+
+/** Gives a waiting task room on a worker. */
+export function place(
+  run: StepRun,
+  index: number,
+  worker: DomainWorker,
+  placing: { attempt: number; nowMs: number; phase: PlacedPhase },
+): void {
+  const task = run.tasks[index];
+  if (task?.kind !== "waiting") return;
+  const { attempt, nowMs, phase } = placing;
+  const reserved = reservationOf(run.step);
+  run.tasks[index] = {
+    kind: "placed",
+    attempt,
+    failures: task.failures,
+    checkpoint: task.checkpoint,
+    worker: worker.id,
+    phase,
+    placedAtMs: nowMs,
+  };
+  run.waiting -= 1;
+  run.job.started = true;
+  worker.used = addResources(worker.used, reserved);
+  if (run.step.opportunistic) {
+    worker.opportunisticCpu += run.step.demand.cpuMillis;
+  }
+  worker.placed.set(taskNameOf(run, index), {
+    run,
+    index,
+    reserved,
+    pacedTo: FULL_SPEED_PERCENT,
+    reading: 0,
+  });
+}
+
+/** Frees the room of a task that has surely ended. */
+export function release(worker: DomainWorker, name: string): void {
+  const ref: PlacedRef | undefined = worker.placed.get(name);
+  if (ref === undefined) return;
+  worker.placed.delete(name);
+  worker.used = subtractResources(worker.used, ref.reserved);
+  if (ref.run.step.opportunistic) {
+    worker.opportunisticCpu -= ref.run.step.demand.cpuMillis;
+  }
+}
--- /dev/null
+++ b/src/domain/records.ts
@@ -0,0 +1,269 @@
+/**
+ * The records of a domain in the store: one for each job, and one for each
+ * step of an occurrence that has begun. Each holds the whole state of its
+ * key, so the newest record of every key is the state of the domain.
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import * as v from "valibot";
+import { assertNever } from "../base/mod.ts";
+import type { Domain } from "./domain.ts";
+import { type Job, jobSchema } from "./job.ts";
+import type { JobRun } from "./job_run.ts";
+import { createJobRun, openOccurrence, readyStep } from "./job_runs.ts";
+import { JOB_PREFIX, STEP_PREFIX } from "./keys.ts";
+import { createDomainWorker, place } from "./placed.ts";
+import type { StepRun } from "./step_run.ts";
+import type { TaskProgress } from "./task_progress.ts";
+
+/** One record: a key, and its value or the removal of the key. */
+export type DomainRecord = { key: string; value: string | undefined };
+
+/** Tag of a task's state in a stored step. */
+const TASK_TAGS = { waiting: 0, placed: 1, done: 2 } as const;
+
+const storedTaskSchema = v.union([
+  v.tuple([
+    v.literal(TASK_TAGS.waiting),
+    v.number(),
+    v.number(),
+    v.string(),
+  ]),
+  v.tuple([
+    v.literal(TASK_TAGS.placed),
+    v.number(),
+    v.number(),
+    v.string(),
+    v.string(),
+  ]),
+  v.tuple([v.literal(TASK_TAGS.done), v.number(), v.number()]),
+]);
+
+type StoredTask = v.InferOutput<typeof storedTaskSchema>;
+
+const storedStepSchema = v.object({
+  tasks: v.array(storedTaskSchema),
+  gangFailures: v.number(),
+  gangFailedAttempt: v.number(),
+});
+
+/**
+ * Takes the records that differ from the store's, and counts them as written.
+ *
+ * @example
+ * ```ts
+ * const records = takeDirtyRecords(domain);
+ * ```
+ */
+export function takeDirtyRecords(domain: Domain): DomainRecord[] {
+  const keys = [...domain.dirty];
+  domain.dirty.clear();
+  return keys.map((key) => ({ key, value: valueOf(domain, key) }));
+}
+
+function valueOf(domain: Domain, key: string): string | undefined {
+  if (key.startsWith(JOB_PREFIX)) {
+    const run = domain.jobs.get(key.slice(JOB_PREFIX.length));
+    return run === undefined ? undefined : JSON.stringify(run.job);
+  }
+  const run = domain.steps.get(key.slice(STEP_PREFIX.length));
+  return run === undefined ? undefined : JSON.stringify(storeStep(run));
+}
+
+function storeStep(run: StepRun): v.InferOutput<typeof storedStepSchema> {
+  return {
+    tasks: run.tasks.map(storeTask),
+    gangFailures: run.gangFailures,
+    gangFailedAttempt: run.gangFailedAttempt,
+  };
+}
+
+function storeTask(task: TaskProgress): StoredTask {
+  const { attempt, failures } = task;
+  switch (task.kind) {
+    case "waiting":
+      return [TASK_TAGS.waiting, attempt, failures, task.checkpoint ?? ""];
+    case "placed": {
+      const { checkpoint, worker } = task;
+      return [TASK_TAGS.placed, attempt, failures, checkpoint ?? "", worker];
+    }
+    case "done":
+      return [TASK_TAGS.done, attempt, failures];
+    default:
+      return assertNever(task);
+  }
+}
+
+/**
+ * Restores the jobs of an empty domain from the newest record of each key.
+ * Placed tasks count as recorded: the first look at their worker tells
+ * whether they run.
+ *
+ * @returns the keys whose records cannot be read, with the reason
+ *
+ * @example
+ * ```ts
+ * const unreadable = restoreDomain(domain, records, nowMs);
+ * ```
+ */
+export function restoreDomain(
+  domain: Domain,
+  records: DomainRecord[],
+  nowMs: number,
+): { key: string; reason: string }[] {
+  const unreadable: { key: string; reason: string }[] = [];
+  const steps = new Map<string, string>();
+  for (const { key, value } of records) {
+    if (value === undefined) continue;
+    if (key.startsWith(STEP_PREFIX)) {
+      steps.set(key.slice(STEP_PREFIX.length), value);
+      continue;
+    }
+    const job = parse(jobSchema, value);
+    if (job.isErr()) unreadable.push({ key, reason: job.error });
+    else addJob(domain, job.value);
+  }
+  for (const [stepKey, value] of inStepOrder(steps)) {
+    const reason = restoreStep(domain, stepKey, value, nowMs);
+    if (reason !== undefined) unreadable.push({ key: stepKey, reason });
+  }
+  for (const run of domain.jobs.values()) {
+    if (run.job.outcome === "open") settleOccurrences(domain, run, nowMs);
+  }
+  domain.dirty.clear();
+  domain.commands.length = 0;
+  return unreadable;
+}
+
+function parse<Schema extends v.GenericSchema>(
+  schema: Schema,
+  text: string,
+): Result<v.InferOutput<Schema>, string> {
+  try {
+    const parsed = v.safeParse(schema, JSON.parse(text));
+    if (parsed.success) return ok(parsed.output);
+    return err(parsed.issues[0].message);
+  } catch (error) {
+    return err(error instanceof Error ? error.message : String(error));
+  }
+}
+
+function addJob(domain: Domain, job: Job): void {
+  domain.jobs.set(job.id, createJobRun(job));
+}
+
+/** Orders steps so that each comes after its predecessors. */
+function inStepOrder(steps: Map<string, string>): [string, string][] {
+  const position = (key: string) => {
+    const [, occurrence = "0", index = "0"] = key.split(".");
+    return [Number(occurrence), Number(index)] as const;
+  };
+  return [...steps].sort(([left], [right]) => {
+    const [leftOccurrence, leftIndex] = position(left);
+    const [rightOccurrence, rightIndex] = position(right);
+    return leftOccurrence - rightOccurrence || leftIndex - rightIndex;
+  });
+}
+
+function restoreStep(
+  domain: Domain,
+  stepKey: string,
+  value: string,
+  nowMs: number,
+): string | undefined {
+  const [jobId = "", occurrence, index] = stepKey.split(".");
+  const run = domain.jobs.get(jobId);
+  if (run === undefined) return "its job is unknown";
+  const stored = parse(storedStepSchema, value);
+  if (stored.isErr()) return stored.error;
+  const step = readyStep(
+    domain,
+    run,
+    openOccurrence(run, Number(occurrence)),
+    Number(index),
+    nowMs,
+  );
+  if (step === undefined) return "its job has no such step";
+  step.gangFailures = stored.value.gangFailures;
+  step.gangFailedAttempt = stored.value.gangFailedAttempt;
+  stored.value.tasks.forEach((task, position) => {
+    restoreTask(domain, step, position, task, nowMs);
+  });
+  if (step.waiting === 0) domain.waiting.delete(step);
+  return undefined;
+}
+
+function restoreTask(
+  domain: Domain,
+  run: StepRun,
+  index: number,
+  stored: StoredTask,
+  nowMs: number,
+): void {
+  if (run.tasks[index] === undefined) return;
+  if (stored[1] > 0) run.job.started = true;
+  switch (stored[0]) {
+    case TASK_TAGS.waiting: {
+      const [, attempt, failures, checkpoint] = stored;
+      run.tasks[index] = {
+        kind: "waiting",
+        attempt,
+        failures,
+        checkpoint: checkpoint === "" ? undefined : checkpoint,
+      };
+      return;
+    }
+    case TASK_TAGS.placed: {
+      const [, attempt, failures, checkpoint, workerId] = stored;
+      const known = domain.workers.get(workerId);
+      const worker = known ?? createDomainWorker(workerId);
+      domain.workers.set(workerId, worker);
+      run.tasks[index] = {
+        kind: "waiting",
+        attempt: attempt - 1,
+        failures,
+        checkpoint: checkpoint === "" ? undefined : checkpoint,
+      };
+      place(run, index, worker, {
+        attempt,
+        nowMs,
+        phase: { kind: "recorded" },
+      });
+      return;
+    }
+    case TASK_TAGS.done: {
+      const [, attempt, failures] = stored;
+      run.tasks[index] = { kind: "done", attempt, failures };
+      run.waiting -= 1;
+      run.done += 1;
+      return;
+    }
+    default:
+      return assertNever(stored);
+  }
+}
+
+/** Opens what is due and ready, and counts what is done. */
+function settleOccurrences(
+  domain: Domain,
+  run: JobRun,
+  nowMs: number,
+): void {
+  const { job } = run;
+  if (job.schedule === undefined) openOccurrence(run, 0);
+  const numbers = [...run.occurrences.keys()];
+  run.nextOccurrence = Math.max(0, ...numbers.map((number) => number + 1));
+  for (const occurrence of run.occurrences.values()) {
+    job.steps.forEach((_, index) => {
+      readyStep(domain, run, occurrence, index, nowMs);
+    });
+    occurrence.completed = job.steps.every((_, index) => {
+      const step = occurrence.steps.get(index);
+      return step !== undefined && step.done === step.step.taskCount;
+    });
+    if (occurrence.completed) run.completedOccurrences += 1;
+  }
+  const total = job.schedule?.occurrences ?? 1;
+  if (run.nextOccurrence < total) domain.scheduled.add(run);
+}
--- /dev/null
+++ b/src/domain/schedule.ts
@@ -0,0 +1,129 @@
+/**
+ * One scheduling pass: the steps with waiting tasks, the most urgent first,
+ * get room on the workers.
+ *
+ * @module
+ */
+import { askForAdvice, hasTicket, mayBeAllowed } from "./advising.ts";
+import { eligibleWorkers, hasRoom, scoreWorker } from "./choose_worker.ts";
+import type { Domain } from "./domain.ts";
+import type { Moment } from "./domain_event.ts";
+import type { DomainWorker } from "./domain_worker.ts";
+import { stepRecordKey } from "./keys.ts";
+import { placeGang } from "./place_gang.ts";
+import { place } from "./placed.ts";
+import { type StepRun, taskNameOf } from "./step_run.ts";
+
+/** What one pass keeps from one step to the next. */
+export type Pass = {
+  domain: Domain;
+  moment: Moment;
+  /** Workers kept free for a step of higher rank. */
+  kept: Set<DomainWorker>;
+};
+
+/** Places whatever can be placed now, and asks for the advice it needs. */
+export function schedule(domain: Domain, moment: Moment): void {
+  const pass: Pass = { domain, moment, kept: new Set() };
+  for (const run of inOrder(domain)) {
+    if (run.step.gang) placeGang(pass, run);
+    else placeTasks(pass, run);
+  }
+}
+
+/** The order in which steps are served: by priority, then by least slack. */
+function inOrder(domain: Domain): StepRun[] {
+  const priority = (run: StepRun) => run.job.job.policy.priority;
+  return [...domain.waiting].sort((left, right) =>
+    priority(left) - priority(right) ||
+    left.latestStartMs - right.latestStartMs
+  );
+}
+
+function placeTasks(pass: Pass, run: StepRun): void {
+  const { domain, moment } = pass;
+  const candidates = [...eligibleWorkers(domain, run)].filter((worker) =>
+    !pass.kept.has(worker) && mayBeAllowed(run, worker.id) &&
+    hasRoom(worker, run, moment.steadyMs)
+  );
+  if (candidates.length === 0) return;
+  const usable = candidates.filter((worker) =>
+    hasTicket(run, worker.id, moment.steadyMs)
+  );
+  for (let index = 0; index < run.tasks.length; index += 1) {
+    if (run.tasks[index]?.kind !== "waiting") continue;
+    const worker = takeBest(usable, run, moment.steadyMs);
+    if (worker === undefined) break;
+    startTask(pass, run, index, worker, nextAttempt(run, index));
+  }
+  if (run.waiting === 0) domain.waiting.delete(run);
+  else askForAdvice(domain, run, moment);
+}
+
+/** The best worker with room; workers without room leave the list. */
+function takeBest(
+  workers: DomainWorker[],
+  run: StepRun,
+  nowMs: number,
+): DomainWorker | undefined {
+  let best: DomainWorker | undefined;
+  let bestScore = -Infinity;
+  for (let index = workers.length - 1; index >= 0; index -= 1) {
+    const worker = workers[index]!;
+    if (!hasRoom(worker, run, nowMs)) {
+      workers.splice(index, 1);
+      continue;
+    }
+    const score = scoreWorker(worker, run);
+    if (score <= bestScore) continue;
+    best = worker;
+    bestScore = score;
+  }
+  return best;
+}
+
+function nextAttempt(run: StepRun, index: number): number {
+  return run.tasks[index]!.attempt + 1;
+}
+
+/** Places a task and orders its start. */
+export function startTask(
+  pass: Pass,
+  run: StepRun,
+  index: number,
+  worker: DomainWorker,
+  attempt: number,
+): void {
+  const { domain, moment } = pass;
+  place(run, index, worker, {
+    attempt,
+    nowMs: moment.steadyMs,
+    phase: { kind: "starting" },
+  });
+  const task = run.tasks[index];
+  domain.dirty.add(stepRecordKey(run.key));
+  domain.commands.push({
+    kind: "order",
+    order: {
+      kind: "start",
+      worker: worker.id,
+      task: taskNameOf(run, index),
+      attempt,
+      specification: run.job.job.specification,
+      ticket: run.advice.allowed.get(worker.id)?.text,
+      checkpoint: task?.kind === "placed" ? task.checkpoint : undefined,
+    },
+  });
+  domain.commands.push({
+    kind: "report",
+    sentence: "Placed a task.",
+    fields: {
+      job: run.job.job.id,
+      task: taskNameOf(run, index),
+      attempt,
+      worker: worker.id,
+      waitedMs: Math.round(moment.steadyMs - run.readyAtMs),
+      slackMs: Math.round(run.latestStartMs - moment.wallMs),
+    },
+  });
+}
--- /dev/null
+++ b/src/domain/step_domain.ts
@@ -0,0 +1,229 @@
+import { assertNever } from "../base/mod.ts";
+import { takeAdvice } from "./advising.ts";
+import type { Domain } from "./domain.ts";
+import type { DomainCommand } from "./domain_command.ts";
+import type { DomainEvent, Moment } from "./domain_event.ts";
+import { endTask } from "./ends.ts";
+import type { Job } from "./job.ts";
+import {
+  createJobRun,
+  endJob,
+  forgetEndedJobs,
+  makeStepsReady,
+  openDueOccurrences,
+  openOccurrence,
+} from "./job_runs.ts";
+import { jobKey } from "./keys.ts";
+import { findTask, loseTasks, repeatStops, takeLook } from "./looks.ts";
+import { adjustPace } from "./pacing.ts";
+import { createDomainWorker } from "./placed.ts";
+import { schedule } from "./schedule.ts";
+import { stopTask } from "./stops.ts";
+import { noteUnhealthy } from "./worker_health.ts";
+import type { WorkerListing } from "./worker_listing.ts";
+
+type EventOf<Kind extends DomainEvent["kind"]> = Extract<
+  DomainEvent,
+  { kind: Kind }
+>;
+
+/**
+ * Takes in one event and returns what the driver has to do. Records that
+ * changed are listed in `domain.dirty`; orders and answers may leave only
+ * after the store has confirmed them.
+ *
+ * @example
+ * ```ts
+ * const commands = stepDomain(domain, { kind: "ticked" }, moment);
+ * ```
+ */
+export function stepDomain(
+  domain: Domain,
+  event: DomainEvent,
+  moment: Moment,
+): DomainCommand[] {
+  takeEvent(domain, event, moment);
+  return domain.commands.splice(0);
+}
+
+/** Runs one scheduling pass and returns what the driver has to do. */
+export function scheduleDomain(
+  domain: Domain,
+  moment: Moment,
+): DomainCommand[] {
+  openDueOccurrences(domain, {
+    ...moment,
+    wallMs: moment.wallMs + domain.options.earlyStartMs,
+  });
+  schedule(domain, moment);
+  return domain.commands.splice(0);
+}
+
+function takeEvent(domain: Domain, event: DomainEvent, moment: Moment): void {
+  switch (event.kind) {
+    case "submitted":
+      return submit(domain, event, moment);
+    case "cancelled":
+      return cancel(domain, event, moment);
+    case "workersListed":
+      return listWorkers(domain, event.workers);
+    case "looked":
+      return look(domain, event, moment);
+    case "workerSilent": {
+      const worker = domain.workers.get(event.worker);
+      if (worker !== undefined) worker.held = false;
+      return;
+    }
+    case "workerLapsed": {
+      const worker = domain.workers.get(event.worker);
+      if (worker === undefined) return;
+      worker.held = false;
+      return loseTasks(domain, worker, moment);
+    }
+    case "startAnswered":
+      return answerStart(domain, event, moment);
+    case "stopConfirmed":
+      return confirmStop(domain, event, moment);
+    case "advised":
+      return takeAdvice(domain, event, moment);
+    case "ticked":
+      return forgetEndedJobs(domain, moment);
+    default:
+      return assertNever(event);
+  }
+}
+
+function submit(
+  domain: Domain,
+  event: EventOf<"submitted">,
+  moment: Moment,
+): void {
+  const { request, policy, call } = event;
+  if (!domain.jobs.has(request.id)) {
+    const job: Job = {
+      ...request,
+      policy,
+      acceptedAtMs: moment.wallMs,
+      outcome: "open",
+    };
+    const run = createJobRun(job);
+    domain.jobs.set(job.id, run);
+    domain.dirty.add(jobKey(job.id));
+    if (job.schedule === undefined) {
+      run.nextOccurrence = 1;
+      makeStepsReady(domain, run, openOccurrence(run, 0), moment);
+    } else {
+      domain.scheduled.add(run);
+    }
+  }
+  domain.commands.push({
+    kind: "answer",
+    call,
+    answer: { kind: "accepted" },
+  });
+}
+
+function cancel(
+  domain: Domain,
+  event: EventOf<"cancelled">,
+  moment: Moment,
+): void {
+  const run = domain.jobs.get(event.job);
+  if (run !== undefined) endJob(domain, run, "cancelled", moment);
+  domain.commands.push({
+    kind: "answer",
+    call: event.call,
+    answer: { kind: run === undefined ? "unknownJob" : "accepted" },
+  });
+}
+
+/** Takes in the list; a worker that is missing keeps what it runs. */
+function listWorkers(domain: Domain, listings: WorkerListing[]): void {
+  const listed = new Set<string>();
+  for (const listing of listings) {
+    listed.add(listing.id);
+    const known = domain.workers.get(listing.id);
+    const worker = known ?? createDomainWorker(listing.id);
+    worker.listing = listing;
+    worker.capacity = listing.capacity;
+    domain.workers.set(listing.id, worker);
+  }
+  for (const [id, worker] of domain.workers) {
+    if (listed.has(id)) continue;
+    worker.listing = undefined;
+    if (worker.placed.size === 0) domain.workers.delete(id);
+  }
+}
+
+function look(
+  domain: Domain,
+  event: EventOf<"looked">,
+  moment: Moment,
+): void {
+  const worker = domain.workers.get(event.worker);
+  if (worker === undefined) return;
+  const wasHeld = worker.held;
+  const before = worker.lastEnd;
+  const bornBefore = worker.bornMs;
+  takeLook(domain, worker, event.look, moment);
+  if (!wasHeld) repeatStops(domain, worker);
+  adjustPace(domain, worker);
+  if (worker.lastEnd === before && worker.bornMs === bornBefore) return;
+  domain.commands.push({
+    kind: "acknowledge",
+    worker: worker.id,
+    bornMs: worker.bornMs,
+    lastEnd: worker.lastEnd,
+  });
+}
+
+function answerStart(
+  domain: Domain,
+  event: EventOf<"startAnswered">,
+  moment: Moment,
+): void {
+  const found = findTask(domain, event.task);
+  if (found === undefined) return;
+  const { run, index } = found;
+  const task = run.tasks[index];
+  if (task?.kind !== "placed" || task.worker !== event.worker) return;
+  if (task.attempt !== event.attempt) return;
+  const { answer } = event;
+  const worker = domain.workers.get(event.worker);
+  switch (answer.kind) {
+    case "accepted":
+      if (task.phase.kind !== "starting") return;
+      task.phase = {
+        kind: "running",
+        percent: 0,
+        progressAtMs: moment.steadyMs,
+      };
+      return;
+    case "superseded":
+      // Its end is or was in the worker's list; a look tells.
+      task.phase = { kind: "stopping", confirmedAtMs: moment.steadyMs };
+      return;
+    case "rejected":
+      if (answer.cause === "unhealthy" && worker !== undefined) {
+        noteUnhealthy(worker, moment.steadyMs);
+      }
+      if (answer.cause === "ticket") run.advice.allowed.delete(event.worker);
+      // An earlier copy of the order may still arrive; the stop bars it.
+      if (answer.earlierUnknown) return stopTask(domain, run, index);
+      return endTask(domain, run, index, "lost", moment);
+    default:
+      return assertNever(answer);
+  }
+}
+
+function confirmStop(
+  domain: Domain,
+  event: EventOf<"stopConfirmed">,
+  moment: Moment,
+): void {
+  const found = findTask(domain, event.task);
+  const task = found?.run.tasks[found.index];
+  if (task?.kind !== "placed" || task.worker !== event.worker) return;
+  if (task.attempt !== event.attempt || task.phase.kind !== "stopping") return;
+  task.phase = { kind: "stopping", confirmedAtMs: moment.steadyMs };
+}
--- /dev/null
+++ b/src/entry/ask_policy.ts
@@ -0,0 +1,18 @@
+import type { Advice, AdviceHost, AdviceQuestion } from "../hosts/mod.ts";
+import type { Logger } from "../telemetry/mod.ts";
+
+/** Asks the placement policy; a failure is logged and has no answer. */
+export async function askPolicy(
+  host: AdviceHost,
+  question: AdviceQuestion,
+  logger: Logger,
+  signal: AbortSignal,
+): Promise<Advice | undefined> {
+  const advice = await host.ask(question, signal);
+  if (advice.isOk()) return advice.value;
+  logger.part("domain").warn("The placement policy did not answer.", {
+    step: question.stepKey,
+    cause: advice.error,
+  });
+  return undefined;
+}
--- /dev/null
+++ b/src/entry/configuration.ts
@@ -0,0 +1,69 @@
+import type { QueuePolicy } from "../domain/mod.ts";
+
+/** A queue that callers reach by host and path. */
+export type QueueRoute = {
+  host: string;
+  prefix: string;
+  policy: QueuePolicy;
+};
+
+/** The operators' configuration. */
+export type Configuration = {
+  version: number;
+  routes: QueueRoute[];
+  maxBodyBytes: number;
+};
+
+/** The configuration in force at this instance. */
+export type ConfigurationState = {
+  current(): Configuration | undefined;
+  /** Puts a configuration in force, unless it is older than the current. */
+  offer(configuration: Configuration): boolean;
+};
+
+/**
+ * Creates a state without a configuration.
+ *
+ * @example
+ * ```ts
+ * const state = createConfigurationState();
+ * state.offer(configuration); // true
+ * ```
+ */
+export function createConfigurationState(): ConfigurationState {
+  let current: Configuration | undefined;
+  return {
+    current: () => current,
+    offer(configuration) {
+      if (current !== undefined && configuration.version <= current.version) {
+        return false;
+      }
+      current = configuration;
+      return true;
+    },
+  };
+}
+
+/**
+ * Finds the queue of a call: the same host, and the longest prefix.
+ *
+ * @example
+ * ```ts
+ * const route = findRoute(configuration, "orders.example", "/proofs/17");
+ * ```
+ */
+export function findRoute(
+  configuration: Configuration,
+  host: string,
+  path: string,
+): QueueRoute | undefined {
+  let found: QueueRoute | undefined;
+  for (const route of configuration.routes) {
+    if (route.host !== host || !path.startsWith(route.prefix)) continue;
+    if (found !== undefined && found.prefix.length >= route.prefix.length) {
+      continue;
+    }
+    found = route;
+  }
+  return found;
+}
--- /dev/null
+++ b/src/entry/entry.ts
@@ -0,0 +1,232 @@
+/**
+ * What an entry instance does with a call of a client: finds the owner of the
+ * domain, here or elsewhere, and says truly what became of the call.
+ *
+ * @module
+ */
+import { assertNever, hash32 } from "../base/mod.ts";
+import type { JobRequest, JobState, QueuePolicy } from "../domain/mod.ts";
+import type { Clock } from "../hosts/mod.ts";
+import type { Directory, DomainHolder } from "../ownership/mod.ts";
+import type { Counters, PartLogger } from "../telemetry/mod.ts";
+import { answerCall } from "./answer_call.ts";
+import type { DomainAnswer, DomainCall } from "./peer_call.ts";
+
+/** How long a call looks for the owner of its domain, in milliseconds. */
+const FIND_OWNER_MS = 1_500;
+/** Pause between two looks for the owner, in milliseconds. */
+const FIND_PAUSE_MS = 100;
+
+/** What an entry needs. */
+export type EntryHost = {
+  clock: Clock;
+  logger: PartLogger;
+  counters: Counters;
+  directory: Directory;
+  holder: DomainHolder;
+  /** Address of this instance, as the directory names it. */
+  self: string;
+  partitions: number;
+  /** Calls another instance. */
+  callPeer(
+    instance: string,
+    call: DomainCall,
+    timeoutMs: number,
+  ): Promise<PeerOutcome>;
+  signal: AbortSignal;
+};
+
+/** How a call to another instance ended. */
+export type PeerOutcome =
+  | { kind: "answered"; answer: DomainAnswer }
+  /** The call surely did not arrive. */
+  | { kind: "unsent"; cause: string }
+  | { kind: "unknown"; cause: string };
+
+/** How a call of a client ended. */
+export type EntryOutcome<Value> =
+  | { kind: "done"; value: Value }
+  | { kind: "unknownJob" }
+  /** Surely nothing was done; the client may come back. */
+  | { kind: "unavailable"; cause: string }
+  /** The call may have had its effect. */
+  | { kind: "undecided"; cause: string };
+
+/** The calls of clients. */
+export type Entry = {
+  submit(
+    request: JobRequest,
+    policy: QueuePolicy,
+    deadlineMs: number,
+  ): Promise<EntryOutcome<undefined>>;
+  cancel(
+    job: string,
+    policy: QueuePolicy,
+    deadlineMs: number,
+  ): Promise<EntryOutcome<undefined>>;
+  stateOf(
+    job: string,
+    policy: QueuePolicy,
+    deadlineMs: number,
+  ): Promise<EntryOutcome<JobState>>;
+  pendingJobs(
+    policy: QueuePolicy,
+    deadlineMs: number,
+  ): Promise<EntryOutcome<number>>;
+};
+
+/** The partition that holds the domain of a service. */
+export function partitionOf(service: string, partitions: number): number {
+  return hash32(service) % partitions;
+}
+
+/**
+ * Creates the entry of an instance.
+ *
+ * @example
+ * ```ts
+ * const entry = createEntry(host);
+ * const outcome = await entry.submit(request, policy, 3_000);
+ * ```
+ */
+export function createEntry(host: EntryHost): Entry {
+  const domainOf = (policy: QueuePolicy) =>
+    partitionOf(policy.service, host.partitions);
+  return {
+    async submit(request, policy, deadlineMs) {
+      const call = {
+        kind: "submit",
+        partition: domainOf(policy),
+        request,
+        policy,
+      } as const;
+      return readDone(await forward(host, call, request.id, deadlineMs));
+    },
+    async cancel(job, policy, deadlineMs) {
+      const call = {
+        kind: "cancel",
+        partition: domainOf(policy),
+        job,
+      } as const;
+      return readDone(await forward(host, call, job, deadlineMs));
+    },
+    async stateOf(job, policy, deadlineMs) {
+      const call = { kind: "state", partition: domainOf(policy), job } as const;
+      const outcome = await forward(host, call, job, deadlineMs);
+      if (outcome.kind !== "done") return outcome;
+      const { value } = outcome;
+      if (value.kind === "unknownJob") return { kind: "unknownJob" };
+      if (value.kind !== "state") return strange(value);
+      return { kind: "done", value: value.state };
+    },
+    async pendingJobs(policy, deadlineMs) {
+      const { queue } = policy;
+      const partition = domainOf(policy);
+      const call = { kind: "pending", partition, queue } as const;
+      const outcome = await forward(host, call, queue, deadlineMs);
+      if (outcome.kind !== "done") return outcome;
+      const { value } = outcome;
+      if (value.kind !== "pending") return strange(value);
+      return { kind: "done", value: value.jobs };
+    },
+  };
+}
+
+function readDone(
+  outcome: EntryOutcome<DomainAnswer>,
+): EntryOutcome<undefined> {
+  if (outcome.kind !== "done") return outcome;
+  if (outcome.value.kind === "unknownJob") return { kind: "unknownJob" };
+  if (outcome.value.kind !== "accepted") return strange(outcome.value);
+  return { kind: "done", value: undefined };
+}
+
+function strange(answer: DomainAnswer): EntryOutcome<never> {
+  return { kind: "undecided", cause: `the owner answered "${answer.kind}"` };
+}
+
+/** Brings a call to the owner of its domain. */
+async function forward(
+  host: EntryHost,
+  call: DomainCall,
+  subject: string,
+  deadlineMs: number,
+): Promise<EntryOutcome<DomainAnswer>> {
+  const beganAtMs = host.clock.steadyMs();
+  const outcome = await tryOwners(host, call, beganAtMs, deadlineMs);
+  const elapsedMs = host.clock.steadyMs() - beganAtMs;
+  host.counters.count("calls", { kind: call.kind, outcome: outcome.kind });
+  host.counters.observe("call_ms", elapsedMs);
+  const isRoutine = call.kind === "state" || call.kind === "pending";
+  if (!isRoutine || outcome.kind !== "done") {
+    host.logger.info("Answered a call.", {
+      call: call.kind,
+      subject,
+      partition: call.partition,
+      outcome: outcome.kind,
+      cause: "cause" in outcome ? outcome.cause : "",
+      elapsedMs: Math.round(elapsedMs),
+    });
+  }
+  return outcome;
+}
+
+async function tryOwners(
+  host: EntryHost,
+  call: DomainCall,
+  beganAtMs: number,
+  deadlineMs: number,
+): Promise<EntryOutcome<DomainAnswer>> {
+  const { clock, directory } = host;
+  const findUntilMs = beganAtMs + Math.min(FIND_OWNER_MS, deadlineMs / 2);
+  let undecided: string | undefined;
+  let cause = "the domain has no owner";
+  while (!host.signal.aborted) {
+    const owner = await directory.ownerOf(call.partition);
+    if (owner !== undefined) {
+      const leftMs = beganAtMs + deadlineMs - clock.steadyMs();
+      const outcome = await callOwner(host, owner, call, leftMs);
+      switch (outcome.kind) {
+        case "answered":
+          if (outcome.answer.kind === "lost") {
+            undecided = "the owner lost the domain";
+          } else if (outcome.answer.kind !== "notOwner") {
+            return { kind: "done", value: outcome.answer };
+          } else {
+            cause = "the domain changes its owner";
+          }
+          break;
+        case "unsent":
+          cause = outcome.cause;
+          break;
+        case "unknown":
+          undecided = outcome.cause;
+          break;
+        default:
+          assertNever(outcome);
+      }
+    }
+    if (clock.steadyMs() + FIND_PAUSE_MS > findUntilMs) break;
+    await clock.sleep(FIND_PAUSE_MS, host.signal);
+    await directory.refresh();
+  }
+  if (undecided !== undefined) return { kind: "undecided", cause: undecided };
+  return { kind: "unavailable", cause };
+}
+
+async function callOwner(
+  host: EntryHost,
+  owner: string,
+  call: DomainCall,
+  timeoutMs: number,
+): Promise<PeerOutcome> {
+  if (owner !== host.self) return await host.callPeer(owner, call, timeoutMs);
+  const expired = new AbortController();
+  const answer = await Promise.race([
+    answerCall(host.holder, call),
+    host.clock.sleep(timeoutMs, expired.signal),
+  ]);
+  expired.abort();
+  if (answer !== undefined) return { kind: "answered", answer };
+  return { kind: "unknown", cause: "the owner did not answer in time" };
+}
--- /dev/null
+++ b/src/entry/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * An entry instance on the platform's store: serves calls, forwards them to
+ * the owners of their domains, and owns domains itself.
+ *
+ * @module
+ */
+export * from "./configuration.ts";
+export * from "./entry.ts";
+export * from "./entry_platform.ts";
+export * from "./entry_settings.ts";
+export * from "./run_entry.ts";
--- /dev/null
+++ b/src/entry/peer_call.ts
@@ -0,0 +1,74 @@
+import * as v from "valibot";
+import { jobRequestSchema, queuePolicySchema } from "../domain/mod.ts";
+
+/** Schema of what one entry instance asks of another. */
+export const peerCallSchema = v.variant("kind", [
+  v.object({
+    kind: v.literal("submit"),
+    partition: v.number(),
+    request: jobRequestSchema,
+    policy: queuePolicySchema,
+  }),
+  v.object({
+    kind: v.literal("cancel"),
+    partition: v.number(),
+    job: v.string(),
+  }),
+  v.object({
+    kind: v.literal("state"),
+    partition: v.number(),
+    job: v.string(),
+  }),
+  v.object({
+    kind: v.literal("pending"),
+    partition: v.number(),
+    queue: v.string(),
+  }),
+  v.object({
+    kind: v.literal("advise"),
+    stepKey: v.string(),
+    workers: v.array(v.string()),
+    costMs: v.number(),
+  }),
+  /** Which instance owns which domain, as the other one knows it. */
+  v.object({ kind: v.literal("owners") }),
+]);
+
+/** What one entry instance asks of another. */
+export type PeerCall = v.InferOutput<typeof peerCallSchema>;
+
+/** A call about one domain. */
+export type DomainCall = Extract<PeerCall, { partition: number }>;
+
+/** Schema of the answer to a call about a domain. */
+export const domainAnswerSchema = v.variant("kind", [
+  v.object({ kind: v.literal("accepted") }),
+  v.object({ kind: v.literal("unknownJob") }),
+  /** The instance does not own the domain; nothing was done. */
+  v.object({ kind: v.literal("notOwner") }),
+  /** The owner lost the domain; the change may be in the store. */
+  v.object({ kind: v.literal("lost") }),
+  v.object({
+    kind: v.literal("state"),
+    state: v.picklist([
+      "pending",
+      "running",
+      "completed",
+      "failed",
+      "cancelled",
+    ]),
+  }),
+  v.object({ kind: v.literal("pending"), jobs: v.number() }),
+]);
+
+/** The answer to a call about a domain. */
+export type DomainAnswer = v.InferOutput<typeof domainAnswerSchema>;
+
+/** Schema of the answer to a question to the placement policy. */
+export const adviceAnswerSchema = v.object({
+  allowed: v.array(v.tuple([v.string(), v.string()])),
+  validMs: v.number(),
+});
+
+/** Schema of the answer to the question for owners. */
+export const ownersAnswerSchema = v.record(v.string(), v.string());
--- /dev/null
+++ b/src/entry/peer_rpc.ts
@@ -0,0 +1,108 @@
+/**
+ * JSON-RPC between entry instances: one method for each kind of call.
+ *
+ * @module
+ */
+import { createJSONRPCErrorResponse, JSONRPCServer } from "json-rpc-2.0";
+import * as v from "valibot";
+import type { PeerClient } from "../clients/mod.ts";
+import type { Advice, AdviceQuestion } from "../hosts/mod.ts";
+import type { Route } from "../server/mod.ts";
+import type { PeerOutcome } from "./entry.ts";
+import {
+  adviceAnswerSchema,
+  domainAnswerSchema,
+  type DomainCall,
+  ownersAnswerSchema,
+  type PeerCall,
+  peerCallSchema,
+} from "./peer_call.ts";
+
+const OK = 200;
+const INVALID_PARAMS = -32_602;
+const METHOD = "call";
+/** Time beyond the expected cost of a question, in milliseconds. */
+const ADVICE_MARGIN_MS = 2_000;
+/** How long another instance may take to name the owners, in ms. */
+const OWNERS_TIMEOUT_MS = 400;
+
+/** Creates the route on which other instances call this one. */
+export function createPeerRpcRoute(
+  answer: (call: PeerCall) => Promise<unknown>,
+): Route {
+  const server = new JSONRPCServer({ errorListener: () => {} });
+  server.addMethodAdvanced(METHOD, async (request) => {
+    const id = request.id ?? null;
+    const parsed = v.safeParse(peerCallSchema, request.params);
+    if (!parsed.success) {
+      const [issue] = parsed.issues;
+      return createJSONRPCErrorResponse(id, INVALID_PARAMS, issue.message);
+    }
+    return { jsonrpc: "2.0", id, result: await answer(parsed.output) };
+  });
+  return async (call) => {
+    if (call.path.length !== 1 || call.path[0] !== "rpc") return undefined;
+    const body = await call.body();
+    const response = await server.receiveJSON(JSON.stringify(body ?? null));
+    return { status: OK, body: response };
+  };
+}
+
+/** Calls other entry instances. */
+export type PeerRpc = {
+  callOwner(
+    instance: string,
+    call: DomainCall,
+    timeoutMs: number,
+  ): Promise<PeerOutcome>;
+  advise(
+    instance: string,
+    question: AdviceQuestion,
+  ): Promise<Advice | undefined>;
+  owners(instance: string): Promise<Record<string, string> | undefined>;
+};
+
+/**
+ * Creates the client side.
+ *
+ * @example
+ * ```ts
+ * const rpc = createPeerRpc(peers, signal);
+ * const outcome = await rpc.callOwner("10.1.0.30:7380", call, 3_000);
+ * ```
+ */
+export function createPeerRpc(
+  peers: PeerClient,
+  signal: AbortSignal,
+): PeerRpc {
+  const send = (instance: string, call: PeerCall, timeoutMs: number) =>
+    peers.call(`http://${instance}`, METHOD, call, timeoutMs, signal);
+  return {
+    async callOwner(instance, call, timeoutMs) {
+      const result = await send(instance, call, timeoutMs);
+      if (result.isErr()) {
+        const { kind, message } = result.error;
+        const isUnsent = kind === "unsent" || kind === "refused";
+        return { kind: isUnsent ? "unsent" : "unknown", cause: message };
+      }
+      const parsed = v.safeParse(domainAnswerSchema, result.value);
+      if (parsed.success) return { kind: "answered", answer: parsed.output };
+      return { kind: "unknown", cause: parsed.issues[0].message };
+    },
+    async advise(instance, question) {
+      const call = { kind: "advise", ...question } as const;
+      const timeoutMs = question.costMs * 2 + ADVICE_MARGIN_MS;
+      const result = await send(instance, call, timeoutMs);
+      if (result.isErr()) return undefined;
+      const parsed = v.safeParse(adviceAnswerSchema, result.value);
+      return parsed.success ? parsed.output : undefined;
+    },
+    async owners(instance) {
+      const call = { kind: "owners" } as const;
+      const result = await send(instance, call, OWNERS_TIMEOUT_MS);
+      if (result.isErr()) return undefined;
+      const parsed = v.safeParse(ownersAnswerSchema, result.value);
+      return parsed.success ? parsed.output : undefined;
+    },
+  };
+}
--- /dev/null
+++ b/src/entry/run_entry.ts
@@ -0,0 +1,449 @@
+/**
+ * Runs an entry instance that keeps its state in the platform's store.
+ *
+ * @module
+ */
+import { once, setMaxListeners } from "node:events";
+import type { Server } from "node:http";
+import process from "node:process";
+import {
+  createHttpCaller,
+  createPeerClient,
+  createSystemClock,
+  type HttpCaller,
+} from "../clients/mod.ts";
+import { assertNever } from "../base/mod.ts";
+import type { Clock, GroupMember } from "../hosts/mod.ts";
+import {
+  createDirectory,
+  createDomainHolder,
+  createWorkerList,
+  type Directory,
+  type DomainHolder,
+  followTopic,
+  joinGroup,
+} from "../ownership/mod.ts";
+import { createHttpServer, type Route } from "../server/mod.ts";
+import {
+  type Counters,
+  createBoundedStream,
+  createCounters,
+  createLogger,
+  type Logger,
+} from "../telemetry/mod.ts";
+import { answerCall } from "./answer_call.ts";
+import { askPolicy } from "./ask_policy.ts";
+import {
+  type ConfigurationState,
+  createConfigurationState,
+} from "./configuration.ts";
+import { createEntry, partitionOf } from "./entry.ts";
+import type { EntryPlatform, PlatformHost } from "./entry_platform.ts";
+import type { EntrySettings } from "./entry_settings.ts";
+import { createInstanceList, type InstanceList } from "./instance_list.ts";
+import type { PeerCall } from "./peer_call.ts";
+import { createPeerRpc, createPeerRpcRoute, type PeerRpc } from "./peer_rpc.ts";
+
+const STANDARD_OUTPUT = 1;
+const OK = 200;
+const UNAVAILABLE = 503;
+const MEBIBYTE = 1_048_576;
+const MAX_PEER_CONNECTIONS = 1_000;
+const BODY_TIMEOUT_MS = 5_000;
+const GROUP = "entry-instances";
+const DOMAINS_TOPIC = "domains";
+const INSTANCES = { topic: "instances", number: 0 };
+const CONNECTIONS_PER_PEER = 16;
+const CONNECTIONS_PER_WORKER = 5;
+const CONNECT_TIMEOUT_MS = 1_000;
+/** Idle connections are kept; opening one costs more than keeping it. */
+const KEEP_ALIVE_MS = 600_000;
+/** How long the store holds back an answer for a follower, in ms. */
+const FOLLOW_WAIT_MS = 2_000;
+/** How often the list of workers is read, in milliseconds. */
+const WORKER_LIST_PAUSE_MS = 400;
+/** The longest lease that is used, in milliseconds. */
+const LONGEST_LEASE_MS = 6_000;
+/** How long leases are granted without word from the store, in ms. */
+const TRUST_MS = 14_000;
+/** The slowest rate of a worker's clock. */
+const SLOWEST_RATE = 0.98;
+/** Margin on the leases of an earlier owner, in milliseconds. */
+const EARLIER_LEASE_MARGIN_MS = 500;
+/** Time between the last answers and the kill, in milliseconds. */
+const STOP_MARGIN_MS = 1_500;
+const STOP_POLL_MS = 50;
+const ANNOUNCE_RETRY_MS = 300;
+
+type Running = {
+  settings: EntrySettings;
+  platform: EntryPlatform;
+  clock: Clock;
+  logger: Logger;
+  counters: Counters;
+  configuration: ConfigurationState;
+  directory: Directory;
+  holder: DomainHolder;
+  instances: InstanceList;
+  rpc: PeerRpc;
+  /** Address under which other instances call this one. */
+  self: string;
+  member: GroupMember;
+  /** When the store last confirmed the membership, on the steady clock. */
+  confirmedAtMs: () => number;
+  /** Aborts when the planned stop begins. */
+  stopping: AbortController;
+  /** Aborts when the process ends. */
+  ending: AbortController;
+};
+
+/**
+ * Runs an entry instance until SIGTERM or SIGINT, then stops it as planned.
+ *
+ * @returns the exit code of the process
+ *
+ * @example
+ * ```ts
+ * process.exitCode = await runEntry(settings, connectPlatform);
+ * ```
+ */
+export async function runEntry(
+  settings: EntrySettings,
+  connect: (host: PlatformHost) => EntryPlatform,
+): Promise<number> {
+  // A log that nobody reads must not end the process.
+  process.stdout.on("error", () => {});
+  const caller = createCaller(CONNECTIONS_PER_PEER);
+  const workerCaller = createCaller(CONNECTIONS_PER_WORKER);
+  const platform = connect({ settings, caller, workerCaller });
+  const running = createRunning(settings, platform, caller);
+  const { logger, stopping, ending } = running;
+  logger.part("daemon").info("Started.", {
+    zone: settings.instance.zone,
+    address: running.self,
+  });
+  process.once("SIGTERM", () => stopping.abort());
+  process.once("SIGINT", () => stopping.abort());
+  const servers = serve(running);
+  follow(running);
+  announce(running);
+  const membership = joinGroup({
+    store: platform.store,
+    clock: running.clock,
+    logger: logger.part("ownership"),
+    member: running.member,
+    onAssignment: (assignment) => running.holder.assign(assignment),
+    signal: stopping.signal,
+  });
+  running.confirmedAtMs = membership.confirmedAtMs;
+  if (!stopping.signal.aborted) await once(stopping.signal, "abort");
+  await stop(running, servers);
+  ending.abort();
+  await Promise.all([caller.close(), workerCaller.close()]);
+  logger.part("daemon").info("Stopped.");
+  await logger.close();
+  return 0;
+}
+
+function createCaller(connectionsPerOrigin: number): HttpCaller {
+  return createHttpCaller({
+    connectionsPerOrigin,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    keepAliveMs: KEEP_ALIVE_MS,
+  });
+}
+
+function createRunning(
+  settings: EntrySettings,
+  platform: EntryPlatform,
+  caller: HttpCaller,
+): Running {
+  const ending = new AbortController();
+  const { signal } = ending;
+  setMaxListeners(0, signal);
+  const clock = createSystemClock();
+  const logger = createLogger({
+    level: settings.log.level,
+    format: "json",
+    process: settings.instance.id,
+    stream: createBoundedStream(STANDARD_OUTPUT),
+  });
+  const { store } = platform;
+  const self = `${settings.listen.internalHost}:${settings.listen.peerPort}`;
+  const running: Running = {
+    settings,
+    platform,
+    clock,
+    logger,
+    counters: createCounters(),
+    configuration: createConfigurationState(),
+    directory: createDirectory({
+      store,
+      clock,
+      logger: logger.part("ownership"),
+      group: GROUP,
+      signal,
+    }),
+    holder: undefined!,
+    instances: createInstanceList(self),
+    rpc: createPeerRpc(createPeerClient(caller, { secret: "" }), signal),
+    self,
+    member: {
+      group: GROUP,
+      member: self,
+      topic: DOMAINS_TOPIC,
+      ttlMs: settings.store.memberTtlMs,
+    },
+    confirmedAtMs: () => -Infinity,
+    stopping: new AbortController(),
+    ending,
+  };
+  running.holder = createHolder(running);
+  return running;
+}
+
+function createHolder(running: Running): DomainHolder {
+  const { settings, platform, clock, logger, counters, ending } = running;
+  const { signal } = ending;
+  const leaseMs = Math.min(settings.lease.maxMs, LONGEST_LEASE_MS);
+  const list = createWorkerList(
+    platform.decodeWorker,
+    logger.part("ownership"),
+  );
+  followTopic({
+    store: platform.store,
+    clock,
+    logger: logger.part("store"),
+    partition: platform.workersTopic,
+    waitMs: 0,
+    pauseMs: WORKER_LIST_PAUSE_MS,
+    onSnapshot: (records) => list.replace(records),
+    onRecords: (records) => list.apply(records),
+    signal,
+  });
+  return createDomainHolder({
+    store: platform.store,
+    tasks: platform.tasks,
+    clock,
+    logger: logger.part("domain"),
+    counters,
+    list,
+    leaseMs,
+    trustMs: TRUST_MS,
+    earlierLeaseMs: (TRUST_MS + leaseMs) / SLOWEST_RATE +
+      EARLIER_LEASE_MARGIN_MS,
+    confirmedAtMs: () => running.confirmedAtMs(),
+    servesDomain: (service, partition) =>
+      partitionOf(service, settings.store.partitions) === partition,
+    instances: () => running.instances.addresses(),
+    askThrough: (instance, question) =>
+      instance === running.self
+        ? askPolicy(platform.advice, question, logger, signal)
+        : running.rpc.advise(instance, question),
+    options: {
+      endedJobKeepMs: settings.jobs.keepEndedS * 1_000,
+      earlyStartMs: 0,
+    },
+    signal,
+  });
+}
+
+/** Follows the configuration and the other instances. */
+function follow(running: Running): void {
+  const { platform, clock, logger, ending, instances } = running;
+  const follower = {
+    store: platform.store,
+    clock,
+    logger: logger.part("store"),
+    waitMs: FOLLOW_WAIT_MS,
+    pauseMs: 0,
+    signal: ending.signal,
+  };
+  const takeConfiguration = (
+    records: Parameters<typeof instances.apply>[0],
+  ) => {
+    for (const record of records) {
+      const decoded = platform.decodeConfiguration(record);
+      if (decoded === undefined) continue;
+      if ("reason" in decoded) {
+        logger.part("entry").error("Skipped an unreadable configuration.", {
+          key: record.key,
+          reason: decoded.reason,
+        });
+        continue;
+      }
+      const { configuration } = decoded;
+      if (!running.configuration.offer(configuration)) continue;
+      logger.part("entry").info("A configuration is in force.", {
+        version: configuration.version,
+        routes: configuration.routes.length,
+      });
+    }
+  };
+  followTopic({
+    ...follower,
+    partition: platform.configurationTopic,
+    onSnapshot: takeConfiguration,
+    onRecords: takeConfiguration,
+  });
+  followTopic({
+    ...follower,
+    partition: INSTANCES,
+    onSnapshot: (records) => instances.apply(records),
+    onRecords: (records) => instances.apply(records),
+  });
+}
+
+/** Tells the other instances where this one is. */
+async function announce(running: Running): Promise<void> {
+  const { platform, clock, settings, self, stopping } = running;
+  const { zone } = settings.instance;
+  const record = { key: self, value: JSON.stringify({ zone }) };
+  while (!stopping.signal.aborted) {
+    const { signal } = stopping;
+    const done = await platform.store.append(
+      INSTANCES,
+      [record],
+      undefined,
+      signal,
+    );
+    if (done.isOk()) return;
+    await clock.sleep(ANNOUNCE_RETRY_MS, signal);
+  }
+}
+
+function serve(running: Running): { callers: Server; internal: Server[] } {
+  const { settings, platform, configuration, logger, clock, stopping } =
+    running;
+  const { listen } = settings;
+  const limits = {
+    maxBytes: MEBIBYTE,
+    timeoutMs: BODY_TIMEOUT_MS,
+    maxConnections: MAX_PEER_CONNECTIONS,
+  };
+  const entry = createEntry({
+    ...running,
+    logger: logger.part("entry"),
+    partitions: settings.store.partitions,
+    callPeer: running.rpc.callOwner,
+    signal: running.ending.signal,
+  });
+  const callers = platform.createCallerServer({
+    entry,
+    configuration,
+    logger,
+    clock,
+    isStopping: () => stopping.signal.aborted,
+  });
+  const rpcRoute = createPeerRpcRoute((call) => answerPeer(running, call));
+  const peers = createHttpServer([rpcRoute], limits);
+  const readiness = createHttpServer([createReadinessRoute(running)], limits);
+  const metrics = createHttpServer([createMetricsRoute(running)], limits);
+  callers.listen(listen.callers.port, listen.callers.host);
+  readiness.listen(listen.readiness.port, listen.readiness.host);
+  peers.listen(listen.peerPort, listen.internalHost);
+  metrics.listen(listen.metricsPort, listen.internalHost);
+  return { callers, internal: [peers, readiness, metrics] };
+}
+
+async function answerPeer(running: Running, call: PeerCall): Promise<unknown> {
+  switch (call.kind) {
+    case "advise": {
+      const { platform, logger, ending } = running;
+      const advice = await askPolicy(
+        platform.advice,
+        call,
+        logger,
+        ending.signal,
+      );
+      return advice ?? null;
+    }
+    case "owners":
+      return running.directory.known();
+    case "submit":
+    case "cancel":
+    case "state":
+    case "pending":
+      return await answerCall(running.holder, call);
+    default:
+      return assertNever(call);
+  }
+}
+
+function createReadinessRoute(running: Running): Route {
+  return () => {
+    const ready = running.configuration.current() !== undefined &&
+      Number.isFinite(running.confirmedAtMs()) &&
+      !running.stopping.signal.aborted;
+    return { status: ready ? OK : UNAVAILABLE, body: { ready } };
+  };
+}
+
+function createMetricsRoute(running: Running): Route {
+  return async () => ({
+    status: OK,
+    type: "text/plain; version=0.0.4",
+    body: await running.counters.render(),
+  });
+}
+
+/**
+ * The planned stop: the domains go to other instances first; calls that still
+ * come over open connections are forwarded until shortly before the kill.
+ */
+async function stop(
+  running: Running,
+  servers: ReturnType<typeof serve>,
+): Promise<void> {
+  const { platform, clock, logger, holder, member, ending, self } = running;
+  const { signal } = ending;
+  const graceMs = running.settings.stop.graceS * 1_000;
+  const untilMs = clock.steadyMs() + graceMs - STOP_MARGIN_MS;
+  logger.part("daemon").info("Stops as planned.", { graceMs });
+  await holder.close();
+  await platform.store.leave(member, signal);
+  platform.store.append(
+    INSTANCES,
+    [{ key: self, value: undefined }],
+    undefined,
+    signal,
+  );
+  await waitForConnections(servers.callers, clock, untilMs);
+  const closed = once(servers.callers, "close");
+  servers.callers.close();
+  servers.callers.closeIdleConnections();
+  const waiting = new AbortController();
+  await Promise.race([
+    closed,
+    clock.sleep(STOP_MARGIN_MS / 2, waiting.signal),
+  ]);
+  waiting.abort();
+  servers.callers.closeAllConnections();
+  for (const server of servers.internal) {
+    server.close();
+    server.closeAllConnections();
+  }
+}
+
+/** Waits until clients have left, or until a time. */
+async function waitForConnections(
+  server: Server,
+  clock: Clock,
+  untilMs: number,
+): Promise<void> {
+  const never = new AbortController().signal;
+  const count = () =>
+    new Promise<number>((resolve) => {
+      server.getConnections((_error, connections) => resolve(connections));
+    });
+  // The balancer notices after two questions that the instance is not ready.
+  const balancerMs = clock.steadyMs() + BALANCER_NOTICE_MS;
+  while (clock.steadyMs() < untilMs) {
+    const isLate = clock.steadyMs() > balancerMs;
+    if (isLate && await count() === 0) return;
+    await clock.sleep(STOP_POLL_MS, never);
+  }
+}
+
+/** Time in which the balancer takes an instance out, in milliseconds. */
+const BALANCER_NOTICE_MS = 2_500;
--- a/src/hosts/mod.ts
+++ b/src/hosts/mod.ts
@@ -4,9 +4,12 @@
  *
  * @module
  */
+export * from "./advice_host.ts";
 export * from "./clock.ts";
 export * from "./fault.ts";
 export * from "./instance_list_host.ts";
 export * from "./log_host.ts";
 export * from "./randomness.ts";
+export * from "./store_host.ts";
+export * from "./task_host.ts";
 export * from "./worker_host.ts";
--- /dev/null
+++ b/src/ownership/domain_owner.ts
@@ -0,0 +1,396 @@
+/**
+ * The owner of a domain: folds events over the domain's reducer, commits what
+ * changed, and only then lets orders and answers leave.
+ *
+ * @module
+ */
+import { EventEmitter } from "node:events";
+import { fromEvent } from "most";
+import { assertNever } from "../base/mod.ts";
+import {
+  type CallAnswer,
+  type Domain,
+  type DomainCommand,
+  type DomainEvent,
+  type JobRequest,
+  type JobState,
+  jobStateOf,
+  type Moment,
+  pendingJobs,
+  type QueuePolicy,
+  scheduleDomain,
+  stepDomain,
+  takeDirtyRecords,
+  type WorkerListing,
+  type WorkerOrder,
+} from "../domain/mod.ts";
+import type {
+  Advice,
+  AdviceQuestion,
+  Clock,
+  Partition,
+  StoreHost,
+  TaskHost,
+} from "../hosts/mod.ts";
+import type { Counters, PartLogger } from "../telemetry/mod.ts";
+import { type Advisor, createAdvisor } from "./advisor.ts";
+import { createDomainWriter, type DomainWriter } from "./domain_writer.ts";
+import { openWorkerLink, type WorkerLink } from "./worker_link.ts";
+import type { WorkerList } from "./worker_list.ts";
+
+/** Least time between two scheduling passes, in milliseconds. */
+const LEAST_PASS_GAP_MS = 4;
+/** How much longer than a pass the time to the next one is. */
+const PASS_GAP_FACTOR = 4;
+/** The longest time between two scheduling passes, in milliseconds. */
+const LONGEST_PASS_GAP_MS = 100;
+/** How often ended jobs are looked for, in milliseconds. */
+const TICK_MS = 5_000;
+
+/** What the owner of a domain needs. */
+export type DomainOwnerHost = {
+  store: StoreHost;
+  tasks: TaskHost;
+  clock: Clock;
+  logger: PartLogger;
+  counters: Counters;
+  list: WorkerList;
+  partition: Partition;
+  epoch: number;
+  /** Sequence number of the next append. */
+  sequence: number;
+  leaseMs: number;
+  /** How long leases of an earlier owner may last from now on, in ms. */
+  earlierLeaseMs: number;
+  /** How long leases are granted without word from the store, in ms. */
+  trustMs: number;
+  /** When the store last confirmed the membership, on the steady clock. */
+  confirmedAtMs(): number;
+  /** Whether a service belongs to the domain. */
+  servesDomain(service: string): boolean;
+  instances(): string[];
+  askThrough(
+    instance: string,
+    question: AdviceQuestion,
+  ): Promise<Advice | undefined>;
+  onFenced(cause: string): void;
+  signal: AbortSignal;
+};
+
+/** The owner of a domain. */
+export type DomainOwner = {
+  /** Resolves once the job is in the store; `lost` if that is not known. */
+  submit(request: JobRequest, policy: QueuePolicy): Promise<OwnerAnswer>;
+  cancel(job: string): Promise<OwnerAnswer>;
+  /** The state of a job after everything before the call is in the store. */
+  stateOf(job: string): Promise<JobState | "unknownJob" | "lost">;
+  pendingJobs(queue: string): number;
+  /** Resolves once nothing waits for the store. */
+  settle(): Promise<void>;
+};
+
+/** The answer of an owner; `lost` if it lost the domain meanwhile. */
+export type OwnerAnswer = CallAnswer | { kind: "lost" };
+
+type State = {
+  host: DomainOwnerHost;
+  domain: Domain;
+  events: EventEmitter;
+  links: Map<string, { link: WorkerLink; ending: AbortController }>;
+  /** Orders and answers that wait for the next commit. */
+  waiting: DomainCommand[];
+  writer: DomainWriter;
+  advisor: Advisor;
+  calls: Map<number, (answer: OwnerAnswer) => void>;
+  nextCall: number;
+  startedAtMs: number;
+  isPassPlanned: boolean;
+  nextPassAtMs: number;
+};
+
+/**
+ * Starts to own a domain whose state was restored.
+ *
+ * @example
+ * ```ts
+ * const owner = startDomainOwner(host, domain);
+ * const answer = await owner.submit(request, policy);
+ * ```
+ *
+ * @param host its signal ends the ownership
+ */
+export function startDomainOwner(
+  host: DomainOwnerHost,
+  domain: Domain,
+): DomainOwner {
+  const state = createState(host, domain);
+  fromEvent<DomainEvent>("event", state.events)
+    .loop((seed: Domain, event) => ({
+      seed,
+      value: stepDomain(seed, event, momentOf(state)),
+    }), domain)
+    .observe((commands: DomainCommand[]) => {
+      route(state, commands);
+      planPass(state);
+    });
+  host.list.subscribe(() => takeList(state), host.signal);
+  takeList(state);
+  keepTicking(state);
+  host.signal.addEventListener("abort", () => abandonCalls(state));
+  return {
+    submit: (request, policy) =>
+      call(state, (number) => ({
+        kind: "submitted",
+        call: number,
+        request,
+        policy,
+      })),
+    cancel: (job) =>
+      call(state, (number) => ({ kind: "cancelled", call: number, job })),
+    async stateOf(job) {
+      const seen = jobStateOf(domain, job) ?? "unknownJob";
+      const isSettled = await settle(state);
+      return isSettled ? seen : "lost";
+    },
+    pendingJobs: (queue) => pendingJobs(domain, queue),
+    async settle() {
+      await settle(state);
+    },
+  };
+}
+
+function createState(host: DomainOwnerHost, domain: Domain): State {
+  const waiting: DomainCommand[] = [];
+  const state: State = {
+    host,
+    domain,
+    events: new EventEmitter(),
+    links: new Map(),
+    waiting,
+    writer: createDomainWriter({
+      ...host,
+      take() {
+        if (domain.dirty.size === 0 && waiting.length === 0) return undefined;
+        const released = waiting.splice(0);
+        const records = takeDirtyRecords(domain);
+        return { records, release: () => release(state, released) };
+      },
+    }),
+    advisor: createAdvisor({
+      ...host,
+      isWanted: (question) => domain.steps.get(question.stepKey)?.waiting !== 0,
+      onAnswer: (question, advice) =>
+        emit(state, {
+          kind: "advised",
+          stepKey: question.stepKey,
+          asked: question.workers,
+          allowed: advice?.allowed,
+          validMs: advice?.validMs ?? 0,
+        }),
+    }),
+    calls: new Map(),
+    nextCall: 1,
+    startedAtMs: host.clock.steadyMs(),
+    isPassPlanned: false,
+    nextPassAtMs: 0,
+  };
+  return state;
+}
+
+function momentOf(state: State): Moment {
+  const { clock } = state.host;
+  return { steadyMs: clock.steadyMs(), wallMs: clock.nowMs() };
+}
+
+function emit(state: State, event: DomainEvent): void {
+  if (!state.host.signal.aborted) state.events.emit("event", event);
+}
+
+function route(state: State, commands: DomainCommand[]): void {
+  for (const command of commands) {
+    switch (command.kind) {
+      case "report":
+        state.host.logger.info(command.sentence, command.fields);
+        break;
+      case "advise":
+        state.advisor.ask(command);
+        break;
+      case "order":
+      case "answer":
+      case "acknowledge":
+        state.waiting.push(command);
+        break;
+      default:
+        assertNever(command);
+    }
+  }
+  if (state.waiting.length > 0 || state.domain.dirty.size > 0) {
+    state.writer.kick();
+  }
+}
+
+/** Lets out what waited for a commit. */
+function release(state: State, commands: DomainCommand[]): void {
+  for (const command of commands) {
+    switch (command.kind) {
+      case "order":
+        state.links.get(command.order.worker)?.link.order(command.order);
+        break;
+      case "answer":
+        state.calls.get(command.call)?.(command.answer);
+        state.calls.delete(command.call);
+        break;
+      case "acknowledge":
+        state.links.get(command.worker)?.link
+          .acknowledge(command.bornMs, command.lastEnd);
+        break;
+      case "advise":
+      case "report":
+        break;
+      default:
+        assertNever(command);
+    }
+  }
+}
+
+/** Plans one scheduling pass for all events that arrive until then. */
+function planPass(state: State): void {
+  const { host } = state;
+  if (state.isPassPlanned || host.signal.aborted) return;
+  state.isPassPlanned = true;
+  const delayMs = Math.max(0, state.nextPassAtMs - host.clock.steadyMs());
+  setTimeout(() => runPass(state), delayMs);
+}
+
+function runPass(state: State): void {
+  const { host } = state;
+  state.isPassPlanned = false;
+  if (host.signal.aborted) return;
+  const beganAtMs = host.clock.steadyMs();
+  route(state, scheduleDomain(state.domain, momentOf(state)));
+  const endedAtMs = host.clock.steadyMs();
+  const elapsedMs = endedAtMs - beganAtMs;
+  host.counters.observe("pass_ms", elapsedMs);
+  const gapMs = Math.max(LEAST_PASS_GAP_MS, elapsedMs * PASS_GAP_FACTOR);
+  state.nextPassAtMs = endedAtMs + Math.min(gapMs, LONGEST_PASS_GAP_MS);
+}
+
+async function keepTicking(state: State): Promise<void> {
+  const { clock, signal } = state.host;
+  let tickAtMs = clock.steadyMs();
+  while (!signal.aborted) {
+    await clock.sleep(LONGEST_PASS_GAP_MS, signal);
+    planPass(state);
+    lapseUnlisted(state);
+    if (clock.steadyMs() < tickAtMs) continue;
+    tickAtMs = clock.steadyMs() + TICK_MS;
+    emit(state, { kind: "ticked" });
+  }
+}
+
+/** Workers that only the records know run nothing once leases have lapsed. */
+function lapseUnlisted(state: State): void {
+  const { host, domain, links } = state;
+  const lapsedAtMs = state.startedAtMs + host.earlierLeaseMs;
+  if (host.clock.steadyMs() < lapsedAtMs) return;
+  for (const [id, worker] of domain.workers) {
+    if (links.has(id) || worker.placed.size === 0) continue;
+    emit(state, { kind: "workerLapsed", worker: id });
+  }
+}
+
+/** Brings the links up to the list of workers. */
+function takeList(state: State): void {
+  const { host, domain, links } = state;
+  const workers = host.list.workers().filter((worker) =>
+    host.servesDomain(worker.service)
+  );
+  emit(state, { kind: "workersListed", workers });
+  for (const worker of workers) {
+    const known = links.get(worker.id);
+    if (known?.link.address === worker.address) continue;
+    known?.ending.abort();
+    openLink(state, worker);
+  }
+  for (const [id, { ending }] of links) {
+    if (domain.workers.has(id)) continue;
+    ending.abort();
+    links.delete(id);
+  }
+}
+
+function openLink(state: State, worker: WorkerListing): void {
+  const { host, domain, links } = state;
+  const ending = new AbortController();
+  host.signal.addEventListener("abort", () => ending.abort(), {
+    signal: ending.signal,
+  });
+  const link = openWorkerLink({
+    ...host,
+    target: { id: worker.id, address: worker.address, epoch: host.epoch },
+    earlierLeasesLapsedAtMs: state.startedAtMs + host.earlierLeaseMs,
+    mayGrant: () => mayGrant(state),
+    emit: (event) => emit(state, event),
+    isCurrent: (order) => isCurrent(domain, order),
+    signal: ending.signal,
+  });
+  links.set(worker.id, { link, ending });
+}
+
+/** Leases are granted while the ownership was confirmed not long ago. */
+function mayGrant(state: State): boolean {
+  const { host, writer } = state;
+  const confirmedAtMs = Math.max(host.confirmedAtMs(), writer.confirmedAtMs());
+  return host.clock.steadyMs() - confirmedAtMs < host.trustMs;
+}
+
+/** Whether an order to a worker still holds. */
+function isCurrent(domain: Domain, order: WorkerOrder): boolean {
+  const ref = domain.workers.get(order.worker)?.placed.get(order.task);
+  const task = ref?.run.tasks[ref.index];
+  const isPlaced = task?.kind === "placed" && task.attempt === order.attempt;
+  switch (order.kind) {
+    case "start":
+      return isPlaced && task.phase.kind === "starting";
+    case "stop":
+      return !isPlaced || task.phase.kind === "stopping";
+    case "pace":
+      return isPlaced;
+    default:
+      return assertNever(order);
+  }
+}
+
+function call(
+  state: State,
+  eventOf: (number: number) => DomainEvent,
+): Promise<OwnerAnswer> {
+  return new Promise((resolve) => {
+    if (state.host.signal.aborted) return resolve({ kind: "lost" });
+    const number = state.nextCall++;
+    state.calls.set(number, resolve);
+    emit(state, eventOf(number));
+  });
+}
+
+/** Resolves after everything so far is in the store; false if it got lost. */
+async function settle(state: State): Promise<boolean> {
+  const { domain, waiting, writer, host } = state;
+  if (host.signal.aborted) return false;
+  if (writer.isIdle() && domain.dirty.size === 0) return true;
+  return await new Promise((resolve) => {
+    const number = state.nextCall++;
+    state.calls.set(number, (answer) => resolve(answer.kind !== "lost"));
+    waiting.push({
+      kind: "answer",
+      call: number,
+      answer: { kind: "accepted" },
+    });
+    writer.kick();
+  });
+}
+
+function abandonCalls(state: State): void {
+  for (const resolve of state.calls.values()) resolve({ kind: "lost" });
+  state.calls.clear();
+}
--- /dev/null
+++ b/src/ownership/domain_writer.ts
@@ -0,0 +1,136 @@
+import type { Clock, Partition, StoreHost } from "../hosts/mod.ts";
+import type { DomainRecord } from "../domain/mod.ts";
+import type { Counters, PartLogger } from "../telemetry/mod.ts";
+
+/** First pause before an append is repeated, in milliseconds. */
+const FIRST_RETRY_MS = 40;
+/** The longest pause before an append is repeated, in milliseconds. */
+const LONGEST_RETRY_MS = 400;
+/** The most bytes of records in one append; a call may hold 2 MiB. */
+const MAX_APPEND_BYTES = 1_000_000;
+
+/** What may leave once the records before it are in the store. */
+export type Commit = {
+  records: DomainRecord[];
+  release(): void;
+};
+
+/** What a writer needs. */
+export type DomainWriterHost = {
+  store: StoreHost;
+  clock: Clock;
+  logger: PartLogger;
+  counters: Counters;
+  partition: Partition;
+  epoch: number;
+  /** The sequence number of the next append. */
+  sequence: number;
+  /** Takes what has changed since the last commit; undefined for nothing. */
+  take(): Commit | undefined;
+  /** Another owner has a higher epoch. */
+  onFenced(cause: string): void;
+  signal: AbortSignal;
+};
+
+/** Writes the records of a domain. */
+export type DomainWriter = {
+  /** Commits what has changed, now or after the append in flight. */
+  kick(): void;
+  /** When the store last confirmed an append, on the steady clock. */
+  confirmedAtMs(): number;
+  isIdle(): boolean;
+};
+
+/**
+ * Creates the writer of a domain. One append is in flight at a time; what
+ * changes meanwhile leaves with the next. An append without an answer is
+ * repeated under the same sequence number, which has no second effect.
+ *
+ * @example
+ * ```ts
+ * const writer = createDomainWriter(host);
+ * writer.kick();
+ * ```
+ */
+export function createDomainWriter(host: DomainWriterHost): DomainWriter {
+  let isRunning = false;
+  let confirmedAtMs = host.clock.steadyMs();
+  let { sequence } = host;
+
+  async function run(): Promise<void> {
+    isRunning = true;
+    while (!host.signal.aborted) {
+      const commit = host.take();
+      if (commit === undefined) break;
+      for (const chunk of chunksOf(commit.records)) {
+        if (!await append(chunk)) return;
+      }
+      commit.release();
+    }
+    isRunning = false;
+  }
+
+  async function append(records: DomainRecord[]): Promise<boolean> {
+    const { store, clock, partition, epoch, signal } = host;
+    for (let tries = 0; !signal.aborted; tries += 1) {
+      const sentAtMs = clock.steadyMs();
+      const fence = { epoch, sequence };
+      const result = await store.append(partition, records, fence, signal);
+      const elapsedMs = clock.steadyMs() - sentAtMs;
+      if (result.isOk()) {
+        sequence += 1;
+        confirmedAtMs = clock.steadyMs();
+        host.counters.observe("append_ms", elapsedMs);
+        return true;
+      }
+      const fault = result.error;
+      host.counters.count("append_faults", { kind: fault.kind });
+      host.logger.warn("An append failed.", {
+        epoch,
+        sequence,
+        tries,
+        fault: fault.kind,
+        cause: fault.message,
+        elapsedMs: Math.round(elapsedMs),
+      });
+      if (fault.kind === "fenced") {
+        host.onFenced(fault.message);
+        return false;
+      }
+      if (fault.kind === "sequence" && fault.expectedSequence !== undefined) {
+        sequence = fault.expectedSequence;
+      }
+      await clock.sleep(retryDelayMs(tries), signal);
+    }
+    return false;
+  }
+
+  return {
+    kick() {
+      if (!isRunning) run();
+    },
+    confirmedAtMs: () => confirmedAtMs,
+    isIdle: () => !isRunning,
+  };
+}
+
+function retryDelayMs(tries: number): number {
+  return Math.min(FIRST_RETRY_MS * 2 ** tries, LONGEST_RETRY_MS);
+}
+
+/** Splits records into appends of a bounded size. */
+function* chunksOf(records: DomainRecord[]): Generator<DomainRecord[]> {
+  let chunk: DomainRecord[] = [];
+  let bytes = 0;
+  for (const record of records) {
+    const size = record.key.length + (record.value?.length ?? 0);
+    if (chunk.length > 0 && bytes + size > MAX_APPEND_BYTES) {
+      yield chunk;
+      chunk = [];
+      bytes = 0;
+    }
+    chunk.push(record);
+    bytes += size;
+  }
+  if (chunk.length > 0) yield chunk;
+}
--- /dev/null
+++ b/src/ownership/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Who owns which domain, and what an owner does: membership in the group that
+ * shares the domains out, takeover, commits, links to the workers.
+ *
+ * @module
+ */
+export * from "./directory.ts";
+export * from "./domain_holder.ts";
+export type { DomainOwner, OwnerAnswer } from "./domain_owner.ts";
+export * from "./follow_topic.ts";
+export * from "./group_membership.ts";
+export * from "./worker_list.ts";
--- /dev/null
+++ b/src/ownership/take_over.ts
@@ -0,0 +1,91 @@
+import { err, ok, type Result } from "neverthrow";
+import {
+  createDomain,
+  type Domain,
+  type DomainOptions,
+  restoreDomain,
+} from "../domain/mod.ts";
+import type { Clock, Partition, StoreFault, StoreHost } from "../hosts/mod.ts";
+import type { PartLogger } from "../telemetry/mod.ts";
+
+/** Pause before a failed call of a takeover is repeated, in milliseconds. */
+const RETRY_MS = 60;
+/** Sequence number of the append that only raises the epoch. */
+const FIRST_SEQUENCE = 0;
+
+/** What a takeover needs. */
+export type TakeoverHost = {
+  store: StoreHost;
+  clock: Clock;
+  logger: PartLogger;
+  partition: Partition;
+  epoch: number;
+  options: DomainOptions;
+  signal: AbortSignal;
+};
+
+/** A domain that was taken over. */
+export type Takeover = { domain: Domain; sequence: number };
+
+/**
+ * Takes a domain over: raises the epoch, after which no earlier owner can
+ * write, and restores the state from the newest record of each key.
+ *
+ * @returns the domain, or the fault where a higher epoch exists
+ *
+ * @example
+ * ```ts
+ * const taken = await takeOver(host);
+ * ```
+ */
+export async function takeOver(
+  host: TakeoverHost,
+): Promise<Result<Takeover, StoreFault>> {
+  const { store, partition, epoch, signal, clock, logger } = host;
+  const beganAtMs = clock.steadyMs();
+  const fence = { epoch, sequence: FIRST_SEQUENCE };
+  const raised = await persist(
+    host,
+    () => store.append(partition, [], fence, signal),
+  );
+  if (raised.isErr()) return err(raised.error);
+  const newest = await persist(host, () => store.newest(partition, signal));
+  if (newest.isErr()) return err(newest.error);
+  const domain = createDomain(host.options);
+  const unreadable = restoreDomain(
+    domain,
+    newest.value.records,
+    clock.steadyMs(),
+  );
+  for (const { key, reason } of unreadable) {
+    logger.error("Skipped a record that cannot be read.", { key, reason });
+  }
+  logger.info("Took a domain over.", {
+    partition: partition.number,
+    epoch,
+    records: newest.value.records.length,
+    jobs: domain.jobs.size,
+    elapsedMs: Math.round(clock.steadyMs() - beganAtMs),
+  });
+  return ok({ domain, sequence: FIRST_SEQUENCE + 1 });
+}
+
+/** Repeats a call until it succeeds, is fenced, or the signal ends it. */
+async function persist<Value>(
+  host: TakeoverHost,
+  call: () => Promise<Result<Value, StoreFault>>,
+): Promise<Result<Value, StoreFault>> {
+  while (true) {
+    const result = await call();
+    if (result.isOk()) return result;
+    const isFinal = result.error.kind === "fenced" || host.signal.aborted;
+    if (isFinal) return result;
+    host.logger.warn("A call of a takeover failed.", {
+      epoch: host.epoch,
+      step: result.error.step,
+      fault: result.error.kind,
+      cause: result.error.message,
+    });
+    await host.clock.sleep(RETRY_MS, host.signal);
+  }
+}
--- /dev/null
+++ b/src/ownership/worker_clock.ts
@@ -0,0 +1,39 @@
+/** How much slower than ours a worker's clock may run. */
+const SLOWEST_RATE = 0.98;
+/** Time for a worker to end its tasks after the lapse, in milliseconds. */
+const LAPSE_MARGIN_MS = 300;
+
+/** What is known of a worker's clock and of the leases that it may have. */
+export type WorkerClock = {
+  /** A reading of the worker's clock, and when its answer arrived. */
+  sample: { clockMs: number; atMs: number } | undefined;
+  /** When every lease that may have been given has surely lapsed. */
+  lapsedAtMs: number;
+};
+
+/** Takes a reading that came with an answer. */
+export function takeReading(
+  clock: WorkerClock,
+  clockMs: number,
+  nowMs: number,
+): void {
+  clock.sample = { clockMs, atMs: nowMs };
+}
+
+/**
+ * The end of a lease on the worker's clock that begins now. The worker may
+ * receive it at any later time, so the lapse is put off right away.
+ */
+export function grantLease(
+  clock: WorkerClock,
+  leaseMs: number,
+  nowMs: number,
+): number | undefined {
+  const { sample } = clock;
+  if (sample === undefined) return undefined;
+  const untilMs = sample.clockMs + (nowMs - sample.atMs) + leaseMs;
+  const lapsedAtMs = sample.atMs +
+    (untilMs - sample.clockMs) / SLOWEST_RATE + LAPSE_MARGIN_MS;
+  clock.lapsedAtMs = Math.max(clock.lapsedAtMs, lapsedAtMs);
+  return Math.floor(untilMs);
+}
--- /dev/null
+++ b/src/ownership/worker_list.ts
@@ -0,0 +1,100 @@
+import type { WorkerListing } from "../domain/mod.ts";
+import type { KeyedRecord } from "../hosts/mod.ts";
+import type { PartLogger } from "../telemetry/mod.ts";
+
+/** The platform's list of workers as this instance last read it. */
+export type WorkerList = {
+  workers(): WorkerListing[];
+  /** Takes in records of the list; a record without a value removes one. */
+  apply(records: KeyedRecord[]): void;
+  /** Replaces the whole list. */
+  replace(records: KeyedRecord[]): void;
+  /** Calls back after each change; ends with the signal. */
+  subscribe(onChange: () => void, signal: AbortSignal): void;
+};
+
+/** Reads a listing out of a record; undefined where it names no worker. */
+export type ListingDecoder = (
+  id: string,
+  text: string,
+) => { listing: WorkerListing } | { reason: string };
+
+/**
+ * Creates an empty list.
+ *
+ * @example
+ * ```ts
+ * const list = createWorkerList(decodeWorker, logger);
+ * list.subscribe(() => update(list.workers()), signal);
+ * ```
+ */
+export function createWorkerList(
+  decode: ListingDecoder,
+  logger: PartLogger,
+): WorkerList {
+  let workers = new Map<string, WorkerListing>();
+  const subscribers = new Set<() => void>();
+
+  function take(records: KeyedRecord[]): boolean {
+    let changed = false;
+    for (const { key, value } of records) {
+      changed = takeOne(key, value) || changed;
+    }
+    return changed;
+  }
+
+  function takeOne(id: string, value: string | undefined): boolean {
+    const known = workers.get(id);
+    if (value === undefined) {
+      if (known === undefined) return false;
+      workers.delete(id);
+      logger.info("A worker left the list.", { worker: id });
+      return true;
+    }
+    const decoded = decode(id, value);
+    if ("reason" in decoded) {
+      logger.warn("Skipped an entry of the worker list.", {
+        worker: id,
+        reason: decoded.reason,
+      });
+      return false;
+    }
+    const { listing } = decoded;
+    workers.set(id, listing);
+    if (known === undefined || isChange(known, listing)) {
+      logger.info("The worker list changed.", {
+        worker: id,
+        service: listing.service,
+        draining: listing.draining,
+        bornMs: listing.bornMs,
+      });
+      return true;
+    }
+    return false;
+  }
+
+  function notify(): void {
+    for (const subscriber of subscribers) subscriber();
+  }
+
+  return {
+    workers: () => [...workers.values()],
+    apply(records) {
+      if (take(records)) notify();
+    },
+    replace(records) {
+      workers = new Map();
+      take(records);
+      notify();
+    },
+    subscribe(onChange, signal) {
+      subscribers.add(onChange);
+      signal.addEventListener("abort", () => subscribers.delete(onChange));
+    },
+  };
+}
+
+function isChange(left: WorkerListing, right: WorkerListing): boolean {
+  return left.draining !== right.draining || left.address !== right.address ||
+    left.bornMs !== right.bornMs || left.service !== right.service;
+}
--- a/src/server/http_answer.ts
+++ b/src/server/http_answer.ts
@@ -3,7 +3,7 @@
 /** What a route answers. */
 export type HttpAnswer = {
   status: number;
-  /** Sent as JSON; nothing is sent where it is undefined. */
+  /** Sent as JSON, or as it is for a text type; undefined sends nothing. */
   body?: unknown;
   /** Content type, `application/json` unless given. */
   type?: string;
@@ -17,7 +17,7 @@
 ): void {
   if (response.headersSent || response.destroyed) return;
   const { status, body, type = "application/json", headers = {} } = answer;
-  const text = body === undefined ? "" : JSON.stringify(body);
+  const text = textOf(body, type);
   response.writeHead(status, {
     ...headers,
     ...(body === undefined ? {} : { "content-type": type }),
@@ -25,3 +25,8 @@
   });
   response.end(text);
 }
+
+function textOf(body: unknown, type: string): string {
+  if (body === undefined) return "";
+  return type.startsWith("text/") ? String(body) : JSON.stringify(body);
+}
--- a/src/settings/mod.ts
+++ b/src/settings/mod.ts
@@ -10,6 +10,17 @@
 export { formatSettingsFaults, type SettingsFault } from "./settings_fault.ts";
 export { type IniSection, parseIni } from "./ini_section.ts";
 export { readSection } from "./read_section.ts";
-export { unknownSection } from "./settings_fault.ts";
-export { tokenSchema, urlSchema } from "./values.ts";
+export { unknownSection, unreadableSettings } from "./settings_fault.ts";
+export { type CamelCaseKeys, camelCaseKeys } from "./camel_case.ts";
+export {
+  choice,
+  nameSchema,
+  portSchema,
+  type SocketAddress,
+  socketAddressSchema,
+  textSchema,
+  tokenSchema,
+  urlSchema,
+  wholeNumber,
+} from "./values.ts";
 export { causeOf, readTextFile } from "./read_text_file.ts";
--- /dev/null
+++ b/src/telemetry/bounded_stream.ts
@@ -0,0 +1,93 @@
+import { Buffer } from "node:buffer";
+import { write } from "node:fs";
+import { Writable } from "node:stream";
+
+/** How often buffered text is written, in milliseconds. */
+const FLUSH_INTERVAL_MS = 200;
+/** The most text that waits for a slow reader, in bytes. */
+const MAX_BUFFERED_BYTES = 262_144;
+
+type State = {
+  descriptor: number;
+  chunks: string[];
+  bytes: number;
+  dropped: number;
+  isWriting: boolean;
+  timer: NodeJS.Timeout | undefined;
+};
+
+/**
+ * Creates a stream to a file descriptor that never blocks the event loop and
+ * never waits: text that a slow reader leaves behind is dropped and counted.
+ *
+ * @example
+ * ```ts
+ * const logger = createLogger({ ...settings, stream: createBoundedStream(1) });
+ * ```
+ */
+export function createBoundedStream(descriptor: number): Writable {
+  const state: State = {
+    descriptor,
+    chunks: [],
+    bytes: 0,
+    dropped: 0,
+    isWriting: false,
+    timer: undefined,
+  };
+  return new Writable({
+    decodeStrings: false,
+    write(chunk, _encoding, done) {
+      enqueue(state, String(chunk));
+      done();
+    },
+    final(done) {
+      clearTimeout(state.timer);
+      flush(state, () => done());
+    },
+  });
+}
+
+function enqueue(state: State, text: string): void {
+  const bytes = Buffer.byteLength(text);
+  if (state.bytes + bytes > MAX_BUFFERED_BYTES) {
+    state.dropped += 1;
+    return;
+  }
+  state.chunks.push(text);
+  state.bytes += bytes;
+  if (state.timer !== undefined || state.isWriting) return;
+  state.timer = setTimeout(() => flush(state, () => {}), FLUSH_INTERVAL_MS);
+  // A log that waits to be written must not keep the process alive.
+  state.timer.unref();
+}
+
+function flush(state: State, done: () => void): void {
+  state.timer = undefined;
+  if (state.chunks.length === 0 || state.isWriting) return done();
+  if (state.dropped > 0) {
+    state.chunks.push(
+      `{"level":"warn","part":"daemon","message":` +
+        `"Dropped log entries.","entries":${state.dropped}}\n`,
+    );
+    state.dropped = 0;
+  }
+  const text = Buffer.from(state.chunks.splice(0).join(""));
+  state.bytes = 0;
+  state.isWriting = true;
+  writeAll(state.descriptor, text, () => {
+    state.isWriting = false;
+    done();
+    if (state.chunks.length > 0) flush(state, () => {});
+  });
+}
+
+function writeAll(descriptor: number, text: Buffer, done: () => void): void {
+  write(descriptor, text, (error, written) => {
+    // A reader that is gone is no reason to fail.
+    if (error !== null && error.code !== "EAGAIN") return done();
+    const rest = text.subarray(error === null ? written : 0);
+    if (rest.length === 0) return done();
+    setTimeout(() => writeAll(descriptor, rest, done), FLUSH_INTERVAL_MS)
+      .unref();
+  });
+}
--- a/src/telemetry/log_part.ts
+++ b/src/telemetry/log_part.ts
@@ -9,6 +9,10 @@
   "log",
   "manifest",
   "account",
+  "ownership",
+  "domain",
+  "entry",
+  "store",
 ] as const;
 
 /** A part of the daemon that writes logs. */
--- a/src/telemetry/mod.ts
+++ b/src/telemetry/mod.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+export * from "./bounded_stream.ts";
+export * from "./counters.ts";
 export * from "./log_part.ts";
 export * from "./logger.ts";
 export * from "./metric.ts";
