--- a/src/domain/looks.ts
+++ b/src/domain/looks.ts
@@ -9,6 +9,7 @@
 import { blamesWorker, endTask } from "./ends.ts";
 import { release } from "./placed.ts";
 import { parseTaskName, type StepRun, taskNameOf } from "./step_run.ts";
+import { stopTask } from "./stops.ts";
 import type { PlacedTask } from "./task_progress.ts";
 import { noteFailure, noteSuccess } from "./worker_health.ts";
 
@@ -131,6 +132,9 @@
   if (listed.checkpoint !== "") task.checkpoint = listed.checkpoint;
   const { phase } = task;
   if (phase.kind === "stopping") return;
+  if (ref.run.job.job.outcome !== "open") {
+    return stopTask(domain, ref.run, ref.index);
+  }
   const { percent } = listed;
   const isProgress = phase.kind !== "running" || phase.percent !== percent;
   const progressAtMs = isProgress ? moment.steadyMs : phase.progressAtMs;
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -131,6 +131,9 @@
   for (const run of domain.jobs.values()) {
     if (run.job.outcome === "open") settleOccurrences(domain, run, nowMs);
   }
+  for (const step of domain.waiting) {
+    if (step.job.job.outcome !== "open") domain.waiting.delete(step);
+  }
   domain.dirty.clear();
   domain.commands.length = 0;
   return unreadable;
--- /dev/null
+++ b/src/domain/takeover_test.ts
@@ -0,0 +1,110 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { jobStateOf } from "./job_state.ts";
+import {
+  cancel,
+  createBench,
+  ended,
+  feed,
+  listing,
+  listWorkers,
+  look,
+  pass,
+  running,
+  startsIn,
+  step,
+  stopsIn,
+  submit,
+  takeOverBench,
+} from "./testing/domain_bench.ts";
+
+describe("a takeover", () => {
+  it("starts nothing of a job that was cancelled before", () => {
+    const bench = createBench();
+    submit(bench, "a", [step()]);
+    cancel(bench, "a");
+    takeOverBench(bench);
+    listWorkers(bench, listing("w1"));
+    assert.equal(startsIn(pass(bench, 100)).length, 0);
+    assert.equal(startsIn(bench.commands).length, 0);
+    assert.equal(jobStateOf(bench.domain, "a"), "cancelled");
+  });
+
+  it("starts nothing of a job that failed before", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    submit(bench, "a", [step({ taskCount: 2 })], { maxAttempts: 1 });
+    look(bench, "w1", { ended: [ended(1, "a.0.0.0", 1, "failed")] });
+    assert.equal(jobStateOf(bench.domain, "a"), "failed");
+    takeOverBench(bench);
+    bench.commands.length = 0;
+    listWorkers(bench, listing("w1"));
+    pass(bench, 100);
+    assert.equal(startsIn(bench.commands).length, 0);
+  });
+
+  it("stops what still runs of a job that was cancelled before", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    submit(bench, "a", [step()]);
+    cancel(bench, "a");
+    takeOverBench(bench);
+    feed(bench, { kind: "workersListed", workers: [listing("w1")] });
+    const [stop] = stopsIn(
+      look(bench, "w1", { running: [running("a.0.0.0", 1)] }),
+    );
+    assert.equal(stop?.task, "a.0.0.0");
+  });
+
+  it("keeps what a worker still runs, and counts its room as taken", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    const demand = { cpuMillis: 8_000, memoryMb: 1, accelerators: 0 };
+    submit(bench, "a", [step({ demand })]);
+    takeOverBench(bench);
+    feed(bench, { kind: "workersListed", workers: [listing("w1")] });
+    look(bench, "w1", { running: [running("a.0.0.0", 1)] });
+    const commands = submit(bench, "b", [step({ demand })]);
+    assert.equal(startsIn(commands).length, 0);
+  });
+
+  it("starts what was recorded but never reached its worker again", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    submit(bench, "a", [step()]);
+    takeOverBench(bench);
+    feed(bench, { kind: "workersListed", workers: [listing("w1")] });
+    const [start] = startsIn(look(bench, "w1", {}));
+    assert.equal(start?.attempt, 2);
+  });
+
+  it("waits for a worker out of reach before it starts its task again", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"), listing("w2"));
+    submit(bench, "a", [step()]);
+    const [first] = startsIn(bench.commands);
+    const other = first?.worker === "w1" ? "w2" : "w1";
+    takeOverBench(bench);
+    bench.commands.length = 0;
+    listWorkers(bench, listing(other));
+    pass(bench, 1_000);
+    assert.equal(startsIn(bench.commands).length, 0);
+    feed(bench, { kind: "workerLapsed", worker: first!.worker });
+    const [again] = startsIn(pass(bench, 100).concat(bench.commands));
+    assert.equal(again?.worker, other);
+  });
+
+  it("goes on with the second step once the first is done", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    submit(bench, "a", [step(), step({ after: [0] })]);
+    look(bench, "w1", { ended: [ended(1, "a.0.0.0", 1, "done")] });
+    takeOverBench(bench);
+    feed(bench, { kind: "workersListed", workers: [listing("w1")] });
+    const second = running("a.0.1.0", 1);
+    look(bench, "w1", { running: [second] });
+    assert.equal(jobStateOf(bench.domain, "a"), "running");
+    look(bench, "w1", { ended: [ended(2, "a.0.1.0", 1, "done")] });
+    assert.equal(jobStateOf(bench.domain, "a"), "completed");
+  });
+});
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -124,6 +124,9 @@
   });
   process.once("SIGTERM", () => stopping.abort());
   process.once("SIGINT", () => stopping.abort());
+  process.on("SIGHUP", () => {
+    logger.part("daemon").info("Reloaded: the settings hold until a restart.");
+  });
   const servers = serve(running);
   follow(running);
   announce(running);
