--- a/src/domain/mod.ts
+++ b/src/domain/mod.ts
@@ -8,6 +8,7 @@
 export * from "./domain_command.ts";
 export * from "./domain_event.ts";
 export * from "./domain_options.ts";
+export * from "./explain_wait.ts";
 export * from "./job.ts";
 export * from "./job_state.ts";
 export * from "./records.ts";
--- a/src/domain/testing/domain_bench.ts
+++ b/src/domain/testing/domain_bench.ts
@@ -7,7 +7,11 @@
 import type { DomainCommand, WorkerOrder } from "../domain_command.ts";
 import type { DomainEvent, EndedRun, ListedRun } from "../domain_event.ts";
 import type { JobRequest, QueuePolicy, Step } from "../job.ts";
-import { type DomainRecord, restoreDomain, takeDirtyRecords } from "../records.ts";
+import {
+  type DomainRecord,
+  restoreDomain,
+  takeDirtyRecords,
+} from "../records.ts";
 import { scheduleDomain, stepDomain } from "../step_domain.ts";
 import type { WorkerListing } from "../worker_listing.ts";
 
--- a/src/ownership/domain_holder.ts
+++ b/src/ownership/domain_holder.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { setMaxListeners } from "node:events";
 import type { DomainOptions } from "../domain/mod.ts";
 import type { Assignment, Partition } from "../hosts/mod.ts";
 import {
@@ -92,6 +93,8 @@
 
   function take(partition: Partition, epoch: number): void {
     const ending = new AbortController();
+    // Every link and call of the domain listens to its end.
+    setMaxListeners(0, ending.signal);
     host.signal.addEventListener("abort", () => ending.abort(), {
       signal: ending.signal,
     });
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -4,14 +4,14 @@
  *
  * @module
  */
-import { EventEmitter } from "node:events";
-import { fromEvent } from "most";
+import { setMaxListeners } from "node:events";
 import { assertNever } from "../base/mod.ts";
 import {
   type CallAnswer,
   type Domain,
   type DomainCommand,
   type DomainEvent,
+  explainWaits,
   type JobRequest,
   type JobState,
   jobStateOf,
@@ -35,6 +35,7 @@
 import type { Counters, PartLogger } from "../telemetry/mod.ts";
 import { type Advisor, createAdvisor } from "./advisor.ts";
 import { createDomainWriter, type DomainWriter } from "./domain_writer.ts";
+import { createEventSource, type EventSource } from "./event_source.ts";
 import { openWorkerLink, type WorkerLink } from "./worker_link.ts";
 import type { WorkerList } from "./worker_list.ts";
 
@@ -44,8 +45,12 @@
 const PASS_GAP_FACTOR = 4;
 /** The longest time between two scheduling passes, in milliseconds. */
 const LONGEST_PASS_GAP_MS = 100;
-/** How often ended jobs are looked for, in milliseconds. */
-const TICK_MS = 5_000;
+/** How often ended jobs are looked for and long waits explained, in ms. */
+const TICK_MS = 2_000;
+/** How many of the steps that wait longest are explained each time. */
+const EXPLAINED_STEPS = 3;
+/** Steps that wait for less are not explained, in milliseconds. */
+const LONG_WAIT_MS = 2_000;
 
 /** What the owner of a domain needs. */
 export type DomainOwnerHost = {
@@ -95,7 +100,7 @@
 type State = {
   host: DomainOwnerHost;
   domain: Domain;
-  events: EventEmitter;
+  events: EventSource<DomainEvent>;
   links: Map<string, { link: WorkerLink; ending: AbortController }>;
   /** Orders and answers that wait for the next commit. */
   waiting: DomainCommand[];
@@ -124,7 +129,7 @@
   domain: Domain,
 ): DomainOwner {
   const state = createState(host, domain);
-  fromEvent<DomainEvent>("event", state.events)
+  state.events.stream
     .loop((seed: Domain, event) => ({
       seed,
       value: stepDomain(seed, event, momentOf(state)),
@@ -132,7 +137,8 @@
     .observe((commands: DomainCommand[]) => {
       route(state, commands);
       planPass(state);
-    });
+    })
+    .catch((error: unknown) => fail(state, error));
   host.list.subscribe(() => takeList(state), host.signal);
   takeList(state);
   keepTicking(state);
@@ -159,12 +165,23 @@
   };
 }
 
+/** A reducer that failed has lost its state; it is read from the store anew. */
+function fail(state: State, error: unknown): void {
+  const { host } = state;
+  const cause = error instanceof Error ? error.stack ?? error.message : error;
+  host.logger.error("The reducer of a domain failed.", {
+    partition: host.partition.number,
+    cause: String(cause),
+  });
+  host.onFenced("the reducer failed");
+}
+
 function createState(host: DomainOwnerHost, domain: Domain): State {
   const waiting: DomainCommand[] = [];
   const state: State = {
     host,
     domain,
-    events: new EventEmitter(),
+    events: createEventSource(),
     links: new Map(),
     waiting,
     writer: createDomainWriter({
@@ -203,7 +220,7 @@
 }
 
 function emit(state: State, event: DomainEvent): void {
-  if (!state.host.signal.aborted) state.events.emit("event", event);
+  if (!state.host.signal.aborted) state.events.emit(event);
 }
 
 function route(state: State, commands: DomainCommand[]): void {
@@ -267,7 +284,11 @@
   state.isPassPlanned = false;
   if (host.signal.aborted) return;
   const beganAtMs = host.clock.steadyMs();
-  route(state, scheduleDomain(state.domain, momentOf(state)));
+  try {
+    route(state, scheduleDomain(state.domain, momentOf(state)));
+  } catch (error) {
+    return fail(state, error);
+  }
   const endedAtMs = host.clock.steadyMs();
   const elapsedMs = endedAtMs - beganAtMs;
   host.counters.observe("pass_ms", elapsedMs);
@@ -285,6 +306,19 @@
     if (clock.steadyMs() < tickAtMs) continue;
     tickAtMs = clock.steadyMs() + TICK_MS;
     emit(state, { kind: "ticked" });
+    explainLongWaits(state);
+  }
+}
+
+function explainLongWaits(state: State): void {
+  const reports = explainWaits(
+    state.domain,
+    momentOf(state),
+    EXPLAINED_STEPS,
+  );
+  for (const report of reports) {
+    if (report.waitedMs < LONG_WAIT_MS) continue;
+    state.host.logger.info("A step waits.", report);
   }
 }
 
@@ -312,8 +346,11 @@
     known?.ending.abort();
     openLink(state, worker);
   }
+  const listed = new Set(workers.map(({ id }) => id));
   for (const [id, { ending }] of links) {
-    if (domain.workers.has(id)) continue;
+    // A worker that left the list may still run what it was given.
+    const isIdle = (domain.workers.get(id)?.placed.size ?? 0) === 0;
+    if (listed.has(id) || !isIdle) continue;
     ending.abort();
     links.delete(id);
   }
@@ -322,6 +359,8 @@
 function openLink(state: State, worker: WorkerListing): void {
   const { host, domain, links } = state;
   const ending = new AbortController();
+  // Each order that is on its way listens to the end of the link.
+  setMaxListeners(0, ending.signal);
   host.signal.addEventListener("abort", () => ending.abort(), {
     signal: ending.signal,
   });
