--- a/src/domain/testing/domain_bench.ts
+++ b/src/domain/testing/domain_bench.ts
@@ -113,7 +113,7 @@
   bench: DomainBench,
   id: string,
   steps: Step[],
-  changes: Partial<QueuePolicy> = {},
+  changes?: Partial<QueuePolicy>,
   schedule?: JobRequest["schedule"],
 ): DomainCommand[] {
   return feed(bench, {
