--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -14,6 +14,8 @@
 
 /** How long a call looks for the owner of its domain, in milliseconds. */
 const FIND_OWNER_MS = 1_500;
+/** How long one attempt waits for an owner, which may be frozen, in ms. */
+const ATTEMPT_MS = 1_200;
 /** Pause between two looks for the owner, in milliseconds. */
 const FIND_PAUSE_MS = 100;
 
@@ -171,6 +173,10 @@
   return outcome;
 }
 
+/**
+ * Tries the owner of the domain, and its successors. A call may arrive more
+ * than once, since jobs are told apart by the ids that clients chose.
+ */
 async function tryOwners(
   host: EntryHost,
   call: DomainCall,
@@ -178,35 +184,32 @@
   deadlineMs: number,
 ): Promise<EntryOutcome<DomainAnswer>> {
   const { clock, directory } = host;
+  const deadlineAtMs = beganAtMs + deadlineMs;
   const findUntilMs = beganAtMs + Math.min(FIND_OWNER_MS, deadlineMs / 2);
   let undecided: string | undefined;
   let cause = "the domain has no owner";
   while (!host.signal.aborted) {
     const owner = await directory.ownerOf(call.partition);
-    if (owner !== undefined) {
-      const leftMs = beganAtMs + deadlineMs - clock.steadyMs();
-      const outcome = await callOwner(host, owner, call, leftMs);
-      switch (outcome.kind) {
+    const leftMs = deadlineAtMs - clock.steadyMs();
+    if (owner !== undefined && leftMs > 0) {
+      const timeoutMs = Math.min(leftMs, ATTEMPT_MS);
+      const outcome = await callOwner(host, owner, call, timeoutMs);
+      const attempt = readAttempt(outcome);
+      switch (attempt.kind) {
         case "answered":
-          if (outcome.answer.kind === "lost") {
-            undecided = "the owner lost the domain";
-          } else if (outcome.answer.kind !== "notOwner") {
-            return { kind: "done", value: outcome.answer };
-          } else {
-            cause = "the domain changes its owner";
-          }
-          break;
-        case "unsent":
-          cause = outcome.cause;
+          return { kind: "done", value: attempt.answer };
+        case "nothing":
+          cause = attempt.cause;
           break;
         case "unknown":
-          undecided = outcome.cause;
+          undecided = attempt.cause;
           break;
         default:
-          assertNever(outcome);
+          assertNever(attempt);
       }
     }
-    if (clock.steadyMs() + FIND_PAUSE_MS > findUntilMs) break;
+    const untilMs = undecided === undefined ? findUntilMs : deadlineAtMs;
+    if (clock.steadyMs() + FIND_PAUSE_MS > untilMs) break;
     await clock.sleep(FIND_PAUSE_MS, host.signal);
     await directory.refresh();
   }
@@ -214,6 +217,31 @@
   return { kind: "unavailable", cause };
 }
 
+type Attempt =
+  | { kind: "answered"; answer: DomainAnswer }
+  /** Surely nothing was done. */
+  | { kind: "nothing"; cause: string }
+  | { kind: "unknown"; cause: string };
+
+function readAttempt(outcome: PeerOutcome): Attempt {
+  switch (outcome.kind) {
+    case "answered":
+      if (outcome.answer.kind === "lost") {
+        return { kind: "unknown", cause: "the owner lost the domain" };
+      }
+      if (outcome.answer.kind === "notOwner") {
+        return { kind: "nothing", cause: "the domain changes its owner" };
+      }
+      return outcome;
+    case "unsent":
+      return { kind: "nothing", cause: outcome.cause };
+    case "unknown":
+      return outcome;
+    default:
+      return assertNever(outcome);
+  }
+}
+
 async function callOwner(
   host: EntryHost,
   owner: string,
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -17,11 +17,20 @@
 
 const HOUR_MS = 3_600_000;
 
+const decimalSchema = v.pipe(
+  v.string(),
+  v.regex(/^[0-9]+(\.[0-9]+)?$/),
+  v.transform(Number),
+  v.description("a decimal number, such as 0.5"),
+);
+
 const sections = {
   instance: v.object({
     id: nameSchema,
     zone: nameSchema,
     region: nameSchema,
+    /** Share of a core that the instance has, such as 0.675. */
+    cores: decimalSchema,
   }),
   listen: v.object({
     /** Where clients call. */
--- /dev/null
+++ b/src/entry/entry_test.ts
@@ -0,0 +1,82 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { policy, step } from "../domain/testing/domain_bench.ts";
+import { createCounters } from "../telemetry/mod.ts";
+import { createEntry, type Entry, type PeerOutcome } from "./entry.ts";
+import { createManualClock, silentLogger } from "./testing/manual_clock.ts";
+
+const REQUEST = { id: "a", specification: "text", steps: [step()] };
+
+/** An entry whose peers give one outcome after the other, the last for ever. */
+function entryWith(...outcomes: PeerOutcome[]): {
+  entry: Entry;
+  calls: string[];
+} {
+  const clock = createManualClock();
+  const calls: string[] = [];
+  const entry = createEntry({
+    clock,
+    logger: silentLogger,
+    counters: createCounters(),
+    directory: {
+      ownerOf: () => Promise.resolve(`peer-${calls.length}`),
+      refresh: () => Promise.resolve(),
+      adopt() {},
+      known: () => ({}),
+    },
+    holder: {
+      ownerOf: () => Promise.resolve(undefined),
+      assign: () => Promise.resolve(),
+      close: () => Promise.resolve(),
+    },
+    self: "self",
+    partitions: 4,
+    async callPeer(instance, _call, timeoutMs) {
+      const outcome = outcomes[Math.min(calls.length, outcomes.length - 1)]!;
+      calls.push(instance);
+      if (outcome.kind === "unknown") {
+        await clock.sleep(timeoutMs, new AbortController().signal);
+      }
+      return outcome;
+    },
+    signal: new AbortController().signal,
+  });
+  return { entry, calls };
+}
+
+describe("a call whose owner changes", () => {
+  it("is repeated at the successor after its owner lost the domain", async () => {
+    const { entry, calls } = entryWith(
+      { kind: "answered", answer: { kind: "lost" } },
+      { kind: "answered", answer: { kind: "accepted" } },
+    );
+    const outcome = await entry.submit(REQUEST, policy(), 3_000);
+    assert.equal(outcome.kind, "done");
+    assert.deepEqual(calls, ["peer-0", "peer-1"]);
+  });
+
+  it("is repeated when a frozen owner does not answer", async () => {
+    const { entry } = entryWith(
+      { kind: "unknown", cause: "no answer" },
+      { kind: "answered", answer: { kind: "accepted" } },
+    );
+    const outcome = await entry.submit(REQUEST, policy(), 3_000);
+    assert.equal(outcome.kind, "done");
+  });
+
+  it("is never called refused once an owner may have taken it", async () => {
+    const { entry } = entryWith(
+      { kind: "unknown", cause: "no answer" },
+      { kind: "unsent", cause: "refused" },
+    );
+    const outcome = await entry.submit(REQUEST, policy(), 3_000);
+    assert.equal(outcome.kind, "undecided");
+  });
+
+  it("is refused well before its deadline when nobody could take it", async () => {
+    const { entry, calls } = entryWith({ kind: "unsent", cause: "refused" });
+    const outcome = await entry.submit(REQUEST, policy(), 3_000);
+    assert.equal(outcome.kind, "unavailable");
+    assert.ok(calls.length < 20);
+  });
+});
--- a/src/entry/peer_call.ts
+++ b/src/entry/peer_call.ts
@@ -32,6 +32,8 @@
   }),
   /** Which instance owns which domain, as the other one knows it. */
   v.object({ kind: v.literal("owners") }),
+  /** Domains were given up; a member gets them when it confirms itself. */
+  v.object({ kind: v.literal("confirm") }),
 ]);
 
 /** What one entry instance asks of another. */
--- a/src/entry/peer_rpc.ts
+++ b/src/entry/peer_rpc.ts
@@ -60,6 +60,8 @@
     question: AdviceQuestion,
   ): Promise<Advice | undefined>;
   owners(instance: string): Promise<Record<string, string> | undefined>;
+  /** Asks another member to confirm itself now, since domains are free. */
+  confirm(instance: string): Promise<void>;
 };
 
 /**
@@ -104,5 +106,9 @@
       const parsed = v.safeParse(ownersAnswerSchema, result.value);
       return parsed.success ? parsed.output : undefined;
     },
+    async confirm(instance) {
+      // It would confirm itself soon in any case.
+      await send(instance, { kind: "confirm" }, OWNERS_TIMEOUT_MS);
+    },
   };
 }
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -12,7 +12,7 @@
   createSystemClock,
   type HttpCaller,
 } from "../clients/mod.ts";
-import { assertNever } from "../base/mod.ts";
+import { assertNever, hash32 } from "../base/mod.ts";
 import type { Clock, GroupMember } from "../hosts/mod.ts";
 import {
   createDirectory,
@@ -55,7 +55,8 @@
 const INSTANCES = { topic: "instances", number: 0 };
 const CONNECTIONS_PER_PEER = 16;
 const CONNECTIONS_PER_WORKER = 5;
-const CONNECT_TIMEOUT_MS = 1_000;
+/** Opening a connection takes 26 ms to the farthest region. */
+const CONNECT_TIMEOUT_MS = 400;
 /** Idle connections are kept; opening one costs more than keeping it. */
 const KEEP_ALIVE_MS = 600_000;
 /** How long the store holds back an answer for a follower, in ms. */
@@ -74,6 +75,11 @@
 const STOP_MARGIN_MS = 1_500;
 const STOP_POLL_MS = 50;
 const ANNOUNCE_RETRY_MS = 300;
+/** Processor share from which an instance is a good owner, in cores. */
+const OWNER_CORES = 0.6;
+/** How much later an instance without any processor would apply, in ms. */
+const SMALL_INSTANCE_WAIT_MS = 1_500;
+const MAX_RANDOM_WAIT_MS = 200;
 
 type Running = {
   settings: EntrySettings;
@@ -91,6 +97,10 @@
   member: GroupMember;
   /** When the store last confirmed the membership, on the steady clock. */
   confirmedAtMs: () => number;
+  /** Confirms the membership at once. */
+  confirm: () => void;
+  /** Whether the store has said who the members of the group are. */
+  isGroupKnown: () => boolean;
   /** Aborts when the planned stop begins. */
   stopping: AbortController;
   /** Aborts when the process ends. */
@@ -135,10 +145,14 @@
     clock: running.clock,
     logger: logger.part("ownership"),
     member: running.member,
+    wantedMembers: () => wantedMembers(running),
+    handicapMs: handicapMs(running),
     onAssignment: (assignment) => running.holder.assign(assignment),
     signal: stopping.signal,
   });
   running.confirmedAtMs = membership.confirmedAtMs;
+  running.confirm = membership.confirm;
+  running.isGroupKnown = membership.isKnown;
   if (!stopping.signal.aborted) await once(stopping.signal, "abort");
   await stop(running, servers);
   ending.abort();
@@ -148,6 +162,24 @@
   return 0;
 }
 
+/** One member more than there are domains with work. */
+function wantedMembers(running: Running): number {
+  const routes = running.configuration.current()?.routes ?? [];
+  const { partitions } = running.settings.store;
+  const domains = new Set(
+    routes.map(({ policy }) => partitionOf(policy.service, partitions)),
+  );
+  return domains.size + 1;
+}
+
+/** Small instances apply later; a random part keeps equal ones apart. */
+function handicapMs(running: Running): number {
+  const { cores } = running.settings.instance;
+  const missing = Math.max(0, OWNER_CORES - cores) / OWNER_CORES;
+  return missing * SMALL_INSTANCE_WAIT_MS +
+    hash32(running.self) % MAX_RANDOM_WAIT_MS;
+}
+
 function createCaller(connectionsPerOrigin: number): HttpCaller {
   return createHttpCaller({
     connectionsPerOrigin,
@@ -198,6 +230,8 @@
       ttlMs: settings.store.memberTtlMs,
     },
     confirmedAtMs: () => -Infinity,
+    confirm: () => {},
+    isGroupKnown: () => false,
     stopping: new AbortController(),
     ending,
   };
@@ -363,6 +397,9 @@
     }
     case "owners":
       return running.directory.known();
+    case "confirm":
+      running.confirm();
+      return null;
     case "submit":
     case "cancel":
     case "state":
@@ -376,7 +413,7 @@
 function createReadinessRoute(running: Running): Route {
   return () => {
     const ready = running.configuration.current() !== undefined &&
-      Number.isFinite(running.confirmedAtMs()) &&
+      running.isGroupKnown() &&
       !running.stopping.signal.aborted;
     return { status: ready ? OK : UNAVAILABLE, body: { ready } };
   };
@@ -405,6 +442,10 @@
   logger.part("daemon").info("Stops as planned.", { graceMs });
   await holder.close();
   await platform.store.leave(member, signal);
+  const owners = new Set(Object.values(running.directory.known()));
+  for (const owner of owners) {
+    if (owner !== self) running.rpc.confirm(owner);
+  }
   platform.store.append(
     INSTANCES,
     [{ key: self, value: undefined }],
--- a/src/ownership/group_membership.ts
+++ b/src/ownership/group_membership.ts
@@ -15,6 +15,12 @@
 export const JOIN_INTERVAL_MS = 600;
 /** Pause after a call that failed, in milliseconds. */
 const RETRY_MS = 120;
+/** How often a candidate looks whether a member is missing, in ms. */
+const CANDIDATE_INTERVAL_MS = 700;
+/** How long a candidate waits for each millisecond to the store. */
+const WAIT_PER_DISTANCE = 20;
+/** The longest distance to the store that counts, in milliseconds. */
+const LONGEST_DISTANCE_MS = 100;
 
 /** What a membership needs. */
 export type GroupMembershipHost = {
@@ -22,6 +28,10 @@
   clock: Clock;
   logger: PartLogger;
   member: GroupMember;
+  /** How many members the group needs. */
+  wantedMembers(): number;
+  /** How much later than others this instance applies, in milliseconds. */
+  handicapMs: number;
   /** Takes what this member holds; called before the next confirmation. */
   onAssignment(assignment: Assignment): Promise<void>;
   signal: AbortSignal;
@@ -29,16 +39,23 @@
 
 /** A membership in a group. */
 export type GroupMembership = {
+  /** Whether the store has said who the members are. */
+  isKnown(): boolean;
   /** When the store last confirmed the membership, on the steady clock. */
   confirmedAtMs(): number;
   generation(): number;
+  /** Confirms the membership now rather than after the usual pause. */
+  confirm(): void;
   /** Resolves when the signal has ended the membership. */
   done: Promise<void>;
 };
 
 /**
- * Joins the group and stays in it until the signal ends. A former process at
- * this address is gone, so what it still holds is freed first.
+ * Joins the group when it needs a member, and stays in it until the signal
+ * ends. Instances near the store apply first, since every decision waits for
+ * the store; few members mean few changes of owners while instances restart.
+ * A former process at this address is gone, so what it still holds is freed
+ * first.
  *
  * @example
  * ```ts
@@ -48,10 +65,20 @@
 export function joinGroup(host: GroupMembershipHost): GroupMembership {
   let confirmedAtMs = -Infinity;
   let generation = 0;
+  let isKnown = false;
+  let pause = new AbortController();
+
+  async function rest(delayMs: number): Promise<void> {
+    pause = new AbortController();
+    const end = () => pause.abort();
+    host.signal.addEventListener("abort", end);
+    await host.clock.sleep(delayMs, pause.signal);
+    host.signal.removeEventListener("abort", end);
+  }
 
   async function stay(): Promise<void> {
     const { store, clock, member, signal, logger } = host;
-    await store.leave(member, signal);
+    await apply();
     while (!signal.aborted) {
       const sentAtMs = clock.steadyMs();
       const joined = await store.join(member, generation, signal);
@@ -66,6 +93,7 @@
         continue;
       }
       confirmedAtMs = sentAtMs;
+      isKnown = true;
       if (joined.value.generation !== generation) {
         logger.info("The domains were shared out anew.", {
           generation: joined.value.generation,
@@ -75,13 +103,44 @@
       }
       generation = joined.value.generation;
       await host.onAssignment(joined.value);
-      await clock.sleep(JOIN_INTERVAL_MS, signal);
+      await rest(JOIN_INTERVAL_MS);
+    }
+  }
+
+  /** Waits until the group needs this instance. */
+  async function apply(): Promise<void> {
+    const { store, clock, member, signal, logger } = host;
+    const sentAtMs = clock.steadyMs();
+    await store.leave(member, signal);
+    const distanceMs = clock.steadyMs() - sentAtMs;
+    const waitMs = Math.min(distanceMs, LONGEST_DISTANCE_MS) *
+        WAIT_PER_DISTANCE + host.handicapMs;
+    await rest(waitMs);
+    while (!signal.aborted) {
+      const owners = await store.owners(member.group, signal);
+      if (owners.isErr()) {
+        await rest(RETRY_MS);
+        continue;
+      }
+      isKnown = true;
+      const members = new Set(owners.value.map((owner) => owner.member));
+      if (members.size < host.wantedMembers()) {
+        logger.info("Applies for a place in the group.", {
+          members: members.size,
+          wanted: host.wantedMembers(),
+          distanceMs: Math.round(distanceMs),
+        });
+        return;
+      }
+      await rest(CANDIDATE_INTERVAL_MS + waitMs);
     }
   }
 
   return {
+    isKnown: () => isKnown,
     confirmedAtMs: () => confirmedAtMs,
     generation: () => generation,
+    confirm: () => pause.abort(),
     done: stay(),
   };
 }
