One owner near the store; successors are invited, predecessors asked to release

Cause: with all instances in the group, each stop and start dealt the domains anew, and a domain waited up to 2.6 s for its next owner; after a loss of power, tasks of workers that had left waited 20 s, since an earlier owner might still have prolonged their leases (LOST on a lasting task). Now the group has one member for each 150 workers; the nearest to the store apply first; a stopping owner invites its successor; each owner is recorded in the domain, and the next one has it release the domain by a call.

--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -2,6 +2,7 @@
 import type { DomainOptions } from "./domain_options.ts";
 import type { DomainWorker } from "./domain_worker.ts";
 import type { JobRun } from "./job_run.ts";
+import type { OwnerEntry } from "./owner_entry.ts";
 import type { StepRun } from "./step_run.ts";
 
 /**
@@ -10,6 +11,8 @@
  */
 export type Domain = {
   options: DomainOptions;
+  /** The present owner, and earlier ones not known to have ended. */
+  owners: OwnerEntry[];
   jobs: Map<string, JobRun>;
   /** Steps whose predecessors are done, by key, until they are done. */
   steps: Map<string, StepRun>;
@@ -37,6 +40,7 @@
 export function createDomain(options: DomainOptions): Domain {
   return {
     options,
+    owners: [],
     jobs: new Map(),
     steps: new Map(),
     waiting: new Set(),
--- a/src/domain/domain_event.ts
+++ b/src/domain/domain_event.ts
@@ -1,4 +1,5 @@
 import type { JobRequest, QueuePolicy } from "./job.ts";
+import type { OwnerEntry } from "./owner_entry.ts";
 import type { WorkerListing } from "./worker_listing.ts";
 
 /** How a run ended at a worker. */
@@ -92,6 +93,10 @@
     allowed: [string, string][] | undefined;
     validMs: number;
   }
+  /** This instance owns the domain from now on. */
+  | { kind: "owned"; owner: OwnerEntry }
+  /** An earlier owner surely grants no lease any more. */
+  | { kind: "ownerEnded"; owner: OwnerEntry }
   | { kind: "ticked" };
 
 /** The readings of the clocks that come with an event. */
--- a/src/domain/keys.ts
+++ b/src/domain/keys.ts
@@ -1,3 +1,5 @@
+/** Key of the record of the owners that may still act. */
+export const OWNERS_KEY = "owners";
 export const JOB_PREFIX = "job/";
 export const STEP_PREFIX = "step/";
 
--- a/src/domain/mod.ts
+++ b/src/domain/mod.ts
@@ -11,6 +11,7 @@
 export * from "./explain_wait.ts";
 export * from "./job.ts";
 export * from "./job_state.ts";
+export * from "./owner_entry.ts";
 export * from "./records.ts";
 export * from "./step_domain.ts";
 export * from "./worker_listing.ts";
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -12,7 +12,8 @@
 import { type Job, jobSchema } from "./job.ts";
 import type { JobRun } from "./job_run.ts";
 import { createJobRun, openOccurrence, readyStep } from "./job_runs.ts";
-import { JOB_PREFIX, STEP_PREFIX } from "./keys.ts";
+import { JOB_PREFIX, OWNERS_KEY, STEP_PREFIX } from "./keys.ts";
+import { ownerEntrySchema } from "./owner_entry.ts";
 import { createDomainWorker, place } from "./placed.ts";
 import type { StepRun } from "./step_run.ts";
 import type { TaskProgress } from "./task_progress.ts";
@@ -63,6 +64,7 @@
 }
 
 function valueOf(domain: Domain, key: string): string | undefined {
+  if (key === OWNERS_KEY) return JSON.stringify(domain.owners);
   if (key.startsWith(JOB_PREFIX)) {
     const run = domain.jobs.get(key.slice(JOB_PREFIX.length));
     return run === undefined ? undefined : JSON.stringify(run.job);
@@ -120,6 +122,12 @@
       steps.set(key.slice(STEP_PREFIX.length), value);
       continue;
     }
+    if (key === OWNERS_KEY) {
+      const owners = parse(v.array(ownerEntrySchema), value);
+      if (owners.isErr()) unreadable.push({ key, reason: owners.error });
+      else domain.owners = owners.value;
+      continue;
+    }
     const job = parse(jobSchema, value);
     if (job.isErr()) unreadable.push({ key, reason: job.error });
     else addJob(domain, job.value);
--- a/src/domain/step_domain.ts
+++ b/src/domain/step_domain.ts
@@ -13,7 +13,7 @@
   openDueOccurrences,
   openOccurrence,
 } from "./job_runs.ts";
-import { jobKey } from "./keys.ts";
+import { jobKey, OWNERS_KEY } from "./keys.ts";
 import { findTask, loseTasks, repeatStops, takeLook } from "./looks.ts";
 import { adjustPace } from "./pacing.ts";
 import { createDomainWorker } from "./placed.ts";
@@ -86,6 +86,18 @@
       return confirmStop(domain, event, moment);
     case "advised":
       return takeAdvice(domain, event, moment);
+    case "owned":
+      domain.owners.push(event.owner);
+      domain.dirty.add(OWNERS_KEY);
+      return;
+    case "ownerEnded": {
+      const { instance, epoch } = event.owner;
+      domain.owners = domain.owners.filter((owner) =>
+        owner.instance !== instance || owner.epoch !== epoch
+      );
+      domain.dirty.add(OWNERS_KEY);
+      return;
+    }
     case "ticked":
       return forgetEndedJobs(domain, moment);
     default:
--- a/src/entry/entry_test.ts
+++ b/src/entry/entry_test.ts
@@ -27,6 +27,8 @@
     holder: {
       ownerOf: () => Promise.resolve(undefined),
       assign: () => Promise.resolve(),
+      count: () => 0,
+      release() {},
       close: () => Promise.resolve(),
     },
     self: "self",
--- a/src/entry/instance_list.ts
+++ b/src/entry/instance_list.ts
@@ -1,8 +1,18 @@
+import * as v from "valibot";
 import type { KeyedRecord } from "../hosts/mod.ts";
 
+/** Schema of what an instance announces of itself. */
+const announcementSchema = v.object({
+  /** How long it holds back as a candidate for ownership, in ms. */
+  candidateWaitMs: v.number(),
+});
+
+/** What an instance announces of itself. */
+export type Announcement = v.InferOutput<typeof announcementSchema>;
+
 /** The entry instances that have announced themselves. */
 export type InstanceList = {
-  /** Addresses of all of them, this one first. */
+  /** Addresses of all of them, this one first, the best owners next. */
   addresses(): string[];
   apply(records: KeyedRecord[]): void;
 };
@@ -16,15 +26,28 @@
  * ```
  */
 export function createInstanceList(self: string): InstanceList {
-  const others = new Set<string>();
+  const others = new Map<string, number>();
+  const inOrder = () =>
+    [...others].sort(([, left], [, right]) => left - right)
+      .map(([address]) => address);
   return {
-    addresses: () => [self, ...others],
+    addresses: () => [self, ...inOrder()],
     apply(records) {
       for (const { key, value } of records) {
         if (key === self) continue;
         if (value === undefined) others.delete(key);
-        else others.add(key);
+        else others.set(key, readWait(value));
       }
     },
   };
 }
+
+/** An announcement that cannot be read puts its instance last. */
+function readWait(text: string): number {
+  try {
+    const parsed = v.safeParse(announcementSchema, JSON.parse(text));
+    return parsed.success ? parsed.output.candidateWaitMs : Infinity;
+  } catch {
+    return Infinity;
+  }
+}
--- a/src/entry/peer_call.ts
+++ b/src/entry/peer_call.ts
@@ -32,6 +32,12 @@
   }),
   /** Which instance owns which domain, as the other one knows it. */
   v.object({ kind: v.literal("owners") }),
+  /** A successor owns the domain; the earlier owner has to have ended. */
+  v.object({
+    kind: v.literal("release"),
+    domain: v.number(),
+    epoch: v.number(),
+  }),
   /** Domains were given up; a member gets them when it confirms itself. */
   v.object({ kind: v.literal("confirm") }),
 ]);
@@ -72,5 +78,8 @@
   validMs: v.number(),
 });
 
+/** Schema of the answer to a call that only has to arrive. */
+export const doneAnswerSchema = v.object({ kind: v.literal("done") });
+
 /** Schema of the answer to the question for owners. */
 export const ownersAnswerSchema = v.record(v.string(), v.string());
--- a/src/entry/peer_rpc.ts
+++ b/src/entry/peer_rpc.ts
@@ -4,15 +4,17 @@
  * @module
  */
 import { createJSONRPCErrorResponse, JSONRPCServer } from "json-rpc-2.0";
+import type { Result } from "neverthrow";
 import * as v from "valibot";
 import type { PeerClient } from "../clients/mod.ts";
-import type { Advice, AdviceQuestion } from "../hosts/mod.ts";
+import type { Advice, AdviceQuestion, Fault } from "../hosts/mod.ts";
 import type { Route } from "../server/mod.ts";
 import type { PeerOutcome } from "./entry.ts";
 import {
   adviceAnswerSchema,
   domainAnswerSchema,
   type DomainCall,
+  doneAnswerSchema,
   ownersAnswerSchema,
   type PeerCall,
   peerCallSchema,
@@ -23,8 +25,8 @@
 const METHOD = "call";
 /** Time beyond the expected cost of a question, in milliseconds. */
 const ADVICE_MARGIN_MS = 2_000;
-/** How long another instance may take to name the owners, in ms. */
-const OWNERS_TIMEOUT_MS = 400;
+/** How long another instance may take for a short answer, in ms. */
+const SHORT_TIMEOUT_MS = 400;
 
 /** Creates the route on which other instances call this one. */
 export function createPeerRpcRoute(
@@ -60,8 +62,10 @@
     question: AdviceQuestion,
   ): Promise<Advice | undefined>;
   owners(instance: string): Promise<Record<string, string> | undefined>;
-  /** Asks another member to confirm itself now, since domains are free. */
-  confirm(instance: string): Promise<void>;
+  /** Asks another instance to join now; tells whether it heard that. */
+  confirm(instance: string): Promise<boolean>;
+  /** Ends an earlier ownership; tells whether that is certain. */
+  release(instance: string, domain: number, epoch: number): Promise<boolean>;
 };
 
 /**
@@ -101,14 +105,26 @@
     },
     async owners(instance) {
       const call = { kind: "owners" } as const;
-      const result = await send(instance, call, OWNERS_TIMEOUT_MS);
+      const result = await send(instance, call, SHORT_TIMEOUT_MS);
       if (result.isErr()) return undefined;
       const parsed = v.safeParse(ownersAnswerSchema, result.value);
       return parsed.success ? parsed.output : undefined;
     },
-    async confirm(instance) {
-      // It would confirm itself soon in any case.
-      await send(instance, { kind: "confirm" }, OWNERS_TIMEOUT_MS);
-    },
+    confirm: (instance) => isDone(send, instance, { kind: "confirm" }),
+    release: (instance, domain, epoch) =>
+      isDone(send, instance, { kind: "release", domain, epoch }),
   };
 }
+
+async function isDone(
+  send: (
+    instance: string,
+    call: PeerCall,
+    timeoutMs: number,
+  ) => Promise<Result<unknown, Fault>>,
+  instance: string,
+  call: PeerCall,
+): Promise<boolean> {
+  const result = await send(instance, call, SHORT_TIMEOUT_MS);
+  return result.isOk() && v.is(doneAnswerSchema, result.value);
+}
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -22,6 +22,7 @@
   type DomainHolder,
   followTopic,
   joinGroup,
+  type WorkerList,
 } from "../ownership/mod.ts";
 import { createHttpServer, type Route } from "../server/mod.ts";
 import {
@@ -40,7 +41,11 @@
 import { createEntry, partitionOf } from "./entry.ts";
 import type { EntryPlatform, PlatformHost } from "./entry_platform.ts";
 import type { EntrySettings } from "./entry_settings.ts";
-import { createInstanceList, type InstanceList } from "./instance_list.ts";
+import {
+  type Announcement,
+  createInstanceList,
+  type InstanceList,
+} from "./instance_list.ts";
 import type { PeerCall } from "./peer_call.ts";
 import { createPeerRpc, createPeerRpcRoute, type PeerRpc } from "./peer_rpc.ts";
 
@@ -64,22 +69,24 @@
 /** How often the list of workers is read, in milliseconds. */
 const WORKER_LIST_PAUSE_MS = 400;
 /** The longest lease that is used, in milliseconds. */
-const LONGEST_LEASE_MS = 6_000;
+const LONGEST_LEASE_MS = 5_500;
 /** How long leases are granted without word from the store, in ms. */
 const TRUST_MS = 14_000;
-/** The slowest rate of a worker's clock. */
-const SLOWEST_RATE = 0.98;
-/** Margin on the leases of an earlier owner, in milliseconds. */
-const EARLIER_LEASE_MARGIN_MS = 500;
 /** Time between the last answers and the kill, in milliseconds. */
 const STOP_MARGIN_MS = 1_500;
 const STOP_POLL_MS = 50;
 const ANNOUNCE_RETRY_MS = 300;
+/** How long a candidate waits for each millisecond to the store. */
+const WAIT_PER_DISTANCE = 12;
+/** The longest distance to the store that counts, in milliseconds. */
+const LONGEST_DISTANCE_MS = 60;
 /** Processor share from which an instance is a good owner, in cores. */
 const OWNER_CORES = 0.6;
 /** How much later an instance without any processor would apply, in ms. */
 const SMALL_INSTANCE_WAIT_MS = 1_500;
 const MAX_RANDOM_WAIT_MS = 200;
+/** Workers that one owner can carry. */
+const WORKERS_PER_OWNER = 150;
 
 type Running = {
   settings: EntrySettings;
@@ -89,6 +96,7 @@
   counters: Counters;
   configuration: ConfigurationState;
   directory: Directory;
+  workers: WorkerList;
   holder: DomainHolder;
   instances: InstanceList;
   rpc: PeerRpc;
@@ -139,14 +147,15 @@
   });
   const servers = serve(running);
   follow(running);
-  announce(running);
+  const candidateWaitMs = await measureCandidateWait(running);
+  announce(running, { candidateWaitMs });
   const membership = joinGroup({
     store: platform.store,
     clock: running.clock,
     logger: logger.part("ownership"),
     member: running.member,
     wantedMembers: () => wantedMembers(running),
-    handicapMs: handicapMs(running),
+    candidateWaitMs,
     onAssignment: (assignment) => running.holder.assign(assignment),
     signal: stopping.signal,
   });
@@ -162,22 +171,28 @@
   return 0;
 }
 
-/** One member more than there are domains with work. */
+/** As many members as the workers need. */
 function wantedMembers(running: Running): number {
-  const routes = running.configuration.current()?.routes ?? [];
-  const { partitions } = running.settings.store;
-  const domains = new Set(
-    routes.map(({ policy }) => partitionOf(policy.service, partitions)),
-  );
-  return domains.size + 1;
+  const workers = running.workers.workers().length;
+  return Math.max(1, Math.ceil(workers / WORKERS_PER_OWNER));
 }
 
-/** Small instances apply later; a random part keeps equal ones apart. */
-function handicapMs(running: Running): number {
-  const { cores } = running.settings.instance;
+/**
+ * How long this instance holds back as a candidate for ownership. The nearest
+ * to the store come first, since every decision waits for the store; small
+ * instances come later, and a random part keeps equal ones apart.
+ */
+async function measureCandidateWait(running: Running): Promise<number> {
+  const { platform, clock, ending, settings, self } = running;
+  const sentAtMs = clock.steadyMs();
+  await platform.store.owners(GROUP, ending.signal);
+  const distanceMs = clock.steadyMs() - sentAtMs;
+  const { cores } = settings.instance;
   const missing = Math.max(0, OWNER_CORES - cores) / OWNER_CORES;
-  return missing * SMALL_INSTANCE_WAIT_MS +
-    hash32(running.self) % MAX_RANDOM_WAIT_MS;
+  return Math.round(
+    Math.min(distanceMs, LONGEST_DISTANCE_MS) * WAIT_PER_DISTANCE +
+      missing * SMALL_INSTANCE_WAIT_MS + hash32(self) % MAX_RANDOM_WAIT_MS,
+  );
 }
 
 function createCaller(connectionsPerOrigin: number): HttpCaller {
@@ -219,6 +234,10 @@
       group: GROUP,
       signal,
     }),
+    workers: createWorkerList(
+      platform.decodeWorker,
+      logger.part("ownership"),
+    ),
     holder: undefined!,
     instances: createInstanceList(self),
     rpc: createPeerRpc(createPeerClient(caller, { secret: "" }), signal),
@@ -243,32 +262,20 @@
   const { settings, platform, clock, logger, counters, ending } = running;
   const { signal } = ending;
   const leaseMs = Math.min(settings.lease.maxMs, LONGEST_LEASE_MS);
-  const list = createWorkerList(
-    platform.decodeWorker,
-    logger.part("ownership"),
-  );
-  followTopic({
-    store: platform.store,
-    clock,
-    logger: logger.part("store"),
-    partition: platform.workersTopic,
-    waitMs: 0,
-    pauseMs: WORKER_LIST_PAUSE_MS,
-    onSnapshot: (records) => list.replace(records),
-    onRecords: (records) => list.apply(records),
-    signal,
-  });
   return createDomainHolder({
     store: platform.store,
     tasks: platform.tasks,
     clock,
     logger: logger.part("domain"),
     counters,
-    list,
+    list: running.workers,
     leaseMs,
     trustMs: TRUST_MS,
-    earlierLeaseMs: (TRUST_MS + leaseMs) / SLOWEST_RATE +
-      EARLIER_LEASE_MARGIN_MS,
+    self: running.self,
+    // A process of this address that owned the domain before is gone.
+    hasEnded: async (owner, domain) =>
+      owner.instance === running.self ||
+      await running.rpc.release(owner.instance, domain, owner.epoch),
     confirmedAtMs: () => running.confirmedAtMs(),
     servesDomain: (service, partition) =>
       partitionOf(service, settings.store.partitions) === partition,
@@ -323,6 +330,14 @@
     onSnapshot: takeConfiguration,
     onRecords: takeConfiguration,
   });
+  followTopic({
+    ...follower,
+    waitMs: 0,
+    pauseMs: WORKER_LIST_PAUSE_MS,
+    partition: platform.workersTopic,
+    onSnapshot: (records) => running.workers.replace(records),
+    onRecords: (records) => running.workers.apply(records),
+  });
   followTopic({
     ...follower,
     partition: INSTANCES,
@@ -332,10 +347,12 @@
 }
 
 /** Tells the other instances where this one is. */
-async function announce(running: Running): Promise<void> {
-  const { platform, clock, settings, self, stopping } = running;
-  const { zone } = settings.instance;
-  const record = { key: self, value: JSON.stringify({ zone }) };
+async function announce(
+  running: Running,
+  announcement: Announcement,
+): Promise<void> {
+  const { platform, clock, self, stopping } = running;
+  const record = { key: self, value: JSON.stringify(announcement) };
   while (!stopping.signal.aborted) {
     const { signal } = stopping;
     const done = await platform.store.append(
@@ -399,7 +416,10 @@
       return running.directory.known();
     case "confirm":
       running.confirm();
-      return null;
+      return { kind: "done" };
+    case "release":
+      running.holder.release(call.domain, call.epoch);
+      return { kind: "done" };
     case "submit":
     case "cancel":
     case "state":
@@ -440,12 +460,10 @@
   const graceMs = running.settings.stop.graceS * 1_000;
   const untilMs = clock.steadyMs() + graceMs - STOP_MARGIN_MS;
   logger.part("daemon").info("Stops as planned.", { graceMs });
+  const wasOwner = holder.count() > 0;
   await holder.close();
   await platform.store.leave(member, signal);
-  const owners = new Set(Object.values(running.directory.known()));
-  for (const owner of owners) {
-    if (owner !== self) running.rpc.confirm(owner);
-  }
+  if (wasOwner) await inviteSuccessor(running);
   platform.store.append(
     INSTANCES,
     [{ key: self, value: undefined }],
@@ -469,6 +487,17 @@
   }
 }
 
+/** Asks the instance nearest to the store to take the free domains over. */
+async function inviteSuccessor(running: Running): Promise<void> {
+  const { instances, rpc, self, logger } = running;
+  for (const instance of instances.addresses()) {
+    if (instance === self) continue;
+    if (!await rpc.confirm(instance)) continue;
+    logger.part("ownership").info("Invited a successor.", { instance });
+    return;
+  }
+}
+
 /** Waits until clients have left, or until a time. */
 async function waitForConnections(
   server: Server,
--- a/src/ownership/domain_holder.ts
+++ b/src/ownership/domain_holder.ts
@@ -32,8 +32,15 @@
 export type DomainHolder = {
   /** The owner of a domain; undefined where it is not owned here. */
   ownerOf(partition: number): Promise<DomainOwner | undefined>;
+  /** How many domains are owned here. */
+  count(): number;
   /** Brings the domains up to an assignment. */
   assign(assignment: Assignment): Promise<void>;
+  /**
+   * Ends the ownership of a domain up to an epoch, since a successor has
+   * taken it over. Afterwards this process grants no lease for it.
+   */
+  release(partition: number, epoch: number): void;
   /** Gives every domain up after its last changes are in the store. */
   close(): Promise<void>;
 };
@@ -127,6 +134,7 @@
 
   return {
     ownerOf: async (partition) => await held.get(partition)?.owner,
+    count: () => held.size,
     async assign({ generation, partitions }) {
       const numbers = new Set(partitions.map(({ number }) => number));
       const lost = [...held.keys()].filter((number) => !numbers.has(number));
@@ -135,6 +143,11 @@
         if (!held.has(partition.number)) take(partition, generation);
       }
     },
+    release(partition, epoch) {
+      const domain = held.get(partition);
+      if (domain === undefined || domain.epoch > epoch) return;
+      drop(partition, domain.ending, "a successor asked for it");
+    },
     async close() {
       const numbers = [...held.keys()];
       await Promise.all(numbers.map((number) => giveUp(number, "stopping")));
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -16,6 +16,7 @@
   type JobState,
   jobStateOf,
   type Moment,
+  type OwnerEntry,
   pendingJobs,
   type QueuePolicy,
   scheduleDomain,
@@ -45,6 +46,12 @@
 const PASS_GAP_FACTOR = 4;
 /** The longest time between two scheduling passes, in milliseconds. */
 const LONGEST_PASS_GAP_MS = 100;
+/** Pause between two questions whether a predecessor has ended, in ms. */
+const PREDECESSOR_RETRY_MS = 400;
+/** The slowest rate of a worker's clock. */
+const SLOWEST_RATE = 0.98;
+/** Time for a worker to end its tasks after the lapse, in milliseconds. */
+const LEASE_END_MARGIN_MS = 400;
 /** How often ended jobs are looked for and long waits explained, in ms. */
 const TICK_MS = 2_000;
 /** How many of the steps that wait longest are explained each time. */
@@ -65,8 +72,10 @@
   /** Sequence number of the next append. */
   sequence: number;
   leaseMs: number;
-  /** How long leases of an earlier owner may last from now on, in ms. */
-  earlierLeaseMs: number;
+  /** Address of this instance. */
+  self: string;
+  /** Whether an earlier owner surely grants no lease any more. */
+  hasEnded(owner: OwnerEntry, partition: number): Promise<boolean>;
   /** How long leases are granted without word from the store, in ms. */
   trustMs: number;
   /** When the store last confirmed the membership, on the steady clock. */
@@ -108,7 +117,8 @@
   advisor: Advisor;
   calls: Map<number, (answer: OwnerAnswer) => void>;
   nextCall: number;
-  startedAtMs: number;
+  /** When every lease of earlier owners has lapsed, on the steady clock. */
+  earlierLeasesLapsedAtMs: number;
   isPassPlanned: boolean;
   nextPassAtMs: number;
 };
@@ -139,6 +149,12 @@
       planPass(state);
     })
     .catch((error: unknown) => fail(state, error));
+  const predecessors = [...domain.owners];
+  emit(state, {
+    kind: "owned",
+    owner: { instance: host.self, epoch: host.epoch },
+  });
+  awaitPredecessors(state, predecessors);
   host.list.subscribe(() => takeList(state), host.signal);
   takeList(state);
   keepTicking(state);
@@ -165,6 +181,36 @@
   };
 }
 
+/**
+ * Finds out that earlier owners have ended. Until then, one of them may have
+ * just prolonged a lease; afterwards only the leases that it granted last.
+ */
+async function awaitPredecessors(
+  state: State,
+  predecessors: OwnerEntry[],
+): Promise<void> {
+  const { host } = state;
+  const { signal, clock } = host;
+  await Promise.all(predecessors.map(async (owner) => {
+    const untilMs = clock.steadyMs() + host.trustMs;
+    while (!signal.aborted && clock.steadyMs() < untilMs) {
+      if (await host.hasEnded(owner, host.partition.number)) break;
+      await clock.sleep(PREDECESSOR_RETRY_MS, signal);
+    }
+    emit(state, { kind: "ownerEnded", owner });
+  }));
+  const lapsedAtMs = clock.steadyMs() + longestLeaseMs(host.leaseMs);
+  state.earlierLeasesLapsedAtMs = Math.min(
+    state.earlierLeasesLapsedAtMs,
+    lapsedAtMs,
+  );
+}
+
+/** How long a lease may last on a slow clock, with a margin for its end. */
+function longestLeaseMs(leaseMs: number): number {
+  return leaseMs / SLOWEST_RATE + LEASE_END_MARGIN_MS;
+}
+
 /** A reducer that failed has lost its state; it is read from the store anew. */
 function fail(state: State, error: unknown): void {
   const { host } = state;
@@ -207,7 +253,8 @@
     }),
     calls: new Map(),
     nextCall: 1,
-    startedAtMs: host.clock.steadyMs(),
+    earlierLeasesLapsedAtMs: host.clock.steadyMs() +
+      longestLeaseMs(host.leaseMs + host.trustMs),
     isPassPlanned: false,
     nextPassAtMs: 0,
   };
@@ -325,8 +372,7 @@
 /** Workers that only the records know run nothing once leases have lapsed. */
 function lapseUnlisted(state: State): void {
   const { host, domain, links } = state;
-  const lapsedAtMs = state.startedAtMs + host.earlierLeaseMs;
-  if (host.clock.steadyMs() < lapsedAtMs) return;
+  if (host.clock.steadyMs() < state.earlierLeasesLapsedAtMs) return;
   for (const [id, worker] of domain.workers) {
     if (links.has(id) || worker.placed.size === 0) continue;
     emit(state, { kind: "workerLapsed", worker: id });
@@ -367,7 +413,7 @@
   const link = openWorkerLink({
     ...host,
     target: { id: worker.id, address: worker.address, epoch: host.epoch },
-    earlierLeasesLapsedAtMs: state.startedAtMs + host.earlierLeaseMs,
+    earlierLeasesLapsedAtMs: () => state.earlierLeasesLapsedAtMs,
     mayGrant: () => mayGrant(state),
     emit: (event) => emit(state, event),
     isCurrent: (order) => isCurrent(domain, order),
--- a/src/ownership/group_membership.ts
+++ b/src/ownership/group_membership.ts
@@ -12,16 +12,11 @@
 import type { PartLogger } from "../telemetry/mod.ts";
 
 /** How often a member confirms that it lives, in milliseconds. */
-export const JOIN_INTERVAL_MS = 600;
+export const JOIN_INTERVAL_MS = 450;
 /** Pause after a call that failed, in milliseconds. */
 const RETRY_MS = 120;
 /** How often a candidate looks whether a member is missing, in ms. */
-const CANDIDATE_INTERVAL_MS = 700;
-/** How long a candidate waits for each millisecond to the store. */
-const WAIT_PER_DISTANCE = 20;
-/** The longest distance to the store that counts, in milliseconds. */
-const LONGEST_DISTANCE_MS = 100;
-
+const CANDIDATE_INTERVAL_MS = 350;
 /** What a membership needs. */
 export type GroupMembershipHost = {
   store: StoreHost;
@@ -30,8 +25,8 @@
   member: GroupMember;
   /** How many members the group needs. */
   wantedMembers(): number;
-  /** How much later than others this instance applies, in milliseconds. */
-  handicapMs: number;
+  /** How long this instance holds back as a candidate, in milliseconds. */
+  candidateWaitMs: number;
   /** Takes what this member holds; called before the next confirmation. */
   onAssignment(assignment: Assignment): Promise<void>;
   signal: AbortSignal;
@@ -50,12 +45,25 @@
   done: Promise<void>;
 };
 
+type State = {
+  host: GroupMembershipHost;
+  /** When the store last confirmed the membership, on the steady clock. */
+  confirmedAtMs: number;
+  /** The same on the wall clock, which goes on while a process is frozen. */
+  confirmedWallMs: number;
+  generation: number;
+  isKnown: boolean;
+  /** Ends the current pause early. */
+  pause: AbortController;
+  /** Whether another member has asked this instance to apply. */
+  isInvited: boolean;
+};
+
 /**
  * Joins the group when it needs a member, and stays in it until the signal
  * ends. Instances near the store apply first, since every decision waits for
- * the store; few members mean few changes of owners while instances restart.
- * A former process at this address is gone, so what it still holds is freed
- * first.
+ * the store. Each change of the members deals the domains anew, so the group
+ * has as few members as its work needs.
  *
  * @example
  * ```ts
@@ -63,84 +71,156 @@
  * ```
  */
 export function joinGroup(host: GroupMembershipHost): GroupMembership {
-  let confirmedAtMs = -Infinity;
-  let generation = 0;
-  let isKnown = false;
-  let pause = new AbortController();
-
-  async function rest(delayMs: number): Promise<void> {
-    pause = new AbortController();
-    const end = () => pause.abort();
-    host.signal.addEventListener("abort", end);
-    await host.clock.sleep(delayMs, pause.signal);
-    host.signal.removeEventListener("abort", end);
-  }
+  const state: State = {
+    host,
+    confirmedAtMs: -Infinity,
+    confirmedWallMs: -Infinity,
+    generation: 0,
+    isKnown: false,
+    pause: new AbortController(),
+    isInvited: false,
+  };
+  return {
+    isKnown: () => state.isKnown,
+    confirmedAtMs: () => state.confirmedAtMs,
+    generation: () => state.generation,
+    confirm() {
+      state.isInvited = true;
+      state.pause.abort();
+    },
+    done: takePart(state),
+  };
+}
 
-  async function stay(): Promise<void> {
-    const { store, clock, member, signal, logger } = host;
-    await apply();
+async function takePart(state: State): Promise<void> {
+  const { host } = state;
+  const { signal } = host;
+  await leaveFormerly(state);
+  while (!signal.aborted) {
+    await apply(state);
     while (!signal.aborted) {
-      const sentAtMs = clock.steadyMs();
-      const joined = await store.join(member, generation, signal);
-      if (signal.aborted) return;
-      if (joined.isErr()) {
-        logger.warn("The membership was not confirmed.", {
-          fault: joined.error.kind,
-          cause: joined.error.message,
-          confirmedAgoMs: Math.round(sentAtMs - confirmedAtMs),
-        });
-        await clock.sleep(RETRY_MS, signal);
-        continue;
-      }
-      confirmedAtMs = sentAtMs;
-      isKnown = true;
-      if (joined.value.generation !== generation) {
-        logger.info("The domains were shared out anew.", {
-          generation: joined.value.generation,
-          partitions: joined.value.partitions.map(({ number }) => number)
-            .join(","),
-        });
-      }
-      generation = joined.value.generation;
-      await host.onAssignment(joined.value);
-      await rest(JOIN_INTERVAL_MS);
+      if (hasLapsed(state) && !await isStillMember(state)) break;
+      await confirmOnce(state);
     }
+    if (signal.aborted) return;
+    const { generation } = state;
+    await host.onAssignment({ generation, partitions: [] });
   }
+}
 
-  /** Waits until the group needs this instance. */
-  async function apply(): Promise<void> {
-    const { store, clock, member, signal, logger } = host;
-    const sentAtMs = clock.steadyMs();
-    await store.leave(member, signal);
-    const distanceMs = clock.steadyMs() - sentAtMs;
-    const waitMs = Math.min(distanceMs, LONGEST_DISTANCE_MS) *
-        WAIT_PER_DISTANCE + host.handicapMs;
-    await rest(waitMs);
-    while (!signal.aborted) {
-      const owners = await store.owners(member.group, signal);
-      if (owners.isErr()) {
-        await rest(RETRY_MS);
-        continue;
-      }
-      isKnown = true;
-      const members = new Set(owners.value.map((owner) => owner.member));
-      if (members.size < host.wantedMembers()) {
-        logger.info("Applies for a place in the group.", {
-          members: members.size,
-          wanted: host.wantedMembers(),
-          distanceMs: Math.round(distanceMs),
-        });
-        return;
-      }
-      await rest(CANDIDATE_INTERVAL_MS + waitMs);
+/** Frees what a former process at this address held. */
+async function leaveFormerly(state: State): Promise<void> {
+  const { store, member, signal, logger } = state.host;
+  const left = await store.leave(member, signal);
+  if (left.isOk()) return;
+  logger.warn("The store did not free the domains of a former process.", {
+    fault: left.error.kind,
+    cause: left.error.message,
+  });
+}
+
+/** Waits until the group needs this instance, as two readings agree. */
+async function apply(state: State): Promise<void> {
+  const { store, clock, member, signal, logger, candidateWaitMs } = state.host;
+  let missing = 0;
+  let seen: string | undefined;
+  while (!signal.aborted) {
+    await rest(state, missing > 0 ? candidateWaitMs : CANDIDATE_INTERVAL_MS);
+    const owners = await store.owners(member.group, signal);
+    if (owners.isErr()) {
+      missing = 0;
+      await clock.sleep(RETRY_MS, signal);
+      continue;
     }
+    state.isKnown = true;
+    const members = new Set(owners.value.map((owner) => owner.member));
+    const wanted = state.host.wantedMembers();
+    const names = [...members].join(",");
+    if (names !== seen) {
+      logger.info("Sees the members of the group.", { members: names, wanted });
+    }
+    seen = names;
+    missing = members.size < wanted ? missing + 1 : 0;
+    if (missing < CONFIRMING_READINGS && !state.isInvited) continue;
+    logger.info("Applies for a place in the group.", {
+      members: members.size,
+      wanted,
+      invited: state.isInvited,
+    });
+    state.isInvited = false;
+    return;
   }
+}
 
-  return {
-    isKnown: () => isKnown,
-    confirmedAtMs: () => confirmedAtMs,
-    generation: () => generation,
-    confirm: () => pause.abort(),
-    done: stay(),
-  };
+/** Readings that have to agree that a member is missing. */
+const CONFIRMING_READINGS = 2;
+
+/** Whether the membership may have ended, also during a freeze. */
+function hasLapsed(state: State): boolean {
+  const { clock, member } = state.host;
+  if (state.confirmedAtMs === -Infinity) return false;
+  const silentMs = Math.max(
+    clock.steadyMs() - state.confirmedAtMs,
+    clock.nowMs() - state.confirmedWallMs,
+  );
+  return silentMs > member.ttlMs;
+}
+
+/** Whether the group still counts on this instance. */
+async function isStillMember(state: State): Promise<boolean> {
+  const { store, member, signal, logger, wantedMembers } = state.host;
+  const owners = await store.owners(member.group, signal);
+  // Without word from the store, what runs goes on.
+  if (owners.isErr()) return true;
+  const members = new Set(owners.value.map((owner) => owner.member));
+  const isMember = members.has(member.member) ||
+    members.size < wantedMembers();
+  if (!isMember) {
+    logger.warn("The group went on without this instance.", {
+      members: members.size,
+    });
+    state.confirmedAtMs = -Infinity;
+  }
+  return isMember;
+}
+
+async function confirmOnce(state: State): Promise<void> {
+  const { host } = state;
+  const { store, clock, member, signal, logger } = host;
+  state.isInvited = false;
+  const sentAtMs = clock.steadyMs();
+  const sentWallMs = clock.nowMs();
+  const joined = await store.join(member, state.generation, signal);
+  if (signal.aborted) return;
+  if (joined.isErr()) {
+    logger.warn("The membership was not confirmed.", {
+      fault: joined.error.kind,
+      cause: joined.error.message,
+      confirmedAgoMs: Math.round(sentAtMs - state.confirmedAtMs),
+    });
+    await rest(state, RETRY_MS);
+    return;
+  }
+  state.confirmedAtMs = sentAtMs;
+  state.confirmedWallMs = sentWallMs;
+  if (joined.value.generation !== state.generation) {
+    logger.info("The domains were shared out anew.", {
+      generation: joined.value.generation,
+      partitions: joined.value.partitions.map(({ number }) => number)
+        .join(","),
+    });
+  }
+  state.generation = joined.value.generation;
+  await host.onAssignment(joined.value);
+  await rest(state, JOIN_INTERVAL_MS);
+}
+
+async function rest(state: State, delayMs: number): Promise<void> {
+  const { clock, signal } = state.host;
+  if (state.isInvited) return;
+  state.pause = new AbortController();
+  const end = () => state.pause.abort();
+  signal.addEventListener("abort", end);
+  await clock.sleep(delayMs, state.pause.signal);
+  signal.removeEventListener("abort", end);
 }
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -32,7 +32,7 @@
   /** Length of the lease that each look grants, in milliseconds. */
   leaseMs: number;
   /** When leases of earlier owners have surely lapsed, on the steady clock. */
-  earlierLeasesLapsedAtMs: number;
+  earlierLeasesLapsedAtMs(): number;
   /** Whether leases may still be granted. */
   mayGrant(): boolean;
   emit(event: DomainEvent): void;
@@ -76,7 +76,7 @@
 export function openWorkerLink(host: WorkerLinkHost): WorkerLink {
   const state: State = {
     host,
-    clock: { sample: undefined, lapsedAtMs: host.earlierLeasesLapsedAtMs },
+    clock: { sample: undefined, lapsedAtMs: 0 },
     bornMs: 0,
     listedEnd: 0,
     acknowledged: 0,
@@ -176,18 +176,22 @@
           worker: id,
           step: fault.step,
           cause: fault.message,
-          lapsesInMs: Math.round(
-            state.clock.lapsedAtMs - host.clock.steadyMs(),
-          ),
+          lapsesInMs: Math.round(lapsesAtMs(state) - host.clock.steadyMs()),
         });
         host.emit({ kind: "workerSilent", worker: id });
       }
-      if (host.clock.steadyMs() > state.clock.lapsedAtMs) {
+      if (host.clock.steadyMs() > lapsesAtMs(state)) {
         lapse(state, fault.message);
       }
   }
 }
 
+/** When no lease of any owner can hold at the worker any more. */
+function lapsesAtMs(state: State): number {
+  const { clock, host } = state;
+  return Math.max(clock.lapsedAtMs, host.earlierLeasesLapsedAtMs());
+}
+
 function lapse(state: State, cause: string): void {
   const { host } = state;
   if (state.isLapsed) return;
