Put advice questions together when a lane is free; serve punctual work first

Patterns answered: a backlog after an outage; steps wider than the room of one moment; queue of questions.

--- a/src/domain/advising.ts
+++ b/src/domain/advising.ts
@@ -13,7 +13,7 @@
 /** The most workers that one question may name. */
 const MAX_WORKERS_PER_QUESTION = 100;
 /** The part of a ticket's life kept for the record and the start, in ms. */
-const TICKET_MARGIN_MS = 350;
+const TICKET_MARGIN_MS = 200;
 /** Pause after a question that failed, in milliseconds. */
 const FAILED_QUESTION_PAUSE_MS = 150;
 /** Pause after an answer that allowed no worker with room, in ms. */
@@ -26,6 +26,14 @@
 const SURPLUS_FACTOR = 1.5;
 const SURPLUS_WORKERS = 2;
 
+/** A question to the placement policy about one step. */
+export type StepQuestion = {
+  stepKey: string;
+  workers: string[];
+  /** How long the policy takes to answer, in milliseconds. */
+  costMs: number;
+};
+
 /** Whether a start on this worker may leave now as far as policy goes. */
 export function hasTicket(
   run: StepRun,
@@ -43,33 +51,60 @@
   return !run.advice.refused.has(worker);
 }
 
+/** Whether a step may ask now, as far as its earlier questions go. */
+export function mayAsk(run: StepRun, nowMs: number): boolean {
+  const { advice } = run;
+  return run.job.job.policy.advice !== undefined && !advice.asking &&
+    nowMs >= advice.notBeforeMs;
+}
+
 /**
- * Asks about the workers that could take the waiting tasks of a step, if no
- * question about it is on its way. Workers known to be allowed come first,
- * since their permission does not change.
+ * Takes the question of the most urgent step that wants to ask. It is put
+ * together only now, when it can leave, from the workers as they are now.
+ *
+ * @param mostMs the most time that the question may take, in milliseconds
+ *
+ * @example
+ * ```ts
+ * const question = takeQuestion(domain, moment, Infinity);
+ * ```
  */
-export function askForAdvice(
+export function takeQuestion(
   domain: Domain,
-  run: StepRun,
   moment: Moment,
-): void {
-  const { advice } = run;
+  mostMs: number,
+): StepQuestion | undefined {
+  for (const run of domain.wishes) {
+    if (run.waiting === 0 || !mayAsk(run, moment.steadyMs)) continue;
+    const question = questionOf(domain, run, moment.steadyMs);
+    if (question === undefined || question.costMs > mostMs) continue;
+    run.advice.asking = true;
+    return question;
+  }
+  return undefined;
+}
+
+function questionOf(
+  domain: Domain,
+  run: StepRun,
+  nowMs: number,
+): StepQuestion | undefined {
   const cost = run.job.job.policy.advice;
-  if (cost === undefined || advice.asking) return;
-  if (moment.steadyMs < advice.notBeforeMs) return;
-  const workers = workersToAsk(domain, run, moment.steadyMs);
-  if (workers.length === 0) return;
-  advice.asking = true;
-  domain.commands.push({
-    kind: "advise",
+  if (cost === undefined) return undefined;
+  const workers = workersToAsk(domain, run, nowMs);
+  if (workers.length === 0) return undefined;
+  return {
     stepKey: run.key,
     workers: workers.map((worker) => worker.id),
     costMs: cost.decideMs + cost.perWorkerMs * workers.length,
-    latestStartMs: run.latestStartMs,
-    priority: run.job.job.policy.priority,
-  });
+  };
 }
 
+/**
+ * The workers that a question names: those known to be allowed, whose tickets
+ * are renewed, and as many others as the step needs. Workers without room are
+ * named too, since room may come up while the ticket is valid.
+ */
 function workersToAsk(
   domain: Domain,
   run: StepRun,
@@ -80,27 +115,36 @@
   const unknown: DomainWorker[] = [];
   for (const worker of eligibleWorkers(domain, run)) {
     if (advice.refused.has(worker.id) || !worker.held) continue;
-    const isAllowed = advice.allowed.has(worker.id);
-    if (!run.step.gang && !hasRoom(worker, run, nowMs)) continue;
-    if (isAllowed) known.push(worker);
+    if (advice.allowed.has(worker.id)) known.push(worker);
     else unknown.push(worker);
   }
-  const byScore = (left: DomainWorker, right: DomainWorker) =>
-    scoreWorker(right, run) - scoreWorker(left, run);
-  known.sort(byScore);
-  unknown.sort(byScore);
-  // All workers matter to a gang, which needs several of them at once.
-  if (run.step.gang) {
-    if (unknown.length === 0) return known;
-    return [...known, ...unknown].slice(0, MAX_WORKERS_PER_QUESTION);
-  }
-  const missing = Math.max(0, run.waiting - known.length);
-  const share = domain.allowedShares.get(run.job.job.policy.queue) ??
+  const inOrder = (workers: DomainWorker[]) =>
+    workers.map((worker) => ({
+      worker,
+      hasRoom: hasRoom(worker, run, nowMs) ? 0 : 1,
+      score: scoreWorker(worker, run),
+    })).sort((left, right) =>
+      left.hasRoom - right.hasRoom || right.score - left.score
+    ).map(({ worker }) => worker);
+  return [
+    ...inOrder(known).slice(0, run.waiting * 2 + SURPLUS_WORKERS),
+    ...inOrder(unknown).slice(0, unknownToName(domain, run, known.length)),
+  ].slice(0, MAX_WORKERS_PER_QUESTION);
+}
+
+/** How many workers of which nothing is known a question names. */
+function unknownToName(domain: Domain, run: StepRun, known: number): number {
+  const { policy } = run.job.job;
+  const missing = Math.max(0, run.waiting - known);
+  const share = domain.allowedShares.get(policy.queue) ??
     INITIAL_ALLOWED_SHARE;
-  const wanted = Math.ceil(missing / share * SURPLUS_FACTOR);
-  const count = missing === 0 ? 0 : wanted + SURPLUS_WORKERS;
-  return [...known, ...unknown.slice(0, count)]
-    .slice(0, MAX_WORKERS_PER_QUESTION);
+  const wanted = Math.ceil(missing / share * SURPLUS_FACTOR) + SURPLUS_WORKERS;
+  // Naming workers is cheap as long as it takes less than the decision.
+  const { decideMs = 0, perWorkerMs = 0 } = policy.advice ?? {};
+  const cheap = perWorkerMs === 0
+    ? MAX_WORKERS_PER_QUESTION
+    : Math.floor(decideMs / perWorkerMs);
+  return Math.max(missing === 0 ? 0 : wanted, cheap);
 }
 
 /** Takes in the answer to a question, or that there was none. */
--- a/src/domain/choose_worker.ts
+++ b/src/domain/choose_worker.ts
@@ -10,6 +10,8 @@
 const FAR_FROM_DATA_PENALTY = 2;
 /** Score lost by a filler that shares a worker with a service. */
 const BESIDE_SERVICE_PENALTY = 1;
+/** Score lost by a worker that takes twice as long as the mean. */
+const SLOWNESS_PENALTY = 0.8;
 /** Score lost for each failure in a row. */
 const FAILURE_PENALTY = 0.25;
 
@@ -72,7 +74,9 @@
   if (step.latencyGoalMs !== undefined && worker.opportunisticCpu > 0) {
     score -= BESIDE_SERVICE_PENALTY;
   }
-  return score - FAILURE_PENALTY * worker.health.consecutiveFailures;
+  const { consecutiveFailures, slowness } = worker.health;
+  return score - FAILURE_PENALTY * consecutiveFailures -
+    SLOWNESS_PENALTY * (slowness - 1);
 }
 
 function spreadScore(worker: DomainWorker, step: Step): number {
--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -18,6 +18,8 @@
   steps: Map<string, StepRun>;
   /** Steps with waiting tasks. */
   waiting: Set<StepRun>;
+  /** Steps that want to ask the placement policy, the most urgent first. */
+  wishes: StepRun[];
   workers: Map<string, DomainWorker>;
   /** Jobs with occurrences that are still to come. */
   scheduled: Set<JobRun>;
@@ -27,6 +29,8 @@
   dirty: Set<string>;
   /** Share of workers that the policy allows, learned for each queue. */
   allowedShares: Map<string, number>;
+  /** Mean duration of a task of each queue, learned, in milliseconds. */
+  durations: Map<string, number>;
 };
 
 /**
@@ -44,10 +48,12 @@
     jobs: new Map(),
     steps: new Map(),
     waiting: new Set(),
+    wishes: [],
     workers: new Map(),
     scheduled: new Set(),
     commands: [],
     dirty: new Set(),
     allowedShares: new Map(),
+    durations: new Map(),
   };
 }
--- a/src/domain/domain_command.ts
+++ b/src/domain/domain_command.ts
@@ -25,15 +25,6 @@
   | { kind: "answer"; call: number; answer: CallAnswer }
   /** The store has to confirm the state before these ends are acknowledged. */
   | { kind: "acknowledge"; worker: string; bornMs: number; lastEnd: number }
-  /** Asks the placement policy; needs no record. */
-  | {
-    kind: "advise";
-    stepKey: string;
-    workers: string[];
-    costMs: number;
-    latestStartMs: number;
-    priority: number;
-  }
   /** One line of the log about a decision. */
   | {
     kind: "report";
--- a/src/domain/domain_worker.ts
+++ b/src/domain/domain_worker.ts
@@ -38,4 +38,6 @@
   consecutiveFailures: number;
   /** Nothing is placed before this time, on the steady clock. */
   avoidUntilMs: number;
+  /** Duration of tasks against the mean of their queues; 1 is the mean. */
+  slowness: number;
 };
--- a/src/domain/job_runs.ts
+++ b/src/domain/job_runs.ts
@@ -78,7 +78,7 @@
     gangFailures: 0,
     gangFailedAttempt: 0,
     advice: createStepAdvice(),
-    latestStartMs: latestStartMs(run.job, occurrence, index),
+    ...startLimits(domain, run.job, occurrence, index),
     readyAtMs: nowMs,
   };
   occurrence.steps.set(index, created);
@@ -91,36 +91,59 @@
   return { kind: "waiting", attempt: 0, failures: 0, checkpoint: undefined };
 }
 
-/** The time by which a step has to start to meet the job's objective. */
-function latestStartMs(
+/** A result is of use until this many times the objective. */
+const USEFUL_OBJECTIVES = 3;
+
+/** The times by which a step has to start to be on time, and to be of use. */
+function startLimits(
+  domain: Domain,
   job: Job,
   occurrence: Occurrence,
   index: number,
-): number {
-  const remaining = remainingChainMs(job);
-  const longest = Math.max(...remaining);
+): Pick<StepRun, "latestStartMs" | "uselessAfterMs"> {
+  const remaining = remainingChainMs(job, domain.durations);
+  const objectiveMs = objectiveMsOf(job, remaining);
+  const ownMs = remaining[index] ?? 0;
+  return {
+    latestStartMs: occurrence.dueAtMs + objectiveMs - ownMs,
+    uselessAfterMs: occurrence.dueAtMs + USEFUL_OBJECTIVES * objectiveMs -
+      ownMs,
+  };
+}
+
+function objectiveMsOf(job: Job, remaining: number[]): number {
   const { slackFactor, targetCompletionMs } = job.policy;
-  const objectiveMs = slackFactor * longest + targetCompletionMs;
-  return occurrence.dueAtMs + objectiveMs - (remaining[index] ?? 0);
+  return slackFactor * Math.max(...remaining) + targetCompletionMs;
 }
 
 /** For each step, the work from its start to the end of the job, in ms. */
-function remainingChainMs(job: Job): number[] {
-  const remaining = job.steps.map((step) => step.estimateMs);
+function remainingChainMs(
+  job: Job,
+  durations: Map<string, number>,
+): number[] {
+  const learnedMs = durations.get(job.policy.queue);
+  const work = job.steps.map((step) => expectedMs(step.estimateMs, learnedMs));
+  const remaining = [...work];
   for (let index = job.steps.length - 1; index >= 0; index -= 1) {
-    const step = job.steps[index]!;
-    for (const predecessor of step.after) {
-      const before = job.steps[predecessor];
+    for (const predecessor of job.steps[index]!.after) {
+      const before = work[predecessor];
       if (before === undefined) continue;
       remaining[predecessor] = Math.max(
         remaining[predecessor]!,
-        before.estimateMs + remaining[index]!,
+        before + remaining[index]!,
       );
     }
   }
   return remaining;
 }
 
+/** Estimates are rough, so the queue's mean has an equal say. */
+function expectedMs(estimateMs: number, learnedMs: number | undefined): number {
+  if (learnedMs === undefined) return estimateMs;
+  if (estimateMs <= 0) return learnedMs;
+  return Math.sqrt(estimateMs * learnedMs);
+}
+
 /** Opens the occurrences that are due. */
 export function openDueOccurrences(domain: Domain, moment: Moment): void {
   for (const run of domain.scheduled) {
@@ -198,17 +221,16 @@
       queue: run.job.policy.queue,
       outcome,
       ageMs: moment.wallMs - run.job.acceptedAtMs,
-      lateMs: Math.round(moment.wallMs - objectiveAtMs(run.job)),
+      lateMs: Math.round(moment.wallMs - objectiveAtMs(domain, run.job)),
     },
   });
 }
 
 /** When a job meets its objective at the latest, in ms since the epoch. */
-export function objectiveAtMs(job: Job): number {
-  const { slackFactor, targetCompletionMs } = job.policy;
-  const chainMs = Math.max(...remainingChainMs(job));
+function objectiveAtMs(domain: Domain, job: Job): number {
+  const remaining = remainingChainMs(job, domain.durations);
   return dueAtMs(job, (job.schedule?.occurrences ?? 1) - 1) +
-    slackFactor * chainMs + targetCompletionMs;
+    objectiveMsOf(job, remaining);
 }
 
 /** Forgets jobs whose record has been kept for long enough. */
--- /dev/null
+++ b/src/domain/load_patterns_test.ts
@@ -0,0 +1,128 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { takeQuestion } from "./advising.ts";
+import {
+  createBench,
+  ended,
+  feed,
+  listing,
+  listWorkers,
+  look,
+  pass,
+  startsIn,
+  step,
+  submit,
+} from "./testing/domain_bench.ts";
+
+const WHOLE = { cpuMillis: 8_000, memoryMb: 1_000, accelerators: 8 };
+const ONE = { cpuMillis: 1_000, memoryMb: 100, accelerators: 1 };
+const ADVICE = { decideMs: 100, perWorkerMs: 2, validMs: 2_000 };
+
+describe("a backlog after an outage", () => {
+  it("does not hold up work that can still be on time", () => {
+    const bench = createBench();
+    submit(bench, "late", [step({ demand: WHOLE })], { priority: 1 });
+    bench.nowMs += 4_000;
+    submit(bench, "new", [step({ demand: WHOLE })], { priority: 2 });
+    listWorkers(bench, listing("w1"));
+    const [start] = startsIn(bench.commands);
+    assert.equal(start?.task, "new.0.0.0");
+  });
+
+  it("runs what is of no use any more in room that is left over", () => {
+    const bench = createBench();
+    submit(bench, "old", [step({ demand: WHOLE })], { priority: 0 });
+    bench.nowMs += 60_000;
+    submit(bench, "late", [step({ demand: WHOLE })], { priority: 2 });
+    bench.nowMs += 3_000;
+    listWorkers(bench, listing("w1"), listing("w2"));
+    const order = startsIn(bench.commands).map((start) => start.task);
+    assert.deepEqual(order, ["late.0.0.0", "old.0.0.0"]);
+  });
+
+  it("does not put a late service behind anything", () => {
+    const bench = createBench();
+    const service = step({ demand: WHOLE, longRunning: true });
+    submit(bench, "service", [service], { priority: 1 });
+    bench.nowMs += 60_000;
+    submit(bench, "new", [step({ demand: WHOLE })], { priority: 2 });
+    listWorkers(bench, listing("w1"));
+    const [start] = startsIn(bench.commands);
+    assert.equal(start?.task, "service.0.0.0");
+  });
+});
+
+describe("a stream of small accelerator tasks", () => {
+  it("cannot starve a gang that needs whole workers", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"), listing("w2"));
+    for (let index = 0; index < 16; index += 1) {
+      submit(bench, `s${index}`, [step({ demand: ONE })], { priority: 2 });
+    }
+    const gang = step({ demand: WHOLE, gang: true, taskCount: 1 });
+    submit(bench, "g", [gang], { priority: 1 });
+    const [first] = startsIn(bench.commands);
+    const worker = first!.worker;
+    const onWorker = startsIn(bench.commands)
+      .filter((start) => start.worker === worker);
+    onWorker.forEach((start, index) => {
+      submit(bench, `t${index}`, [step({ demand: ONE })], { priority: 2 });
+      look(bench, worker, {
+        ended: [ended(index + 1, start.task, 1, "done")],
+      });
+    });
+    const tasks = startsIn(bench.commands).map((start) => start.task);
+    assert.ok(tasks.includes("g.0.0.0"));
+  });
+});
+
+describe("questions to the placement policy", () => {
+  it("are put together when a lane is free, for the most urgent step", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    submit(bench, "bulk", [step()], { priority: 2, advice: ADVICE });
+    submit(bench, "urgent", [step()], { priority: 0, advice: ADVICE });
+    const moment = { steadyMs: 0, wallMs: 0 };
+    const question = takeQuestion(bench.domain, moment, Infinity);
+    assert.equal(question?.stepKey, "urgent.0.0");
+  });
+
+  it("leave out a long one where only a short one is taken", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    const slow = { ...ADVICE, decideMs: 500 };
+    submit(bench, "slow", [step()], { priority: 0, advice: slow });
+    submit(bench, "fast", [step()], { priority: 2, advice: ADVICE });
+    const moment = { steadyMs: 0, wallMs: 0 };
+    const question = takeQuestion(bench.domain, moment, 200);
+    assert.equal(question?.stepKey, "fast.0.0");
+  });
+
+  it("renew the tickets of allowed workers that have no room yet", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"), listing("w2"));
+    const half = { cpuMillis: 4_000, memoryMb: 100, accelerators: 0 };
+    submit(bench, "a", [step({ demand: half, taskCount: 12 })], {
+      advice: ADVICE,
+    });
+    const ask = () =>
+      takeQuestion(bench.domain, {
+        steadyMs: bench.nowMs,
+        wallMs: bench.nowMs,
+      }, Infinity);
+    const first = ask();
+    feed(bench, {
+      kind: "advised",
+      stepKey: "a.0.0",
+      asked: first!.workers,
+      allowed: [["w1", "t1"], ["w2", "t2"]],
+      validMs: 2_000,
+    });
+    pass(bench, 5_000);
+    const [start] = startsIn(bench.commands);
+    look(bench, start!.worker, {
+      ended: [ended(1, start!.task, 1, "done")],
+    });
+    assert.deepEqual(ask()?.workers.sort(), ["w1", "w2"]);
+  });
+});
--- a/src/domain/looks.ts
+++ b/src/domain/looks.ts
@@ -11,6 +11,7 @@
 import { parseTaskName, type StepRun, taskNameOf } from "./step_run.ts";
 import { stopTask } from "./stops.ts";
 import type { PlacedTask } from "./task_progress.ts";
+import { noteDuration } from "./durations.ts";
 import { noteFailure, noteSuccess } from "./worker_health.ts";
 
 /** Takes in what a worker lists. */
@@ -101,7 +102,10 @@
     },
   });
   if (blamesWorker(ended.end)) noteFailure(worker, moment.steadyMs);
-  else if (ended.end === "done") noteSuccess(worker);
+  else if (ended.end === "done") {
+    noteSuccess(worker);
+    noteDuration(domain, worker, run, moment.steadyMs - task.placedAtMs);
+  }
   endTask(domain, run, index, ended.end, moment);
 }
 
--- a/src/domain/mod.ts
+++ b/src/domain/mod.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export { type StepQuestion, takeQuestion } from "./advising.ts";
 export { createDomain, type Domain } from "./domain.ts";
 export * from "./domain_command.ts";
 export * from "./domain_event.ts";
--- a/src/domain/place_gang.ts
+++ b/src/domain/place_gang.ts
@@ -9,7 +9,7 @@
   type Resources,
   subtractResources,
 } from "../model/mod.ts";
-import { askForAdvice, hasTicket, mayBeAllowed } from "./advising.ts";
+import { hasTicket, mayAsk, mayBeAllowed } from "./advising.ts";
 import { eligibleWorkers } from "./choose_worker.ts";
 import type { DomainWorker } from "./domain_worker.ts";
 import { reservationOf } from "./placed.ts";
@@ -17,6 +17,9 @@
 import type { StepRun } from "./step_run.ts";
 import { runLimit } from "./worker_health.ts";
 
+/** Part of its estimate that an overdue task is expected to take still. */
+const LEAST_REMAINING_SHARE = 0.2;
+
 /**
  * Starts a gang if there is room for all of it. Otherwise the workers that
  * will be free first are kept from steps of lower rank, so that a stream of
@@ -30,7 +33,7 @@
     runLimit(worker, moment.steadyMs) === Infinity
   );
   const seats = findSeats(
-    candidates,
+    tightestFirst(candidates, run),
     run,
     (worker) => subtractResources(worker.capacity, worker.used),
   );
@@ -38,8 +41,10 @@
     startGang(pass, run, seats);
     return;
   }
-  const isUnasked = run.advice.allowed.size === 0;
-  if (seats !== undefined || isUnasked) askForAdvice(domain, run, moment);
+  const { allowed, refused } = run.advice;
+  const isUnasked = allowed.size === 0 && refused.size === 0;
+  const wantsAdvice = seats !== undefined || isUnasked;
+  if (wantsAdvice && mayAsk(run, moment.steadyMs)) domain.wishes.push(run);
   keepWorkers(pass, run, candidates, seats);
 }
 
@@ -79,8 +84,8 @@
   const demand = reservationOf(step);
   const limit = step.maxPerWorker ?? Infinity;
   const seats: DomainWorker[] = [];
-  for (const worker of tightestFirst(workers, run)) {
-    let taken = addResources(demand, { ...NOTHING });
+  for (const worker of workers) {
+    let taken = demand;
     const free = freeOf(worker);
     for (let count = 0; count < limit && fitsInto(taken, free); count += 1) {
       seats.push(worker);
@@ -91,8 +96,6 @@
   return undefined;
 }
 
-const NOTHING: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
-
 /** Workers with a ticket first, then those with the least room to spare. */
 function tightestFirst(workers: DomainWorker[], run: StepRun): DomainWorker[] {
   const isKnown = (worker: DomainWorker) =>
@@ -129,25 +132,52 @@
   candidates: DomainWorker[],
   seats: DomainWorker[] | undefined,
 ): void {
+  const { moment } = pass;
   const needsAdvice = run.job.job.policy.advice !== undefined;
   const usable = needsAdvice
     ? candidates.filter((worker) => run.advice.allowed.has(worker.id))
     : candidates;
   const kept = seats ??
-    findSeats(soonestFree(usable), run, (worker) => worker.capacity);
+    findSeats(
+      leastBusyFirst(usable, moment.steadyMs),
+      run,
+      (worker) => worker.capacity,
+    );
   for (const worker of kept ?? []) pass.kept.add(worker);
 }
 
-/** Workers in the order in which their longest task is expected to end. */
-function soonestFree(workers: DomainWorker[]): DomainWorker[] {
-  const busyUntil = (worker: DomainWorker) => {
-    let untilMs = 0;
-    for (const { run, index } of worker.placed.values()) {
-      const task = run.tasks[index];
-      if (task?.kind !== "placed") continue;
-      untilMs = Math.max(untilMs, task.placedAtMs + run.step.estimateMs);
-    }
-    return untilMs;
-  };
-  return [...workers].sort((left, right) => busyUntil(left) - busyUntil(right));
+/** Workers in the order of the work that is left on them. */
+function leastBusyFirst(
+  workers: DomainWorker[],
+  nowMs: number,
+): DomainWorker[] {
+  return workers
+    .map((worker) => ({ worker, left: workLeft(worker, nowMs) }))
+    .sort((one, other) => one.left - other.left)
+    .map(({ worker }) => worker);
+}
+
+/** The work left on a worker, in milliseconds of its whole capacity. */
+function workLeft(worker: DomainWorker, nowMs: number): number {
+  let left = 0;
+  for (const { run, index, reserved } of worker.placed.values()) {
+    const task = run.tasks[index];
+    if (task?.kind !== "placed") continue;
+    const ranMs = nowMs - task.placedAtMs;
+    const remainingMs = Math.max(
+      run.step.estimateMs - ranMs,
+      LEAST_REMAINING_SHARE * run.step.estimateMs,
+    );
+    left += remainingMs * dominantShare(reserved, worker.capacity);
+  }
+  return left;
+}
+
+/** The largest share that an amount takes of any resource. */
+function dominantShare(amount: Resources, whole: Resources): number {
+  return Math.max(
+    amount.cpuMillis / Math.max(1, whole.cpuMillis),
+    amount.memoryMb / Math.max(1, whole.memoryMb),
+    amount.accelerators / Math.max(1, whole.accelerators),
+  );
 }
--- a/src/domain/placed.ts
+++ b/src/domain/placed.ts
@@ -28,7 +28,7 @@
     used: NO_RESOURCES,
     opportunisticCpu: 0,
     placed: new Map(),
-    health: { consecutiveFailures: 0, avoidUntilMs: 0 },
+    health: { consecutiveFailures: 0, avoidUntilMs: 0, slowness: 1 },
   };
 }
 
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { askForAdvice, hasTicket, mayBeAllowed } from "./advising.ts";
+import { hasTicket, mayAsk, mayBeAllowed } from "./advising.ts";
 import { eligibleWorkers, hasRoom, scoreWorker } from "./choose_worker.ts";
 import type { Domain } from "./domain.ts";
 import type { Moment } from "./domain_event.ts";
@@ -12,6 +12,7 @@
 import { stepRecordKey } from "./keys.ts";
 import { placeGang } from "./place_gang.ts";
 import { place } from "./placed.ts";
+import { inRankOrder } from "./rank.ts";
 import { type StepRun, taskNameOf } from "./step_run.ts";
 
 /** What one pass keeps from one step to the next. */
@@ -22,24 +23,16 @@
   kept: Set<DomainWorker>;
 };
 
-/** Places whatever can be placed now, and asks for the advice it needs. */
+/** Places whatever can be placed now, and notes which steps need advice. */
 export function schedule(domain: Domain, moment: Moment): void {
   const pass: Pass = { domain, moment, kept: new Set() };
-  for (const run of inOrder(domain)) {
+  domain.wishes = [];
+  for (const run of inRankOrder(domain.waiting, moment.wallMs)) {
     if (run.step.gang) placeGang(pass, run);
     else placeTasks(pass, run);
   }
 }
 
-/** The order in which steps are served: by priority, then by least slack. */
-function inOrder(domain: Domain): StepRun[] {
-  const priority = (run: StepRun) => run.job.job.policy.priority;
-  return [...domain.waiting].sort((left, right) =>
-    priority(left) - priority(right) ||
-    left.latestStartMs - right.latestStartMs
-  );
-}
-
 function placeTasks(pass: Pass, run: StepRun): void {
   const { domain, moment } = pass;
   const candidates = [...eligibleWorkers(domain, run)].filter((worker) =>
@@ -57,7 +50,7 @@
     startTask(pass, run, index, worker, nextAttempt(run, index));
   }
   if (run.waiting === 0) domain.waiting.delete(run);
-  else askForAdvice(domain, run, moment);
+  else if (mayAsk(run, moment.steadyMs)) domain.wishes.push(run);
 }
 
 /** The best worker with room; workers without room leave the list. */
--- a/src/domain/step_domain.ts
+++ b/src/domain/step_domain.ts
@@ -121,6 +121,20 @@
     const run = createJobRun(job);
     domain.jobs.set(job.id, run);
     domain.dirty.add(jobKey(job.id));
+    domain.commands.push({
+      kind: "report",
+      sentence: "Accepted a job.",
+      fields: {
+        job: job.id,
+        queue: policy.queue,
+        service: policy.service,
+        priority: policy.priority,
+        steps: job.steps.length,
+        tasks: job.steps.reduce((sum, step) => sum + step.taskCount, 0),
+        gangs: job.steps.filter((step) => step.gang).length,
+        opportunistic: job.steps.filter((step) => step.opportunistic).length,
+      },
+    });
     if (job.schedule === undefined) {
       run.nextOccurrence = 1;
       makeStepsReady(domain, run, openOccurrence(run, 0), moment);
--- a/src/domain/step_run.ts
+++ b/src/domain/step_run.ts
@@ -21,6 +21,8 @@
   advice: StepAdvice;
   /** The time by which the step has to start to meet the objective (wall). */
   latestStartMs: number;
+  /** The time after which a start is of no use to the caller (wall). */
+  uselessAfterMs: number;
   /** When the step became ready, on the steady clock. */
   readyAtMs: number;
 };
--- a/src/ownership/advisor.ts
+++ b/src/ownership/advisor.ts
@@ -14,12 +14,8 @@
 const SHORT_LANE_SHARE = 0.25;
 /** How long a lane that failed is left alone, in milliseconds. */
 const FAILED_LANE_PAUSE_MS = 1_500;
-
-/** A question that waits for a lane. */
-export type WaitingQuestion = AdviceQuestion & {
-  priority: number;
-  latestStartMs: number;
-};
+/** Weight of the latest question in the overhead of its lane. */
+const OVERHEAD_WEIGHT = 0.2;
 
 /** What an advisor needs. */
 export type AdvisorHost = {
@@ -33,14 +29,23 @@
     instance: string,
     question: AdviceQuestion,
   ): Promise<Advice | undefined>;
-  /** Whether the answer is still wanted. */
-  isWanted(question: WaitingQuestion): boolean;
+  /** Takes the most urgent question that takes no longer than the limit. */
+  takeQuestion(mostMs: number): AdviceQuestion | undefined;
   onAnswer(question: AdviceQuestion, advice: Advice | undefined): void;
   signal: AbortSignal;
 };
 
-/** Asks questions in order of urgency. */
-export type Advisor = { ask(question: WaitingQuestion): void };
+/** Sends questions while lanes are free. */
+export type Advisor = { dispatch(): void };
+
+type Lane = {
+  /** The question that it carries takes long. */
+  isLong: boolean;
+  isBusy: boolean;
+  pausedUntilMs: number;
+  /** Mean time beyond the cost of its questions, in milliseconds. */
+  overheadMs: number;
+};
 
 /**
  * Creates an advisor without questions.
@@ -48,81 +53,81 @@
  * @example
  * ```ts
  * const advisor = createAdvisor(host);
- * advisor.ask({ stepKey, workers, costMs: 40, priority: 0, latestStartMs });
+ * advisor.dispatch();
  * ```
  */
 export function createAdvisor(host: AdvisorHost): Advisor {
-  let waiting: WaitingQuestion[] = [];
-  const busy = new Map<string, { isLong: boolean }>();
-  const pausedUntilMs = new Map<string, number>();
+  const lanes = new Map<string, Lane>();
 
   function dispatch(): void {
     if (host.signal.aborted) return;
-    waiting = waiting.filter((question) => {
-      if (host.isWanted(question)) return true;
-      host.onAnswer(question, undefined);
-      return false;
-    });
-    waiting.sort((left, right) =>
-      left.priority - right.priority ||
-      left.latestStartMs - right.latestStartMs
-    );
-    const lanes = freeLanes();
-    const longLimit = longLaneLimit(host.instances().length);
-    waiting = waiting.filter((question) => {
-      const isLong = question.costMs > SHORT_QUESTION_MS;
-      if (isLong && countLong() >= longLimit) return true;
-      const lane = lanes.shift();
-      if (lane === undefined) return true;
-      send(lane, question, isLong);
-      return false;
-    });
+    for (const [instance, lane] of freeLanes()) {
+      const question = host.takeQuestion(longestCostMs());
+      if (question === undefined) return;
+      send(instance, lane, question);
+    }
   }
 
-  function freeLanes(): string[] {
+  /** Free lanes, those that answer fastest first. */
+  function freeLanes(): [string, Lane][] {
     const nowMs = host.clock.steadyMs();
-    return host.instances().filter((instance) =>
-      !busy.has(instance) && (pausedUntilMs.get(instance) ?? 0) <= nowMs
-    );
+    return host.instances()
+      .map((instance): [string, Lane] => [instance, laneOf(instance)])
+      .filter(([, lane]) => !lane.isBusy && lane.pausedUntilMs <= nowMs)
+      .sort(([, left], [, right]) => left.overheadMs - right.overheadMs);
   }
 
-  function countLong(): number {
-    return [...busy.values()].filter((lane) => lane.isLong).length;
+  function laneOf(instance: string): Lane {
+    const known = lanes.get(instance);
+    if (known !== undefined) return known;
+    const lane = {
+      isLong: false,
+      isBusy: false,
+      pausedUntilMs: 0,
+      overheadMs: 0,
+    };
+    lanes.set(instance, lane);
+    return lane;
+  }
+
+  /** Some lanes are left to short questions. */
+  function longestCostMs(): number {
+    const busyWithLong = [...lanes.values()]
+      .filter((lane) => lane.isBusy && lane.isLong).length;
+    const limit = longLaneLimit(host.instances().length);
+    return busyWithLong < limit ? Infinity : SHORT_QUESTION_MS;
   }
 
   async function send(
-    lane: string,
-    question: WaitingQuestion,
-    isLong: boolean,
+    instance: string,
+    lane: Lane,
+    question: AdviceQuestion,
   ): Promise<void> {
-    busy.set(lane, { isLong });
+    lane.isBusy = true;
+    lane.isLong = question.costMs > SHORT_QUESTION_MS;
     const sentAtMs = host.clock.steadyMs();
-    const advice = await host.askThrough(lane, question);
-    busy.delete(lane);
-    const elapsedMs = host.clock.steadyMs() - sentAtMs;
+    const advice = await host.askThrough(instance, question);
+    lane.isBusy = false;
+    const nowMs = host.clock.steadyMs();
+    const elapsedMs = nowMs - sentAtMs;
     host.counters.observe("advice_ms", elapsedMs);
-    if (advice === undefined) {
-      pausedUntilMs.set(lane, host.clock.steadyMs() + FAILED_LANE_PAUSE_MS);
-    }
+    if (advice === undefined) lane.pausedUntilMs = nowMs + FAILED_LANE_PAUSE_MS;
+    const overheadMs = Math.max(0, elapsedMs - question.costMs);
+    lane.overheadMs += OVERHEAD_WEIGHT * (overheadMs - lane.overheadMs);
     host.logger.info("Asked the placement policy.", {
       step: question.stepKey,
       workers: question.workers.length,
       allowed: advice?.allowed.length ?? -1,
-      through: lane,
+      through: instance,
       elapsedMs: Math.round(elapsedMs),
-      waiting: waiting.length,
+      costMs: Math.round(question.costMs),
     });
     if (host.signal.aborted) return;
     host.onAnswer(question, advice);
     dispatch();
   }
 
-  return {
-    ask(question) {
-      waiting.push(question);
-      dispatch();
-    },
-  };
+  return { dispatch };
 }
 
 function longLaneLimit(lanes: number): number {
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -22,6 +22,7 @@
   scheduleDomain,
   stepDomain,
   takeDirtyRecords,
+  takeQuestion,
   type WorkerListing,
   type WorkerOrder,
 } from "../domain/mod.ts";
@@ -241,7 +242,7 @@
     }),
     advisor: createAdvisor({
       ...host,
-      isWanted: (question) => domain.steps.get(question.stepKey)?.waiting !== 0,
+      takeQuestion: (mostMs) => takeQuestion(domain, momentOf(state), mostMs),
       onAnswer: (question, advice) =>
         emit(state, {
           kind: "advised",
@@ -276,9 +277,6 @@
       case "report":
         state.host.logger.info(command.sentence, command.fields);
         break;
-      case "advise":
-        state.advisor.ask(command);
-        break;
       case "order":
       case "answer":
       case "acknowledge":
@@ -308,7 +306,6 @@
         state.links.get(command.worker)?.link
           .acknowledge(command.bornMs, command.lastEnd);
         break;
-      case "advise":
       case "report":
         break;
       default:
@@ -336,6 +333,7 @@
   } catch (error) {
     return fail(state, error);
   }
+  state.advisor.dispatch();
   const endedAtMs = host.clock.steadyMs();
   const elapsedMs = endedAtMs - beganAtMs;
   host.counters.observe("pass_ms", elapsedMs);
