--- /dev/null
+++ b/stand_ins/platform/platform.ts
@@ -0,0 +1,173 @@
+/**
+ * Serves the stand-ins of the platform on loopback: the store, and workers
+ * that are listed in it.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { encodeRecords } from "../../platform/record_format.ts";
+import {
+  append,
+  createStore,
+  join,
+  leave,
+  newest,
+  owners,
+  read,
+  type Store,
+  type StoreAnswer,
+} from "./store.ts";
+import { answerOrder, createWorker, type Worker } from "./worker.ts";
+
+const LOOPBACK = "127.0.0.1";
+/** How long a look is held back, in milliseconds. */
+const LOOK_WAIT_MS = 40;
+
+/** The platform's stand-ins, listening. */
+export type Platform = {
+  /** `IP:port` of the store. */
+  address: string;
+  store: Store;
+  workers: Worker[];
+  close(): void;
+};
+
+/** What the platform offers. */
+export type PlatformOptions = {
+  partitions: number;
+  workers: number;
+  /** How long each task runs, in milliseconds. */
+  taskMs: number;
+  /** The operators' configuration, in the platform's words. */
+  configuration: object;
+};
+
+/**
+ * Starts the stand-ins.
+ *
+ * @example
+ * ```ts
+ * const platform = await startPlatform(options);
+ * ```
+ */
+export async function startPlatform(
+  options: PlatformOptions,
+): Promise<Platform> {
+  const store = createStore(options.partitions);
+  put(store, "keyed.op", "config", options.configuration);
+  const storeServer = await listen((request, body) =>
+    answerStore(store, request, body)
+  );
+  const servers = [storeServer];
+  const workers: Worker[] = [];
+  for (let index = 0; index < options.workers; index += 1) {
+    const worker = createWorker(`worker-${index}`, options.taskMs, Date.now());
+    const server = await listen((request, body) =>
+      answerWorker(worker, request, body)
+    );
+    workers.push(worker);
+    servers.push(server);
+    put(store, "keyed.servers", worker.id, {
+      service: "desk",
+      addr: addressOf(server),
+      zone: "a",
+      state: "ready",
+      labels: ["kind", "r1"],
+      capacity: { cpu: 8_000, mem_mb: 8_000, gpu: 0 },
+      born: worker.bornMs,
+    });
+  }
+  return {
+    address: addressOf(storeServer),
+    store,
+    workers,
+    close() {
+      for (const server of servers) {
+        server.close();
+        server.closeAllConnections();
+      }
+    },
+  };
+}
+
+function put(store: Store, topic: string, key: string, value: object): void {
+  const record = { key, value: JSON.stringify(value) };
+  append(
+    store,
+    new URLSearchParams({ topic, part: "0" }),
+    encodeRecords([record]),
+  );
+}
+
+function answerStore(
+  store: Store,
+  request: IncomingMessage,
+  body: Buffer,
+): StoreAnswer {
+  const url = new URL(request.url ?? "/", "http://store");
+  const nowMs = Date.now();
+  switch (url.pathname) {
+    case "/log-append":
+      return append(store, url.searchParams, body);
+    case "/log-read":
+      return read(store, url.searchParams);
+    case "/log-newest":
+      return newest(store, url.searchParams);
+    case "/log-join":
+      return join(store, JSON.parse(body.toString()), nowMs);
+    case "/log-leave":
+      return leave(store, JSON.parse(body.toString()));
+    case "/log-owners":
+      return owners(store, url.searchParams.get("group") ?? "", nowMs);
+    default:
+      return { status: 404, body: {} };
+  }
+}
+
+async function answerWorker(
+  worker: Worker,
+  request: IncomingMessage,
+  body: Buffer,
+): Promise<StoreAnswer> {
+  const path = request.url ?? "/";
+  const order = JSON.parse(body.toString());
+  if (path === "/hold" && order.wait_ms !== undefined) {
+    await new Promise((resolve) => setTimeout(resolve, LOOK_WAIT_MS));
+  }
+  return answerOrder(worker, path, order, Date.now());
+}
+
+async function listen(
+  answer: (
+    request: IncomingMessage,
+    body: Buffer,
+  ) => StoreAnswer | Promise<StoreAnswer>,
+): Promise<Server> {
+  const server = createServer(async (request, response) => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk);
+    send(response, await answer(request, Buffer.concat(chunks)));
+  });
+  server.listen(0, LOOPBACK);
+  await once(server, "listening");
+  return server;
+}
+
+function send(response: ServerResponse, answer: StoreAnswer): void {
+  const { status, body } = answer;
+  response.writeHead(status);
+  response.end(Buffer.isBuffer(body) ? body : JSON.stringify(body));
+}
+
+function addressOf(server: Server): string {
+  const { port } = server.address() as AddressInfo;
+  return `${LOOPBACK}:${port}`;
+}
--- /dev/null
+++ b/stand_ins/platform/worker.ts
@@ -0,0 +1,142 @@
+/**
+ * A stand-in of one of the platform's workers, in memory.
+ *
+ * @module
+ */
+import type { StoreAnswer } from "./store.ts";
+
+type Run = { attempt: number; endsAtMs: number };
+
+/** A worker in memory. */
+export type Worker = {
+  id: string;
+  bornMs: number;
+  fence: number;
+  running: Map<string, Run>;
+  /** Number, task, attempt, how it ended, checkpoint. */
+  ends: [number, string, number, string, string][];
+  nextEnd: number;
+  /** The highest attempt that ended or was stopped, by task. */
+  closed: Map<string, number>;
+  leaseUntilMs: number;
+  /** Every start that was carried out, in order. */
+  started: { task: string; attempt: number }[];
+  /** How long each run takes, in milliseconds. */
+  taskMs: number;
+};
+
+type Order = {
+  task: string;
+  attempt: number;
+  fencing_token: number;
+  deadline_ms?: number;
+  ack_cursor?: number;
+};
+
+/** Creates a worker that runs nothing. */
+export function createWorker(
+  id: string,
+  taskMs: number,
+  nowMs: number,
+): Worker {
+  return {
+    id,
+    bornMs: nowMs,
+    fence: 0,
+    running: new Map(),
+    ends: [],
+    nextEnd: 1,
+    closed: new Map(),
+    leaseUntilMs: 0,
+    started: [],
+    taskMs,
+  };
+}
+
+/** Answers one order. */
+export function answerOrder(
+  worker: Worker,
+  path: string,
+  order: Order,
+  nowMs: number,
+): StoreAnswer {
+  advance(worker, nowMs);
+  if (order.fencing_token < worker.fence) {
+    return refusal(worker, "fence", nowMs);
+  }
+  worker.fence = order.fencing_token;
+  if (order.deadline_ms !== undefined) {
+    worker.leaseUntilMs = Math.max(worker.leaseUntilMs, order.deadline_ms);
+  }
+  switch (path) {
+    case "/hold":
+      worker.ends = worker.ends.filter(([number]) =>
+        number > (order.ack_cursor ?? 0)
+      );
+      return { status: 200, body: lists(worker, nowMs) };
+    case "/run-start":
+      return start(worker, order, nowMs);
+    case "/run-stop":
+      end(worker, order.task, "stopped");
+      close(worker, order.task, order.attempt);
+      return done(worker, nowMs);
+    default:
+      return done(worker, nowMs);
+  }
+}
+
+function start(worker: Worker, order: Order, nowMs: number): StoreAnswer {
+  const { task, attempt } = order;
+  if (worker.running.get(task)?.attempt === attempt) return done(worker, nowMs);
+  if (attempt <= (worker.closed.get(task) ?? 0)) {
+    return refusal(worker, "old", nowMs);
+  }
+  if ((order.deadline_ms ?? 0) < nowMs) return refusal(worker, "late", nowMs);
+  worker.running.set(task, { attempt, endsAtMs: nowMs + worker.taskMs });
+  worker.started.push({ task, attempt });
+  return done(worker, nowMs);
+}
+
+function advance(worker: Worker, nowMs: number): void {
+  for (const [task, run] of worker.running) {
+    if (worker.leaseUntilMs < nowMs) end(worker, task, "lapsed");
+    else if (run.endsAtMs <= nowMs) end(worker, task, "done");
+  }
+}
+
+function end(worker: Worker, task: string, how: string): void {
+  const run = worker.running.get(task);
+  if (run === undefined) return;
+  worker.running.delete(task);
+  worker.ends.push([worker.nextEnd++, task, run.attempt, how, ""]);
+  close(worker, task, run.attempt);
+}
+
+function close(worker: Worker, task: string, attempt: number): void {
+  worker.closed.set(task, Math.max(attempt, worker.closed.get(task) ?? 0));
+}
+
+function lists(worker: Worker, nowMs: number): object {
+  const running = [...worker.running].map(([task, { attempt }]) => [
+    task,
+    attempt,
+    "",
+    1,
+    0,
+  ]);
+  return {
+    clock_ms: nowMs,
+    born: worker.bornMs,
+    running,
+    finished: worker.ends,
+  };
+}
+
+function done(worker: Worker, nowMs: number): StoreAnswer {
+  return { status: 200, body: { clock_ms: nowMs, born: worker.bornMs } };
+}
+
+function refusal(worker: Worker, reason: string, nowMs: number): StoreAnswer {
+  const body = { clock_ms: nowMs, born: worker.bornMs, reason };
+  return { status: 409, body };
+}
