Find jobs of queues that changed their service; stop tasks that stand still

Cause: a job stays in the domain of the service that ran its queue when it was accepted, so after a change of the route its state read 410 and a repeat would have been taken on twice; tasks that a worker leaves standing held their room for ever.

--- a/src/domain/load_patterns_test.ts
+++ b/src/domain/load_patterns_test.ts
@@ -9,8 +9,10 @@
   listWorkers,
   look,
   pass,
+  running,
   startsIn,
   step,
+  stopsIn,
   submit,
 } from "./testing/domain_bench.ts";
 
@@ -126,3 +128,34 @@
     assert.deepEqual(ask()?.workers.sort(), ["w1", "w2"]);
   });
 });
+
+describe("workers on which tasks stand still", () => {
+  const standing = (percent: number) => ({
+    running: [running("a.0.0.0", 1, { percent })],
+  });
+
+  it("lose the task to another worker", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"), listing("w2"));
+    submit(bench, "a", [step()]);
+    const [start] = startsIn(bench.commands);
+    look(bench, start!.worker, standing(12));
+    bench.nowMs += 3_500;
+    const [stop] = stopsIn(look(bench, start!.worker, standing(12)));
+    assert.equal(stop?.task, "a.0.0.0");
+    look(bench, start!.worker, { ended: [ended(1, "a.0.0.0", 1, "stopped")] });
+    const again = startsIn(bench.commands).at(-1);
+    assert.notEqual(again?.worker, start!.worker);
+  });
+
+  it("keep a task that is merely slow", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    submit(bench, "a", [step()]);
+    for (let percent = 1; percent < 10; percent += 1) {
+      bench.nowMs += 2_000;
+      look(bench, "w1", standing(percent));
+    }
+    assert.equal(stopsIn(bench.commands).length, 0);
+  });
+});
--- a/src/domain/step_domain.ts
+++ b/src/domain/step_domain.ts
@@ -18,6 +18,7 @@
 import { adjustPace } from "./pacing.ts";
 import { createDomainWorker } from "./placed.ts";
 import { schedule } from "./schedule.ts";
+import { stopStalledTasks } from "./stalls.ts";
 import { stopTask } from "./stops.ts";
 import { noteUnhealthy } from "./worker_health.ts";
 import type { WorkerListing } from "./worker_listing.ts";
@@ -194,6 +195,7 @@
   takeLook(domain, worker, event.look, moment);
   if (!wasHeld) repeatStops(domain, worker);
   adjustPace(domain, worker);
+  stopStalledTasks(domain, worker, moment);
   if (worker.lastEnd === before && worker.bornMs === bornBefore) return;
   domain.commands.push({
     kind: "acknowledge",
--- a/src/entry/configuration.ts
+++ b/src/entry/configuration.ts
@@ -19,6 +19,8 @@
   current(): Configuration | undefined;
   /** Puts a configuration in force, unless it is older than the current. */
   offer(configuration: Configuration): boolean;
+  /** Services that ran a queue before, as far as this process has seen. */
+  formerServices(queue: string): string[];
 };
 
 /**
@@ -32,13 +34,34 @@
  */
 export function createConfigurationState(): ConfigurationState {
   let current: Configuration | undefined;
+  const former = new Map<string, Set<string>>();
+
+  function remember(configuration: Configuration): void {
+    for (const { policy } of configuration.routes) {
+      const known = former.get(policy.queue);
+      if (known === undefined) {
+        former.set(policy.queue, new Set([policy.service]));
+      } else known.add(policy.service);
+    }
+  }
+
+  function serviceOf(queue: string): string | undefined {
+    return current?.routes.find(({ policy }) => policy.queue === queue)?.policy
+      .service;
+  }
+
   return {
     current: () => current,
+    formerServices: (queue) =>
+      [...former.get(queue) ?? []].filter((service) =>
+        service !== serviceOf(queue)
+      ),
     offer(configuration) {
       if (current !== undefined && configuration.version <= current.version) {
         return false;
       }
       current = configuration;
+      remember(configuration);
       return true;
     },
   };
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -35,6 +35,10 @@
     call: DomainCall,
     timeoutMs: number,
   ): Promise<PeerOutcome>;
+  /** The partition of an instance's domain that knows a job. */
+  findAt(instance: string, job: string): Promise<number | undefined>;
+  /** Services that ran a queue before. */
+  formerServices(queue: string): string[];
   signal: AbortSignal;
 };
 
@@ -96,6 +100,10 @@
     partitionOf(policy.service, host.partitions);
   return {
     async submit(request, policy, deadlineMs) {
+      // A repeat must not start a job again that another domain took on.
+      const isKnown = host.formerServices(policy.queue).length > 0 &&
+        await findElsewhere(host, request.id, domainOf(policy)) !== undefined;
+      if (isKnown) return { kind: "done", value: undefined };
       const call = {
         kind: "submit",
         partition: domainOf(policy),
@@ -110,11 +118,12 @@
         partition: domainOf(policy),
         job,
       } as const;
-      return readDone(await forward(host, call, job, deadlineMs));
+      const outcome = await forwardToJob(host, call, job, deadlineMs);
+      return readDone(outcome);
     },
     async stateOf(job, policy, deadlineMs) {
       const call = { kind: "state", partition: domainOf(policy), job } as const;
-      const outcome = await forward(host, call, job, deadlineMs);
+      const outcome = await forwardToJob(host, call, job, deadlineMs);
       if (outcome.kind !== "done") return outcome;
       const { value } = outcome;
       if (value.kind === "unknownJob") return { kind: "unknownJob" };
@@ -147,6 +156,42 @@
   return { kind: "undecided", cause: `the owner answered "${answer.kind}"` };
 }
 
+/**
+ * Brings a call about a job to the domain that knows it. That is another one
+ * than the queue's if the queue has changed its service since.
+ */
+async function forwardToJob(
+  host: EntryHost,
+  call: Extract<DomainCall, { job: string }>,
+  job: string,
+  deadlineMs: number,
+): Promise<EntryOutcome<DomainAnswer>> {
+  const outcome = await forward(host, call, job, deadlineMs);
+  if (outcome.kind !== "done" || outcome.value.kind !== "unknownJob") {
+    return outcome;
+  }
+  const partition = await findElsewhere(host, job, call.partition);
+  if (partition === undefined) return outcome;
+  return await forward(host, { ...call, partition }, job, deadlineMs);
+}
+
+/** The partition of another domain that knows a job. */
+async function findElsewhere(
+  host: EntryHost,
+  job: string,
+  besides: number,
+): Promise<number | undefined> {
+  const owners = new Set(Object.values(host.directory.known()));
+  const found = await Promise.all(
+    [...owners].map((owner) =>
+      owner === host.self ? host.holder.find(job) : host.findAt(owner, job)
+    ),
+  );
+  return found.find((partition) =>
+    partition !== undefined && partition !== besides
+  );
+}
+
 /** Brings a call to the owner of its domain. */
 async function forward(
   host: EntryHost,
--- a/src/entry/entry_test.ts
+++ b/src/entry/entry_test.ts
@@ -11,6 +11,14 @@
 function entryWith(...outcomes: PeerOutcome[]): {
   entry: Entry;
   calls: string[];
+} {
+  return entryOf(undefined, outcomes);
+}
+
+/** The same, where another domain is found to know the job. */
+function entryOf(found: number | undefined, outcomes: PeerOutcome[]): {
+  entry: Entry;
+  calls: string[];
 } {
   const clock = createManualClock();
   const calls: string[] = [];
@@ -22,12 +30,13 @@
       ownerOf: () => Promise.resolve(`peer-${calls.length}`),
       refresh: () => Promise.resolve(),
       adopt() {},
-      known: () => ({}),
+      known: () => ({ 9: "peer" }),
     },
     holder: {
       ownerOf: () => Promise.resolve(undefined),
       assign: () => Promise.resolve(),
       count: () => 0,
+      find: () => Promise.resolve(undefined),
       release() {},
       close: () => Promise.resolve(),
     },
@@ -41,6 +50,8 @@
       }
       return outcome;
     },
+    findAt: () => Promise.resolve(found),
+    formerServices: () => (found === undefined ? [] : ["old"]),
     signal: new AbortController().signal,
   });
   return { entry, calls };
@@ -82,3 +93,23 @@
     assert.ok(calls.length < 20);
   });
 });
+
+describe("a job of a queue that changed its service", () => {
+  it("is found in the domain that took it on", async () => {
+    const { entry } = entryOf(9, [
+      { kind: "answered", answer: { kind: "unknownJob" } },
+      { kind: "answered", answer: { kind: "state", state: "running" } },
+    ]);
+    const outcome = await entry.stateOf("a", policy(), 3_000);
+    assert.deepEqual(outcome, { kind: "done", value: "running" });
+  });
+
+  it("is not taken on again by the new domain", async () => {
+    const { entry, calls } = entryOf(9, [
+      { kind: "answered", answer: { kind: "accepted" } },
+    ]);
+    const outcome = await entry.submit(REQUEST, policy(), 3_000);
+    assert.equal(outcome.kind, "done");
+    assert.deepEqual(calls, []);
+  });
+});
--- a/src/entry/peer_call.ts
+++ b/src/entry/peer_call.ts
@@ -30,6 +30,8 @@
     workers: v.array(v.string()),
     costMs: v.number(),
   }),
+  /** Which of its domains knows a job. */
+  v.object({ kind: v.literal("find"), job: v.string() }),
   /** Which instance owns which domain, as the other one knows it. */
   v.object({ kind: v.literal("owners") }),
   /** A successor owns the domain; the earlier owner has to have ended. */
@@ -78,6 +80,12 @@
   validMs: v.number(),
 });
 
+/** Schema of the answer to the search for a job. */
+export const findAnswerSchema = v.object({
+  /** The partition whose domain knows the job. */
+  partition: v.optional(v.number()),
+});
+
 /** Schema of the answer to a call that only has to arrive. */
 export const doneAnswerSchema = v.object({ kind: v.literal("done") });
 
--- a/src/entry/peer_rpc.ts
+++ b/src/entry/peer_rpc.ts
@@ -15,6 +15,7 @@
   domainAnswerSchema,
   type DomainCall,
   doneAnswerSchema,
+  findAnswerSchema,
   ownersAnswerSchema,
   type PeerCall,
   peerCallSchema,
@@ -62,6 +63,8 @@
     question: AdviceQuestion,
   ): Promise<Advice | undefined>;
   owners(instance: string): Promise<Record<string, string> | undefined>;
+  /** The partition of an instance's domain that knows a job. */
+  find(instance: string, job: string): Promise<number | undefined>;
   /** Asks another instance to join now; tells whether it heard that. */
   confirm(instance: string): Promise<boolean>;
   /** Ends an earlier ownership; tells whether that is certain. */
@@ -110,6 +113,13 @@
       const parsed = v.safeParse(ownersAnswerSchema, result.value);
       return parsed.success ? parsed.output : undefined;
     },
+    async find(instance, job) {
+      const call = { kind: "find", job } as const;
+      const result = await send(instance, call, SHORT_TIMEOUT_MS);
+      if (result.isErr()) return undefined;
+      const parsed = v.safeParse(findAnswerSchema, result.value);
+      return parsed.success ? parsed.output.partition : undefined;
+    },
     confirm: (instance) => isDone(send, instance, { kind: "confirm" }),
     release: (instance, domain, epoch) =>
       isDone(send, instance, { kind: "release", domain, epoch }),
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -380,6 +380,8 @@
     logger: logger.part("entry"),
     partitions: settings.store.partitions,
     callPeer: running.rpc.callOwner,
+    findAt: running.rpc.find,
+    formerServices: (queue) => configuration.formerServices(queue),
     signal: running.ending.signal,
   });
   const callers = platform.createCallerServer({
@@ -414,6 +416,8 @@
     }
     case "owners":
       return running.directory.known();
+    case "find":
+      return { partition: await running.holder.find(call.job) };
     case "confirm":
       running.confirm();
       return { kind: "done" };
--- a/src/ownership/domain_holder.ts
+++ b/src/ownership/domain_holder.ts
@@ -32,6 +32,8 @@
 export type DomainHolder = {
   /** The owner of a domain; undefined where it is not owned here. */
   ownerOf(partition: number): Promise<DomainOwner | undefined>;
+  /** The partition of the domain owned here that knows a job. */
+  find(job: string): Promise<number | undefined>;
   /** How many domains are owned here. */
   count(): number;
   /** Brings the domains up to an assignment. */
@@ -134,6 +136,12 @@
 
   return {
     ownerOf: async (partition) => await held.get(partition)?.owner,
+    async find(job) {
+      for (const [partition, domain] of held) {
+        if ((await domain.owner)?.knows(job)) return partition;
+      }
+      return undefined;
+    },
     count: () => held.size,
     async assign({ generation, partitions }) {
       const numbers = new Set(partitions.map(({ number }) => number));
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -100,6 +100,7 @@
   /** The state of a job after everything before the call is in the store. */
   stateOf(job: string): Promise<JobState | "unknownJob" | "lost">;
   pendingJobs(queue: string): number;
+  knows(job: string): boolean;
   /** Resolves once nothing waits for the store. */
   settle(): Promise<void>;
 };
@@ -176,6 +177,7 @@
       return isSettled ? seen : "lost";
     },
     pendingJobs: (queue) => pendingJobs(domain, queue),
+    knows: (job) => domain.jobs.has(job),
     async settle() {
       await settle(state);
     },
