--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -243,6 +243,9 @@
       switch (attempt.kind) {
         case "answered":
           return { kind: "done", value: attempt.answer };
+        case "refused":
+          if (undecided !== undefined) break;
+          return { kind: "unavailable", cause: attempt.cause };
         case "nothing":
           cause = attempt.cause;
           break;
@@ -264,6 +267,8 @@
 
 type Attempt =
   | { kind: "answered"; answer: DomainAnswer }
+  /** Surely nothing was done, and no other instance could do it. */
+  | { kind: "refused"; cause: string }
   /** Surely nothing was done. */
   | { kind: "nothing"; cause: string }
   | { kind: "unknown"; cause: string };
@@ -274,6 +279,9 @@
       if (outcome.answer.kind === "lost") {
         return { kind: "unknown", cause: "the owner lost the domain" };
       }
+      if (outcome.answer.kind === "storeDown") {
+        return { kind: "refused", cause: "the store does not answer" };
+      }
       if (outcome.answer.kind === "notOwner") {
         return { kind: "nothing", cause: "the domain changes its owner" };
       }
--- a/src/entry/entry_test.ts
+++ b/src/entry/entry_test.ts
@@ -86,6 +86,24 @@
     assert.equal(outcome.kind, "undecided");
   });
 
+  it("is refused at once while the store is down", async () => {
+    const { entry, calls } = entryWith(
+      { kind: "answered", answer: { kind: "storeDown" } },
+    );
+    const outcome = await entry.submit(REQUEST, policy(), 3_000);
+    assert.equal(outcome.kind, "unavailable");
+    assert.equal(calls.length, 1);
+  });
+
+  it("is not called refused by an outage after an unknown attempt", async () => {
+    const { entry } = entryWith(
+      { kind: "unknown", cause: "no answer" },
+      { kind: "answered", answer: { kind: "storeDown" } },
+    );
+    const outcome = await entry.submit(REQUEST, policy(), 3_000);
+    assert.equal(outcome.kind, "undecided");
+  });
+
   it("is refused well before its deadline when nobody could take it", async () => {
     const { entry, calls } = entryWith({ kind: "unsent", cause: "refused" });
     const outcome = await entry.submit(REQUEST, policy(), 3_000);
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -47,6 +47,8 @@
 const PASS_GAP_FACTOR = 4;
 /** The longest time between two scheduling passes, in milliseconds. */
 const LONGEST_PASS_GAP_MS = 100;
+/** An append without an answer for this long means that the store is down. */
+const STORE_DOWN_AFTER_MS = 800;
 /** Pause between two questions whether a predecessor has ended, in ms. */
 const PREDECESSOR_RETRY_MS = 400;
 /** The slowest rate of a worker's clock. */
@@ -105,8 +107,13 @@
   settle(): Promise<void>;
 };
 
-/** The answer of an owner; `lost` if it lost the domain meanwhile. */
-export type OwnerAnswer = CallAnswer | { kind: "lost" };
+/** The answer of an owner. */
+export type OwnerAnswer =
+  | CallAnswer
+  /** The owner lost the domain; the change may be in the store. */
+  | { kind: "lost" }
+  /** The store does not answer, so the call was not taken on. */
+  | { kind: "storeDown" };
 
 type State = {
   host: DomainOwnerHost;
@@ -452,6 +459,9 @@
 ): Promise<OwnerAnswer> {
   return new Promise((resolve) => {
     if (state.host.signal.aborted) return resolve({ kind: "lost" });
+    if (state.writer.stalledMs() > STORE_DOWN_AFTER_MS) {
+      return resolve({ kind: "storeDown" });
+    }
     const number = state.nextCall++;
     state.calls.set(number, resolve);
     emit(state, eventOf(number));
--- a/src/ownership/domain_writer.ts
+++ b/src/ownership/domain_writer.ts
@@ -39,6 +39,8 @@
   /** When the store last confirmed an append, on the steady clock. */
   confirmedAtMs(): number;
   isIdle(): boolean;
+  /** How long the append in flight has had no answer, in milliseconds. */
+  stalledMs(): number;
 };
 
 /**
@@ -55,6 +57,7 @@
 export function createDomainWriter(host: DomainWriterHost): DomainWriter {
   let isRunning = false;
   let confirmedAtMs = host.clock.steadyMs();
+  let appendingSinceMs: number | undefined;
   let { sequence } = host;
 
   async function run(): Promise<void> {
@@ -72,6 +75,7 @@
 
   async function append(records: DomainRecord[]): Promise<boolean> {
     const { store, clock, partition, epoch, signal } = host;
+    appendingSinceMs = clock.steadyMs();
     for (let tries = 0; !signal.aborted; tries += 1) {
       const sentAtMs = clock.steadyMs();
       const fence = { epoch, sequence };
@@ -79,6 +83,7 @@
       const elapsedMs = clock.steadyMs() - sentAtMs;
       if (result.isOk()) {
         sequence += 1;
+        appendingSinceMs = undefined;
         confirmedAtMs = clock.steadyMs();
         host.counters.observe("append_ms", elapsedMs);
         return true;
@@ -111,6 +116,10 @@
     },
     confirmedAtMs: () => confirmedAtMs,
     isIdle: () => !isRunning,
+    stalledMs: () =>
+      appendingSinceMs === undefined
+        ? 0
+        : host.clock.steadyMs() - appendingSinceMs,
   };
 }
 
