--- a/src/domain/load_patterns_test.ts
+++ b/src/domain/load_patterns_test.ts
@@ -78,6 +78,38 @@
   });
 });
 
+describe("tasks that take most of a worker", () => {
+  const half = { cpuMillis: 1_000, memoryMb: 100, accelerators: 4 };
+
+  it("get a worker although small tasks wait for each bit of room", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"), listing("w2"));
+    submit(bench, "a", [step({ demand: half, taskCount: 4 })], { priority: 2 });
+    submit(bench, "large", [step({ demand: WHOLE })], { priority: 1 });
+    submit(bench, "b", [step({ demand: half, taskCount: 8 })], { priority: 2 });
+    const starts = startsIn(bench.commands);
+    bench.nowMs += 1_000;
+    for (const [index, start] of starts.entries()) {
+      look(bench, start.worker, {
+        ended: [ended(index + 1, start.task, 1, "done")],
+      });
+    }
+    const tasks = startsIn(bench.commands).map((start) => start.task);
+    assert.ok(tasks.includes("large.0.0.0"));
+  });
+
+  it("leave a kept worker to what ends before it is free", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"), listing("w2"));
+    const long = step({ demand: half, taskCount: 3, estimateMs: 9_000 });
+    submit(bench, "long", [long], { priority: 2 });
+    submit(bench, "large", [step({ demand: WHOLE })], { priority: 1 });
+    const short = step({ demand: half, estimateMs: 500 });
+    const [start] = startsIn(submit(bench, "short", [short], { priority: 2 }));
+    assert.equal(start?.task, "short.0.0.0");
+  });
+});
+
 describe("questions to the placement policy", () => {
   it("are put together when a lane is free, for the most urgent step", () => {
     const bench = createBench();
--- a/src/domain/place_gang.ts
+++ b/src/domain/place_gang.ts
@@ -13,13 +13,11 @@
 import { eligibleWorkers } from "./choose_worker.ts";
 import type { DomainWorker } from "./domain_worker.ts";
 import { reservationOf } from "./placed.ts";
+import { keep, leastBusyFirst, mayUse } from "./keeping.ts";
 import { type Pass, startTask } from "./schedule.ts";
 import type { StepRun } from "./step_run.ts";
 import { runLimit } from "./worker_health.ts";
 
-/** Part of its estimate that an overdue task is expected to take still. */
-const LEAST_REMAINING_SHARE = 0.2;
-
 /**
  * Starts a gang if there is room for all of it. Otherwise the workers that
  * will be free first are kept from steps of lower rank, so that a stream of
@@ -29,7 +27,7 @@
   const { domain, moment } = pass;
   if (run.waiting < run.step.taskCount) return;
   const candidates = [...eligibleWorkers(domain, run)].filter((worker) =>
-    worker.held && !pass.kept.has(worker) && mayBeAllowed(run, worker.id) &&
+    worker.held && mayUse(pass, worker, run) && mayBeAllowed(run, worker.id) &&
     runLimit(worker, moment.steadyMs) === Infinity
   );
   const seats = findSeats(
@@ -132,52 +130,15 @@
   candidates: DomainWorker[],
   seats: DomainWorker[] | undefined,
 ): void {
-  const { moment } = pass;
   const needsAdvice = run.job.job.policy.advice !== undefined;
   const usable = needsAdvice
     ? candidates.filter((worker) => run.advice.allowed.has(worker.id))
     : candidates;
   const kept = seats ??
     findSeats(
-      leastBusyFirst(usable, moment.steadyMs),
+      leastBusyFirst(pass, usable),
       run,
       (worker) => worker.capacity,
     );
-  for (const worker of kept ?? []) pass.kept.add(worker);
-}
-
-/** Workers in the order of the work that is left on them. */
-function leastBusyFirst(
-  workers: DomainWorker[],
-  nowMs: number,
-): DomainWorker[] {
-  return workers
-    .map((worker) => ({ worker, left: workLeft(worker, nowMs) }))
-    .sort((one, other) => one.left - other.left)
-    .map(({ worker }) => worker);
-}
-
-/** The work left on a worker, in milliseconds of its whole capacity. */
-function workLeft(worker: DomainWorker, nowMs: number): number {
-  let left = 0;
-  for (const { run, index, reserved } of worker.placed.values()) {
-    const task = run.tasks[index];
-    if (task?.kind !== "placed") continue;
-    const ranMs = nowMs - task.placedAtMs;
-    const remainingMs = Math.max(
-      run.step.estimateMs - ranMs,
-      LEAST_REMAINING_SHARE * run.step.estimateMs,
-    );
-    left += remainingMs * dominantShare(reserved, worker.capacity);
-  }
-  return left;
-}
-
-/** The largest share that an amount takes of any resource. */
-function dominantShare(amount: Resources, whole: Resources): number {
-  return Math.max(
-    amount.cpuMillis / Math.max(1, whole.cpuMillis),
-    amount.memoryMb / Math.max(1, whole.memoryMb),
-    amount.accelerators / Math.max(1, whole.accelerators),
-  );
+  for (const worker of kept ?? []) keep(pass, worker);
 }
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -9,6 +9,7 @@
 import type { Domain } from "./domain.ts";
 import type { Moment } from "./domain_event.ts";
 import type { DomainWorker } from "./domain_worker.ts";
+import { isLarge, keepForLarge, mayUse } from "./keeping.ts";
 import { stepRecordKey } from "./keys.ts";
 import { placeGang } from "./place_gang.ts";
 import { place } from "./placed.ts";
@@ -19,13 +20,13 @@
 export type Pass = {
   domain: Domain;
   moment: Moment;
-  /** Workers kept free for a step of higher rank. */
-  kept: Set<DomainWorker>;
+  /** Workers kept for a step of higher rank, and when they are free for it. */
+  kept: Map<DomainWorker, number>;
 };
 
 /** Places whatever can be placed now, and notes which steps need advice. */
 export function schedule(domain: Domain, moment: Moment): void {
-  const pass: Pass = { domain, moment, kept: new Set() };
+  const pass: Pass = { domain, moment, kept: new Map() };
   domain.wishes = [];
   for (const run of inRankOrder(domain.waiting, moment.wallMs)) {
     if (run.step.gang) placeGang(pass, run);
@@ -36,10 +37,14 @@
 function placeTasks(pass: Pass, run: StepRun): void {
   const { domain, moment } = pass;
   const candidates = [...eligibleWorkers(domain, run)].filter((worker) =>
-    !pass.kept.has(worker) && mayBeAllowed(run, worker.id) &&
+    mayUse(pass, worker, run) && mayBeAllowed(run, worker.id) &&
     hasRoom(worker, run, moment.steadyMs)
   );
-  if (candidates.length === 0) return;
+  const large = isLarge(pass, run);
+  if (candidates.length === 0) {
+    if (large) awaitLarge(pass, run);
+    return;
+  }
   const usable = candidates.filter((worker) =>
     hasTicket(run, worker.id, moment.steadyMs)
   );
@@ -49,8 +54,22 @@
     if (worker === undefined) break;
     startTask(pass, run, index, worker, nextAttempt(run, index));
   }
-  if (run.waiting === 0) domain.waiting.delete(run);
-  else if (mayAsk(run, moment.steadyMs)) domain.wishes.push(run);
+  if (run.waiting === 0) {
+    domain.waiting.delete(run);
+    return;
+  }
+  if (mayAsk(run, moment.steadyMs)) domain.wishes.push(run);
+  if (large) keepForLarge(pass, run);
+}
+
+/** A large step learns early where it may run, so that room can be kept. */
+function awaitLarge(pass: Pass, run: StepRun): void {
+  const { allowed, refused } = run.advice;
+  const isUnasked = allowed.size === 0 && refused.size === 0;
+  if (isUnasked && mayAsk(run, pass.moment.steadyMs)) {
+    pass.domain.wishes.push(run);
+  }
+  keepForLarge(pass, run);
 }
 
 /** The best worker with room; workers without room leave the list. */
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -245,6 +245,8 @@
           return { kind: "done", value: attempt.answer };
         case "refused":
           if (undecided !== undefined) break;
+          // The store may answer others, and one of them own the domain.
+          directory.refresh();
           return { kind: "unavailable", cause: attempt.cause };
         case "nothing":
           cause = attempt.cause;
--- a/src/entry/entry_test.ts
+++ b/src/entry/entry_test.ts
@@ -29,7 +29,7 @@
     directory: {
       ownerOf: () => Promise.resolve(`peer-${calls.length}`),
       refresh: () => Promise.resolve(),
-      adopt() {},
+      readStore: () => Promise.resolve(undefined),
       known: () => ({ 9: "peer" }),
     },
     holder: {
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -85,6 +85,8 @@
 /** How much later an instance without any processor would apply, in ms. */
 const SMALL_INSTANCE_WAIT_MS = 1_500;
 const MAX_RANDOM_WAIT_MS = 200;
+/** How many instances are asked for the owners while the store is silent. */
+const MAX_INSTANCES_ASKED = 3;
 /** Workers that one owner can carry. */
 const WORKERS_PER_OWNER = 150;
 
@@ -232,6 +234,7 @@
       clock,
       logger: logger.part("ownership"),
       group: GROUP,
+      readElsewhere: () => readOwnersElsewhere(running),
       signal,
     }),
     workers: createWorkerList(
@@ -402,6 +405,19 @@
   return { callers, internal: [peers, readiness, metrics] };
 }
 
+/** Asks a few other instances who owns the domains. */
+async function readOwnersElsewhere(
+  running: Running,
+): Promise<Record<string, string> | undefined> {
+  const { instances, rpc, self } = running;
+  const others = instances.addresses().filter((address) => address !== self);
+  for (const address of others.slice(0, MAX_INSTANCES_ASKED)) {
+    const owners = await rpc.owners(address);
+    if (owners !== undefined && Object.keys(owners).length > 0) return owners;
+  }
+  return undefined;
+}
+
 async function answerPeer(running: Running, call: PeerCall): Promise<unknown> {
   switch (call.kind) {
     case "advise": {
@@ -415,7 +431,7 @@
       return advice ?? null;
     }
     case "owners":
-      return running.directory.known();
+      return await running.directory.readStore() ?? {};
     case "find":
       return { partition: await running.holder.find(call.job) };
     case "confirm":
--- a/src/ownership/directory.ts
+++ b/src/ownership/directory.ts
@@ -12,6 +12,8 @@
   clock: Clock;
   logger: PartLogger;
   group: string;
+  /** The owners as another instance reads them; undefined if none can. */
+  readElsewhere(): Promise<Record<string, string> | undefined>;
   signal: AbortSignal;
 };
 
@@ -21,8 +23,8 @@
   ownerOf(partition: number): Promise<string | undefined>;
   /** Reads the owners again, since the last answer was wrong. */
   refresh(): Promise<void>;
-  /** Takes the owners that another instance read. */
-  adopt(owners: Record<string, string>): void;
+  /** Reads the owners from the store; undefined where it does not answer. */
+  readStore(): Promise<Record<string, string> | undefined>;
   /** Address of the owner by number of the partition. */
   known(): Record<string, string>;
 };
@@ -41,23 +43,32 @@
   let readAtMs = -Infinity;
   let reading: Promise<void> | undefined;
 
-  async function read(): Promise<void> {
-    const waitMs = readAtMs + LEAST_REFRESH_GAP_MS - host.clock.steadyMs();
-    if (waitMs > 0) await host.clock.sleep(waitMs, host.signal);
+  async function readStore(): Promise<Record<string, string> | undefined> {
     const result = await host.store.owners(host.group, host.signal);
-    readAtMs = host.clock.steadyMs();
     if (result.isErr()) {
       host.logger.warn("Cannot read the owners of the domains.", {
         fault: result.error.kind,
         cause: result.error.message,
       });
-      return;
+      return undefined;
     }
-    owners = new Map(
+    return Object.fromEntries(
       result.value.map(({ partition, member }) => [partition.number, member]),
     );
   }
 
+  /** A store that turns this instance away may still serve others. */
+  async function read(): Promise<void> {
+    const waitMs = readAtMs + LEAST_REFRESH_GAP_MS - host.clock.steadyMs();
+    if (waitMs > 0) await host.clock.sleep(waitMs, host.signal);
+    const found = await readStore() ?? await host.readElsewhere();
+    readAtMs = host.clock.steadyMs();
+    if (found === undefined) return;
+    owners = new Map(
+      Object.entries(found).map(([key, member]) => [Number(key), member]),
+    );
+  }
+
   async function refresh(): Promise<void> {
     reading ??= read().finally(() => {
       reading = undefined;
@@ -72,12 +83,7 @@
       return owners.get(partition);
     },
     refresh,
-    adopt(adopted) {
-      owners = new Map(
-        Object.entries(adopted).map(([key, member]) => [Number(key), member]),
-      );
-      readAtMs = host.clock.steadyMs();
-    },
+    readStore,
     known: () => Object.fromEntries(owners),
   };
 }
