--- a/src/domain/ends.ts
+++ b/src/domain/ends.ts
@@ -51,12 +51,14 @@
   }
 }
 
-function finishTask(
+/** Takes a task as done; the room of a later attempt stays taken. */
+export function finishTask(
   domain: Domain,
   run: StepRun,
   index: number,
   moment: Moment,
 ): void {
+  domain.dirty.add(stepRecordKey(run.key));
   markDone(run, index);
   // The members of a gang end together, so one end stands for all of them.
   if (run.step.gang) finishGang(run);
--- a/src/domain/looks.ts
+++ b/src/domain/looks.ts
@@ -6,7 +6,7 @@
 import type { Domain } from "./domain.ts";
 import type { DomainWorker, PlacedRef } from "./domain_worker.ts";
 import type { EndedRun, ListedRun, Look, Moment } from "./domain_event.ts";
-import { blamesWorker, endTask } from "./ends.ts";
+import { blamesWorker, endTask, finishTask } from "./ends.ts";
 import { release } from "./placed.ts";
 import { parseTaskName, type StepRun, taskNameOf } from "./step_run.ts";
 import { stopTask } from "./stops.ts";
@@ -21,7 +21,7 @@
   look: Look,
   moment: Moment,
 ): void {
-  if (worker.bornMs !== look.bornMs) takeRebirth(domain, worker, look, moment);
+  if (worker.bornMs !== look.bornMs) takeRebirth(domain, worker, look);
   const isFirst = !worker.held;
   worker.held = true;
   for (const ended of look.ended) takeEnd(domain, worker, ended, moment);
@@ -36,19 +36,15 @@
   }
 }
 
-/** A worker that started anew runs nothing of what it ran before. */
-function takeRebirth(
-  domain: Domain,
-  worker: DomainWorker,
-  look: Look,
-  moment: Moment,
-): void {
+/**
+ * A worker that started anew runs nothing of what it ran before. What it may
+ * have been given since is told by this look and the next.
+ */
+function takeRebirth(domain: Domain, worker: DomainWorker, look: Look): void {
   const isKnown = worker.bornMs !== 0;
   worker.bornMs = look.bornMs;
   worker.lastEnd = 0;
-  if (!isKnown) return;
-  forgetTickets(domain, worker.id);
-  loseTasks(domain, worker, moment);
+  if (isKnown) forgetTickets(domain, worker.id);
 }
 
 /** Takes every task off a worker that surely runs none of them. */
@@ -82,11 +78,12 @@
   if (found === undefined) return;
   const { run, index } = found;
   const task = run.tasks[index];
-  if (task?.kind !== "placed" || task.worker !== worker.id) {
-    release(worker, ended.task);
+  const isCurrent = task?.kind === "placed" && task.worker === worker.id &&
+    task.attempt === ended.attempt;
+  if (!isCurrent) {
+    takeOldEnd(domain, worker, ended, { run, index, moment });
     return;
   }
-  if (task.attempt !== ended.attempt) return;
   if (ended.checkpoint !== "") task.checkpoint = ended.checkpoint;
   if (run.step.gang) shareCheckpoint(run, task);
   domain.commands.push({
@@ -109,6 +106,35 @@
   endTask(domain, run, index, ended.end, moment);
 }
 
+/**
+ * The end of an attempt that was given up. If it was done after all, the task
+ * is done, and a later attempt must not run.
+ */
+function takeOldEnd(
+  domain: Domain,
+  worker: DomainWorker,
+  ended: EndedRun,
+  { run, index, moment }: { run: StepRun; index: number; moment: Moment },
+): void {
+  const task = run.tasks[index]!;
+  const isHere = task.kind === "placed" && task.worker === worker.id;
+  if (!isHere) release(worker, ended.task);
+  const isOpen = task.kind !== "done" && run.job.job.outcome === "open";
+  if (ended.end !== "done" || !isOpen || run.step.longRunning) return;
+  domain.commands.push({
+    kind: "report",
+    sentence: "An attempt that was given up is done.",
+    fields: {
+      job: run.job.job.id,
+      task: ended.task,
+      attempt: ended.attempt,
+      worker: worker.id,
+    },
+  });
+  stopTask(domain, run, index);
+  finishTask(domain, run, index, moment);
+}
+
 /** A checkpoint of any member is good for the whole gang. */
 function shareCheckpoint(run: StepRun, from: PlacedTask): void {
   if (from.checkpoint === undefined) return;
@@ -184,10 +210,13 @@
   const { phase } = task;
   // Under the new epoch, no order of an earlier owner can start it any more.
   const neverStarted = isFirst && phase.kind === "recorded";
+  // It ran in an earlier incarnation: an end in this one would be listed.
+  const vanished = phase.kind === "running" &&
+    phase.progressAtMs < look.sentAtMs;
   // A confirmed stop bars the attempt.
   const stopped = phase.kind === "stopping" &&
     phase.confirmedAtMs !== undefined && phase.confirmedAtMs < look.sentAtMs;
-  if (neverStarted || stopped) {
+  if (neverStarted || vanished || stopped) {
     endTask(domain, ref.run, ref.index, "lost", moment);
   }
 }
--- /dev/null
+++ b/src/domain/owner_model_test.ts
@@ -0,0 +1,11 @@
+import assert from "node:assert/strict";
+import { it } from "node:test";
+import { runModel } from "./testing/model.ts";
+
+const SEEDS = 400;
+
+it(`keeps its promises over changing owners, ${SEEDS} seeds`, () => {
+  for (let seed = 1; seed <= SEEDS; seed += 1) {
+    assert.deepEqual(runModel(seed), [], `seed ${seed}`);
+  }
+});
--- /dev/null
+++ b/src/domain/testing/model.ts
@@ -0,0 +1,384 @@
+/**
+ * A model of a domain over changing owners: workers that are cut off or start
+ * anew, and orders that arrive late, twice or never. Every step is drawn from
+ * a seed.
+ *
+ * @module
+ */
+import {
+  answerOrder,
+  createWorker,
+  type Worker,
+} from "../../../stand_ins/platform/worker.ts";
+import { createRandomness } from "../../clients/mod.ts";
+import type { Randomness } from "../../hosts/mod.ts";
+import type { DomainCommand, WorkerOrder } from "../domain_command.ts";
+import type { EndedRun, StartAnswer } from "../domain_event.ts";
+import { jobStateOf } from "../job_state.ts";
+import { findTask } from "../looks.ts";
+import {
+  cancel,
+  createBench,
+  type DomainBench,
+  feed,
+  listing,
+  pass,
+  step,
+  submit,
+  takeOverBench,
+} from "./domain_bench.ts";
+
+const WORKERS = 3;
+const LEASE_MS = 5_500;
+const TASK_MS = 700;
+const CHAOS_STEPS = 160;
+const CALM_STEPS = 400;
+const MAX_STEP_MS = 250;
+
+type ModelWorker = {
+  worker: Worker;
+  isCut: boolean;
+  acknowledged: number;
+  /** When the last lease granted to it lapses. */
+  leaseUntilMs: number;
+};
+
+type PendingOrder = {
+  order: WorkerOrder;
+  epoch: number;
+  dueAtMs: number;
+  /** The incarnation to which it was sent; it dies with that one. */
+  bornMs: number;
+  /** A second arrival, which the owner does not know of. */
+  isCopy: boolean;
+};
+
+/** A running model. */
+export type Model = {
+  bench: DomainBench;
+  random: Randomness;
+  epoch: number;
+  workers: Map<string, ModelWorker>;
+  orders: PendingOrder[];
+  jobs: string[];
+  /** Tasks whose end as done was acknowledged. */
+  noted: Set<string>;
+  /** Broken promises, in words. */
+  broken: string[];
+};
+
+/**
+ * Runs the model with one seed: a time of chaos, then a calm one.
+ *
+ * @returns the broken promises
+ */
+export function runModel(seed: number): string[] {
+  const model = createModel(seed);
+  for (let index = 0; index < CHAOS_STEPS; index += 1) chaos(model);
+  for (const held of model.workers.values()) held.isCut = false;
+  for (let index = 0; index < CALM_STEPS; index += 1) calm(model);
+  for (const job of model.jobs) {
+    const state = jobStateOf(model.bench.domain, job);
+    if (state === "completed" || state === "cancelled") continue;
+    model.broken.push(`job ${job} is ${state} at the end`);
+  }
+  return model.broken;
+}
+
+function createModel(seed: number): Model {
+  const bench = createBench();
+  const workers = new Map<string, ModelWorker>();
+  for (let index = 0; index < WORKERS; index += 1) {
+    const id = `w${index}`;
+    workers.set(id, {
+      worker: createWorker(id, TASK_MS, 1),
+      isCut: false,
+      acknowledged: 0,
+      leaseUntilMs: 0,
+    });
+  }
+  const model: Model = {
+    bench,
+    random: createRandomness(seed),
+    epoch: 1,
+    workers,
+    orders: [],
+    jobs: [],
+    noted: new Set(),
+    broken: [],
+  };
+  listAll(model);
+  return model;
+}
+
+function listAll(model: Model): void {
+  const workers = [...model.workers.values()].map(({ worker }) =>
+    listing(worker.id, { bornMs: worker.bornMs })
+  );
+  act(model, feed(model.bench, { kind: "workersListed", workers }));
+}
+
+function chaos(model: Model): void {
+  const { random, bench } = model;
+  advance(model);
+  switch (random.integer(0, 13)) {
+    case 0:
+    case 1:
+      return addJob(model);
+    case 2:
+      return cancelJob(model);
+    case 3:
+      return changeOwner(model);
+    case 4:
+      return cutOrHeal(model);
+    case 5:
+      return startAnew(model);
+    default:
+      act(model, pass(bench, 0));
+      for (const held of model.workers.values()) {
+        if (random.integer(0, 2) > 0) look(model, held);
+      }
+  }
+}
+
+function calm(model: Model): void {
+  advance(model);
+  act(model, pass(model.bench, 0));
+  for (const held of model.workers.values()) look(model, held);
+}
+
+function advance(model: Model): void {
+  model.bench.nowMs += model.random.integer(1, MAX_STEP_MS);
+  const due = model.orders.filter(({ dueAtMs }) =>
+    dueAtMs <= model.bench.nowMs
+  );
+  model.orders = model.orders.filter((pending) => !due.includes(pending));
+  for (const pending of due) deliver(model, pending);
+  for (const held of model.workers.values()) lapseIfDue(model, held);
+  checkWorkers(model);
+}
+
+function addJob(model: Model): void {
+  const id = `j${model.jobs.length}`;
+  model.jobs.push(id);
+  const steps = [step({ taskCount: model.random.integer(1, 4) })];
+  if (model.random.integer(0, 1) === 0) steps.push(step({ after: [0] }));
+  act(model, submit(model.bench, id, steps, { maxAttempts: 50 }));
+}
+
+function cancelJob(model: Model): void {
+  if (model.jobs.length === 0) return;
+  const index = model.random.integer(0, model.jobs.length - 1);
+  act(model, cancel(model.bench, model.jobs[index]!));
+}
+
+/** A new owner; orders of the former one may still arrive, or never do. */
+function changeOwner(model: Model): void {
+  model.epoch += 1;
+  model.orders = model.orders.filter(() => model.random.integer(0, 1) === 0);
+  for (const pending of model.orders) {
+    pending.dueAtMs += model.random.integer(0, 4_000);
+  }
+  takeOverBench(model.bench);
+  for (const held of model.workers.values()) {
+    held.acknowledged = 0;
+    // The former owner may have granted a lease just before it ended.
+    held.leaseUntilMs = Math.max(
+      held.leaseUntilMs,
+      model.bench.nowMs + LEASE_MS,
+    );
+  }
+  listAll(model);
+}
+
+function cutOrHeal(model: Model): void {
+  const held = anyWorker(model);
+  held.isCut = !held.isCut;
+  if (!held.isCut) return;
+  act(
+    model,
+    feed(model.bench, { kind: "workerSilent", worker: held.worker.id }),
+  );
+}
+
+function startAnew(model: Model): void {
+  const held = anyWorker(model);
+  const { id, bornMs } = held.worker;
+  held.worker = createWorker(id, TASK_MS, bornMs + 1);
+  held.acknowledged = 0;
+}
+
+function anyWorker(model: Model): ModelWorker {
+  const index = model.random.integer(0, WORKERS - 1);
+  return model.workers.get(`w${index}`)!;
+}
+
+function lapseIfDue(model: Model, held: ModelWorker): void {
+  const { bench } = model;
+  if (!held.isCut || bench.nowMs <= held.leaseUntilMs) return;
+  held.leaseUntilMs = Infinity;
+  act(model, feed(bench, { kind: "workerLapsed", worker: held.worker.id }));
+}
+
+function look(model: Model, held: ModelWorker): void {
+  if (held.isCut) return;
+  const { bench } = model;
+  const { worker } = held;
+  const leaseUntilMs = bench.nowMs + LEASE_MS;
+  held.leaseUntilMs = leaseUntilMs;
+  const answer = answerOrder(worker, "/hold", {
+    task: "",
+    attempt: 0,
+    fencing_token: model.epoch,
+    deadline_ms: leaseUntilMs,
+    ack_cursor: held.acknowledged,
+  }, bench.nowMs);
+  if (answer.status !== 200) return;
+  const running = [...worker.running].map(([task, { attempt }]) => ({
+    task,
+    attempt,
+    checkpoint: "",
+    percent: bench.nowMs % 100,
+    reading: 0,
+  }));
+  const ended = worker.ends.map((
+    [number, task, attempt, end, checkpoint],
+  ): EndedRun => ({
+    number,
+    task,
+    attempt,
+    end: end as EndedRun["end"],
+    checkpoint,
+  }));
+  act(
+    model,
+    feed(bench, {
+      kind: "looked",
+      worker: worker.id,
+      look: { bornMs: worker.bornMs, running, ended, sentAtMs: bench.nowMs },
+    }),
+  );
+}
+
+function act(model: Model, commands: DomainCommand[]): void {
+  for (const command of commands) {
+    if (command.kind === "order") send(model, command.order);
+    if (command.kind === "acknowledge") acknowledge(model, command);
+  }
+}
+
+function acknowledge(
+  model: Model,
+  command: Extract<DomainCommand, { kind: "acknowledge" }>,
+): void {
+  const held = model.workers.get(command.worker);
+  if (held === undefined || held.worker.bornMs !== command.bornMs) return;
+  held.acknowledged = command.lastEnd;
+  for (const [number, task, , how] of held.worker.ends) {
+    if (number <= command.lastEnd && how === "done") model.noted.add(task);
+  }
+}
+
+/** An order arrives now, late, or twice. */
+function send(model: Model, order: WorkerOrder): void {
+  const { random, bench, epoch } = model;
+  const lateMs = random.integer(0, 5) === 0 ? random.integer(0, 4_000) : 0;
+  const bornMs = model.workers.get(order.worker)?.worker.bornMs ?? 0;
+  const dueAtMs = bench.nowMs + lateMs;
+  const pending = { order, epoch, bornMs, dueAtMs, isCopy: false };
+  model.orders.push(pending);
+  if (random.integer(0, 5) > 0) return;
+  model.orders.push({
+    ...pending,
+    isCopy: true,
+    dueAtMs: bench.nowMs + random.integer(0, 4_000),
+  });
+}
+
+function deliver(model: Model, pending: PendingOrder): void {
+  const { bench } = model;
+  const { order, epoch } = pending;
+  const held = model.workers.get(order.worker);
+  if (held === undefined) return;
+  const { bornMs } = held.worker;
+  if (bornMs !== pending.bornMs || held.isCut) {
+    repeat(model, { ...pending, bornMs });
+    return;
+  }
+  const deadline = { deadline_ms: bench.nowMs + LEASE_MS };
+  const startedBefore = held.worker.started.length;
+  const answer = answerOrder(
+    held.worker,
+    order.kind === "start" ? "/run-start" : "/run-stop",
+    {
+      task: order.task,
+      attempt: order.attempt,
+      fencing_token: epoch,
+      ...(order.kind === "start" ? deadline : {}),
+    },
+    bench.nowMs,
+  );
+  if (held.worker.started.length > startedBefore) {
+    held.leaseUntilMs = Math.max(held.leaseUntilMs, deadline.deadline_ms);
+    checkStart(model, held.worker.id, order.task);
+  }
+  if (epoch !== model.epoch) return;
+  if (order.kind === "stop") {
+    if (answer.status !== 200) return;
+    act(model, feed(bench, { ...order, kind: "stopConfirmed" }));
+    return;
+  }
+  act(
+    model,
+    feed(bench, {
+      ...order,
+      kind: "startAnswered",
+      answer: answerOf(answer.status),
+    }),
+  );
+}
+
+/** The owner repeats an order that still holds until the worker answers. */
+function repeat(model: Model, pending: PendingOrder): void {
+  const { order, epoch, isCopy } = pending;
+  if (isCopy || epoch !== model.epoch) return;
+  const found = findTask(model.bench.domain, order.task);
+  const task = found?.run.tasks[found.index];
+  const isPlaced = task?.kind === "placed" && task.worker === order.worker &&
+    task.attempt === order.attempt;
+  const holds = order.kind === "start"
+    ? isPlaced && task.phase.kind === "starting"
+    : !isPlaced || task.phase.kind === "stopping";
+  if (!holds) return;
+  model.orders.push({ ...pending, dueAtMs: model.bench.nowMs + MAX_STEP_MS });
+}
+
+function answerOf(status: number): StartAnswer {
+  return status === 200 ? { kind: "accepted" } : { kind: "superseded" };
+}
+
+function checkStart(model: Model, worker: string, task: string): void {
+  if (model.noted.has(task)) {
+    model.broken.push(`${task} started again after its end was noted`);
+  }
+  for (const [id, held] of model.workers) {
+    if (
+      id !== worker && held.worker.running.has(task) && isLeased(model, held)
+    ) {
+      model.broken.push(`${task} runs on ${id} and ${worker}`);
+    }
+  }
+}
+
+function isLeased(model: Model, held: ModelWorker): boolean {
+  return held.worker.leaseUntilMs >= model.bench.nowMs;
+}
+
+/** No worker runs more than it can hold: 8 tasks of one core and 1 GB. */
+function checkWorkers(model: Model): void {
+  for (const [id, { worker }] of model.workers) {
+    if (worker.running.size > 8) {
+      model.broken.push(`${id} runs ${worker.running.size} tasks`);
+    }
+  }
+}
