Let the lease of a silent worker lapse; believe a worker that leaves the list

A silent worker is now asked without a lease. A worker that takes itself off the list has ended, so its tasks wait for nothing.

--- a/src/domain/testing/model.ts
+++ b/src/domain/testing/model.ts
@@ -10,6 +10,7 @@
   createWorker,
   type Worker,
 } from "../../../stand_ins/platform/worker.ts";
+import type { StoreAnswer } from "../../../stand_ins/platform/store.ts";
 import { createRandomness } from "../../clients/mod.ts";
 import type { Randomness } from "../../hosts/mod.ts";
 import type { DomainCommand, WorkerOrder } from "../domain_command.ts";
@@ -41,12 +42,16 @@
   acknowledged: number;
   /** When the last lease granted to it lapses. */
   leaseUntilMs: number;
+  /** Ends before a lapse of the lease; they count for nobody any more. */
+  lapsedEnds: Set<number>;
 };
 
 type PendingOrder = {
   order: WorkerOrder;
   epoch: number;
   dueAtMs: number;
+  /** End of the lease that a start carries. */
+  deadlineMs: number;
   /** The incarnation to which it was sent; it dies with that one. */
   bornMs: number;
   /** A second arrival, which the owner does not know of. */
@@ -95,6 +100,7 @@
       isCut: false,
       acknowledged: 0,
       leaseUntilMs: 0,
+      lapsedEnds: new Set(),
     });
   }
   const model: Model = {
@@ -154,7 +160,10 @@
   );
   model.orders = model.orders.filter((pending) => !due.includes(pending));
   for (const pending of due) deliver(model, pending);
-  for (const held of model.workers.values()) lapseIfDue(model, held);
+  for (const held of model.workers.values()) {
+    noteLapse(model, held);
+    lapseIfDue(model, held);
+  }
   checkWorkers(model);
 }
 
@@ -206,6 +215,7 @@
   const { id, bornMs } = held.worker;
   held.worker = createWorker(id, TASK_MS, bornMs + 1);
   held.acknowledged = 0;
+  held.lapsedEnds.clear();
 }
 
 function anyWorker(model: Model): ModelWorker {
@@ -213,6 +223,11 @@
   return model.workers.get(`w${index}`)!;
 }
 
+function noteLapse(model: Model, held: ModelWorker): void {
+  if (held.worker.leaseUntilMs >= model.bench.nowMs) return;
+  for (const [number] of held.worker.ends) held.lapsedEnds.add(number);
+}
+
 function lapseIfDue(model: Model, held: ModelWorker): void {
   const { bench } = model;
   if (!held.isCut || bench.nowMs <= held.leaseUntilMs) return;
@@ -275,17 +290,30 @@
   if (held === undefined || held.worker.bornMs !== command.bornMs) return;
   held.acknowledged = command.lastEnd;
   for (const [number, task, , how] of held.worker.ends) {
-    if (number <= command.lastEnd && how === "done") model.noted.add(task);
+    const counts = number <= command.lastEnd && !held.lapsedEnds.has(number);
+    if (counts && how === "done") model.noted.add(task);
   }
 }
 
+/** A start grants a lease when it is sent, whenever it arrives. */
+function grant(model: Model, order: WorkerOrder): number {
+  const held = model.workers.get(order.worker);
+  const untilMs = model.bench.nowMs + LEASE_MS;
+  if (held === undefined || held.isCut || order.kind !== "start") {
+    return model.bench.nowMs;
+  }
+  held.leaseUntilMs = Math.max(held.leaseUntilMs, untilMs);
+  return untilMs;
+}
+
 /** An order arrives now, late, or twice. */
 function send(model: Model, order: WorkerOrder): void {
   const { random, bench, epoch } = model;
   const lateMs = random.integer(0, 5) === 0 ? random.integer(0, 4_000) : 0;
   const bornMs = model.workers.get(order.worker)?.worker.bornMs ?? 0;
   const dueAtMs = bench.nowMs + lateMs;
-  const pending = { order, epoch, bornMs, dueAtMs, isCopy: false };
+  const deadlineMs = grant(model, order);
+  const pending = { order, epoch, bornMs, dueAtMs, deadlineMs, isCopy: false };
   model.orders.push(pending);
   if (random.integer(0, 5) > 0) return;
   model.orders.push({
@@ -305,7 +333,7 @@
     repeat(model, { ...pending, bornMs });
     return;
   }
-  const deadline = { deadline_ms: bench.nowMs + LEASE_MS };
+  const deadline = { deadline_ms: pending.deadlineMs };
   const startedBefore = held.worker.started.length;
   const answer = answerOrder(
     held.worker,
@@ -319,7 +347,6 @@
     bench.nowMs,
   );
   if (held.worker.started.length > startedBefore) {
-    held.leaseUntilMs = Math.max(held.leaseUntilMs, deadline.deadline_ms);
     checkStart(model, held.worker.id, order.task);
   }
   if (epoch !== model.epoch) return;
@@ -333,7 +360,7 @@
     feed(bench, {
       ...order,
       kind: "startAnswered",
-      answer: answerOf(answer.status),
+      answer: answerOf(answer),
     }),
   );
 }
@@ -350,11 +377,18 @@
     ? isPlaced && task.phase.kind === "starting"
     : !isPlaced || task.phase.kind === "stopping";
   if (!holds) return;
-  model.orders.push({ ...pending, dueAtMs: model.bench.nowMs + MAX_STEP_MS });
+  model.orders.push({
+    ...pending,
+    dueAtMs: model.bench.nowMs + MAX_STEP_MS,
+    deadlineMs: grant(model, order),
+  });
 }
 
-function answerOf(status: number): StartAnswer {
-  return status === 200 ? { kind: "accepted" } : { kind: "superseded" };
+function answerOf(answer: StoreAnswer): StartAnswer {
+  if (answer.status === 200) return { kind: "accepted" };
+  const { reason } = answer.body as { reason: string };
+  if (reason !== "late") return { kind: "superseded" };
+  return { kind: "rejected", cause: "late", earlierUnknown: true };
 }
 
 function checkStart(model: Model, worker: string, task: string): void {
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -53,6 +53,10 @@
     /** Address of the placement policy; empty where there is none. */
     address: v.optional(v.string(), ""),
   }),
+  workers: v.object({
+    /** How often a worker confirms its entry in the list, in ms. */
+    heartbeat_ms: wholeNumber(1, HOUR_MS),
+  }),
   lease: v.object({
     /** The longest lease that a worker accepts, in milliseconds. */
     max_ms: wholeNumber(100, HOUR_MS),
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -240,6 +240,8 @@
     workers: createWorkerList(
       platform.decodeWorker,
       logger.part("ownership"),
+      clock,
+      settings.workers.heartbeatMs,
     ),
     holder: undefined!,
     instances: createInstanceList(self),
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -400,6 +400,15 @@
     openLink(state, worker);
   }
   const listed = new Set(workers.map(({ id }) => id));
+  for (const [id, worker] of domain.workers) {
+    const hasEnded = !listed.has(id) && host.list.hasLeft(id);
+    if (!hasEnded || worker.placed.size === 0) continue;
+    host.logger.info("A worker ended with tasks on it.", {
+      worker: id,
+      tasks: worker.placed.size,
+    });
+    emit(state, { kind: "workerLapsed", worker: id });
+  }
   for (const [id, { ending }] of links) {
     // A worker that left the list may still run what it was given.
     const isIdle = (domain.workers.get(id)?.placed.size ?? 0) === 0;
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -122,7 +122,8 @@
 async function lookOnce(state: State): Promise<boolean> {
   const { host } = state;
   const sentAtMs = host.clock.steadyMs();
-  const leaseUntilMs = host.mayGrant()
+  // A lease that a silent worker may or may not receive would never lapse.
+  const leaseUntilMs = host.mayGrant() && !state.isSilent
     ? grantLease(state.clock, host.leaseMs, sentAtMs)
     : undefined;
   const waitMs = leaseUntilMs === undefined ? 0 : LOOK_WAIT_MS;
@@ -223,7 +224,7 @@
   let earlierUnknown = false;
   while (host.isCurrent(order) && !host.signal.aborted) {
     const nowMs = host.clock.steadyMs();
-    const leaseUntilMs = host.mayGrant()
+    const leaseUntilMs = host.mayGrant() && !state.isSilent
       ? grantLease(state.clock, host.leaseMs, nowMs)
       : undefined;
     if (leaseUntilMs === undefined) {
--- /dev/null
+++ b/src/ownership/worker_link_test.ts
@@ -0,0 +1,62 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { err, ok } from "neverthrow";
+import type { DomainEvent } from "../domain/mod.ts";
+import {
+  createManualClock,
+  silentLogger,
+} from "../entry/testing/manual_clock.ts";
+import type { TaskHost } from "../hosts/mod.ts";
+import { createCounters } from "../telemetry/mod.ts";
+import { openWorkerLink } from "./worker_link.ts";
+
+const LEASE_MS = 5_000;
+const MAX_LOOKS = 500;
+
+describe("the lease of a worker that falls silent", () => {
+  it("lapses although the owner goes on asking", async () => {
+    const clock = createManualClock();
+    const ending = new AbortController();
+    const events: DomainEvent["kind"][] = [];
+    let looks = 0;
+    const tasks = {
+      async look() {
+        looks += 1;
+        if (looks > MAX_LOOKS) ending.abort();
+        await clock.sleep(100, ending.signal);
+        if (looks > 5) {
+          return err({
+            kind: "unknown",
+            step: "worker.look",
+            peer: "w",
+            message: "no answer",
+          });
+        }
+        const clockMs = clock.steadyMs();
+        return ok({ clockMs, bornMs: 1, running: [], ended: [] });
+      },
+    } as unknown as TaskHost;
+    await new Promise<void>((resolve) => {
+      ending.signal.addEventListener("abort", () => resolve());
+      openWorkerLink({
+        tasks,
+        clock,
+        logger: silentLogger,
+        counters: createCounters(),
+        target: { id: "w", address: "10.0.0.1:1", epoch: 1 },
+        leaseMs: LEASE_MS,
+        earlierLeasesLapsedAtMs: () => 0,
+        mayGrant: () => true,
+        emit(event) {
+          events.push(event.kind);
+          if (event.kind === "workerLapsed") ending.abort();
+        },
+        isCurrent: () => true,
+        onFenced() {},
+        signal: ending.signal,
+      });
+    });
+    assert.equal(events.at(-1), "workerLapsed");
+    assert.ok(clock.steadyMs() < 500 + LEASE_MS * 1.2);
+  });
+});
--- a/src/ownership/worker_list.ts
+++ b/src/ownership/worker_list.ts
@@ -1,10 +1,18 @@
 import type { WorkerListing } from "../domain/mod.ts";
-import type { KeyedRecord } from "../hosts/mod.ts";
+import type { Clock, KeyedRecord } from "../hosts/mod.ts";
 import type { PartLogger } from "../telemetry/mod.ts";
 
+/** A silent worker is dropped from the list after three heartbeats. */
+const DROPPED_AFTER_HEARTBEATS = 2.5;
+
 /** The platform's list of workers as this instance last read it. */
 export type WorkerList = {
   workers(): WorkerListing[];
+  /**
+   * Whether a worker took itself off the list, rather than being dropped
+   * after a silence: it has ended, and so has all that it ran.
+   */
+  hasLeft(id: string): boolean;
   /** Takes in records of the list; a record without a value removes one. */
   apply(records: KeyedRecord[]): void;
   /** Replaces the whole list. */
@@ -24,15 +32,20 @@
  *
  * @example
  * ```ts
- * const list = createWorkerList(decodeWorker, logger);
+ * const list = createWorkerList(decodeWorker, logger, clock, 1_500);
  * list.subscribe(() => update(list.workers()), signal);
  * ```
  */
 export function createWorkerList(
   decode: ListingDecoder,
   logger: PartLogger,
+  clock: Clock,
+  heartbeatMs: number,
 ): WorkerList {
   let workers = new Map<string, WorkerListing>();
+  /** When each worker was last heard of, on the steady clock. */
+  const heardAtMs = new Map<string, number>();
+  const left = new Set<string>();
   const subscribers = new Set<() => void>();
 
   function take(records: KeyedRecord[]): boolean {
@@ -48,7 +61,13 @@
     if (value === undefined) {
       if (known === undefined) return false;
       workers.delete(id);
-      logger.info("A worker left the list.", { worker: id });
+      const silentMs = clock.steadyMs() - (heardAtMs.get(id) ?? -Infinity);
+      if (silentMs < heartbeatMs * DROPPED_AFTER_HEARTBEATS) left.add(id);
+      logger.info("A worker left the list.", {
+        worker: id,
+        silentMs: Math.round(silentMs),
+        ended: left.has(id),
+      });
       return true;
     }
     const decoded = decode(id, value);
@@ -61,6 +80,8 @@
     }
     const { listing } = decoded;
     workers.set(id, listing);
+    heardAtMs.set(id, clock.steadyMs());
+    left.delete(id);
     if (known === undefined || isChange(known, listing)) {
       logger.info("The worker list changed.", {
         worker: id,
@@ -79,6 +100,7 @@
 
   return {
     workers: () => [...workers.values()],
+    hasLeft: (id) => left.has(id),
     apply(records) {
       if (take(records)) notify();
     },
