--- a/src/entry/peer_call.ts
+++ b/src/entry/peer_call.ts
@@ -40,6 +40,8 @@
     domain: v.number(),
     epoch: v.number(),
   }),
+  /** The store turns a member away; the instance takes its place. */
+  v.object({ kind: v.literal("succeed"), member: v.string() }),
   /** Domains were given up; a member gets them when it confirms itself. */
   v.object({ kind: v.literal("confirm") }),
 ]);
--- a/src/entry/peer_rpc.ts
+++ b/src/entry/peer_rpc.ts
@@ -67,6 +67,8 @@
   find(instance: string, job: string): Promise<number | undefined>;
   /** Asks another instance to join now; tells whether it heard that. */
   confirm(instance: string): Promise<boolean>;
+  /** Asks another instance to take a member's place; tells whether it does. */
+  succeed(instance: string, member: string): Promise<boolean>;
   /** Ends an earlier ownership; tells whether that is certain. */
   release(instance: string, domain: number, epoch: number): Promise<boolean>;
 };
@@ -121,6 +123,8 @@
       return parsed.success ? parsed.output.partition : undefined;
     },
     confirm: (instance) => isDone(send, instance, { kind: "confirm" }),
+    succeed: (instance, member) =>
+      isDone(send, instance, { kind: "succeed", member }),
     release: (instance, domain, epoch) =>
       isDone(send, instance, { kind: "release", domain, epoch }),
   };
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -85,6 +85,11 @@
 /** How much later an instance without any processor would apply, in ms. */
 const SMALL_INSTANCE_WAIT_MS = 1_500;
 const MAX_RANDOM_WAIT_MS = 200;
+/** How often an owner looks whether the store still confirms it, in ms. */
+const WATCH_INTERVAL_MS = 150;
+/** Refusals by the store in a row after which another instance is asked. */
+const MAX_REFUSALS = 2;
+const RESIGN_PAUSE_MS = 1_000;
 /** How many instances are asked for the owners while the store is silent. */
 const MAX_INSTANCES_ASKED = 3;
 /** Workers that one owner can carry. */
@@ -109,6 +114,10 @@
   confirmedAtMs: () => number;
   /** Confirms the membership at once. */
   confirm: () => void;
+  /** How often in a row the store has turned this member away. */
+  refusals: () => number;
+  /** Gives the membership up to another instance. */
+  resign: () => void;
   /** Whether the store has said who the members of the group are. */
   isGroupKnown: () => boolean;
   /** Aborts when the planned stop begins. */
@@ -163,6 +172,9 @@
   });
   running.confirmedAtMs = membership.confirmedAtMs;
   running.confirm = membership.confirm;
+  running.resign = membership.resign;
+  running.refusals = membership.refusals;
+  watchMembership(running);
   running.isGroupKnown = membership.isKnown;
   if (!stopping.signal.aborted) await once(stopping.signal, "abort");
   await stop(running, servers);
@@ -255,6 +267,8 @@
     },
     confirmedAtMs: () => -Infinity,
     confirm: () => {},
+    refusals: () => 0,
+    resign: () => {},
     isGroupKnown: () => false,
     stopping: new AbortController(),
     ending,
@@ -407,6 +421,43 @@
   return { callers, internal: [peers, readiness, metrics] };
 }
 
+/** Takes the place of a member that the store turns away. */
+async function succeed(running: Running, member: string): Promise<unknown> {
+  const { platform, ending, confirm } = running;
+  const replaced = { ...running.member, member };
+  const left = await platform.store.leave(replaced, ending.signal);
+  if (left.isErr()) return { kind: "refused", cause: left.error.message };
+  confirm();
+  return { kind: "done" };
+}
+
+/**
+ * Hands the domains over when the store no longer confirms the membership but
+ * still serves another instance, which is far quicker than the lapse of the
+ * membership.
+ */
+async function watchMembership(running: Running): Promise<void> {
+  const { clock, holder, stopping, instances, rpc, self, logger } = running;
+  const { signal } = stopping;
+  while (!signal.aborted) {
+    await clock.sleep(WATCH_INTERVAL_MS, signal);
+    const refusals = running.refusals();
+    if (refusals < MAX_REFUSALS || holder.count() === 0) continue;
+    const others = instances.addresses().filter((other) => other !== self);
+    for (const instance of others.slice(0, MAX_INSTANCES_ASKED)) {
+      if (!await rpc.succeed(instance, running.member.member)) continue;
+      logger.part("ownership").warn("Handed the domains over.", {
+        instance,
+        refusals,
+      });
+      running.resign();
+      // The next look is at a new membership.
+      await clock.sleep(RESIGN_PAUSE_MS, signal);
+      break;
+    }
+  }
+}
+
 /** Asks a few other instances who owns the domains. */
 async function readOwnersElsewhere(
   running: Running,
@@ -439,6 +490,8 @@
     case "confirm":
       running.confirm();
       return { kind: "done" };
+    case "succeed":
+      return await succeed(running, call.member);
     case "release":
       running.holder.release(call.domain, call.epoch);
       return { kind: "done" };
--- a/src/ownership/domain_writer.ts
+++ b/src/ownership/domain_writer.ts
@@ -5,7 +5,7 @@
 /** First pause before an append is repeated, in milliseconds. */
 const FIRST_RETRY_MS = 40;
 /** The longest pause before an append is repeated, in milliseconds. */
-const LONGEST_RETRY_MS = 400;
+const LONGEST_RETRY_MS = 150;
 /** The most bytes of records in one append; a call may hold 2 MiB. */
 const MAX_APPEND_BYTES = 1_000_000;
 
--- a/src/ownership/group_membership.ts
+++ b/src/ownership/group_membership.ts
@@ -12,7 +12,7 @@
 import type { PartLogger } from "../telemetry/mod.ts";
 
 /** How often a member confirms that it lives, in milliseconds. */
-export const JOIN_INTERVAL_MS = 450;
+export const JOIN_INTERVAL_MS = 350;
 /** Pause after a call that failed, in milliseconds. */
 const RETRY_MS = 120;
 /** How often a candidate looks whether a member is missing, in ms. */
@@ -39,8 +39,12 @@
   /** When the store last confirmed the membership, on the steady clock. */
   confirmedAtMs(): number;
   generation(): number;
+  /** How often in a row the store has turned this member away. */
+  refusals(): number;
   /** Confirms the membership now rather than after the usual pause. */
   confirm(): void;
+  /** Gives the membership up: another instance has taken its place. */
+  resign(): void;
   /** Resolves when the signal has ended the membership. */
   done: Promise<void>;
 };
@@ -57,6 +61,9 @@
   pause: AbortController;
   /** Whether another member has asked this instance to apply. */
   isInvited: boolean;
+  refusals: number;
+  /** Whether another instance has taken the place of this one. */
+  hasResigned: boolean;
 };
 
 /**
@@ -79,15 +86,22 @@
     isKnown: false,
     pause: new AbortController(),
     isInvited: false,
+    refusals: 0,
+    hasResigned: false,
   };
   return {
     isKnown: () => state.isKnown,
     confirmedAtMs: () => state.confirmedAtMs,
     generation: () => state.generation,
+    refusals: () => state.refusals,
     confirm() {
       state.isInvited = true;
       state.pause.abort();
     },
+    resign() {
+      state.hasResigned = true;
+      state.pause.abort();
+    },
     done: takePart(state),
   };
 }
@@ -98,11 +112,13 @@
   await leaveFormerly(state);
   while (!signal.aborted) {
     await apply(state);
-    while (!signal.aborted) {
+    state.hasResigned = false;
+    while (!signal.aborted && !state.hasResigned) {
       if (hasLapsed(state) && !await isStillMember(state)) break;
       await confirmOnce(state);
     }
     if (signal.aborted) return;
+    state.confirmedAtMs = -Infinity;
     const { generation } = state;
     await host.onAssignment({ generation, partitions: [] });
   }
@@ -121,39 +137,45 @@
 
 /** Waits until the group needs this instance, as two readings agree. */
 async function apply(state: State): Promise<void> {
-  const { store, clock, member, signal, logger, candidateWaitMs } = state.host;
-  let missing = 0;
+  const { signal, logger, candidateWaitMs } = state.host;
   let seen: string | undefined;
   while (!signal.aborted) {
-    await rest(state, missing > 0 ? candidateWaitMs : CANDIDATE_INTERVAL_MS);
-    const owners = await store.owners(member.group, signal);
-    if (owners.isErr()) {
-      missing = 0;
-      await clock.sleep(RETRY_MS, signal);
-      continue;
-    }
-    state.isKnown = true;
-    const members = new Set(owners.value.map((owner) => owner.member));
-    const wanted = state.host.wantedMembers();
-    const names = [...members].join(",");
+    const members = await readMembers(state);
+    const names = members?.join(",") ?? "unknown";
     if (names !== seen) {
-      logger.info("Sees the members of the group.", { members: names, wanted });
+      logger.info("Sees the members of the group.", { members: names });
     }
     seen = names;
-    missing = members.size < wanted ? missing + 1 : 0;
-    if (missing < CONFIRMING_READINGS && !state.isInvited) continue;
-    logger.info("Applies for a place in the group.", {
-      members: members.size,
-      wanted,
-      invited: state.isInvited,
-    });
-    state.isInvited = false;
-    return;
+    if (isMissing(state, members)) {
+      await rest(state, candidateWaitMs);
+      const again = state.isInvited ||
+        isMissing(state, await readMembers(state));
+      if (again) break;
+    }
+    await rest(state, CANDIDATE_INTERVAL_MS);
+    if (state.isInvited) break;
   }
+  logger.info("Applies for a place in the group.", {
+    invited: state.isInvited,
+  });
 }
 
-/** Readings that have to agree that a member is missing. */
-const CONFIRMING_READINGS = 2;
+/** Whether the group is known to have too few members. */
+function isMissing(state: State, members: string[] | undefined): boolean {
+  return members !== undefined && members.length < state.host.wantedMembers();
+}
+
+/** The members that hold domains; undefined where the store does not say. */
+async function readMembers(state: State): Promise<string[] | undefined> {
+  const { store, clock, member, signal } = state.host;
+  const owners = await store.owners(member.group, signal);
+  if (owners.isErr()) {
+    await clock.sleep(RETRY_MS, signal);
+    return undefined;
+  }
+  state.isKnown = true;
+  return [...new Set(owners.value.map((owner) => owner.member))];
+}
 
 /** Whether the membership may have ended, also during a freeze. */
 function hasLapsed(state: State): boolean {
@@ -168,16 +190,15 @@
 
 /** Whether the group still counts on this instance. */
 async function isStillMember(state: State): Promise<boolean> {
-  const { store, member, signal, logger, wantedMembers } = state.host;
-  const owners = await store.owners(member.group, signal);
+  const { member, logger } = state.host;
+  const members = await readMembers(state);
   // Without word from the store, what runs goes on.
-  if (owners.isErr()) return true;
-  const members = new Set(owners.value.map((owner) => owner.member));
-  const isMember = members.has(member.member) ||
-    members.size < wantedMembers();
+  if (members === undefined) return true;
+  const isMember = members.includes(member.member) ||
+    isMissing(state, members);
   if (!isMember) {
     logger.warn("The group went on without this instance.", {
-      members: members.size,
+      members: members.join(","),
     });
     state.confirmedAtMs = -Infinity;
   }
@@ -188,11 +209,14 @@
   const { host } = state;
   const { store, clock, member, signal, logger } = host;
   state.isInvited = false;
+  if (state.hasResigned) return;
   const sentAtMs = clock.steadyMs();
   const sentWallMs = clock.nowMs();
   const joined = await store.join(member, state.generation, signal);
-  if (signal.aborted) return;
+  if (signal.aborted || state.hasResigned) return;
   if (joined.isErr()) {
+    const isRefusal = joined.error.kind === "unavailable";
+    state.refusals = isRefusal ? state.refusals + 1 : 0;
     logger.warn("The membership was not confirmed.", {
       fault: joined.error.kind,
       cause: joined.error.message,
@@ -201,6 +225,7 @@
     await rest(state, RETRY_MS);
     return;
   }
+  state.refusals = 0;
   state.confirmedAtMs = sentAtMs;
   state.confirmedWallMs = sentWallMs;
   if (joined.value.generation !== state.generation) {
