--- a/src/domain/choose_worker.ts
+++ b/src/domain/choose_worker.ts
@@ -10,6 +10,8 @@
 const FAR_FROM_DATA_PENALTY = 2;
 /** Score lost by a filler that shares a worker with a service. */
 const BESIDE_SERVICE_PENALTY = 1;
+/** Score lost by a worker on which one whole task depends alone. */
+const PRESSURE_PENALTY = 0.5;
 /** Score lost by a worker that takes twice as long as the mean. */
 const SLOWNESS_PENALTY = 0.8;
 /** Score lost for each failure in a row. */
@@ -76,7 +78,8 @@
   }
   const { consecutiveFailures, slowness } = worker.health;
   return score - FAILURE_PENALTY * consecutiveFailures -
-    SLOWNESS_PENALTY * (slowness - 1);
+    SLOWNESS_PENALTY * (slowness - 1) -
+    PRESSURE_PENALTY * Math.min(1, worker.pressure);
 }
 
 function spreadScore(worker: DomainWorker, step: Step): number {
--- a/src/domain/domain_worker.ts
+++ b/src/domain/domain_worker.ts
@@ -20,6 +20,11 @@
   /** Placed tasks by name. */
   placed: Map<string, PlacedRef>;
   health: WorkerHealth;
+  /**
+   * How much waiting work depends on this worker: for each step, the share of
+   * the worker that it needs over the number of workers that may run it.
+   */
+  pressure: number;
 };
 
 /** Points at a placed task. */
--- a/src/domain/keeping.ts
+++ b/src/domain/keeping.ts
@@ -123,7 +123,7 @@
 }
 
 /** The largest share that an amount takes of any resource. */
-function dominantShare(amount: Resources, whole: Resources): number {
+export function dominantShare(amount: Resources, whole: Resources): number {
   return Math.max(
     amount.cpuMillis / Math.max(1, whole.cpuMillis),
     amount.memoryMb / Math.max(1, whole.memoryMb),
--- a/src/domain/load_patterns_test.ts
+++ b/src/domain/load_patterns_test.ts
@@ -110,6 +110,37 @@
   });
 });
 
+describe("a worker on which one step depends alone", () => {
+  it("is left to it by work that may run elsewhere", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"), listing("w2"));
+    const advise = (stepKey: string, ...allowed: string[]) =>
+      feed(bench, {
+        kind: "advised",
+        stepKey,
+        asked: ["w1", "w2"],
+        allowed: allowed.map((worker): [string, string] => [worker, "t"]),
+        validMs: 60_000,
+      });
+    submit(bench, "held", [step({ demand: WHOLE })], { priority: 1 });
+    submit(bench, "bound", [step({ demand: WHOLE })], {
+      priority: 2,
+      advice: ADVICE,
+    });
+    const taken = startsIn(bench.commands)[0]!.worker;
+    const other = taken === "w1" ? "w2" : "w1";
+    advise("bound.0.0", taken);
+    submit(bench, "free", [step({ demand: ONE })], {
+      priority: 0,
+      advice: ADVICE,
+    });
+    look(bench, taken, { ended: [ended(1, "held.0.0.0", 1, "done")] });
+    const starts = startsIn(advise("free.0.0", "w1", "w2"));
+    const free = starts.find(({ task }) => task === "free.0.0.0");
+    assert.equal(free?.worker, other);
+  });
+});
+
 describe("questions to the placement policy", () => {
   it("are put together when a lane is free, for the most urgent step", () => {
     const bench = createBench();
--- a/src/domain/placed.ts
+++ b/src/domain/placed.ts
@@ -29,6 +29,7 @@
     opportunisticCpu: 0,
     placed: new Map(),
     health: { consecutiveFailures: 0, avoidUntilMs: 0, slowness: 1 },
+    pressure: 0,
   };
 }
 
--- /dev/null
+++ b/src/domain/pressure.ts
@@ -0,0 +1,22 @@
+import type { Domain } from "./domain.ts";
+import { dominantShare } from "./keeping.ts";
+import { reservationOf } from "./placed.ts";
+
+/**
+ * Works out which workers waiting steps depend on, so that work with a choice
+ * leaves them to work without one.
+ */
+export function updatePressure(domain: Domain): void {
+  for (const worker of domain.workers.values()) worker.pressure = 0;
+  for (const run of domain.waiting) {
+    const { allowed } = run.advice;
+    if (allowed.size === 0) continue;
+    const demand = reservationOf(run.step);
+    for (const id of allowed.keys()) {
+      const worker = domain.workers.get(id);
+      if (worker === undefined) continue;
+      const share = dominantShare(demand, worker.capacity);
+      worker.pressure += run.waiting * share / allowed.size;
+    }
+  }
+}
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -13,6 +13,7 @@
 import { stepRecordKey } from "./keys.ts";
 import { placeGang } from "./place_gang.ts";
 import { place } from "./placed.ts";
+import { updatePressure } from "./pressure.ts";
 import { inRankOrder } from "./rank.ts";
 import { type StepRun, taskNameOf } from "./step_run.ts";
 
@@ -28,6 +29,7 @@
 export function schedule(domain: Domain, moment: Moment): void {
   const pass: Pass = { domain, moment, kept: new Map() };
   domain.wishes = [];
+  updatePressure(domain);
   for (const run of inRankOrder(domain.waiting, moment.wallMs)) {
     if (run.step.gang) placeGang(pass, run);
     else placeTasks(pass, run);
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -11,6 +11,7 @@
 import type { Counters, PartLogger } from "../telemetry/mod.ts";
 import { answerCall } from "./answer_call.ts";
 import type { DomainAnswer, DomainCall } from "./peer_call.ts";
+import type { Reachability } from "./reachability.ts";
 
 /** How long a call looks for the owner of its domain, in milliseconds. */
 const FIND_OWNER_MS = 1_500;
@@ -35,6 +36,7 @@
     call: DomainCall,
     timeoutMs: number,
   ): Promise<PeerOutcome>;
+  reachability: Reachability;
   /** The partition of an instance's domain that knows a job. */
   findAt(instance: string, job: string): Promise<number | undefined>;
   /** Services that ran a queue before. */
@@ -239,6 +241,7 @@
     if (owner !== undefined && leftMs > 0) {
       const timeoutMs = Math.min(leftMs, ATTEMPT_MS);
       const outcome = await callOwner(host, owner, call, timeoutMs);
+      host.reachability.note(outcome.kind === "answered");
       const attempt = readAttempt(outcome);
       switch (attempt.kind) {
         case "answered":
--- a/src/entry/entry_test.ts
+++ b/src/entry/entry_test.ts
@@ -3,6 +3,7 @@
 import { policy, step } from "../domain/testing/domain_bench.ts";
 import { createCounters } from "../telemetry/mod.ts";
 import { createEntry, type Entry, type PeerOutcome } from "./entry.ts";
+import { createReachability } from "./reachability.ts";
 import { createManualClock, silentLogger } from "./testing/manual_clock.ts";
 
 const REQUEST = { id: "a", specification: "text", steps: [step()] };
@@ -50,6 +51,7 @@
       }
       return outcome;
     },
+    reachability: createReachability(clock),
     findAt: () => Promise.resolve(found),
     formerServices: () => (found === undefined ? [] : ["old"]),
     signal: new AbortController().signal,
--- /dev/null
+++ b/src/entry/reachability.ts
@@ -0,0 +1,34 @@
+import type { Clock } from "../hosts/mod.ts";
+
+/** Calls that fail for this long make an instance unfit for clients, in ms. */
+const UNFIT_AFTER_MS = 700;
+
+/** Whether this instance reaches the owners of the domains. */
+export type Reachability = {
+  /** Takes in whether a call reached an owner. */
+  note(reached: boolean): void;
+  /** Whether calls have failed for so long that clients are better elsewhere. */
+  isFit(): boolean;
+};
+
+/**
+ * Creates a reachability without a failed call.
+ *
+ * @example
+ * ```ts
+ * const reachability = createReachability(clock);
+ * reachability.note(false);
+ * ```
+ */
+export function createReachability(clock: Clock): Reachability {
+  let failingSinceMs: number | undefined;
+  return {
+    note(reached) {
+      if (reached) failingSinceMs = undefined;
+      else failingSinceMs ??= clock.steadyMs();
+    },
+    isFit: () =>
+      failingSinceMs === undefined ||
+      clock.steadyMs() - failingSinceMs < UNFIT_AFTER_MS,
+  };
+}
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -47,6 +47,7 @@
   type InstanceList,
 } from "./instance_list.ts";
 import type { PeerCall } from "./peer_call.ts";
+import { createReachability, type Reachability } from "./reachability.ts";
 import { createPeerRpc, createPeerRpcRoute, type PeerRpc } from "./peer_rpc.ts";
 
 const STANDARD_OUTPUT = 1;
@@ -68,6 +69,10 @@
 const FOLLOW_WAIT_MS = 2_000;
 /** How often the list of workers is read, in milliseconds. */
 const WORKER_LIST_PAUSE_MS = 400;
+/** The same while this instance owns no domain, in milliseconds. */
+const IDLE_LIST_PAUSE_MS = 1_500;
+/** How long the store holds back news of other instances, in ms. */
+const INSTANCES_WAIT_MS = 8_000;
 /** The longest lease that is used, in milliseconds. */
 const LONGEST_LEASE_MS = 5_500;
 /** How long leases are granted without word from the store, in ms. */
@@ -90,6 +95,8 @@
 /** Refusals by the store in a row after which another instance is asked. */
 const MAX_REFUSALS = 2;
 const RESIGN_PAUSE_MS = 1_000;
+/** How often an owner is called while calls fail, in milliseconds. */
+const OWNER_WATCH_INTERVAL_MS = 400;
 /** How many instances are asked for the owners while the store is silent. */
 const MAX_INSTANCES_ASKED = 3;
 /** Workers that one owner can carry. */
@@ -107,6 +114,7 @@
   holder: DomainHolder;
   instances: InstanceList;
   rpc: PeerRpc;
+  reachability: Reachability;
   /** Address under which other instances call this one. */
   self: string;
   member: GroupMember;
@@ -175,6 +183,7 @@
   running.resign = membership.resign;
   running.refusals = membership.refusals;
   watchMembership(running);
+  watchOwners(running);
   running.isGroupKnown = membership.isKnown;
   if (!stopping.signal.aborted) await once(stopping.signal, "abort");
   await stop(running, servers);
@@ -258,6 +267,7 @@
     holder: undefined!,
     instances: createInstanceList(self),
     rpc: createPeerRpc(createPeerClient(caller, { secret: "" }), signal),
+    reachability: createReachability(clock),
     self,
     member: {
       group: GROUP,
@@ -319,7 +329,7 @@
     clock,
     logger: logger.part("store"),
     waitMs: FOLLOW_WAIT_MS,
-    pauseMs: 0,
+    pauseMs: () => 0,
     signal: ending.signal,
   };
   const takeConfiguration = (
@@ -352,13 +362,15 @@
   followTopic({
     ...follower,
     waitMs: 0,
-    pauseMs: WORKER_LIST_PAUSE_MS,
+    pauseMs: () =>
+      running.holder.count() > 0 ? WORKER_LIST_PAUSE_MS : IDLE_LIST_PAUSE_MS,
     partition: platform.workersTopic,
     onSnapshot: (records) => running.workers.replace(records),
     onRecords: (records) => running.workers.apply(records),
   });
   followTopic({
     ...follower,
+    waitMs: INSTANCES_WAIT_MS,
     partition: INSTANCES,
     onSnapshot: (records) => instances.apply(records),
     onRecords: (records) => instances.apply(records),
@@ -458,6 +470,24 @@
   }
 }
 
+/**
+ * Calls an owner again and again while calls fail, since a balancer that
+ * knows this instance as unready sends none that could show the end of it.
+ */
+async function watchOwners(running: Running): Promise<void> {
+  const { clock, directory, rpc, self, ending, reachability } = running;
+  const { signal } = ending;
+  while (!signal.aborted) {
+    await clock.sleep(OWNER_WATCH_INTERVAL_MS, signal);
+    if (reachability.isFit()) continue;
+    await directory.refresh();
+    const [owner] = Object.values(directory.known());
+    if (owner === undefined) continue;
+    const isReached = owner === self || await rpc.owners(owner) !== undefined;
+    reachability.note(isReached);
+  }
+}
+
 /** Asks a few other instances who owns the domains. */
 async function readOwnersElsewhere(
   running: Running,
@@ -508,7 +538,7 @@
 function createReadinessRoute(running: Running): Route {
   return () => {
     const ready = running.configuration.current() !== undefined &&
-      running.isGroupKnown() &&
+      running.isGroupKnown() && running.reachability.isFit() &&
       !running.stopping.signal.aborted;
     return { status: ready ? OK : UNAVAILABLE, body: { ready } };
   };
--- a/src/ownership/follow_topic.ts
+++ b/src/ownership/follow_topic.ts
@@ -21,7 +21,7 @@
   /** How long the store may hold back an answer, in milliseconds. */
   waitMs: number;
   /** Pause between two reads, in milliseconds. */
-  pauseMs: number;
+  pauseMs(): number;
   /** Takes the newest record of every key. */
   onSnapshot(records: KeyedRecord[]): void;
   /** Takes records that were appended since, in their order. */
@@ -60,7 +60,7 @@
     offset = page.value.nextOffset;
     if (isFirst) follower.onSnapshot(page.value.records);
     else follower.onRecords(page.value.records);
-    await clock.sleep(follower.pauseMs, signal);
+    await clock.sleep(follower.pauseMs(), signal);
   }
 }
 
--- a/src/ownership/group_membership.ts
+++ b/src/ownership/group_membership.ts
@@ -152,7 +152,8 @@
         isMissing(state, await readMembers(state));
       if (again) break;
     }
-    await rest(state, CANDIDATE_INTERVAL_MS);
+    // The best candidates look most often; the others only step in for them.
+    await rest(state, CANDIDATE_INTERVAL_MS + candidateWaitMs);
     if (state.isInvited) break;
   }
   logger.info("Applies for a place in the group.", {
