--- a/src/entry/answer_call.ts
+++ b/src/entry/answer_call.ts
@@ -34,5 +34,5 @@
 }
 
 function fromOwner(answer: OwnerAnswer): DomainAnswer {
-  return { kind: answer.kind };
+  return answer;
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -17,6 +17,10 @@
 const FIND_OWNER_MS = 1_500;
 /** How long one attempt waits for an owner, which may be frozen, in ms. */
 const ATTEMPT_MS = 1_200;
+/** A takeover is over after this time, in milliseconds. */
+const TAKEOVER_MS = 1_000;
+/** The longest time after which a client is asked to come back, in ms. */
+const LONGEST_RETRY_AFTER_MS = 5_000;
 /** Pause between two looks for the owner, in milliseconds. */
 const FIND_PAUSE_MS = 100;
 
@@ -56,7 +60,7 @@
   | { kind: "done"; value: Value }
   | { kind: "unknownJob" }
   /** Surely nothing was done; the client may come back. */
-  | { kind: "unavailable"; cause: string }
+  | { kind: "unavailable"; cause: string; retryAfterMs: number }
   /** The call may have had its effect. */
   | { kind: "undecided"; cause: string };
 
@@ -250,7 +254,7 @@
           if (undecided !== undefined) break;
           // The store may answer others, and one of them own the domain.
           directory.refresh();
-          return { kind: "unavailable", cause: attempt.cause };
+          return { ...attempt, kind: "unavailable" };
         case "nothing":
           cause = attempt.cause;
           break;
@@ -267,13 +271,13 @@
     await directory.refresh();
   }
   if (undecided !== undefined) return { kind: "undecided", cause: undecided };
-  return { kind: "unavailable", cause };
+  return { kind: "unavailable", cause, retryAfterMs: TAKEOVER_MS };
 }
 
 type Attempt =
   | { kind: "answered"; answer: DomainAnswer }
   /** Surely nothing was done, and no other instance could do it. */
-  | { kind: "refused"; cause: string }
+  | { kind: "refused"; cause: string; retryAfterMs: number }
   /** Surely nothing was done. */
   | { kind: "nothing"; cause: string }
   | { kind: "unknown"; cause: string };
@@ -285,7 +289,13 @@
         return { kind: "unknown", cause: "the owner lost the domain" };
       }
       if (outcome.answer.kind === "storeDown") {
-        return { kind: "refused", cause: "the store does not answer" };
+        // An outage is expected to last as long again as it has.
+        const retryAfterMs = Math.min(
+          Math.max(outcome.answer.silentMs, TAKEOVER_MS),
+          LONGEST_RETRY_AFTER_MS,
+        );
+        const cause = "the store does not answer";
+        return { kind: "refused", cause, retryAfterMs };
       }
       if (outcome.answer.kind === "notOwner") {
         return { kind: "nothing", cause: "the domain changes its owner" };
--- a/src/entry/entry_test.ts
+++ b/src/entry/entry_test.ts
@@ -90,17 +90,21 @@
 
   it("is refused at once while the store is down", async () => {
     const { entry, calls } = entryWith(
-      { kind: "answered", answer: { kind: "storeDown" } },
+      { kind: "answered", answer: { kind: "storeDown", silentMs: 3_000 } },
     );
     const outcome = await entry.submit(REQUEST, policy(), 3_000);
-    assert.equal(outcome.kind, "unavailable");
+    assert.deepEqual(outcome, {
+      kind: "unavailable",
+      cause: "the store does not answer",
+      retryAfterMs: 3_000,
+    });
     assert.equal(calls.length, 1);
   });
 
   it("is not called refused by an outage after an unknown attempt", async () => {
     const { entry } = entryWith(
       { kind: "unknown", cause: "no answer" },
-      { kind: "answered", answer: { kind: "storeDown" } },
+      { kind: "answered", answer: { kind: "storeDown", silentMs: 900 } },
     );
     const outcome = await entry.submit(REQUEST, policy(), 3_000);
     assert.equal(outcome.kind, "undecided");
--- a/src/entry/peer_call.ts
+++ b/src/entry/peer_call.ts
@@ -60,8 +60,8 @@
   v.object({ kind: v.literal("notOwner") }),
   /** The owner lost the domain; the change may be in the store. */
   v.object({ kind: v.literal("lost") }),
-  /** The store does not answer; nothing was done. */
-  v.object({ kind: v.literal("storeDown") }),
+  /** The store has not answered for a while; nothing was done. */
+  v.object({ kind: v.literal("storeDown"), silentMs: v.number() }),
   v.object({
     kind: v.literal("state"),
     state: v.picklist([
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -112,8 +112,8 @@
   | CallAnswer
   /** The owner lost the domain; the change may be in the store. */
   | { kind: "lost" }
-  /** The store does not answer, so the call was not taken on. */
-  | { kind: "storeDown" };
+  /** The store has not answered for a while; the call was not taken on. */
+  | { kind: "storeDown"; silentMs: number };
 
 type State = {
   host: DomainOwnerHost;
@@ -468,8 +468,9 @@
 ): Promise<OwnerAnswer> {
   return new Promise((resolve) => {
     if (state.host.signal.aborted) return resolve({ kind: "lost" });
-    if (state.writer.stalledMs() > STORE_DOWN_AFTER_MS) {
-      return resolve({ kind: "storeDown" });
+    const silentMs = state.writer.stalledMs();
+    if (silentMs > STORE_DOWN_AFTER_MS) {
+      return resolve({ kind: "storeDown", silentMs });
     }
     const number = state.nextCall++;
     state.calls.set(number, resolve);
