--- a/src/domain/load_patterns_test.ts
+++ b/src/domain/load_patterns_test.ts
@@ -78,6 +78,31 @@
   });
 });
 
+describe("a gang with tickets for some of its allowed workers", () => {
+  it("starts on those, whichever others are free", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"), listing("w2"), listing("w3"));
+    const gang = step({ demand: WHOLE, gang: true, taskCount: 2 });
+    submit(bench, "held", [step({ demand: WHOLE, taskCount: 3 })]);
+    submit(bench, "g", [gang], { priority: 1, advice: ADVICE });
+    const advise = (...workers: string[]) =>
+      feed(bench, {
+        kind: "advised",
+        stepKey: "g.0.0",
+        asked: workers,
+        allowed: workers.map((worker): [string, string] => [worker, "t"]),
+        validMs: 2_000,
+      });
+    advise("w1", "w2", "w3");
+    bench.nowMs += 5_000;
+    for (const { worker, task } of startsIn(bench.commands)) {
+      look(bench, worker, { ended: [ended(1, task, 1, "done")] });
+    }
+    const started = startsIn(advise("w2", "w3")).map(({ worker }) => worker);
+    assert.deepEqual(started.sort(), ["w2", "w3"]);
+  });
+});
+
 describe("tasks that take most of a worker", () => {
   const half = { cpuMillis: 1_000, memoryMb: 100, accelerators: 4 };
 
--- a/src/domain/place_gang.ts
+++ b/src/domain/place_gang.ts
@@ -31,7 +31,7 @@
     runLimit(worker, moment.steadyMs) === Infinity
   );
   const seats = findSeats(
-    tightestFirst(candidates, run),
+    tightestFirst(candidates, run, moment.steadyMs),
     run,
     (worker) => subtractResources(worker.capacity, worker.used),
   );
@@ -94,14 +94,20 @@
   return undefined;
 }
 
-/** Workers with a ticket first, then those with the least room to spare. */
-function tightestFirst(workers: DomainWorker[], run: StepRun): DomainWorker[] {
-  const isKnown = (worker: DomainWorker) =>
-    run.advice.allowed.has(worker.id) ? 0 : 1;
+/** Workers with a valid ticket first, then those with least room to spare. */
+function tightestFirst(
+  workers: DomainWorker[],
+  run: StepRun,
+  nowMs: number,
+): DomainWorker[] {
+  const distance = (worker: DomainWorker) => {
+    if (hasTicket(run, worker.id, nowMs)) return 0;
+    return run.advice.allowed.has(worker.id) ? 1 : 2;
+  };
   const freeAccelerators = (worker: DomainWorker) =>
     worker.capacity.accelerators - worker.used.accelerators;
   return [...workers].sort((left, right) =>
-    isKnown(left) - isKnown(right) ||
+    distance(left) - distance(right) ||
     freeAccelerators(left) - freeAccelerators(right)
   );
 }
--- a/src/domain/step_domain.ts
+++ b/src/domain/step_domain.ts
@@ -157,6 +157,7 @@
 ): void {
   const run = domain.jobs.get(event.job);
   if (run !== undefined) endJob(domain, run, "cancelled", moment);
+  else confirmOwnership(domain);
   domain.commands.push({
     kind: "answer",
     call: event.call,
@@ -164,6 +165,14 @@
   });
 }
 
+/**
+ * Has the next commit write a record, which fails for an owner that has a
+ * successor. An answer that waits for the commit then surely is not outdated.
+ */
+export function confirmOwnership(domain: Domain): void {
+  domain.dirty.add(OWNERS_KEY);
+}
+
 /** Takes in the list; a worker that is missing keeps what it runs. */
 function listWorkers(domain: Domain, listings: WorkerListing[]): void {
   const listed = new Set<string>();
--- a/src/domain/takeover_test.ts
+++ b/src/domain/takeover_test.ts
@@ -18,6 +18,21 @@
   takeOverBench,
 } from "./testing/domain_bench.ts";
 
+describe("an owner that does not know of its successor", () => {
+  it("says that it does not know a job only after a commit", () => {
+    const bench = createBench();
+    feed(bench, { kind: "owned", owner: { instance: "a", epoch: 1 } });
+    bench.store.clear();
+    const [answer] = cancel(bench, "unknown");
+    assert.deepEqual(answer, {
+      kind: "answer",
+      call: 1,
+      answer: { kind: "unknownJob" },
+    });
+    assert.ok(bench.store.has("owners"));
+  });
+});
+
 describe("a takeover", () => {
   it("starts nothing of a job that was cancelled before", () => {
     const bench = createBench();
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -8,6 +8,7 @@
 import { assertNever } from "../base/mod.ts";
 import {
   type CallAnswer,
+  confirmOwnership,
   type Domain,
   type DomainCommand,
   type DomainEvent,
@@ -180,6 +181,8 @@
       call(state, (number) => ({ kind: "cancelled", call: number, job })),
     async stateOf(job) {
       const seen = jobStateOf(domain, job) ?? "unknownJob";
+      // A successor may know the job.
+      if (seen === "unknownJob") confirmOwnership(domain);
       const isSettled = await settle(state);
       return isSettled ? seen : "lost";
     },
