--- /dev/null
+++ b/src/entry/candidacy.ts
@@ -0,0 +1,43 @@
+/**
+ * Which instances become owners, and when.
+ *
+ * @module
+ */
+import { hash32 } from "../base/mod.ts";
+import { GROUP, type Running } from "./running.ts";
+
+/** How long a candidate waits for each millisecond to the store. */
+const WAIT_PER_DISTANCE = 12;
+/** The longest distance to the store that counts, in milliseconds. */
+const LONGEST_DISTANCE_MS = 60;
+/** Processor share from which an instance is a good owner, in cores. */
+const OWNER_CORES = 0.6;
+/** How much later an instance without any processor would apply, in ms. */
+const SMALL_INSTANCE_WAIT_MS = 1_500;
+const MAX_RANDOM_WAIT_MS = 200;
+/** Workers that one owner can carry. */
+const WORKERS_PER_OWNER = 150;
+
+/** As many members as the workers need. */
+export function wantedMembers(running: Running): number {
+  const workers = running.workers.workers().length;
+  return Math.max(1, Math.ceil(workers / WORKERS_PER_OWNER));
+}
+
+/**
+ * How long this instance holds back as a candidate for ownership. The nearest
+ * to the store come first, since every decision waits for the store; small
+ * instances come later, and a random part keeps equal ones apart.
+ */
+export async function measureCandidateWait(running: Running): Promise<number> {
+  const { platform, clock, ending, settings, self } = running;
+  const sentAtMs = clock.steadyMs();
+  await platform.store.owners(GROUP, ending.signal);
+  const distanceMs = clock.steadyMs() - sentAtMs;
+  const { cores } = settings.instance;
+  const missing = Math.max(0, OWNER_CORES - cores) / OWNER_CORES;
+  return Math.round(
+    Math.min(distanceMs, LONGEST_DISTANCE_MS) * WAIT_PER_DISTANCE +
+      missing * SMALL_INSTANCE_WAIT_MS + hash32(self) % MAX_RANDOM_WAIT_MS,
+  );
+}
--- /dev/null
+++ b/src/entry/follow.ts
@@ -0,0 +1,97 @@
+/**
+ * What an instance reads from the store all the time, and what it tells there.
+ *
+ * @module
+ */
+import type { KeyedRecord } from "../hosts/mod.ts";
+import { followTopic } from "../ownership/mod.ts";
+import type { Announcement } from "./instance_list.ts";
+import type { Running } from "./running.ts";
+
+/** The topic in which instances announce themselves. */
+export const INSTANCES = { topic: "instances", number: 0 };
+/** How long the store holds back an answer for a follower, in ms. */
+const FOLLOW_WAIT_MS = 2_000;
+/** How often the list of workers is read, in milliseconds. */
+const WORKER_LIST_PAUSE_MS = 400;
+/** The same while this instance owns no domain, in milliseconds. */
+const IDLE_LIST_PAUSE_MS = 1_500;
+/** How long the store holds back news of other instances, in ms. */
+const INSTANCES_WAIT_MS = 8_000;
+const ANNOUNCE_RETRY_MS = 300;
+
+/** Follows the configuration and the other instances. */
+export function follow(running: Running): void {
+  const { platform, clock, logger, ending, instances } = running;
+  const follower = {
+    store: platform.store,
+    clock,
+    logger: logger.part("store"),
+    waitMs: FOLLOW_WAIT_MS,
+    pauseMs: () => 0,
+    signal: ending.signal,
+  };
+  const takeConfiguration = (
+    records: KeyedRecord[],
+  ) => {
+    for (const record of records) {
+      const decoded = platform.decodeConfiguration(record);
+      if (decoded === undefined) continue;
+      if ("reason" in decoded) {
+        logger.part("entry").error("Skipped an unreadable configuration.", {
+          key: record.key,
+          reason: decoded.reason,
+        });
+        continue;
+      }
+      const { configuration } = decoded;
+      if (!running.configuration.offer(configuration)) continue;
+      logger.part("entry").info("A configuration is in force.", {
+        version: configuration.version,
+        routes: configuration.routes.length,
+      });
+    }
+  };
+  followTopic({
+    ...follower,
+    partition: platform.configurationTopic,
+    onSnapshot: takeConfiguration,
+    onRecords: takeConfiguration,
+  });
+  followTopic({
+    ...follower,
+    waitMs: 0,
+    pauseMs: () =>
+      running.holder.count() > 0 ? WORKER_LIST_PAUSE_MS : IDLE_LIST_PAUSE_MS,
+    partition: platform.workersTopic,
+    onSnapshot: (records) => running.workers.replace(records),
+    onRecords: (records) => running.workers.apply(records),
+  });
+  followTopic({
+    ...follower,
+    waitMs: INSTANCES_WAIT_MS,
+    partition: INSTANCES,
+    onSnapshot: (records) => instances.apply(records),
+    onRecords: (records) => instances.apply(records),
+  });
+}
+
+/** Tells the other instances where this one is. */
+export async function announce(
+  running: Running,
+  announcement: Announcement,
+): Promise<void> {
+  const { platform, clock, self, stopping } = running;
+  const record = { key: self, value: JSON.stringify(announcement) };
+  while (!stopping.signal.aborted) {
+    const { signal } = stopping;
+    const done = await platform.store.append(
+      INSTANCES,
+      [record],
+      undefined,
+      signal,
+    );
+    if (done.isOk()) return;
+    await clock.sleep(ANNOUNCE_RETRY_MS, signal);
+  }
+}
--- /dev/null
+++ b/src/entry/running.ts
@@ -0,0 +1,191 @@
+/**
+ * The parts of a running entry instance.
+ *
+ * @module
+ */
+import { setMaxListeners } from "node:events";
+import {
+  createHttpCaller,
+  createPeerClient,
+  createSystemClock,
+  type HttpCaller,
+} from "../clients/mod.ts";
+import type { Clock, GroupMember } from "../hosts/mod.ts";
+import {
+  createDirectory,
+  createDomainHolder,
+  createWorkerList,
+  type Directory,
+  type DomainHolder,
+  type GroupMembership,
+  type WorkerList,
+} from "../ownership/mod.ts";
+import {
+  type Counters,
+  createBoundedStream,
+  createCounters,
+  createLogger,
+  type Logger,
+} from "../telemetry/mod.ts";
+import { askPolicy } from "./ask_policy.ts";
+import {
+  type ConfigurationState,
+  createConfigurationState,
+} from "./configuration.ts";
+import { partitionOf } from "./entry.ts";
+import type { EntryPlatform, PlatformHost } from "./entry_platform.ts";
+import type { EntrySettings } from "./entry_settings.ts";
+import { createInstanceList, type InstanceList } from "./instance_list.ts";
+import { createPeerRpc, type PeerRpc } from "./peer_rpc.ts";
+import { createReachability, type Reachability } from "./reachability.ts";
+import { readOwnersElsewhere } from "./read_owners_elsewhere.ts";
+
+/** The group of the store whose members own the domains. */
+export const GROUP = "entry-instances";
+const STANDARD_OUTPUT = 1;
+const DOMAINS_TOPIC = "domains";
+const CONNECTIONS_PER_PEER = 16;
+const CONNECTIONS_PER_WORKER = 5;
+/** Opening a connection takes 26 ms to the farthest region. */
+const CONNECT_TIMEOUT_MS = 400;
+/** Idle connections are kept; opening one costs more than keeping it. */
+const KEEP_ALIVE_MS = 600_000;
+/** The longest lease that is used, in milliseconds. */
+const LONGEST_LEASE_MS = 5_500;
+/** How long leases are granted without word from the store, in ms. */
+const TRUST_MS = 14_000;
+
+export type Running = {
+  settings: EntrySettings;
+  platform: EntryPlatform;
+  /** The callers of every connection that the instance opens. */
+  callers: HttpCaller[];
+  clock: Clock;
+  logger: Logger;
+  counters: Counters;
+  configuration: ConfigurationState;
+  directory: Directory;
+  workers: WorkerList;
+  holder: DomainHolder;
+  instances: InstanceList;
+  rpc: PeerRpc;
+  reachability: Reachability;
+  /** Address under which other instances call this one. */
+  self: string;
+  member: GroupMember;
+  /** The membership in the group of owners, once it has begun. */
+  membership: GroupMembership | undefined;
+  /** Aborts when the planned stop begins. */
+  stopping: AbortController;
+  /** Aborts when the process ends. */
+  ending: AbortController;
+};
+
+/** All parts but the holder, which is built on them. */
+type RunningParts = Omit<Running, "holder">;
+
+/** When the store last confirmed the membership, on the steady clock. */
+export function confirmedAtMs(running: RunningParts): number {
+  return running.membership?.confirmedAtMs() ?? -Infinity;
+}
+
+/** Creates the parts; nothing is sent yet. */
+export function createRunning(
+  settings: EntrySettings,
+  connect: (host: PlatformHost) => EntryPlatform,
+): Running {
+  const caller = createCaller(CONNECTIONS_PER_PEER);
+  const workerCaller = createCaller(CONNECTIONS_PER_WORKER);
+  const platform = connect({ settings, caller, workerCaller });
+  const ending = new AbortController();
+  const { signal } = ending;
+  setMaxListeners(0, signal);
+  const clock = createSystemClock();
+  const logger = createLogger({
+    level: settings.log.level,
+    format: "json",
+    process: settings.instance.id,
+    stream: createBoundedStream(STANDARD_OUTPUT),
+  });
+  const { store } = platform;
+  const self = `${settings.listen.internalHost}:${settings.listen.peerPort}`;
+  const parts: RunningParts = {
+    settings,
+    platform,
+    callers: [caller, workerCaller],
+    clock,
+    logger,
+    counters: createCounters(),
+    configuration: createConfigurationState(),
+    directory: createDirectory({
+      store,
+      clock,
+      logger: logger.part("ownership"),
+      group: GROUP,
+      readElsewhere: () => readOwnersElsewhere(parts),
+      signal,
+    }),
+    workers: createWorkerList(
+      platform.decodeWorker,
+      logger.part("ownership"),
+      clock,
+      settings.workers.heartbeatMs,
+    ),
+    instances: createInstanceList(self),
+    rpc: createPeerRpc(createPeerClient(caller, { secret: "" }), signal),
+    reachability: createReachability(clock),
+    self,
+    member: {
+      group: GROUP,
+      member: self,
+      topic: DOMAINS_TOPIC,
+      ttlMs: settings.store.memberTtlMs,
+    },
+    membership: undefined,
+    stopping: new AbortController(),
+    ending,
+  };
+  return Object.assign(parts, { holder: createHolder(parts) });
+}
+
+function createHolder(running: RunningParts): DomainHolder {
+  const { settings, platform, clock, logger, counters, ending } = running;
+  const { signal } = ending;
+  const leaseMs = Math.min(settings.lease.maxMs, LONGEST_LEASE_MS);
+  return createDomainHolder({
+    store: platform.store,
+    tasks: platform.tasks,
+    clock,
+    logger: logger.part("domain"),
+    counters,
+    list: running.workers,
+    leaseMs,
+    trustMs: TRUST_MS,
+    self: running.self,
+    // A process of this address that owned the domain before is gone.
+    hasEnded: async (owner, domain) =>
+      owner.instance === running.self ||
+      await running.rpc.release(owner.instance, domain, owner.epoch),
+    confirmedAtMs: () => confirmedAtMs(running),
+    servesDomain: (service, partition) =>
+      partitionOf(service, settings.store.partitions) === partition,
+    instances: () => running.instances.addresses(),
+    askThrough: (instance, question) =>
+      instance === running.self
+        ? askPolicy(platform.advice, question, logger, signal)
+        : running.rpc.advise(instance, question),
+    options: {
+      endedJobKeepMs: settings.jobs.keepEndedS * 1_000,
+      earlyStartMs: 0,
+    },
+    signal,
+  });
+}
+
+function createCaller(connectionsPerOrigin: number): HttpCaller {
+  return createHttpCaller({
+    connectionsPerOrigin,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    keepAliveMs: KEEP_ALIVE_MS,
+  });
+}
