--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -38,7 +38,7 @@
  *
  * @example
  * ```ts
- * const domain = createDomain({ endedJobKeepMs: 120_000, earlyStartMs: 0 });
+ * const domain = createDomain({ endedJobKeepMs: 120_000 });
  * ```
  */
 export function createDomain(options: DomainOptions): Domain {
--- a/src/domain/domain_options.ts
+++ b/src/domain/domain_options.ts
@@ -2,6 +2,4 @@
 export type DomainOptions = {
   /** How long the record of an ended job is kept, in milliseconds. */
   endedJobKeepMs: number;
-  /** How much earlier than its due time an occurrence may start, in ms. */
-  earlyStartMs: number;
 };
--- a/src/domain/step_domain.ts
+++ b/src/domain/step_domain.ts
@@ -52,10 +52,7 @@
   domain: Domain,
   moment: Moment,
 ): DomainCommand[] {
-  openDueOccurrences(domain, {
-    ...moment,
-    wallMs: moment.wallMs + domain.options.earlyStartMs,
-  });
+  openDueOccurrences(domain, moment);
   schedule(domain, moment);
   return domain.commands.splice(0);
 }
--- a/src/domain/testing/domain_bench.ts
+++ b/src/domain/testing/domain_bench.ts
@@ -30,7 +30,7 @@
 
 /** Creates a bench with an empty domain at time 0. */
 export function createBench(): DomainBench {
-  const options = { endedJobKeepMs: 120_000, earlyStartMs: 0 };
+  const options = { endedJobKeepMs: 120_000 };
   return {
     domain: createDomain(options),
     nowMs: 0,
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -64,8 +64,6 @@
   jobs: v.object({
     /** How long the record of an ended job is kept, in seconds. */
     keep_ended_s: wholeNumber(1, 1_000_000),
-    /** How early an occurrence may start, in milliseconds. */
-    early_ms: wholeNumber(0, HOUR_MS),
   }),
   stop: v.object({
     /** Time from SIGTERM to SIGKILL, in seconds. */
--- a/src/entry/running.ts
+++ b/src/entry/running.ts
@@ -176,7 +176,6 @@
         : running.rpc.advise(instance, question),
     options: {
       endedJobKeepMs: settings.jobs.keepEndedS * 1_000,
-      earlyStartMs: 0,
     },
     signal,
   });
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -322,7 +322,7 @@
   }
 }
 
-/** A pace that is lost is ordered again with a later look. */
+/** A pace is ordered once; a later reading of the load corrects it. */
 async function pace(
   state: State,
   order: Extract<WorkerOrder, { kind: "pace" }>,
