Keep the words of the wire out of the model; drop what nothing uses

Found on reading the whole change: the test model in src/domain built orders in the platform's words, which the stand-in of the worker now does; the generation of a membership was offered and never read, and two names were exported for nobody. No change of behaviour; the checks of the model and its seeds are as before.

--- a/src/domain/choose_worker.ts
+++ b/src/domain/choose_worker.ts
@@ -93,7 +93,7 @@
 }
 
 /** Whether a worker runs a task whose users wait for answers. */
-export function hasService(worker: DomainWorker): boolean {
+function hasService(worker: DomainWorker): boolean {
   for (const ref of worker.placed.values()) {
     if (ref.run.step.latencyGoalMs !== undefined) return true;
   }
--- a/src/domain/testing/model.ts
+++ b/src/domain/testing/model.ts
@@ -8,6 +8,9 @@
 import {
   answerOrder,
   createWorker,
+  lookOrder,
+  ORDER_PATHS,
+  runOrder,
   type Worker,
 } from "../../../stand_ins/platform/worker.ts";
 import type { StoreAnswer } from "../../../stand_ins/platform/store.ts";
@@ -241,13 +244,16 @@
   const { worker } = held;
   const leaseUntilMs = bench.nowMs + LEASE_MS;
   held.leaseUntilMs = leaseUntilMs;
-  const answer = answerOrder(worker, "/hold", {
-    task: "",
-    attempt: 0,
-    fencing_token: model.epoch,
-    deadline_ms: leaseUntilMs,
-    ack_cursor: held.acknowledged,
-  }, bench.nowMs);
+  const answer = answerOrder(
+    worker,
+    ORDER_PATHS.look,
+    lookOrder({
+      epoch: model.epoch,
+      leaseUntilMs,
+      acknowledged: held.acknowledged,
+    }),
+    bench.nowMs,
+  );
   if (answer.status !== 200) return;
   const running = [...worker.running].map(([task, { attempt }]) => ({
     task,
@@ -333,17 +339,16 @@
     repeat(model, { ...pending, bornMs });
     return;
   }
-  const deadline = { deadline_ms: pending.deadlineMs };
   const startedBefore = held.worker.started.length;
   const answer = answerOrder(
     held.worker,
-    order.kind === "start" ? "/run-start" : "/run-stop",
-    {
+    order.kind === "start" ? ORDER_PATHS.start : ORDER_PATHS.stop,
+    runOrder({
       task: order.task,
       attempt: order.attempt,
-      fencing_token: epoch,
-      ...(order.kind === "start" ? deadline : {}),
-    },
+      epoch,
+      leaseUntilMs: order.kind === "start" ? pending.deadlineMs : undefined,
+    }),
     bench.nowMs,
   );
   if (held.worker.started.length > startedBefore) {
--- a/src/ownership/group_membership.ts
+++ b/src/ownership/group_membership.ts
@@ -12,7 +12,7 @@
 import type { PartLogger } from "../telemetry/mod.ts";
 
 /** How often a member confirms that it lives, in milliseconds. */
-export const JOIN_INTERVAL_MS = 350;
+const JOIN_INTERVAL_MS = 350;
 /** Pause after a call that failed, in milliseconds. */
 const RETRY_MS = 120;
 /** How often a candidate looks whether a member is missing, in ms. */
@@ -38,7 +38,6 @@
   isKnown(): boolean;
   /** When the store last confirmed the membership, on the steady clock. */
   confirmedAtMs(): number;
-  generation(): number;
   /** How often in a row the store has turned this member away. */
   refusals(): number;
   /** Confirms the membership now rather than after the usual pause. */
@@ -92,7 +91,6 @@
   return {
     isKnown: () => state.isKnown,
     confirmedAtMs: () => state.confirmedAtMs,
-    generation: () => state.generation,
     refusals: () => state.refusals,
     confirm() {
       state.isInvited = true;
--- a/stand_ins/platform/platform.ts
+++ b/stand_ins/platform/platform.ts
@@ -25,7 +25,12 @@
   type Store,
   type StoreAnswer,
 } from "./store.ts";
-import { answerOrder, createWorker, type Worker } from "./worker.ts";
+import {
+  answerOrder,
+  createWorker,
+  ORDER_PATHS,
+  type Worker,
+} from "./worker.ts";
 
 const LOOPBACK = "127.0.0.1";
 /** How long a look is held back, in milliseconds. */
@@ -139,7 +144,7 @@
 ): Promise<StoreAnswer> {
   const path = request.url ?? "/";
   const order = JSON.parse(body.toString());
-  if (path === "/hold" && order.wait_ms !== undefined) {
+  if (path === ORDER_PATHS.look && order.wait_ms !== undefined) {
     await new Promise((resolve) => setTimeout(resolve, LOOK_WAIT_MS));
   }
   return answerOrder(worker, path, order, Date.now());
--- a/stand_ins/platform/worker.ts
+++ b/stand_ins/platform/worker.ts
@@ -33,6 +33,45 @@
   ack_cursor?: number;
 };
 
+/** A look at a worker, as the wire has it. */
+export function lookOrder(look: {
+  epoch: number;
+  leaseUntilMs: number;
+  acknowledged: number;
+}): Order {
+  return {
+    task: "",
+    attempt: 0,
+    fencing_token: look.epoch,
+    deadline_ms: look.leaseUntilMs,
+    ack_cursor: look.acknowledged,
+  };
+}
+
+/** A start or a stop, as the wire has it; a stop carries no lease. */
+export function runOrder(run: {
+  task: string;
+  attempt: number;
+  epoch: number;
+  leaseUntilMs: number | undefined;
+}): Order {
+  const { task, attempt, epoch, leaseUntilMs } = run;
+  return {
+    task,
+    attempt,
+    fencing_token: epoch,
+    ...(leaseUntilMs === undefined ? {} : { deadline_ms: leaseUntilMs }),
+  };
+}
+
+/** The paths of the orders. */
+export const ORDER_PATHS = {
+  look: "/hold",
+  start: "/run-start",
+  stop: "/run-stop",
+  pace: "/pace",
+} as const;
+
 /** Creates a worker that runs nothing. */
 export function createWorker(
   id: string,
@@ -69,14 +108,14 @@
     worker.leaseUntilMs = Math.max(worker.leaseUntilMs, order.deadline_ms);
   }
   switch (path) {
-    case "/hold":
+    case ORDER_PATHS.look:
       worker.ends = worker.ends.filter(([number]) =>
         number > (order.ack_cursor ?? 0)
       );
       return { status: 200, body: lists(worker, nowMs) };
-    case "/run-start":
+    case ORDER_PATHS.start:
       return start(worker, order, nowMs);
-    case "/run-stop":
+    case ORDER_PATHS.stop:
       end(worker, order.task, "stopped");
       close(worker, order.task, order.attempt);
       return done(worker, nowMs);
