Shorten changes of owner; wait for a slow store; near lanes for short questions

Now the timeout follows the answers; candidates probe the owners and, where others do not reach one either, take its place; the raising append carries the owner's record; ended jobs keep only their outcome; domains in use come first; questions that take long use the far lanes. Reads are never answered as undecided.

--- a/src/domain/domain_event.ts
+++ b/src/domain/domain_event.ts
@@ -93,8 +93,6 @@
     allowed: [string, string][] | undefined;
     validMs: number;
   }
-  /** This instance owns the domain from now on. */
-  | { kind: "owned"; owner: OwnerEntry }
   /** An earlier owner surely grants no lease any more. */
   | { kind: "ownerEnded"; owner: OwnerEntry }
   | { kind: "ticked" };
--- a/src/domain/job.ts
+++ b/src/domain/job.ts
@@ -85,6 +85,8 @@
 /** Schema of an accepted job, as the store keeps it. */
 export const jobSchema = v.object({
   ...jobRequestSchema.entries,
+  /** Empty once the job has ended and none of its tasks runs any more. */
+  steps: v.array(stepSchema),
   policy: queuePolicySchema,
   /** When the job was accepted, in milliseconds since the epoch. */
   acceptedAtMs: v.number(),
--- a/src/domain/job_runs.ts
+++ b/src/domain/job_runs.ts
@@ -224,6 +224,22 @@
       lateMs: Math.round(moment.wallMs - objectiveAtMs(domain, run.job)),
     },
   });
+  if (!hasPlacedTasks(run)) compactJob(domain, run);
+}
+
+/**
+ * Leaves only the outcome of an ended job, which callers still ask for. It
+ * keeps the records small that a takeover has to read.
+ */
+function compactJob(domain: Domain, run: JobRun): void {
+  for (const step of stepsOf(run)) {
+    domain.steps.delete(step.key);
+    domain.dirty.add(stepRecordKey(step.key));
+  }
+  run.occurrences.clear();
+  run.job.steps = [];
+  run.job.specification = "";
+  domain.dirty.add(jobKey(run.job.id));
 }
 
 /** When a job meets its objective at the latest, in ms since the epoch. */
@@ -233,19 +249,19 @@
     objectiveMsOf(job, remaining);
 }
 
-/** Forgets jobs whose record has been kept for long enough. */
+/**
+ * Compacts ended jobs of which nothing runs any more, and forgets those whose
+ * outcome has been kept for long enough.
+ */
 export function forgetEndedJobs(domain: Domain, moment: Moment): void {
   const beforeMs = moment.wallMs - domain.options.endedJobKeepMs;
   for (const [id, run] of domain.jobs) {
     const { endedAtMs } = run.job;
-    if (endedAtMs === undefined || endedAtMs > beforeMs) continue;
-    if (hasPlacedTasks(run)) continue;
+    if (endedAtMs === undefined || hasPlacedTasks(run)) continue;
+    if (run.job.steps.length > 0) compactJob(domain, run);
+    if (endedAtMs > beforeMs) continue;
     domain.jobs.delete(id);
     domain.dirty.add(jobKey(id));
-    for (const step of stepsOf(run)) {
-      domain.steps.delete(step.key);
-      domain.dirty.add(stepRecordKey(step.key));
-    }
   }
 }
 
--- a/src/domain/keys.ts
+++ b/src/domain/keys.ts
@@ -1,8 +1,12 @@
-/** Key of the record of the owners that may still act. */
-export const OWNERS_KEY = "owners";
+export const OWNER_PREFIX = "owner/";
 export const JOB_PREFIX = "job/";
 export const STEP_PREFIX = "step/";
 
+/** Key of the record of an owner that may still act. */
+export function ownerKey(epoch: number): string {
+  return `${OWNER_PREFIX}${epoch}`;
+}
+
 /** Key of a job's record. */
 export function jobKey(id: string): string {
   return JOB_PREFIX + id;
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -12,8 +12,8 @@
 import { type Job, jobSchema } from "./job.ts";
 import type { JobRun } from "./job_run.ts";
 import { createJobRun, openOccurrence, readyStep } from "./job_runs.ts";
-import { JOB_PREFIX, OWNERS_KEY, STEP_PREFIX } from "./keys.ts";
-import { ownerEntrySchema } from "./owner_entry.ts";
+import { JOB_PREFIX, OWNER_PREFIX, ownerKey, STEP_PREFIX } from "./keys.ts";
+import { type OwnerEntry, ownerEntrySchema } from "./owner_entry.ts";
 import { createDomainWorker, place } from "./placed.ts";
 import type { StepRun } from "./step_run.ts";
 import type { TaskProgress } from "./task_progress.ts";
@@ -63,8 +63,23 @@
   return keys.map((key) => ({ key, value: valueOf(domain, key) }));
 }
 
+/**
+ * The record of an owner, which the append that raises the epoch carries.
+ *
+ * @example
+ * ```ts
+ * ownerRecord({ instance: "10.1.0.30:7380", epoch: 7 }).key; // "owner/7"
+ * ```
+ */
+export function ownerRecord(owner: OwnerEntry): DomainRecord {
+  return { key: ownerKey(owner.epoch), value: JSON.stringify(owner) };
+}
+
 function valueOf(domain: Domain, key: string): string | undefined {
-  if (key === OWNERS_KEY) return JSON.stringify(domain.owners);
+  if (key.startsWith(OWNER_PREFIX)) {
+    const owner = domain.owners.find(({ epoch }) => ownerKey(epoch) === key);
+    return owner === undefined ? undefined : ownerRecord(owner).value;
+  }
   if (key.startsWith(JOB_PREFIX)) {
     const run = domain.jobs.get(key.slice(JOB_PREFIX.length));
     return run === undefined ? undefined : JSON.stringify(run.job);
@@ -122,10 +137,10 @@
       steps.set(key.slice(STEP_PREFIX.length), value);
       continue;
     }
-    if (key === OWNERS_KEY) {
-      const owners = parse(v.array(ownerEntrySchema), value);
-      if (owners.isErr()) unreadable.push({ key, reason: owners.error });
-      else domain.owners = owners.value;
+    if (key.startsWith(OWNER_PREFIX)) {
+      const owner = parse(ownerEntrySchema, value);
+      if (owner.isErr()) unreadable.push({ key, reason: owner.error });
+      else domain.owners.push(owner.value);
       continue;
     }
     const job = parse(jobSchema, value);
--- a/src/domain/step_domain.ts
+++ b/src/domain/step_domain.ts
@@ -13,7 +13,7 @@
   openDueOccurrences,
   openOccurrence,
 } from "./job_runs.ts";
-import { jobKey, OWNERS_KEY } from "./keys.ts";
+import { jobKey, ownerKey } from "./keys.ts";
 import { findTask, loseTasks, repeatStops, takeLook } from "./looks.ts";
 import { adjustPace } from "./pacing.ts";
 import { createDomainWorker } from "./placed.ts";
@@ -84,16 +84,12 @@
       return confirmStop(domain, event, moment);
     case "advised":
       return takeAdvice(domain, event, moment);
-    case "owned":
-      domain.owners.push(event.owner);
-      domain.dirty.add(OWNERS_KEY);
-      return;
     case "ownerEnded": {
       const { instance, epoch } = event.owner;
       domain.owners = domain.owners.filter((owner) =>
         owner.instance !== instance || owner.epoch !== epoch
       );
-      domain.dirty.add(OWNERS_KEY);
+      domain.dirty.add(ownerKey(epoch));
       return;
     }
     case "ticked":
@@ -167,7 +163,8 @@
  * successor. An answer that waits for the commit then surely is not outdated.
  */
 export function confirmOwnership(domain: Domain): void {
-  domain.dirty.add(OWNERS_KEY);
+  const epoch = Math.max(...domain.owners.map((owner) => owner.epoch));
+  domain.dirty.add(ownerKey(epoch));
 }
 
 /** Takes in the list; a worker that is missing keeps what it runs. */
--- a/src/domain/takeover_test.ts
+++ b/src/domain/takeover_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { jobStateOf } from "./job_state.ts";
+import { ownerRecord } from "./records.ts";
 import {
   cancel,
   createBench,
@@ -21,7 +22,9 @@
 describe("an owner that does not know of its successor", () => {
   it("says that it does not know a job only after a commit", () => {
     const bench = createBench();
-    feed(bench, { kind: "owned", owner: { instance: "a", epoch: 1 } });
+    const { key, value = "" } = ownerRecord({ instance: "a", epoch: 1 });
+    bench.store.set(key, value);
+    takeOverBench(bench);
     bench.store.clear();
     const [answer] = cancel(bench, "unknown");
     assert.deepEqual(answer, {
@@ -29,7 +32,7 @@
       call: 1,
       answer: { kind: "unknownJob" },
     });
-    assert.ok(bench.store.has("owners"));
+    assert.ok(bench.store.has(key));
   });
 });
 
--- a/src/entry/candidacy.ts
+++ b/src/entry/candidacy.ts
@@ -15,6 +15,8 @@
 /** How much later an instance without any processor would apply, in ms. */
 const SMALL_INSTANCE_WAIT_MS = 1_500;
 const MAX_RANDOM_WAIT_MS = 200;
+/** How much later the next best candidate applies, in milliseconds. */
+const WAIT_PER_RANK_MS = 200;
 /** Workers that one owner can carry. */
 const WORKERS_PER_OWNER = 150;
 
@@ -41,3 +43,15 @@
       missing * SMALL_INSTANCE_WAIT_MS + hash32(self) % MAX_RANDOM_WAIT_MS,
   );
 }
+
+/**
+ * How long this instance holds back before it takes a free place. Where the
+ * candidates are known, the best of them takes it at once.
+ *
+ * @param ownWaitMs what this instance announced, used until then
+ */
+export function candidateWaitMs(running: Running, ownWaitMs: number): number {
+  const rank = running.instances.rank([]);
+  if (rank === undefined) return ownWaitMs;
+  return Math.min(rank * WAIT_PER_RANK_MS, ownWaitMs);
+}
--- a/src/entry/configuration.ts
+++ b/src/entry/configuration.ts
@@ -19,6 +19,8 @@
   current(): Configuration | undefined;
   /** Puts a configuration in force, unless it is older than the current. */
   offer(configuration: Configuration): boolean;
+  /** The services that run the queues. */
+  services(): string[];
   /** Services that ran a queue before, as far as this process has seen. */
   formerServices(queue: string): string[];
 };
@@ -52,6 +54,9 @@
 
   return {
     current: () => current,
+    services: () => [
+      ...new Set(current?.routes.map(({ policy }) => policy.service)),
+    ],
     formerServices: (queue) =>
       [...former.get(queue) ?? []].filter((service) =>
         service !== serviceOf(queue)
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -130,7 +130,7 @@
     async stateOf(job, policy, deadlineMs) {
       const call = { kind: "state", partition: domainOf(policy), job } as const;
       const outcome = await forwardToJob(host, call, job, deadlineMs);
-      if (outcome.kind !== "done") return outcome;
+      if (outcome.kind !== "done") return withoutEffect(outcome);
       const { value } = outcome;
       if (value.kind === "unknownJob") return { kind: "unknownJob" };
       if (value.kind !== "state") return strange(value);
@@ -141,7 +141,7 @@
       const partition = domainOf(policy);
       const call = { kind: "pending", partition, queue } as const;
       const outcome = await forward(host, call, queue, deadlineMs);
-      if (outcome.kind !== "done") return outcome;
+      if (outcome.kind !== "done") return withoutEffect(outcome);
       const { value } = outcome;
       if (value.kind !== "pending") return strange(value);
       return { kind: "done", value: value.jobs };
@@ -158,6 +158,15 @@
   return { kind: "done", value: undefined };
 }
 
+/** A call that only reads has done nothing, however it ended. */
+function withoutEffect<Value>(
+  outcome: Exclude<EntryOutcome<Value>, { kind: "done" }>,
+): EntryOutcome<never> {
+  if (outcome.kind !== "undecided") return outcome;
+  const { cause } = outcome;
+  return { kind: "unavailable", cause, retryAfterMs: TAKEOVER_MS };
+}
+
 function strange(answer: DomainAnswer): EntryOutcome<never> {
   return { kind: "undecided", cause: `the owner answered "${answer.kind}"` };
 }
--- a/src/entry/follow.ts
+++ b/src/entry/follow.ts
@@ -89,6 +89,7 @@
       INSTANCES,
       [record],
       undefined,
+      running.patience.timeoutMs(),
       signal,
     );
     if (done.isOk()) return;
--- a/src/entry/instance_list.ts
+++ b/src/entry/instance_list.ts
@@ -14,6 +14,11 @@
 export type InstanceList = {
   /** Addresses of all of them, this one first, the best owners next. */
   addresses(): string[];
+  /**
+   * How many instances are better owners than this one, those left out aside;
+   * undefined until this one has announced itself.
+   */
+  rank(leftOut: string[]): number | undefined;
   apply(records: KeyedRecord[]): void;
 };
 
@@ -27,14 +32,26 @@
  */
 export function createInstanceList(self: string): InstanceList {
   const others = new Map<string, number>();
+  let ownWaitMs: number | undefined;
   const inOrder = () =>
     [...others].sort(([, left], [, right]) => left - right)
       .map(([address]) => address);
   return {
     addresses: () => [self, ...inOrder()],
+    rank(leftOut) {
+      const own = ownWaitMs;
+      if (own === undefined) return undefined;
+      return [...others].filter(([address, waitMs]) =>
+        !leftOut.includes(address) &&
+        (waitMs < own || waitMs === own && address < self)
+      ).length;
+    },
     apply(records) {
       for (const { key, value } of records) {
-        if (key === self) continue;
+        if (key === self) {
+          if (value !== undefined) ownWaitMs = readWait(value);
+          continue;
+        }
         if (value === undefined) others.delete(key);
         else others.set(key, readWait(value));
       }
--- a/src/entry/peer_call.ts
+++ b/src/entry/peer_call.ts
@@ -42,6 +42,10 @@
   }),
   /** The store turns a member away; the instance takes its place. */
   v.object({ kind: v.literal("succeed"), member: v.string() }),
+  /** Whether the instance answers at all. */
+  v.object({ kind: v.literal("probe") }),
+  /** Whether the instance reaches another one. */
+  v.object({ kind: v.literal("reach"), instance: v.string() }),
   /** Domains were given up; a member gets them when it confirms itself. */
   v.object({ kind: v.literal("confirm") }),
 ]);
@@ -90,6 +94,9 @@
   partition: v.optional(v.number()),
 });
 
+/** Schema of the answer to the question whether an instance is reached. */
+export const reachAnswerSchema = v.object({ reached: v.boolean() });
+
 /** Schema of the answer to a call that only has to arrive. */
 export const doneAnswerSchema = v.object({ kind: v.literal("done") });
 
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -6,13 +6,18 @@
 import { once } from "node:events";
 import process from "node:process";
 import { joinGroup } from "../ownership/mod.ts";
-import { measureCandidateWait, wantedMembers } from "./candidacy.ts";
+import {
+  candidateWaitMs,
+  measureCandidateWait,
+  wantedMembers,
+} from "./candidacy.ts";
 import type { EntryPlatform, PlatformHost } from "./entry_platform.ts";
 import type { EntrySettings } from "./entry_settings.ts";
 import { announce, follow } from "./follow.ts";
 import { createRunning } from "./running.ts";
 import { serve } from "./serve.ts";
 import { stopEntry } from "./stop_entry.ts";
+import { superviseOwners } from "./supervise_owners.ts";
 import { watchMembership, watchOwners } from "./watch.ts";
 
 /**
@@ -44,20 +49,22 @@
   });
   const servers = serve(running);
   follow(running);
-  const candidateWaitMs = await measureCandidateWait(running);
-  announce(running, { candidateWaitMs });
+  const ownWaitMs = await measureCandidateWait(running);
+  announce(running, { candidateWaitMs: ownWaitMs });
   running.membership = joinGroup({
     store: platform.store,
+    patience: running.patience,
     clock: running.clock,
     logger: logger.part("ownership"),
     member: running.member,
     wantedMembers: () => wantedMembers(running),
-    candidateWaitMs,
+    candidateWaitMs: () => candidateWaitMs(running, ownWaitMs),
     onAssignment: (assignment) => running.holder.assign(assignment),
     signal: stopping.signal,
   });
   watchMembership(running);
   watchOwners(running);
+  superviseOwners(running);
   if (!stopping.signal.aborted) await once(stopping.signal, "abort");
   await stopEntry(running, servers);
   ending.abort();
--- a/src/entry/running.ts
+++ b/src/entry/running.ts
@@ -14,10 +14,12 @@
 import {
   createDirectory,
   createDomainHolder,
+  createStorePatience,
   createWorkerList,
   type Directory,
   type DomainHolder,
   type GroupMembership,
+  type StorePatience,
   type WorkerList,
 } from "../ownership/mod.ts";
 import {
@@ -67,6 +69,7 @@
   directory: Directory;
   workers: WorkerList;
   holder: DomainHolder;
+  patience: StorePatience;
   instances: InstanceList;
   rpc: PeerRpc;
   reachability: Reachability;
@@ -98,8 +101,10 @@
   const workerCaller = createCaller(CONNECTIONS_PER_WORKER);
   const platform = connect({ settings, caller, workerCaller });
   const ending = new AbortController();
+  const stopping = new AbortController();
   const { signal } = ending;
-  setMaxListeners(0, signal);
+  // Every loop and call in flight listens to the end of the process.
+  setMaxListeners(0, signal, stopping.signal);
   const clock = createSystemClock();
   const logger = createLogger({
     level: settings.log.level,
@@ -131,6 +136,7 @@
       clock,
       settings.workers.heartbeatMs,
     ),
+    patience: createStorePatience(),
     instances: createInstanceList(self),
     rpc: createPeerRpc(createPeerClient(caller, { secret: "" }), signal),
     reachability: createReachability(clock),
@@ -142,7 +148,7 @@
       ttlMs: settings.store.memberTtlMs,
     },
     membership: undefined,
-    stopping: new AbortController(),
+    stopping,
     ending,
   };
   return Object.assign(parts, { holder: createHolder(parts) });
@@ -154,6 +160,7 @@
   const leaseMs = Math.min(settings.lease.maxMs, LONGEST_LEASE_MS);
   return createDomainHolder({
     store: platform.store,
+    patience: running.patience,
     tasks: platform.tasks,
     clock,
     logger: logger.part("domain"),
@@ -167,6 +174,10 @@
       owner.instance === running.self ||
       await running.rpc.release(owner.instance, domain, owner.epoch),
     confirmedAtMs: () => confirmedAtMs(running),
+    isInUse: (partition) =>
+      running.configuration.services().some((service) =>
+        partitionOf(service, settings.store.partitions) === partition
+      ),
     servesDomain: (service, partition) =>
       partitionOf(service, settings.store.partitions) === partition,
     instances: () => running.instances.addresses(),
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -12,6 +12,7 @@
 import { createEntry } from "./entry.ts";
 import type { PeerCall } from "./peer_call.ts";
 import { createPeerRpcRoute } from "./peer_rpc.ts";
+import { leaveFor } from "./leave_for.ts";
 import type { Running } from "./running.ts";
 
 const OK = 200;
@@ -79,6 +80,10 @@
       return await running.directory.readStore() ?? {};
     case "find":
       return { partition: await running.holder.find(call.job) };
+    case "probe":
+      return { kind: "done" };
+    case "reach":
+      return { reached: await running.rpc.probe(call.instance) };
     case "confirm":
       running.membership?.confirm();
       return { kind: "done" };
@@ -99,9 +104,8 @@
 
 /** Takes the place of a member that the store turns away. */
 async function succeed(running: Running, member: string): Promise<unknown> {
-  const { platform, ending, membership } = running;
-  const replaced = { ...running.member, member };
-  const left = await platform.store.leave(replaced, ending.signal);
+  const { membership } = running;
+  const left = await leaveFor(running, member);
   if (left.isErr()) return { kind: "refused", cause: left.error.message };
   membership?.confirm();
   return { kind: "done" };
--- a/src/entry/stop_entry.ts
+++ b/src/entry/stop_entry.ts
@@ -32,6 +32,7 @@
     INSTANCES,
     [{ key: self, value: undefined }],
     undefined,
+    running.patience.timeoutMs(),
     signal,
   );
   await waitForConnections(servers.callers, clock, untilMs);
--- a/src/ownership/advisor.ts
+++ b/src/ownership/advisor.ts
@@ -1,7 +1,9 @@
 /**
  * Spreads questions to the placement policy over the entry instances. The
  * policy takes one call at a time from each instance, so each instance is a
- * lane; a question waits until a lane is free.
+ * lane; a question waits until a lane is free. Short questions take the lane
+ * that answers fastest, long ones the slowest: what a far lane adds on the way
+ * matters little to a question that takes long anyway.
  *
  * @module
  */
@@ -10,7 +12,7 @@
 
 /** Questions that take longer than this are long, in milliseconds. */
 const SHORT_QUESTION_MS = 120;
-/** The part of the lanes that long questions leave free. */
+/** The part of the lanes, the fastest, that long questions leave free. */
 const SHORT_LANE_SHARE = 0.25;
 /** How long a lane that failed is left alone, in milliseconds. */
 const FAILED_LANE_PAUSE_MS = 1_500;
@@ -39,8 +41,8 @@
 export type Advisor = { dispatch(): void };
 
 type Lane = {
-  /** The question that it carries takes long. */
-  isLong: boolean;
+  /** The instance that asks. */
+  instance: string;
   isBusy: boolean;
   pausedUntilMs: number;
   /** Mean time beyond the cost of its questions, in milliseconds. */
@@ -60,53 +62,41 @@
   const lanes = new Map<string, Lane>();
 
   function dispatch(): void {
-    if (host.signal.aborted) return;
-    for (const [instance, lane] of freeLanes()) {
-      const question = host.takeQuestion(longestCostMs());
+    while (!host.signal.aborted) {
+      const { free, open } = freeLanes();
+      if (free.length === 0) return;
+      const limitMs = open.length > 0 ? Infinity : SHORT_QUESTION_MS;
+      const question = host.takeQuestion(limitMs);
       if (question === undefined) return;
-      send(instance, lane, question);
+      const isShort = question.costMs <= SHORT_QUESTION_MS;
+      send(isShort ? free[0]! : open.at(-1)!, question);
     }
   }
 
-  /** Free lanes, those that answer fastest first. */
-  function freeLanes(): [string, Lane][] {
+  /** Free lanes, the fastest first, and those of them open to any question. */
+  function freeLanes(): { free: Lane[]; open: Lane[] } {
     const nowMs = host.clock.steadyMs();
-    return host.instances()
-      .map((instance): [string, Lane] => [instance, laneOf(instance)])
-      .filter(([, lane]) => !lane.isBusy && lane.pausedUntilMs <= nowMs)
-      .sort(([, left], [, right]) => left.overheadMs - right.overheadMs);
+    const ordered = host.instances().map(laneOf)
+      .sort((left, right) => left.overheadMs - right.overheadMs);
+    const isFree = (lane: Lane) => !lane.isBusy && lane.pausedUntilMs <= nowMs;
+    return {
+      free: ordered.filter(isFree),
+      open: ordered.slice(shortLaneCount(ordered.length)).filter(isFree),
+    };
   }
 
   function laneOf(instance: string): Lane {
     const known = lanes.get(instance);
     if (known !== undefined) return known;
-    const lane = {
-      isLong: false,
-      isBusy: false,
-      pausedUntilMs: 0,
-      overheadMs: 0,
-    };
+    const lane = { instance, isBusy: false, pausedUntilMs: 0, overheadMs: 0 };
     lanes.set(instance, lane);
     return lane;
   }
 
-  /** Some lanes are left to short questions. */
-  function longestCostMs(): number {
-    const busyWithLong = [...lanes.values()]
-      .filter((lane) => lane.isBusy && lane.isLong).length;
-    const limit = longLaneLimit(host.instances().length);
-    return busyWithLong < limit ? Infinity : SHORT_QUESTION_MS;
-  }
-
-  async function send(
-    instance: string,
-    lane: Lane,
-    question: AdviceQuestion,
-  ): Promise<void> {
+  async function send(lane: Lane, question: AdviceQuestion): Promise<void> {
     lane.isBusy = true;
-    lane.isLong = question.costMs > SHORT_QUESTION_MS;
     const sentAtMs = host.clock.steadyMs();
-    const advice = await host.askThrough(instance, question);
+    const advice = await host.askThrough(lane.instance, question);
     lane.isBusy = false;
     const nowMs = host.clock.steadyMs();
     const elapsedMs = nowMs - sentAtMs;
@@ -118,7 +108,7 @@
       step: question.stepKey,
       workers: question.workers.length,
       allowed: advice?.allowed.length ?? -1,
-      through: instance,
+      through: lane.instance,
       elapsedMs: Math.round(elapsedMs),
       costMs: Math.round(question.costMs),
     });
@@ -130,6 +120,7 @@
   return { dispatch };
 }
 
-function longLaneLimit(lanes: number): number {
-  return Math.max(1, lanes - Math.ceil(lanes * SHORT_LANE_SHARE));
+/** How many lanes are left to short questions; never all of them. */
+function shortLaneCount(lanes: number): number {
+  return Math.min(Math.ceil(lanes * SHORT_LANE_SHARE), lanes - 1);
 }
--- /dev/null
+++ b/src/ownership/advisor_test.ts
@@ -0,0 +1,118 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import {
+  createManualClock,
+  silentLogger,
+} from "../entry/testing/manual_clock.ts";
+import type { Advice, AdviceQuestion } from "../hosts/mod.ts";
+import { createCounters } from "../telemetry/mod.ts";
+import { createAdvisor } from "./advisor.ts";
+
+const LANES = ["near-1", "near-2", "far-1", "far-2", "far-3", "far-4"];
+/** What the way to each lane adds, in milliseconds. */
+const WAY_MS: Record<string, number> = { near: 2, far: 60 };
+
+const never = new AbortController().signal;
+
+type Sent = {
+  instance: string;
+  question: AdviceQuestion;
+  answer(advice: Advice | undefined): void;
+};
+
+function createBench() {
+  const clock = createManualClock();
+  const waiting: AdviceQuestion[] = [];
+  const sent: Sent[] = [];
+  const ending = new AbortController();
+  const advisor = createAdvisor({
+    clock,
+    logger: silentLogger,
+    counters: createCounters(),
+    instances: () => LANES,
+    askThrough: (instance, question) =>
+      new Promise((resolve) => {
+        sent.push({ instance, question, answer: resolve });
+      }),
+    takeQuestion(mostMs) {
+      const index = waiting.findIndex(({ costMs }) => costMs <= mostMs);
+      return index < 0 ? undefined : waiting.splice(index, 1)[0];
+    },
+    onAnswer: () => {},
+    signal: ending.signal,
+  });
+  return { clock, waiting, sent, advisor };
+}
+
+function question(stepKey: string, costMs: number): AdviceQuestion {
+  return { stepKey, workers: ["w1"], costMs };
+}
+
+/** Has every lane answer once, so that its distance is known. */
+async function learnDistances(bench: ReturnType<typeof createBench>) {
+  for (const lane of LANES) bench.waiting.push(question(`learn-${lane}`, 10));
+  bench.advisor.dispatch();
+  for (const { instance, answer } of bench.sent.splice(0)) {
+    const [place = "far"] = instance.split("-");
+    await bench.clock.sleep(WAY_MS[place] ?? 0, never);
+    answer({ allowed: [], validMs: 1_000 });
+    await Promise.resolve();
+    await Promise.resolve();
+  }
+}
+
+describe("pattern: short questions of urgent work among long ones", () => {
+  it("keeps the near lanes free of long questions", async () => {
+    const bench = createBench();
+    await learnDistances(bench);
+    for (let index = 0; index < 8; index += 1) {
+      bench.waiting.push(question(`long-${index}`, 600));
+    }
+    bench.advisor.dispatch();
+    assert.deepEqual(
+      bench.sent.map(({ instance }) => instance).sort(),
+      ["far-1", "far-2", "far-3", "far-4"],
+    );
+  });
+
+  it("sends an urgent short question through the nearest lane", async () => {
+    const bench = createBench();
+    await learnDistances(bench);
+    bench.waiting.push(question("short", 30));
+    bench.advisor.dispatch();
+    assert.match(bench.sent[0]!.instance, /^near/);
+  });
+
+  it("uses far lanes for short questions once the near ones are busy", async () => {
+    const bench = createBench();
+    await learnDistances(bench);
+    for (let index = 0; index < 3; index += 1) {
+      bench.waiting.push(question(`short-${index}`, 30));
+    }
+    bench.advisor.dispatch();
+    const instances = bench.sent.map(({ instance }) => instance);
+    assert.match(instances[2]!, /^far/);
+  });
+});
+
+describe("an advisor with a single lane", () => {
+  it("sends long questions through it", () => {
+    const waiting = [question("long", 900)];
+    const sent: string[] = [];
+    const advisor = createAdvisor({
+      clock: createManualClock(),
+      logger: silentLogger,
+      counters: createCounters(),
+      instances: () => ["only"],
+      askThrough(instance) {
+        sent.push(instance);
+        return new Promise(() => {});
+      },
+      takeQuestion: () => waiting.pop(),
+      onAnswer: () => {},
+      signal: new AbortController().signal,
+    });
+    advisor.dispatch();
+    assert.deepEqual(sent, ["only"]);
+  });
+});
--- a/src/ownership/domain_holder.ts
+++ b/src/ownership/domain_holder.ts
@@ -21,10 +21,17 @@
 export type DomainHolderHost =
   & Omit<
     DomainOwnerHost,
-    "partition" | "epoch" | "sequence" | "servesDomain" | "onFenced"
+    | "partition"
+    | "epoch"
+    | "sequence"
+    | "servesDomain"
+    | "onFenced"
+    | "onFailed"
   >
   & {
     options: DomainOptions;
+    /** Whether a service of the configuration belongs to the domain. */
+    isInUse(partition: number): boolean;
     servesDomain(service: string, partition: number): boolean;
   };
 
@@ -65,6 +72,10 @@
  */
 export function createDomainHolder(host: DomainHolderHost): DomainHolder {
   const held = new Map<number, Held>();
+  /** What the group assigned last; all of it is taken over in time. */
+  let assigned: Assignment = { generation: 0, partitions: [] };
+  /** The epoch up to which each domain belongs to a successor. */
+  const fencedEpochs = new Map<number, number>();
 
   async function giveUp(number: number, reason: string): Promise<void> {
     const domain = held.get(number);
@@ -93,13 +104,23 @@
     const domain = held.get(number);
     if (domain?.ending !== ending) return;
     held.delete(number);
-    host.logger.warn("Lost a domain to another owner.", {
+    host.logger.warn("Lost a domain.", {
       partition: number,
       epoch: domain.epoch,
       cause,
     });
   }
 
+  function fence(number: number, epoch: number): void {
+    const known = fencedEpochs.get(number) ?? 0;
+    fencedEpochs.set(number, Math.max(known, epoch));
+  }
+
+  /** Whether a domain that is not held may be taken over. */
+  function mayTake(number: number, epoch: number): boolean {
+    return !held.has(number) && epoch > (fencedEpochs.get(number) ?? 0);
+  }
+
   function take(partition: Partition, epoch: number): void {
     const ending = new AbortController();
     // Every link and call of the domain listens to its end.
@@ -107,35 +128,60 @@
     host.signal.addEventListener("abort", () => ending.abort(), {
       signal: ending.signal,
     });
-    const onFenced = (cause: string) => drop(partition.number, ending, cause);
-    const owner = start(partition, epoch, ending.signal, onFenced);
+    const onFailed = (cause: string) => drop(partition.number, ending, cause);
+    const onFenced = (cause: string) => {
+      fence(partition.number, epoch);
+      onFailed(cause);
+    };
+    const owner = start(partition, epoch, {
+      onFenced,
+      onFailed,
+      signal: ending.signal,
+    });
     held.set(partition.number, { epoch, ending, owner });
   }
 
+  /** Takes the domains without work once those with work are served. */
+  async function takeUnused(assignment: Assignment): Promise<void> {
+    await Promise.all([...held.values()].map(({ owner }) => owner));
+    for (const partition of assignment.partitions) {
+      if (assigned !== assignment || host.signal.aborted) return;
+      await ownerAt(partition.number);
+    }
+  }
+
+  /** The owner of a domain, which is taken over now if it was put off. */
+  async function ownerAt(number: number): Promise<DomainOwner | undefined> {
+    const partition = assigned.partitions.find((one) => one.number === number);
+    if (partition !== undefined && mayTake(number, assigned.generation)) {
+      take(partition, assigned.generation);
+    }
+    return await held.get(number)?.owner;
+  }
+
   async function start(
     partition: Partition,
     epoch: number,
-    signal: AbortSignal,
-    onFenced: (cause: string) => void,
+    ending: Pick<DomainOwnerHost, "onFenced" | "onFailed" | "signal">,
   ): Promise<DomainOwner | undefined> {
+    const { signal } = ending;
     const taken = await takeOver({ ...host, partition, epoch, signal });
     if (taken.isErr()) {
-      onFenced(taken.error.message);
+      ending.onFenced(taken.error.message);
       return undefined;
     }
     return startDomainOwner({
       ...host,
+      ...ending,
       partition,
       epoch,
       sequence: taken.value.sequence,
       servesDomain: (service) => host.servesDomain(service, partition.number),
-      onFenced,
-      signal,
     }, taken.value.domain);
   }
 
   return {
-    ownerOf: async (partition) => await held.get(partition)?.owner,
+    ownerOf: ownerAt,
     async find(job) {
       for (const [partition, domain] of held) {
         if ((await domain.owner)?.knows(job)) return partition;
@@ -143,20 +189,25 @@
       return undefined;
     },
     count: () => held.size,
-    async assign({ generation, partitions }) {
+    async assign(assignment) {
+      assigned = assignment;
+      const { generation, partitions } = assignment;
       const numbers = new Set(partitions.map(({ number }) => number));
       const lost = [...held.keys()].filter((number) => !numbers.has(number));
       await Promise.all(lost.map((number) => giveUp(number, "reassigned")));
-      for (const partition of partitions) {
-        if (!held.has(partition.number)) take(partition, generation);
-      }
+      const isNew = ({ number }: Partition) => mayTake(number, generation);
+      const used = partitions.filter(({ number }) => host.isInUse(number));
+      for (const partition of used.filter(isNew)) take(partition, generation);
+      if (partitions.some(isNew)) takeUnused(assignment);
     },
     release(partition, epoch) {
+      fence(partition, epoch);
       const domain = held.get(partition);
       if (domain === undefined || domain.epoch > epoch) return;
       drop(partition, domain.ending, "a successor asked for it");
     },
     async close() {
+      assigned = { generation: 0, partitions: [] };
       const numbers = [...held.keys()];
       await Promise.all(numbers.map((number) => giveUp(number, "stopping")));
     },
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -40,6 +40,7 @@
 import { createDomainWriter, type DomainWriter } from "./domain_writer.ts";
 import { createEventSource, type EventSource } from "./event_source.ts";
 import { openWorkerLink, type WorkerLink } from "./worker_link.ts";
+import type { StorePatience } from "./store_patience.ts";
 import type { WorkerList } from "./worker_list.ts";
 
 /** Least time between two scheduling passes, in milliseconds. */
@@ -66,6 +67,7 @@
 /** What the owner of a domain needs. */
 export type DomainOwnerHost = {
   store: StoreHost;
+  patience: StorePatience;
   tasks: TaskHost;
   clock: Clock;
   logger: PartLogger;
@@ -91,7 +93,10 @@
     instance: string,
     question: AdviceQuestion,
   ): Promise<Advice | undefined>;
+  /** A successor exists, so the ownership has ended. */
   onFenced(cause: string): void;
+  /** The state in this process is of no use; the store has the truth. */
+  onFailed(cause: string): void;
   signal: AbortSignal;
 };
 
@@ -159,11 +164,9 @@
       planPass(state);
     })
     .catch((error: unknown) => fail(state, error));
-  const predecessors = [...domain.owners];
-  emit(state, {
-    kind: "owned",
-    owner: { instance: host.self, epoch: host.epoch },
-  });
+  const predecessors = domain.owners.filter(({ epoch }) =>
+    epoch !== host.epoch
+  );
   awaitPredecessors(state, predecessors);
   host.list.subscribe(() => takeList(state), host.signal);
   takeList(state);
@@ -232,7 +235,7 @@
     partition: host.partition.number,
     cause: String(cause),
   });
-  host.onFenced("the reducer failed");
+  host.onFailed("the reducer failed");
 }
 
 function createState(host: DomainOwnerHost, domain: Domain): State {
--- a/src/ownership/group_membership.ts
+++ b/src/ownership/group_membership.ts
@@ -10,6 +10,7 @@
   StoreHost,
 } from "../hosts/mod.ts";
 import type { PartLogger } from "../telemetry/mod.ts";
+import type { StorePatience } from "./store_patience.ts";
 
 /** How often a member confirms that it lives, in milliseconds. */
 const JOIN_INTERVAL_MS = 350;
@@ -20,13 +21,14 @@
 /** What a membership needs. */
 export type GroupMembershipHost = {
   store: StoreHost;
+  patience: StorePatience;
   clock: Clock;
   logger: PartLogger;
   member: GroupMember;
   /** How many members the group needs. */
   wantedMembers(): number;
   /** How long this instance holds back as a candidate, in milliseconds. */
-  candidateWaitMs: number;
+  candidateWaitMs(): number;
   /** Takes what this member holds; called before the next confirmation. */
   onAssignment(assignment: Assignment): Promise<void>;
   signal: AbortSignal;
@@ -135,9 +137,10 @@
 
 /** Waits until the group needs this instance, as two readings agree. */
 async function apply(state: State): Promise<void> {
-  const { signal, logger, candidateWaitMs } = state.host;
+  const { signal, logger } = state.host;
   let seen: string | undefined;
-  while (!signal.aborted) {
+  while (!signal.aborted && !state.isInvited) {
+    const candidateWaitMs = state.host.candidateWaitMs();
     const members = await readMembers(state);
     const names = members?.join(",") ?? "unknown";
     if (names !== seen) {
@@ -152,7 +155,6 @@
     }
     // The best candidates look most often; the others only step in for them.
     await rest(state, CANDIDATE_INTERVAL_MS + candidateWaitMs);
-    if (state.isInvited) break;
   }
   logger.info("Applies for a place in the group.", {
     invited: state.isInvited,
@@ -206,12 +208,17 @@
 
 async function confirmOnce(state: State): Promise<void> {
   const { host } = state;
-  const { store, clock, member, signal, logger } = host;
+  const { store, patience, clock, member, signal, logger } = host;
   state.isInvited = false;
   if (state.hasResigned) return;
   const sentAtMs = clock.steadyMs();
   const sentWallMs = clock.nowMs();
-  const joined = await store.join(member, state.generation, signal);
+  const joined = await store.join(
+    member,
+    state.generation,
+    patience.timeoutMs(),
+    signal,
+  );
   if (signal.aborted || state.hasResigned) return;
   if (joined.isErr()) {
     const isRefusal = joined.error.kind === "unavailable";
--- a/src/ownership/take_over.ts
+++ b/src/ownership/take_over.ts
@@ -3,23 +3,28 @@
   createDomain,
   type Domain,
   type DomainOptions,
+  ownerRecord,
   restoreDomain,
 } from "../domain/mod.ts";
 import type { Clock, Partition, StoreFault, StoreHost } from "../hosts/mod.ts";
 import type { PartLogger } from "../telemetry/mod.ts";
+import type { StorePatience } from "./store_patience.ts";
 
 /** Pause before a failed call of a takeover is repeated, in milliseconds. */
 const RETRY_MS = 60;
-/** Sequence number of the append that only raises the epoch. */
+/** Sequence number of the append that raises the epoch. */
 const FIRST_SEQUENCE = 0;
 
 /** What a takeover needs. */
 export type TakeoverHost = {
   store: StoreHost;
+  patience: StorePatience;
   clock: Clock;
   logger: PartLogger;
   partition: Partition;
   epoch: number;
+  /** Address of this instance. */
+  self: string;
   options: DomainOptions;
   signal: AbortSignal;
 };
@@ -28,8 +33,9 @@
 export type Takeover = { domain: Domain; sequence: number };
 
 /**
- * Takes a domain over: raises the epoch, after which no earlier owner can
- * write, and restores the state from the newest record of each key.
+ * Takes a domain over: records itself as the owner under the new epoch, after
+ * which no earlier owner can write, and restores the state from the newest
+ * record of each key.
  *
  * @returns the domain, or the fault where a higher epoch exists
  *
@@ -43,11 +49,22 @@
 ): Promise<Result<Takeover, StoreFault>> {
   const { store, partition, epoch, signal, clock, logger } = host;
   const beganAtMs = clock.steadyMs();
-  const fence = { epoch, sequence: FIRST_SEQUENCE };
-  const raised = await persist(
-    host,
-    () => store.append(partition, [], fence, signal),
-  );
+  let sequence = FIRST_SEQUENCE;
+  const record = ownerRecord({ instance: host.self, epoch });
+  const raised = await persist(host, async () => {
+    const timeoutMs = host.patience.timeoutMs();
+    const fence = { epoch, sequence };
+    const answer = await store.append(
+      partition,
+      [record],
+      fence,
+      timeoutMs,
+      signal,
+    );
+    // This instance has written under the epoch before, and lost its state.
+    if (answer.isErr()) sequence = answer.error.expectedSequence ?? sequence;
+    return answer;
+  });
   if (raised.isErr()) return err(raised.error);
   const newest = await persist(host, () => store.newest(partition, signal));
   if (newest.isErr()) return err(newest.error);
@@ -67,7 +84,7 @@
     jobs: domain.jobs.size,
     elapsedMs: Math.round(clock.steadyMs() - beganAtMs),
   });
-  return ok({ domain, sequence: FIRST_SEQUENCE + 1 });
+  return ok({ domain, sequence: sequence + 1 });
 }
 
 /** Repeats a call until it succeeds, is fenced, or the signal ends it. */
@@ -80,6 +97,7 @@
     if (result.isOk()) return result;
     const isFinal = result.error.kind === "fenced" || host.signal.aborted;
     if (isFinal) return result;
+    if (result.error.kind === "unknown") host.patience.noteSilence();
     host.logger.warn("A call of a takeover failed.", {
       epoch: host.epoch,
       step: result.error.step,
