Plan gangs by expected freeing, and ask for their tickets ahead

Their seats stood idle for the 0.8 s that the policy takes for a ticket, and whole workers were kept for a gang that needs half of one.

Seats are planned by the progress that workers list; the question leaves so that the ticket arrives when the room is free; only the room that is needed is reserved, and others may use the rest, or the reserved room until it is needed. Large tasks that are no gang do the same.

--- a/src/domain/advising.ts
+++ b/src/domain/advising.ts
@@ -8,6 +8,8 @@
 import type { DomainWorker } from "./domain_worker.ts";
 import type { DomainEvent, Moment } from "./domain_event.ts";
 import { eligibleWorkers, hasRoom, scoreWorker } from "./choose_worker.ts";
+import type { Pass } from "./schedule.ts";
+import type { Seat } from "./seat.ts";
 import type { StepRun } from "./step_run.ts";
 
 /** The most workers that one question may name. */
@@ -26,6 +28,9 @@
 const SURPLUS_FACTOR = 1.5;
 const SURPLUS_WORKERS = 2;
 
+/** Time for the way of a question and for expectations that are off, in ms. */
+const ASK_AHEAD_MARGIN_MS = 150;
+
 /** A question to the placement policy about one step. */
 export type StepQuestion = {
   stepKey: string;
@@ -58,6 +63,26 @@
     nowMs >= advice.notBeforeMs;
 }
 
+/** Whether it is known which workers the policy allows. */
+export function isDecided(run: StepRun): boolean {
+  const { allowed, refused } = run.advice;
+  return run.job.job.policy.advice === undefined ||
+    allowed.size > 0 || refused.size > 0;
+}
+
+/** How long before room is free its tickets have to be asked for, in ms. */
+export function questionMs(run: StepRun, workers: number): number {
+  const { decideMs = 0, perWorkerMs = 0 } = run.job.job.policy.advice ?? {};
+  return decideMs + perWorkerMs * workers + ASK_AHEAD_MARGIN_MS;
+}
+
+/** Has a step ask about the workers of some seats, among others. */
+export function askFor(pass: Pass, run: StepRun, seats: Seat[]): void {
+  if (!mayAsk(run, pass.moment.steadyMs)) return;
+  run.advice.preferred = new Set(seats.map(({ worker }) => worker.id));
+  pass.domain.wishes.push(run);
+}
+
 /**
  * Takes the question of the most urgent step that wants to ask. It is put
  * together only now, when it can leave, from the workers as they are now.
@@ -121,9 +146,11 @@
   const inOrder = (workers: DomainWorker[]) =>
     workers.map((worker) => ({
       worker,
+      isPreferred: advice.preferred.has(worker.id) ? 0 : 1,
       hasRoom: hasRoom(worker, run, nowMs) ? 0 : 1,
       score: scoreWorker(worker, run),
     })).sort((left, right) =>
+      left.isPreferred - right.isPreferred ||
       left.hasRoom - right.hasRoom || right.score - left.score
     ).map(({ worker }) => worker);
   return [
--- a/src/domain/load_patterns_test.ts
+++ b/src/domain/load_patterns_test.ts
@@ -3,6 +3,7 @@
 import { takeQuestion } from "./advising.ts";
 import {
   createBench,
+  type DomainBench,
   ended,
   feed,
   listing,
@@ -103,6 +104,94 @@
   });
 });
 
+/** Has the policy allow workers for a step. */
+function advise(
+  bench: DomainBench,
+  stepKey: string,
+  asked: string[],
+  allowed: string[],
+) {
+  return feed(bench, {
+    kind: "advised",
+    stepKey,
+    asked,
+    allowed: allowed.map((worker): [string, string] => [worker, "t"]),
+    validMs: 2_000,
+  });
+}
+
+function ask(bench: DomainBench) {
+  const moment = { steadyMs: bench.nowMs, wallMs: bench.nowMs };
+  return takeQuestion(bench.domain, moment, Infinity);
+}
+
+describe("pattern: gangs that wait for busy workers and slow tickets", () => {
+  const slow = { decideMs: 800, perWorkerMs: 8, validMs: 2_000 };
+
+  /** A gang for whole workers, allowed on one that runs a task of 4.5 s. */
+  function waitingGang() {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"), listing("w2"));
+    const long = step({ demand: WHOLE, estimateMs: 4_500, taskCount: 2 });
+    submit(bench, "held", [long], { priority: 1 });
+    const gang = step({ demand: WHOLE, gang: true, estimateMs: 4_500 });
+    submit(bench, "g", [gang], { priority: 1, advice: slow });
+    assert.equal(ask(bench)?.stepKey, "g.0.0");
+    advise(bench, "g.0.0", ["w1", "w2"], ["w1"]);
+    const held = startsIn(bench.commands)
+      .find(({ worker }) => worker === "w1")!;
+    return { bench, held };
+  }
+
+  it("asks for the tickets shortly before the room is free", () => {
+    const { bench, held } = waitingGang();
+    bench.nowMs = 2_250;
+    look(bench, "w1", { running: [running(held.task, 1, { percent: 50 })] });
+    assert.equal(ask(bench), undefined);
+    bench.nowMs = 3_600;
+    look(bench, "w1", { running: [running(held.task, 1, { percent: 80 })] });
+    assert.deepEqual(ask(bench)?.workers, ["w1"]);
+  });
+
+  it("starts at once when the room is free, with that ticket", () => {
+    const { bench, held } = waitingGang();
+    bench.nowMs = 3_600;
+    look(bench, "w1", { running: [running(held.task, 1, { percent: 80 })] });
+    ask(bench);
+    bench.nowMs = 4_400;
+    advise(bench, "g.0.0", ["w1"], ["w1"]);
+    bench.nowMs = 4_500;
+    const commands = look(bench, "w1", {
+      ended: [ended(1, held.task, 1, "done")],
+    });
+    assert.equal(startsIn(commands)[0]?.task, "g.0.0.0");
+  });
+
+  it("leaves the rest of a reserved worker to small tasks", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    const half = { cpuMillis: 4_000, memoryMb: 100, accelerators: 4 };
+    const long = step({ demand: half, estimateMs: 9_000 });
+    submit(bench, "held", [long], { priority: 1 });
+    const gang = step({ demand: half, gang: true, taskCount: 1 });
+    submit(bench, "g", [gang], { priority: 1, advice: slow });
+    ask(bench);
+    bench.nowMs = 5_000;
+    advise(bench, "g.0.0", ["w1"], ["w1"]);
+    bench.nowMs = 7_000;
+    const small = { cpuMillis: 1_000, memoryMb: 100, accelerators: 1 };
+    const commands = submit(bench, "s", [
+      step({ demand: small, taskCount: 4, estimateMs: 60_000 }),
+    ], { priority: 2 });
+    // Four of eight accelerators are in use, and four are reserved.
+    assert.equal(startsIn(commands).length, 0);
+    look(bench, "w1", { ended: [ended(1, "held.0.0.0", 1, "done")] });
+    const started = startsIn(bench.commands)
+      .filter(({ task }) => task.startsWith("s."));
+    assert.equal(started.length, 4);
+  });
+});
+
 describe("tasks that take most of a worker", () => {
   const half = { cpuMillis: 1_000, memoryMb: 100, accelerators: 4 };
 
--- a/src/domain/place_gang.ts
+++ b/src/domain/place_gang.ts
@@ -4,147 +4,143 @@
  * @module
  */
 import {
-  addResources,
-  fitsInto,
-  type Resources,
-  subtractResources,
-} from "../model/mod.ts";
-import { hasTicket, mayAsk, mayBeAllowed } from "./advising.ts";
+  askFor,
+  hasTicket,
+  isDecided,
+  mayBeAllowed,
+  questionMs,
+} from "./advising.ts";
 import { eligibleWorkers } from "./choose_worker.ts";
 import type { DomainWorker } from "./domain_worker.ts";
 import { reservationOf } from "./placed.ts";
-import { keep, leastBusyFirst, mayUse } from "./keeping.ts";
+import { reserve, seatsOf } from "./reservations.ts";
 import { type Pass, startTask } from "./schedule.ts";
+import type { Seat } from "./seat.ts";
 import type { StepRun } from "./step_run.ts";
 import { runLimit } from "./worker_health.ts";
 
 /**
- * Starts a gang if there is room for all of it. Otherwise the workers that
- * will be free first are kept from steps of lower rank, so that a stream of
- * small tasks cannot starve it.
+ * Starts a gang if there is room for all of it. Otherwise the room that will
+ * be free first is reserved, so that a stream of small tasks cannot starve
+ * the gang, and the tickets are asked for shortly before it is free, so that
+ * no room stands idle while the policy decides.
  */
 export function placeGang(pass: Pass, run: StepRun): void {
-  const { domain, moment } = pass;
   if (run.waiting < run.step.taskCount) return;
-  const candidates = [...eligibleWorkers(domain, run)].filter((worker) =>
-    worker.held && mayUse(pass, worker, run) && mayBeAllowed(run, worker.id) &&
-    runLimit(worker, moment.steadyMs) === Infinity
-  );
-  const seats = findSeats(
-    tightestFirst(candidates, run, moment.steadyMs),
-    run,
-    (worker) => subtractResources(worker.capacity, worker.used),
-  );
-  if (seats !== undefined && haveTickets(run, seats, moment.steadyMs)) {
-    startGang(pass, run, seats);
+  const nowMs = pass.moment.steadyMs;
+  const seats = findSeats(pass, run, usableWorkers(pass, run));
+  const isAsked = isDecided(run);
+  if (seats === undefined) {
+    if (!isAsked) askFor(pass, run, []);
     return;
   }
-  const { allowed, refused } = run.advice;
-  const isUnasked = allowed.size === 0 && refused.size === 0;
-  const wantsAdvice = seats !== undefined || isUnasked;
-  if (wantsAdvice && mayAsk(run, moment.steadyMs)) domain.wishes.push(run);
-  keepWorkers(pass, run, candidates, seats);
+  const freeAtMs = Math.max(...seats.map((seat) => seat.freeAtMs));
+  const hasTickets = haveTickets(run, seats, Math.max(nowMs, freeAtMs));
+  if (freeAtMs <= nowMs && hasTickets) return startGang(pass, run, seats);
+  const demand = reservationOf(run.step);
+  if (isAsked) { for (const seat of seats) reserve(pass, seat, demand); }
+  const isSoon = freeAtMs - nowMs <= questionMs(run, seats.length);
+  if (!hasTickets && (isSoon || !isAsked)) askFor(pass, run, seats);
 }
 
-/** One worker for each member, or undefined where not all find room. */
-function findSeats(
-  candidates: DomainWorker[],
-  run: StepRun,
-  freeOf: (worker: DomainWorker) => Resources,
-): DomainWorker[] | undefined {
-  const { step } = run;
-  if (step.colocated) {
-    for (const group of byRack(candidates)) {
-      const seats = seatsOn(group, run, freeOf);
-      if (seats !== undefined) return seats;
+/** Workers that a gang may use, as far as is known. */
+function usableWorkers(pass: Pass, run: StepRun): DomainWorker[] {
+  const { advice } = run.job.job.policy;
+  const isAnyAllowed = run.advice.allowed.size > 0;
+  return [...eligibleWorkers(pass.domain, run)].filter((worker) => {
+    if (!worker.held) return false;
+    if (runLimit(worker, pass.moment.steadyMs) !== Infinity) return false;
+    if (advice !== undefined && isAnyAllowed) {
+      return run.advice.allowed.has(worker.id);
     }
-  }
-  return seatsOn(candidates, run, freeOf);
+    return mayBeAllowed(run, worker.id);
+  });
 }
 
-function byRack(workers: DomainWorker[]): DomainWorker[][] {
-  const racks = new Map<string, DomainWorker[]>();
-  for (const worker of workers) {
-    const rack = worker.listing?.rack ?? "";
-    const group = racks.get(rack);
-    if (group === undefined) racks.set(rack, [worker]);
-    else group.push(worker);
+/**
+ * A seat for each member, those that are free first, or undefined where not
+ * all find one. A gang that is slowed down by distance gets one rack if any
+ * rack has enough seats.
+ */
+function findSeats(
+  pass: Pass,
+  run: StepRun,
+  workers: DomainWorker[],
+): Seat[] | undefined {
+  const seats = workers.flatMap((
+    worker,
+  ) => [...workerSeats(pass, run, worker)]);
+  if (run.step.colocated) {
+    const onOneRack = [...byRack(seats).values()]
+      .map((group) => firstSeats(pass, run, group))
+      .filter((group) => group !== undefined)
+      .sort((left, right) => lastFreeAt(left) - lastFreeAt(right));
+    if (onOneRack[0] !== undefined) return onOneRack[0];
   }
-  return [...racks.values()];
+  return firstSeats(pass, run, seats);
 }
 
-function seatsOn(
-  workers: DomainWorker[],
+function workerSeats(
+  pass: Pass,
   run: StepRun,
-  freeOf: (worker: DomainWorker) => Resources,
-): DomainWorker[] | undefined {
+  worker: DomainWorker,
+): Generator<Seat> {
   const { step } = run;
-  const demand = reservationOf(step);
-  const limit = step.maxPerWorker ?? Infinity;
-  const seats: DomainWorker[] = [];
-  for (const worker of workers) {
-    let taken = demand;
-    const free = freeOf(worker);
-    for (let count = 0; count < limit && fitsInto(taken, free); count += 1) {
-      seats.push(worker);
-      if (seats.length === step.taskCount) return seats;
-      taken = addResources(taken, demand);
-    }
+  const limit = Math.min(step.maxPerWorker ?? Infinity, step.taskCount);
+  return seatsOf(pass, worker, reservationOf(step), limit);
+}
+
+function byRack(seats: Seat[]): Map<string, Seat[]> {
+  const racks = new Map<string, Seat[]>();
+  for (const seat of seats) {
+    const rack = seat.worker.listing?.rack ?? "";
+    const group = racks.get(rack);
+    if (group === undefined) racks.set(rack, [seat]);
+    else group.push(seat);
   }
-  return undefined;
+  return racks;
 }
 
-/** Workers with a valid ticket first, then those with least room to spare. */
-function tightestFirst(
-  workers: DomainWorker[],
+/**
+ * The seats that are free first; among equal ones those with a ticket. Of
+ * seats that are free now, those on workers with the least room to spare come
+ * first, of others those on workers that have freed the most of it.
+ */
+function firstSeats(
+  pass: Pass,
   run: StepRun,
-  nowMs: number,
-): DomainWorker[] {
-  const distance = (worker: DomainWorker) => {
-    if (hasTicket(run, worker.id, nowMs)) return 0;
-    return run.advice.allowed.has(worker.id) ? 1 : 2;
+  seats: Seat[],
+): Seat[] | undefined {
+  const { taskCount } = run.step;
+  if (seats.length < taskCount) return undefined;
+  const nowMs = pass.moment.steadyMs;
+  const distance = ({ worker }: Seat) =>
+    hasTicket(run, worker.id, nowMs) ? 0 : 1;
+  const spare = ({ worker, freeAtMs }: Seat) => {
+    const free = worker.capacity.accelerators - worker.used.accelerators;
+    return freeAtMs <= nowMs ? free : -free;
   };
-  const freeAccelerators = (worker: DomainWorker) =>
-    worker.capacity.accelerators - worker.used.accelerators;
-  return [...workers].sort((left, right) =>
+  return [...seats].sort((left, right) =>
+    left.freeAtMs - right.freeAtMs ||
     distance(left) - distance(right) ||
-    freeAccelerators(left) - freeAccelerators(right)
-  );
+    left.worker.pressure - right.worker.pressure ||
+    spare(left) - spare(right)
+  ).slice(0, taskCount);
 }
 
-function haveTickets(
-  run: StepRun,
-  seats: DomainWorker[],
-  nowMs: number,
-): boolean {
-  return seats.every((worker) => hasTicket(run, worker.id, nowMs));
+function lastFreeAt(seats: Seat[]): number {
+  return Math.max(...seats.map(({ freeAtMs }) => freeAtMs));
+}
+
+function haveTickets(run: StepRun, seats: Seat[], atMs: number): boolean {
+  return seats.every(({ worker }) => hasTicket(run, worker.id, atMs));
 }
 
 /** All members share one attempt number, above every earlier one. */
-function startGang(pass: Pass, run: StepRun, seats: DomainWorker[]): void {
+function startGang(pass: Pass, run: StepRun, seats: Seat[]): void {
   const attempt = Math.max(...run.tasks.map((task) => task.attempt)) + 1;
-  seats.forEach((worker, index) => {
+  seats.forEach(({ worker }, index) => {
     startTask(pass, run, index, worker, attempt);
   });
   pass.domain.waiting.delete(run);
 }
-
-/** Keeps the workers on which the gang can start first. */
-function keepWorkers(
-  pass: Pass,
-  run: StepRun,
-  candidates: DomainWorker[],
-  seats: DomainWorker[] | undefined,
-): void {
-  const needsAdvice = run.job.job.policy.advice !== undefined;
-  const usable = needsAdvice
-    ? candidates.filter((worker) => run.advice.allowed.has(worker.id))
-    : candidates;
-  const kept = seats ??
-    findSeats(
-      leastBusyFirst(pass, usable),
-      run,
-      (worker) => worker.capacity,
-    );
-  for (const worker of kept ?? []) keep(pass, worker);
-}
--- a/src/domain/pressure.ts
+++ b/src/domain/pressure.ts
@@ -1,5 +1,5 @@
 import type { Domain } from "./domain.ts";
-import { dominantShare } from "./keeping.ts";
+import { dominantShare } from "./reservations.ts";
 import { reservationOf } from "./placed.ts";
 
 /**
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -4,30 +4,41 @@
  *
  * @module
  */
-import { hasTicket, mayAsk, mayBeAllowed } from "./advising.ts";
+import {
+  askFor,
+  hasTicket,
+  isDecided,
+  mayBeAllowed,
+  questionMs,
+} from "./advising.ts";
 import { eligibleWorkers, hasRoom, scoreWorker } from "./choose_worker.ts";
 import type { Domain } from "./domain.ts";
 import type { Moment } from "./domain_event.ts";
 import type { DomainWorker } from "./domain_worker.ts";
-import { isLarge, keepForLarge, mayUse } from "./keeping.ts";
 import { stepRecordKey } from "./keys.ts";
 import { placeGang } from "./place_gang.ts";
 import { place } from "./placed.ts";
 import { updatePressure } from "./pressure.ts";
 import { inRankOrder } from "./rank.ts";
+import {
+  isLarge,
+  mayUse,
+  type Reservation,
+  reserveForLarge,
+} from "./reservations.ts";
 import { type StepRun, taskNameOf } from "./step_run.ts";
 
 /** What one pass keeps from one step to the next. */
 export type Pass = {
   domain: Domain;
   moment: Moment;
-  /** Workers kept for a step of higher rank, and when they are free for it. */
-  kept: Map<DomainWorker, number>;
+  /** What is reserved for steps of higher rank. */
+  reservations: Map<DomainWorker, Reservation>;
 };
 
 /** Places whatever can be placed now, and notes which steps need advice. */
 export function schedule(domain: Domain, moment: Moment): void {
-  const pass: Pass = { domain, moment, kept: new Map() };
+  const pass: Pass = { domain, moment, reservations: new Map() };
   domain.wishes = [];
   updatePressure(domain);
   for (const run of inRankOrder(domain.waiting, moment.wallMs)) {
@@ -44,7 +55,7 @@
   );
   const large = isLarge(pass, run);
   if (candidates.length === 0) {
-    if (large) awaitLarge(pass, run);
+    if (large) awaitRoom(pass, run);
     return;
   }
   const usable = candidates.filter((worker) =>
@@ -52,7 +63,7 @@
   );
   for (let index = 0; index < run.tasks.length; index += 1) {
     if (run.tasks[index]?.kind !== "waiting") continue;
-    const worker = takeBest(usable, run, moment.steadyMs);
+    const worker = takeBest(pass, usable, run);
     if (worker === undefined) break;
     startTask(pass, run, index, worker, nextAttempt(run, index));
   }
@@ -60,31 +71,36 @@
     domain.waiting.delete(run);
     return;
   }
-  if (mayAsk(run, moment.steadyMs)) domain.wishes.push(run);
-  if (large) keepForLarge(pass, run);
+  const seats = large ? reserveForLarge(pass, run) : [];
+  askFor(pass, run, seats);
 }
 
-/** A large step learns early where it may run, so that room can be kept. */
-function awaitLarge(pass: Pass, run: StepRun): void {
-  const { allowed, refused } = run.advice;
-  const isUnasked = allowed.size === 0 && refused.size === 0;
-  if (isUnasked && mayAsk(run, pass.moment.steadyMs)) {
-    pass.domain.wishes.push(run);
-  }
-  keepForLarge(pass, run);
+/**
+ * A large step that finds no room learns early where it may run, so that room
+ * is reserved, and asks for the tickets shortly before that is free.
+ */
+function awaitRoom(pass: Pass, run: StepRun): void {
+  const nowMs = pass.moment.steadyMs;
+  const seats = reserveForLarge(pass, run);
+  const soonMs = nowMs + questionMs(run, seats.length);
+  const soon = seats.filter(({ worker, freeAtMs }) =>
+    freeAtMs <= soonMs && !hasTicket(run, worker.id, freeAtMs)
+  );
+  if (soon.length > 0 || !isDecided(run)) askFor(pass, run, soon);
 }
 
 /** The best worker with room; workers without room leave the list. */
 function takeBest(
+  pass: Pass,
   workers: DomainWorker[],
   run: StepRun,
-  nowMs: number,
 ): DomainWorker | undefined {
+  const nowMs = pass.moment.steadyMs;
   let best: DomainWorker | undefined;
   let bestScore = -Infinity;
   for (let index = workers.length - 1; index >= 0; index -= 1) {
     const worker = workers[index]!;
-    if (!hasRoom(worker, run, nowMs)) {
+    if (!hasRoom(worker, run, nowMs) || !mayUse(pass, worker, run)) {
       workers.splice(index, 1);
       continue;
     }
--- a/src/domain/step_advice.ts
+++ b/src/domain/step_advice.ts
@@ -3,6 +3,8 @@
   /** Tickets by worker; a ticket ages, the permission does not. */
   allowed: Map<string, Ticket>;
   refused: Set<string>;
+  /** Workers that the next question has to name. */
+  preferred: Set<string>;
   /** Whether a question is on its way. */
   asking: boolean;
   /** The earliest time of the next question, on the steady clock. */
@@ -21,6 +23,7 @@
   return {
     allowed: new Map(),
     refused: new Set(),
+    preferred: new Set(),
     asking: false,
     notBeforeMs: 0,
   };
