Serve domains until the successor has them; hedge calls to the store

The stopping owner leaves, invites a successor, and serves until that has raised the epoch. A stopping instance takes nothing over any more.

--- a/src/clients/http_caller.ts
+++ b/src/clients/http_caller.ts
@@ -4,7 +4,8 @@
 import { diagnostics } from "../diagnostics/mod.ts";
 import type { Fault } from "../hosts/mod.ts";
 import { faultOf } from "./fault_of.ts";
-import { exchangeHttp, type HttpExchange } from "./http_exchange.ts";
+import { hedge } from "./hedge.ts";
+import { exchangeHttp, type FinishedExchange } from "./http_exchange.ts";
 import type { HttpRequest } from "./http_request.ts";
 import { readRefusal } from "./refusal.ts";
 
@@ -22,9 +23,6 @@
   keepAliveMs?: number;
 };
 
-/** How a call over HTTP ended; the connections were not given up. */
-export type FinishedExchange = Exclude<HttpExchange, { kind: "moved" }>;
-
 /** Calls other processes over HTTP and says what a failure means. */
 export type HttpCaller = {
   /**
@@ -48,7 +46,12 @@
   close(): Promise<void>;
 };
 
-type Origin = { pool: Pool; retired: AbortController };
+type Origin = {
+  pool: Pool;
+  retired: AbortController;
+  /** When an answer last arrived, on the steady clock. */
+  answeredAtMs: number;
+};
 
 type State = {
   options: HttpCallerOptions;
@@ -89,6 +92,25 @@
     const cause = state.isClosed ? "the process is stopping" : "no valid URL";
     return { kind: "broken", sent: false, cause };
   }
+  const { hedgeAfterMs } = request;
+  if (hedgeAfterMs === undefined) return await attempt(state, request, signal);
+  return await hedge(request.timeoutMs, hedgeAfterMs, signal, {
+    attempt: (timeoutMs, attemptSignal) =>
+      // The next attempt takes the place of a move to another connection.
+      attempt(
+        state,
+        { ...request, timeoutMs, repeatable: false },
+        attemptSignal,
+      ),
+    onSilence: () => retireIfSilent(state, request, hedgeAfterMs),
+  });
+}
+
+async function attempt(
+  state: State,
+  request: HttpRequest,
+  signal: AbortSignal,
+): Promise<FinishedExchange> {
   const untilMs = performance.now() + request.timeoutMs;
   const { origin: name } = new URL(request.url);
   while (true) {
@@ -100,6 +122,7 @@
       signal,
       origin.retired.signal,
     );
+    if (exchange.kind === "answered") origin.answeredAtMs = performance.now();
     if (exchange.kind === "timedOut") retire(state, name, origin);
     if (exchange.kind !== "moved") return exchange;
   }
@@ -192,11 +215,28 @@
     keepAliveMaxTimeout: keepAliveTimeout,
     connect: { timeout: connectTimeoutMs },
   });
-  const origin = { pool, retired: new AbortController() };
+  const origin = {
+    pool,
+    retired: new AbortController(),
+    answeredAtMs: performance.now(),
+  };
   state.origins.set(name, origin);
   return origin;
 }
 
+/** Gives up an origin's connections if none has brought an answer lately. */
+function retireIfSilent(
+  state: State,
+  request: HttpRequest,
+  silenceMs: number,
+): void {
+  const { origin: name } = new URL(request.url);
+  const origin = state.origins.get(name);
+  if (origin === undefined) return;
+  if (performance.now() - origin.answeredAtMs < silenceMs) return;
+  retire(state, name, origin);
+}
+
 /** Gives up an origin's connections; what is in flight may still end. */
 function retire(state: State, name: string, origin: Origin): void {
   if (state.origins.get(name) !== origin) return;
--- a/src/clients/http_exchange.ts
+++ b/src/clients/http_exchange.ts
@@ -14,6 +14,9 @@
   /** The connections were given up; the request may be sent again. */
   | { kind: "moved" };
 
+/** How a call over HTTP ended; the connections were not given up. */
+export type FinishedExchange = Exclude<HttpExchange, { kind: "moved" }>;
+
 /**
  * Sends a request over a pool of connections and reads the answer.
  *
--- a/src/clients/http_request.ts
+++ b/src/clients/http_request.ts
@@ -14,6 +14,11 @@
   body?: unknown;
   /** Time for the whole call, waiting for a connection included. */
   timeoutMs: number;
+  /**
+   * A call whose second arrival does no harm is sent once more whenever it has
+   * had no answer for this long, in milliseconds; the first answer counts.
+   */
+  hedgeAfterMs?: number;
   /** The longest answer that is read, in bytes. */
   maxAnswerBytes: number;
   /**
--- a/src/entry/candidacy.ts
+++ b/src/entry/candidacy.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { hash32 } from "../base/mod.ts";
-import { GROUP, type Running } from "./running.ts";
+import type { Partition } from "../hosts/mod.ts";
+import { GROUP, isInUse, type Running } from "./running.ts";
 
 /** How long a candidate waits for each millisecond to the store. */
 const WAIT_PER_DISTANCE = 12;
@@ -17,6 +18,8 @@
 const MAX_RANDOM_WAIT_MS = 200;
 /** How much later the next best candidate applies, in milliseconds. */
 const WAIT_PER_RANK_MS = 200;
+/** The longest time for which a candidate holds back, in milliseconds. */
+const LONGEST_RANK_WAIT_MS = 2_000;
 /** Workers that one owner can carry. */
 const WORKERS_PER_OWNER = 150;
 
@@ -45,13 +48,19 @@
 }
 
 /**
- * How long this instance holds back before it takes a free place. Where the
- * candidates are known, the best of them takes it at once.
+ * How long this instance holds back before it takes a free place. The best
+ * candidate takes it at once, and is seen to have it before the next one acts.
  *
- * @param ownWaitMs what this instance announced, used until then
+ * @returns the time in ms; undefined while the other candidates are not known
  */
-export function candidateWaitMs(running: Running, ownWaitMs: number): number {
+export function candidateWaitMs(running: Running): number | undefined {
   const rank = running.instances.rank([]);
-  if (rank === undefined) return ownWaitMs;
-  return Math.min(rank * WAIT_PER_RANK_MS, ownWaitMs);
+  if (rank === undefined) return undefined;
+  return Math.min(rank * WAIT_PER_RANK_MS, LONGEST_RANK_WAIT_MS);
+}
+
+/** Whether any of some domains has work; unknown without a configuration. */
+export function hasWork(running: Running, partitions: Partition[]): boolean {
+  return running.configuration.current() === undefined ||
+    partitions.some(({ number }) => isInUse(running, number));
 }
--- a/src/entry/follow.ts
+++ b/src/entry/follow.ts
@@ -89,7 +89,6 @@
       INSTANCES,
       [record],
       undefined,
-      running.patience.timeoutMs(),
       signal,
     );
     if (done.isOk()) return;
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -8,6 +8,7 @@
 import { joinGroup } from "../ownership/mod.ts";
 import {
   candidateWaitMs,
+  hasWork,
   measureCandidateWait,
   wantedMembers,
 } from "./candidacy.ts";
@@ -53,12 +54,12 @@
   announce(running, { candidateWaitMs: ownWaitMs });
   running.membership = joinGroup({
     store: platform.store,
-    patience: running.patience,
     clock: running.clock,
     logger: logger.part("ownership"),
     member: running.member,
     wantedMembers: () => wantedMembers(running),
-    candidateWaitMs: () => candidateWaitMs(running, ownWaitMs),
+    hasWork: ({ partitions }) => hasWork(running, partitions),
+    candidateWaitMs: () => candidateWaitMs(running),
     onAssignment: (assignment) => running.holder.assign(assignment),
     signal: stopping.signal,
   });
--- a/src/entry/running.ts
+++ b/src/entry/running.ts
@@ -14,12 +14,10 @@
 import {
   createDirectory,
   createDomainHolder,
-  createStorePatience,
   createWorkerList,
   type Directory,
   type DomainHolder,
   type GroupMembership,
-  type StorePatience,
   type WorkerList,
 } from "../ownership/mod.ts";
 import {
@@ -69,7 +67,6 @@
   directory: Directory;
   workers: WorkerList;
   holder: DomainHolder;
-  patience: StorePatience;
   instances: InstanceList;
   rpc: PeerRpc;
   reachability: Reachability;
@@ -136,7 +133,6 @@
       clock,
       settings.workers.heartbeatMs,
     ),
-    patience: createStorePatience(),
     instances: createInstanceList(self),
     rpc: createPeerRpc(createPeerClient(caller, { secret: "" }), signal),
     reachability: createReachability(clock),
@@ -154,13 +150,23 @@
   return Object.assign(parts, { holder: createHolder(parts) });
 }
 
+/** Whether a domain belongs to a service of the configuration. */
+export function isInUse(
+  running: Pick<Running, "configuration" | "settings">,
+  partition: number,
+): boolean {
+  const { partitions } = running.settings.store;
+  return running.configuration.services().some((service) =>
+    partitionOf(service, partitions) === partition
+  );
+}
+
 function createHolder(running: RunningParts): DomainHolder {
   const { settings, platform, clock, logger, counters, ending } = running;
   const { signal } = ending;
   const leaseMs = Math.min(settings.lease.maxMs, LONGEST_LEASE_MS);
   return createDomainHolder({
     store: platform.store,
-    patience: running.patience,
     tasks: platform.tasks,
     clock,
     logger: logger.part("domain"),
@@ -174,10 +180,7 @@
       owner.instance === running.self ||
       await running.rpc.release(owner.instance, domain, owner.epoch),
     confirmedAtMs: () => confirmedAtMs(running),
-    isInUse: (partition) =>
-      running.configuration.services().some((service) =>
-        partitionOf(service, settings.store.partitions) === partition
-      ),
+    isInUse: (partition) => isInUse(running, partition),
     servesDomain: (service, partition) =>
       partitionOf(service, settings.store.partitions) === partition,
     instances: () => running.instances.addresses(),
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -20,6 +20,8 @@
 const MEBIBYTE = 1_048_576;
 const MAX_PEER_CONNECTIONS = 1_000;
 const BODY_TIMEOUT_MS = 5_000;
+/** Answer of an instance that takes nothing over any more. */
+const STOPPING = { kind: "refused", cause: "the instance is stopping" };
 
 /** The servers, listening. */
 export type Servers = {
@@ -85,6 +87,7 @@
     case "reach":
       return { reached: await running.rpc.probe(call.instance) };
     case "confirm":
+      if (running.stopping.signal.aborted) return STOPPING;
       running.membership?.confirm();
       return { kind: "done" };
     case "succeed":
@@ -104,7 +107,8 @@
 
 /** Takes the place of a member that the store turns away. */
 async function succeed(running: Running, member: string): Promise<unknown> {
-  const { membership } = running;
+  const { membership, stopping } = running;
+  if (stopping.signal.aborted) return STOPPING;
   const left = await leaveFor(running, member);
   if (left.isErr()) return { kind: "refused", cause: left.error.message };
   membership?.confirm();
--- a/src/entry/stop_entry.ts
+++ b/src/entry/stop_entry.ts
@@ -24,17 +24,21 @@
   const graceMs = running.settings.stop.graceS * 1_000;
   const untilMs = clock.steadyMs() + graceMs - STOP_MARGIN_MS;
   logger.part("daemon").info("Stops as planned.", { graceMs });
-  const wasOwner = holder.count() > 0;
-  await holder.close();
-  await platform.store.leave(member, signal);
-  if (wasOwner) await inviteSuccessor(running);
+  // Others find out by themselves where this does not reach the store.
   platform.store.append(
     INSTANCES,
     [{ key: self, value: undefined }],
     undefined,
-    running.patience.timeoutMs(),
     signal,
   );
+  const left = await platform.store.leave(member, signal);
+  if (left.isErr()) {
+    logger.part("ownership").warn("The store did not take the leave.", {
+      fault: left.error.kind,
+      cause: left.error.message,
+    });
+  }
+  if (holder.count() > 0) await handOver(running, untilMs);
   await waitForConnections(servers.callers, clock, untilMs);
   const closed = once(servers.callers, "close");
   servers.callers.close();
@@ -52,7 +56,20 @@
   }
 }
 
-/** Asks the instance nearest to the store to take the free domains over. */
+/**
+ * Serves the domains until successors have taken them over, or until a time,
+ * so that no call finds a domain without an owner.
+ */
+async function handOver(running: Running, untilMs: number): Promise<void> {
+  const { clock, holder, ending } = running;
+  await inviteSuccessor(running);
+  while (holder.count() > 0 && clock.steadyMs() < untilMs) {
+    await clock.sleep(STOP_POLL_MS, ending.signal);
+  }
+  await holder.close();
+}
+
+/** Asks the best candidate to take the domains over. */
 async function inviteSuccessor(running: Running): Promise<void> {
   const { instances, rpc, self, logger } = running;
   for (const instance of instances.addresses()) {
@@ -61,6 +78,7 @@
     logger.part("ownership").info("Invited a successor.", { instance });
     return;
   }
+  logger.part("ownership").warn("Found no successor to invite.");
 }
 
 /** Waits until clients have left, or until a time. */
--- a/src/hosts/store_host.ts
+++ b/src/hosts/store_host.ts
@@ -52,14 +52,11 @@
   /**
    * Appends records to a keyed partition, all or none. A repeat with the same
    * fence has no second effect.
-   *
-   * @param timeoutMs how long the answer is waited for, in milliseconds
    */
   append(
     partition: Partition,
     records: KeyedRecord[],
     fence: Fence | undefined,
-    timeoutMs: number,
     signal: AbortSignal,
   ): Promise<Result<void, StoreFault>>;
   /** Reads what was appended from an offset on. */
@@ -74,15 +71,10 @@
     partition: Partition,
     signal: AbortSignal,
   ): Promise<Result<RecordPage, StoreFault>>;
-  /**
-   * Joins a group, or stays in it.
-   *
-   * @param timeoutMs how long the answer is waited for, in milliseconds
-   */
+  /** Joins a group, or stays in it. */
   join(
     member: GroupMember,
     generation: number,
-    timeoutMs: number,
     signal: AbortSignal,
   ): Promise<Result<Assignment, StoreFault>>;
   /** Leaves a group; its partitions go to others at once. */
--- a/src/ownership/domain_holder_test.ts
+++ b/src/ownership/domain_holder_test.ts
@@ -9,7 +9,6 @@
 import type { Partition, StoreHost } from "../hosts/mod.ts";
 import { createCounters } from "../telemetry/mod.ts";
 import { createDomainHolder } from "./domain_holder.ts";
-import { createStorePatience } from "./store_patience.ts";
 import { createWorkerList } from "./worker_list.ts";
 
 const IN_USE = 2;
@@ -44,7 +43,6 @@
   };
   const holder = createDomainHolder({
     store,
-    patience: createStorePatience(),
     tasks: { look: unused, start: unused, stop: unused, pace: unused },
     clock: { ...clock, sleep: () => new Promise(() => {}) },
     logger: silentLogger,
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -40,7 +40,6 @@
 import { createDomainWriter, type DomainWriter } from "./domain_writer.ts";
 import { createEventSource, type EventSource } from "./event_source.ts";
 import { openWorkerLink, type WorkerLink } from "./worker_link.ts";
-import type { StorePatience } from "./store_patience.ts";
 import type { WorkerList } from "./worker_list.ts";
 
 /** Least time between two scheduling passes, in milliseconds. */
@@ -67,7 +66,6 @@
 /** What the owner of a domain needs. */
 export type DomainOwnerHost = {
   store: StoreHost;
-  patience: StorePatience;
   tasks: TaskHost;
   clock: Clock;
   logger: PartLogger;
--- a/src/ownership/domain_writer.ts
+++ b/src/ownership/domain_writer.ts
@@ -1,7 +1,6 @@
 import type { Clock, Partition, StoreHost } from "../hosts/mod.ts";
 import type { DomainRecord } from "../domain/mod.ts";
 import type { Counters, PartLogger } from "../telemetry/mod.ts";
-import type { StorePatience } from "./store_patience.ts";
 
 /** First pause before an append is repeated, in milliseconds. */
 const FIRST_RETRY_MS = 40;
@@ -19,7 +18,6 @@
 /** What a writer needs. */
 export type DomainWriterHost = {
   store: StoreHost;
-  patience: StorePatience;
   clock: Clock;
   logger: PartLogger;
   counters: Counters;
@@ -76,23 +74,13 @@
   }
 
   async function append(records: DomainRecord[]): Promise<boolean> {
-    const { store, patience, clock, partition, epoch, signal } = host;
+    const { store, clock, partition, epoch, signal } = host;
     appendingSinceMs = clock.steadyMs();
     for (let tries = 0; !signal.aborted; tries += 1) {
       const sentAtMs = clock.steadyMs();
       const fence = { epoch, sequence };
-      const timeoutMs = patience.timeoutMs();
-      const result = await store.append(
-        partition,
-        records,
-        fence,
-        timeoutMs,
-        signal,
-      );
+      const result = await store.append(partition, records, fence, signal);
       const elapsedMs = clock.steadyMs() - sentAtMs;
-      if (result.isErr() && result.error.kind === "unknown") {
-        patience.noteSilence();
-      } else patience.noteAnswer(elapsedMs);
       if (result.isOk()) {
         sequence += 1;
         appendingSinceMs = undefined;
--- a/src/ownership/group_membership.ts
+++ b/src/ownership/group_membership.ts
@@ -10,25 +10,34 @@
   StoreHost,
 } from "../hosts/mod.ts";
 import type { PartLogger } from "../telemetry/mod.ts";
-import type { StorePatience } from "./store_patience.ts";
 
 /** How often a member confirms that it lives, in milliseconds. */
 const JOIN_INTERVAL_MS = 350;
 /** Pause after a call that failed, in milliseconds. */
 const RETRY_MS = 120;
+/** The other candidates are known after this time if ever, in ms. */
+const CANDIDATES_KNOWN_AFTER_MS = 1_500;
+/** How often a candidate looks whether it knows the others, in ms. */
+const UNKNOWN_POLL_MS = 40;
+/** Confirmations in a row without work after which a member may leave. */
+const MAX_IDLE_CONFIRMATIONS = 4;
 /** How often a candidate looks whether a member is missing, in ms. */
 const CANDIDATE_INTERVAL_MS = 350;
 /** What a membership needs. */
 export type GroupMembershipHost = {
   store: StoreHost;
-  patience: StorePatience;
   clock: Clock;
   logger: PartLogger;
   member: GroupMember;
   /** How many members the group needs. */
   wantedMembers(): number;
-  /** How long this instance holds back as a candidate, in milliseconds. */
-  candidateWaitMs(): number;
+  /** Whether any domain of an assignment has work. */
+  hasWork(assignment: Assignment): boolean;
+  /**
+   * How long this instance holds back as a candidate, in milliseconds;
+   * undefined while the other candidates are not known.
+   */
+  candidateWaitMs(): number | undefined;
   /** Takes what this member holds; called before the next confirmation. */
   onAssignment(assignment: Assignment): Promise<void>;
   signal: AbortSignal;
@@ -63,6 +72,8 @@
   /** Whether another member has asked this instance to apply. */
   isInvited: boolean;
   refusals: number;
+  /** How many confirmations in a row have brought no domain with work. */
+  idleConfirmations: number;
   /** Whether another instance has taken the place of this one. */
   hasResigned: boolean;
 };
@@ -88,6 +99,7 @@
     pause: new AbortController(),
     isInvited: false,
     refusals: 0,
+    idleConfirmations: 0,
     hasResigned: false,
   };
   return {
@@ -113,6 +125,7 @@
   while (!signal.aborted) {
     await apply(state);
     state.hasResigned = false;
+    state.idleConfirmations = 0;
     while (!signal.aborted && !state.hasResigned) {
       if (hasLapsed(state) && !await isStillMember(state)) break;
       await confirmOnce(state);
@@ -137,10 +150,16 @@
 
 /** Waits until the group needs this instance, as two readings agree. */
 async function apply(state: State): Promise<void> {
-  const { signal, logger } = state.host;
+  const { signal, logger, clock } = state.host;
+  const knownAtMs = clock.steadyMs() + CANDIDATES_KNOWN_AFTER_MS;
   let seen: string | undefined;
   while (!signal.aborted && !state.isInvited) {
-    const candidateWaitMs = state.host.candidateWaitMs();
+    const waitMs = state.host.candidateWaitMs();
+    if (waitMs === undefined && clock.steadyMs() < knownAtMs) {
+      await rest(state, UNKNOWN_POLL_MS);
+      continue;
+    }
+    const candidateWaitMs = waitMs ?? 0;
     const members = await readMembers(state);
     const names = members?.join(",") ?? "unknown";
     if (names !== seen) {
@@ -208,17 +227,12 @@
 
 async function confirmOnce(state: State): Promise<void> {
   const { host } = state;
-  const { store, patience, clock, member, signal, logger } = host;
+  const { store, clock, member, signal, logger } = host;
   state.isInvited = false;
   if (state.hasResigned) return;
   const sentAtMs = clock.steadyMs();
   const sentWallMs = clock.nowMs();
-  const joined = await store.join(
-    member,
-    state.generation,
-    patience.timeoutMs(),
-    signal,
-  );
+  const joined = await store.join(member, state.generation, signal);
   if (signal.aborted || state.hasResigned) return;
   if (joined.isErr()) {
     const isRefusal = joined.error.kind === "unavailable";
@@ -243,9 +257,32 @@
   }
   state.generation = joined.value.generation;
   await host.onAssignment(joined.value);
+  state.idleConfirmations = host.hasWork(joined.value)
+    ? 0
+    : state.idleConfirmations + 1;
+  if (state.idleConfirmations >= MAX_IDLE_CONFIRMATIONS) {
+    await leaveIfSpare(state);
+  }
   await rest(state, JOIN_INTERVAL_MS);
 }
 
+/**
+ * Leaves a group that has more members than it needs, as after a time in
+ * which many candidates saw none.
+ */
+async function leaveIfSpare(state: State): Promise<void> {
+  const { store, member, signal, logger, wantedMembers } = state.host;
+  state.idleConfirmations = 0;
+  const members = await readMembers(state) ?? [];
+  const others = members.filter((name) => name !== member.member);
+  if (others.length < wantedMembers()) return;
+  logger.info("Leaves the group, which has members enough.", {
+    members: members.join(","),
+  });
+  const left = await store.leave(member, signal);
+  if (left.isOk()) state.hasResigned = true;
+}
+
 async function rest(state: State, delayMs: number): Promise<void> {
   const { clock, signal } = state.host;
   if (state.isInvited) return;
--- a/src/ownership/mod.ts
+++ b/src/ownership/mod.ts
@@ -9,5 +9,4 @@
 export type { DomainOwner, OwnerAnswer } from "./domain_owner.ts";
 export * from "./follow_topic.ts";
 export * from "./group_membership.ts";
-export * from "./store_patience.ts";
 export * from "./worker_list.ts";
--- a/src/ownership/take_over.ts
+++ b/src/ownership/take_over.ts
@@ -8,7 +8,6 @@
 } from "../domain/mod.ts";
 import type { Clock, Partition, StoreFault, StoreHost } from "../hosts/mod.ts";
 import type { PartLogger } from "../telemetry/mod.ts";
-import type { StorePatience } from "./store_patience.ts";
 
 /** Pause before a failed call of a takeover is repeated, in milliseconds. */
 const RETRY_MS = 60;
@@ -18,7 +17,6 @@
 /** What a takeover needs. */
 export type TakeoverHost = {
   store: StoreHost;
-  patience: StorePatience;
   clock: Clock;
   logger: PartLogger;
   partition: Partition;
@@ -52,15 +50,8 @@
   let sequence = FIRST_SEQUENCE;
   const record = ownerRecord({ instance: host.self, epoch });
   const raised = await persist(host, async () => {
-    const timeoutMs = host.patience.timeoutMs();
     const fence = { epoch, sequence };
-    const answer = await store.append(
-      partition,
-      [record],
-      fence,
-      timeoutMs,
-      signal,
-    );
+    const answer = await store.append(partition, [record], fence, signal);
     // This instance has written under the epoch before, and lost its state.
     if (answer.isErr()) sequence = answer.error.expectedSequence ?? sequence;
     return answer;
@@ -97,7 +88,6 @@
     if (result.isOk()) return result;
     const isFinal = result.error.kind === "fenced" || host.signal.aborted;
     if (isFinal) return result;
-    if (result.error.kind === "unknown") host.patience.noteSilence();
     host.logger.warn("A call of a takeover failed.", {
       epoch: host.epoch,
       step: result.error.step,
