--- /dev/null
+++ b/src/domain/at_most_once_test.ts
@@ -0,0 +1,63 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { jobStateOf } from "./job_state.ts";
+import {
+  createBench,
+  feed,
+  listing,
+  listWorkers,
+  pass,
+  startsIn,
+  step,
+  submit,
+  takeOverBench,
+} from "./testing/domain_bench.ts";
+
+describe("a task that must not run twice", () => {
+  it("fails its job when it is lost with its worker", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"), listing("w2"));
+    submit(bench, "a", [step({ atMostOnce: true })]);
+    const [start] = startsIn(bench.commands);
+    feed(bench, { kind: "workerLapsed", worker: start!.worker });
+    pass(bench, 100);
+    assert.equal(startsIn(bench.commands).length, 1);
+    assert.equal(jobStateOf(bench.domain, "a"), "failed");
+  });
+
+  it("is started again where it surely has not run", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    submit(bench, "a", [step({ atMostOnce: true })]);
+    takeOverBench(bench);
+    bench.commands.length = 0;
+    listWorkers(bench, listing("w1"));
+    assert.equal(startsIn(bench.commands)[0]?.attempt, 2);
+  });
+});
+
+describe("a job that has to start by a time", () => {
+  it("is cancelled if it has not", () => {
+    const bench = createBench();
+    feed(bench, {
+      kind: "submitted",
+      call: 1,
+      request: {
+        id: "a",
+        specification: "",
+        steps: [step()],
+        startWithinMs: 1_000,
+      },
+      policy: {
+        queue: "q",
+        service: "desk",
+        priority: 0,
+        maxAttempts: 1,
+        slackFactor: 1,
+        targetCompletionMs: 0,
+      },
+    });
+    pass(bench, 1_500);
+    assert.equal(jobStateOf(bench.domain, "a"), "cancelled");
+  });
+});
--- /dev/null
+++ b/src/domain/describe_job.ts
@@ -0,0 +1,118 @@
+import * as v from "valibot";
+import type { Domain } from "./domain.ts";
+import type { JobRun } from "./job_run.ts";
+import { type JobState, jobStateOf } from "./job_state.ts";
+import type { TaskProgress } from "./task_progress.ts";
+
+/** Schema of where one task of a job stands. */
+export const taskDescriptionSchema = v.object({
+  /** Position among all tasks of the job, from 0. */
+  index: v.number(),
+  state: v.picklist(["queued", "starting", "running", "done"]),
+  worker: v.optional(v.string()),
+  /** The highest attempt so far; 0 before the first. */
+  attempt: v.number(),
+  failures: v.number(),
+});
+
+/** Where one task of a job stands. */
+export type TaskDescription = v.InferOutput<typeof taskDescriptionSchema>;
+
+/** Schema of a job as the owner of its domain describes it. */
+export const jobDescriptionSchema = v.object({
+  id: v.string(),
+  queue: v.string(),
+  customer: v.optional(v.string()),
+  agreement: v.optional(v.string()),
+  /** Digest of what the caller handed in; empty where none was kept. */
+  specification: v.string(),
+  state: v.picklist(["pending", "running", "completed", "failed", "cancelled"]),
+  /** Whether a task was ever started. */
+  hasStarted: v.boolean(),
+  acceptedAtMs: v.number(),
+  /** Empty for a job that ended and belongs to no agreement. */
+  tasks: v.array(taskDescriptionSchema),
+});
+
+/** A job as the owner of its domain describes it. */
+export type JobDescription = v.InferOutput<typeof jobDescriptionSchema>;
+
+/**
+ * Describes a job with the tasks of its first occurrence.
+ *
+ * @example
+ * ```ts
+ * describeJob(domain, "5c0e7a21d94b36f8")?.state; // "running"
+ * ```
+ */
+export function describeJob(
+  domain: Domain,
+  id: string,
+): JobDescription | undefined {
+  const run = domain.jobs.get(id);
+  const state = jobStateOf(domain, id);
+  if (run === undefined || state === undefined) return undefined;
+  return describe(run, state);
+}
+
+/** Describes every job of a client account that the domain knows. */
+export function describeJobsOf(
+  domain: Domain,
+  customer: string,
+): JobDescription[] {
+  return [...domain.jobs.values()]
+    .filter(({ job }) => job.policy.customer === customer)
+    .map((run) => describe(run, jobStateOf(domain, run.job.id) ?? "pending"));
+}
+
+function describe(run: JobRun, state: JobState): JobDescription {
+  const { id, policy, acceptedAtMs, specification } = run.job;
+  const { queue, customer, agreement } = policy;
+  return {
+    id,
+    queue,
+    ...(customer === undefined ? {} : { customer }),
+    ...(agreement === undefined ? {} : { agreement }),
+    specification,
+    state,
+    hasStarted: run.started,
+    acceptedAtMs,
+    tasks: describeTasks(run),
+  };
+}
+
+function describeTasks(run: JobRun): TaskDescription[] {
+  const steps = run.occurrences.get(0)?.steps;
+  let first = 0;
+  return run.job.steps.flatMap((step, stepIndex) => {
+    const tasks = steps?.get(stepIndex)?.tasks;
+    const described = Array.from(
+      { length: step.taskCount },
+      (_, index) => describeTask(first + index, tasks?.[index]),
+    );
+    first += step.taskCount;
+    return described;
+  });
+}
+
+function describeTask(
+  index: number,
+  task: TaskProgress | undefined,
+): TaskDescription {
+  if (task === undefined) {
+    return { index, state: "queued", attempt: 0, failures: 0 };
+  }
+  const { attempt, failures } = task;
+  switch (task.kind) {
+    case "waiting":
+      return { index, state: "queued", attempt, failures };
+    case "placed": {
+      const isRunning = task.phase.kind === "running" ||
+        task.phase.kind === "stopping";
+      const state = isRunning ? "running" : "starting";
+      return { index, state, worker: task.worker, attempt, failures };
+    }
+    case "done":
+      return { index, state: "done", attempt, failures };
+  }
+}
--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -4,6 +4,7 @@
 import type { JobRun } from "./job_run.ts";
 import type { OwnerEntry } from "./owner_entry.ts";
 import type { StepRun } from "./step_run.ts";
+import type { DayUsage } from "./usage.ts";
 
 /**
  * The state of a scheduling domain: the jobs of its services and their
@@ -31,6 +32,10 @@
   allowedShares: Map<string, number>;
   /** Mean duration of a task of each queue, learned, in milliseconds. */
   durations: Map<string, number>;
+  /** What was used on each day, such as `2026-12-04`. */
+  usage: Map<string, DayUsage>;
+  /** Until when that is added up, on the steady clock. */
+  accruedAtMs: number | undefined;
 };
 
 /**
@@ -55,5 +60,7 @@
     dirty: new Set(),
     allowedShares: new Map(),
     durations: new Map(),
+    usage: new Map(),
+    accruedAtMs: undefined,
   };
 }
--- a/src/domain/domain_event.ts
+++ b/src/domain/domain_event.ts
@@ -70,6 +70,8 @@
     policy: QueuePolicy;
   }
   | { kind: "cancelled"; call: number; job: string }
+  /** The store takes no record of a job that was handed in. */
+  | { kind: "withdrawn"; job: string }
   | { kind: "workersListed"; workers: WorkerListing[] }
   | { kind: "looked"; worker: string; look: Look }
   /** A call to the worker got no answer; its tasks may go on. */
--- /dev/null
+++ b/src/domain/domain_view.ts
@@ -0,0 +1,67 @@
+import type { Resources } from "../model/mod.ts";
+import type { Domain } from "./domain.ts";
+import type { DomainWorker } from "./domain_worker.ts";
+import type { Moment } from "./domain_event.ts";
+import { taskNameOf } from "./step_run.ts";
+
+/** A worker of a domain as operators see it. */
+export type WorkerView = {
+  id: string;
+  zone: string;
+  rack: string;
+  state: "held" | "silent" | "leaving";
+  tasks: number;
+  used: Resources;
+  capacity: Resources;
+};
+
+/** A task that has not ended, as operators see it. */
+export type TaskView = {
+  id: string;
+  queue: string;
+  state: "queued" | "starting" | "running";
+  worker: string | undefined;
+  /** Time since its step became ready, in milliseconds. */
+  waitedMs: number;
+};
+
+/** Shows the workers that the list names, or that hold tasks. */
+export function viewWorkers(domain: Domain): WorkerView[] {
+  return [...domain.workers.values()].map((worker) => ({
+    id: worker.id,
+    zone: worker.listing?.zone ?? "",
+    rack: worker.listing?.rack ?? "",
+    state: stateOf(worker),
+    tasks: worker.placed.size,
+    used: worker.used,
+    capacity: worker.capacity,
+  }));
+}
+
+/** Shows the tasks that wait, start or run. */
+export function* viewTasks(
+  domain: Domain,
+  moment: Moment,
+): Generator<TaskView> {
+  for (const run of domain.steps.values()) {
+    const waitedMs = Math.round(moment.steadyMs - run.readyAtMs);
+    for (const [index, task] of run.tasks.entries()) {
+      if (task.kind === "done") continue;
+      const isPlaced = task.kind === "placed";
+      const isRunning = isPlaced && task.phase.kind !== "starting" &&
+        task.phase.kind !== "recorded";
+      yield {
+        id: taskNameOf(run, index),
+        queue: run.job.job.policy.queue,
+        state: isRunning ? "running" : isPlaced ? "starting" : "queued",
+        worker: isPlaced ? task.worker : undefined,
+        waitedMs,
+      };
+    }
+  }
+}
+
+function stateOf(worker: DomainWorker): WorkerView["state"] {
+  if (!worker.held) return "silent";
+  return worker.listing?.draining === false ? "held" : "leaving";
+}
--- a/src/domain/ends.ts
+++ b/src/domain/ends.ts
@@ -15,7 +15,9 @@
 /** How a placed task left its worker. */
 export type Departure =
   | RunEnd
-  /** Surely never started, or gone with its worker. */
+  /** Surely never started. */
+  | "unstarted"
+  /** Gone with its worker. */
   | "lost";
 
 /**
@@ -44,6 +46,9 @@
   run.tasks[index] = { kind: "waiting", attempt, failures, checkpoint };
   run.waiting += 1;
   if (run.job.job.outcome !== "open") return;
+  if (run.step.atMostOnce && departure !== "unstarted") {
+    return endJob(domain, run.job, "failed", moment);
+  }
   domain.waiting.add(run);
   if (run.step.gang) endGangMember(domain, run, attempt, departure);
   if (hasFailedTooOften(run, failures)) {
@@ -115,6 +120,7 @@
     case "lapsed":
     case "broken":
     case "alone":
+    case "unstarted":
     case "lost":
       return false;
     default:
--- a/src/domain/job.ts
+++ b/src/domain/job.ts
@@ -27,6 +27,8 @@
   maxPerWorker: v.optional(v.number()),
   /** Upper bound on the tail latency that users of a service see, in ms. */
   latencyGoalMs: v.optional(v.number()),
+  /** Whether a task that may have run must not be started again. */
+  atMostOnce: v.optional(v.boolean()),
 });
 
 /** One step of a job. */
@@ -57,6 +59,12 @@
   targetCompletionMs: v.number(),
   /** Present where workers need a ticket for each step. */
   advice: v.optional(adviceCostSchema),
+  /** The client account whose job it is, where accounts are kept. */
+  customer: v.optional(v.string()),
+  /** The agreement to which the job's use counts. */
+  agreement: v.optional(v.string()),
+  /** The capacity that is agreed; work beyond it comes after other work. */
+  share: v.optional(resourcesSchema),
 });
 
 /** How the jobs of a queue are treated. */
@@ -77,6 +85,8 @@
   specification: v.string(),
   steps: v.pipe(v.array(stepSchema), v.minLength(1)),
   schedule: v.optional(scheduleSchema),
+  /** How long the job may wait before it starts, in milliseconds. */
+  startWithinMs: v.optional(v.number()),
 });
 
 /** What a caller hands in. */
--- a/src/domain/job_runs.ts
+++ b/src/domain/job_runs.ts
@@ -224,7 +224,14 @@
       lateMs: Math.round(moment.wallMs - objectiveAtMs(domain, run.job)),
     },
   });
-  if (!hasPlacedTasks(run)) compactJob(domain, run);
+  if (mayCompact(run)) compactJob(domain, run);
+}
+
+/** The tasks of a job under an agreement are shown after its end. */
+function mayCompact(run: JobRun): boolean {
+  const { policy, steps } = run.job;
+  return policy.agreement === undefined && steps.length > 0 &&
+    !hasPlacedTasks(run);
 }
 
 /**
@@ -249,6 +256,16 @@
     objectiveMsOf(job, remaining);
 }
 
+/** Ends jobs that had to start by now and have not. */
+export function expireUnstartedJobs(domain: Domain, moment: Moment): void {
+  for (const run of domain.jobs.values()) {
+    const { startWithinMs, acceptedAtMs } = run.job;
+    if (startWithinMs === undefined || run.started) continue;
+    if (moment.wallMs <= acceptedAtMs + startWithinMs) continue;
+    endJob(domain, run, "cancelled", moment);
+  }
+}
+
 /**
  * Compacts ended jobs of which nothing runs any more, and forgets those whose
  * outcome has been kept for long enough.
@@ -258,10 +275,10 @@
   for (const [id, run] of domain.jobs) {
     const { endedAtMs } = run.job;
     if (endedAtMs === undefined || hasPlacedTasks(run)) continue;
-    if (run.job.steps.length > 0) compactJob(domain, run);
+    if (mayCompact(run)) compactJob(domain, run);
     if (endedAtMs > beforeMs) continue;
+    compactJob(domain, run);
     domain.jobs.delete(id);
-    domain.dirty.add(jobKey(id));
   }
 }
 
--- a/src/domain/keys.ts
+++ b/src/domain/keys.ts
@@ -1,4 +1,5 @@
 export const OWNER_PREFIX = "owner/";
+export const USAGE_PREFIX = "usage/";
 export const JOB_PREFIX = "job/";
 export const STEP_PREFIX = "step/";
 
@@ -7,6 +8,11 @@
   return `${OWNER_PREFIX}${epoch}`;
 }
 
+/** Key of the record of what was used on a day, such as `2026-12-04`. */
+export function usageKey(day: string): string {
+  return USAGE_PREFIX + day;
+}
+
 /** Key of a job's record. */
 export function jobKey(id: string): string {
   return JOB_PREFIX + id;
--- a/src/domain/load_patterns_test.ts
+++ b/src/domain/load_patterns_test.ts
@@ -167,6 +167,21 @@
     assert.equal(startsIn(commands)[0]?.task, "g.0.0.0");
   });
 
+  it("asks about further workers if those allowed cannot seat it", () => {
+    const bench = createBench();
+    const workers = ["w1", "w2", "w3"].map((id) => listing(id));
+    feed(bench, { kind: "workersListed", workers });
+    look(bench, "w1", {});
+    const gang = step({ demand: WHOLE, gang: true, taskCount: 2 });
+    submit(bench, "g", [gang], { priority: 1, advice: slow });
+    look(bench, "w2", {});
+    look(bench, "w3", {});
+    pass(bench, 0);
+    // A new owner asks before all workers have answered its first look.
+    advise(bench, "g.0.0", ["w1"], ["w1"]);
+    assert.deepEqual(ask(bench)?.workers.sort(), ["w1", "w2", "w3"]);
+  });
+
   it("leaves the rest of a reserved worker to small tasks", () => {
     const bench = createBench();
     listWorkers(bench, listing("w1"));
--- a/src/domain/looks.ts
+++ b/src/domain/looks.ts
@@ -217,7 +217,8 @@
   const stopped = phase.kind === "stopping" &&
     phase.confirmedAtMs !== undefined && phase.confirmedAtMs < look.sentAtMs;
   if (neverStarted || vanished || stopped) {
-    endTask(domain, ref.run, ref.index, "lost", moment);
+    const departure = neverStarted ? "unstarted" : "lost";
+    endTask(domain, ref.run, ref.index, departure, moment);
   }
 }
 
--- a/src/domain/mod.ts
+++ b/src/domain/mod.ts
@@ -6,13 +6,27 @@
  */
 export { type StepQuestion, takeQuestion } from "./advising.ts";
 export { createDomain, type Domain } from "./domain.ts";
+export {
+  describeJob,
+  describeJobsOf,
+  type JobDescription,
+  jobDescriptionSchema,
+  type TaskDescription,
+} from "./describe_job.ts";
 export * from "./domain_command.ts";
 export * from "./domain_event.ts";
 export * from "./domain_options.ts";
+export {
+  type TaskView,
+  viewTasks,
+  viewWorkers,
+  type WorkerView,
+} from "./domain_view.ts";
 export * from "./explain_wait.ts";
 export * from "./job.ts";
 export * from "./job_state.ts";
 export * from "./owner_entry.ts";
 export * from "./records.ts";
 export * from "./step_domain.ts";
+export { type DayUsage, dayUsageSchema, type ResourceTime } from "./usage.ts";
 export * from "./worker_listing.ts";
--- a/src/domain/place_gang.ts
+++ b/src/domain/place_gang.ts
@@ -28,10 +28,13 @@
 export function placeGang(pass: Pass, run: StepRun): void {
   if (run.waiting < run.step.taskCount) return;
   const nowMs = pass.moment.steadyMs;
-  const seats = findSeats(pass, run, usableWorkers(pass, run));
+  const workers = usableWorkers(pass, run);
   const isAsked = isDecided(run);
+  const seats = findSeats(pass, run, isAsked ? workers.allowed : workers.all);
   if (seats === undefined) {
-    if (!isAsked) askFor(pass, run, []);
+    // The policy may allow more workers than it was asked about.
+    const more = findSeats(pass, run, workers.all);
+    if (more !== undefined) askFor(pass, run, more);
     return;
   }
   const freeAtMs = Math.max(...seats.map((seat) => seat.freeAtMs));
@@ -43,18 +46,20 @@
   if (!hasTickets && (isSoon || !isAsked)) askFor(pass, run, seats);
 }
 
-/** Workers that a gang may use, as far as is known. */
-function usableWorkers(pass: Pass, run: StepRun): DomainWorker[] {
+/** Workers that a gang may use: those known to be allowed, and all others. */
+function usableWorkers(
+  pass: Pass,
+  run: StepRun,
+): { allowed: DomainWorker[]; all: DomainWorker[] } {
   const { advice } = run.job.job.policy;
-  const isAnyAllowed = run.advice.allowed.size > 0;
-  return [...eligibleWorkers(pass.domain, run)].filter((worker) => {
-    if (!worker.held) return false;
-    if (runLimit(worker, pass.moment.steadyMs) !== Infinity) return false;
-    if (advice !== undefined && isAnyAllowed) {
-      return run.advice.allowed.has(worker.id);
-    }
-    return mayBeAllowed(run, worker.id);
-  });
+  const all = [...eligibleWorkers(pass.domain, run)].filter((worker) =>
+    worker.held && mayBeAllowed(run, worker.id) &&
+    runLimit(worker, pass.moment.steadyMs) === Infinity
+  );
+  const allowed = advice === undefined
+    ? all
+    : all.filter((worker) => run.advice.allowed.has(worker.id));
+  return { allowed, all };
 }
 
 /**
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -12,11 +12,18 @@
 import { type Job, jobSchema } from "./job.ts";
 import type { JobRun } from "./job_run.ts";
 import { createJobRun, openOccurrence, readyStep } from "./job_runs.ts";
-import { JOB_PREFIX, OWNER_PREFIX, ownerKey, STEP_PREFIX } from "./keys.ts";
+import {
+  JOB_PREFIX,
+  OWNER_PREFIX,
+  ownerKey,
+  STEP_PREFIX,
+  USAGE_PREFIX,
+} from "./keys.ts";
 import { type OwnerEntry, ownerEntrySchema } from "./owner_entry.ts";
 import { createDomainWorker, place } from "./placed.ts";
 import type { StepRun } from "./step_run.ts";
 import type { TaskProgress } from "./task_progress.ts";
+import { dayUsageSchema } from "./usage.ts";
 
 /** One record: a key, and its value or the removal of the key. */
 export type DomainRecord = { key: string; value: string | undefined };
@@ -80,6 +87,10 @@
     const owner = domain.owners.find(({ epoch }) => ownerKey(epoch) === key);
     return owner === undefined ? undefined : ownerRecord(owner).value;
   }
+  if (key.startsWith(USAGE_PREFIX)) {
+    const usage = domain.usage.get(key.slice(USAGE_PREFIX.length));
+    return usage === undefined ? undefined : JSON.stringify(usage);
+  }
   if (key.startsWith(JOB_PREFIX)) {
     const run = domain.jobs.get(key.slice(JOB_PREFIX.length));
     return run === undefined ? undefined : JSON.stringify(run.job);
@@ -137,6 +148,12 @@
       steps.set(key.slice(STEP_PREFIX.length), value);
       continue;
     }
+    if (key.startsWith(USAGE_PREFIX)) {
+      const usage = parse(dayUsageSchema, value);
+      if (usage.isErr()) unreadable.push({ key, reason: usage.error });
+      else domain.usage.set(key.slice(USAGE_PREFIX.length), usage.value);
+      continue;
+    }
     if (key.startsWith(OWNER_PREFIX)) {
       const owner = parse(ownerEntrySchema, value);
       if (owner.isErr()) unreadable.push({ key, reason: owner.error });
--- a/src/domain/step_domain.ts
+++ b/src/domain/step_domain.ts
@@ -8,6 +8,7 @@
 import {
   createJobRun,
   endJob,
+  expireUnstartedJobs,
   forgetEndedJobs,
   makeStepsReady,
   openDueOccurrences,
@@ -20,6 +21,8 @@
 import { schedule } from "./schedule.ts";
 import { stopStalledTasks } from "./stalls.ts";
 import { stopTask } from "./stops.ts";
+import { withdrawJob } from "./withdraw.ts";
+import { accrueUsage } from "./usage.ts";
 import { noteUnhealthy } from "./worker_health.ts";
 import type { WorkerListing } from "./worker_listing.ts";
 
@@ -63,6 +66,8 @@
       return submit(domain, event, moment);
     case "cancelled":
       return cancel(domain, event, moment);
+    case "withdrawn":
+      return withdrawJob(domain, event.job);
     case "workersListed":
       return listWorkers(domain, event.workers);
     case "looked":
@@ -93,6 +98,8 @@
       return;
     }
     case "ticked":
+      accrueUsage(domain, moment);
+      expireUnstartedJobs(domain, moment);
       return forgetEndedJobs(domain, moment);
     default:
       return assertNever(event);
@@ -241,7 +248,7 @@
       if (answer.cause === "ticket") run.advice.allowed.delete(event.worker);
       // An earlier copy of the order may still arrive; the stop bars it.
       if (answer.earlierUnknown) return stopTask(domain, run, index);
-      return endTask(domain, run, index, "lost", moment);
+      return endTask(domain, run, index, "unstarted", moment);
     default:
       return assertNever(answer);
   }
--- /dev/null
+++ b/src/domain/withdraw_test.ts
@@ -0,0 +1,40 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { jobStateOf } from "./job_state.ts";
+import { takeDirtyRecords } from "./records.ts";
+import { scheduleDomain, stepDomain } from "./step_domain.ts";
+import {
+  createBench,
+  listing,
+  listWorkers,
+  policy,
+  startsIn,
+  step,
+  submit,
+} from "./testing/domain_bench.ts";
+
+const MOMENT = { steadyMs: 0, wallMs: 1_780_000_000_000 };
+const WHOLE = { cpuMillis: 8_000, memoryMb: 1_000, accelerators: 0 };
+
+describe("a job that the store takes no record of", () => {
+  it("is taken back with its room, and leaves no record", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    const request = {
+      id: "a",
+      specification: "",
+      steps: [step({ demand: WHOLE })],
+    };
+    stepDomain(
+      bench.domain,
+      { kind: "submitted", call: 1, request, policy: policy() },
+      MOMENT,
+    );
+    assert.equal(startsIn(scheduleDomain(bench.domain, MOMENT)).length, 1);
+    stepDomain(bench.domain, { kind: "withdrawn", job: "a" }, MOMENT);
+    assert.equal(jobStateOf(bench.domain, "a"), undefined);
+    assert.deepEqual(takeDirtyRecords(bench.domain), []);
+    const [start] = startsIn(submit(bench, "b", [step({ demand: WHOLE })]));
+    assert.equal(start?.task, "b.0.0.0");
+  });
+});
--- a/src/entry/answer_call.ts
+++ b/src/entry/answer_call.ts
@@ -26,6 +26,11 @@
       if (state === "unknownJob" || state === "lost") return { kind: state };
       return { kind: "state", state };
     }
+    case "describe": {
+      const job = await owner.describe(call.job);
+      if (job === "unknownJob" || job === "lost") return { kind: job };
+      return { kind: "description", job };
+    }
     case "pending":
       return { kind: "pending", jobs: owner.pendingJobs(call.queue) };
     default:
--- a/src/entry/candidacy.ts
+++ b/src/entry/candidacy.ts
@@ -5,6 +5,7 @@
  */
 import { hash32 } from "../base/mod.ts";
 import type { Partition } from "../hosts/mod.ts";
+import { partitionOf } from "./entry.ts";
 import { GROUP, isInUse, type Running } from "./running.ts";
 
 /** How long a candidate waits for each millisecond to the store. */
@@ -16,17 +17,31 @@
 /** How much later an instance without any processor would apply, in ms. */
 const SMALL_INSTANCE_WAIT_MS = 1_500;
 const MAX_RANDOM_WAIT_MS = 200;
-/** How much later the next best candidate applies, in milliseconds. */
+/** How much later the next best candidate takes over from nobody, in ms. */
 const WAIT_PER_RANK_MS = 200;
-/** The longest time for which a candidate holds back, in milliseconds. */
-const LONGEST_RANK_WAIT_MS = 2_000;
-/** Workers that one owner can carry. */
-const WORKERS_PER_OWNER = 150;
+/**
+ * How much later the next best candidate joins other members, in ms. A new
+ * member shows up only after those have given domains up.
+ */
+const JOINING_WAIT_PER_RANK_MS = 1_200;
+/**
+ * Workers that one owner can carry: at 0.9 ms of processor time for a start, as
+ * measured with the stand-ins, they take about half a core at two starts a
+ * second each.
+ */
+const WORKERS_PER_OWNER = 400;
 
-/** As many members as the workers need. */
+/** As many members as the workers need, but none without a domain in use. */
 export function wantedMembers(running: Running): number {
+  const { configuration, settings } = running;
+  const domains = new Set(
+    configuration.services().map((service) =>
+      partitionOf(service, settings.store.partitions)
+    ),
+  );
   const workers = running.workers.workers().length;
-  return Math.max(1, Math.ceil(workers / WORKERS_PER_OWNER));
+  const needed = Math.ceil(workers / WORKERS_PER_OWNER);
+  return Math.max(1, Math.min(needed, domains.size));
 }
 
 /**
@@ -51,12 +66,19 @@
  * How long this instance holds back before it takes a free place. The best
  * candidate takes it at once, and is seen to have it before the next one acts.
  *
+ * @param members the present members
  * @returns the time in ms; undefined while the other candidates are not known
  */
-export function candidateWaitMs(running: Running): number | undefined {
-  const rank = running.instances.rank([]);
+export function candidateWaitMs(
+  running: Running,
+  members: string[],
+): number | undefined {
+  const rank = running.instances.rank(members);
   if (rank === undefined) return undefined;
-  return Math.min(rank * WAIT_PER_RANK_MS, LONGEST_RANK_WAIT_MS);
+  const perRankMs = members.length === 0
+    ? WAIT_PER_RANK_MS
+    : JOINING_WAIT_PER_RANK_MS;
+  return rank * perRankMs;
 }
 
 /** Whether any of some domains has work; unknown without a configuration. */
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -5,7 +5,12 @@
  * @module
  */
 import { assertNever, hash32 } from "../base/mod.ts";
-import type { JobRequest, JobState, QueuePolicy } from "../domain/mod.ts";
+import type {
+  JobDescription,
+  JobRequest,
+  JobState,
+  QueuePolicy,
+} from "../domain/mod.ts";
 import type { Clock } from "../hosts/mod.ts";
 import type { Directory, DomainHolder } from "../ownership/mod.ts";
 import type { Counters, PartLogger } from "../telemetry/mod.ts";
@@ -81,6 +86,12 @@
     policy: QueuePolicy,
     deadlineMs: number,
   ): Promise<EntryOutcome<JobState>>;
+  /** A job with its tasks, wherever it was accepted. */
+  describe(
+    job: string,
+    services: string[],
+    deadlineMs: number,
+  ): Promise<EntryOutcome<JobDescription>>;
   pendingJobs(
     policy: QueuePolicy,
     deadlineMs: number,
@@ -136,6 +147,24 @@
       if (value.kind !== "state") return strange(value);
       return { kind: "done", value: value.state };
     },
+    async describe(job, services, deadlineMs) {
+      let last: EntryOutcome<JobDescription> = { kind: "unknownJob" };
+      for (const service of services) {
+        const partition = partitionOf(service, host.partitions);
+        const call = { kind: "describe", partition, job } as const;
+        const outcome = await forward(host, call, job, deadlineMs);
+        if (outcome.kind !== "done") {
+          last = withoutEffect(outcome);
+          continue;
+        }
+        const { value } = outcome;
+        if (value.kind === "description") {
+          return { kind: "done", value: value.job };
+        }
+        if (value.kind !== "unknownJob") last = strange(value);
+      }
+      return last;
+    },
     async pendingJobs(policy, deadlineMs) {
       const { queue } = policy;
       const partition = domainOf(policy);
@@ -219,7 +248,8 @@
   const elapsedMs = host.clock.steadyMs() - beganAtMs;
   host.counters.count("calls", { kind: call.kind, outcome: outcome.kind });
   host.counters.observe("call_ms", elapsedMs);
-  const isRoutine = call.kind === "state" || call.kind === "pending";
+  const isRoutine = call.kind === "state" || call.kind === "describe" ||
+    call.kind === "pending";
   if (!isRoutine || outcome.kind !== "done") {
     host.logger.info("Answered a call.", {
       call: call.kind,
--- a/src/entry/peer_call.ts
+++ b/src/entry/peer_call.ts
@@ -1,5 +1,9 @@
 import * as v from "valibot";
-import { jobRequestSchema, queuePolicySchema } from "../domain/mod.ts";
+import {
+  jobDescriptionSchema,
+  jobRequestSchema,
+  queuePolicySchema,
+} from "../domain/mod.ts";
 
 /** Schema of what one entry instance asks of another. */
 export const peerCallSchema = v.variant("kind", [
@@ -24,6 +28,12 @@
     partition: v.number(),
     queue: v.string(),
   }),
+  /** A job with its tasks. */
+  v.object({
+    kind: v.literal("describe"),
+    partition: v.number(),
+    job: v.string(),
+  }),
   v.object({
     kind: v.literal("advise"),
     stepKey: v.string(),
@@ -42,8 +52,6 @@
   }),
   /** The store turns a member away; the instance takes its place. */
   v.object({ kind: v.literal("succeed"), member: v.string() }),
-  /** Whether the instance answers at all. */
-  v.object({ kind: v.literal("probe") }),
   /** Whether the instance reaches another one. */
   v.object({ kind: v.literal("reach"), instance: v.string() }),
   /** Domains were given up; a member gets them when it confirms itself. */
@@ -77,6 +85,7 @@
     ]),
   }),
   v.object({ kind: v.literal("pending"), jobs: v.number() }),
+  v.object({ kind: v.literal("description"), job: jobDescriptionSchema }),
 ]);
 
 /** The answer to a call about a domain. */
--- a/src/entry/peer_rpc.ts
+++ b/src/entry/peer_rpc.ts
@@ -29,8 +29,6 @@
 const ADVICE_MARGIN_MS = 2_000;
 /** How long another instance may take for a short answer, in ms. */
 const SHORT_TIMEOUT_MS = 400;
-/** Ten times the way there and back between regions, in milliseconds. */
-const PROBE_TIMEOUT_MS = 250;
 
 /** Creates the route on which other instances call this one. */
 export function createPeerRpcRoute(
@@ -68,8 +66,6 @@
   owners(instance: string): Promise<Record<string, string> | undefined>;
   /** The partition of an instance's domain that knows a job. */
   find(instance: string, job: string): Promise<number | undefined>;
-  /** Whether an instance answers. */
-  probe(instance: string): Promise<boolean>;
   /** Whether one instance reaches another; undefined if it does not say. */
   reach(through: string, instance: string): Promise<boolean | undefined>;
   /** Asks another instance to join now; tells whether it heard that. */
@@ -129,8 +125,6 @@
       const parsed = v.safeParse(findAnswerSchema, result.value);
       return parsed.success ? parsed.output.partition : undefined;
     },
-    probe: (instance) =>
-      isDone(send, instance, { kind: "probe" }, PROBE_TIMEOUT_MS),
     async reach(through, instance) {
       const call = { kind: "reach", instance } as const;
       const result = await send(through, call, SHORT_TIMEOUT_MS);
@@ -154,8 +148,7 @@
   ) => Promise<Result<unknown, Fault>>,
   instance: string,
   call: PeerCall,
-  timeoutMs = SHORT_TIMEOUT_MS,
 ): Promise<boolean> {
-  const result = await send(instance, call, timeoutMs);
+  const result = await send(instance, call, SHORT_TIMEOUT_MS);
   return result.isOk() && v.is(doneAnswerSchema, result.value);
 }
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -59,7 +59,7 @@
     member: running.member,
     wantedMembers: () => wantedMembers(running),
     hasWork: ({ partitions }) => hasWork(running, partitions),
-    candidateWaitMs: () => candidateWaitMs(running),
+    candidateWaitMs: (members) => candidateWaitMs(running, members),
     onAssignment: (assignment) => running.holder.assign(assignment),
     signal: stopping.signal,
   });
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -13,6 +13,7 @@
 import type { PeerCall } from "./peer_call.ts";
 import { createPeerRpcRoute } from "./peer_rpc.ts";
 import { leaveFor } from "./leave_for.ts";
+import { probeInstance } from "./probe_instance.ts";
 import type { Running } from "./running.ts";
 
 const OK = 200;
@@ -82,10 +83,8 @@
       return await running.directory.readStore() ?? {};
     case "find":
       return { partition: await running.holder.find(call.job) };
-    case "probe":
-      return { kind: "done" };
     case "reach":
-      return { reached: await running.rpc.probe(call.instance) };
+      return { reached: await probeInstance(call.instance) };
     case "confirm":
       if (running.stopping.signal.aborted) return STOPPING;
       running.membership?.confirm();
@@ -98,6 +97,7 @@
     case "submit":
     case "cancel":
     case "state":
+    case "describe":
     case "pending":
       return await answerCall(running.holder, call);
     default:
--- a/src/entry/supervise_owners.ts
+++ b/src/entry/supervise_owners.ts
@@ -6,22 +6,24 @@
  * @module
  */
 import { leaveFor } from "./leave_for.ts";
-import { MAX_INSTANCES_ASKED } from "./read_owners_elsewhere.ts";
+import { probeInstance } from "./probe_instance.ts";
 import type { Running } from "./running.ts";
 import { createSuspicion } from "./suspicion.ts";
 
 /** Pause between two probes of an owner, in milliseconds. */
-const PROBE_INTERVAL_MS = 150;
+const PROBE_INTERVAL_MS = 100;
 /** Pause of an instance that is no candidate, in milliseconds. */
 const IDLE_INTERVAL_MS = 1_000;
 /** How many of the best candidates probe the owners. */
-const PROBING_CANDIDATES = 3;
+const PROBING_CANDIDATES = 4;
+/** How many other instances are asked whether they reach an owner. */
+const MAX_VIEWS = 5;
 /** Pause after an owner was deposed, in which its successor shows up, in ms. */
 const DEPOSED_PAUSE_MS = 1_500;
 
 /** Probes the owners until this instance stops. */
 export async function superviseOwners(running: Running): Promise<void> {
-  const { clock, directory, stopping, instances, rpc, self } = running;
+  const { clock, directory, stopping, instances, self } = running;
   const { signal } = stopping;
   const suspicion = createSuspicion();
   while (!signal.aborted) {
@@ -32,7 +34,7 @@
       continue;
     }
     for (const owner of owners) {
-      suspicion.note(owner, await rpc.probe(owner));
+      suspicion.note(owner, await probeInstance(owner));
       if (!suspicion.isDue(owner, rank)) continue;
       const isSilent = await isSilentForOthers(running, owner);
       suspicion.note(owner, true);
@@ -58,9 +60,7 @@
   );
   if (others.length === 0) return true;
   const views = await Promise.all(
-    others.slice(0, MAX_INSTANCES_ASKED).map((other) =>
-      rpc.reach(other, owner)
-    ),
+    others.slice(0, MAX_VIEWS).map((other) => rpc.reach(other, owner)),
   );
   return views.includes(false) && !views.includes(true);
 }
--- a/src/entry/suspicion.ts
+++ b/src/entry/suspicion.ts
@@ -1,7 +1,7 @@
 /** Unanswered probes in a row after which an owner is suspected. */
 const SUSPECT_AFTER = 2;
 /** How many more the next best candidate waits for, and so on. */
-const MORE_PER_RANK = 3;
+const MORE_PER_RANK = 1;
 
 /** What an instance holds of the owners that it probes. */
 export type Suspicion = {
--- a/src/ownership/domain_holder.ts
+++ b/src/ownership/domain_holder.ts
@@ -16,6 +16,8 @@
 
 /** How long a domain that is given up may still write, in milliseconds. */
 const SETTLE_MS = 400;
+/** How long a reassigned domain is served until its new owner has it, in ms. */
+const SURRENDER_MS = 3_000;
 
 /** What a holder needs for each of its domains. */
 export type DomainHolderHost =
@@ -43,8 +45,10 @@
   find(job: string): Promise<number | undefined>;
   /** How many domains are owned here. */
   count(): number;
+  /** The owners of the domains that are owned here. */
+  owners(): Promise<DomainOwner[]>;
   /** Brings the domains up to an assignment. */
-  assign(assignment: Assignment): Promise<void>;
+  assign(assignment: Assignment): void;
   /**
    * Ends the ownership of a domain up to an epoch, since a successor has
    * taken it over. Afterwards this process grants no lease for it.
@@ -76,6 +80,8 @@
   let assigned: Assignment = { generation: 0, partitions: [] };
   /** The epoch up to which each domain belongs to a successor. */
   const fencedEpochs = new Map<number, number>();
+  /** Domains that wait for the owner to which they were reassigned. */
+  const surrendered = new Set<number>();
 
   async function giveUp(number: number, reason: string): Promise<void> {
     const domain = held.get(number);
@@ -99,6 +105,24 @@
     domain.ending.abort();
   }
 
+  /**
+   * Serves a reassigned domain until its new owner has raised the epoch, so
+   * that no call finds it without an owner.
+   */
+  async function surrender(number: number): Promise<void> {
+    const domain = held.get(number);
+    if (domain === undefined || surrendered.has(number)) return;
+    surrendered.add(number);
+    await host.clock.sleep(SURRENDER_MS, domain.ending.signal);
+    surrendered.delete(number);
+    const isStillOurs = assigned.partitions.some((partition) =>
+      partition.number === number
+    );
+    if (!isStillOurs && held.get(number) === domain) {
+      await giveUp(number, "reassigned");
+    }
+  }
+
   function drop(number: number, ending: AbortController, cause: string): void {
     ending.abort();
     const domain = held.get(number);
@@ -189,12 +213,18 @@
       return undefined;
     },
     count: () => held.size,
-    async assign(assignment) {
+    async owners() {
+      const owners = await Promise.all(
+        [...held.values()].map(({ owner }) => owner),
+      );
+      return owners.filter((owner) => owner !== undefined);
+    },
+    assign(assignment) {
       assigned = assignment;
       const { generation, partitions } = assignment;
       const numbers = new Set(partitions.map(({ number }) => number));
       const lost = [...held.keys()].filter((number) => !numbers.has(number));
-      await Promise.all(lost.map((number) => giveUp(number, "reassigned")));
+      for (const number of lost) surrender(number);
       const isNew = ({ number }: Partition) => mayTake(number, generation);
       const used = partitions.filter(({ number }) => host.isInUse(number));
       for (const partition of used.filter(isNew)) take(partition, generation);
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -9,10 +9,13 @@
 import {
   type CallAnswer,
   confirmOwnership,
+  describeJob,
+  describeJobsOf,
   type Domain,
   type DomainCommand,
   type DomainEvent,
   explainWaits,
+  type JobDescription,
   type JobRequest,
   type JobState,
   jobStateOf,
@@ -24,6 +27,8 @@
   stepDomain,
   takeDirtyRecords,
   takeQuestion,
+  viewTasks,
+  viewWorkers,
   type WorkerListing,
   type WorkerOrder,
 } from "../domain/mod.ts";
@@ -37,9 +42,14 @@
 } from "../hosts/mod.ts";
 import type { Counters, PartLogger } from "../telemetry/mod.ts";
 import { type Advisor, createAdvisor } from "./advisor.ts";
+import type { DomainView } from "./domain_view.ts";
 import { createDomainWriter, type DomainWriter } from "./domain_writer.ts";
 import { createEventSource, type EventSource } from "./event_source.ts";
 import { openWorkerLink, type WorkerLink } from "./worker_link.ts";
+import {
+  createUncommittedJobs,
+  type UncommittedJobs,
+} from "./uncommitted_jobs.ts";
 import type { WorkerList } from "./worker_list.ts";
 
 /** Least time between two scheduling passes, in milliseconds. */
@@ -106,6 +116,12 @@
   /** The state of a job after everything before the call is in the store. */
   stateOf(job: string): Promise<JobState | "unknownJob" | "lost">;
   pendingJobs(queue: string): number;
+  /** A job with its tasks, under the same condition as its state. */
+  describe(job: string): Promise<JobDescription | "unknownJob" | "lost">;
+  /** The jobs of a client account. */
+  list(customer: string): JobDescription[];
+  /** What operators are shown. */
+  view(): DomainView;
   knows(job: string): boolean;
   /** Resolves once nothing waits for the store. */
   settle(): Promise<void>;
@@ -130,6 +146,7 @@
   advisor: Advisor;
   calls: Map<number, (answer: OwnerAnswer) => void>;
   nextCall: number;
+  uncommitted: UncommittedJobs;
   /** When every lease of earlier owners has lapsed, on the steady clock. */
   earlierLeasesLapsedAtMs: number;
   isPassPlanned: boolean;
@@ -172,22 +189,32 @@
   host.signal.addEventListener("abort", () => abandonCalls(state));
   return {
     submit: (request, policy) =>
-      call(state, (number) => ({
-        kind: "submitted",
-        call: number,
-        request,
-        policy,
-      })),
+      call(state, (number) => {
+        const isNew = !domain.jobs.has(request.id);
+        state.uncommitted.add(request.id, number, isNew);
+        return { kind: "submitted", call: number, request, policy };
+      }),
     cancel: (job) =>
       call(state, (number) => ({ kind: "cancelled", call: number, job })),
     async stateOf(job) {
       const seen = jobStateOf(domain, job) ?? "unknownJob";
-      // A successor may know the job.
-      if (seen === "unknownJob") confirmOwnership(domain);
-      const isSettled = await settle(state);
-      return isSettled ? seen : "lost";
+      return await isTellable(state, seen) ? seen : "lost";
     },
     pendingJobs: (queue) => pendingJobs(domain, queue),
+    async describe(job) {
+      const seen = describeJob(domain, job);
+      const isTold = await isTellable(state, seen?.state ?? "unknownJob");
+      return isTold ? seen ?? "unknownJob" : "lost";
+    },
+    list: (customer) => describeJobsOf(domain, customer),
+    view: () => ({
+      partition: host.partition.number,
+      epoch: host.epoch,
+      storeSilentMs: state.writer.stalledMs(),
+      jobs: domain.jobs.size,
+      workers: viewWorkers(domain),
+      tasks: [...viewTasks(domain, momentOf(state))],
+    }),
     knows: (job) => domain.jobs.has(job),
     async settle() {
       await settle(state);
@@ -238,6 +265,7 @@
 
 function createState(host: DomainOwnerHost, domain: Domain): State {
   const waiting: DomainCommand[] = [];
+  const uncommitted = createUncommittedJobs();
   const state: State = {
     host,
     domain,
@@ -249,6 +277,7 @@
       take() {
         if (domain.dirty.size === 0 && waiting.length === 0) return undefined;
         const released = waiting.splice(0);
+        uncommitted.takeAll();
         const records = takeDirtyRecords(domain);
         return { records, release: () => release(state, released) };
       },
@@ -267,6 +296,7 @@
     }),
     calls: new Map(),
     nextCall: 1,
+    uncommitted,
     earlierLeasesLapsedAtMs: host.clock.steadyMs() +
       longestLeaseMs(host.leaseMs + host.trustMs),
     isPassPlanned: false,
@@ -361,6 +391,7 @@
     await clock.sleep(LONGEST_PASS_GAP_MS, signal);
     planPass(state);
     lapseUnlisted(state);
+    refuseUncommitted(state);
     if (clock.steadyMs() < tickAtMs) continue;
     tickAtMs = clock.steadyMs() + TICK_MS;
     emit(state, { kind: "ticked" });
@@ -368,6 +399,34 @@
   }
 }
 
+/**
+ * Refuses the submissions that wait behind an append without an answer. None
+ * of them has left the process, so none has run or will.
+ */
+function refuseUncommitted(state: State): void {
+  const { host, writer, waiting, calls } = state;
+  const silentMs = writer.stalledMs();
+  if (silentMs <= STORE_DOWN_AFTER_MS) return;
+  for (const { job, calls: numbers } of state.uncommitted.withdrawAll()) {
+    emit(state, { kind: "withdrawn", job });
+    const prefix = `${job}.`;
+    const kept = waiting.splice(0).filter((command) => {
+      if (command.kind === "answer") return !numbers.includes(command.call);
+      return command.kind !== "order" ||
+        !command.order.task.startsWith(prefix);
+    });
+    waiting.push(...kept);
+    host.logger.info("Took a job back: the store does not answer.", {
+      job,
+      silentMs: Math.round(silentMs),
+    });
+    for (const number of numbers) {
+      calls.get(number)?.({ kind: "storeDown", silentMs });
+      calls.delete(number);
+    }
+  }
+}
+
 function explainLongWaits(state: State): void {
   const reports = explainWaits(
     state.domain,
@@ -482,6 +541,17 @@
   });
 }
 
+/** Whether a state may be told; a final one has to be in the store first. */
+async function isTellable(
+  state: State,
+  seen: JobState | "unknownJob",
+): Promise<boolean> {
+  if (seen === "pending" || seen === "running") return true;
+  // A successor may know the job.
+  if (seen === "unknownJob") confirmOwnership(state.domain);
+  return await settle(state);
+}
+
 /** Resolves after everything so far is in the store; false if it got lost. */
 async function settle(state: State): Promise<boolean> {
   const { domain, waiting, writer, host } = state;
--- a/src/ownership/group_membership.ts
+++ b/src/ownership/group_membership.ts
@@ -15,7 +15,7 @@
 const JOIN_INTERVAL_MS = 350;
 /** Pause after a call that failed, in milliseconds. */
 const RETRY_MS = 120;
-/** The other candidates are known after this time if ever, in ms. */
+/** How long after the store's first answer candidates are known, in ms. */
 const CANDIDATES_KNOWN_AFTER_MS = 1_500;
 /** How often a candidate looks whether it knows the others, in ms. */
 const UNKNOWN_POLL_MS = 40;
@@ -23,6 +23,8 @@
 const MAX_IDLE_CONFIRMATIONS = 4;
 /** How often a candidate looks whether a member is missing, in ms. */
 const CANDIDATE_INTERVAL_MS = 350;
+/** The longest pause that rank adds to that, in milliseconds. */
+const LONGEST_PAUSE_MS = 1_500;
 /** What a membership needs. */
 export type GroupMembershipHost = {
   store: StoreHost;
@@ -36,10 +38,12 @@
   /**
    * How long this instance holds back as a candidate, in milliseconds;
    * undefined while the other candidates are not known.
+   *
+   * @param members the present members
    */
-  candidateWaitMs(): number | undefined;
+  candidateWaitMs(members: string[]): number | undefined;
   /** Takes what this member holds; called before the next confirmation. */
-  onAssignment(assignment: Assignment): Promise<void>;
+  onAssignment(assignment: Assignment): void;
   signal: AbortSignal;
 };
 
@@ -133,7 +137,7 @@
     if (signal.aborted) return;
     state.confirmedAtMs = -Infinity;
     const { generation } = state;
-    await host.onAssignment({ generation, partitions: [] });
+    host.onAssignment({ generation, partitions: [] });
   }
 }
 
@@ -150,30 +154,35 @@
 
 /** Waits until the group needs this instance, as two readings agree. */
 async function apply(state: State): Promise<void> {
-  const { signal, logger, clock } = state.host;
-  const knownAtMs = clock.steadyMs() + CANDIDATES_KNOWN_AFTER_MS;
+  const { signal, logger, clock, candidateWaitMs } = state.host;
+  let knownAtMs: number | undefined;
   let seen: string | undefined;
   while (!signal.aborted && !state.isInvited) {
-    const waitMs = state.host.candidateWaitMs();
-    if (waitMs === undefined && clock.steadyMs() < knownAtMs) {
-      await rest(state, UNKNOWN_POLL_MS);
-      continue;
-    }
-    const candidateWaitMs = waitMs ?? 0;
     const members = await readMembers(state);
     const names = members?.join(",") ?? "unknown";
     if (names !== seen) {
       logger.info("Sees the members of the group.", { members: names });
     }
     seen = names;
+    if (members === undefined) continue;
+    // A store that answers also tells who the other candidates are.
+    knownAtMs ??= clock.steadyMs() + CANDIDATES_KNOWN_AFTER_MS;
+    const waitMs = candidateWaitMs(members);
+    if (waitMs === undefined && clock.steadyMs() < knownAtMs) {
+      await rest(state, UNKNOWN_POLL_MS);
+      continue;
+    }
     if (isMissing(state, members)) {
-      await rest(state, candidateWaitMs);
+      await rest(state, waitMs ?? 0);
       const again = state.isInvited ||
         isMissing(state, await readMembers(state));
       if (again) break;
     }
     // The best candidates look most often; the others only step in for them.
-    await rest(state, CANDIDATE_INTERVAL_MS + candidateWaitMs);
+    await rest(
+      state,
+      CANDIDATE_INTERVAL_MS + Math.min(waitMs ?? 0, LONGEST_PAUSE_MS),
+    );
   }
   logger.info("Applies for a place in the group.", {
     invited: state.isInvited,
@@ -256,7 +265,7 @@
     });
   }
   state.generation = joined.value.generation;
-  await host.onAssignment(joined.value);
+  host.onAssignment(joined.value);
   state.idleConfirmations = host.hasWork(joined.value)
     ? 0
     : state.idleConfirmations + 1;
--- /dev/null
+++ b/src/ownership/group_membership_test.ts
@@ -0,0 +1,157 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { err, ok } from "neverthrow";
+import { silentLogger } from "../entry/testing/manual_clock.ts";
+import type { Assignment, StoreHost } from "../hosts/mod.ts";
+import { joinGroup } from "./group_membership.ts";
+
+const SELF = "self";
+const PARTITION = { topic: "domains", number: 0 };
+
+type Group = {
+  /** Whether the store answers. */
+  isUp: boolean;
+  members: string[];
+  joins: number;
+  leaves: string[];
+};
+
+type Script = {
+  group: Group;
+  nowMs: number;
+  waitMs(): number | undefined;
+  /** What happens at a time, called before each sleep ends. */
+  onTime(script: Script): void;
+  wantedMembers: number;
+  hasWork: boolean;
+  untilMs: number;
+};
+
+/** Runs a membership until a time; every sleep moves the time on. */
+async function run(changes: Partial<Script>): Promise<Script> {
+  const script: Script = {
+    group: { isUp: true, members: [], joins: 0, leaves: [] },
+    nowMs: 0,
+    waitMs: () => 0,
+    onTime: () => {},
+    wantedMembers: 1,
+    hasWork: true,
+    untilMs: 10_000,
+    ...changes,
+  };
+  const { group } = script;
+  const ending = new AbortController();
+  const unused = () => Promise.reject(new Error("not used here"));
+  const silent = () =>
+    err({ kind: "unknown" as const, step: "store", message: "no answer" });
+  const store: StoreHost = {
+    append: unused,
+    read: unused,
+    newest: unused,
+    owners: () =>
+      Promise.resolve(
+        group.isUp
+          ? ok(group.members.map((member) => ({
+            partition: PARTITION,
+            member,
+          })))
+          : silent(),
+      ),
+    join() {
+      if (!group.isUp) return Promise.resolve(silent());
+      group.joins += 1;
+      if (!group.members.includes(SELF)) group.members.push(SELF);
+      const assignment: Assignment = {
+        generation: 1,
+        partitions: [PARTITION],
+      };
+      return Promise.resolve(ok(assignment));
+    },
+    leave({ member }) {
+      if (!group.isUp) return Promise.resolve(silent());
+      group.leaves.push(member);
+      group.members = group.members.filter((name) => name !== member);
+      return Promise.resolve(ok(undefined));
+    },
+  };
+  await joinGroup({
+    store,
+    clock: {
+      nowMs: () => script.nowMs,
+      steadyMs: () => script.nowMs,
+      async sleep(delayMs) {
+        await Promise.resolve();
+        script.nowMs += delayMs;
+        script.onTime(script);
+        if (script.nowMs >= script.untilMs) ending.abort();
+      },
+    },
+    logger: silentLogger,
+    member: { group: "g", member: SELF, topic: "domains", ttlMs: 1_300 },
+    wantedMembers: () => script.wantedMembers,
+    hasWork: () => script.hasWork,
+    candidateWaitMs: () => script.waitMs(),
+    onAssignment() {},
+    signal: ending.signal,
+  }).done;
+  return script;
+}
+
+describe("a candidate for the group of owners", () => {
+  it("joins at once if it is the best and nobody is a member", async () => {
+    const { group } = await run({ untilMs: 200 });
+    assert.ok(group.joins > 0);
+  });
+
+  it("leaves the place to a better one", async () => {
+    const { group } = await run({
+      waitMs: () => 400,
+      onTime({ nowMs, group }) {
+        if (nowMs >= 100 && group.members.length === 0) {
+          group.members = ["best"];
+        }
+      },
+    });
+    assert.equal(group.joins, 0);
+  });
+
+  it("waits after an outage until it knows the other candidates", async () => {
+    let waitMs: number | undefined;
+    const { group } = await run({
+      waitMs: () => waitMs,
+      group: { isUp: false, members: [], joins: 0, leaves: [] },
+      onTime(script) {
+        if (script.nowMs >= 5_000) script.group.isUp = true;
+        // The list of candidates and the best of them come a little later.
+        if (script.nowMs >= 5_200) waitMs = 600;
+        if (script.nowMs >= 5_400) script.group.members = ["best"];
+      },
+    });
+    assert.equal(group.joins, 0);
+  });
+});
+
+describe("a member without work", () => {
+  it("leaves a group that has members enough", async () => {
+    const { group } = await run({
+      hasWork: false,
+      untilMs: 4_000,
+      onTime({ nowMs, group }) {
+        if (nowMs >= 500 && !group.members.includes("other")) {
+          group.members.push("other");
+        }
+      },
+      group: { isUp: true, members: [], joins: 0, leaves: [] },
+      wantedMembers: 1,
+    });
+    // The first call frees what a former process held.
+    assert.ok(group.leaves.length >= 2);
+  });
+
+  it("stays in a group that needs it", async () => {
+    const { group } = await run({ hasWork: false, wantedMembers: 2 });
+    // The first call frees what a former process held.
+    assert.equal(group.leaves.length, 1);
+    assert.ok(group.members.includes(SELF));
+  });
+});
--- a/src/ownership/mod.ts
+++ b/src/ownership/mod.ts
@@ -7,6 +7,7 @@
 export * from "./directory.ts";
 export * from "./domain_holder.ts";
 export type { DomainOwner, OwnerAnswer } from "./domain_owner.ts";
+export type { DomainView } from "./domain_view.ts";
 export * from "./follow_topic.ts";
 export * from "./group_membership.ts";
 export * from "./worker_list.ts";
--- a/stand_ins/platform/worker.ts
+++ b/stand_ins/platform/worker.ts
@@ -99,7 +99,7 @@
   order: Order,
   nowMs: number,
 ): StoreAnswer {
-  advance(worker, nowMs);
+  endDueRuns(worker, nowMs);
   if (order.fencing_token < worker.fence) {
     return refusal(worker, "fence", nowMs);
   }
@@ -136,7 +136,8 @@
   return done(worker, nowMs);
 }
 
-function advance(worker: Worker, nowMs: number): void {
+/** Ends the runs whose time or lease is over. */
+export function endDueRuns(worker: Worker, nowMs: number): void {
   for (const [task, run] of worker.running) {
     if (worker.leaseUntilMs < nowMs) end(worker, task, "lapsed");
     else if (run.endsAtMs <= nowMs) end(worker, task, "done");
