--- a/src/domain/job_runs.ts
+++ b/src/domain/job_runs.ts
@@ -184,6 +184,7 @@
   const occurrence = job.occurrences.get(run.occurrence);
   if (occurrence === undefined) return;
   domain.waiting.delete(run);
+  if (job.job.outcome !== "open") return;
   makeStepsReady(domain, job, occurrence, moment);
   const isComplete = job.job.steps.every((step, index) =>
     occurrence.steps.get(index)?.done === step.taskCount
--- a/src/domain/takeover_test.ts
+++ b/src/domain/takeover_test.ts
@@ -36,6 +36,25 @@
   });
 });
 
+describe("a cancelled job whose last run is done before its stop", () => {
+  it("starts nothing of its next step", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    submit(bench, "a", [step(), step({ after: [0] })]);
+    cancel(bench, "a");
+    const commands = [
+      ...look(bench, "w1", { ended: [ended(1, "a.0.0.0", 1, "done")] }),
+      ...pass(bench, 100),
+    ];
+    assert.deepEqual(startsIn(commands), []);
+    takeOverBench(bench);
+    bench.commands.length = 0;
+    listWorkers(bench, listing("w1"));
+    pass(bench, 100);
+    assert.deepEqual(startsIn(bench.commands), []);
+  });
+});
+
 describe("a takeover", () => {
   it("starts nothing of a job that was cancelled before", () => {
     const bench = createBench();
