--- /dev/null
+++ b/examples/take_over_domain.ts
@@ -0,0 +1,100 @@
+/**
+ * Embeds a scheduling domain: an owner accepts a job and starts a task of it.
+ * It is lost; the next owner goes on from the records, and starts the other
+ * tasks only once the worker has said what it runs.
+ *
+ * @module
+ */
+import { domain as parts } from "samphirestage";
+
+const WORKER: parts.WorkerListing = {
+  id: "kigali-desk-1",
+  service: "desk",
+  address: "10.1.0.21:7001",
+  zone: "kigali",
+  rack: "r1",
+  labels: [],
+  capacity: { cpuMillis: 2_000, memoryMb: 4_096, accelerators: 0 },
+  draining: false,
+  bornMs: 1,
+};
+const REQUEST: parts.JobRequest = {
+  id: "5c0e7a21d94b36f8",
+  specification: "print 3 cards",
+  steps: [{
+    taskCount: 3,
+    demand: { cpuMillis: 1_000, memoryMb: 512, accelerators: 0 },
+    estimateMs: 400,
+    after: [],
+    gang: false,
+    colocated: false,
+    longRunning: false,
+    opportunistic: false,
+    checkpointed: false,
+  }],
+};
+const POLICY: parts.QueuePolicy = {
+  queue: "proofs",
+  service: "desk",
+  priority: 0,
+  maxAttempts: 3,
+  slackFactor: 2,
+  targetCompletionMs: 500,
+};
+const OPTIONS = { endedJobKeepMs: 120_000 };
+
+const store = new Map<string, string>();
+let nowMs = 0;
+
+const first = parts.createDomain(OPTIONS);
+console.log("The first owner");
+feed(first, { kind: "workersListed", workers: [WORKER] });
+look(first, []);
+feed(first, {
+  kind: "submitted",
+  call: 1,
+  request: REQUEST,
+  policy: POLICY,
+});
+
+nowMs += 1_000;
+const second = parts.createDomain(OPTIONS);
+const records = [...store].map(([key, value]) => ({ key, value }));
+parts.restoreDomain(second, records, nowMs);
+console.log("The second owner, before the worker has answered");
+feed(second, { kind: "workersListed", workers: [WORKER] });
+console.log("The second owner, once one task is known to run");
+look(second, ["5c0e7a21d94b36f8.0.0.0"]);
+
+/** Feeds an event, and stores the records before it shows the commands. */
+function feed(owned: parts.Domain, event: parts.DomainEvent): void {
+  const moment = { steadyMs: nowMs, wallMs: 1_796_265_600_000 + nowMs };
+  const commands = [
+    ...parts.stepDomain(owned, event, moment),
+    ...parts.scheduleDomain(owned, moment),
+  ];
+  for (const { key, value } of parts.takeDirtyRecords(owned)) {
+    if (value === undefined) store.delete(key);
+    else store.set(key, value);
+  }
+  for (const command of commands) {
+    if (command.kind !== "order" || command.order.kind !== "start") continue;
+    const { task, attempt, worker } = command.order;
+    console.log(`  starts ${task}, attempt ${attempt}, on ${worker}`);
+  }
+}
+
+function look(owned: parts.Domain, tasks: string[]): void {
+  const running = tasks.map((task) => ({
+    task,
+    attempt: 1,
+    checkpoint: "",
+    percent: 1,
+    reading: 0,
+  }));
+  feed(owned, {
+    kind: "looked",
+    worker: WORKER.id,
+    look: { bornMs: 1, running, ended: [], sentAtMs: nowMs },
+  });
+}
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,6 +1,6 @@
 /**
- * Bundles each program into one file in `dist/`, which takes less memory than
- * its modules do one by one.
+ * Bundles each program into one file in `target/`, which starts sooner and
+ * takes less memory than its modules do one by one.
  *
  * @module
  */
@@ -13,18 +13,11 @@
 const root = join(dirname(fileURLToPath(import.meta.url)), "..");
 const EXECUTABLE_MODE = 0o755;
 
-await bundle("src/daemon/samphirestaged.ts", "samphirestaged.mjs", {
-  // One helper thread of the engine is enough, and each has its own heap.
-  hashbang: "#!/usr/bin/env -S node --v8-pool-size=1",
-  plugins: [{ name: "undici pool", setup: resolveUndici }],
-});
-await bundle("src/cli/samphirestage.ts", "samphirestage.mjs", {
-  hashbang: "#!/usr/bin/env node",
-  plugins: [],
-});
+await bundle("platform/samphirestaged.ts", "samphirestaged.mjs");
+await bundle("src/cli/samphirestage.ts", "samphirestage.mjs");
 
-async function bundle(entry, output, { hashbang, plugins }) {
-  const outfile = join(root, "dist", output);
+async function bundle(entry, output) {
+  const outfile = join(root, "target", output);
   await build({
     entryPoints: [join(root, entry)],
     outfile,
@@ -33,7 +26,7 @@
     format: "esm",
     target: "node20",
     minify: true,
-    plugins,
+    keepNames: true,
     // CommonJS packages inside the bundle ask for Node.js modules by require.
     banner: {
       js: 'import { createRequire } from "node:module";' +
@@ -41,14 +34,9 @@
     },
     logLevel: "warning",
   });
-  const [, ...lines] = readFileSync(outfile, "utf8").split("\n");
-  writeFileSync(outfile, [hashbang, ...lines].join("\n"));
+  const [first, ...lines] = readFileSync(outfile, "utf8").split("\n");
+  if (!first.startsWith("#!")) throw new Error(`${entry} has no first line.`);
+  writeFileSync(outfile, ["#!/usr/bin/env node", ...lines].join("\n"));
   chmodSync(outfile, EXECUTABLE_MODE);
-  process.stdout.write(`dist/${output}\n`);
-}
-
-function resolveUndici(builder) {
-  builder.onResolve({ filter: /^undici$/ }, () => ({
-    path: join(root, "scripts", "undici_pool.mjs"),
-  }));
+  process.stdout.write(`target/${output}\n`);
 }
--- a/scripts/quickstart.ts
+++ b/scripts/quickstart.ts
@@ -14,10 +14,10 @@
 import {
   formatVerdict,
   type HeardOrder,
-  judge,
   type LocalCluster,
   startLocalCluster,
   submitOrder,
+  verdictOf,
 } from "../stand_ins/local_cluster/mod.ts";
 import { quickstartOrders, TOKENS } from "./quickstart_orders.ts";
 import { showAccount, showTimeLine } from "./quickstart_reports.ts";
@@ -42,7 +42,7 @@
     region: REGION,
     zones: ZONES,
     instancesPerZone: INSTANCES_PER_ZONE,
-    workers: quickstartWorkers(ZONES, REGION),
+    workers: quickstartWorkers(ZONES),
     manifest: v.parse(
       manifestSchema,
       JSON.parse(readFileSync(MANIFEST, "utf8")),
@@ -53,7 +53,7 @@
   try {
     console.log("Every instance is ready with the press's manifest.");
     const heard = await submitAll(cluster);
-    const verdict = judge(await cluster.audits(), heard);
+    const verdict = verdictOf(cluster, heard);
     const complaints = heard.flatMap((order) => order.complaints);
     await showAccount(cluster);
     await showTimeLine(cluster);
--- a/scripts/quickstart_orders.ts
+++ b/scripts/quickstart_orders.ts
@@ -47,7 +47,7 @@
         agreement: customer,
         work,
         tasks: Array.from({ length: tasks }, (_task, index) => ({
-          payload: { runMs, output: `card ${key}/${index}` },
+          payload: { runMs, card: `${key}/${index}` },
         })),
       },
     };
--- a/scripts/quickstart_reports.ts
+++ b/scripts/quickstart_reports.ts
@@ -10,7 +10,7 @@
   new URL("../src/cli/samphirestage.js", import.meta.url),
 );
 const LAST_EVENTS = 12;
-/** Longer than instances hold usage back before they write it to the log. */
+/** Longer than owners wait before they record what was used. */
 const USAGE_TIMEOUT_MS = 20_000;
 
 const accountSchema = v.object({
@@ -21,7 +21,7 @@
 export async function showAccount(cluster: LocalCluster): Promise<void> {
   const month = new Date().toISOString().slice(0, "YYYY-MM".length);
   const path = `/v1/operator/account?month=${month}`;
-  console.log("Waiting for the workers' usage to reach the account.");
+  console.log("Waiting until the use has been recorded.");
   await waitUntil("usage in the account", USAGE_TIMEOUT_MS, async () => {
     const reply = await cluster.api.call("GET", urlOf(cluster) + path, {
       token: cluster.operatorToken,
--- a/scripts/quickstart_workers.ts
+++ b/scripts/quickstart_workers.ts
@@ -1,30 +1,26 @@
-import type { WorkerOptions } from "../stand_ins/worker/mod.ts";
+import type { WorkerPlan } from "../stand_ins/platform/platform.ts";
 
 const CORE_MILLIS = 1_000;
 const GIB = 1_024;
-const SLOTS = 8;
-const CONNECTIONS = 64;
 const DESK_WORKERS_PER_ZONE = 3;
 
 /** Three workers of the order desk and one of portrait imaging per zone. */
-export function quickstartWorkers(
-  zones: string[],
-  region: string,
-): WorkerOptions[] {
+export function quickstartWorkers(zones: string[]): WorkerPlan[] {
   return zones.flatMap((zone) => {
-    const place = { zone, region };
     const desks = Array.from(
       { length: DESK_WORKERS_PER_ZONE },
       (_worker, index) => ({
-        ...place,
         id: `${zone}-desk-${index + 1}`,
+        service: "default",
+        zone,
         rack: `${zone}-a`,
         capacity: capacityOf(32, 128, 0),
       }),
     );
     const imaging = {
-      ...place,
       id: `${zone}-imaging-1`,
+      service: "default",
+      zone,
       rack: `${zone}-b`,
       capacity: capacityOf(128, 512, 8),
     };
@@ -34,12 +30,8 @@
 
 function capacityOf(cores: number, memoryGib: number, accelerators: number) {
   return {
-    resources: {
-      cpuMillis: cores * CORE_MILLIS,
-      memoryMb: memoryGib * GIB,
-      accelerators,
-    },
-    slots: SLOTS,
-    connections: CONNECTIONS,
+    cpuMillis: cores * CORE_MILLIS,
+    memoryMb: memoryGib * GIB,
+    accelerators,
   };
 }
--- a/src/account/account.ts
+++ b/src/account/account.ts
@@ -14,7 +14,7 @@
   agreement: v.string(),
   resource: v.picklist(RESOURCE_NAMES),
   unit: v.picklist(Object.values(ACCOUNT_UNITS)),
-  /** Absent where no time of any worker was observed. */
+  /** Absent where no time was observed. */
   used: v.optional(v.number()),
   /** What the manifests in force agreed so far. */
   agreed: v.number(),
@@ -34,9 +34,9 @@
 export const accountDaySchema = v.object({
   /** The day in UTC, such as `2026-12-04`. */
   day: v.string(),
-  /** Time of workers that was observed, in hours. */
+  /** Time for which owners added up use, summed over domains, in hours. */
   observedHours: v.number(),
-  /** Time of workers that nobody observed, in hours. */
+  /** Time for which nobody did, in hours. */
   unobservedHours: v.number(),
 });
 
@@ -47,16 +47,14 @@
 export const accountSchema = v.object({
   /** Year and month, such as `2026-12`. */
   month: v.string(),
-  /** The log's own time up to which the account reaches, in ISO 8601. */
+  /** Time up to which the account reaches, in ISO 8601. */
   asOf: v.string(),
-  /** Whether the month is over by the log's own time. */
+  /** Whether the month is over. */
   closed: v.boolean(),
-  /** Whether the reader of the log has missed no entry. */
+  /** Whether the records of every domain could be read. */
   complete: v.boolean(),
   observedHours: v.number(),
   unobservedHours: v.number(),
-  /** How many usage records came too late, or misdated, to be added. */
-  refusedRecords: v.number(),
   days: v.array(accountDaySchema),
   rows: v.array(accountRowSchema),
 });
--- /dev/null
+++ b/src/account/agreed_days.ts
@@ -0,0 +1,60 @@
+import type { AgreedDay, ManifestRecords } from "../manifest/mod.ts";
+import { splitAgreementName } from "../model/mod.ts";
+import type { DayUsage } from "./day_usage.ts";
+import { addAgreed, addAgreement, DAY_MS, dayOf } from "./usage_days.ts";
+
+/**
+ * Adds what was agreed until a time: what the records hold up to the last
+ * change, and what the manifest in force agrees since.
+ *
+ * @example
+ * ```ts
+ * addAgreedUntil(days, records, Date.now());
+ * ```
+ */
+export function addAgreedUntil(
+  days: Map<number, DayUsage>,
+  records: ManifestRecords,
+  nowMs: number,
+): void {
+  for (const [label, agreements] of records.agreed) {
+    const day = dayOf(days, Date.parse(label));
+    for (const [name, amounts] of Object.entries(agreements)) {
+      addAgreement(day.agreed, { ...splitAgreementName(name), ...amounts });
+    }
+  }
+  const { inForce } = records;
+  if (inForce !== undefined) {
+    addAgreed(days, inForce.manifest, inForce.atMs, nowMs);
+  }
+}
+
+/**
+ * What was agreed until a time, as records hold it, for the days since the
+ * last change.
+ *
+ * @example
+ * ```ts
+ * const agreed = agreedUntil(records, Date.now());
+ * ```
+ */
+export function agreedUntil(
+  records: ManifestRecords,
+  nowMs: number,
+): Map<string, AgreedDay> {
+  const days = new Map<number, DayUsage>();
+  addAgreedUntil(days, records, nowMs);
+  const sinceMs = (records.inForce?.atMs ?? nowMs) - DAY_MS;
+  const agreed = new Map<string, AgreedDay>();
+  for (const { dayMs, agreed: agreements } of days.values()) {
+    if (dayMs < sinceMs) continue;
+    const label = new Date(dayMs).toISOString().slice(0, "2026-12-04".length);
+    const amounts: AgreedDay = {};
+    for (const [name, amount] of agreements) {
+      const { cpuMillisMs, memoryMbMs, acceleratorMs } = amount;
+      amounts[name] = { cpuMillisMs, memoryMbMs, acceleratorMs };
+    }
+    agreed.set(label, amounts);
+  }
+  return agreed;
+}
--- a/src/account/build_account.ts
+++ b/src/account/build_account.ts
@@ -1,12 +1,5 @@
 import { compareStrings } from "../base/mod.ts";
-import {
-  type AgreementUsage,
-  daysSoFar,
-  type DayUsage,
-  HOUR_MS,
-  type LogState,
-  type ResourceTime,
-} from "../log_state/mod.ts";
+import type { ResourceTime } from "../domain/mod.ts";
 import { RESOURCE_NAMES, type ResourceName } from "../model/mod.ts";
 import {
   type Account,
@@ -14,7 +7,9 @@
   type AccountDay,
   type AccountRow,
 } from "./account.ts";
+import type { AgreementUsage, DayUsage } from "./day_usage.ts";
 import type { Month } from "./month.ts";
+import { HOUR_MS } from "./usage_days.ts";
 
 const MILLIS_PER_CORE = 1_000;
 const MIB_PER_GIB = 1_024;
@@ -27,22 +22,30 @@
   agreed: ResourceTime;
 };
 
+/** What an account is built from. */
+export type AccountSource = {
+  /** By start of the day, in milliseconds since the epoch. */
+  days: Map<number, DayUsage>;
+  /** Until when the days reach, in milliseconds since the epoch. */
+  asOfMs: number;
+  /** Whether the records of every domain could be read. */
+  complete: boolean;
+};
+
 /**
- * Builds the account of a month from what was folded of the log. The account
- * of a month that has not ended reaches up to the log's latest entry. Time
- * that nobody observed is shown as such; with none observed at all, no use is
- * stated.
+ * Builds the account of a month from the records of the domains. The account
+ * of a month that has not ended reaches up to now. Time that nobody observed
+ * is shown as such; with none observed at all, no use is stated.
  *
  * @example
  * ```ts
  * const month = parseMonth("2026-12");
- * if (month !== undefined) renderAccountTable(buildAccount(state, month));
+ * if (month !== undefined) renderAccountTable(buildAccount(source, month));
  * ```
  */
-export function buildAccount(state: LogState, month: Month): Account {
-  const manifest = state.folded.entry?.manifest;
-  const all = daysSoFar(state.usage, manifest, state.clockMs).values();
-  const days = [...all]
+export function buildAccount(source: AccountSource, month: Month): Account {
+  const { asOfMs, complete } = source;
+  const days = [...source.days.values()]
     .filter(({ dayMs }) => dayMs >= month.fromMs && dayMs < month.toMs)
     .sort((left, right) => left.dayMs - right.dayMs);
   const observedMs = sumOf(days, ({ observedMs }) => observedMs);
@@ -51,12 +54,11 @@
   const isObserved = observedMs > 0;
   return {
     month: month.label,
-    asOf: new Date(Math.min(state.clockMs, month.toMs)).toISOString(),
-    closed: state.clockMs >= month.toMs,
-    complete: state.synced,
+    asOf: new Date(Math.min(asOfMs, month.toMs)).toISOString(),
+    closed: asOfMs >= month.toMs,
+    complete,
     observedHours: hours(observedMs),
     unobservedHours: hours(unobservedMs),
-    refusedRecords: state.usage.refusedRecords,
     days: days.map(dayOfAccount),
     rows: isObserved ? observedRows(totals) : unobservedRows(totals),
   };
--- a/src/account/mod.ts
+++ b/src/account/mod.ts
@@ -1,11 +1,14 @@
 /**
  * The monthly account: what each agreement used against what was agreed, from
- * the usage folded of the log.
+ * the records of the domains and of the manifest.
  *
  * @module
  */
 export * from "./account.ts";
+export * from "./agreed_days.ts";
 export * from "./build_account.ts";
+export * from "./day_usage.ts";
 export * from "./month.ts";
 export * from "./render_csv.ts";
 export * from "./render_table.ts";
+export { addDomainDay, DAY_MS, HOUR_MS } from "./usage_days.ts";
--- a/src/account/render_csv.ts
+++ b/src/account/render_csv.ts
@@ -10,8 +10,8 @@
   "agreed",
   "overuse",
   "lent",
-  "observed_worker_hours",
-  "unobserved_worker_hours",
+  "observed_domain_hours",
+  "unobserved_domain_hours",
 ];
 
 /**
--- a/src/account/render_table.ts
+++ b/src/account/render_table.ts
@@ -48,22 +48,19 @@
     unobservedHours > 0
   );
   if (gaps.length > 0) lines.push(`Unobserved: ${gaps.map(gapOf).join(", ")}.`);
-  if (account.refusedRecords > 0) {
-    lines.push(`${account.refusedRecords} usage records came too late.`);
-  }
   if (!account.complete) {
-    lines.push("This instance has missed entries of the log.");
+    lines.push("The records of some domains could not be read.");
   }
   return lines;
 }
 
 function coverageLine(account: Account): string {
   const { observedHours, unobservedHours } = account;
-  if (observedHours === 0) return "No time of any worker was observed.";
+  if (observedHours === 0) return "No use was observed.";
   const total = observedHours + unobservedHours;
   const percent = (100 * observedHours / total).toFixed(1);
   return `Observed ${fixed(observedHours)} of ${fixed(total)} ` +
-    `worker-hours (${percent} %).`;
+    `domain-hours (${percent} %).`;
 }
 
 function gapOf(day: AccountDay): string {
--- /dev/null
+++ b/src/account/usage_days.ts
@@ -0,0 +1,110 @@
+/**
+ * Usage by day: what the domains used, and what the manifests agreed.
+ *
+ * @module
+ */
+import type { DayUsage as DomainDay } from "../domain/mod.ts";
+import {
+  agreementName,
+  type Manifest,
+  splitAgreementName,
+} from "../model/mod.ts";
+import type { AgreementUsage, DayUsage } from "./day_usage.ts";
+
+/** Length of an hour, in milliseconds. */
+export const HOUR_MS = 3_600_000;
+/** Length of a day, in milliseconds. */
+export const DAY_MS = 24 * HOUR_MS;
+
+/**
+ * Finds or creates the day that holds a time.
+ *
+ * @example
+ * ```ts
+ * dayOf(days, Date.now()).observedMs;
+ * ```
+ *
+ * @param atMs milliseconds since the epoch; days are those of UTC
+ */
+export function dayOf(days: Map<number, DayUsage>, atMs: number): DayUsage {
+  const dayMs = Math.floor(atMs / DAY_MS) * DAY_MS;
+  const known = days.get(dayMs);
+  if (known !== undefined) return known;
+  const created: DayUsage = {
+    dayMs,
+    observedMs: 0,
+    unobservedMs: 0,
+    used: new Map(),
+    agreed: new Map(),
+  };
+  days.set(dayMs, created);
+  return created;
+}
+
+/**
+ * Adds what one domain recorded for a day.
+ *
+ * @example
+ * ```ts
+ * addDomainDay(days, "2026-12-04", usage);
+ * ```
+ */
+export function addDomainDay(
+  days: Map<number, DayUsage>,
+  label: string,
+  usage: DomainDay,
+): void {
+  const day = dayOf(days, Date.parse(label));
+  day.observedMs += usage.observedMs;
+  day.unobservedMs += usage.unobservedMs;
+  for (const [name, used] of Object.entries(usage.used)) {
+    addAgreement(day.used, { ...splitAgreementName(name), ...used });
+  }
+}
+
+/**
+ * Adds what a manifest agrees over a time to the days of that time.
+ *
+ * @example
+ * ```ts
+ * addAgreed(days, manifest, sinceMs, Date.now());
+ * ```
+ */
+export function addAgreed(
+  days: Map<number, DayUsage>,
+  manifest: Manifest,
+  fromMs: number,
+  toMs: number,
+): void {
+  let atMs = fromMs;
+  while (atMs < toMs) {
+    const day = dayOf(days, atMs);
+    const endMs = Math.min(toMs, day.dayMs + DAY_MS);
+    for (const { customer, name, share } of manifest.agreements) {
+      addAgreement(day.agreed, {
+        customer,
+        agreement: name,
+        cpuMillisMs: share.cpuMillis * (endMs - atMs),
+        memoryMbMs: share.memoryMb * (endMs - atMs),
+        acceleratorMs: share.accelerators * (endMs - atMs),
+      });
+    }
+    atMs = endMs;
+  }
+}
+
+/** Adds an amount to what an agreement has on a day. */
+export function addAgreement(
+  agreements: Map<string, AgreementUsage>,
+  added: AgreementUsage,
+): void {
+  const name = agreementName(added);
+  const known = agreements.get(name);
+  if (known === undefined) {
+    agreements.set(name, { ...added });
+    return;
+  }
+  known.cpuMillisMs += added.cpuMillisMs;
+  known.memoryMbMs += added.memoryMbMs;
+  known.acceleratorMs += added.acceleratorMs;
+}
--- /dev/null
+++ b/src/api/build_job_test.ts
@@ -0,0 +1,79 @@
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { test } from "node:test";
+import * as v from "valibot";
+import { repositoryFile } from "../cli/testing/golden_file.ts";
+import { diagnostics } from "../diagnostics/mod.ts";
+import { manifestSchema, type Submission } from "../model/mod.ts";
+import { buildJob } from "./build_job.ts";
+
+const ID = "5c0e7a21d94b36f8";
+const MANIFEST = v.parse(
+  manifestSchema,
+  JSON.parse(
+    readFileSync(repositoryFile("examples/press/manifest.json"), "utf8"),
+  ),
+);
+const PROOF: Submission = {
+  agreement: "order-desk",
+  work: "proof",
+  tasks: [{ payload: { card: 7 } }],
+};
+
+function build(changes: Partial<Submission>, customer = "order-desk") {
+  return buildJob(MANIFEST, ID, customer, { ...PROOF, ...changes });
+}
+
+function codeOf(changes: Partial<Submission>, customer?: string) {
+  const answer = build(changes, customer)._unsafeUnwrapErr();
+  assert.ok(answer.kind === "problem");
+  assert.equal(answer.ran, false);
+  return answer.code;
+}
+
+test("job: it has the agreement's policy, and one queue for each work", () => {
+  const { request, policy } = build({ deadlineMs: 500 })._unsafeUnwrap();
+  assert.equal(policy.queue, "order-desk/proof");
+  assert.equal(policy.customer, "order-desk");
+  assert.equal(request.startWithinMs, 500);
+  assert.equal(request.steps.length, 1);
+});
+
+test("job: tasks keep the caller's order though their needs differ", () => {
+  const large = { cpuMillis: 4_000, memoryMb: 1_024, accelerators: 0 };
+  const tasks = [
+    { payload: "a" },
+    { payload: "b" },
+    { payload: "c", demand: large },
+    { payload: "d" },
+  ];
+  const { request } = build({ tasks })._unsafeUnwrap();
+  assert.deepEqual(request.steps.map(({ taskCount }) => taskCount), [2, 1, 1]);
+  assert.deepEqual(JSON.parse(request.specification).steps, [
+    ["a", "b"],
+    ["c"],
+    ["d"],
+  ]);
+});
+
+test("job: work that must not repeat is tried once", () => {
+  for (const agreement of MANIFEST.agreements) {
+    for (const { name, idempotent } of agreement.work) {
+      const submission = { ...PROOF, agreement: agreement.name, work: name };
+      const { customer } = agreement;
+      const built = buildJob(MANIFEST, ID, customer, submission);
+      const { policy, request } = built._unsafeUnwrap();
+      assert.equal(policy.maxAttempts === 1, !idempotent);
+      assert.equal(request.steps[0]?.atMostOnce === true, !idempotent);
+    }
+  }
+});
+
+test("job: what the manifest does not have is refused as not run", () => {
+  const { agreementUnknown, workUnknown, submissionInvalid } = diagnostics;
+  assert.equal(codeOf({ agreement: "wreaths" }), agreementUnknown.code);
+  assert.equal(codeOf({}, "funeral-homes"), agreementUnknown.code);
+  assert.equal(codeOf({ work: "wreath" }), workUnknown.code);
+  const payload = "x".repeat(5_000);
+  assert.equal(codeOf({ tasks: [{ payload }] }), submissionInvalid.code);
+});
--- a/src/server/caller_route.ts
+++ b/src/api/caller_route.ts
@@ -6,35 +6,33 @@
 import * as v from "valibot";
 import { diagnostics } from "../diagnostics/mod.ts";
 import {
-  type Call,
-  type CallAnswer,
-  listRequests,
-  type Scheduler,
-  type View,
-} from "../instance/mod.ts";
-import { type Submission, submissionSchema } from "../model/mod.ts";
-import { type Credentials, customerOf } from "./authentication.ts";
-import type { HttpAnswer } from "./http_answer.ts";
-import { problemDocument, refusal } from "./problem_document.ts";
-import { RefusedCall } from "./refused_call.ts";
-import type { Route, RouteCall } from "./route.ts";
+  type RequestView,
+  type Submission,
+  submissionSchema,
+} from "../model/mod.ts";
+import {
+  customerOf,
+  type HttpAnswer,
+  problemDocument,
+  refusal,
+  RefusedCall,
+  type Route,
+  type RouteCall,
+} from "../server/mod.ts";
+import type { ApiHost } from "./api_host.ts";
+import type { CallAnswer } from "./call_answer.ts";
+import { isRequestId, issueRequestId, requestIdOfKey } from "./request_ids.ts";
 
 const OK = 200;
 const CREATED = 201;
 const ACCEPTED = 202;
 const MALFORMED = 400;
+const NOT_FOUND = 404;
 const METHOD_NOT_ALLOWED = 405;
 const MAX_KEY_LENGTH = 200;
 
-/** What the interface for callers needs. */
-export type CallerRouteHost = {
-  scheduler: Scheduler;
-  credentials: Credentials;
-  call(call: Call): Promise<unknown>;
-};
-
 /** Creates the route for callers, below `/v1/requests`. */
-export function createCallerRoute(host: CallerRouteHost): Route {
+export function createCallerRoute(host: ApiHost): Route {
   return (call) => {
     const [version, collection, id, ...rest] = call.path;
     if (version !== "v1" || collection !== "requests") return undefined;
@@ -47,30 +45,24 @@
 }
 
 async function answerCollection(
-  host: CallerRouteHost,
+  host: ApiHost,
   call: RouteCall,
   customer: string,
 ): Promise<HttpAnswer> {
   switch (call.method) {
     case "GET": {
-      const requests = listRequests(host.scheduler, customer);
+      const requests = await host.list(customer);
       return { status: OK, body: { requests } };
     }
     case "POST": {
       const key = call.headers["idempotency-key"];
       if (key === undefined) {
-        return toHttp(await host.call({ kind: "issue", customer }));
+        return { status: CREATED, body: { id: issueRequestId() } };
       }
       const submission = checkBody(await call.body());
-      return toHttp(
-        await host.call({
-          kind: "submitKeyed",
-          customer,
-          key: checkKey(String(key)),
-          submission,
-          waitMs: waitOf(call),
-        }),
-      );
+      const id = requestIdOfKey(customer, checkKey(String(key)));
+      const waitMs = waitOf(call);
+      return toHttp(await host.submit(customer, id, submission, waitMs));
     }
     default:
       return notAllowed(call);
@@ -78,54 +70,44 @@
 }
 
 async function answerRequest(
-  host: CallerRouteHost,
+  host: ApiHost,
   call: RouteCall,
   customer: string,
-  requestId: string,
+  id: string,
 ): Promise<HttpAnswer> {
+  if (!isRequestId(id)) {
+    return refusal(NOT_FOUND, diagnostics.requestIdInvalid);
+  }
   const waitMs = waitOf(call);
   switch (call.method) {
     case "GET":
-      return toHttp(
-        await host.call({ kind: "read", customer, requestId, waitMs }),
-      );
+      return toHttp(await host.read(customer, id, waitMs));
     case "PUT": {
       const submission = checkBody(await call.body());
-      return toHttp(
-        await host.call({
-          kind: "submit",
-          customer,
-          requestId,
-          submission,
-          waitMs,
-        }),
-      );
+      return toHttp(await host.submit(customer, id, submission, waitMs));
     }
     case "DELETE":
-      return toHttp(await host.call({ kind: "cancel", customer, requestId }));
+      return toHttp(await host.cancel(customer, id));
     default:
       return notAllowed(call);
   }
 }
 
 /** Turns the answer to a call into an HTTP answer. */
-export function toHttp(value: unknown): HttpAnswer {
-  const answer = value as CallAnswer;
+export function toHttp(answer: CallAnswer): HttpAnswer {
   switch (answer.kind) {
-    case "issued":
-      return { status: CREATED, body: { id: answer.id } };
     case "published":
       return { status: OK, body: { version: answer.version } };
     case "view":
       return { status: statusOf(answer.view), body: answer.view };
     case "problem": {
-      const { status, code, detail, ran } = answer;
-      return problemDocument(status, code, detail, ran);
+      const { status, code, detail, ran, retryAfterMs } = answer;
+      return problemDocument(status, code, detail, { ran, retryAfterMs });
     }
   }
 }
 
-function statusOf(view: View): number {
+function statusOf(view: RequestView): number {
   return view.outcome.kind === "notKnownYet" ? ACCEPTED : OK;
 }
 
--- a/src/server/operator_route.ts
+++ b/src/api/operator_route.ts
@@ -4,31 +4,25 @@
  * @module
  */
 import * as v from "valibot";
-import { buildAccount, type Month, parseMonth } from "../account/mod.ts";
+import { parseMonth } from "../account/mod.ts";
 import { diagnostics } from "../diagnostics/mod.ts";
-import {
-  explainRequest,
-  statusOf,
-  tasksOf,
-  workersOf,
-} from "../instance/mod.ts";
 import { checkManifest, formatManifestFaults } from "../manifest/mod.ts";
-import { eventsAfter } from "../time_line/mod.ts";
-import { operatorOf } from "./authentication.ts";
-import { type CallerRouteHost, toHttp } from "./caller_route.ts";
-import type { HttpAnswer } from "./http_answer.ts";
-import { problemDocument, refusal } from "./problem_document.ts";
-import type { Route, RouteCall } from "./route.ts";
+import {
+  type HttpAnswer,
+  operatorOf,
+  problemDocument,
+  refusal,
+  type Route,
+  type RouteCall,
+} from "../server/mod.ts";
+import type { ApiHost } from "./api_host.ts";
+import { toHttp } from "./caller_route.ts";
 
 const OK = 200;
 const ACCEPTED = 202;
 const MALFORMED = 400;
-
-/** What the interface for operators needs. */
-export type OperatorRouteHost = CallerRouteHost & {
-  /** Begins the planned stop of the process. */
-  stop(): void;
-};
+const UNAVAILABLE = 503;
+const NO_VERSION = -1;
 
 const publicationSchema = v.strictObject({
   changeId: v.pipe(v.string(), v.minLength(1), v.maxLength(200)),
@@ -38,7 +32,7 @@
 });
 
 /** Creates the route for operators. */
-export function createOperatorRoute(host: OperatorRouteHost): Route {
+export function createOperatorRoute(host: ApiHost): Route {
   return (call) => {
     const [version, area, ...rest] = call.path;
     if (version !== "v1" || area !== "operator") return undefined;
@@ -47,35 +41,35 @@
   };
 }
 
-function answer(
-  host: OperatorRouteHost,
+async function answer(
+  host: ApiHost,
   call: RouteCall,
   operator: string,
   name: string,
   path: string[],
-): Promise<HttpAnswer> | HttpAnswer | undefined {
-  const { scheduler } = host;
+): Promise<HttpAnswer | undefined> {
   switch (name) {
     case "GET status":
-      return { status: OK, body: statusOf(scheduler) };
+      return { status: OK, body: await host.status() };
     case "GET workers":
-      return { status: OK, body: { workers: workersOf(scheduler) } };
+      return { status: OK, body: { workers: await host.workers() } };
     case "GET tasks":
-      return { status: OK, body: { tasks: tasksOf(scheduler) } };
+      return { status: OK, body: { tasks: await host.tasks() } };
     case "GET explain": {
       const id = path[1] ?? "";
-      const lines = explainRequest(scheduler, id);
-      return { status: OK, body: { id, lines } };
+      return { status: OK, body: { id, lines: await host.explain(id) } };
     }
     case "GET manifest":
-      return { status: OK, body: manifestView(host, path[1] === "history") };
+      return path[1] === "history"
+        ? await historyView(host)
+        : { status: OK, body: host.manifest() ?? { version: NO_VERSION } };
     case "POST manifest":
-      return publish(host, call, operator);
+      return await publish(host, call, operator);
     case "GET account":
-      return accountView(host, call);
+      return await accountView(host, call);
     case "GET timeline": {
       const after = Number(call.query.get("after") ?? 0);
-      return { status: OK, body: eventsAfter(scheduler.timeLine, after) };
+      return { status: OK, body: host.timeLine(after) };
     }
     case "POST drain":
       host.stop();
@@ -85,15 +79,15 @@
   }
 }
 
-function manifestView(host: OperatorRouteHost, isHistory: boolean): unknown {
-  const { log } = host.scheduler;
-  if (isHistory) return { versions: log.history };
-  const { version, inForce } = log;
-  return inForce === undefined ? { version } : { version, ...inForce };
+async function historyView(host: ApiHost): Promise<HttpAnswer> {
+  const versions = await host.history();
+  if (versions !== undefined) return { status: OK, body: { versions } };
+  const reason = "the store does not answer";
+  return refusal(UNAVAILABLE, diagnostics.instanceNotReady, reason);
 }
 
 async function publish(
-  host: OperatorRouteHost,
+  host: ApiHost,
   call: RouteCall,
   operator: string,
 ): Promise<HttpAnswer> {
@@ -111,8 +105,7 @@
     return problemDocument(MALFORMED, diagnostics.manifestInvalid.code, detail);
   }
   return toHttp(
-    await host.call({
-      kind: "publish",
+    await host.publish({
       author,
       changeId,
       baseVersion,
@@ -121,13 +114,14 @@
   );
 }
 
-function accountView(host: OperatorRouteHost, call: RouteCall): HttpAnswer {
-  const text = call.query.get("month") ?? "";
-  const month: Month | undefined = parseMonth(text);
+async function accountView(
+  host: ApiHost,
+  call: RouteCall,
+): Promise<HttpAnswer> {
+  const month = parseMonth(call.query.get("month") ?? "");
   if (month === undefined) {
     const message = diagnostics.submissionInvalid;
     return refusal(MALFORMED, message, "month", "it must be YYYY-MM");
   }
-  const { log } = host.scheduler;
-  return { status: OK, body: buildAccount(log, month) };
+  return { status: OK, body: await host.account(month) };
 }
--- /dev/null
+++ b/src/api/testing/fake_api_host.ts
@@ -0,0 +1,62 @@
+import type { Credentials } from "../../server/mod.ts";
+import type { ApiHost } from "../api_host.ts";
+import type { CallAnswer } from "../call_answer.ts";
+import type { InstanceView } from "../instance_view.ts";
+
+/** An instance that has nothing, and notes what it is asked to change. */
+export type FakeApiHost = ApiHost & { changes: string[] };
+
+const STATUS: InstanceView = {
+  instance: "kigali-1",
+  incarnation: "i4",
+  zone: "kigali",
+  address: "127.0.0.1:1",
+  url: "",
+  ready: true,
+  version: -1,
+  members: [],
+  domains: [],
+  leaving: false,
+};
+
+/**
+ * Creates an instance without requests, workers and a manifest.
+ *
+ * @example
+ * ```ts
+ * const host = createFakeApiHost(credentials);
+ * ```
+ */
+export function createFakeApiHost(credentials: Credentials): FakeApiHost {
+  const changes: string[] = [];
+  const note = (change: string, answer: CallAnswer): Promise<CallAnswer> => {
+    changes.push(change);
+    return Promise.resolve(answer);
+  };
+  const view = (id: string): CallAnswer => ({
+    kind: "view",
+    view: { id, outcome: { kind: "didNotRun", code: 0, cause: "" }, tasks: [] },
+  });
+  return {
+    changes,
+    credentials,
+    submit: (customer, id) => note(`${customer} submits ${id}`, view(id)),
+    read: (_customer, id) => Promise.resolve(view(id)),
+    cancel: (customer, id) => note(`${customer} cancels ${id}`, view(id)),
+    list: () => Promise.resolve([]),
+    status: () => Promise.resolve(STATUS),
+    workers: () => Promise.resolve([]),
+    tasks: () => Promise.resolve([]),
+    explain: () => Promise.resolve([]),
+    manifest: () => undefined,
+    history: () => Promise.resolve([]),
+    publish: ({ author, baseVersion }) =>
+      note(`${author} publishes on ${baseVersion}`, {
+        kind: "published",
+        version: baseVersion + 1,
+      }),
+    account: () => Promise.reject(new Error("There is no account.")),
+    timeLine: () => ({ events: [], last: 0 }),
+    stop: () => void changes.push("stops"),
+  };
+}
--- /dev/null
+++ b/src/api/view_request.ts
@@ -0,0 +1,87 @@
+import { diagnostics } from "../diagnostics/mod.ts";
+import type { JobDescription, TaskDescription } from "../domain/mod.ts";
+import type { Outcome, RequestView, TaskOutcome } from "../model/mod.ts";
+
+/** After this time a caller may ask again, in milliseconds. */
+const RETRY_AFTER_MS = 1_000;
+
+/**
+ * Shows a job to its caller.
+ *
+ * @example
+ * ```ts
+ * viewRequest(description).outcome.kind; // "ran"
+ * ```
+ */
+export function viewRequest(job: JobDescription): RequestView {
+  return {
+    id: job.id,
+    outcome: outcomeOf(job),
+    tasks: job.tasks.map(({ index, state, worker, attempt }) => ({
+      index,
+      state,
+      ...(worker === undefined ? {} : { worker }),
+      attempt,
+    })),
+  };
+}
+
+function outcomeOf(job: JobDescription): Outcome {
+  switch (job.state) {
+    case "pending":
+      return open("queued", diagnostics.waitingToStart.template);
+    case "running":
+      return open("running", diagnostics.stillRunning.template);
+    case "completed":
+    case "failed":
+      return ended(job);
+    case "cancelled": {
+      if (job.hasStarted) return ended(job);
+      const { code, template } = hasExpired(job)
+        ? diagnostics.deadlinePassed
+        : diagnostics.cancelled;
+      return { kind: "didNotRun", code, cause: template };
+    }
+  }
+}
+
+/** A task that is being stopped may yet end by itself. */
+function ended({ tasks }: JobDescription): Outcome {
+  const isStopping = tasks.some(({ state }) =>
+    state === "starting" || state === "running"
+  );
+  return isStopping
+    ? open("running", diagnostics.stillRunning.template)
+    : { kind: "ran", tasks: tasks.map(taskOutcome) };
+}
+
+/** Whether a request that never started ended because it waited too long. */
+function hasExpired(job: JobDescription): boolean {
+  const { acceptedAtMs, startWithinMs, endedAtMs } = job;
+  return startWithinMs !== undefined && endedAtMs !== undefined &&
+    endedAtMs > acceptedAtMs + startWithinMs;
+}
+
+function open(state: "queued" | "running", cause: string): Outcome {
+  return { kind: "notKnownYet", state, cause, retryAfterMs: RETRY_AFTER_MS };
+}
+
+/** How a task of an ended job ended. */
+function taskOutcome(task: TaskDescription): TaskOutcome {
+  const { index, state, attempt, failures } = task;
+  if (state === "done") return { kind: "finished", index, attempt };
+  if (attempt === 0) {
+    const cause = "The request ended before its turn came.";
+    return { kind: "didNotRun", index, cause };
+  }
+  if (failures > 0) {
+    return {
+      kind: "failed",
+      index,
+      attempt,
+      cause: `Failed ${failures} times.`,
+    };
+  }
+  const cause = "Stopped, or lost with its worker.";
+  return { kind: "stopped", index, attempt, cause };
+}
--- a/src/base/hash.ts
+++ b/src/base/hash.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { createHash, createHmac, timingSafeEqual } from "node:crypto";
+import { createHash, timingSafeEqual } from "node:crypto";
 
 /**
  * Hashes strings to one unsigned 32-bit number, the same on every machine.
@@ -33,21 +33,6 @@
   return createHash("sha256").update(text).digest("hex");
 }
 
-/**
- * Signs text with a key: the first bytes of its HMAC-SHA-256 in base64url.
- *
- * @example
- * ```ts
- * const signature = sign("secret", "kigali.a.1.7", 12); // 16 characters
- * ```
- *
- * @param bytes the number of bytes kept, at most 32
- */
-export function sign(key: string, text: string, bytes: number): string {
-  const mac = createHmac("sha256", key).update(text).digest();
-  return mac.subarray(0, bytes).toString("base64url");
-}
-
 /**
  * Compares two strings in a time that does not depend on where they differ.
  *
--- a/src/cli/answers/mod.ts
+++ b/src/cli/answers/mod.ts
@@ -1,13 +1,9 @@
 /**
- * Schemas of an entry instance's answers, and the types inferred from them.
+ * Schemas of answers that stand around the rows of the interface, and the
+ * types inferred from them.
  *
  * @module
  */
 export * from "./explanation.ts";
-export * from "./instance_status.ts";
-export * from "./manifest_history.ts";
-export * from "./manifest_in_force.ts";
-export * from "./request_list.ts";
-export * from "./task_row.ts";
+export * from "./lists.ts";
 export * from "./time_line_page.ts";
-export * from "./worker_row.ts";
--- a/src/cli/api_client.ts
+++ b/src/cli/api_client.ts
@@ -1,20 +1,25 @@
 import type { Result } from "neverthrow";
 import * as v from "valibot";
 import { type Account, accountSchema } from "../account/mod.ts";
+import { type InstanceView, instanceViewSchema } from "../api/mod.ts";
 import { checkAnswer } from "../clients/check_answer.ts";
 import type { HttpRequest } from "../clients/mod.ts";
 import type { Fault } from "../hosts/mod.ts";
-import { type View, viewSchema } from "../instance/view.ts";
-import type { Manifest, Submission } from "../model/mod.ts";
+import {
+  type PublishedManifest,
+  publishedManifestSchema,
+} from "../manifest/mod.ts";
+import {
+  type Manifest,
+  type RequestView,
+  requestViewSchema,
+  type Submission,
+} from "../model/mod.ts";
 import {
   type Explanation,
   explanationSchema,
-  type InstanceStatus,
-  instanceStatusSchema,
   type ManifestHistory,
   manifestHistorySchema,
-  type ManifestInForce,
-  manifestInForceSchema,
   type RequestList,
   requestListSchema,
   type TaskList,
@@ -62,22 +67,22 @@
     id: string,
     submission: Submission,
     waitMs: number,
-  ): Answer<View>;
+  ): Answer<RequestView>;
   /** Submits work under the caller's own idempotency key. */
   submitUnderKey(
     key: string,
     submission: Submission,
     waitMs: number,
-  ): Answer<View>;
-  read(id: string, waitMs: number): Answer<View>;
-  cancel(id: string): Answer<View>;
+  ): Answer<RequestView>;
+  read(id: string, waitMs: number): Answer<RequestView>;
+  cancel(id: string): Answer<RequestView>;
   /** Lists the customer's own requests that this instance knows. */
   list(): Answer<RequestList>;
-  status(): Answer<InstanceStatus>;
+  status(): Answer<InstanceView>;
   workers(): Answer<WorkerList>;
   tasks(): Answer<TaskList>;
   explain(id: string): Answer<Explanation>;
-  manifestInForce(): Answer<ManifestInForce>;
+  manifestInForce(): Answer<PublishedManifest>;
   manifestHistory(): Answer<ManifestHistory>;
   publish(change: ManifestChangeRequest): Answer<{ version: number }>;
   /** @param month the month, such as `2026-04` */
@@ -133,7 +138,7 @@
     connection,
     issue: () => send(issuedSchema, post("request.issue", "/v1/requests")),
     submit: (id, submission, waitMs) =>
-      send(viewSchema, {
+      send(requestViewSchema, {
         step: "request.submit",
         method: "PUT",
         path: `${requestPath(id)}?waitMs=${waitMs}`,
@@ -141,29 +146,30 @@
         waitMs,
       }),
     submitUnderKey: (key, submission, waitMs) =>
-      send(viewSchema, {
+      send(requestViewSchema, {
         ...post("request.submit", `/v1/requests?waitMs=${waitMs}`, submission),
         headers: { "idempotency-key": key },
         waitMs,
       }),
     read: (id, waitMs) =>
-      send(viewSchema, {
+      send(requestViewSchema, {
         ...get("request.read", `${requestPath(id)}?waitMs=${waitMs}`),
         waitMs,
       }),
     cancel: (id) =>
-      send(viewSchema, {
+      send(requestViewSchema, {
         step: "request.cancel",
         method: "DELETE",
         path: requestPath(id),
       }),
     list: () => send(requestListSchema, get("request.list", "/v1/requests")),
-    status: () => send(instanceStatusSchema, operatorGet("status")),
+    status: () => send(instanceViewSchema, operatorGet("status")),
     workers: () => send(workerListSchema, operatorGet("workers")),
     tasks: () => send(taskListSchema, operatorGet("tasks")),
     explain: (id) =>
       send(explanationSchema, operatorGet(`explain/${encodeURIComponent(id)}`)),
-    manifestInForce: () => send(manifestInForceSchema, operatorGet("manifest")),
+    manifestInForce: () =>
+      send(publishedManifestSchema, operatorGet("manifest")),
     manifestHistory: () =>
       send(manifestHistorySchema, operatorGet("manifest/history")),
     publish: (change) =>
--- a/src/cli/await_request.ts
+++ b/src/cli/await_request.ts
@@ -1,6 +1,6 @@
 import { ok, type Result } from "neverthrow";
 import type { Fault } from "../hosts/mod.ts";
-import type { View } from "../instance/view.ts";
+import type { RequestView } from "../model/mod.ts";
 import type { ApiClient } from "./api_client.ts";
 import { isFinal } from "./render_request.ts";
 
@@ -21,9 +21,9 @@
  */
 export async function awaitRequest(
   client: ApiClient,
-  first: View,
+  first: RequestView,
   waitMs: number,
-): Promise<Result<View, Fault>> {
+): Promise<Result<RequestView, Fault>> {
   let view = first;
   let leftMs = waitMs;
   while (leftMs > 0 && !isFinal(view.outcome)) {
--- a/src/cli/commands/manifest/in_force.ts
+++ b/src/cli/commands/manifest/in_force.ts
@@ -1,20 +1,21 @@
 import { defineCommand } from "citty";
 import { err, ok } from "neverthrow";
-import type { Member } from "../../answers/mod.ts";
 import type { ApiClient } from "../../api_client.ts";
 import { callFault } from "../../command_fault.ts";
 import { describeCommand } from "../../command_meta.ts";
 import { connectionArguments } from "../../connection.ts";
 import { type ExitCode, exitCodes } from "../../exit_codes.ts";
-import { shouldAnswer } from "../../instances.ts";
+import { type AskedInstance, findPeers } from "../../instances.ts";
 import { type CommandResult, runRemote } from "../../run_command.ts";
 import { renderTable } from "../../table.ts";
 import type { Terminal } from "../../terminal.ts";
 
 /** What an instance itself says of the manifest in force there. */
 type InForceRow = {
+  /** Its id; its address where it did not answer. */
   instance: string;
-  zone: string;
+  /** Absent where the instance did not answer. */
+  zone?: string;
   /** Absent where the instance did not answer; -1 for none. */
   version?: number;
 };
@@ -42,9 +43,9 @@
 async function askInstances(client: ApiClient): Promise<CommandResult> {
   const status = await client.status();
   if (status.isErr()) return err(callFault(status.error));
-  const { instance, zone, version, members } = status.value;
+  const { instance, zone, version } = status.value;
   const rows = await Promise.all(
-    members.filter(shouldAnswer).map((peer) => askPeer(client, peer)),
+    findPeers(status.value).map((peer) => askPeer(client, peer)),
   );
   rows.unshift({ instance, zone, version });
   return ok({
@@ -56,11 +57,13 @@
 
 async function askPeer(
   client: ApiClient,
-  peer: Member,
+  peer: AskedInstance,
 ): Promise<InForceRow> {
-  const row = { instance: peer.id, zone: peer.zone };
   const status = await client.at(peer.url).status();
-  return status.match(({ version }) => ({ ...row, version }), () => row);
+  return status.match<InForceRow>(
+    ({ instance, zone, version }) => ({ instance, zone, version }),
+    () => ({ instance: peer.name }),
+  );
 }
 
 function exitCodeOf(rows: InForceRow[]): ExitCode {
@@ -72,7 +75,7 @@
 function renderRows(rows: InForceRow[]): string {
   return renderTable([
     { heading: "INSTANCE", cell: ({ instance }) => instance },
-    { heading: "ZONE", cell: ({ zone }) => zone },
+    { heading: "ZONE", cell: ({ zone }) => zone ?? "" },
     { heading: "IN FORCE", cell: versionText },
   ], rows);
 }
--- a/src/cli/commands/manifest/publish.ts
+++ b/src/cli/commands/manifest/publish.ts
@@ -3,9 +3,11 @@
 import { digest } from "../../../base/mod.ts";
 import { diagnostics } from "../../../diagnostics/mod.ts";
 import type { Fault } from "../../../hosts/mod.ts";
-import { diffManifests } from "../../../manifest/mod.ts";
+import {
+  diffManifests,
+  type PublishedManifest,
+} from "../../../manifest/mod.ts";
 import type { Manifest } from "../../../model/mod.ts";
-import type { ManifestInForce } from "../../answers/mod.ts";
 import type { ApiClient, ManifestChangeRequest } from "../../api_client.ts";
 import { callFault, type CommandFault } from "../../command_fault.ts";
 import { describeCommand } from "../../command_meta.ts";
@@ -106,14 +108,14 @@
 
 async function readInForce(
   client: ApiClient,
-): Promise<Result<ManifestInForce | undefined, Fault>> {
+): Promise<Result<PublishedManifest | undefined, Fault>> {
   const status = await client.status();
   if (status.isErr()) return err(status.error);
   if (status.value.version === NO_VERSION) return ok(undefined);
   return client.manifestInForce();
 }
 
-function isSame(inForce: ManifestInForce, manifest: Manifest): boolean {
+function isSame(inForce: PublishedManifest, manifest: Manifest): boolean {
   return diffManifests(inForce.manifest, manifest).length === 0;
 }
 
@@ -154,7 +156,7 @@
   });
 }
 
-function reportUnchanged(inForce: ManifestInForce): Report {
+function reportUnchanged(inForce: PublishedManifest): Report {
   const { version, changeId } = inForce;
   return {
     data: { version, baseVersion: version, changeId },
@@ -186,7 +188,7 @@
   );
 }
 
-function describeWinner(inForce: ManifestInForce): string {
+function describeWinner(inForce: PublishedManifest): string {
   const { version, author, changeId } = inForce;
   return `Version ${version} by ${author} (change ${changeId}) is in force.`;
 }
--- a/src/cli/commands/requests.ts
+++ b/src/cli/commands/requests.ts
@@ -1,6 +1,6 @@
 import { defineCommand } from "citty";
 import { err, ok } from "neverthrow";
-import type { View } from "../../instance/view.ts";
+import type { RequestView } from "../../model/mod.ts";
 import type { ApiClient } from "../api_client.ts";
 import { callFault } from "../command_fault.ts";
 import { describeCommand } from "../command_meta.ts";
@@ -41,7 +41,7 @@
   });
 }
 
-function renderRequests(requests: View[]): string {
+function renderRequests(requests: RequestView[]): string {
   return renderTable([
     { heading: "REQUEST", cell: ({ id }) => id },
     {
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -1,6 +1,6 @@
 import { defineCommand } from "citty";
 import { err, ok } from "neverthrow";
-import type { InstanceStatus } from "../answers/mod.ts";
+import type { InstanceView } from "../../api/mod.ts";
 import type { ApiClient } from "../api_client.ts";
 import { callFault } from "../command_fault.ts";
 import { describeCommand } from "../command_meta.ts";
@@ -49,14 +49,14 @@
 }
 
 /** What `--json` shows of each instance. */
-function summaryOf(status: InstanceStatus): object {
-  const { members: _members, barred: _barred, ...summary } = status;
+function summaryOf(status: InstanceView): object {
+  const { members: _members, ...summary } = status;
   return summary;
 }
 
 function renderStatus(
-  status: InstanceStatus,
-  statuses: InstanceStatus[],
+  status: InstanceView,
+  statuses: InstanceView[],
   silent: AskedInstance[],
 ): string {
   const fields = renderFields([
@@ -64,30 +64,48 @@
     ["zone", status.zone],
     ["state", stateText(status)],
     ["manifest", manifestText(status, statuses, silent)],
-    ["log", logText(status)],
-    ["workers", `${status.workers}`],
-    ["queued", `${status.queued}`],
-    ["running", `${status.running}`],
-    ["barred", status.barred.join(", ") || "none"],
   ]);
   const instances = renderTable([
     { heading: "INSTANCE", cell: nameOf },
     { heading: "ZONE", cell: ({ zone }) => zone },
     { heading: "STATE", cell: stateText },
     { heading: "MANIFEST", cell: ({ version }) => formatVersion(version) },
-    { heading: "LOG", cell: logText },
+    {
+      heading: "DOMAINS",
+      align: "right",
+      cell: ({ domains }) => `${domains.length}`,
+    },
+    { heading: "URL", cell: ({ url }) => url },
+  ], statuses);
+  const domains = statuses.flatMap((owner) =>
+    owner.domains.map((domain) => ({ ...domain, owner: nameOf(owner) }))
+  );
+  return `${fields}\n\n${instances}\n\n${renderDomains(domains)}`;
+}
+
+type DomainRow = InstanceView["domains"][number] & { owner: string };
+
+function renderDomains(domains: DomainRow[]): string {
+  return renderTable([
+    { heading: "DOMAIN", cell: ({ partition }) => `${partition}` },
+    { heading: "OWNER", cell: ({ owner }) => owner },
+    { heading: "EPOCH", align: "right", cell: ({ epoch }) => `${epoch}` },
     { heading: "WORKERS", align: "right", cell: ({ workers }) => `${workers}` },
+    { heading: "JOBS", align: "right", cell: ({ jobs }) => `${jobs}` },
     { heading: "QUEUED", align: "right", cell: ({ queued }) => `${queued}` },
     { heading: "RUNNING", align: "right", cell: ({ running }) => `${running}` },
-    { heading: "URL", cell: ({ url }) => url },
-  ], statuses);
-  return `${fields}\n\n${instances}`;
+    {
+      heading: "STORE SILENT",
+      align: "right",
+      cell: ({ storeSilentMs }) => `${storeSilentMs} ms`,
+    },
+  ], domains);
 }
 
 /** Tells the version of an instance, and where it is in force. */
 function manifestText(
-  { version }: InstanceStatus,
-  statuses: InstanceStatus[],
+  { version }: InstanceView,
+  statuses: InstanceView[],
   silent: AskedInstance[],
 ): string {
   const others = statuses.filter((status) => status.version !== version);
@@ -102,15 +120,11 @@
   return parts.join(", ");
 }
 
-function nameOf({ instance, incarnation }: InstanceStatus): string {
+function nameOf({ instance, incarnation }: InstanceView): string {
   return `${instance}/${incarnation}`;
 }
 
-function logText({ logReachable }: InstanceStatus): string {
-  return logReachable ? "reachable" : "unreachable";
-}
-
-function stateText(status: InstanceStatus): string {
+function stateText(status: InstanceView): string {
   if (status.leaving) return "leaving";
   return status.ready ? "ready" : "not ready";
 }
--- a/src/cli/commands/submit.ts
+++ b/src/cli/commands/submit.ts
@@ -1,8 +1,7 @@
 import { defineCommand } from "citty";
 import { err, ok, type Result } from "neverthrow";
 import type { Fault } from "../../hosts/mod.ts";
-import type { Submission } from "../../model/mod.ts";
-import type { View } from "../../instance/view.ts";
+import type { RequestView, Submission } from "../../model/mod.ts";
 import type { ApiClient } from "../api_client.ts";
 import { awaitRequest, LONGEST_WAIT_MS } from "../await_request.ts";
 import { callFault, type CommandFault } from "../command_fault.ts";
@@ -107,7 +106,7 @@
   givenId: string | undefined,
   submission: Submission,
   waitMs: number,
-): Promise<Result<View, CommandFault>> {
+): Promise<Result<RequestView, CommandFault>> {
   const id = givenId === undefined ? await issueId(client) : ok(givenId);
   if (id.isErr()) return err(id.error);
   const view = await client.submit(id.value, submission, waitMs);
@@ -120,7 +119,7 @@
   key: string,
   submission: Submission,
   waitMs: number,
-): Promise<Result<View, CommandFault>> {
+): Promise<Result<RequestView, CommandFault>> {
   const view = await client.submitUnderKey(key, submission, waitMs);
   const advice = `Submit it again with --key ${key}; it runs once.`;
   return view.mapErr((fault) => mayHaveRun(fault, advice));
@@ -133,7 +132,7 @@
   return issued.map(({ id }) => id).mapErr(callFault);
 }
 
-function readAgain(view: View): string {
+function readAgain(view: RequestView): string {
   return `Read it with: samphirestage read ${view.id}`;
 }
 
--- a/src/cli/commands/tasks.ts
+++ b/src/cli/commands/tasks.ts
@@ -70,9 +70,8 @@
 function renderTasks(tasks: MergedTask[]): string {
   return renderTable([
     { heading: "TASK", cell: ({ id }) => id },
-    { heading: "CUSTOMER", cell: ({ customer }) => customer },
-    { heading: "AGREEMENT", cell: ({ agreement }) => agreement },
-    { heading: "WORK", cell: ({ work }) => work },
+    { heading: "CUSTOMER", cell: ({ customer }) => customer || "-" },
+    { heading: "QUEUE", cell: ({ queue }) => queue },
     { heading: "STATE", cell: ({ state }) => state },
     { heading: "INSTANCE", cell: ({ instance }) => instance },
     { heading: "WORKER", cell: ({ worker }) => worker ?? "-" },
--- a/src/cli/commands/workers.ts
+++ b/src/cli/commands/workers.ts
@@ -14,9 +14,6 @@
 import type { Terminal } from "../terminal.ts";
 import { formatCores, formatGibibytes } from "../units.ts";
 
-/** Shown of a worker that no instance says it holds. */
-const UNKNOWN = "-";
-
 /**
  * Builds the command that lists the workers of all instances.
  *
@@ -59,8 +56,8 @@
     { heading: "ZONE", cell: ({ zone }) => zone },
     { heading: "RACK", cell: ({ rack }) => rack },
     { heading: "STATE", cell: ({ state }) => state },
-    { heading: "INSTANCE", cell: ({ instance }) => instance ?? UNKNOWN },
-    { heading: "TOKEN", align: "right", cell: tokenText },
+    { heading: "INSTANCE", cell: ({ instance }) => instance },
+    { heading: "EPOCH", align: "right", cell: ({ epoch }) => `${epoch}` },
     { heading: "TASKS", align: "right", cell: ({ tasks }) => `${tasks}` },
     { heading: "CORES", align: "right", cell: coresText },
     { heading: "GIB", align: "right", cell: memoryText },
@@ -68,10 +65,6 @@
   ], workers);
 }
 
-function tokenText({ token }: MergedWorker): string {
-  return token === undefined ? UNKNOWN : `${token}`;
-}
-
 function coresText(row: MergedWorker): string {
   return usedOf(row, ({ cpuMillis }) => formatCores(cpuMillis));
 }
@@ -88,6 +81,5 @@
   { used, capacity }: MergedWorker,
   format: (resources: Resources) => string,
 ): string {
-  if (used === undefined || capacity === undefined) return UNKNOWN;
   return `${format(used)}/${format(capacity)}`;
 }
--- a/src/cli/instances.ts
+++ b/src/cli/instances.ts
@@ -1,11 +1,11 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Fault } from "../hosts/mod.ts";
-import type { InstanceStatus, Member } from "./answers/mod.ts";
+import type { InstanceView } from "../api/mod.ts";
 import type { ApiClient } from "./api_client.ts";
 
 /** An entry instance that is asked. */
 export type AskedInstance = {
-  /** Id and incarnation, joined by a slash; else the URL. */
+  /** Id and incarnation, joined by a slash; else the address. */
   name: string;
   /** Base URL. */
   url: string;
@@ -42,15 +42,17 @@
 }
 
 /**
- * Finds the peers that an instance says should answer.
+ * Finds the other instances that have an interface, as an instance knows them.
  *
  * @example
  * ```ts
  * const gathered = await gather(client, findPeers(status), ask);
  * ```
  */
-export function findPeers({ members }: InstanceStatus): AskedInstance[] {
-  return members.filter(shouldAnswer).map(toAsked);
+export function findPeers({ members }: InstanceView): AskedInstance[] {
+  return members.flatMap(({ address, url }) =>
+    url === undefined ? [] : [{ name: address, url }]
+  );
 }
 
 /**
@@ -121,19 +123,3 @@
   if (instances.isErr()) return err(instances.error);
   return await askInstances(client, instances.value, ask);
 }
-
-/**
- * Tells whether a peer should answer: it is live, or leaving.
- *
- * @example
- * ```ts
- * const peers = status.members.filter(shouldAnswer);
- * ```
- */
-export function shouldAnswer({ state }: Member): boolean {
-  return state === "live" || state === "leaving";
-}
-
-function toAsked({ id, incarnation, url }: Member): AskedInstance {
-  return { name: `${id}/${incarnation}`, url };
-}
--- a/src/cli/merge_tasks.ts
+++ b/src/cli/merge_tasks.ts
@@ -1,5 +1,5 @@
-import { splitRequestId } from "../instance/request_ids.ts";
-import type { TaskList, TaskRow } from "./answers/mod.ts";
+import type { TaskRow } from "../api/mod.ts";
+import type { TaskList } from "./answers/mod.ts";
 import type { InstanceAnswer } from "./instances.ts";
 
 /** A task, with the instance whose row it is. */
@@ -8,13 +8,9 @@
   instance: string;
 };
 
-/** How much a row tells; the row of the highest rank is shown. */
-const RANKS = { movedAway: 1, elsewhere: 2, home: 3 };
-
 /**
- * Merges what instances list of tasks: the row of each comes from its home.
- * Where that only says that it moved the task, or does not list it, the row
- * comes from the instance that has it.
+ * Merges what instances list of the tasks of their domains. Where a domain
+ * has just changed its owner, a task stands once.
  *
  * @example
  * ```ts
@@ -27,19 +23,9 @@
   const merged = new Map<string, MergedTask>();
   for (const { instance, value } of answers) {
     for (const task of value.tasks) {
-      const row = { ...task, instance: instance.name };
-      const known = merged.get(row.id);
-      if (known !== undefined && rankOf(known) >= rankOf(row)) continue;
-      merged.set(row.id, row);
+      merged.set(task.id, { ...task, instance: instance.name });
     }
   }
   return [...merged.values()]
     .sort((left, right) => right.waitedMs - left.waitedMs);
 }
-
-function rankOf({ id, state, instance }: MergedTask): number {
-  if (state === "moved") return RANKS.movedAway;
-  const { home } = splitRequestId(id);
-  const isHome = instance === `${home.instance}/${home.incarnation}`;
-  return isHome ? RANKS.home : RANKS.elsewhere;
-}
--- a/src/cli/merge_workers.ts
+++ b/src/cli/merge_workers.ts
@@ -1,16 +1,17 @@
-import type { WorkerList, WorkerRow } from "./answers/mod.ts";
+import type { WorkerRow } from "../api/mod.ts";
+import { compareStrings } from "../base/mod.ts";
+import type { WorkerList } from "./answers/mod.ts";
 import type { InstanceAnswer } from "./instances.ts";
 
-/** A worker, with the instance that holds it. */
+/** A worker, with the instance that owns its domain. */
 export type MergedWorker = WorkerRow & {
-  /** Id and incarnation of the holder; absent where none says that it is. */
-  instance?: string;
+  /** Id and incarnation of the owner. */
+  instance: string;
 };
 
 /**
- * Merges what instances list of workers: the row of each comes from the
- * instance that holds it. Where two say so, the higher token is the later
- * lease.
+ * Merges what instances list of workers. Where two say that they own a
+ * worker's domain, the higher epoch is the later owner.
  *
  * @example
  * ```ts
@@ -26,24 +27,11 @@
   for (const { instance, value } of answers) {
     for (const row of value.workers) {
       const known = merged.get(row.id);
-      if (known !== undefined && tokenOf(known) >= tokenOf(row)) continue;
-      const isHeld = row.token !== undefined;
-      merged.set(row.id, isHeld ? { ...row, instance: instance.name } : row);
+      if (known !== undefined && known.epoch >= row.epoch) continue;
+      merged.set(row.id, { ...row, instance: instance.name });
     }
   }
-  return [...merged.values()].sort(byPlace);
-}
-
-/** The token that a row tells, below all others where it tells none. */
-function tokenOf({ token = -1 }: WorkerRow): number {
-  return token;
-}
-
-function byPlace(left: WorkerRow, right: WorkerRow): number {
-  return compareTexts(left.zone, right.zone) || compareTexts(left.id, right.id);
-}
-
-function compareTexts(left: string, right: string): number {
-  if (left === right) return 0;
-  return left < right ? -1 : 1;
+  return [...merged.values()].sort((left, right) =>
+    compareStrings(left.zone, right.zone) || compareStrings(left.id, right.id)
+  );
 }
--- a/src/clients/mod.ts
+++ b/src/clients/mod.ts
@@ -5,10 +5,7 @@
  */
 export * from "./http_caller.ts";
 export * from "./http_request.ts";
-export * from "./instance_list_client.ts";
-export * from "./log_client.ts";
 export * from "./peer_client.ts";
 export * from "./probe_address.ts";
 export * from "./seeded_randomness.ts";
 export * from "./system_clock.ts";
-export * from "./worker_client.ts";
--- a/src/domain/describe_job.ts
+++ b/src/domain/describe_job.ts
@@ -1,7 +1,9 @@
 import * as v from "valibot";
 import type { Domain } from "./domain.ts";
+import type { Moment } from "./domain_event.ts";
+import { explainWait, waitReportSchema } from "./explain_wait.ts";
 import type { JobRun } from "./job_run.ts";
-import { type JobState, jobStateOf } from "./job_state.ts";
+import { stateOf } from "./job_state.ts";
 import type { TaskProgress } from "./task_progress.ts";
 
 /** Schema of where one task of a job stands. */
@@ -24,14 +26,22 @@
   queue: v.string(),
   customer: v.optional(v.string()),
   agreement: v.optional(v.string()),
-  /** Digest of what the caller handed in; empty where none was kept. */
+  /** The service whose workers run it. */
+  service: v.string(),
+  /** What workers are handed; empty where it was not kept. */
   specification: v.string(),
   state: v.picklist(["pending", "running", "completed", "failed", "cancelled"]),
   /** Whether a task was ever started. */
   hasStarted: v.boolean(),
   acceptedAtMs: v.number(),
+  /** How long it may wait before it starts, in milliseconds. */
+  startWithinMs: v.optional(v.number()),
+  /** When it ended, in milliseconds since the epoch. */
+  endedAtMs: v.optional(v.number()),
   /** Empty for a job that ended and belongs to no agreement. */
   tasks: v.array(taskDescriptionSchema),
+  /** Why tasks wait, for each step that has some. */
+  waits: v.array(waitReportSchema),
 });
 
 /** A job as the owner of its domain describes it. */
@@ -42,42 +52,52 @@
  *
  * @example
  * ```ts
- * describeJob(domain, "5c0e7a21d94b36f8")?.state; // "running"
+ * describeJob(domain, "5c0e7a21d94b36f8", moment)?.state; // "running"
  * ```
  */
 export function describeJob(
   domain: Domain,
   id: string,
+  moment: Moment,
 ): JobDescription | undefined {
   const run = domain.jobs.get(id);
-  const state = jobStateOf(domain, id);
-  if (run === undefined || state === undefined) return undefined;
-  return describe(run, state);
+  return run === undefined ? undefined : describe(domain, run, moment);
 }
 
 /** Describes every job of a client account that the domain knows. */
 export function describeJobsOf(
   domain: Domain,
   customer: string,
+  moment: Moment,
 ): JobDescription[] {
   return [...domain.jobs.values()]
     .filter(({ job }) => job.policy.customer === customer)
-    .map((run) => describe(run, jobStateOf(domain, run.job.id) ?? "pending"));
+    .map((run) => describe(domain, run, moment));
 }
 
-function describe(run: JobRun, state: JobState): JobDescription {
-  const { id, policy, acceptedAtMs, specification } = run.job;
-  const { queue, customer, agreement } = policy;
+function describe(
+  domain: Domain,
+  run: JobRun,
+  moment: Moment,
+): JobDescription {
+  const { id, policy, acceptedAtMs, startWithinMs, endedAtMs, specification } =
+    run.job;
+  const { queue, service, customer, agreement } = policy;
+  const waiting = [...domain.waiting].filter(({ job }) => job === run);
   return {
     id,
     queue,
+    service,
     ...(customer === undefined ? {} : { customer }),
     ...(agreement === undefined ? {} : { agreement }),
     specification,
-    state,
+    state: stateOf(run),
     hasStarted: run.started,
     acceptedAtMs,
+    ...(startWithinMs === undefined ? {} : { startWithinMs }),
+    ...(endedAtMs === undefined ? {} : { endedAtMs }),
     tasks: describeTasks(run),
+    waits: waiting.map((step) => explainWait(domain, step, moment)),
   };
 }
 
--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -1,10 +1,11 @@
+import type { Resources } from "../model/mod.ts";
 import type { DomainCommand } from "./domain_command.ts";
 import type { DomainOptions } from "./domain_options.ts";
 import type { DomainWorker } from "./domain_worker.ts";
 import type { JobRun } from "./job_run.ts";
 import type { OwnerEntry } from "./owner_entry.ts";
 import type { StepRun } from "./step_run.ts";
-import type { DayUsage } from "./usage.ts";
+import type { DayUsage, ResourceTime } from "./usage.ts";
 
 /**
  * The state of a scheduling domain: the jobs of its services and their
@@ -34,8 +35,14 @@
   durations: Map<string, number>;
   /** What was used on each day, such as `2026-12-04`. */
   usage: Map<string, DayUsage>;
-  /** Until when that is added up, on the steady clock. */
+  /** Until when that is recorded, on the steady clock. */
   accruedAtMs: number | undefined;
+  /** The room that the placed tasks of each agreement hold. */
+  heldByAgreement: Map<string, Resources>;
+  /** What was used since the last record, by agreement. */
+  unrecordedUse: Map<string, ResourceTime>;
+  /** Until when that is added up, on the steady clock. */
+  integratedAtMs: number | undefined;
 };
 
 /**
@@ -62,5 +69,8 @@
     durations: new Map(),
     usage: new Map(),
     accruedAtMs: undefined,
+    heldByAgreement: new Map(),
+    unrecordedUse: new Map(),
+    integratedAtMs: undefined,
   };
 }
--- a/src/domain/domain_view.ts
+++ b/src/domain/domain_view.ts
@@ -19,6 +19,8 @@
 export type TaskView = {
   id: string;
   queue: string;
+  /** Empty where jobs have no client account. */
+  customer: string;
   state: "queued" | "starting" | "running";
   worker: string | undefined;
   /** Time since its step became ready, in milliseconds. */
@@ -46,13 +48,16 @@
   for (const run of domain.steps.values()) {
     const waitedMs = Math.round(moment.steadyMs - run.readyAtMs);
     for (const [index, task] of run.tasks.entries()) {
-      if (task.kind === "done") continue;
       const isPlaced = task.kind === "placed";
+      // What is placed of an ended job is still being stopped.
+      const isOpen = run.job.job.outcome === "open";
+      if (task.kind === "done" || (!isPlaced && !isOpen)) continue;
       const isRunning = isPlaced && task.phase.kind !== "starting" &&
         task.phase.kind !== "recorded";
       yield {
         id: taskNameOf(run, index),
         queue: run.job.job.policy.queue,
+        customer: run.job.job.policy.customer ?? "",
         state: isRunning ? "running" : isPlaced ? "starting" : "queued",
         worker: isPlaced ? task.worker : undefined,
         waitedMs,
--- a/src/domain/domain_worker.ts
+++ b/src/domain/domain_worker.ts
@@ -17,6 +17,8 @@
   used: Resources;
   /** Processor time that opportunistic tasks ask for, in millicores. */
   opportunisticCpu: number;
+  /** The domain's sums of the room that tasks hold, by agreement. */
+  heldByAgreement: Map<string, Resources>;
   /** Placed tasks by name. */
   placed: Map<string, PlacedRef>;
   health: WorkerHealth;
--- a/src/domain/job_state.ts
+++ b/src/domain/job_state.ts
@@ -1,4 +1,5 @@
 import type { Domain } from "./domain.ts";
+import type { JobRun } from "./job_run.ts";
 
 /** The state of a job as callers see it. */
 export type JobState =
@@ -11,7 +12,11 @@
 /** The state of a job; undefined where the domain does not know it. */
 export function jobStateOf(domain: Domain, id: string): JobState | undefined {
   const run = domain.jobs.get(id);
-  if (run === undefined) return undefined;
+  return run === undefined ? undefined : stateOf(run);
+}
+
+/** The state of a job that the domain knows. */
+export function stateOf(run: JobRun): JobState {
   const { outcome } = run.job;
   if (outcome !== "open") return outcome;
   return run.started ? "running" : "pending";
--- a/src/domain/mod.ts
+++ b/src/domain/mod.ts
@@ -28,5 +28,11 @@
 export * from "./owner_entry.ts";
 export * from "./records.ts";
 export * from "./step_domain.ts";
-export { type DayUsage, dayUsageSchema, type ResourceTime } from "./usage.ts";
+export {
+  type DayUsage,
+  dayUsageSchema,
+  type ResourceTime,
+  resourceTimeSchema,
+} from "./usage.ts";
+
 export * from "./worker_listing.ts";
--- a/src/domain/placed.ts
+++ b/src/domain/placed.ts
@@ -16,10 +16,18 @@
 
 const FULL_SPEED_PERCENT = 100;
 
-/** Creates a worker of which only the id is known. */
-export function createDomainWorker(id: string): DomainWorker {
+/**
+ * Creates a worker of which only the id is known.
+ *
+ * @param heldByAgreement the domain's sums, which placed tasks change
+ */
+export function createDomainWorker(
+  id: string,
+  heldByAgreement: Map<string, Resources>,
+): DomainWorker {
   return {
     id,
+    heldByAgreement,
     listing: undefined,
     held: false,
     bornMs: 0,
@@ -61,6 +69,7 @@
   run.waiting -= 1;
   run.job.started = true;
   worker.used = addResources(worker.used, reserved);
+  changeHeld(worker, run, reserved, addResources);
   if (run.step.opportunistic) {
     worker.opportunisticCpu += run.step.demand.cpuMillis;
   }
@@ -79,7 +88,26 @@
   if (ref === undefined) return;
   worker.placed.delete(name);
   worker.used = subtractResources(worker.used, ref.reserved);
+  changeHeld(worker, ref.run, ref.reserved, subtractResources);
   if (ref.run.step.opportunistic) {
     worker.opportunisticCpu -= ref.run.step.demand.cpuMillis;
   }
 }
+
+function changeHeld(
+  { heldByAgreement }: DomainWorker,
+  run: StepRun,
+  reserved: Resources,
+  combine: (total: Resources, change: Resources) => Resources,
+): void {
+  const { agreement } = run.job.job.policy;
+  if (agreement === undefined) return;
+  const known = heldByAgreement.get(agreement) ?? NO_RESOURCES;
+  const held = combine(known, reserved);
+  if (isNothing(held)) heldByAgreement.delete(agreement);
+  else heldByAgreement.set(agreement, held);
+}
+
+function isNothing({ cpuMillis, memoryMb, accelerators }: Resources): boolean {
+  return cpuMillis === 0 && memoryMb === 0 && accelerators === 0;
+}
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -23,7 +23,7 @@
 import { createDomainWorker, place } from "./placed.ts";
 import type { StepRun } from "./step_run.ts";
 import type { TaskProgress } from "./task_progress.ts";
-import { dayUsageSchema } from "./usage.ts";
+import { type DayUsage, dayUsageSchema } from "./usage.ts";
 
 /** One record: a key, and its value or the removal of the key. */
 export type DomainRecord = { key: string; value: string | undefined };
@@ -179,6 +179,25 @@
   return unreadable;
 }
 
+/**
+ * Reads what was used on each day, such as `2026-12-04`, out of the records of
+ * a domain.
+ *
+ * @example
+ * ```ts
+ * for (const [day, usage] of readUsage(records)) add(day, usage);
+ * ```
+ */
+export function* readUsage(
+  records: DomainRecord[],
+): Generator<[string, DayUsage]> {
+  for (const { key, value } of records) {
+    if (value === undefined || !key.startsWith(USAGE_PREFIX)) continue;
+    const usage = parse(dayUsageSchema, value);
+    if (usage.isOk()) yield [key.slice(USAGE_PREFIX.length), usage.value];
+  }
+}
+
 function parse<Schema extends v.GenericSchema>(
   schema: Schema,
   text: string,
@@ -260,7 +279,10 @@
     case TASK_TAGS.placed: {
       const [, attempt, failures, checkpoint, workerId] = stored;
       const known = domain.workers.get(workerId);
-      const worker = known ?? createDomainWorker(workerId);
+      const worker = known ?? createDomainWorker(
+        workerId,
+        domain.heldByAgreement,
+      );
       domain.workers.set(workerId, worker);
       run.tasks[index] = {
         kind: "waiting",
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -27,7 +27,6 @@
   reserveForLarge,
 } from "./reservations.ts";
 import { type StepRun, taskNameOf } from "./step_run.ts";
-import { roomByAgreement } from "./usage.ts";
 
 /** What one pass keeps from one step to the next. */
 export type Pass = {
@@ -42,20 +41,18 @@
   const pass: Pass = { domain, moment, reservations: new Map() };
   domain.wishes = [];
   updatePressure(domain);
-  const held = hasShares(domain) ? roomByAgreement(domain) : new Map();
-  for (const run of inRankOrder(domain.waiting, moment.wallMs, held)) {
+  for (
+    const run of inRankOrder(
+      domain.waiting,
+      moment.wallMs,
+      domain.heldByAgreement,
+    )
+  ) {
     if (run.step.gang) placeGang(pass, run);
     else placeTasks(pass, run);
   }
 }
 
-function hasShares(domain: Domain): boolean {
-  for (const run of domain.waiting) {
-    if (run.job.job.policy.share !== undefined) return true;
-  }
-  return false;
-}
-
 function placeTasks(pass: Pass, run: StepRun): void {
   const { domain, moment } = pass;
   const candidates = [...eligibleWorkers(domain, run)].filter((worker) =>
--- a/src/domain/step_domain.ts
+++ b/src/domain/step_domain.ts
@@ -22,7 +22,7 @@
 import { stopStalledTasks } from "./stalls.ts";
 import { stopTask } from "./stops.ts";
 import { withdrawJob } from "./withdraw.ts";
-import { accrueUsage } from "./usage.ts";
+import { integrateUse, recordUse } from "./usage.ts";
 import { noteUnhealthy } from "./worker_health.ts";
 import type { WorkerListing } from "./worker_listing.ts";
 
@@ -46,6 +46,7 @@
   event: DomainEvent,
   moment: Moment,
 ): DomainCommand[] {
+  integrateUse(domain, moment);
   takeEvent(domain, event, moment);
   return domain.commands.splice(0);
 }
@@ -55,6 +56,7 @@
   domain: Domain,
   moment: Moment,
 ): DomainCommand[] {
+  integrateUse(domain, moment);
   openDueOccurrences(domain, moment);
   schedule(domain, moment);
   return domain.commands.splice(0);
@@ -98,7 +100,7 @@
       return;
     }
     case "ticked":
-      accrueUsage(domain, moment);
+      recordUse(domain, moment);
       expireUnstartedJobs(domain, moment);
       return forgetEndedJobs(domain, moment);
     default:
@@ -180,7 +182,10 @@
   for (const listing of listings) {
     listed.add(listing.id);
     const known = domain.workers.get(listing.id);
-    const worker = known ?? createDomainWorker(listing.id);
+    const worker = known ?? createDomainWorker(
+      listing.id,
+      domain.heldByAgreement,
+    );
     worker.listing = listing;
     worker.capacity = listing.capacity;
     domain.workers.set(listing.id, worker);
--- a/src/domain/testing/model.ts
+++ b/src/domain/testing/model.ts
@@ -99,7 +99,7 @@
   for (let index = 0; index < WORKERS; index += 1) {
     const id = `w${index}`;
     workers.set(id, {
-      worker: createWorker(id, TASK_MS, 1),
+      worker: createWorker(id, () => TASK_MS, 1),
       isCut: false,
       acknowledged: 0,
       leaseUntilMs: 0,
@@ -216,7 +216,7 @@
 function startAnew(model: Model): void {
   const held = anyWorker(model);
   const { id, bornMs } = held.worker;
-  held.worker = createWorker(id, TASK_MS, bornMs + 1);
+  held.worker = createWorker(id, () => TASK_MS, bornMs + 1);
   held.acknowledged = 0;
   held.lapsedEnds.clear();
 }
--- a/src/domain/usage_test.ts
+++ b/src/domain/usage_test.ts
@@ -3,8 +3,10 @@
 import {
   createBench,
   type DomainBench,
+  ended,
   listing,
   listWorkers,
+  look,
   pass,
   startsIn,
   step,
@@ -29,6 +31,18 @@
     assert.equal(usageOf(bench)?.used["press/desk"]?.cpuMillisMs, 40_000_000);
   });
 
+  it("counts tasks that start and end between two records", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    pass(bench, 0);
+    pass(bench, 1_000);
+    submit(bench, "a", [step({ demand: HALF })], { agreement: "press/desk" });
+    bench.nowMs += 250;
+    look(bench, "w1", { ended: [ended(1, "a.0.0.0", 1, "done")] });
+    pass(bench, 10_000);
+    assert.equal(usageOf(bench)?.used["press/desk"]?.cpuMillisMs, 1_000_000);
+  });
+
   it("outlives its owner, and shows the time without one", () => {
     const bench = createBench();
     listWorkers(bench, listing("w1"));
--- a/src/entry/candidacy.ts
+++ b/src/entry/candidacy.ts
@@ -5,8 +5,7 @@
  */
 import { hash32 } from "../base/mod.ts";
 import type { Partition } from "../hosts/mod.ts";
-import { partitionOf } from "./entry.ts";
-import { GROUP, isInUse, type Running } from "./running.ts";
+import { GROUP, partitionsInUse, type Running } from "./running.ts";
 
 /** How long a candidate waits for each millisecond to the store. */
 const WAIT_PER_DISTANCE = 12;
@@ -33,15 +32,9 @@
 
 /** As many members as the workers need, but none without a domain in use. */
 export function wantedMembers(running: Running): number {
-  const { configuration, settings } = running;
-  const domains = new Set(
-    configuration.services().map((service) =>
-      partitionOf(service, settings.store.partitions)
-    ),
-  );
   const workers = running.workers.workers().length;
   const needed = Math.ceil(workers / WORKERS_PER_OWNER);
-  return Math.max(1, Math.min(needed, domains.size));
+  return Math.max(1, Math.min(needed, partitionsInUse(running).size));
 }
 
 /**
@@ -81,8 +74,8 @@
   return rank * perRankMs;
 }
 
-/** Whether any of some domains has work; unknown without a configuration. */
+/** Whether any of some domains has work, or that is not known yet. */
 export function hasWork(running: Running, partitions: Partition[]): boolean {
-  return running.configuration.current() === undefined ||
-    partitions.some(({ number }) => isInUse(running, number));
+  const used = partitionsInUse(running);
+  return used.size === 0 || partitions.some(({ number }) => used.has(number));
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -78,12 +78,12 @@
   ): Promise<EntryOutcome<undefined>>;
   cancel(
     job: string,
-    policy: QueuePolicy,
+    service: string,
     deadlineMs: number,
   ): Promise<EntryOutcome<undefined>>;
   stateOf(
     job: string,
-    policy: QueuePolicy,
+    service: string,
     deadlineMs: number,
   ): Promise<EntryOutcome<JobState>>;
   /** A job with its tasks, wherever it was accepted. */
@@ -113,33 +113,34 @@
  * ```
  */
 export function createEntry(host: EntryHost): Entry {
-  const domainOf = (policy: QueuePolicy) =>
-    partitionOf(policy.service, host.partitions);
+  const domainOf = (service: string) => partitionOf(service, host.partitions);
   return {
     async submit(request, policy, deadlineMs) {
       // A repeat must not start a job again that another domain took on.
       const isKnown = host.formerServices(policy.queue).length > 0 &&
-        await findElsewhere(host, request.id, domainOf(policy)) !== undefined;
+        await findElsewhere(host, request.id, domainOf(policy.service)) !==
+          undefined;
       if (isKnown) return { kind: "done", value: undefined };
       const call = {
         kind: "submit",
-        partition: domainOf(policy),
+        partition: domainOf(policy.service),
         request,
         policy,
       } as const;
       return readDone(await forward(host, call, request.id, deadlineMs));
     },
-    async cancel(job, policy, deadlineMs) {
+    async cancel(job, service, deadlineMs) {
       const call = {
         kind: "cancel",
-        partition: domainOf(policy),
+        partition: domainOf(service),
         job,
       } as const;
       const outcome = await forwardToJob(host, call, job, deadlineMs);
       return readDone(outcome);
     },
-    async stateOf(job, policy, deadlineMs) {
-      const call = { kind: "state", partition: domainOf(policy), job } as const;
+    async stateOf(job, service, deadlineMs) {
+      const partition = domainOf(service);
+      const call = { kind: "state", partition, job } as const;
       const outcome = await forwardToJob(host, call, job, deadlineMs);
       if (outcome.kind !== "done") return withoutEffect(outcome);
       const { value } = outcome;
@@ -150,7 +151,7 @@
     async describe(job, services, deadlineMs) {
       let last: EntryOutcome<JobDescription> = { kind: "unknownJob" };
       for (const service of services) {
-        const partition = partitionOf(service, host.partitions);
+        const partition = domainOf(service);
         const call = { kind: "describe", partition, job } as const;
         const outcome = await forward(host, call, job, deadlineMs);
         if (outcome.kind !== "done") {
@@ -167,7 +168,7 @@
     },
     async pendingJobs(policy, deadlineMs) {
       const { queue } = policy;
-      const partition = domainOf(policy);
+      const partition = domainOf(policy.service);
       const call = { kind: "pending", partition, queue } as const;
       const outcome = await forward(host, call, queue, deadlineMs);
       if (outcome.kind !== "done") return withoutEffect(outcome);
--- a/src/entry/entry_platform.ts
+++ b/src/entry/entry_platform.ts
@@ -12,7 +12,7 @@
 import type { Logger } from "../telemetry/mod.ts";
 import type { Configuration, ConfigurationState } from "./configuration.ts";
 import type { Entry } from "./entry.ts";
-import type { EntrySettings } from "./entry_settings.ts";
+import type { Settings } from "../settings/mod.ts";
 
 /** What the platform's adapter gives to an entry instance. */
 export type EntryPlatform = {
@@ -42,7 +42,7 @@
 
 /** What the adapter needs to build its clients. */
 export type PlatformHost = {
-  settings: EntrySettings;
+  settings: Settings;
   /** For calls to the store and the placement policy. */
   caller: HttpCaller;
   /** For calls to workers. */
--- /dev/null
+++ b/src/entry/explain_job.ts
@@ -0,0 +1,48 @@
+import type { JobDescription, WaitReport } from "../domain/mod.ts";
+import type { EntryOutcome } from "./entry.ts";
+
+/** Explains in short lines where a job stands, and why. */
+export function explainJob(
+  id: string,
+  found: EntryOutcome<JobDescription>,
+): string[] {
+  switch (found.kind) {
+    case "done":
+      return [...explain(found.value)];
+    case "unknownJob":
+      return [`${id} is not known to any owner`];
+    case "unavailable":
+    case "undecided":
+      return [`the owner of ${id} cannot be reached: ${found.cause}`];
+  }
+}
+
+function* explain(job: JobDescription): Generator<string> {
+  const { id, queue, state, tasks, waits } = job;
+  yield `${id} of queue ${queue} is ${state}`;
+  for (const { index, state: taskState, attempt, worker } of tasks) {
+    const place = worker === undefined ? "" : ` on ${worker}`;
+    yield `task ${index} attempt ${attempt} is ${taskState}${place}`;
+  }
+  for (const wait of waits) yield explainWait(wait);
+}
+
+/** The first condition that no worker meets is why a step waits. */
+function explainWait(wait: WaitReport): string {
+  const { step, waiting, waitedMs } = wait;
+  return `step ${step} has ${waiting} tasks waiting for ${waitedMs} ms: ` +
+    reasonOf(wait);
+}
+
+function reasonOf(wait: WaitReport): string {
+  if (wait.eligible === 0) return "no listed worker fits them";
+  if (wait.held === 0) return "the owner reaches none of the workers";
+  if (wait.unrefused === 0) return "the placement policy refuses every worker";
+  if (wait.withRoom === 0) return "every worker is full or set aside";
+  if (wait.ticketed === 0) {
+    return wait.asking > 0
+      ? "a question to the placement policy is on its way"
+      : "a ticket of the placement policy is missing";
+  }
+  return "their turn comes with the next pass";
+}
--- a/src/entry/follow.ts
+++ b/src/entry/follow.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { KeyedRecord } from "../hosts/mod.ts";
+import { MANIFEST_PARTITION } from "../manifest/mod.ts";
 import { followTopic } from "../ownership/mod.ts";
 import type { Announcement } from "./instance_list.ts";
 import type { Running } from "./running.ts";
@@ -67,6 +68,7 @@
     onSnapshot: (records) => running.workers.replace(records),
     onRecords: (records) => running.workers.apply(records),
   });
+  if (running.settings.listen.api !== undefined) followManifest(running);
   followTopic({
     ...follower,
     waitMs: INSTANCES_WAIT_MS,
@@ -76,6 +78,29 @@
   });
 }
 
+/** Follows the manifest, which the product's own interface needs. */
+function followManifest(running: Running): void {
+  const { platform, clock, logger, ending, manifest } = running;
+  const take = (records: KeyedRecord[]) => {
+    if (!manifest.take(records)) return;
+    logger.part("manifest").info("A manifest is in force.", {
+      version: manifest.current()?.version ?? 0,
+      author: manifest.current()?.author ?? "",
+    });
+  };
+  followTopic({
+    store: platform.store,
+    clock,
+    logger: logger.part("store"),
+    waitMs: FOLLOW_WAIT_MS,
+    pauseMs: () => 0,
+    partition: MANIFEST_PARTITION,
+    onSnapshot: take,
+    onRecords: take,
+    signal: ending.signal,
+  });
+}
+
 /** Tells the other instances where this one is. */
 export async function announce(
   running: Running,
--- a/src/entry/instance_list.ts
+++ b/src/entry/instance_list.ts
@@ -5,6 +5,8 @@
 const announcementSchema = v.object({
   /** How long it holds back as a candidate for ownership, in ms. */
   candidateWaitMs: v.number(),
+  /** Base URL of its interface for callers and operators. */
+  url: v.optional(v.string()),
 });
 
 /** What an instance announces of itself. */
@@ -19,6 +21,8 @@
    * undefined until this one has announced itself.
    */
   rank(leftOut: string[]): number | undefined;
+  /** The other instances, with the URLs of their interfaces. */
+  members(): { address: string; url?: string }[];
   apply(records: KeyedRecord[]): void;
 };
 
@@ -31,40 +35,47 @@
  * ```
  */
 export function createInstanceList(self: string): InstanceList {
-  const others = new Map<string, number>();
+  const others = new Map<string, Announcement>();
   let ownWaitMs: number | undefined;
   const inOrder = () =>
-    [...others].sort(([, left], [, right]) => left - right)
-      .map(([address]) => address);
+    [...others].sort(([, left], [, right]) =>
+      left.candidateWaitMs - right.candidateWaitMs
+    ).map(([address]) => address);
   return {
     addresses: () => [self, ...inOrder()],
     rank(leftOut) {
       const own = ownWaitMs;
       if (own === undefined) return undefined;
-      return [...others].filter(([address, waitMs]) =>
+      return [...others].filter(([address, { candidateWaitMs }]) =>
         !leftOut.includes(address) &&
-        (waitMs < own || waitMs === own && address < self)
+        (candidateWaitMs < own || candidateWaitMs === own && address < self)
       ).length;
     },
+    members: () =>
+      [...others].map(([address, { url }]) => ({
+        address,
+        ...(url === undefined ? {} : { url }),
+      })),
     apply(records) {
       for (const { key, value } of records) {
         if (key === self) {
-          if (value !== undefined) ownWaitMs = readWait(value);
+          if (value !== undefined) ownWaitMs = read(value).candidateWaitMs;
           continue;
         }
         if (value === undefined) others.delete(key);
-        else others.set(key, readWait(value));
+        else others.set(key, read(value));
       }
     },
   };
 }
 
 /** An announcement that cannot be read puts its instance last. */
-function readWait(text: string): number {
+function read(text: string): Announcement {
+  const unknown = { candidateWaitMs: Infinity };
   try {
     const parsed = v.safeParse(announcementSchema, JSON.parse(text));
-    return parsed.success ? parsed.output.candidateWaitMs : Infinity;
+    return parsed.success ? parsed.output : unknown;
   } catch {
-    return Infinity;
+    return unknown;
   }
 }
--- a/src/entry/mod.ts
+++ b/src/entry/mod.ts
@@ -7,5 +7,4 @@
 export * from "./configuration.ts";
 export * from "./entry.ts";
 export * from "./entry_platform.ts";
-export * from "./entry_settings.ts";
 export * from "./run_entry.ts";
--- a/src/entry/peer_rpc.ts
+++ b/src/entry/peer_rpc.ts
@@ -7,8 +7,10 @@
 import type { Result } from "neverthrow";
 import * as v from "valibot";
 import type { PeerClient } from "../clients/mod.ts";
+import { diagnostics } from "../diagnostics/mod.ts";
 import type { Advice, AdviceQuestion, Fault } from "../hosts/mod.ts";
-import type { Route } from "../server/mod.ts";
+import { carriesToken, refusal, type Route } from "../server/mod.ts";
+import { observeLamport, type TimeLine } from "../time_line/mod.ts";
 import type { PeerOutcome } from "./entry.ts";
 import {
   adviceAnswerSchema,
@@ -23,6 +25,7 @@
 } from "./peer_call.ts";
 
 const OK = 200;
+const UNAUTHENTICATED = 401;
 const INVALID_PARAMS = -32_602;
 const METHOD = "call";
 /** Time beyond the expected cost of a question, in milliseconds. */
@@ -30,22 +33,36 @@
 /** How long another instance may take for a short answer, in ms. */
 const SHORT_TIMEOUT_MS = 400;
 
-/** Creates the route on which other instances call this one. */
+/** Schema of a call with the Lamport clock of its sender. */
+const messageSchema = v.object({ lamport: v.number(), call: peerCallSchema });
+
+/**
+ * Creates the route on which other instances call this one.
+ *
+ * @param secret what they have to send; empty where everybody may call
+ */
 export function createPeerRpcRoute(
+  timeLine: TimeLine,
+  secret: string,
   answer: (call: PeerCall) => Promise<unknown>,
 ): Route {
   const server = new JSONRPCServer({ errorListener: () => {} });
   server.addMethodAdvanced(METHOD, async (request) => {
     const id = request.id ?? null;
-    const parsed = v.safeParse(peerCallSchema, request.params);
+    const parsed = v.safeParse(messageSchema, request.params);
     if (!parsed.success) {
       const [issue] = parsed.issues;
       return createJSONRPCErrorResponse(id, INVALID_PARAMS, issue.message);
     }
-    return { jsonrpc: "2.0", id, result: await answer(parsed.output) };
+    const { lamport, call } = parsed.output;
+    observeLamport(timeLine, lamport);
+    return { jsonrpc: "2.0", id, result: await answer(call) };
   });
   return async (call) => {
     if (call.path.length !== 1 || call.path[0] !== "rpc") return undefined;
+    if (secret !== "" && !carriesToken(call, secret)) {
+      return refusal(UNAUTHENTICATED, diagnostics.unauthenticated);
+    }
     const body = await call.body();
     const response = await server.receiveJSON(JSON.stringify(body ?? null));
     return { status: OK, body: response };
@@ -81,16 +98,25 @@
  *
  * @example
  * ```ts
- * const rpc = createPeerRpc(peers, signal);
+ * const rpc = createPeerRpc(peers, timeLine, signal);
  * const outcome = await rpc.callOwner("10.1.0.30:7380", call, 3_000);
  * ```
  */
 export function createPeerRpc(
   peers: PeerClient,
+  timeLine: TimeLine,
   signal: AbortSignal,
 ): PeerRpc {
-  const send = (instance: string, call: PeerCall, timeoutMs: number) =>
-    peers.call(`http://${instance}`, METHOD, call, timeoutMs, signal);
+  const send = (instance: string, call: PeerCall, timeoutMs: number) => {
+    const message = { lamport: timeLine.lamport, call };
+    return peers.call(
+      `http://${instance}`,
+      METHOD,
+      message,
+      timeoutMs,
+      signal,
+    );
+  };
   return {
     async callOwner(instance, call, timeoutMs) {
       const result = await send(instance, call, timeoutMs);
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -13,7 +13,7 @@
   wantedMembers,
 } from "./candidacy.ts";
 import type { EntryPlatform, PlatformHost } from "./entry_platform.ts";
-import type { EntrySettings } from "./entry_settings.ts";
+import type { Settings } from "../settings/mod.ts";
 import { announce, follow } from "./follow.ts";
 import { createRunning } from "./running.ts";
 import { serve } from "./serve.ts";
@@ -32,7 +32,7 @@
  * ```
  */
 export async function runEntry(
-  settings: EntrySettings,
+  settings: Settings,
   connect: (host: PlatformHost) => EntryPlatform,
 ): Promise<number> {
   // A log that nobody reads must not end the process.
@@ -51,7 +51,11 @@
   const servers = serve(running);
   follow(running);
   const ownWaitMs = await measureCandidateWait(running);
-  announce(running, { candidateWaitMs: ownWaitMs });
+  const { api } = settings.listen;
+  announce(running, {
+    candidateWaitMs: ownWaitMs,
+    ...(api === undefined ? {} : { url: `http://${api.host}:${api.port}` }),
+  });
   running.membership = joinGroup({
     store: platform.store,
     clock: running.clock,
--- a/src/entry/running.ts
+++ b/src/entry/running.ts
@@ -27,6 +27,7 @@
   createLogger,
   type Logger,
 } from "../telemetry/mod.ts";
+import { createTimeLine, type TimeLine } from "../time_line/mod.ts";
 import { askPolicy } from "./ask_policy.ts";
 import {
   type ConfigurationState,
@@ -34,16 +35,23 @@
 } from "./configuration.ts";
 import { partitionOf } from "./entry.ts";
 import type { EntryPlatform, PlatformHost } from "./entry_platform.ts";
-import type { EntrySettings } from "./entry_settings.ts";
+import type { Settings } from "../settings/mod.ts";
 import { createInstanceList, type InstanceList } from "./instance_list.ts";
+import { createManifestState, type ManifestState } from "./manifest_state.ts";
 import { createPeerRpc, type PeerRpc } from "./peer_rpc.ts";
 import { createReachability, type Reachability } from "./reachability.ts";
+import { recordLog } from "./record_log.ts";
+import { servicesOf } from "./services.ts";
 import { readOwnersElsewhere } from "./read_owners_elsewhere.ts";
 
 /** The group of the store whose members own the domains. */
 export const GROUP = "entry-instances";
 const STANDARD_OUTPUT = 1;
-const DOMAINS_TOPIC = "domains";
+const BASE_36 = 36;
+/** The topic with one partition for each domain. */
+export const DOMAINS_TOPIC = "domains";
+/** How many events of the time line are kept. */
+const TIME_LINE_CAPACITY = 2_000;
 const CONNECTIONS_PER_PEER = 16;
 const CONNECTIONS_PER_WORKER = 5;
 /** Opening a connection takes 26 ms to the farthest region. */
@@ -56,7 +64,7 @@
 const TRUST_MS = 14_000;
 
 export type Running = {
-  settings: EntrySettings;
+  settings: Settings;
   platform: EntryPlatform;
   /** The callers of every connection that the instance opens. */
   callers: HttpCaller[];
@@ -64,6 +72,10 @@
   logger: Logger;
   counters: Counters;
   configuration: ConfigurationState;
+  manifest: ManifestState;
+  timeLine: TimeLine;
+  /** Names this run of the instance. */
+  incarnation: string;
   directory: Directory;
   workers: WorkerList;
   holder: DomainHolder;
@@ -91,7 +103,7 @@
 
 /** Creates the parts; nothing is sent yet. */
 export function createRunning(
-  settings: EntrySettings,
+  settings: Settings,
   connect: (host: PlatformHost) => EntryPlatform,
 ): Running {
   const caller = createCaller(CONNECTIONS_PER_PEER);
@@ -103,12 +115,22 @@
   // Every loop and call in flight listens to the end of the process.
   setMaxListeners(0, signal, stopping.signal);
   const clock = createSystemClock();
-  const logger = createLogger({
+  const incarnation = Date.now().toString(BASE_36);
+  const timeLine = createTimeLine({
+    process: settings.instance.id,
+    incarnation,
+    capacity: TIME_LINE_CAPACITY,
+  });
+  const written = createLogger({
     level: settings.log.level,
     format: "json",
     process: settings.instance.id,
     stream: createBoundedStream(STANDARD_OUTPUT),
   });
+  // Only the product's own interface shows the time line.
+  const logger = settings.listen.api === undefined
+    ? written
+    : recordLog(written, timeLine, clock);
   const { store } = platform;
   const self = `${settings.listen.internalHost}:${settings.listen.peerPort}`;
   const parts: RunningParts = {
@@ -119,6 +141,9 @@
     logger,
     counters: createCounters(),
     configuration: createConfigurationState(),
+    manifest: createManifestState(),
+    timeLine,
+    incarnation,
     directory: createDirectory({
       store,
       clock,
@@ -134,7 +159,11 @@
       settings.workers.heartbeatMs,
     ),
     instances: createInstanceList(self),
-    rpc: createPeerRpc(createPeerClient(caller, { secret: "" }), signal),
+    rpc: createPeerRpc(
+      createPeerClient(caller, { secret: settings.peers.secret }),
+      timeLine,
+      signal,
+    ),
     reachability: createReachability(clock),
     self,
     member: {
@@ -150,14 +179,13 @@
   return Object.assign(parts, { holder: createHolder(parts) });
 }
 
-/** Whether a domain belongs to a service of the configuration. */
-export function isInUse(
-  running: Pick<Running, "configuration" | "settings">,
-  partition: number,
-): boolean {
+/** The partitions of the services that are in use. */
+export function partitionsInUse(
+  running: Pick<Running, "configuration" | "manifest" | "settings">,
+): Set<number> {
   const { partitions } = running.settings.store;
-  return running.configuration.services().some((service) =>
-    partitionOf(service, partitions) === partition
+  return new Set(
+    servicesOf(running).map((service) => partitionOf(service, partitions)),
   );
 }
 
@@ -180,7 +208,7 @@
       owner.instance === running.self ||
       await running.rpc.release(owner.instance, domain, owner.epoch),
     confirmedAtMs: () => confirmedAtMs(running),
-    isInUse: (partition) => isInUse(running, partition),
+    isInUse: (partition) => partitionsInUse(running).has(partition),
     servesDomain: (service, partition) =>
       partitionOf(service, settings.store.partitions) === partition,
     instances: () => running.instances.addresses(),
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -6,13 +6,16 @@
  */
 import type { Server } from "node:http";
 import { assertNever } from "../base/mod.ts";
+import { createCallerRoute, createOperatorRoute } from "../api/mod.ts";
 import { createHttpServer, type Route } from "../server/mod.ts";
 import { answerCall } from "./answer_call.ts";
+import { createApi } from "./api.ts";
 import { askPolicy } from "./ask_policy.ts";
 import { createEntry } from "./entry.ts";
 import type { PeerCall } from "./peer_call.ts";
 import { createPeerRpcRoute } from "./peer_rpc.ts";
 import { leaveFor } from "./leave_for.ts";
+import { isReady } from "./readiness.ts";
 import { probeInstance } from "./probe_instance.ts";
 import type { Running } from "./running.ts";
 
@@ -56,7 +59,11 @@
     clock,
     isStopping: () => stopping.signal.aborted,
   });
-  const rpcRoute = createPeerRpcRoute((call) => answerPeer(running, call));
+  const rpcRoute = createPeerRpcRoute(
+    running.timeLine,
+    settings.peers.secret,
+    (call) => answerPeer(running, call),
+  );
   const peers = createHttpServer([rpcRoute], limits);
   const readiness = createHttpServer([createReadinessRoute(running)], limits);
   const metrics = createHttpServer([createMetricsRoute(running)], limits);
@@ -64,7 +71,15 @@
   readiness.listen(listen.readiness.port, listen.readiness.host);
   peers.listen(listen.peerPort, listen.internalHost);
   metrics.listen(listen.metricsPort, listen.internalHost);
-  return { callers, internal: [peers, readiness, metrics] };
+  const internal = [peers, readiness, metrics];
+  if (listen.api !== undefined) {
+    const api = createApi(running, entry);
+    const routes = [createCallerRoute(api), createOperatorRoute(api)];
+    const server = createHttpServer(routes, limits);
+    server.listen(listen.api.port, listen.api.host);
+    internal.push(server);
+  }
+  return { callers, internal };
 }
 
 async function answerPeer(running: Running, call: PeerCall): Promise<unknown> {
@@ -117,9 +132,7 @@
 
 function createReadinessRoute(running: Running): Route {
   return () => {
-    const ready = running.configuration.current() !== undefined &&
-      running.membership?.isKnown() === true && running.reachability.isFit() &&
-      !running.stopping.signal.aborted;
+    const ready = isReady(running);
     return { status: ready ? OK : UNAVAILABLE, body: { ready } };
   };
 }
--- a/src/hosts/fault.ts
+++ b/src/hosts/fault.ts
@@ -17,18 +17,6 @@
   /** The instance, worker or service that was called. */
   peer: string;
   message: string;
-  /** Structured data of a refusal, such as the current token. */
+  /** Structured data of a refusal, such as the version in force. */
   data?: unknown;
 };
-
-/**
- * Renders a fault as one line for logs.
- *
- * @example
- * ```ts
- * formatFault(fault); // "worker.start at worker-3: stale token (SS2003)"
- * ```
- */
-export function formatFault(fault: Fault): string {
-  return `${fault.step} at ${fault.peer}: ${fault.message} (SS${fault.code})`;
-}
--- a/src/limits/mod.ts
+++ b/src/limits/mod.ts
@@ -1,7 +1,6 @@
 /**
- * Limits that keep overload from spreading: retry budget, backoff, admission,
- * deadlines, and the cutting of shares. Pure: clock readings and randomness
- * are passed in.
+ * Limits that keep overload from spreading: retry budget, backoff, admission
+ * and deadlines. Pure: clock readings and randomness are passed in.
  *
  * @module
  */
@@ -9,5 +8,3 @@
 export * from "./backoff.ts";
 export * from "./deadline.ts";
 export * from "./retry_budget.ts";
-export * from "./share_book.ts";
-export * from "./cut_shares.ts";
--- a/src/manifest/diff_manifests_test.ts
+++ b/src/manifest/diff_manifests_test.ts
@@ -6,6 +6,7 @@
 const PROOF: WorkKind = {
   name: "proof",
   policy: { kind: "batch" },
+  service: "default",
   urgency: 8,
   idempotent: true,
   durable: false,
--- a/src/manifest/mod.ts
+++ b/src/manifest/mod.ts
@@ -10,3 +10,11 @@
 export * from "./manifest_difference.ts";
 export { formatManifestFaults, type ManifestFault } from "./manifest_fault.ts";
 export * from "./manifest_json_schema.ts";
+export {
+  type AgreedDay,
+  MANIFEST_PARTITION,
+  type ManifestRecords,
+  readManifestRecords,
+} from "./manifest_records.ts";
+export * from "./publish_manifest.ts";
+export * from "./published_manifest.ts";
--- /dev/null
+++ b/src/manifest/publish_manifest.ts
@@ -0,0 +1,105 @@
+import type { Clock, StoreHost } from "../hosts/mod.ts";
+import type { Manifest } from "../model/mod.ts";
+import {
+  type AgreedDay,
+  MANIFEST_PARTITION,
+  type ManifestRecords,
+  manifestRecords,
+  readManifestRecords,
+} from "./manifest_records.ts";
+
+/** How long a publication tries to reach the store, in milliseconds. */
+const PUBLISH_TIMEOUT_MS = 5_000;
+/** Pause after a call that failed, in milliseconds. */
+const RETRY_MS = 100;
+/** Version in force before the first manifest. */
+const NO_VERSION = -1;
+
+/** A change of the manifest that an operator publishes. */
+export type Publication = {
+  changeId: string;
+  /** The version that the change was built on; -1 for none. */
+  baseVersion: number;
+  author: string;
+  manifest: Manifest;
+};
+
+/** What became of a publication. */
+export type PublicationVerdict =
+  | { kind: "won"; version: number }
+  | { kind: "lost"; versionInForce: number }
+  /** The store did not answer; the change may still take effect. */
+  | { kind: "undecided" };
+
+/** What a publication needs. */
+export type PublicationHost = {
+  store: StoreHost;
+  clock: Clock;
+  /** What is agreed until now, with what the manifest in force adds to it. */
+  agreedUntil(records: ManifestRecords, nowMs: number): Map<string, AgreedDay>;
+  signal: AbortSignal;
+};
+
+/**
+ * Publishes a manifest on top of the version that it was built on. The version
+ * is the epoch of the append, so that of operators who race, one wins; which
+ * one the records tell.
+ *
+ * @example
+ * ```ts
+ * const verdict = await publishManifest(host, publication);
+ * ```
+ */
+export async function publishManifest(
+  host: PublicationHost,
+  publication: Publication,
+): Promise<PublicationVerdict> {
+  const { store, clock, signal } = host;
+  const untilMs = clock.steadyMs() + PUBLISH_TIMEOUT_MS;
+  while (!signal.aborted && clock.steadyMs() < untilMs) {
+    const read = await store.newest(MANIFEST_PARTITION, signal);
+    if (read.isErr()) {
+      await clock.sleep(RETRY_MS, signal);
+      continue;
+    }
+    const records = readManifestRecords(read.value.records);
+    const verdict = verdictOf(records, publication);
+    if (verdict !== undefined) return verdict;
+    await appendManifest(host, records, publication);
+  }
+  return { kind: "undecided" };
+}
+
+/** What the records say of a publication; undefined if it may be appended. */
+function verdictOf(
+  { inForce, changes }: ManifestRecords,
+  { changeId, baseVersion }: Publication,
+): PublicationVerdict | undefined {
+  const known = changes.find((change) => change.changeId === changeId);
+  if (known !== undefined) return { kind: "won", version: known.version };
+  const versionInForce = inForce?.version ?? NO_VERSION;
+  if (versionInForce === baseVersion) return undefined;
+  return { kind: "lost", versionInForce };
+}
+
+/** A failure shows in the records, which are read again. */
+async function appendManifest(
+  host: PublicationHost,
+  records: ManifestRecords,
+  publication: Publication,
+): Promise<void> {
+  const { store, clock, signal } = host;
+  const atMs = clock.nowMs();
+  const version = publication.baseVersion + 1;
+  const { changeId, author, manifest } = publication;
+  await store.append(
+    MANIFEST_PARTITION,
+    manifestRecords(
+      { version, changeId, author, manifest, atMs },
+      host.agreedUntil(records, atMs),
+    ),
+    // Epochs begin above that of a partition without records.
+    { epoch: version + 1, sequence: 0 },
+    signal,
+  );
+}
--- /dev/null
+++ b/src/manifest/publish_manifest_test.ts
@@ -0,0 +1,135 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { err, ok } from "neverthrow";
+import { createSystemClock } from "../clients/mod.ts";
+import type { StoreFault, StoreHost } from "../hosts/mod.ts";
+import type { Manifest } from "../model/mod.ts";
+import { readManifestRecords } from "./manifest_records.ts";
+import {
+  type Publication,
+  type PublicationHost,
+  publishManifest,
+} from "./publish_manifest.ts";
+
+const FENCED: StoreFault = {
+  kind: "fenced",
+  step: "store.append",
+  message: "A writer with a higher epoch exists.",
+};
+const NO_ANSWER: StoreFault = {
+  kind: "unknown",
+  step: "store.append",
+  message: "No answer.",
+};
+const EMPTY: Manifest = { customers: [], agreements: [] };
+
+/** A store with one partition, fenced by its epoch. */
+type FakeStore = {
+  host: PublicationHost;
+  records: Map<string, string>;
+  /** Runs once, between a publication's read and its append. */
+  beforeAppend: () => void;
+  /** Whether the next append takes effect without an answer. */
+  losesAnswer: boolean;
+};
+
+function createFakeStore(): FakeStore {
+  const records = new Map<string, string>();
+  let epoch = -1;
+  const fake: FakeStore = {
+    records,
+    beforeAppend: () => {},
+    losesAnswer: false,
+    host: {
+      store: {
+        newest: () =>
+          Promise.resolve(ok({
+            records: [...records].map(([key, value]) => ({ key, value })),
+            nextOffset: 0,
+          })),
+        append(_partition, added, fence) {
+          fake.beforeAppend();
+          fake.beforeAppend = () => {};
+          assert.ok(fence !== undefined);
+          if (fence.epoch < epoch) return Promise.resolve(err(FENCED));
+          // A repeat has no second effect, whoever sends it.
+          if (fence.epoch === epoch) return Promise.resolve(ok(undefined));
+          epoch = fence.epoch;
+          for (const { key, value = "" } of added) records.set(key, value);
+          if (!fake.losesAnswer) return Promise.resolve(ok(undefined));
+          fake.losesAnswer = false;
+          return Promise.resolve(err(NO_ANSWER));
+        },
+      } as Partial<StoreHost> as StoreHost,
+      clock: createSystemClock(),
+      agreedUntil: () => new Map(),
+      signal: new AbortController().signal,
+    },
+  };
+  return fake;
+}
+
+function change(changeId: string, baseVersion: number): Publication {
+  return { changeId, baseVersion, author: "uwimana", manifest: EMPTY };
+}
+
+function recordsOf(fake: FakeStore) {
+  return readManifestRecords(
+    [...fake.records].map(([key, value]) => ({ key, value })),
+  );
+}
+
+test("publication: versions rise by one from 0", async () => {
+  const fake = createFakeStore();
+  for (const version of [0, 1, 2]) {
+    const published = change(`build-${version}`, version - 1);
+    const verdict = await publishManifest(fake.host, published);
+    assert.deepEqual(verdict, { kind: "won", version });
+  }
+  const { changes, inForce } = recordsOf(fake);
+  assert.deepEqual(changes.map(({ changeId }) => changeId), [
+    "build-0",
+    "build-1",
+    "build-2",
+  ]);
+  assert.equal(inForce?.version, 2);
+});
+
+test("publication: of two on one version one wins", async () => {
+  const fake = createFakeStore();
+  let other: Promise<unknown> = Promise.resolve();
+  fake.beforeAppend = () => {
+    other = publishManifest(fake.host, change("second", -1));
+  };
+  const first = await publishManifest(fake.host, change("first", -1));
+  const verdicts = [first, await other];
+  assert.deepEqual(verdicts.map((verdict) => JSON.stringify(verdict)).sort(), [
+    '{"kind":"lost","versionInForce":0}',
+    '{"kind":"won","version":0}',
+  ]);
+  assert.equal(recordsOf(fake).changes.length, 1);
+});
+
+test("publication: a lost answer is found out, a repeat changes nothing", async () => {
+  const fake = createFakeStore();
+  fake.losesAnswer = true;
+  const won = { kind: "won", version: 0 };
+  const published = change("build-1", -1);
+  assert.deepEqual(await publishManifest(fake.host, published), won);
+  assert.deepEqual(await publishManifest(fake.host, published), won);
+  assert.equal(recordsOf(fake).changes.length, 1);
+});
+
+test("records: what cannot be read is named", () => {
+  const read = readManifestRecords([
+    { key: "in-force", value: "{" },
+    { key: "change/0", value: '{"version":"0"}' },
+    { key: "agreed/2026-12-01", value: '{"desk":1}' },
+  ]);
+  assert.equal(read.inForce, undefined);
+  assert.deepEqual(read.unreadable, [
+    "in-force",
+    "change/0",
+    "agreed/2026-12-01",
+  ]);
+});
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -6,11 +6,9 @@
 export * from "./account/mod.ts";
 export * from "./base/mod.ts";
 export * from "./diagnostics/mod.ts";
+export * as domain from "./domain/mod.ts";
 export * from "./hosts/mod.ts";
 export * from "./limits/mod.ts";
-export * from "./log_state/mod.ts";
 export * from "./manifest/mod.ts";
-export * from "./membership/mod.ts";
 export * from "./model/mod.ts";
-export * from "./placement/mod.ts";
 export * from "./time_line/mod.ts";
--- a/src/model/work_kind.ts
+++ b/src/model/work_kind.ts
@@ -9,10 +9,15 @@
 /** Work of this urgency or above may preempt batch work. */
 export const PREEMPTING_URGENCY = 7;
 
+/** Workers of this service run work that names no other. */
+export const DEFAULT_SERVICE = "default";
+
 /** Schema of a kind of work that a customer runs. */
 export const workKindSchema = v.strictObject({
   name: v.pipe(v.string(), v.regex(/^[a-z0-9][a-z0-9-]{0,62}$/)),
   policy: policySchema,
+  /** The service whose workers run it. */
+  service: v.optional(v.string(), DEFAULT_SERVICE),
   /** From 0 (can wait) to 9 (a person is waiting). */
   urgency: v.pipe(
     v.number(),
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -202,11 +202,11 @@
     },
     pendingJobs: (queue) => pendingJobs(domain, queue),
     async describe(job) {
-      const seen = describeJob(domain, job);
+      const seen = describeJob(domain, job, momentOf(state));
       const isTold = await isTellable(state, seen?.state ?? "unknownJob");
       return isTold ? seen ?? "unknownJob" : "lost";
     },
-    list: (customer) => describeJobsOf(domain, customer),
+    list: (customer) => describeJobsOf(domain, customer, momentOf(state)),
     view: () => ({
       partition: host.partition.number,
       epoch: host.epoch,
--- a/src/server/authentication.ts
+++ b/src/server/authentication.ts
@@ -1,5 +1,5 @@
 /**
- * Bearer tokens of customers, operators and peers.
+ * Bearer tokens of customers and operators.
  *
  * @module
  */
@@ -18,8 +18,6 @@
   customers: Record<string, string[]>;
   /** Token by operator. */
   operators: Record<string, string>;
-  /** The secret shared by the entry instances. */
-  secret: string;
 };
 
 /**
@@ -51,16 +49,9 @@
   throw new RefusedCall(refusal(FORBIDDEN, diagnostics.forbidden));
 }
 
-/**
- * Checks that a call comes from another entry instance.
- *
- * @throws {RefusedCall} with status 401
- */
-export function checkPeer(call: RouteCall, credentials: Credentials): void {
-  if (equalSecrets(bearerToken(call), credentials.secret)) return;
-  throw new RefusedCall(
-    refusal(UNAUTHENTICATED, diagnostics.unauthenticated),
-  );
+/** Whether a call carries a token that all instances know. */
+export function carriesToken(call: RouteCall, token: string): boolean {
+  return equalSecrets(bearerToken(call), token);
 }
 
 function bearerToken(call: RouteCall): string {
--- a/src/server/problem_document.ts
+++ b/src/server/problem_document.ts
@@ -6,26 +6,34 @@
 import type { HttpAnswer } from "./http_answer.ts";
 
 const PROBLEM_TYPE = "application/problem+json";
-/** Seconds after which a refused caller may try again. */
-const RETRY_AFTER_S = "1";
+/** After this time a refused caller may try again, in milliseconds. */
+const RETRY_AFTER_MS = 1_000;
+const MS_PER_SECOND = 1_000;
 const UNAVAILABLE = 503;
 
+/** What is known beside the problem itself. */
+type ProblemContext = {
+  /** False where it is certain that nothing ran. */
+  ran?: false | undefined;
+  retryAfterMs?: number | undefined;
+};
+
 /**
  * Builds a problem document as RFC 9457 describes it.
  *
  * @param code number of the diagnostic
- * @param ran false where it is certain that nothing ran
  */
 export function problemDocument(
   status: number,
   code: number,
   detail: string,
-  ran?: false,
+  { ran, retryAfterMs = RETRY_AFTER_MS }: ProblemContext = {},
 ): HttpAnswer {
+  const retryAfter = String(Math.ceil(retryAfterMs / MS_PER_SECOND));
   return {
     status,
     type: PROBLEM_TYPE,
-    headers: status === UNAVAILABLE ? { "retry-after": RETRY_AFTER_S } : {},
+    headers: status === UNAVAILABLE ? { "retry-after": retryAfter } : {},
     body: {
       type: `urn:samphirestage:diagnostic:${code}`,
       title: STATUS_CODES[status] ?? "Error",
--- a/src/settings/check_settings_file.ts
+++ b/src/settings/check_settings_file.ts
@@ -1,15 +1,11 @@
-import { readFileSync } from "node:fs";
-import { dirname, resolve } from "node:path";
 import { err, type Result } from "neverthrow";
 import { readSettings } from "./read_settings.ts";
 import { readTextFile } from "./read_text_file.ts";
-import type { FileReader } from "./secret.ts";
 import type { Settings } from "./settings.ts";
 import { type SettingsFault, unreadableSettings } from "./settings_fault.ts";
 
 /**
- * Reads and checks a settings file. The path of a secret's file counts from
- * the folder of the settings file.
+ * Reads and checks a settings file.
  *
  * @example
  * ```ts
@@ -23,9 +19,5 @@
 ): Result<Settings, SettingsFault[]> {
   const text = readTextFile(path);
   if (text.isErr()) return err([unreadableSettings(path, text.error)]);
-  return readSettings(text.value, readBeside(path));
-}
-
-function readBeside(path: string): FileReader {
-  return (named) => readFileSync(resolve(dirname(path), named), "utf8");
+  return readSettings(text.value);
 }
--- a/src/settings/mod.ts
+++ b/src/settings/mod.ts
@@ -5,13 +5,11 @@
  */
 export * from "./check_settings_file.ts";
 export * from "./read_settings.ts";
-export type { FileReader } from "./secret.ts";
 export * from "./settings.ts";
 export { formatSettingsFaults, type SettingsFault } from "./settings_fault.ts";
 export { type IniSection, parseIni } from "./ini_section.ts";
 export { readSection } from "./read_section.ts";
 export { unknownSection, unreadableSettings } from "./settings_fault.ts";
-export { type CamelCaseKeys, camelCaseKeys } from "./camel_case.ts";
 export {
   choice,
   nameSchema,
--- a/src/settings/read_section.ts
+++ b/src/settings/read_section.ts
@@ -10,8 +10,8 @@
 type ValueSchema = v.GenericSchema<unknown, unknown>;
 type SectionSchema = v.ObjectSchema<Record<string, ValueSchema>, undefined>;
 
-/** Words in the name of a key whose value is never shown. */
-const SECRET_KEY = /secret$/;
+/** The key whose value is never shown. */
+const SECRET_KEY = "secret";
 
 /**
  * Reads one section with fixed keys. Every fault is added to the list; a key
@@ -107,7 +107,7 @@
   if (text === undefined) {
     faults.push(missingKey(section, key, allowed));
   } else {
-    const shown = SECRET_KEY.test(key) ? "(hidden)" : text;
+    const shown = key === SECRET_KEY ? "(hidden)" : text;
     faults.push(invalidValue(section, key, shown, allowed));
   }
   return undefined;
--- a/src/settings/read_settings.ts
+++ b/src/settings/read_settings.ts
@@ -1,14 +1,11 @@
-import { readFileSync } from "node:fs";
 import { err, ok, type Result } from "neverthrow";
-import type * as v from "valibot";
 import { camelCaseKeys } from "./camel_case.ts";
 import { type IniSection, parseIni } from "./ini_section.ts";
 import { readNames, readSection } from "./read_section.ts";
-import { relationFaults } from "./relations.ts";
-import { type FileReader, missingSecret, readSecret } from "./secret.ts";
-import { metricsSection, sections } from "./sections.ts";
+import { sections } from "./sections.ts";
 import type { Settings } from "./settings.ts";
 import {
+  invalidValue,
   type SettingsFault,
   unknownSection,
   unreadableSettings,
@@ -20,7 +17,6 @@
   ...Object.keys(sections),
   "customers",
   "operators",
-  "metrics",
 ];
 
 /**
@@ -33,91 +29,36 @@
  * ```
  *
  * @param text the content of the settings file
- * @param readFile reads the file of the secret; it throws where it cannot
  * @returns the settings, or every fault of the text at once
  */
-export function readSettings(
-  text: string,
-  readFile: FileReader = readTextFile,
-): Result<Settings, SettingsFault[]> {
+export function readSettings(text: string): Result<Settings, SettingsFault[]> {
   const parsed = parseIni(text);
   if (parsed.isErr()) return err([unreadableSettings("text", parsed.error)]);
   const ini = parsed.value;
   const faults = [...unknownSections(ini)];
-  const values = readSections(ini, faults);
-  const secret = readSecret(values.cluster, readFile, faults);
-  if (secret === undefined && !concernsSecret(faults)) {
-    faults.push(missingSecret());
-  }
-  faults.push(...relationFaults(values));
-  if (faults.length > 0 || secret === undefined) return err(faults);
-  return ok(toSettings(values as CompleteValues, secret));
-}
-
-type Sections = typeof sections;
-type Metrics = v.InferOutput<typeof metricsSection>;
-
-/** What was read of the text, without the values at fault. */
-type Values =
-  & {
-    [Name in keyof Sections]: Partial<v.InferOutput<Sections[Name]>>;
-  }
-  & {
-    customers: Record<string, string[]>;
-    operators: Record<string, string>;
-    metrics: Partial<Metrics> | undefined;
-  };
-
-/** What was read of a text without faults. */
-type CompleteValues =
-  & { [Name in keyof Sections]: v.InferOutput<Sections[Name]> }
-  & Pick<Values, "customers" | "operators">
-  & { metrics: Metrics | undefined };
-
-function readSections(
-  ini: Map<string, IniSection>,
-  faults: SettingsFault[],
-): Values {
-  return {
-    instance: readFixed("instance", ini, faults),
-    cluster: readFixed("cluster", ini, faults),
-    platform: readFixed("platform", ini, faults),
-    lease: readFixed("lease", ini, faults),
-    limits: readFixed("limits", ini, faults),
-    log: readFixed("log", ini, faults),
-    customers: readNames(
-      "customers",
-      nameSchema,
-      tokenListSchema,
-      sectionOf(ini, "customers"),
-      faults,
-    ),
-    operators: readNames(
-      "operators",
-      nameSchema,
-      tokenSchema,
-      sectionOf(ini, "operators"),
-      faults,
-    ),
-    metrics: readMetrics(ini, faults),
-  };
-}
-
-function readFixed<Name extends keyof Sections>(
-  name: Name,
-  ini: Map<string, IniSection>,
-  faults: SettingsFault[],
-): Partial<v.InferOutput<Sections[Name]>> {
-  return readSection(name, sections[name], sectionOf(ini, name), faults);
-}
-
-function readMetrics(
-  ini: Map<string, IniSection>,
-  faults: SettingsFault[],
-): Partial<Metrics> | undefined {
-  const given = ini.get("metrics");
-  if (given === undefined) return undefined;
-  return readSection("metrics", metricsSection, given, faults);
+  const fixed = Object.entries(sections).map(([name, schema]) => [
+    name,
+    camelCaseKeys(readSection(name, schema, sectionOf(ini, name), faults)),
+  ]);
+  const customers = readNames(
+    "customers",
+    nameSchema,
+    tokenListSchema,
+    sectionOf(ini, "customers"),
+    faults,
+  );
+  const operators = readNames(
+    "operators",
+    nameSchema,
+    tokenSchema,
+    sectionOf(ini, "operators"),
+    faults,
+  );
+  faults.push(...sharedTokens(customers, operators));
+  if (faults.length > 0) return err(faults);
+  return ok(
+    { ...Object.fromEntries(fixed), customers, operators } as Settings,
+  );
 }
 
 function sectionOf(ini: Map<string, IniSection>, name: string): IniSection {
@@ -134,30 +75,29 @@
   }
 }
 
-function concernsSecret(faults: SettingsFault[]): boolean {
-  return faults.some((fault) =>
-    fault.section === "cluster" && fault.key?.startsWith("secret")
-  );
-}
-
-function toSettings(values: CompleteValues, secret: string): Settings {
-  const { secret: _, secret_file: __, ...cluster } = values.cluster;
-  const settings: Settings = {
-    instance: camelCaseKeys(values.instance),
-    cluster: { ...camelCaseKeys(cluster), secret },
-    platform: camelCaseKeys(values.platform),
-    lease: camelCaseKeys(values.lease),
-    limits: camelCaseKeys(values.limits),
-    log: camelCaseKeys(values.log),
-    customers: values.customers,
-    operators: values.operators,
-  };
-  if (values.metrics !== undefined) {
-    settings.metrics = camelCaseKeys(values.metrics);
+/** Each token names one party. */
+function* sharedTokens(
+  customers: Record<string, string[]>,
+  operators: Record<string, string>,
+): Generator<SettingsFault> {
+  const seen = new Set<string>();
+  const all = [
+    ...Object.entries(customers).flatMap(([name, tokens]) =>
+      tokens.map((token) => ["customers", name, token] as const)
+    ),
+    ...Object.entries(operators).map(([name, token]) =>
+      ["operators", name, token] as const
+    ),
+  ];
+  for (const [section, name, token] of all) {
+    if (seen.has(token)) {
+      yield invalidValue(
+        section,
+        name,
+        "(hidden)",
+        "a token that nobody else has",
+      );
+    }
+    seen.add(token);
   }
-  return settings;
-}
-
-function readTextFile(path: string): string {
-  return readFileSync(path, "utf8");
 }
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -1,22 +1,17 @@
 import * as v from "valibot";
 import {
   choice,
-  ipUrlListSchema,
-  ipUrlSchema,
+  decimalSchema,
   nameSchema,
+  optionalSecretSchema,
+  optionalSocketAddressSchema,
   portSchema,
-  secretSchema,
   socketAddressSchema,
   textSchema,
-  urlSchema,
   wholeNumber,
 } from "./values.ts";
 
-const DAY_MS = 86_400_000;
-const MINUTE_MS = 60_000;
 const HOUR_MS = 3_600_000;
-const MOST_TASKS = 10_000_000;
-const MOST_BYTES = 1_073_741_824;
 
 /**
  * Schemas of the sections with fixed keys, by the keys of the file. A default
@@ -27,51 +22,56 @@
     id: nameSchema,
     zone: nameSchema,
     region: nameSchema,
-    /** Base URL under which peers reach this instance. */
-    url: ipUrlSchema,
-    listen: socketAddressSchema,
+    /** Share of a core that the instance has, such as 0.675. */
+    cores: decimalSchema,
   }),
-  cluster: v.object({
-    secret: v.optional(secretSchema),
-    /** File that holds the secret. */
-    secret_file: v.optional(textSchema),
-    /** Peers to ask for the members of the cluster at the start. */
-    seeds: v.optional(ipUrlListSchema, ""),
-    /** What weighs more: short waiting, or low cost of control. */
-    preference: v.optional(choice("waiting", "cost"), "waiting"),
-    /** How far a request that finds no room may move. */
-    spill: v.optional(choice("zone", "cluster"), "cluster"),
+  listen: v.object({
+    /** Where clients of the platform call. */
+    callers: socketAddressSchema,
+    /** Where the balancer asks whether the instance is ready. */
+    readiness: socketAddressSchema,
+    /** IP number for the other instances and for metrics. */
+    internal_host: textSchema,
+    peer_port: portSchema,
+    metrics_port: portSchema,
+    /** Where the product's own interface is served; empty for nowhere. */
+    api: v.optional(optionalSocketAddressSchema, ""),
   }),
-  platform: v.object({
-    log_url: urlSchema,
-    list_url: urlSchema,
-    list_interval_ms: v.optional(wholeNumber(100, HOUR_MS), "5000"),
-    usage_interval_ms: v.optional(wholeNumber(100, HOUR_MS), "60000"),
+  peers: v.object({
+    /** The same at all instances; sent as bearer token. */
+    secret: v.optional(optionalSecretSchema, ""),
+  }),
+  store: v.object({
+    address: textSchema,
+    /** Number of partitions of each topic. */
+    partitions: wholeNumber(1, 10_000),
+    /** How long a silent member keeps its domains, in milliseconds. */
+    member_ttl_ms: wholeNumber(100, HOUR_MS),
+  }),
+  advice: v.object({
+    /** Address of the placement policy; empty where there is none. */
+    address: v.optional(
+      v.pipe(v.string(), v.description("IP:PORT, or nothing")),
+      "",
+    ),
+  }),
+  workers: v.object({
+    /** How often a worker confirms its entry in the list, in ms. */
+    heartbeat_ms: wholeNumber(1, HOUR_MS),
   }),
   lease: v.object({
-    heartbeat_ms: v.optional(wholeNumber(10, MINUTE_MS), "1000"),
-    dead_after_ms: v.optional(wholeNumber(20, DAY_MS), "3000"),
-    renew_wait_ms: v.optional(wholeNumber(1, MINUTE_MS), "1000"),
-    margin_ms: v.optional(wholeNumber(0, DAY_MS), "2000"),
+    /** The longest lease that a worker accepts, in milliseconds. */
+    max_ms: wholeNumber(100, HOUR_MS),
   }),
-  limits: v.object({
-    max_queued_tasks: v.optional(wholeNumber(1, MOST_TASKS), "20000"),
-    max_body_bytes: v.optional(wholeNumber(1024, MOST_BYTES), "1048576"),
-    body_timeout_ms: v.optional(wholeNumber(1, DAY_MS), "10000"),
-    max_connections: v.optional(wholeNumber(1, 1_000_000), "1000"),
-    stop_grace_ms: v.optional(wholeNumber(0, DAY_MS), "30000"),
+  jobs: v.object({
+    /** How long the record of an ended job is kept, in seconds. */
+    keep_ended_s: wholeNumber(1, 1_000_000),
+  }),
+  stop: v.object({
+    /** Time from SIGTERM to SIGKILL, in seconds. */
+    grace_s: wholeNumber(1, 3_600),
   }),
   log: v.object({
     level: v.optional(choice("error", "warn", "info", "debug"), "info"),
-    format: v.optional(choice("line", "json"), "line"),
   }),
 } as const;
-
-/** Schema of the section that turns metrics on. */
-export const metricsSection = v.object({
-  /** Host of the StatsD daemon. */
-  host: textSchema,
-  port: v.optional(portSchema, "8125"),
-  /** Text before the name of each metric. */
-  prefix: v.optional(textSchema, "samphirestage."),
-});
--- a/src/settings/values.ts
+++ b/src/settings/values.ts
@@ -42,21 +42,6 @@
   ),
 );
 
-/** Schema of a base URL by IP number. */
-export const ipUrlSchema = v.pipe(
-  v.string(),
-  v.check(isIpUrl),
-  v.description("http://IP:PORT by IP number, without a path"),
-);
-
-/** Schema of a list of base URLs by IP number; it may be empty. */
-export const ipUrlListSchema = v.pipe(
-  v.string(),
-  v.transform(splitList),
-  v.array(ipUrlSchema),
-  v.description("a comma list of http://IP:PORT, or nothing"),
-);
-
 /** Schema of a base URL by IP number or host name. */
 export const urlSchema = v.pipe(
   v.string(),
@@ -79,11 +64,29 @@
   v.description("a text that is not empty"),
 );
 
-/** Schema of a shared secret. */
-export const secretSchema = v.pipe(
+/** Schema of a secret that instances share, or of none. */
+export const optionalSecretSchema = v.pipe(
+  v.string(),
+  v.regex(/^([A-Za-z0-9._~+/-]{16,}=*)?$/),
+  v.description(
+    "a secret of at least 16 of A-Z, a-z, 0-9 and ._~+/-, or nothing",
+  ),
+);
+
+/** Schema of a socket address to listen on, or of none. */
+export const optionalSocketAddressSchema = v.pipe(
+  v.string(),
+  v.check((text) => text === "" || isIpUrl(`http://${text}`)),
+  v.transform((text) => text === "" ? undefined : toSocketAddress(text)),
+  v.description("IP:PORT by IP number, or nothing"),
+);
+
+/** Schema of a decimal number. */
+export const decimalSchema = v.pipe(
   v.string(),
-  v.minLength(16),
-  v.description("at least 16 characters"),
+  v.regex(/^[0-9]+(\.[0-9]+)?$/),
+  v.transform(Number),
+  v.description("a decimal number, such as 0.5"),
 );
 
 /** Schema of a port. */
--- a/src/telemetry/log_part.ts
+++ b/src/telemetry/log_part.ts
@@ -1,14 +1,7 @@
 /** The parts of the daemon that write logs; the name is the prefix. */
 export const LOG_PARTS = [
   "daemon",
-  "server",
-  "membership",
-  "leases",
-  "placement",
-  "requests",
-  "log",
   "manifest",
-  "account",
   "ownership",
   "domain",
   "entry",
--- a/src/telemetry/mod.ts
+++ b/src/telemetry/mod.ts
@@ -7,5 +7,3 @@
 export * from "./counters.ts";
 export * from "./log_part.ts";
 export * from "./logger.ts";
-export * from "./metric.ts";
-export * from "./metric_sender.ts";
