Add a fault soak; say "has not run" only where the owner has ended the job

The soak runs clusters of real processes under drawn faults and load, and compares what callers were told with what the workers remember. Its first seed found a false refusal: an instance that reached no owner refused a repeat with "ran: false", though an earlier call under the same id had run through an instance that was killed meanwhile. Cause: the refusal spoke for its own call alone.

The interface of the platform's clients is not touched.

--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,74 @@
+/**
+ * The fault soak: `npm run soak -- --seed 1 --seeds 50`.
+ *
+ * @module
+ */
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+import { defineCommand, runMain } from "citty";
+import { regressions } from "./regressions.ts";
+import { renderReport } from "./render_report.ts";
+import { describeRun, runSoak, type SoakResult } from "./run_soak.ts";
+
+const MS_PER_S = 1_000;
+
+const command = defineCommand({
+  meta: {
+    name: "soak",
+    description: "Runs clusters of real processes under faults",
+  },
+  args: {
+    seed: { type: "string", default: "1", description: "The first seed" },
+    seeds: { type: "string", default: "1", description: "How many seeds" },
+    seconds: { type: "string", default: "15", description: "Length of a run" },
+    callers: { type: "string", default: "16", description: "Callers at once" },
+    regressions: {
+      type: "boolean",
+      default: false,
+      description: "Run the seeds that showed a fault once instead",
+    },
+    out: {
+      type: "string",
+      default: "target/soak",
+      description: "Folder for the report, and the logs of failed seeds",
+    },
+  },
+  async run({ args }) {
+    mkdirSync(args.out, { recursive: true });
+    const results: SoakResult[] = [];
+    const runs = args.regressions ? [...regressions] : [...seedsOf(args)];
+    for (const { seed, seconds, callers } of runs) {
+      const lengthMs = seconds * MS_PER_S;
+      const result = await runSoak({ seed, lengthMs, callers });
+      results.push(result);
+      console.log(describeRun(result));
+      for (const line of result.broken) console.log(`  ${line}`);
+      if (result.broken.length > 0) keepLogs(args.out, result);
+    }
+    writeFileSync(join(args.out, "report.html"), renderReport(results));
+    const failed = results.filter(({ broken }) => broken.length > 0);
+    console.log(`soak: ${results.length} seeds, ${failed.length} failed`);
+    process.exitCode = failed.length === 0 ? 0 : 1;
+  },
+});
+
+await runMain(command);
+
+/** One run for each seed that is asked for. */
+function* seedsOf(
+  args: { seed: string; seeds: string; seconds: string; callers: string },
+) {
+  const first = Number(args.seed);
+  const seconds = Number(args.seconds);
+  const callers = Number(args.callers);
+  for (let seed = first; seed < first + Number(args.seeds); seed += 1) {
+    yield { seed, seconds, callers };
+  }
+}
+
+function keepLogs(folder: string, { seed, logs }: SoakResult): void {
+  for (const [instance, text] of logs) {
+    writeFileSync(join(folder, `${seed}-${instance}.log`), text);
+  }
+}
--- /dev/null
+++ b/soak/soak_process_test.ts
@@ -0,0 +1,28 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createRandomness } from "../src/clients/mod.ts";
+import { planFaults } from "./plan_faults.ts";
+import { runSoak } from "./run_soak.ts";
+
+const SIZE = { instances: 6, workers: 6, lengthMs: 6_000 };
+
+describe("the fault soak", () => {
+  it("draws the same faults for the same seed", () => {
+    const draw = (seed: number) => [
+      ...planFaults(createRandomness(seed), SIZE),
+    ];
+    assert.deepEqual(draw(7), draw(7));
+    assert.notDeepEqual(draw(7), draw(8));
+  });
+
+  it("breaks no promise in a short run", async () => {
+    const { lengthMs } = SIZE;
+    const { broken, orders } = await runSoak({
+      seed: 1,
+      lengthMs,
+      callers: 8,
+    });
+    assert.deepEqual(broken, []);
+    assert.ok(orders.length > 0);
+  });
+});
--- a/src/api/build_job.ts
+++ b/src/api/build_job.ts
@@ -50,32 +50,32 @@
     candidate.name === submission.agreement && candidate.customer === customer
   );
   if (agreement === undefined) {
-    return err(unrun(
+    return err(
       problem(
         UNPROCESSABLE,
         diagnostics.agreementUnknown,
         customer,
         submission.agreement,
       ),
-    ));
+    );
   }
   const work = agreement.work.find(({ name }) => name === submission.work);
   if (work === undefined) {
-    return err(unrun(
+    return err(
       problem(
         UNPROCESSABLE,
         diagnostics.workUnknown,
         agreement.name,
         submission.work,
       ),
-    ));
+    );
   }
   const groups = groupTasks(submission, work);
   if (work.policy.kind === "gang" && groups.length > 1) {
     const reason = "the tasks of a gang have equal needs";
-    return err(unrun(
+    return err(
       problem(MALFORMED, diagnostics.submissionInvalid, "tasks", reason),
-    ));
+    );
   }
   const specification = JSON.stringify({
     agreement: agreement.name,
@@ -85,9 +85,9 @@
   if (Buffer.byteLength(specification) > MAX_SPECIFICATION_BYTES) {
     const reason =
       `all payloads take more than ${MAX_SPECIFICATION_BYTES} bytes`;
-    return err(unrun(
+    return err(
       problem(MALFORMED, diagnostics.submissionInvalid, "tasks", reason),
-    ));
+    );
   }
   const { deadlineMs } = submission;
   return ok({
@@ -152,8 +152,3 @@
 function isSameDemand(left: Resources, right: Resources): boolean {
   return RESOURCE_NAMES.every((name) => left[name] === right[name]);
 }
-
-/** Nothing of a submission that is refused here has run. */
-function unrun(answer: Extract<CallAnswer, { kind: "problem" }>): CallAnswer {
-  return { ...answer, ran: false };
-}
--- a/src/diagnostics/diagnostics.ts
+++ b/src/diagnostics/diagnostics.ts
@@ -42,11 +42,17 @@
   ),
   pathUnknown: error(3009, "There is nothing at {0}."),
   methodNotAllowed: error(3010, "{0} is not allowed at {1}."),
-  instanceStopping: error(3011, "The instance is stopping; nothing was run."),
+  instanceStopping: error(
+    3011,
+    "The instance is stopping; this call ran nothing.",
+  ),
   instanceNotReady: error(3012, "The instance is not ready: {0}."),
   timedOut: error(3015, "The request was not read within {0} ms."),
   forbidden: error(3016, "The token does not allow this."),
-  notStored: error(3017, "The request was not stored: {0}; nothing was run."),
+  notStored: error(
+    3017,
+    "The request was not stored: {0}; this call ran nothing.",
+  ),
   neverFits: error(
     4001,
     "None of the {0} listed workers can ever hold one of the tasks; nothing was run.",
--- a/src/entry/requests_api.ts
+++ b/src/entry/requests_api.ts
@@ -88,14 +88,12 @@
     waitMs: number,
   ): Promise<CallAnswer> {
     if (running.stopping.signal.aborted) {
-      return unrun(problem(UNAVAILABLE, diagnostics.instanceStopping));
+      return problem(UNAVAILABLE, diagnostics.instanceStopping);
     }
     const published = running.manifest.current();
     if (published === undefined) {
       const reason = "it has no manifest";
-      return unrun(
-        problem(UNAVAILABLE, diagnostics.instanceNotReady, reason),
-      );
+      return problem(UNAVAILABLE, diagnostics.instanceNotReady, reason);
     }
     const built = buildJob(published.manifest, id, customer, submission);
     if (built.isErr()) return built.error;
@@ -107,7 +105,7 @@
       case "unavailable": {
         const { cause, retryAfterMs } = outcome;
         const refused = problem(UNAVAILABLE, diagnostics.notStored, cause);
-        return { ...unrun(refused), retryAfterMs };
+        return { ...refused, retryAfterMs };
       }
       case "unknownJob":
       case "undecided": {
@@ -175,7 +173,10 @@
   return { kind: "notKnownYet", state, cause, retryAfterMs: RETRY_AFTER_MS };
 }
 
-/** Nothing of a call that is refused here has run. */
+/**
+ * Only an owner that has ended the job can say this: an earlier call under the
+ * same id may have run, or may still be on its way.
+ */
 function unrun(
   answer: Extract<CallAnswer, { kind: "problem" }>,
 ): Extract<CallAnswer, { kind: "problem" }> {
--- a/stand_ins/local_cluster/local_cluster.ts
+++ b/stand_ins/local_cluster/local_cluster.ts
@@ -41,10 +41,20 @@
   manifest: Manifest;
   /** Bearer token by customer. */
   customers: Record<string, string>;
+  /** Where an instance reaches the store, if not where it listens. */
+  storeReachedAt?: (instance: string, address: string) => Promise<string>;
+  /** Where instances reach a worker, if not where it listens. */
+  workerReachedAt?: (worker: string, address: string) => Promise<string>;
 };
 
 /** An entry instance in a process of its own. */
-export type LocalInstance = InstancePlan & { url: string; program: Program };
+export type LocalInstance = InstancePlan & {
+  url: string;
+  program: Program;
+  settingsPath: string;
+  /** What its earlier processes printed. */
+  earlierOutput: string;
+};
 
 /** A cluster that runs on this machine. */
 export type LocalCluster = {
@@ -74,6 +84,9 @@
     workers: options.workers,
     durationMs: durationOfTask,
     configuration: { version: 1, routes: [] },
+    ...(options.workerReachedAt === undefined
+      ? {}
+      : { reachedAt: options.workerReachedAt }),
   });
   const instances: LocalInstance[] = [];
   const close = async () => {
@@ -87,7 +100,7 @@
   };
   try {
     for (const plan of await planInstances(options)) {
-      instances.push(startInstance(plan, options, platform, folder));
+      instances.push(await startInstance(plan, options, platform, folder));
     }
     await publish(api, options.manifest, instances);
     for (const instance of instances) await waitUntilReady(api, instance);
@@ -135,22 +148,31 @@
   });
 }
 
-function startInstance(
+/** Starts an instance whose process has ended under the same settings. */
+export function restartInstance(instance: LocalInstance): void {
+  const { id, settingsPath } = instance;
+  instance.earlierOutput += instance.program.output();
+  instance.program = startProgram(id, DAEMON, ["--settings", settingsPath]);
+}
+
+async function startInstance(
   plan: InstancePlan,
   options: LocalClusterOptions,
   platform: Platform,
   folder: string,
-): LocalInstance {
-  const path = join(folder, `${plan.id}.ini`);
+): Promise<LocalInstance> {
+  const settingsPath = join(folder, `${plan.id}.ini`);
+  const { address } = platform;
   const settings = instanceSettings(plan, {
-    store: platform.address,
+    store: await options.storeReachedAt?.(plan.id, address) ?? address,
     partitions: PARTITIONS,
     customers: options.customers,
     operatorToken: OPERATOR_TOKEN,
   });
-  writeFileSync(path, settings);
-  const program = startProgram(plan.id, DAEMON, ["--settings", path]);
-  return { ...plan, url: urlOf(plan), program };
+  writeFileSync(settingsPath, settings);
+  const program = startProgram(plan.id, DAEMON, ["--settings", settingsPath]);
+  const url = urlOf(plan);
+  return { ...plan, url, program, settingsPath, earlierOutput: "" };
 }
 
 async function publish(
@@ -174,7 +196,8 @@
   });
 }
 
-async function waitUntilReady(
+/** Waits until an instance takes requests. */
+export async function waitUntilReady(
   api: HttpApi,
   instance: LocalInstance,
 ): Promise<void> {
--- a/stand_ins/local_cluster/verdict.ts
+++ b/stand_ins/local_cluster/verdict.ts
@@ -6,7 +6,7 @@
 } from "../../src/model/mod.ts";
 import type { WorkerPlan } from "../platform/platform.ts";
 import type { RunRecord } from "../platform/worker.ts";
-import type { HeardOrder } from "./submitter.ts";
+import type { HeardOrder, Order } from "./submitter.ts";
 import { readSpecification } from "./task_payload.ts";
 
 /** What a worker remembers, and what it has room for. */
@@ -40,7 +40,7 @@
   const runs = runsByTask(workers);
   const faults: string[] = [];
   const lost = heard.filter((order) => {
-    const fault = faultOfAnswer(order, runs);
+    const fault = faultOfAnswer(order, runs, manifest);
     if (fault !== undefined) faults.push(`lost ${order.order.key}: ${fault}`);
     return fault !== undefined;
   });
@@ -70,6 +70,7 @@
 function faultOfAnswer(
   heard: HeardOrder,
   runs: Map<string, RunRecord[]>,
+  manifest: Manifest,
 ): string | undefined {
   const { outcome, ids, order } = heard;
   if (outcome?.kind !== "ran") {
@@ -81,11 +82,24 @@
   for (const [index, task] of outcome.tasks.entries()) {
     const name = taskName(id, index);
     if (task.kind === "didNotRun" && heard.rest !== undefined) continue;
-    const isDone = runs.get(name)?.some(({ end }) => end === "done") ?? false;
+    const ended = isGang(order, manifest)
+      ? outcome.tasks.map((_, member) => taskName(id, member))
+      : [name];
+    const isDone = ended.some((task) =>
+      runs.get(task)?.some(({ end }) => end === "done")
+    );
     if (!isDone) return `no worker finished ${name}`;
     if (task.kind !== "finished") return `${name} was told as ${task.kind}`;
   }
-  return faultOfRest(heard, runs);
+  return faultOfRest(heard, runs, manifest);
+}
+
+/** The members of a gang end together: one end stands for all of them. */
+function isGang({ submission }: Order, manifest: Manifest): boolean {
+  const work = manifest.agreements
+    .find(({ name }) => name === submission.agreement)?.work
+    .find(({ name }) => name === submission.work);
+  return work?.policy.kind === "gang";
 }
 
 /** The tasks of an order have equal needs, so that they are one step. */
@@ -97,6 +111,7 @@
 function faultOfRest(
   heard: HeardOrder,
   runs: Map<string, RunRecord[]>,
+  manifest: Manifest,
 ): string | undefined {
   const { outcome, rest } = heard;
   if (rest === undefined) return undefined;
@@ -106,7 +121,7 @@
   if (rest.order.submission.tasks.length !== unrun.length) {
     return "not every task that did not run was ordered again";
   }
-  return faultOfAnswer(rest, runs);
+  return faultOfAnswer(rest, runs, manifest);
 }
 
 /** Finds tasks that started again without leave, or ran in two places. */
--- a/stand_ins/platform/platform.ts
+++ b/stand_ins/platform/platform.ts
@@ -65,6 +65,8 @@
   partitions: number;
   workers: WorkerPlan[];
   durationMs: TaskDuration;
+  /** Where instances reach a worker, if not where it listens. */
+  reachedAt?: (worker: string, address: string) => Promise<string>;
   /** The operators' configuration, in the platform's words. */
   configuration: object;
 };
@@ -107,7 +109,9 @@
     );
     platform.workers.push(worker);
     servers.push(server);
-    list(store, plan, worker, addressOf(server));
+    const address = addressOf(server);
+    const reached = await options.reachedAt?.(plan.id, address) ?? address;
+    list(store, plan, worker, reached);
   }
   return platform;
 }
