--- a/src/entry/follow.ts
+++ b/src/entry/follow.ts
@@ -82,7 +82,13 @@
 function followManifest(running: Running): void {
   const { platform, clock, logger, ending, manifest } = running;
   const take = (records: KeyedRecord[]) => {
-    if (!manifest.take(records)) return;
+    const { isNewer, unreadable } = manifest.take(records);
+    for (const key of unreadable) {
+      logger.part("manifest").error("Skipped a record that cannot be read.", {
+        key,
+      });
+    }
+    if (!isNewer) return;
     logger.part("manifest").info("A manifest is in force.", {
       version: manifest.current()?.version ?? 0,
       author: manifest.current()?.author ?? "",
--- a/src/entry/manifest_state.ts
+++ b/src/entry/manifest_state.ts
@@ -4,11 +4,20 @@
   readManifestRecords,
 } from "../manifest/mod.ts";
 
+const NO_VERSION = -1;
+
 /** The manifest in force at this instance. */
 export type ManifestState = {
   current(): PublishedManifest | undefined;
-  /** Takes in records; tells whether a newer manifest came into force. */
-  take(records: KeyedRecord[]): boolean;
+  take(records: KeyedRecord[]): ManifestUpdate;
+};
+
+/** What records of the manifest brought. */
+export type ManifestUpdate = {
+  /** Whether a newer manifest came into force. */
+  isNewer: boolean;
+  /** The keys of records that cannot be read. */
+  unreadable: string[];
 };
 
 /**
@@ -25,13 +34,11 @@
   return {
     current: () => current,
     take(records) {
-      const { inForce } = readManifestRecords(records);
-      if (inForce === undefined) return false;
-      if (current !== undefined && inForce.version <= current.version) {
-        return false;
-      }
-      current = inForce;
-      return true;
+      const { inForce, unreadable } = readManifestRecords(records);
+      const isNewer = inForce !== undefined &&
+        inForce.version > (current?.version ?? NO_VERSION);
+      if (isNewer) current = inForce;
+      return { isNewer, unreadable };
     },
   };
 }
--- /dev/null
+++ b/src/entry/manifest_state_test.ts
@@ -0,0 +1,37 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createManifestState } from "./manifest_state.ts";
+
+function record(version: number) {
+  const manifest = { customers: [], agreements: [] };
+  const published = {
+    version,
+    manifest,
+    author: "uwimana",
+    changeId: `build-${version}`,
+    atMs: 0,
+  };
+  return { key: "in-force", value: JSON.stringify(published) };
+}
+
+describe("the manifest in force", () => {
+  it("never goes back, in whatever order records arrive", () => {
+    const state = createManifestState();
+    assert.equal(state.take([record(0)]).isNewer, true);
+    assert.equal(state.take([record(2)]).isNewer, true);
+    assert.equal(state.take([record(1)]).isNewer, false);
+    assert.equal(state.take([record(2)]).isNewer, false);
+    assert.equal(state.current()?.version, 2);
+  });
+
+  it("stays when a record cannot be read, which is named", () => {
+    const state = createManifestState();
+    state.take([record(3)]);
+    const damaged = { key: "in-force", value: "{" };
+    assert.deepEqual(state.take([damaged]), {
+      isNewer: false,
+      unreadable: ["in-force"],
+    });
+    assert.equal(state.current()?.version, 3);
+  });
+});
