--- a/src/domain/domain_command.ts
+++ b/src/domain/domain_command.ts
@@ -1,22 +1,33 @@
+import * as v from "valibot";
+
+/** Schema of an order to a worker. */
+export const workerOrderSchema = v.variant("kind", [
+  v.object({
+    kind: v.literal("start"),
+    worker: v.string(),
+    task: v.string(),
+    attempt: v.number(),
+    specification: v.string(),
+    ticket: v.optional(v.string()),
+    checkpoint: v.optional(v.string()),
+  }),
+  v.object({
+    kind: v.literal("stop"),
+    worker: v.string(),
+    task: v.string(),
+    attempt: v.number(),
+  }),
+  v.object({
+    kind: v.literal("pace"),
+    worker: v.string(),
+    task: v.string(),
+    attempt: v.number(),
+    percent: v.number(),
+  }),
+]);
+
 /** An order to a worker. It leaves after its cause is in the store. */
-export type WorkerOrder =
-  | {
-    kind: "start";
-    worker: string;
-    task: string;
-    attempt: number;
-    specification: string;
-    ticket: string | undefined;
-    checkpoint: string | undefined;
-  }
-  | { kind: "stop"; worker: string; task: string; attempt: number }
-  | {
-    kind: "pace";
-    worker: string;
-    task: string;
-    attempt: number;
-    percent: number;
-  };
+export type WorkerOrder = v.InferOutput<typeof workerOrderSchema>;
 
 /** What a domain asks its driver to do. */
 export type DomainCommand =
--- a/src/domain/domain_event.ts
+++ b/src/domain/domain_event.ts
@@ -1,66 +1,8 @@
 import type { JobRequest, QueuePolicy } from "./job.ts";
 import type { OwnerEntry } from "./owner_entry.ts";
+import type { Look, StartAnswer } from "./worker_report.ts";
 import type { WorkerListing } from "./worker_listing.ts";
 
-/** How a run ended at a worker. */
-export type RunEnd =
-  | "done"
-  /** Through its own fault or the worker's. */
-  | "failed"
-  | "stopped"
-  /** The worker's lease lapsed. */
-  | "lapsed"
-  /** Another member of the gang ended. */
-  | "broken"
-  /** The gang was not complete in time. */
-  | "alone";
-
-/** A run that a worker lists as ended. */
-export type EndedRun = {
-  /** Position in the worker's list of ends, from 1. */
-  number: number;
-  task: string;
-  attempt: number;
-  end: RunEnd;
-  checkpoint: string;
-};
-
-/** A run that a worker lists as running. */
-export type ListedRun = {
-  task: string;
-  attempt: number;
-  checkpoint: string;
-  percent: number;
-  /** Tail latency in ms for a service; processor use for anything else. */
-  reading: number;
-};
-
-/** What a worker listed in answer to one look. */
-export type Look = {
-  bornMs: number;
-  running: ListedRun[];
-  ended: EndedRun[];
-  /** When the look was sent, on the steady clock. */
-  sentAtMs: number;
-};
-
-/** How a worker answered a start. */
-export type StartAnswer =
-  | { kind: "accepted" }
-  /** The worker has stopped or ended this attempt, or a later one. */
-  | { kind: "superseded" }
-  /** Surely not started by this order. */
-  | { kind: "rejected"; cause: StartRejection; earlierUnknown: boolean };
-
-/** Why a worker did not start a task. */
-export type StartRejection =
-  | "late"
-  | "room"
-  | "ticket"
-  | "unhealthy"
-  | "invalid"
-  | "reborn";
-
 /** What happens to a domain. */
 export type DomainEvent =
   | {
@@ -76,6 +18,8 @@
   | { kind: "looked"; worker: string; look: Look }
   /** A call to the worker got no answer; its tasks may go on. */
   | { kind: "workerSilent"; worker: string }
+  /** Orders on their way to the worker may have got lost. */
+  | { kind: "linkReopened"; worker: string }
   /** Every lease that the worker may have has lapsed. */
   | { kind: "workerLapsed"; worker: string }
   | {
--- a/src/domain/domain_worker.ts
+++ b/src/domain/domain_worker.ts
@@ -9,6 +9,8 @@
   listing: WorkerListing | undefined;
   /** Whether a look under this epoch has succeeded. */
   held: boolean;
+  /** When its link was opened anew, until the first look since (steady). */
+  reopenedAtMs: number | undefined;
   /** Start of the incarnation that was seen last; 0 before the first look. */
   bornMs: number;
   /** Number of the last end that was taken in; restarts with the worker. */
--- a/src/domain/ends.ts
+++ b/src/domain/ends.ts
@@ -5,7 +5,8 @@
  */
 import { assertNever } from "../base/mod.ts";
 import type { Domain } from "./domain.ts";
-import type { Moment, RunEnd } from "./domain_event.ts";
+import type { Moment } from "./domain_event.ts";
+import type { RunEnd } from "./worker_report.ts";
 import { completeStep, endJob } from "./job_runs.ts";
 import { release } from "./placed.ts";
 import { stepRecordKey } from "./keys.ts";
--- a/src/domain/looks.ts
+++ b/src/domain/looks.ts
@@ -5,7 +5,8 @@
  */
 import type { Domain } from "./domain.ts";
 import type { DomainWorker, PlacedRef } from "./domain_worker.ts";
-import type { EndedRun, ListedRun, Look, Moment } from "./domain_event.ts";
+import type { Moment } from "./domain_event.ts";
+import type { EndedRun, ListedRun, Look } from "./worker_report.ts";
 import { blamesWorker, endTask, finishTask } from "./ends.ts";
 import { release } from "./placed.ts";
 import { parseTaskName, type StepRun } from "./step_run.ts";
@@ -237,3 +238,18 @@
     orderStop(domain, worker.id, name, task.attempt);
   }
 }
+
+/**
+ * Stops what was ordered over a link that is gone and is not seen to run: the
+ * order may be lost, or carried out late. The stop bars the attempt.
+ */
+export function stopLostStarts(domain: Domain, worker: DomainWorker): void {
+  const { reopenedAtMs } = worker;
+  if (reopenedAtMs === undefined) return;
+  worker.reopenedAtMs = undefined;
+  for (const ref of worker.placed.values()) {
+    const task = ref.run.tasks[ref.index];
+    if (task?.kind !== "placed" || task.phase.kind !== "starting") continue;
+    if (task.placedAtMs <= reopenedAtMs) stopTask(domain, ref.run, ref.index);
+  }
+}
--- a/src/domain/mod.ts
+++ b/src/domain/mod.ts
@@ -31,3 +31,4 @@
 export * from "./step_domain.ts";
 export { type DayUsage, dayUsageSchema } from "./usage.ts";
 export * from "./worker_listing.ts";
+export * from "./worker_report.ts";
--- a/src/domain/place_gang.ts
+++ b/src/domain/place_gang.ts
@@ -15,7 +15,7 @@
 import { reservationOf } from "./placed.ts";
 import { reserve, seatsOf } from "./reservations.ts";
 import type { Pass } from "./pass.ts";
-import { startTask } from "./schedule.ts";
+import { reportPlacements, startTask } from "./schedule.ts";
 import type { Seat } from "./seat.ts";
 import type { StepRun } from "./step_run.ts";
 import { runLimit } from "./worker_health.ts";
@@ -165,8 +165,9 @@
 /** All members share one attempt number, above every earlier one. */
 function startGang(pass: Pass, run: StepRun, seats: Seat[]): void {
   const attempt = Math.max(...run.tasks.map((task) => task.attempt)) + 1;
-  seats.forEach(({ worker }, index) => {
-    startTask(pass, run, index, worker, attempt);
-  });
+  const placements = seats.map(({ worker }, index) =>
+    startTask(pass, run, index, worker, attempt)
+  );
+  reportPlacements(pass, run, placements);
   pass.domain.waiting.delete(run);
 }
--- a/src/domain/placed.ts
+++ b/src/domain/placed.ts
@@ -30,6 +30,7 @@
     heldByAgreement,
     listing: undefined,
     held: false,
+    reopenedAtMs: undefined,
     bornMs: 0,
     lastEnd: 0,
     capacity: NO_RESOURCES,
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -57,12 +57,15 @@
   const usable = candidates.filter((worker) =>
     hasTicket(run, worker.id, moment.steadyMs)
   );
+  const placements: string[] = [];
   for (let index = 0; index < run.tasks.length; index += 1) {
     if (run.tasks[index]?.kind !== "waiting") continue;
     const worker = takeBest(pass, usable, run);
     if (worker === undefined) break;
-    startTask(pass, run, index, worker, nextAttempt(run, index));
+    const attempt = nextAttempt(run, index);
+    placements.push(startTask(pass, run, index, worker, attempt));
   }
+  reportPlacements(pass, run, placements);
   if (run.waiting === 0) {
     domain.waiting.delete(run);
     return;
@@ -128,14 +131,38 @@
   return run.tasks[index]!.attempt + 1;
 }
 
-/** Places a task and orders its start. */
+/** Reports what one pass has placed of a step, in one line. */
+export function reportPlacements(
+  { domain, moment }: Pass,
+  run: StepRun,
+  placements: string[],
+): void {
+  if (placements.length === 0) return;
+  domain.commands.push({
+    kind: "report",
+    sentence: "Placed tasks.",
+    fields: {
+      job: run.job.job.id,
+      step: run.key,
+      placements: placements.join(" "),
+      waitedMs: Math.round(moment.steadyMs - run.readyAtMs),
+      slackMs: Math.round(run.latestStartMs - moment.wallMs),
+    },
+  });
+}
+
+/**
+ * Places a task and orders its start.
+ *
+ * @returns the placement as the log shows it: index, attempt and worker
+ */
 export function startTask(
   pass: Pass,
   run: StepRun,
   index: number,
   worker: DomainWorker,
   attempt: number,
-): void {
+): string {
   const { domain, moment } = pass;
   place(run, index, worker, {
     attempt,
@@ -156,16 +183,5 @@
       checkpoint: task?.kind === "placed" ? task.checkpoint : undefined,
     },
   });
-  domain.commands.push({
-    kind: "report",
-    sentence: "Placed a task.",
-    fields: {
-      job: run.job.job.id,
-      task: taskNameOf(run, index),
-      attempt,
-      worker: worker.id,
-      waitedMs: Math.round(moment.steadyMs - run.readyAtMs),
-      slackMs: Math.round(run.latestStartMs - moment.wallMs),
-    },
-  });
+  return `${index}#${attempt}@${worker.id}`;
 }
--- a/src/domain/step_domain.ts
+++ b/src/domain/step_domain.ts
@@ -15,7 +15,13 @@
   openOccurrence,
 } from "./job_runs.ts";
 import { jobKey, ownerKey } from "./keys.ts";
-import { findTask, loseTasks, repeatStops, takeLook } from "./looks.ts";
+import {
+  findTask,
+  loseTasks,
+  repeatStops,
+  stopLostStarts,
+  takeLook,
+} from "./looks.ts";
 import { adjustPace } from "./pacing.ts";
 import { createDomainWorker } from "./placed.ts";
 import { schedule } from "./schedule.ts";
@@ -79,6 +85,13 @@
       if (worker !== undefined) worker.held = false;
       return;
     }
+    case "linkReopened": {
+      const worker = domain.workers.get(event.worker);
+      if (worker === undefined) return;
+      worker.held = false;
+      worker.reopenedAtMs = moment.steadyMs;
+      return;
+    }
     case "workerLapsed": {
       const worker = domain.workers.get(event.worker);
       if (worker === undefined) return;
@@ -208,6 +221,7 @@
   const before = worker.lastEnd;
   const bornBefore = worker.bornMs;
   takeLook(domain, worker, event.look, moment);
+  stopLostStarts(domain, worker);
   if (!wasHeld) repeatStops(domain, worker);
   adjustPace(domain, worker);
   stopStalledTasks(domain, worker, moment);
--- a/src/domain/testing/domain_bench.ts
+++ b/src/domain/testing/domain_bench.ts
@@ -5,7 +5,8 @@
  */
 import { createDomain, type Domain } from "../domain.ts";
 import type { DomainCommand, WorkerOrder } from "../domain_command.ts";
-import type { DomainEvent, EndedRun, ListedRun } from "../domain_event.ts";
+import type { DomainEvent } from "../domain_event.ts";
+import type { EndedRun, ListedRun } from "../worker_report.ts";
 import type { JobRequest, QueuePolicy, Step } from "../job.ts";
 import {
   type DomainRecord,
--- a/src/domain/testing/model.ts
+++ b/src/domain/testing/model.ts
@@ -17,7 +17,7 @@
 import { createRandomness } from "../../clients/mod.ts";
 import type { Randomness } from "../../hosts/mod.ts";
 import type { DomainCommand, WorkerOrder } from "../domain_command.ts";
-import type { EndedRun, StartAnswer } from "../domain_event.ts";
+import type { EndedRun, StartAnswer } from "../worker_report.ts";
 import { jobStateOf } from "../job_state.ts";
 import { findTask } from "../looks.ts";
 import {
@@ -59,6 +59,8 @@
   bornMs: number;
   /** A second arrival, which the owner does not know of. */
   isCopy: boolean;
+  /** The link on which it left is gone, and so is the answer. */
+  isOrphaned: boolean;
 };
 
 /** A running model. */
@@ -130,7 +132,7 @@
 function chaos(model: Model): void {
   const { random, bench } = model;
   advance(model);
-  switch (random.integer(0, 13)) {
+  switch (random.integer(0, 14)) {
     case 0:
     case 1:
       return addJob(model);
@@ -142,6 +144,8 @@
       return cutOrHeal(model);
     case 5:
       return startAnew(model);
+    case 6:
+      return loseLink(model);
     default:
       act(model, pass(bench, 0));
       for (const held of model.workers.values()) {
@@ -213,6 +217,24 @@
   );
 }
 
+/** A relay is lost: its orders arrive late or never, its answers never. */
+function loseLink(model: Model): void {
+  const { random, bench } = model;
+  const held = anyWorker(model);
+  const worker = held.worker.id;
+  model.orders = model.orders.filter(({ order }) =>
+    order.worker !== worker || random.integer(0, 1) === 0
+  );
+  for (const pending of model.orders) {
+    if (pending.order.worker !== worker) continue;
+    pending.isOrphaned = true;
+    pending.dueAtMs += random.integer(0, 4_000);
+  }
+  // The relay may have granted a lease just before the owner gave it up.
+  held.leaseUntilMs = Math.max(held.leaseUntilMs, bench.nowMs + LEASE_MS);
+  act(model, feed(bench, { kind: "linkReopened", worker }));
+}
+
 function startAnew(model: Model): void {
   const held = anyWorker(model);
   const { id, bornMs } = held.worker;
@@ -319,7 +341,15 @@
   const bornMs = model.workers.get(order.worker)?.worker.bornMs ?? 0;
   const dueAtMs = bench.nowMs + lateMs;
   const deadlineMs = grant(model, order);
-  const pending = { order, epoch, bornMs, dueAtMs, deadlineMs, isCopy: false };
+  const pending = {
+    order,
+    epoch,
+    bornMs,
+    dueAtMs,
+    deadlineMs,
+    isCopy: false,
+    isOrphaned: false,
+  };
   model.orders.push(pending);
   if (random.integer(0, 5) > 0) return;
   model.orders.push({
@@ -354,7 +384,7 @@
   if (held.worker.started.length > startedBefore) {
     checkStart(model, held.worker.id, order.task);
   }
-  if (epoch !== model.epoch) return;
+  if (epoch !== model.epoch || pending.isOrphaned) return;
   if (order.kind === "stop") {
     if (answer.status !== 200) return;
     act(model, feed(bench, { ...order, kind: "stopConfirmed" }));
@@ -372,8 +402,8 @@
 
 /** The owner repeats an order that still holds until the worker answers. */
 function repeat(model: Model, pending: PendingOrder): void {
-  const { order, epoch, isCopy } = pending;
-  if (isCopy || epoch !== model.epoch) return;
+  const { order, epoch, isCopy, isOrphaned } = pending;
+  if (isCopy || isOrphaned || epoch !== model.epoch) return;
   const found = findTask(model.bench.domain, order.task);
   const task = found?.run.tasks[found.index];
   const isPlaced = task?.kind === "placed" && task.worker === order.worker &&
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -29,6 +29,9 @@
 /** Pause between two looks for the owner, in milliseconds. */
 const FIND_PAUSE_MS = 100;
 
+/** A given reason spares an error with a stack trace. */
+const OVER = "the call is over";
+
 /** What an entry needs. */
 export type EntryHost = {
   clock: Clock;
@@ -283,7 +286,7 @@
     const leftMs = deadlineAtMs - clock.steadyMs();
     if (owner !== undefined && leftMs > 0) {
       const timeoutMs = Math.min(leftMs, ATTEMPT_MS);
-      const outcome = await callOwner(host, owner, call, timeoutMs);
+      const outcome = await callWhileOwner(host, owner, call, timeoutMs);
       host.reachability.note(outcome.kind === "answered");
       const attempt = readAttempt(outcome);
       switch (attempt.kind) {
@@ -349,6 +352,24 @@
   }
 }
 
+/** Calls an owner until it has a successor, where the call is repeated. */
+async function callWhileOwner(
+  host: EntryHost,
+  owner: string,
+  call: DomainCall,
+  timeoutMs: number,
+): Promise<PeerOutcome> {
+  const ended = new AbortController();
+  const superseded = host.directory
+    .whenOwnerIsNot(call.partition, owner, ended.signal);
+  const outcome = await Promise.race([
+    callOwner(host, owner, call, timeoutMs),
+    superseded,
+  ]);
+  ended.abort(OVER);
+  return outcome ?? { kind: "unknown", cause: "the domain has a new owner" };
+}
+
 async function callOwner(
   host: EntryHost,
   owner: string,
@@ -361,7 +382,7 @@
     answerCall(host.holder, call),
     host.clock.sleep(timeoutMs, expired.signal),
   ]);
-  expired.abort();
+  expired.abort(OVER);
   if (answer !== undefined) return { kind: "answered", answer };
   return { kind: "unknown", cause: "the owner did not answer in time" };
 }
--- a/src/entry/entry_test.ts
+++ b/src/entry/entry_test.ts
@@ -32,6 +32,8 @@
       refresh: () => Promise.resolve(),
       readStore: () => Promise.resolve(undefined),
       known: () => ({ 9: "peer" }),
+      learn() {},
+      whenOwnerIsNot: () => new Promise(() => {}),
     },
     holder: {
       ownerOf: () => Promise.resolve(undefined),
--- a/src/entry/instance_list.ts
+++ b/src/entry/instance_list.ts
@@ -1,10 +1,14 @@
 import * as v from "valibot";
 import type { KeyedRecord } from "../hosts/mod.ts";
+import type { RelayPeer } from "../ownership/mod.ts";
 
 /** Schema of what an instance announces of itself. */
 const announcementSchema = v.object({
   /** How long it holds back as a candidate for ownership, in ms. */
   candidateWaitMs: v.number(),
+  zone: v.optional(v.string(), ""),
+  /** Its processor, in cores. */
+  cores: v.optional(v.number(), 0),
   /** Base URL of its interface for callers and operators. */
   url: v.optional(v.string()),
 });
@@ -21,6 +25,8 @@
    * undefined until this one has announced itself.
    */
   rank(leftOut: string[]): number | undefined;
+  /** The other instances, as holders of links to workers. */
+  relayPeers(): RelayPeer[];
   /** The other instances, with the URLs of their interfaces. */
   members(): { address: string; url?: string }[];
   apply(records: KeyedRecord[]): void;
@@ -48,6 +54,12 @@
         (candidateWaitMs < own || candidateWaitMs === own && address < self)
       ).length;
     },
+    relayPeers: () =>
+      [...others].map(([address, { zone, cores }]) => ({
+        address,
+        zone,
+        cores,
+      })),
     members: () =>
       [...others].map(([address, { url }]) => ({
         address,
@@ -72,7 +84,7 @@
 
 /** An announcement that cannot be read puts its instance last. */
 function read(text: string): Announcement {
-  const unknown = { candidateWaitMs: Infinity };
+  const unknown = { candidateWaitMs: Infinity, zone: "", cores: 0 };
   try {
     const parsed = v.safeParse(announcementSchema, JSON.parse(text));
     return parsed.success ? parsed.output : unknown;
--- a/src/entry/peer_call.ts
+++ b/src/entry/peer_call.ts
@@ -4,6 +4,7 @@
   jobRequestSchema,
   queuePolicySchema,
 } from "../domain/mod.ts";
+import { relayEventSchema, relayMessageSchema } from "../ownership/mod.ts";
 
 /** Schema of what one entry instance asks of another. */
 export const peerCallSchema = v.variant("kind", [
@@ -40,10 +41,35 @@
     workers: v.array(v.string()),
     costMs: v.number(),
   }),
+  /** An owner has the instance hold links to workers. */
+  v.object({
+    kind: v.literal("relay"),
+    session: v.string(),
+    owner: v.string(),
+    epoch: v.number(),
+    ownerMs: v.number(),
+    first: v.number(),
+    messages: v.array(relayMessageSchema),
+  }),
+  /** What links that the instance holds have reported. */
+  v.object({
+    kind: v.literal("relayed"),
+    session: v.string(),
+    isLeaving: v.boolean(),
+    first: v.number(),
+    messages: v.array(relayEventSchema),
+  }),
   /** Which of its domains knows a job. */
   v.object({ kind: v.literal("find"), job: v.string() }),
   /** Which instance owns which domain, as the other one knows it. */
   v.object({ kind: v.literal("owners") }),
+  /** An instance has taken a domain over. */
+  v.object({
+    kind: v.literal("owned"),
+    owner: v.string(),
+    domain: v.number(),
+    epoch: v.number(),
+  }),
   /** A successor owns the domain; the earlier owner has to have ended. */
   v.object({
     kind: v.literal("release"),
--- a/src/entry/peer_rpc.ts
+++ b/src/entry/peer_rpc.ts
@@ -14,6 +14,13 @@
 import type { Advice, AdviceQuestion } from "../hosts/mod.ts";
 import { carriesToken, refusal, type Route } from "../server/mod.ts";
 import { observeLamport, type TimeLine } from "../time_line/mod.ts";
+import {
+  relayAnswerSchema,
+  type RelayCall,
+  type RelayedAnswer,
+  relayedAnswerSchema,
+  type RelayReport,
+} from "../ownership/mod.ts";
 import type { PeerOutcome } from "./entry.ts";
 import {
   adviceAnswerSchema,
@@ -35,6 +42,8 @@
 const ADVICE_MARGIN_MS = 2_000;
 /** How long another instance may take for a short answer, in ms. */
 const SHORT_TIMEOUT_MS = 400;
+/** How long another instance may take for a batch, in milliseconds. */
+const BATCH_TIMEOUT_MS = 500;
 
 /** Schema of a call with the Lamport clock of its sender. */
 const messageSchema = v.object({ lamport: v.number(), call: peerCallSchema });
@@ -99,6 +108,23 @@
   confirm(instance: string): Promise<boolean>;
   /** Asks another instance to take a member's place; tells whether it does. */
   succeed(instance: string, member: string): Promise<boolean>;
+  /** Tells another instance who owns a domain now. */
+  owned(
+    instance: string,
+    owner: string,
+    domain: number,
+    epoch: number,
+  ): Promise<boolean>;
+  /** Sends a batch to a relay; undefined where no answer came. */
+  relay(
+    instance: string,
+    call: RelayCall,
+  ): Promise<"taken" | "closed" | undefined>;
+  /** Reports to the owner that links are held for. */
+  relayed(
+    instance: string,
+    report: RelayReport,
+  ): Promise<RelayedAnswer | undefined>;
   /** Ends an earlier ownership; tells whether that is certain. */
   release(instance: string, domain: number, epoch: number): Promise<boolean>;
 };
@@ -171,6 +197,20 @@
       const call = { kind: "reach", instance } as const;
       return (await ask(through, call, reachAnswerSchema))?.reached;
     },
+    owned: (instance, owner, domain, epoch) =>
+      isDone(instance, { kind: "owned", owner, domain, epoch }),
+    async relay(instance, call) {
+      const message = { kind: "relay", ...call } as const;
+      return (await ask(instance, message, relayAnswerSchema, BATCH_TIMEOUT_MS))
+        ?.kind;
+    },
+    relayed: (instance, report) =>
+      ask(
+        instance,
+        { kind: "relayed", ...report },
+        relayedAnswerSchema,
+        BATCH_TIMEOUT_MS,
+      ),
     confirm: (instance) => isDone(instance, { kind: "confirm" }),
     succeed: (instance, member) =>
       isDone(instance, { kind: "succeed", member }),
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -55,6 +55,8 @@
   const url = apiUrlOf(settings);
   announce(running, {
     candidateWaitMs: ownWaitMs,
+    zone: settings.instance.zone,
+    cores: settings.instance.cores,
     ...(url === undefined ? {} : { url }),
   });
   running.membership = joinGroup({
--- a/src/entry/running.ts
+++ b/src/entry/running.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import {
   createHttpCaller,
@@ -14,10 +15,15 @@
 import {
   createDirectory,
   createDomainHolder,
+  createRelayHolder,
+  createRelaySessions,
   createWorkerList,
   type Directory,
   type DomainHolder,
   type GroupMembership,
+  LONG_AGO,
+  type RelayHolder,
+  type RelaySessions,
   type WorkerList,
 } from "../ownership/mod.ts";
 import {
@@ -79,6 +85,10 @@
   directory: Directory;
   workers: WorkerList;
   holder: DomainHolder;
+  /** The sessions in which this instance holds links for owners. */
+  relays: RelayHolder;
+  /** The sessions of owners in this process. */
+  relaySessions: RelaySessions;
   instances: InstanceList;
   rpc: PeerRpc;
   reachability: Reachability;
@@ -93,13 +103,8 @@
   ending: AbortController;
 };
 
-/** All parts but the holder, which is built on them. */
-type RunningParts = Omit<Running, "holder">;
-
-/** When the store last confirmed the membership, on the steady clock. */
-export function confirmedAtMs(running: RunningParts): number {
-  return running.membership?.confirmedAtMs() ?? -Infinity;
-}
+/** All parts but the holders, which are built on them. */
+type RunningParts = Omit<Running, "holder" | "relays">;
 
 /** Creates the parts; nothing is sent yet. */
 export function createRunning(
@@ -159,6 +164,7 @@
       settings.workers.heartbeatMs,
     ),
     instances: createInstanceList(self),
+    relaySessions: createRelaySessions(),
     rpc: createPeerRpc(
       createPeerClient(caller, { secret: settings.peers.secret }),
       timeLine,
@@ -176,7 +182,10 @@
     stopping,
     ending,
   };
-  return Object.assign(parts, { holder: createHolder(parts) });
+  return Object.assign(parts, {
+    holder: createHolder(parts),
+    relays: createRelays(parts),
+  });
 }
 
 /** The partitions of the services that are in use. */
@@ -192,7 +201,7 @@
 function createHolder(running: RunningParts): DomainHolder {
   const { settings, platform, clock, logger, counters, ending } = running;
   const { signal } = ending;
-  const leaseMs = Math.min(settings.lease.maxMs, LONGEST_LEASE_MS);
+  const leaseMs = leaseMsOf(settings);
   return createDomainHolder({
     store: platform.store,
     tasks: platform.tasks,
@@ -207,11 +216,16 @@
     hasEnded: async (owner, domain) =>
       owner.instance === running.self ||
       await running.rpc.release(owner.instance, domain, owner.epoch),
-    confirmedAtMs: () => confirmedAtMs(running),
+    confirmedAt: () => running.membership?.confirmedAt() ?? LONG_AGO,
     isInUse: (partition) => partitionsInUse(running).has(partition),
+    onTaken: (partition, epoch) => tellOwner(running, partition, epoch),
     servesDomain: (service, partition) =>
       partitionOf(service, settings.store.partitions) === partition,
     instances: () => running.instances.addresses(),
+    relayPeers: () => running.instances.relayPeers(),
+    relaySessions: running.relaySessions,
+    newSession: () => `${running.self}/${randomUUID()}`,
+    postToRelay: (relay, call) => running.rpc.relay(relay, call),
     askThrough: (instance, question) =>
       instance === running.self
         ? askPolicy(platform.advice, question, logger, signal)
@@ -223,6 +237,42 @@
   });
 }
 
+/**
+ * Tells every instance that this one owns a domain, so that calls which wait
+ * for the former owner move at once.
+ */
+function tellOwner(
+  { directory, instances, rpc, self }: RunningParts,
+  partition: number,
+  epoch: number,
+): void {
+  directory.learn(partition, self, epoch);
+  for (const instance of instances.addresses()) {
+    if (instance !== self) rpc.owned(instance, self, partition, epoch);
+  }
+}
+
+function createRelays(running: RunningParts): RelayHolder {
+  return createRelayHolder({
+    tasks: running.platform.tasks,
+    clock: running.clock,
+    logger: running.logger.part("domain"),
+    counters: running.counters,
+    leaseMs: leaseMsOf(running.settings),
+    report: (owner, session, batch) =>
+      running.rpc.relayed(owner, {
+        ...batch,
+        session,
+        isLeaving: running.stopping.signal.aborted,
+      }),
+    signal: running.ending.signal,
+  });
+}
+
+function leaseMsOf(settings: Settings): number {
+  return Math.min(settings.lease.maxMs, LONGEST_LEASE_MS);
+}
+
 function createCaller(connectionsPerOrigin: number): HttpCaller {
   return createHttpCaller({
     connectionsPerOrigin,
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -12,6 +12,7 @@
 import { createApi } from "./api.ts";
 import { askPolicy } from "./ask_policy.ts";
 import { createEntry } from "./entry.ts";
+import type { RelayCall } from "../ownership/mod.ts";
 import type { PeerCall } from "./peer_call.ts";
 import { createPeerRpcRoute } from "./peer_rpc.ts";
 import { leaveFor } from "./leave_for.ts";
@@ -96,6 +97,10 @@
     }
     case "owners":
       return await running.directory.readStore() ?? {};
+    case "relay":
+      return { kind: takeRelay(running, call) ? "taken" : "closed" };
+    case "relayed":
+      return running.relaySessions.take(call);
     case "find":
       return { partition: await running.holder.find(call.job) };
     case "reach":
@@ -106,6 +111,9 @@
       return { kind: "done" };
     case "succeed":
       return await succeed(running, call.member);
+    case "owned":
+      running.directory.learn(call.domain, call.owner, call.epoch);
+      return { kind: "done" };
     case "release":
       running.holder.release(call.domain, call.epoch);
       return { kind: "done" };
@@ -120,6 +128,13 @@
   }
 }
 
+/** A stopping instance holds on to its links, but takes no new session. */
+function takeRelay(running: Running, call: RelayCall): boolean {
+  const { relays, stopping } = running;
+  if (stopping.signal.aborted && call.first === 1) return false;
+  return relays.take(call);
+}
+
 /** Takes the place of a member that the store turns away. */
 async function succeed(running: Running, member: string): Promise<unknown> {
   const { membership, stopping } = running;
--- a/src/entry/watch.ts
+++ b/src/entry/watch.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { elapsedMs } from "../ownership/mod.ts";
 import { MAX_INSTANCES_ASKED } from "./read_owners_elsewhere.ts";
 import type { Running } from "./running.ts";
 
@@ -10,6 +11,10 @@
 const WATCH_INTERVAL_MS = 150;
 /** Refusals by the store in a row after which another instance is asked. */
 const MAX_REFUSALS = 2;
+/** The same after so long without a confirmed membership, in milliseconds. */
+const SILENT_MS = 900;
+/** Pause after no other instance was found to reach the store, in ms. */
+const NONE_FOUND_PAUSE_MS = 400;
 const RESIGN_PAUSE_MS = 1_000;
 /** How often an owner is called while calls fail, in milliseconds. */
 const OWNER_WATCH_INTERVAL_MS = 400;
@@ -20,27 +25,49 @@
  * membership.
  */
 export async function watchMembership(running: Running): Promise<void> {
-  const { clock, holder, stopping, instances, rpc, self, logger } = running;
+  const { clock, holder, stopping, rpc, logger } = running;
   const { signal } = stopping;
   while (!signal.aborted) {
     await clock.sleep(WATCH_INTERVAL_MS, signal);
-    const refusals = running.membership?.refusals() ?? 0;
-    if (refusals < MAX_REFUSALS || holder.count() === 0) continue;
-    const others = instances.addresses().filter((other) => other !== self);
-    for (const instance of others.slice(0, MAX_INSTANCES_ASKED)) {
+    const { membership } = running;
+    if (membership === undefined || holder.count() === 0) continue;
+    const refusals = membership.refusals();
+    const silentMs = elapsedMs(clock, membership.confirmedAt());
+    if (refusals < MAX_REFUSALS && silentMs < SILENT_MS) continue;
+    const others = await reachingStore(running);
+    for (const instance of others) {
       if (!await rpc.succeed(instance, running.member.member)) continue;
       logger.part("ownership").warn("Handed the domains over.", {
         instance,
         refusals,
+        silentMs: Math.round(silentMs),
       });
-      running.membership?.resign();
+      membership.resign();
       // The next look is at a new membership.
       await clock.sleep(RESIGN_PAUSE_MS, signal);
       break;
     }
+    if (others.length === 0) await clock.sleep(NONE_FOUND_PAUSE_MS, signal);
   }
 }
 
+/**
+ * The best candidates that the store serves at the moment. Only these are
+ * asked to take a place: in an outage, a call that takes it might be carried
+ * out when the store is back, and depose an owner that nothing ails.
+ */
+async function reachingStore(running: Running): Promise<string[]> {
+  const { instances, rpc, self } = running;
+  const others = instances.addresses()
+    .filter((other) => other !== self)
+    .slice(0, MAX_INSTANCES_ASKED);
+  const reached = await Promise.all(others.map(async (instance) => {
+    const owners = await rpc.owners(instance);
+    return owners !== undefined && Object.keys(owners).length > 0;
+  }));
+  return others.filter((_, index) => reached[index]);
+}
+
 /**
  * Calls an owner again and again while calls fail, since a balancer that
  * knows this instance as unready sends none that could show the end of it.
--- a/src/ownership/directory.ts
+++ b/src/ownership/directory.ts
@@ -6,6 +6,9 @@
 /** Least time between two readings of the owners, in milliseconds. */
 const LEAST_REFRESH_GAP_MS = 150;
 
+/** A store that is silent for so long is read through others too, in ms. */
+const ASK_ELSEWHERE_AFTER_MS = 200;
+
 /** What a directory needs. */
 export type DirectoryHost = {
   store: StoreHost;
@@ -27,6 +30,14 @@
   readStore(): Promise<Record<string, string> | undefined>;
   /** Address of the owner by number of the partition. */
   known(): Record<string, string>;
+  /** Takes in what an owner says of itself. */
+  learn(partition: number, owner: string, epoch: number): void;
+  /** Resolves once a domain is known to have another owner than one. */
+  whenOwnerIsNot(
+    partition: number,
+    owner: string,
+    signal: AbortSignal,
+  ): Promise<void>;
 };
 
 /**
@@ -42,6 +53,14 @@
   let owners = new Map<number, string>();
   let readAtMs = -Infinity;
   let reading: Promise<void> | undefined;
+  /** The highest epoch under which an owner has named itself. */
+  const learnedEpochs = new Map<number, number>();
+  const waiting = new Set<() => void>();
+
+  function replace(found: Map<number, string>): void {
+    owners = found;
+    for (const check of [...waiting]) check();
+  }
 
   async function readStore(): Promise<Record<string, string> | undefined> {
     const result = await host.store.owners(host.group, host.signal);
@@ -61,11 +80,16 @@
   async function read(): Promise<void> {
     const waitMs = readAtMs + LEAST_REFRESH_GAP_MS - host.clock.steadyMs();
     if (waitMs > 0) await host.clock.sleep(waitMs, host.signal);
-    const found = await readStore() ?? await host.readElsewhere();
+    const own = readStore();
+    const soon = host.clock.sleep(ASK_ELSEWHERE_AFTER_MS, host.signal);
+    const found = await Promise.race([own, soon]) ??
+      await host.readElsewhere() ?? await own;
     readAtMs = host.clock.steadyMs();
     if (found === undefined) return;
-    owners = new Map(
-      Object.entries(found).map(([key, member]) => [Number(key), member]),
+    replace(
+      new Map(
+        Object.entries(found).map(([key, member]) => [Number(key), member]),
+      ),
     );
   }
 
@@ -85,5 +109,26 @@
     refresh,
     readStore,
     known: () => Object.fromEntries(owners),
+    learn(partition, owner, epoch) {
+      if (epoch < (learnedEpochs.get(partition) ?? 0)) return;
+      learnedEpochs.set(partition, epoch);
+      replace(new Map(owners).set(partition, owner));
+    },
+    whenOwnerIsNot(partition, owner, signal) {
+      return new Promise((resolve) => {
+        const end = () => {
+          waiting.delete(check);
+          signal.removeEventListener("abort", end);
+          resolve();
+        };
+        const check = () => {
+          const present = owners.get(partition);
+          if (present !== undefined && present !== owner) end();
+        };
+        waiting.add(check);
+        signal.addEventListener("abort", end);
+        check();
+      });
+    },
   };
 }
--- a/src/ownership/directory_test.ts
+++ b/src/ownership/directory_test.ts
@@ -25,3 +25,18 @@
   });
   assert.equal(await directory.ownerOf(3), "10.0.0.2:1");
 });
+
+it("an instance that the store keeps waiting learns the owner from another", async () => {
+  const store = {
+    owners: () => new Promise(() => {}),
+  } as unknown as StoreHost;
+  const directory = createDirectory({
+    store,
+    clock: createManualClock(),
+    logger: silentLogger,
+    group: "g",
+    readElsewhere: () => Promise.resolve({ 3: "10.0.0.2:1" }),
+    signal: new AbortController().signal,
+  });
+  assert.equal(await directory.ownerOf(3), "10.0.0.2:1");
+});
--- a/src/ownership/domain_holder.ts
+++ b/src/ownership/domain_holder.ts
@@ -32,6 +32,8 @@
     /** Whether a service of the configuration belongs to the domain. */
     isInUse(partition: number): boolean;
     servesDomain(service: string, partition: number): boolean;
+    /** A domain in use was taken over. */
+    onTaken(partition: number, epoch: number): void;
   };
 
 /** The domains of this instance. */
@@ -191,6 +193,7 @@
       ending.onFenced(taken.error.message);
       return undefined;
     }
+    if (host.isInUse(partition.number)) host.onTaken(partition.number, epoch);
     return startDomainOwner({
       ...host,
       ...ending,
--- a/src/ownership/domain_holder_test.ts
+++ b/src/ownership/domain_holder_test.ts
@@ -9,6 +9,8 @@
 import type { Partition, StoreHost } from "../hosts/mod.ts";
 import { createCounters } from "../telemetry/mod.ts";
 import { createDomainHolder } from "./domain_holder.ts";
+import { instantOf } from "./instant.ts";
+import { createRelaySessions } from "./relay/mod.ts";
 import { createWorkerList } from "./worker_list.ts";
 
 const IN_USE = 2;
@@ -57,9 +59,14 @@
     trustMs: 10_000,
     self: "self",
     hasEnded: () => Promise.resolve(true),
-    confirmedAtMs: () => 0,
+    confirmedAt: () => instantOf(clock),
+    relayPeers: () => [],
+    relaySessions: createRelaySessions(),
+    newSession: () => "session",
+    postToRelay: () => Promise.resolve(undefined),
     isInUse: (partition) => partition === IN_USE,
     servesDomain: () => false,
+    onTaken() {},
     instances: () => ["self"],
     askThrough: () => Promise.resolve(undefined),
     options: { endedJobKeepMs: 1_000 },
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -29,17 +29,15 @@
 import { createEventSource } from "./event_source.ts";
 import type { OwnerAnswer } from "./owner_answer.ts";
 import { abandonCalls, call, isTellable, settle } from "./owner_calls.ts";
-import { takeList } from "./owner_links.ts";
+import { longestLeaseMs } from "./lease_time.ts";
+import { grantMs, reopenLinks, takeList } from "./owner_links.ts";
+import { createRelayedLinks, RELAY_GRANT_MS } from "./relay/mod.ts";
 import { fail, keepTicking, planPass, release, route } from "./owner_passes.ts";
 import { emit, momentOf, type OwnerState } from "./owner_state.ts";
 import { createUncommittedJobs } from "./uncommitted_jobs.ts";
 
 /** Pause between two questions whether a predecessor has ended, in ms. */
 const PREDECESSOR_RETRY_MS = 400;
-/** The slowest rate of a worker's clock. */
-const SLOWEST_RATE = 0.98;
-/** Time for a worker to end its tasks after the lapse, in milliseconds. */
-const LEASE_END_MARGIN_MS = 400;
 
 /** The owner of a domain. */
 export type DomainOwner = {
@@ -147,16 +145,14 @@
     }
     emit(state, { kind: "ownerEnded", owner });
   }));
-  const lapsedAtMs = clock.steadyMs() + longestLeaseMs(host.leaseMs);
+  // Its relays may have gone on for a moment after it ended.
+  const lapsedAtMs = clock.steadyMs() +
+    longestLeaseMs(host.leaseMs + RELAY_GRANT_MS);
   state.earlierLeasesLapsedAtMs = Math.min(
     state.earlierLeasesLapsedAtMs,
     lapsedAtMs,
   );
-}
-
-/** How long a lease may last on a slow clock, with a margin for its end. */
-function longestLeaseMs(leaseMs: number): number {
-  return leaseMs / SLOWEST_RATE + LEASE_END_MARGIN_MS;
+  state.relayed.updateFloor();
 }
 
 function createState(host: DomainOwnerHost, domain: Domain): OwnerState {
@@ -167,6 +163,17 @@
     domain,
     events: createEventSource(),
     links: new Map(),
+    relayed: createRelayedLinks({
+      ...host,
+      sessions: host.relaySessions,
+      peers: host.relayPeers,
+      post: host.postToRelay,
+      grantMs: () => grantMs(state),
+      earlierLeasesMs: () =>
+        Math.max(0, state.earlierLeasesLapsedAtMs - host.clock.steadyMs()),
+      emit: (event) => emit(state, event),
+      onLost: (workers) => reopenLinks(state, workers),
+    }),
     waiting,
     writer: createDomainWriter({
       ...host,
@@ -194,7 +201,7 @@
     nextCall: 1,
     uncommitted,
     earlierLeasesLapsedAtMs: host.clock.steadyMs() +
-      longestLeaseMs(host.leaseMs + host.trustMs),
+      longestLeaseMs(host.leaseMs + host.trustMs + RELAY_GRANT_MS),
     isPassPlanned: false,
     nextPassAtMs: 0,
   };
--- a/src/ownership/domain_owner_host.ts
+++ b/src/ownership/domain_owner_host.ts
@@ -8,6 +8,8 @@
   TaskHost,
 } from "../hosts/mod.ts";
 import type { Counters, PartLogger } from "../telemetry/mod.ts";
+import type { Instant } from "./instant.ts";
+import type { RelayCall, RelayPeer, RelaySessions } from "./relay/mod.ts";
 import type { WorkerList } from "./worker_list.ts";
 
 /** What the owner of a domain needs. */
@@ -29,11 +31,21 @@
   hasEnded(owner: OwnerEntry, partition: number): Promise<boolean>;
   /** How long leases are granted without word from the store, in ms. */
   trustMs: number;
-  /** When the store last confirmed the membership, on the steady clock. */
-  confirmedAtMs(): number;
+  /** When the membership was last applied for with success. */
+  confirmedAt(): Instant;
   /** Whether a service belongs to the domain. */
   servesDomain(service: string): boolean;
   instances(): string[];
+  /** The instances that may hold links to workers. */
+  relayPeers(): RelayPeer[];
+  relaySessions: RelaySessions;
+  /** Names a relay session; no other has the same name. */
+  newSession(): string;
+  /** Sends a batch to a relay; undefined where no answer came. */
+  postToRelay(
+    relay: string,
+    call: RelayCall,
+  ): Promise<"taken" | "closed" | undefined>;
   askThrough(
     instance: string,
     question: AdviceQuestion,
--- a/src/ownership/domain_writer.ts
+++ b/src/ownership/domain_writer.ts
@@ -1,11 +1,14 @@
 import type { Clock, Partition, StoreHost } from "../hosts/mod.ts";
 import type { DomainRecord } from "../domain/mod.ts";
 import type { Counters, PartLogger } from "../telemetry/mod.ts";
+import { type Instant, instantOf } from "./instant.ts";
 
 /** First pause before an append is repeated, in milliseconds. */
 const FIRST_RETRY_MS = 40;
 /** The longest pause before an append is repeated, in milliseconds. */
 const LONGEST_RETRY_MS = 150;
+/** Least time from one commit to the next, in milliseconds. */
+const LEAST_GAP_MS = 10;
 /** The most bytes of records in one append; a call may hold 2 MiB. */
 const MAX_APPEND_BYTES = 1_000_000;
 
@@ -36,8 +39,8 @@
 export type DomainWriter = {
   /** Commits what has changed, now or after the append in flight. */
   kick(): void;
-  /** When the store last confirmed an append, on the steady clock. */
-  confirmedAtMs(): number;
+  /** When an append was sent that the store has confirmed, the latest. */
+  confirmedAt(): Instant;
   isIdle(): boolean;
   /** How long the append in flight has had no answer, in milliseconds. */
   stalledMs(): number;
@@ -56,13 +59,16 @@
  */
 export function createDomainWriter(host: DomainWriterHost): DomainWriter {
   let isRunning = false;
-  let confirmedAtMs = host.clock.steadyMs();
+  let sentAtMs = -Infinity;
+  let confirmedAt = instantOf(host.clock);
   let appendingSinceMs: number | undefined;
   let { sequence } = host;
 
   async function run(): Promise<void> {
     isRunning = true;
     while (!host.signal.aborted) {
+      const gapMs = sentAtMs + LEAST_GAP_MS - host.clock.steadyMs();
+      if (gapMs > 0) await host.clock.sleep(gapMs, host.signal);
       const commit = host.take();
       if (commit === undefined) break;
       for (const chunk of chunksOf(commit.records)) {
@@ -76,15 +82,16 @@
   async function append(records: DomainRecord[]): Promise<boolean> {
     const { store, clock, partition, epoch, signal } = host;
     appendingSinceMs = clock.steadyMs();
+    sentAtMs = appendingSinceMs;
     for (let tries = 0; !signal.aborted; tries += 1) {
-      const sentAtMs = clock.steadyMs();
+      const sentAt = instantOf(clock);
       const fence = { epoch, sequence };
       const result = await store.append(partition, records, fence, signal);
-      const elapsedMs = clock.steadyMs() - sentAtMs;
+      const elapsedMs = clock.steadyMs() - sentAt.steadyMs;
       if (result.isOk()) {
         sequence += 1;
         appendingSinceMs = undefined;
-        confirmedAtMs = clock.steadyMs();
+        confirmedAt = sentAt;
         host.counters.observe("append_ms", elapsedMs);
         return true;
       }
@@ -114,7 +121,7 @@
     kick() {
       if (!isRunning) run();
     },
-    confirmedAtMs: () => confirmedAtMs,
+    confirmedAt: () => confirmedAt,
     isIdle: () => !isRunning,
     stalledMs: () =>
       appendingSinceMs === undefined
--- a/src/ownership/group_membership.ts
+++ b/src/ownership/group_membership.ts
@@ -10,6 +10,7 @@
   StoreHost,
 } from "../hosts/mod.ts";
 import type { PartLogger } from "../telemetry/mod.ts";
+import { elapsedMs, type Instant, instantOf, LONG_AGO } from "./instant.ts";
 
 /** How often a member confirms that it lives, in milliseconds. */
 const JOIN_INTERVAL_MS = 350;
@@ -51,8 +52,8 @@
 export type GroupMembership = {
   /** Whether the store has said who the members are. */
   isKnown(): boolean;
-  /** When the store last confirmed the membership, on the steady clock. */
-  confirmedAtMs(): number;
+  /** When the membership was last applied for with success. */
+  confirmedAt(): Instant;
   /** How often in a row the store has turned this member away. */
   refusals(): number;
   /** Confirms the membership now rather than after the usual pause. */
@@ -65,10 +66,8 @@
 
 type State = {
   host: GroupMembershipHost;
-  /** When the store last confirmed the membership, on the steady clock. */
-  confirmedAtMs: number;
-  /** The same on the wall clock, which goes on while a process is frozen. */
-  confirmedWallMs: number;
+  /** When the membership was last applied for with success. */
+  confirmedAt: Instant;
   generation: number;
   isKnown: boolean;
   /** Ends the current pause early. */
@@ -96,8 +95,7 @@
 export function joinGroup(host: GroupMembershipHost): GroupMembership {
   const state: State = {
     host,
-    confirmedAtMs: -Infinity,
-    confirmedWallMs: -Infinity,
+    confirmedAt: LONG_AGO,
     generation: 0,
     isKnown: false,
     pause: new AbortController(),
@@ -108,7 +106,7 @@
   };
   return {
     isKnown: () => state.isKnown,
-    confirmedAtMs: () => state.confirmedAtMs,
+    confirmedAt: () => state.confirmedAt,
     refusals: () => state.refusals,
     confirm() {
       state.isInvited = true;
@@ -135,7 +133,7 @@
       await confirmOnce(state);
     }
     if (signal.aborted) return;
-    state.confirmedAtMs = -Infinity;
+    state.confirmedAt = LONG_AGO;
     const { generation } = state;
     host.onAssignment({ generation, partitions: [] });
   }
@@ -209,12 +207,8 @@
 /** Whether the membership may have ended, also during a freeze. */
 function hasLapsed(state: State): boolean {
   const { clock, member } = state.host;
-  if (state.confirmedAtMs === -Infinity) return false;
-  const silentMs = Math.max(
-    clock.steadyMs() - state.confirmedAtMs,
-    clock.nowMs() - state.confirmedWallMs,
-  );
-  return silentMs > member.ttlMs;
+  return state.confirmedAt !== LONG_AGO &&
+    elapsedMs(clock, state.confirmedAt) > member.ttlMs;
 }
 
 /** Whether the group still counts on this instance. */
@@ -229,7 +223,7 @@
     logger.warn("The group went on without this instance.", {
       members: members.join(","),
     });
-    state.confirmedAtMs = -Infinity;
+    state.confirmedAt = LONG_AGO;
   }
   return isMember;
 }
@@ -239,8 +233,7 @@
   const { store, clock, member, signal, logger } = host;
   state.isInvited = false;
   if (state.hasResigned) return;
-  const sentAtMs = clock.steadyMs();
-  const sentWallMs = clock.nowMs();
+  const sentAt = instantOf(clock);
   const joined = await store.join(member, state.generation, signal);
   if (signal.aborted || state.hasResigned) return;
   if (joined.isErr()) {
@@ -249,14 +242,13 @@
     logger.warn("The membership was not confirmed.", {
       fault: joined.error.kind,
       cause: joined.error.message,
-      confirmedAgoMs: Math.round(sentAtMs - state.confirmedAtMs),
+      confirmedAgoMs: Math.round(elapsedMs(clock, state.confirmedAt)),
     });
     await rest(state, RETRY_MS);
     return;
   }
   state.refusals = 0;
-  state.confirmedAtMs = sentAtMs;
-  state.confirmedWallMs = sentWallMs;
+  state.confirmedAt = sentAt;
   if (joined.value.generation !== state.generation) {
     logger.info("The domains were shared out anew.", {
       generation: joined.value.generation,
--- a/src/ownership/mod.ts
+++ b/src/ownership/mod.ts
@@ -12,3 +12,5 @@
 export * from "./follow_topic.ts";
 export * from "./group_membership.ts";
 export * from "./worker_list.ts";
+export { elapsedMs, LONG_AGO } from "./instant.ts";
+export * from "./relay/mod.ts";
--- a/src/ownership/owner_links.ts
+++ b/src/ownership/owner_links.ts
@@ -6,7 +6,10 @@
 import { setMaxListeners } from "node:events";
 import { assertNever } from "../base/mod.ts";
 import type { Domain, WorkerListing, WorkerOrder } from "../domain/mod.ts";
+import { elapsedMs } from "./instant.ts";
+import { longestLeaseMs } from "./lease_time.ts";
 import { emit, type OwnerState } from "./owner_state.ts";
+import { RELAY_GRANT_MS } from "./relay/mod.ts";
 import { openWorkerLink } from "./worker_link.ts";
 
 /** Brings the links up to the list of workers. */
@@ -41,31 +44,129 @@
   }
 }
 
-function openLink(state: OwnerState, worker: WorkerListing): void {
-  const { host, domain, links } = state;
+/** Domains with more workers than this have relays hold their links. */
+const MOST_DIRECT_LINKS = 64;
+/** How many links are moved to relays at a time. */
+const MOST_MOVES = 16;
+
+/** Hands an order to the link of its worker, if it still holds. */
+export function sendOrder(state: OwnerState, order: WorkerOrder): void {
+  if (!isCurrent(state.domain, order)) return;
+  state.links.get(order.worker)?.link.order(order);
+}
+
+/** Lets a worker forget ends, since they are in the store. */
+export function acknowledge(
+  state: OwnerState,
+  ends: { worker: string; bornMs: number; lastEnd: number },
+): void {
+  const open = state.links.get(ends.worker);
+  if (open === undefined) return;
+  open.bornMs = ends.bornMs;
+  open.acknowledged = ends.lastEnd;
+  open.link.acknowledge(ends.bornMs, ends.lastEnd);
+}
+
+/**
+ * Moves some of the links that this instance holds to relays, as they become
+ * known. A link over which a start is on its way stays.
+ */
+export function spreadLinks(state: OwnerState): void {
+  const { host, domain, links, relayed } = state;
+  if (!hasMany(state)) return;
+  const movable: string[] = [];
+  for (const { id, zone } of host.list.workers()) {
+    if (movable.length === MOST_MOVES) break;
+    const isCandidate = links.get(id)?.isDirect === true &&
+      relayed.hasRelay(zone) && !hasStart(domain, id);
+    if (isCandidate) movable.push(id);
+  }
+  reopenLinks(state, movable);
+}
+
+function hasStart(domain: Domain, id: string): boolean {
+  const refs = domain.workers.get(id)?.placed.values() ?? [];
+  return [...refs].some(({ run, index }) => {
+    const task = run.tasks[index];
+    return task?.kind === "placed" && task.phase.kind === "starting";
+  });
+}
+
+/** Whether there are too many workers to hold all links here. */
+function hasMany({ host }: OwnerState): boolean {
+  return host.list.workers().length > MOST_DIRECT_LINKS;
+}
+
+/** Opens links anew whose relay is gone. */
+export function reopenLinks(state: OwnerState, workers: string[]): void {
+  const listings = new Map(
+    state.host.list.workers().map((listing) => [listing.id, listing]),
+  );
+  for (const id of workers) {
+    const open = state.links.get(id);
+    if (open === undefined) continue;
+    open.ending.abort();
+    emit(state, { kind: "linkReopened", worker: id });
+    const listing = listings.get(id) ?? {
+      id,
+      address: open.link.address,
+      zone: "",
+    };
+    openLink(state, listing);
+  }
+}
+
+function openLink(
+  state: OwnerState,
+  worker: Pick<WorkerListing, "id" | "address" | "zone">,
+): void {
+  const { host, domain, links, relayed } = state;
+  const before = links.get(worker.id);
+  const known = {
+    bornMs: before?.bornMs ?? 0,
+    acknowledged: before?.acknowledged ?? 0,
+  };
+  const target = { id: worker.id, address: worker.address, epoch: host.epoch };
+  // An earlier link may have granted a lease just now.
+  const floorMs = before === undefined
+    ? 0
+    : longestLeaseMs(host.leaseMs + RELAY_GRANT_MS);
+  const floorAtMs = host.clock.steadyMs() + floorMs;
   const ending = new AbortController();
   // Each order that is on its way listens to the end of the link.
   setMaxListeners(0, ending.signal);
   host.signal.addEventListener("abort", () => ending.abort(), {
     signal: ending.signal,
   });
-  const link = openWorkerLink({
+  const start = { target, zone: worker.zone, floorMs, ...known };
+  const held = hasMany(state) ? relayed.open(start, ending.signal) : undefined;
+  const link = held ?? openWorkerLink({
     ...host,
-    target: { id: worker.id, address: worker.address, epoch: host.epoch },
-    earlierLeasesLapsedAtMs: () => state.earlierLeasesLapsedAtMs,
-    mayGrant: () => mayGrant(state),
+    target,
+    known,
+    stampMs: host.clock.steadyMs,
+    earlierLeasesLapsedAtMs: () =>
+      Math.max(state.earlierLeasesLapsedAtMs, floorAtMs),
+    mayGrant: () => grantMs(state) > 0,
     emit: (event) => emit(state, event),
     isCurrent: (order) => isCurrent(domain, order),
     signal: ending.signal,
   });
-  links.set(worker.id, { link, ending });
+  const isDirect = held === undefined;
+  links.set(worker.id, { link, isDirect, ending, ...known });
 }
 
-/** Leases are granted while the ownership was confirmed not long ago. */
-function mayGrant(state: OwnerState): boolean {
+/**
+ * For how long leases may still be granted, in milliseconds: a time after the
+ * ownership was last confirmed.
+ */
+export function grantMs(state: OwnerState): number {
   const { host, writer } = state;
-  const confirmedAtMs = Math.max(host.confirmedAtMs(), writer.confirmedAtMs());
-  return host.clock.steadyMs() - confirmedAtMs < host.trustMs;
+  const confirmedAgoMs = Math.min(
+    elapsedMs(host.clock, host.confirmedAt()),
+    elapsedMs(host.clock, writer.confirmedAt()),
+  );
+  return host.trustMs - confirmedAgoMs;
 }
 
 /** Whether an order to a worker still holds. */
--- a/src/ownership/owner_passes.ts
+++ b/src/ownership/owner_passes.ts
@@ -10,7 +10,12 @@
   scheduleDomain,
 } from "../domain/mod.ts";
 import { refuseUncommitted } from "./owner_calls.ts";
-import { lapseUnlisted } from "./owner_links.ts";
+import {
+  acknowledge,
+  lapseUnlisted,
+  sendOrder,
+  spreadLinks,
+} from "./owner_links.ts";
 import { emit, momentOf, type OwnerState } from "./owner_state.ts";
 
 /** Least time between two scheduling passes, in milliseconds. */
@@ -52,15 +57,14 @@
   for (const command of commands) {
     switch (command.kind) {
       case "order":
-        state.links.get(command.order.worker)?.link.order(command.order);
+        sendOrder(state, command.order);
         break;
       case "answer":
         state.calls.get(command.call)?.(command.answer);
         state.calls.delete(command.call);
         break;
       case "acknowledge":
-        state.links.get(command.worker)?.link
-          .acknowledge(command.bornMs, command.lastEnd);
+        acknowledge(state, command);
         break;
       case "report":
         break;
@@ -105,6 +109,7 @@
     await clock.sleep(LONGEST_PASS_GAP_MS, signal);
     planPass(state);
     lapseUnlisted(state);
+    spreadLinks(state);
     refuseUncommitted(state);
     if (clock.steadyMs() < tickAtMs) continue;
     tickAtMs = clock.steadyMs() + TICK_MS;
--- a/src/ownership/owner_state.ts
+++ b/src/ownership/owner_state.ts
@@ -9,15 +9,29 @@
 import type { DomainWriter } from "./domain_writer.ts";
 import type { EventSource } from "./event_source.ts";
 import type { OwnerAnswer } from "./owner_answer.ts";
+import type { RelayedLinks } from "./relay/mod.ts";
 import type { UncommittedJobs } from "./uncommitted_jobs.ts";
 import type { WorkerLink } from "./worker_link.ts";
 
+/** The link to a worker, held here or by a relay. */
+export type OwnerLink = {
+  link: WorkerLink;
+  /** Whether this instance holds it. */
+  isDirect: boolean;
+  ending: AbortController;
+  /** What has been acknowledged of which incarnation. */
+  bornMs: number;
+  acknowledged: number;
+};
+
 /** What the owner of a domain keeps beside the domain itself. */
 export type OwnerState = {
   host: DomainOwnerHost;
   domain: Domain;
   events: EventSource<DomainEvent>;
-  links: Map<string, { link: WorkerLink; ending: AbortController }>;
+  links: Map<string, OwnerLink>;
+  /** Links that other instances hold. */
+  relayed: RelayedLinks;
   /** Orders and answers that wait for the next commit. */
   waiting: DomainCommand[];
   writer: DomainWriter;
--- /dev/null
+++ b/src/ownership/relay/relay_choice_test.ts
@@ -0,0 +1,34 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { chooseRelay } from "./relay_choice.ts";
+
+const PEERS = [
+  { address: "small", zone: "a", cores: 0.324 },
+  { address: "large", zone: "a", cores: 1.35 },
+  { address: "larger", zone: "a", cores: 1.5 },
+  { address: "tiny", zone: "b", cores: 0.1 },
+];
+
+function choose(zone: string, links: Record<string, number>) {
+  return chooseRelay(PEERS, zone, (address) => links[address] ?? 0)?.address;
+}
+
+describe("the relay of a worker", () => {
+  it("is the largest instance of its zone that is not full", () => {
+    assert.equal(choose("a", {}), "larger");
+    assert.equal(choose("a", { larger: 128 }), "large");
+  });
+
+  it("is the least loaded for its size once all are full", () => {
+    assert.equal(
+      choose("a", { larger: 300, large: 300, small: 130 }),
+      "larger",
+    );
+    assert.equal(choose("a", { larger: 900, large: 600, small: 130 }), "small");
+  });
+
+  it("is none where the zone has no instance of any size", () => {
+    assert.equal(choose("b", {}), undefined);
+    assert.equal(choose("c", {}), undefined);
+  });
+});
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -38,6 +38,10 @@
   earlierLeasesLapsedAtMs(): number;
   /** Whether leases may still be granted. */
   mayGrant(): boolean;
+  /** What an earlier link has acknowledged of which incarnation. */
+  known: { bornMs: number; acknowledged: number };
+  /** The time that looks are stamped with, on the owner's steady clock. */
+  stampMs(): number;
   emit(event: DomainEvent): void;
   /** Whether an order still holds. */
   isCurrent(order: WorkerOrder): boolean;
@@ -80,9 +84,9 @@
   const state: State = {
     host,
     clock: { sample: undefined, lapsedAtMs: 0 },
-    bornMs: 0,
-    listedEnd: 0,
-    acknowledged: 0,
+    bornMs: host.known.bornMs,
+    listedEnd: host.known.acknowledged,
+    acknowledged: host.known.acknowledged,
     onAcknowledged: () => {},
     isSilent: false,
     isLapsed: false,
@@ -125,6 +129,7 @@
 async function lookOnce(state: State): Promise<boolean> {
   const { host } = state;
   const sentAtMs = host.clock.steadyMs();
+  const stampMs = host.stampMs();
   // A lease that a silent worker may or may not receive would never lapse.
   const leaseUntilMs = host.mayGrant() && !state.isSilent
     ? grantLease(state.clock, host.leaseMs, sentAtMs)
@@ -158,9 +163,10 @@
   host.emit({
     kind: "looked",
     worker: host.target.id,
-    look: { bornMs, running, ended, sentAtMs },
+    look: { bornMs, running, ended, sentAtMs: stampMs },
   });
-  return true;
+  // Without a lease to grant, the worker answers at once.
+  return host.mayGrant();
 }
 
 function takeFault(state: State, fault: TaskFault): void {
--- a/src/ownership/worker_link_test.ts
+++ b/src/ownership/worker_link_test.ts
@@ -47,6 +47,8 @@
         leaseMs: LEASE_MS,
         earlierLeasesLapsedAtMs: () => 0,
         mayGrant: () => true,
+        known: { bornMs: 0, acknowledged: 0 },
+        stampMs: clock.steadyMs,
         emit(event) {
           events.push(event.kind);
           if (event.kind === "workerLapsed") ending.abort();
--- a/stand_ins/owner_bench/owner_bench.ts
+++ b/stand_ins/owner_bench/owner_bench.ts
@@ -30,7 +30,7 @@
 } from "./bench_load.ts";
 
 const LOOPBACK = "127.0.0.1";
-const INSTANCES = 3;
+const INSTANCES = 6;
 const PORTS_PER_INSTANCE = 4;
 const PARTITIONS = 2;
 const WARM_UP_MS = 5_000;
