Never write under an epoch twice; a link's first look acknowledges nothing

Cause, found by reading: an instance that lost a domain's state took it over again under the same epoch and went on with the number that the store expected. An append of before that is carried out late takes that number, and the store then answers ours as a repeat without storing it: what was promised is lost. The same after a restart whose first call to leave the group went unanswered. Also, a link that continues another one sent the other's count of ends to a worker that may have started anew, which then forgets ends nobody has seen.

Change: a takeover under a used epoch ends, and the instance leaves the group and applies anew, until the store confirms that it has left. The count of ends is kept back until the first look tells the incarnation.

--- a/src/entry/running.ts
+++ b/src/entry/running.ts
@@ -218,6 +218,7 @@
       await running.rpc.release(owner.instance, domain, owner.epoch),
     confirmedAt: () => running.membership?.confirmedAt() ?? LONG_AGO,
     isInUse: (partition) => partitionsInUse(running).has(partition),
+    renewMembership: () => running.membership?.renew(),
     onTaken: (partition, epoch) => tellOwner(running, partition, epoch),
     servesDomain: (service, partition) =>
       partitionOf(service, settings.store.partitions) === partition,
--- a/src/ownership/domain_holder.ts
+++ b/src/ownership/domain_holder.ts
@@ -32,6 +32,11 @@
     /** Whether a service of the configuration belongs to the domain. */
     isInUse(partition: number): boolean;
     servesDomain(service: string, partition: number): boolean;
+    /**
+     * An epoch cannot be used any more though no other instance has a higher
+     * one; the membership has to begin anew.
+     */
+    renewMembership(): void;
     /** A domain in use was taken over. */
     onTaken(partition: number, epoch: number): void;
   };
@@ -151,10 +156,13 @@
     host.signal.addEventListener("abort", () => ending.abort(), {
       signal: ending.signal,
     });
-    const onFailed = (cause: string) => drop(partition.number, ending, cause);
     const onFenced = (cause: string) => {
       fence(partition.number, epoch);
-      onFailed(cause);
+      drop(partition.number, ending, cause);
+    };
+    const onFailed = (cause: string) => {
+      onFenced(cause);
+      host.renewMembership();
     };
     const owner = start(partition, epoch, {
       onFenced,
@@ -190,7 +198,9 @@
     const { signal } = ending;
     const taken = await takeOver({ ...host, partition, epoch, signal });
     if (taken.isErr()) {
-      ending.onFenced(taken.error.message);
+      const { kind, message } = taken.error;
+      if (kind === "sequence") ending.onFailed(message);
+      else ending.onFenced(message);
       return undefined;
     }
     if (host.isInUse(partition.number)) host.onTaken(partition.number, epoch);
--- a/src/ownership/domain_holder_test.ts
+++ b/src/ownership/domain_holder_test.ts
@@ -67,6 +67,7 @@
     isInUse: (partition) => partition === IN_USE,
     servesDomain: () => false,
     onTaken() {},
+    renewMembership() {},
     instances: () => ["self"],
     askThrough: () => Promise.resolve(undefined),
     options: { endedJobKeepMs: 1_000 },
--- a/src/ownership/group_membership.ts
+++ b/src/ownership/group_membership.ts
@@ -58,6 +58,8 @@
   refusals(): number;
   /** Confirms the membership now rather than after the usual pause. */
   confirm(): void;
+  /** Leaves the group and applies anew, which raises the epoch. */
+  renew(): void;
   /** Gives the membership up: another instance has taken its place. */
   resign(): void;
   /** Resolves when the signal has ended the membership. */
@@ -79,6 +81,8 @@
   idleConfirmations: number;
   /** Whether another instance has taken the place of this one. */
   hasResigned: boolean;
+  /** Whether the group still counts on a membership that is given up. */
+  mustLeave: boolean;
 };
 
 /**
@@ -103,6 +107,8 @@
     refusals: 0,
     idleConfirmations: 0,
     hasResigned: false,
+    // A former process at this address may have been a member.
+    mustLeave: true,
   };
   return {
     isKnown: () => state.isKnown,
@@ -112,6 +118,11 @@
       state.isInvited = true;
       state.pause.abort();
     },
+    renew() {
+      state.mustLeave = true;
+      state.hasResigned = true;
+      state.pause.abort();
+    },
     resign() {
       state.hasResigned = true;
       state.pause.abort();
@@ -123,8 +134,8 @@
 async function takePart(state: State): Promise<void> {
   const { host } = state;
   const { signal } = host;
-  await leaveFormerly(state);
   while (!signal.aborted) {
+    if (state.mustLeave) await leaveForGood(state);
     await apply(state);
     state.hasResigned = false;
     state.idleConfirmations = 0;
@@ -139,15 +150,22 @@
   }
 }
 
-/** Frees what a former process at this address held. */
-async function leaveFormerly(state: State): Promise<void> {
-  const { store, member, signal, logger } = state.host;
-  const left = await store.leave(member, signal);
-  if (left.isOk()) return;
-  logger.warn("The store did not free the domains of a former process.", {
-    fault: left.error.kind,
-    cause: left.error.message,
-  });
+/**
+ * Ends a membership whose epoch may have been written under. Joining before
+ * that is certain could bring the same epoch again.
+ */
+async function leaveForGood(state: State): Promise<void> {
+  const { store, member, signal, logger, clock } = state.host;
+  while (!signal.aborted) {
+    const left = await store.leave(member, signal);
+    if (left.isOk()) break;
+    logger.warn("The store did not end a former membership.", {
+      fault: left.error.kind,
+      cause: left.error.message,
+    });
+    await clock.sleep(RETRY_MS, signal);
+  }
+  state.mustLeave = false;
 }
 
 /** Waits until the group needs this instance, as two readings agree. */
--- a/src/ownership/take_over.ts
+++ b/src/ownership/take_over.ts
@@ -35,7 +35,9 @@
  * which no earlier owner can write, and restores the state from the newest
  * record of each key.
  *
- * @returns the domain, or the fault where a higher epoch exists
+ * @returns the domain, or the fault where a higher epoch exists or this
+ * instance has written under the epoch before: an append of that time may
+ * still be carried out, and a repeated number is taken for a repeated append
  *
  * @example
  * ```ts
@@ -47,15 +49,12 @@
 ): Promise<Result<Takeover, StoreFault>> {
   const { store, partition, epoch, signal, clock, logger } = host;
   const beganAtMs = clock.steadyMs();
-  let sequence = FIRST_SEQUENCE;
   const record = ownerRecord({ instance: host.self, epoch });
-  const raised = await persist(host, async () => {
-    const fence = { epoch, sequence };
-    const answer = await store.append(partition, [record], fence, signal);
-    // This instance has written under the epoch before, and lost its state.
-    if (answer.isErr()) sequence = answer.error.expectedSequence ?? sequence;
-    return answer;
-  });
+  const fence = { epoch, sequence: FIRST_SEQUENCE };
+  const raised = await persist(
+    host,
+    () => store.append(partition, [record], fence, signal),
+  );
   if (raised.isErr()) return err(raised.error);
   const newest = await persist(host, () => store.newest(partition, signal));
   if (newest.isErr()) return err(newest.error);
@@ -75,7 +74,7 @@
     jobs: domain.jobs.size,
     elapsedMs: Math.round(clock.steadyMs() - beganAtMs),
   });
-  return ok({ domain, sequence: sequence + 1 });
+  return ok({ domain, sequence: FIRST_SEQUENCE + 1 });
 }
 
 /** Repeats a call until it succeeds, is fenced, or the signal ends it. */
@@ -86,7 +85,9 @@
   while (true) {
     const result = await call();
     if (result.isOk()) return result;
-    const isFinal = result.error.kind === "fenced" || host.signal.aborted;
+    const { kind } = result.error;
+    const isFinal = kind === "fenced" || kind === "sequence" ||
+      host.signal.aborted;
     if (isFinal) return result;
     host.logger.warn("A call of a takeover failed.", {
       epoch: host.epoch,
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -84,9 +84,9 @@
   const state: State = {
     host,
     clock: { sample: undefined, lapsedAtMs: 0 },
-    bornMs: host.known.bornMs,
-    listedEnd: host.known.acknowledged,
-    acknowledged: host.known.acknowledged,
+    bornMs: 0,
+    listedEnd: 0,
+    acknowledged: 0,
     onAcknowledged: () => {},
     isSilent: false,
     isLapsed: false,
@@ -149,8 +149,10 @@
   takeReading(state.clock, clockMs, host.clock.steadyMs());
   if (bornMs !== state.bornMs) {
     state.bornMs = bornMs;
-    state.acknowledged = 0;
-    state.listedEnd = 0;
+    // Another incarnation counts its ends anew; none of them is recorded yet.
+    const isKnown = bornMs === host.known.bornMs;
+    state.acknowledged = isKnown ? host.known.acknowledged : 0;
+    state.listedEnd = state.acknowledged;
   }
   if (state.isSilent) {
     host.logger.info("A worker answers again.", { worker: host.target.id });
--- a/src/ownership/worker_link_test.ts
+++ b/src/ownership/worker_link_test.ts
@@ -6,7 +6,7 @@
   createManualClock,
   silentLogger,
 } from "../entry/testing/manual_clock.ts";
-import type { TaskHost } from "../hosts/mod.ts";
+import type { LookCall, TaskHost } from "../hosts/mod.ts";
 import { createCounters } from "../telemetry/mod.ts";
 import { openWorkerLink } from "./worker_link.ts";
 
@@ -62,3 +62,40 @@
     assert.ok(clock.steadyMs() < 500 + LEASE_MS * 1.2);
   });
 });
+
+describe("the first look of a link", () => {
+  it("acknowledges nothing, whatever an earlier link did", async () => {
+    const clock = createManualClock();
+    const ending = new AbortController();
+    const acknowledged: number[] = [];
+    const tasks = {
+      async look(_target: unknown, call: LookCall) {
+        acknowledged.push(call.acknowledged);
+        await clock.sleep(10, ending.signal);
+        if (acknowledged.length === 2) ending.abort();
+        const clockMs = clock.steadyMs();
+        return ok({ clockMs, bornMs: 7, running: [], ended: [] });
+      },
+    } as unknown as TaskHost;
+    await new Promise<void>((resolve) => {
+      ending.signal.addEventListener("abort", () => resolve());
+      openWorkerLink({
+        tasks,
+        clock,
+        logger: silentLogger,
+        counters: createCounters(),
+        target: { id: "w", address: "10.0.0.1:1", epoch: 1 },
+        leaseMs: LEASE_MS,
+        earlierLeasesLapsedAtMs: () => 0,
+        mayGrant: () => true,
+        known: { bornMs: 7, acknowledged: 57 },
+        stampMs: clock.steadyMs,
+        emit() {},
+        isCurrent: () => true,
+        onFenced() {},
+        signal: ending.signal,
+      });
+    });
+    assert.deepEqual(acknowledged, [0, 57]);
+  });
+});
