Believe that a worker has ended only after it drained, and not after an outage

A removal soon after a sign of life was taken for a planned end, so all that those workers ran was started elsewhere while it ran on.

Ruled out: a change of owner (there was none), records lost by the store.

Change: only a worker that drained has ended when it is removed, and only while the list has been readable for six heartbeats. Otherwise its leases have to lapse. The log line says whether it drained.

Tests: 'may run on if it never drained' and 'may run on after an outage' fail without the change.

--- a/src/entry/follow.ts
+++ b/src/entry/follow.ts
@@ -65,6 +65,7 @@
     pauseMs: () =>
       running.holder.count() > 0 ? WORKER_LIST_PAUSE_MS : IDLE_LIST_PAUSE_MS,
     partition: platform.workersTopic,
+    onFailure: () => running.workers.noteUnreadable(),
     onSnapshot: (records) => running.workers.replace(records),
     onRecords: (records) => running.workers.apply(records),
   });
--- a/src/ownership/follow_topic.ts
+++ b/src/ownership/follow_topic.ts
@@ -22,6 +22,8 @@
   waitMs: number;
   /** Pause between two reads, in milliseconds. */
   pauseMs(): number;
+  /** A read failed. */
+  onFailure?(): void;
   /** Takes the newest record of every key. */
   onSnapshot(records: KeyedRecord[]): void;
   /** Takes records that were appended since, in their order. */
@@ -50,6 +52,7 @@
     if (signal.aborted) return;
     if (page.isErr()) {
       if (page.error.kind === "trimmed") offset = undefined;
+      follower.onFailure?.();
       if (!isDown) reportLoss(follower, page.error);
       isDown = true;
       await clock.sleep(RETRY_MS, signal);
--- a/src/ownership/worker_list.ts
+++ b/src/ownership/worker_list.ts
@@ -4,15 +4,23 @@
 
 /** A silent worker is dropped from the list after three heartbeats. */
 const DROPPED_AFTER_HEARTBEATS = 2.5;
+/**
+ * Removals are no evidence for this many heartbeats after the list could not
+ * be read: entries lapse while the store is away, some of them after its
+ * return.
+ */
+const UNSETTLED_HEARTBEATS = 6;
 
 /** The platform's list of workers as this instance last read it. */
 export type WorkerList = {
   workers(): WorkerListing[];
   /**
-   * Whether a worker took itself off the list, rather than being dropped
-   * after a silence: it has ended, and so has all that it ran.
+   * Whether a worker took itself off the list as planned, rather than being
+   * dropped: it has ended, and so has all that it ran.
    */
   hasLeft(id: string): boolean;
+  /** Takes in that the list could not be read. */
+  noteUnreadable(): void;
   /** Takes in records of the list; a record without a value removes one. */
   apply(records: KeyedRecord[]): void;
   /** Replaces the whole list. */
@@ -47,6 +55,17 @@
   const heardAtMs = new Map<string, number>();
   const left = new Set<string>();
   const subscribers = new Set<() => void>();
+  let unreadableAtMs = -Infinity;
+
+  /** Whether a removal tells that the worker has ended. */
+  function hasEnded(known: WorkerListing): boolean {
+    const nowMs = clock.steadyMs();
+    const silentMs = nowMs - (heardAtMs.get(known.id) ?? -Infinity);
+    // Every planned end is preceded by a report that the worker drains.
+    return known.draining &&
+      silentMs < heartbeatMs * DROPPED_AFTER_HEARTBEATS &&
+      nowMs - unreadableAtMs > heartbeatMs * UNSETTLED_HEARTBEATS;
+  }
 
   function take(records: KeyedRecord[]): boolean {
     let changed = false;
@@ -61,10 +80,11 @@
     if (value === undefined) {
       if (known === undefined) return false;
       workers.delete(id);
+      if (hasEnded(known)) left.add(id);
       const silentMs = clock.steadyMs() - (heardAtMs.get(id) ?? -Infinity);
-      if (silentMs < heartbeatMs * DROPPED_AFTER_HEARTBEATS) left.add(id);
       logger.info("A worker left the list.", {
         worker: id,
+        draining: known.draining,
         silentMs: Math.round(silentMs),
         ended: left.has(id),
       });
@@ -101,6 +121,9 @@
   return {
     workers: () => [...workers.values()],
     hasLeft: (id) => left.has(id),
+    noteUnreadable() {
+      unreadableAtMs = clock.steadyMs();
+    },
     apply(records) {
       if (take(records)) notify();
     },
--- /dev/null
+++ b/src/ownership/worker_list_test.ts
@@ -0,0 +1,63 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { listing } from "../domain/testing/domain_bench.ts";
+import { silentLogger } from "../entry/testing/manual_clock.ts";
+import { createWorkerList } from "./worker_list.ts";
+
+const HEARTBEAT_MS = 1_500;
+
+function createTrial() {
+  const time = { nowMs: 100_000 };
+  const clock = {
+    nowMs: () => time.nowMs,
+    steadyMs: () => time.nowMs,
+    sleep: () => Promise.resolve(),
+  };
+  const list = createWorkerList(
+    (id, text) => ({ listing: listing(id, { draining: text === "draining" }) }),
+    silentLogger,
+    clock,
+    HEARTBEAT_MS,
+  );
+  const say = (value: string | undefined) => list.apply([{ key: "w", value }]);
+  return { time, list, say };
+}
+
+describe("a worker that is removed from the list", () => {
+  it("has ended if it drained and was heard of lately", () => {
+    const { time, list, say } = createTrial();
+    say("draining");
+    time.nowMs += 1_000;
+    say(undefined);
+    assert.ok(list.hasLeft("w"));
+  });
+
+  it("may run on if it never drained", () => {
+    const { time, list, say } = createTrial();
+    say("ready");
+    time.nowMs += 1_000;
+    say(undefined);
+    assert.ok(!list.hasLeft("w"));
+  });
+
+  it("may run on if it was silent before", () => {
+    const { time, list, say } = createTrial();
+    say("draining");
+    time.nowMs += 3 * HEARTBEAT_MS;
+    say(undefined);
+    assert.ok(!list.hasLeft("w"));
+  });
+
+  it("may run on after an outage, though it was back for a moment", () => {
+    const { time, list, say } = createTrial();
+    say("draining");
+    list.noteUnreadable();
+    time.nowMs += 4_300;
+    // The lapsed entry is removed, comes back, and is removed once more.
+    say(undefined);
+    say("draining");
+    time.nowMs += 400;
+    say(undefined);
+    assert.ok(!list.hasLeft("w"));
+  });
+});
