--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -19,6 +19,7 @@
 import { createRunning } from "./running.ts";
 import { serve } from "./serve.ts";
 import { stopEntry } from "./stop_entry.ts";
+import { surviveErrors } from "./survive_errors.ts";
 import { superviseOwners } from "./supervise_owners.ts";
 import { watchMembership, watchOwners } from "./watch.ts";
 
@@ -49,6 +50,7 @@
   process.on("SIGHUP", () => {
     logger.part("daemon").info("Reloaded: the settings hold until a restart.");
   });
+  surviveErrors(logger.part("daemon"), running.counters, ending.signal);
   const servers = serve(running);
   follow(running);
   const ownWaitMs = await measureCandidateWait(running);
--- a/src/ownership/worker_list_test.ts
+++ b/src/ownership/worker_list_test.ts
@@ -23,6 +23,15 @@
   return { time, list, say };
 }
 
+describe("a list that is read anew", () => {
+  it("does not bring back a worker that had left", () => {
+    const { list, say } = createTrial();
+    say("ready");
+    list.replace([{ key: "other", value: "ready" }]);
+    assert.deepEqual(list.workers().map(({ id }) => id), ["other"]);
+  });
+});
+
 describe("a worker that is removed from the list", () => {
   it("has ended if it drained and was heard of lately", () => {
     const { time, list, say } = createTrial();
