--- a/src/ownership/relay/relay_choice_test.ts
+++ b/src/ownership/relay/relay_choice_test.ts
@@ -10,7 +10,7 @@
 ];
 
 function choose(zone: string, links: Record<string, number>) {
-  return chooseRelay(PEERS, zone, (address) => links[address] ?? 0)?.address;
+  return chooseRelay(PEERS, zone, (address) => links[address] ?? 0, 1)?.address;
 }
 
 describe("the relay of a worker", () => {
@@ -27,6 +27,19 @@
     assert.equal(choose("a", { larger: 900, large: 600, small: 130 }), "small");
   });
 
+  it("differs from domain to domain among equals", () => {
+    const equals = ["p", "q", "r", "s"].map((address) => ({
+      address,
+      zone: "a",
+      cores: 1,
+    }));
+    const domains = Array.from({ length: 12 }, (_, number) => number);
+    const chosen = domains.map((number) =>
+      chooseRelay(equals, "a", () => 0, number)?.address
+    );
+    assert.ok(new Set(chosen).size > 1);
+  });
+
   it("is none where the zone has no instance of any size", () => {
     assert.equal(choose("b", {}), undefined);
     assert.equal(choose("c", {}), undefined);
--- a/src/ownership/relay/relay_test.ts
+++ b/src/ownership/relay/relay_test.ts
@@ -64,6 +64,7 @@
     self: "owner",
     newSession: () => `session-${lost.length}`,
     epoch: 3,
+    partition: { topic: "domains", number: 0 },
     sessions,
     peers: () => [PEER],
     post: (_relay, call) =>
--- a/src/ownership/relay/relayed_links.ts
+++ b/src/ownership/relay/relayed_links.ts
@@ -7,7 +7,7 @@
  */
 import { setMaxListeners } from "node:events";
 import type { DomainEvent } from "../../domain/mod.ts";
-import type { Clock, WorkerTarget } from "../../hosts/mod.ts";
+import type { Clock, Partition, WorkerTarget } from "../../hosts/mod.ts";
 import type { Counters, PartLogger } from "../../telemetry/mod.ts";
 import type { WorkerLink } from "../worker_link.ts";
 import { createBatchReceiver } from "./batch_receiver.ts";
@@ -43,6 +43,8 @@
   /** Names a session; no other has the same name. */
   newSession(): string;
   epoch: number;
+  /** The partition of the domain. */
+  partition: Partition;
   sessions: RelaySessions;
   /** The instances that may hold links. */
   peers(): RelayPeer[];
@@ -112,6 +114,7 @@
       usable,
       zone,
       (address) => relays.get(address)?.workers.size ?? 0,
+      host.partition.number,
     );
   }
 
