--- a/src/entry/running.ts
+++ b/src/entry/running.ts
@@ -21,6 +21,8 @@
   type Directory,
   type DomainHolder,
   type GroupMembership,
+  type HeardStore,
+  hearStore,
   LONG_AGO,
   type RelayHolder,
   type RelaySessions,
@@ -71,7 +73,7 @@
 
 export type Running = {
   settings: Settings;
-  platform: EntryPlatform;
+  platform: EntryPlatform & { store: HeardStore };
   /** The callers of every connection that the instance opens. */
   callers: HttpCaller[];
   clock: Clock;
@@ -113,13 +115,15 @@
 ): Running {
   const caller = createCaller(CONNECTIONS_PER_PEER);
   const workerCaller = createCaller(CONNECTIONS_PER_WORKER);
-  const platform = connect({ settings, caller, workerCaller });
+  const clock = createSystemClock();
+  const connected = connect({ settings, caller, workerCaller });
+  const store = hearStore(connected.store, clock);
+  const platform = { ...connected, store };
   const ending = new AbortController();
   const stopping = new AbortController();
   const { signal } = ending;
   // Every loop and call in flight listens to the end of the process.
   setMaxListeners(0, signal, stopping.signal);
-  const clock = createSystemClock();
   const incarnation = Date.now().toString(BASE_36);
   const timeLine = createTimeLine({
     process: settings.instance.id,
@@ -136,7 +140,6 @@
   const logger = settings.listen.api === undefined
     ? written
     : recordLog(written, timeLine, clock);
-  const { store } = platform;
   const self = `${settings.listen.internalHost}:${settings.listen.peerPort}`;
   const parts: RunningParts = {
     settings,
--- a/src/entry/watch.ts
+++ b/src/entry/watch.ts
@@ -11,8 +11,8 @@
 const WATCH_INTERVAL_MS = 150;
 /** Refusals by the store in a row after which another instance is asked. */
 const MAX_REFUSALS = 2;
-/** The same after so long without a confirmed membership, in milliseconds. */
-const SILENT_MS = 900;
+/** The same after so long without any answer of the store, in milliseconds. */
+const SILENT_MS = 700;
 /** Pause after no other instance was found to reach the store, in ms. */
 const NONE_FOUND_PAUSE_MS = 400;
 const RESIGN_PAUSE_MS = 1_000;
@@ -25,14 +25,18 @@
  * membership.
  */
 export async function watchMembership(running: Running): Promise<void> {
-  const { clock, holder, stopping, rpc, logger } = running;
+  const { clock, holder, stopping, rpc, logger, platform } = running;
   const { signal } = stopping;
   while (!signal.aborted) {
     await clock.sleep(WATCH_INTERVAL_MS, signal);
     const { membership } = running;
     if (membership === undefined || holder.count() === 0) continue;
     const refusals = membership.refusals();
-    const silentMs = elapsedMs(clock, membership.confirmedAt());
+    // A lost answer to one call is no silence.
+    const silentMs = Math.min(
+      elapsedMs(clock, membership.confirmedAt()),
+      elapsedMs(clock, platform.store.heardAt()),
+    );
     if (refusals < MAX_REFUSALS && silentMs < SILENT_MS) continue;
     const others = await reachingStore(running);
     for (const instance of others) {
--- /dev/null
+++ b/src/ownership/heard_store_test.ts
@@ -0,0 +1,26 @@
+import assert from "node:assert/strict";
+import { it } from "node:test";
+import { err, ok } from "neverthrow";
+import { createManualClock } from "../entry/testing/manual_clock.ts";
+import type { StoreHost } from "../hosts/mod.ts";
+import { hearStore } from "./heard_store.ts";
+import { LONG_AGO } from "./instant.ts";
+
+it("a store is heard when any call succeeds, and not when one fails", async () => {
+  const clock = createManualClock();
+  const { signal } = new AbortController();
+  const member = { group: "g", member: "m", topic: "t", ttlMs: 1_000 };
+  const store = hearStore(
+    {
+      leave: () =>
+        Promise.resolve(err({ kind: "unknown", step: "leave", message: "" })),
+      owners: () => Promise.resolve(ok([])),
+    } as unknown as StoreHost,
+    clock,
+  );
+  await store.leave(member, signal);
+  assert.deepEqual(store.heardAt(), LONG_AGO);
+  await clock.sleep(70, signal);
+  await store.owners("g", signal);
+  assert.equal(store.heardAt().steadyMs, 70);
+});
--- a/src/ownership/mod.ts
+++ b/src/ownership/mod.ts
@@ -12,5 +12,6 @@
 export * from "./follow_topic.ts";
 export * from "./group_membership.ts";
 export * from "./worker_list.ts";
+export { type HeardStore, hearStore } from "./heard_store.ts";
 export { elapsedMs, LONG_AGO } from "./instant.ts";
 export * from "./relay/mod.ts";
