--- a/src/ownership/owner_links.ts
+++ b/src/ownership/owner_links.ts
@@ -75,11 +75,13 @@
   const { host, domain, links, relayed } = state;
   if (!hasMany(state)) return;
   const movable: string[] = [];
+  const zones = new Map<string, boolean>();
   for (const { id, zone } of host.list.workers()) {
     if (movable.length === MOST_MOVES) break;
-    const isCandidate = links.get(id)?.isDirect === true &&
-      relayed.hasRelay(zone) && !hasStart(domain, id);
-    if (isCandidate) movable.push(id);
+    if (links.get(id)?.isDirect !== true) continue;
+    const canMove = zones.get(zone) ?? relayed.hasRelay(zone);
+    zones.set(zone, canMove);
+    if (canMove && !hasStart(domain, id)) movable.push(id);
   }
   reopenLinks(state, movable);
 }
