--- a/scripts/bench_owner.ts
+++ b/scripts/bench_owner.ts
@@ -25,6 +25,7 @@
     load: { type: "string", default: "1", description: "Factor of the rates" },
     rounds: { type: "string", default: "1", description: "Runs of each" },
     profile: { type: "string", description: "Folder for profiles" },
+    logs: { type: "string", description: "Folder for logs" },
   },
   async run({ args }) {
     const daemons = [args.beside, args.daemon].filter((one) =>
@@ -40,6 +41,7 @@
           ...(args.profile === undefined
             ? {}
             : { profileFolder: args.profile }),
+          ...(args.logs === undefined ? {} : { logFolder: args.logs }),
         });
         console.log(JSON.stringify({ daemon, ...cost }));
       }
--- a/src/ownership/directory.ts
+++ b/src/ownership/directory.ts
@@ -112,6 +112,7 @@
     learn(partition, owner, epoch) {
       if (epoch < (learnedEpochs.get(partition) ?? 0)) return;
       learnedEpochs.set(partition, epoch);
+      readAtMs = host.clock.steadyMs();
       replace(new Map(owners).set(partition, owner));
     },
     whenOwnerIsNot(partition, owner, signal) {
--- a/src/ownership/directory_test.ts
+++ b/src/ownership/directory_test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { it } from "node:test";
+import { describe, it } from "node:test";
 import { err } from "neverthrow";
 import {
   createManualClock,
@@ -8,35 +8,48 @@
 import type { StoreHost } from "../hosts/mod.ts";
 import { createDirectory } from "./directory.ts";
 
-it("an instance that the store turns away learns the owner from another", async () => {
-  const store = {
-    owners: () =>
-      Promise.resolve(
-        err({ kind: "unavailable", step: "store.owners", message: "busy" }),
-      ),
-  } as unknown as StoreHost;
-  const directory = createDirectory({
-    store,
+const LEARNED = "10.0.0.2:1";
+
+/** A directory over a store whose owners are read in one way. */
+function directoryOver(owners: () => Promise<unknown>) {
+  return createDirectory({
+    store: { owners } as unknown as StoreHost,
     clock: createManualClock(),
     logger: silentLogger,
     group: "g",
-    readElsewhere: () => Promise.resolve({ 3: "10.0.0.2:1" }),
+    readElsewhere: () => Promise.resolve({ 3: LEARNED }),
     signal: new AbortController().signal,
   });
-  assert.equal(await directory.ownerOf(3), "10.0.0.2:1");
+}
+
+describe("the owner is learned from another instance", () => {
+  it("by one that the store turns away", async () => {
+    const refusal = { kind: "unavailable", step: "store.owners", message: "" };
+    const directory = directoryOver(() => Promise.resolve(err(refusal)));
+    assert.equal(await directory.ownerOf(3), LEARNED);
+  });
+
+  it("by one that the store keeps waiting", async () => {
+    const directory = directoryOver(() => new Promise(() => {}));
+    assert.equal(await directory.ownerOf(3), LEARNED);
+  });
 });
 
-it("an instance that the store keeps waiting learns the owner from another", async () => {
-  const store = {
-    owners: () => new Promise(() => {}),
-  } as unknown as StoreHost;
-  const directory = createDirectory({
-    store,
-    clock: createManualClock(),
-    logger: silentLogger,
-    group: "g",
-    readElsewhere: () => Promise.resolve({ 3: "10.0.0.2:1" }),
-    signal: new AbortController().signal,
+describe("an owner that names itself", () => {
+  it("is known at once to those who wait for the former one", async () => {
+    const directory = directoryOver(() => new Promise(() => {}));
+    const { signal } = new AbortController();
+    directory.learn(3, "former", 4);
+    const changed = directory.whenOwnerIsNot(3, "former", signal);
+    directory.learn(3, "next", 5);
+    await changed;
+    assert.equal(await directory.ownerOf(3), "next");
+  });
+
+  it("is not believed after a later one", () => {
+    const directory = directoryOver(() => new Promise(() => {}));
+    directory.learn(3, "next", 5);
+    directory.learn(3, "former", 4);
+    assert.equal(directory.known()[3], "next");
   });
-  assert.equal(await directory.ownerOf(3), "10.0.0.2:1");
 });
--- a/src/ownership/worker_link_test.ts
+++ b/src/ownership/worker_link_test.ts
@@ -6,13 +6,37 @@
   createManualClock,
   silentLogger,
 } from "../entry/testing/manual_clock.ts";
-import type { LookCall, TaskHost } from "../hosts/mod.ts";
+import type { Clock, LookCall, TaskHost } from "../hosts/mod.ts";
 import { createCounters } from "../telemetry/mod.ts";
-import { openWorkerLink } from "./worker_link.ts";
+import { openWorkerLink, type WorkerLinkHost } from "./worker_link.ts";
 
 const LEASE_MS = 5_000;
 const MAX_LOOKS = 500;
 
+/** What a link needs around the calls to its worker. */
+function hostOf(
+  tasks: TaskHost,
+  clock: Clock,
+  signal: AbortSignal,
+): WorkerLinkHost {
+  return {
+    tasks,
+    clock,
+    logger: silentLogger,
+    counters: createCounters(),
+    target: { id: "w", address: "10.0.0.1:1", epoch: 1 },
+    leaseMs: LEASE_MS,
+    earlierLeasesLapsedAtMs: () => 0,
+    mayGrant: () => true,
+    known: { bornMs: 0, acknowledged: 0 },
+    stampMs: clock.steadyMs,
+    emit() {},
+    isCurrent: () => true,
+    onFenced() {},
+    signal,
+  };
+}
+
 describe("the lease of a worker that falls silent", () => {
   it("lapses although the owner goes on asking", async () => {
     const clock = createManualClock();
@@ -39,23 +63,11 @@
     await new Promise<void>((resolve) => {
       ending.signal.addEventListener("abort", () => resolve());
       openWorkerLink({
-        tasks,
-        clock,
-        logger: silentLogger,
-        counters: createCounters(),
-        target: { id: "w", address: "10.0.0.1:1", epoch: 1 },
-        leaseMs: LEASE_MS,
-        earlierLeasesLapsedAtMs: () => 0,
-        mayGrant: () => true,
-        known: { bornMs: 0, acknowledged: 0 },
-        stampMs: clock.steadyMs,
+        ...hostOf(tasks, clock, ending.signal),
         emit(event) {
           events.push(event.kind);
           if (event.kind === "workerLapsed") ending.abort();
         },
-        isCurrent: () => true,
-        onFenced() {},
-        signal: ending.signal,
       });
     });
     assert.equal(events.at(-1), "workerLapsed");
@@ -80,20 +92,8 @@
     await new Promise<void>((resolve) => {
       ending.signal.addEventListener("abort", () => resolve());
       openWorkerLink({
-        tasks,
-        clock,
-        logger: silentLogger,
-        counters: createCounters(),
-        target: { id: "w", address: "10.0.0.1:1", epoch: 1 },
-        leaseMs: LEASE_MS,
-        earlierLeasesLapsedAtMs: () => 0,
-        mayGrant: () => true,
+        ...hostOf(tasks, clock, ending.signal),
         known: { bornMs: 7, acknowledged: 57 },
-        stampMs: clock.steadyMs,
-        emit() {},
-        isCurrent: () => true,
-        onFenced() {},
-        signal: ending.signal,
       });
     });
     assert.deepEqual(acknowledged, [0, 57]);
--- a/stand_ins/owner_bench/owner_bench.ts
+++ b/stand_ins/owner_bench/owner_bench.ts
@@ -4,20 +4,17 @@
  *
  * @module
  */
-import { type ChildProcess, spawn } from "node:child_process";
-import {
-  mkdtempSync,
-  openSync,
-  readFileSync,
-  rmSync,
-  writeFileSync,
-} from "node:fs";
+import { mkdtempSync, readFileSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import process from "node:process";
 import { setTimeout as delay } from "node:timers/promises";
 import { Pool, request } from "undici";
 import { findFreePorts } from "../local_cluster/free_ports.ts";
+import {
+  type Daemon,
+  PORTS_PER_DAEMON,
+  startDaemon,
+} from "../platform/daemon.ts";
 import { type Platform, startPlatform } from "../platform/platform.ts";
 import {
   configurationOf,
@@ -29,9 +26,7 @@
   workerPlans,
 } from "./bench_load.ts";
 
-const LOOPBACK = "127.0.0.1";
 const INSTANCES = 6;
-const PORTS_PER_INSTANCE = 4;
 const PARTITIONS = 2;
 const WARM_UP_MS = 5_000;
 const POLL_MS = 50;
@@ -58,6 +53,8 @@
   load: number;
   /** Folder for a processor profile of the owner; none if absent. */
   profileFolder?: string;
+  /** Folder for the logs of the instances; none if absent. */
+  logFolder?: string;
 };
 
 /** What an owner spent. */
@@ -73,8 +70,6 @@
   medianStartMs: number;
 };
 
-type Instance = { child: ChildProcess; url: string; peer: string };
-
 type Tally = {
   accepted: number;
   refused: number;
@@ -101,11 +96,25 @@
     configuration: configurationOf(JOB_KINDS),
     advice: ADVICE,
   });
-  const ports = await findFreePorts(INSTANCES * PORTS_PER_INSTANCE);
+  const ports = await findFreePorts(INSTANCES * PORTS_PER_DAEMON);
   const instances = Array.from({ length: INSTANCES }, (_, index) => {
-    const first = index * PORTS_PER_INSTANCE;
-    const own = ports.slice(first, first + PORTS_PER_INSTANCE);
-    return startInstance(options, platform, folder, index, own);
+    const first = index * PORTS_PER_DAEMON;
+    const { profileFolder, logFolder } = options;
+    return startDaemon({
+      program: options.daemon,
+      folder,
+      number: index,
+      ports: ports.slice(first, first + PORTS_PER_DAEMON),
+      store: platform.address,
+      partitions: PARTITIONS,
+      advice: platform.adviceAddress,
+      ...(profileFolder === undefined ? {} : {
+        nodeArguments: ["--cpu-prof", `--cpu-prof-dir=${profileFolder}`],
+      }),
+      ...(logFolder === undefined
+        ? {}
+        : { log: join(logFolder, `${index}.log`) }),
+    });
   });
   try {
     const owner = await findOwner(platform, instances);
@@ -125,8 +134,8 @@
 async function measure(
   options: OwnerBenchOptions,
   platform: Platform,
-  instances: Instance[],
-  owner: Instance,
+  instances: Daemon[],
+  owner: Daemon,
 ): Promise<OwnerCost> {
   const ending = new AbortController();
   const tally: Tally = { accepted: 0, refused: 0, submittedAtMs: new Map() };
@@ -216,7 +225,7 @@
 }
 
 /** Processor time that a process has used, in milliseconds. */
-function cpuMsOf({ child }: Instance): number {
+function cpuMsOf({ child }: Daemon): number {
   const text = readFileSync(`/proc/${child.pid}/stat`, "utf8");
   const fields = text.slice(text.lastIndexOf(")") + 2).split(" ");
   const ticks = Number(fields[USER_TIME_FIELD]) +
@@ -227,8 +236,8 @@
 /** Waits until one instance owns the domains and all are ready. */
 async function findOwner(
   platform: Platform,
-  instances: Instance[],
-): Promise<Instance> {
+  instances: Daemon[],
+): Promise<Daemon> {
   while (true) {
     await delay(POLL_MS);
     const [group] = platform.store.groups.values();
@@ -240,7 +249,7 @@
   }
 }
 
-async function statusOf({ url }: Instance): Promise<number> {
+async function statusOf({ url }: Daemon): Promise<number> {
   try {
     const kind = JOB_KINDS[0]!;
     const { path, headers } = jobPath(kind, "");
@@ -252,46 +261,3 @@
     return 0;
   }
 }
-
-function startInstance(
-  options: OwnerBenchOptions,
-  platform: Platform,
-  folder: string,
-  index: number,
-  [callers, readiness, peers, metrics]: number[],
-): Instance {
-  const file = join(folder, `${index}.ini`);
-  writeFileSync(
-    file,
-    [
-      `[instance]\nid = entry-${index}\nzone = a\nregion = r\ncores = 1`,
-      `[listen]\ncallers = ${LOOPBACK}:${callers}`,
-      `readiness = ${LOOPBACK}:${readiness}\ninternal_host = ${LOOPBACK}`,
-      `peer_port = ${peers}\nmetrics_port = ${metrics}`,
-      `[store]\naddress = ${platform.address}\npartitions = ${PARTITIONS}`,
-      "member_ttl_ms = 1500",
-      `[advice]\naddress = ${platform.adviceAddress}`,
-      "[workers]\nheartbeat_ms = 1500\n[lease]\nmax_ms = 6000",
-      "[jobs]\nkeep_ended_s = 120\n[stop]\ngrace_s = 3",
-    ].join("\n"),
-  );
-  const { profileFolder } = options;
-  const profiling = profileFolder === undefined
-    ? []
-    : ["--cpu-prof", `--cpu-prof-dir=${profileFolder}`];
-  const words = [...profiling, options.daemon, "--settings", file];
-  const child = spawn(process.execPath, words, {
-    stdio: [
-      "ignore",
-      process.env.BENCHLOG
-        ? openSync(join(process.env.BENCHLOG, `${index}.log`), "w")
-        : "ignore",
-      "inherit",
-    ],
-  });
-  return {
-    child,
-    url: `http://${LOOPBACK}:${callers}`,
-    peer: `${LOOPBACK}:${peers}`,
-  };
-}
