--- a/src/base/mod.ts
+++ b/src/base/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./abort_reason.ts";
 export * from "./assert_never.ts";
 export * from "./compare.ts";
 export * from "./day.ts";
--- a/src/clients/hedge.ts
+++ b/src/clients/hedge.ts
@@ -1,13 +1,10 @@
+import { OVER } from "../base/mod.ts";
 import type { FinishedExchange } from "./http_exchange.ts";
+import { delayOf } from "./late_timer.ts";
 
 /** The most attempts of one call that wait for an answer at once. */
 const MAX_ATTEMPTS = 4;
 
-/** A timer that fires later than this was held up by the process, in ms. */
-const LATE_TIMER_MS = 25;
-/** A given reason spares an error with a stack trace. */
-const OVER = "the call is over";
-
 /** What a hedged call does. */
 export type HedgedCall = {
   attempt(timeoutMs: number, signal: AbortSignal): Promise<FinishedExchange>;
@@ -88,8 +85,7 @@
   const dueMs = performance.now() + waitMs;
   const silence = new Promise<Round>((resolve) => {
     timer = setTimeout(() => {
-      const isLate = performance.now() - dueMs > LATE_TIMER_MS;
-      resolve({ kind: isLate ? "held up" : "silence" });
+      resolve({ kind: delayOf(dueMs) > 0 ? "held up" : "silence" });
     }, waitMs);
   });
   const ends = [...pending].map(async (attempt): Promise<Round> => ({
--- a/src/clients/http_exchange.ts
+++ b/src/clients/http_exchange.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import type { Dispatcher } from "undici";
 import type { HttpRequest } from "./http_request.ts";
+import { delayOf } from "./late_timer.ts";
 
 /** How one attempt to send a request and read its answer ended. */
 export type HttpExchange =
@@ -17,8 +18,6 @@
 /** How a call over HTTP ended; the connections were not given up. */
 export type FinishedExchange = Exclude<HttpExchange, { kind: "moved" }>;
 
-/** A timer that fires later than this was held up by the process, in ms. */
-const LATE_TIMER_MS = 25;
 const SCHEME_END = "://";
 
 /**
@@ -41,8 +40,8 @@
     let dueMs = performance.now() + timeoutMs;
     let isExtended = false;
     const expire = () => {
-      const lateMs = performance.now() - dueMs;
-      if (lateMs > LATE_TIMER_MS && !isExtended) {
+      const lateMs = delayOf(dueMs);
+      if (lateMs > 0 && !isExtended) {
         // What arrived meanwhile is read before the timer fires again.
         isExtended = true;
         dueMs += 2 * lateMs;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { assertNever, hash32 } from "../base/mod.ts";
+import { assertNever, hash32, OVER } from "../base/mod.ts";
 import type {
   JobDescription,
   JobRequest,
@@ -29,9 +29,6 @@
 /** Pause between two looks for the owner, in milliseconds. */
 const FIND_PAUSE_MS = 100;
 
-/** A given reason spares an error with a stack trace. */
-const OVER = "the call is over";
-
 /** What an entry needs. */
 export type EntryHost = {
   clock: Clock;
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { OVER } from "../base/mod.ts";
 import type { DomainEvent, WorkerOrder } from "../domain/mod.ts";
 import type {
   Clock,
@@ -22,9 +23,6 @@
 /** The longest wait for the record of the ends that a look listed, in ms. */
 const RECORD_WAIT_MS = 1_000;
 
-/** A given reason spares an error with a stack trace. */
-const OVER = "the wait is over";
-
 /** What a link needs. */
 export type WorkerLinkHost = {
   tasks: TaskHost;
