--- a/src/ownership/owner_passes.ts
+++ b/src/ownership/owner_passes.ts
@@ -106,7 +106,10 @@
   const { clock, signal } = state.host;
   let tickAtMs = clock.steadyMs();
   while (!signal.aborted) {
+    const dueMs = clock.steadyMs() + LONGEST_PASS_GAP_MS;
     await clock.sleep(LONGEST_PASS_GAP_MS, signal);
+    const lagMs = Math.max(0, clock.steadyMs() - dueMs);
+    state.host.counters.observe("owner_lag_ms", lagMs);
     planPass(state);
     lapseUnlisted(state);
     spreadLinks(state);
