--- a/src/ownership/lease_time.ts
+++ b/src/ownership/lease_time.ts
@@ -1,5 +1,5 @@
-/** The slowest rate of a worker's clock. */
-const SLOWEST_RATE = 0.98;
+/** The slowest rate of another machine's clock, against ours. */
+export const SLOWEST_RATE = 0.98;
 /** Time for a worker to end its tasks after the lapse, in milliseconds. */
 const LEASE_END_MARGIN_MS = 400;
 
--- a/src/ownership/relay/owner_time.ts
+++ b/src/ownership/relay/owner_time.ts
@@ -1,7 +1,5 @@
 import type { Clock } from "../../hosts/mod.ts";
-
-/** How much slower than ours the owner's clock may run. */
-const SLOWEST_RATE = 0.98;
+import { SLOWEST_RATE } from "../lease_time.ts";
 
 /** What the owner's steady clock shows at least. */
 export type OwnerTime = {
--- a/src/ownership/worker_clock.ts
+++ b/src/ownership/worker_clock.ts
@@ -1,5 +1,5 @@
-/** How much slower than ours a worker's clock may run. */
-const SLOWEST_RATE = 0.98;
+import { SLOWEST_RATE } from "./lease_time.ts";
+
 /** Time for a worker to end its tasks after the lapse, in milliseconds. */
 const LAPSE_MARGIN_MS = 300;
 
