--- a/src/clients/http_caller.ts
+++ b/src/clients/http_caller.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import { err, ok, type Result } from "neverthrow";
 import { Pool } from "undici";
 import { assertNever } from "../base/mod.ts";
@@ -222,9 +223,12 @@
     keepAliveMaxTimeout: keepAliveTimeout,
     connect: { timeout: connectTimeoutMs },
   });
+  const retired = new AbortController();
+  // Each call in flight listens to it.
+  setMaxListeners(0, retired.signal);
   const origin = {
     pool,
-    retired: new AbortController(),
+    retired,
     answeredAtMs: performance.now(),
   };
   state.origins.set(url, origin);
