--- a/src/ownership/relay/relayed_links.ts
+++ b/src/ownership/relay/relayed_links.ts
@@ -103,7 +103,7 @@
   const { clock, signal } = host;
   const relays = new Map<string, Relay>();
   const avoidedUntilMs = new Map<string, number>();
-  watch();
+  let isWatching = false;
 
   function choose(zone: string): RelayPeer | undefined {
     const nowMs = clock.steadyMs();
@@ -156,6 +156,7 @@
       ending.signal,
     );
     relays.set(address, relay);
+    if (!isWatching) watch();
     host.logger.info("Has an instance hold links to workers.", {
       instance: address,
       zone: peer.zone,
@@ -192,8 +193,10 @@
     if (!signal.aborted) host.onLost([...relay.workers]);
   }
 
+  /** Gives up relays that do not report, while there is any relay. */
   async function watch(): Promise<void> {
-    while (!signal.aborted) {
+    isWatching = true;
+    while (!signal.aborted && relays.size > 0) {
       const beganAtMs = clock.steadyMs();
       await clock.sleep(WATCH_INTERVAL_MS, signal);
       const nowMs = clock.steadyMs();
@@ -206,6 +209,7 @@
         }
       }
     }
+    isWatching = false;
   }
 
   return {
