--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -304,6 +304,8 @@
           assertNever(attempt);
       }
     }
+    // A successor that has named itself need not be looked for.
+    if (leftMs > 0 && hasSuccessor(host, call.partition, owner)) continue;
     const untilMs = undecided === undefined ? findUntilMs : deadlineAtMs;
     if (clock.steadyMs() + FIND_PAUSE_MS > untilMs) break;
     await clock.sleep(FIND_PAUSE_MS, host.signal);
@@ -313,6 +315,16 @@
   return { kind: "unavailable", cause, retryAfterMs: TAKEOVER_MS };
 }
 
+/** Whether another owner is known by now than the one that was called. */
+function hasSuccessor(
+  { directory }: EntryHost,
+  partition: number,
+  called: string | undefined,
+): boolean {
+  const present = directory.known()[partition];
+  return called !== undefined && present !== undefined && present !== called;
+}
+
 type Attempt =
   | { kind: "answered"; answer: DomainAnswer }
   /** Surely nothing was done, and no other instance could do it. */
--- a/src/entry/entry_test.ts
+++ b/src/entry/entry_test.ts
@@ -2,7 +2,12 @@
 import { describe, it } from "node:test";
 import { policy, step } from "../domain/testing/domain_bench.ts";
 import { createCounters } from "../telemetry/mod.ts";
-import { createEntry, type Entry, type PeerOutcome } from "./entry.ts";
+import {
+  createEntry,
+  type Entry,
+  type EntryHost,
+  type PeerOutcome,
+} from "./entry.ts";
 import { createReachability } from "./reachability.ts";
 import { createManualClock, silentLogger } from "./testing/manual_clock.ts";
 
@@ -17,7 +22,11 @@
 }
 
 /** The same, where another domain is found to know the job. */
-function entryOf(found: number | undefined, outcomes: PeerOutcome[]): {
+function entryOf(
+  found: number | undefined,
+  outcomes: PeerOutcome[],
+  changes: Partial<EntryHost> = {},
+): {
   entry: Entry;
   calls: string[];
 } {
@@ -58,6 +67,7 @@
     findAt: () => Promise.resolve(found),
     formerServices: () => (found === undefined ? [] : ["old"]),
     signal: new AbortController().signal,
+    ...changes,
   });
   return { entry, calls };
 }
@@ -82,6 +92,36 @@
     assert.equal(outcome.kind, "done");
   });
 
+  it("moves at once to a successor that names itself", async () => {
+    let owner = "former";
+    let moveOn = () => {};
+    const { entry } = entryOf(undefined, [], {
+      directory: {
+        ownerOf: () => Promise.resolve(owner),
+        refresh: () => assert.fail("the store was asked"),
+        readStore: () => Promise.resolve(undefined),
+        known: () => ({ 0: owner, 1: owner, 2: owner, 3: owner }),
+        learn() {},
+        whenOwnerIsNot: (_partition, called) =>
+          new Promise((resolve) => {
+            if (called !== owner) resolve();
+            else moveOn = resolve;
+          }),
+      },
+      callPeer(instance) {
+        if (instance === "next") {
+          const answer = { kind: "accepted" } as const;
+          return Promise.resolve({ kind: "answered", answer });
+        }
+        owner = "next";
+        queueMicrotask(() => moveOn());
+        return new Promise(() => {});
+      },
+    });
+    const outcome = await entry.submit(REQUEST, policy(), 3_000);
+    assert.equal(outcome.kind, "done");
+  });
+
   it("is never called refused once an owner may have taken it", async () => {
     const { entry } = entryWith(
       { kind: "unknown", cause: "no answer" },
