--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -11,7 +11,6 @@
   type DomainCommand,
   type JobDescription,
   type JobRequest,
-  type JobState,
   jobStateOf,
   type OwnerEntry,
   pendingJobs,
@@ -27,8 +26,12 @@
 import type { DomainView } from "./domain_view.ts";
 import { createDomainWriter } from "./domain_writer.ts";
 import { createEventSource } from "./event_source.ts";
-import type { OwnerAnswer } from "./owner_answer.ts";
-import { abandonCalls, call, isTellable, settle } from "./owner_calls.ts";
+import type {
+  DescriptionAnswer,
+  OwnerAnswer,
+  StateAnswer,
+} from "./owner_answer.ts";
+import { abandonCalls, awaitTellable, call, settle } from "./owner_calls.ts";
 import { longestLeaseMs } from "./lease_time.ts";
 import { grantMs, reopenLinks, takeList } from "./owner_links.ts";
 import { createRelayedLinks, RELAY_GRANT_MS } from "./relay/mod.ts";
@@ -45,10 +48,10 @@
   submit(request: JobRequest, policy: QueuePolicy): Promise<OwnerAnswer>;
   cancel(job: string): Promise<OwnerAnswer>;
   /** The state of a job after everything before the call is in the store. */
-  stateOf(job: string): Promise<JobState | "unknownJob" | "lost">;
+  stateOf(job: string): Promise<StateAnswer>;
   pendingJobs(queue: string): number;
   /** A job with its tasks, under the same condition as its state. */
-  describe(job: string): Promise<JobDescription | "unknownJob" | "lost">;
+  describe(job: string): Promise<DescriptionAnswer>;
   /** The jobs of a client account. */
   list(customer: string): JobDescription[];
   /** What operators are shown. */
@@ -103,13 +106,18 @@
       call(state, (number) => ({ kind: "cancelled", call: number, job })),
     async stateOf(job) {
       const seen = jobStateOf(domain, job) ?? "unknownJob";
-      return await isTellable(state, seen) ? seen : "lost";
+      const silence = await awaitTellable(state, seen);
+      if (silence !== undefined) return silence;
+      if (seen === "unknownJob") return { kind: seen };
+      return { kind: "state", state: seen };
     },
     pendingJobs: (queue) => pendingJobs(domain, queue),
     async describe(job) {
       const seen = describeJob(domain, job, momentOf(state));
-      const isTold = await isTellable(state, seen?.state ?? "unknownJob");
-      return isTold ? seen ?? "unknownJob" : "lost";
+      const silence = await awaitTellable(state, seen?.state ?? "unknownJob");
+      if (silence !== undefined) return silence;
+      if (seen === undefined) return { kind: "unknownJob" };
+      return { kind: "description", job: seen };
     },
     list: (customer) => describeJobsOf(domain, customer, momentOf(state)),
     view: () => ({
@@ -198,6 +206,7 @@
         }),
     }),
     calls: new Map(),
+    reads: new Set(),
     nextCall: 1,
     uncommitted,
     earlierLeasesLapsedAtMs: host.clock.steadyMs() +
--- a/src/ownership/owner_calls.ts
+++ b/src/ownership/owner_calls.ts
@@ -8,7 +8,7 @@
   type DomainEvent,
   type JobState,
 } from "../domain/mod.ts";
-import type { OwnerAnswer } from "./owner_answer.ts";
+import type { OwnerAnswer, OwnerSilence } from "./owner_answer.ts";
 import { emit, type OwnerState } from "./owner_state.ts";
 
 /** An append without an answer for this long means that the store is down. */
@@ -31,25 +31,42 @@
   });
 }
 
-/** Whether a state may be told; a final one has to be in the store first. */
-export async function isTellable(
+/**
+ * Waits until a state may be told: a final one has to be in the store first.
+ *
+ * @returns why it may not be told; undefined where it may
+ */
+export async function awaitTellable(
   state: OwnerState,
   seen: JobState | "unknownJob",
-): Promise<boolean> {
-  if (seen === "pending" || seen === "running") return true;
+): Promise<OwnerSilence | undefined> {
+  if (seen === "pending" || seen === "running") return undefined;
+  const silentMs = state.writer.stalledMs();
+  if (silentMs > STORE_DOWN_AFTER_MS) return { kind: "storeDown", silentMs };
   // A successor may know the job.
   if (seen === "unknownJob") confirmOwnership(state.domain);
   return await settle(state);
 }
 
-/** Resolves after everything so far is in the store; false if it got lost. */
-export async function settle(state: OwnerState): Promise<boolean> {
+/**
+ * Waits until everything so far is in the store.
+ *
+ * @returns why it is not; undefined where it is
+ */
+export async function settle(
+  state: OwnerState,
+): Promise<OwnerSilence | undefined> {
   const { domain, waiting, writer, host } = state;
-  if (host.signal.aborted) return false;
-  if (writer.isIdle() && domain.dirty.size === 0) return true;
+  if (host.signal.aborted) return { kind: "lost" };
+  if (writer.isIdle() && domain.dirty.size === 0) return undefined;
   return await new Promise((resolve) => {
     const number = state.nextCall++;
-    state.calls.set(number, (answer) => resolve(answer.kind !== "lost"));
+    state.reads.add(number);
+    state.calls.set(number, (answer) => {
+      state.reads.delete(number);
+      const isSilence = answer.kind === "lost" || answer.kind === "storeDown";
+      resolve(isSilence ? answer : undefined);
+    });
     waiting.push({
       kind: "answer",
       call: number,
@@ -66,13 +83,18 @@
 }
 
 /**
- * Refuses the submissions that wait behind an append without an answer. None
- * of them has left the process, so none has run or will.
+ * Refuses what waits behind an append without an answer and has no effect:
+ * questions, and submissions of which nothing has left the process, so that
+ * none has run or will.
  */
 export function refuseUncommitted(state: OwnerState): void {
   const { host, writer, waiting, calls } = state;
   const silentMs = writer.stalledMs();
   if (silentMs <= STORE_DOWN_AFTER_MS) return;
+  for (const number of [...state.reads]) {
+    calls.get(number)?.({ kind: "storeDown", silentMs });
+    calls.delete(number);
+  }
   for (const { job, calls: numbers } of state.uncommitted.withdrawAll()) {
     emit(state, { kind: "withdrawn", job });
     const prefix = `${job}.`;
--- /dev/null
+++ b/src/ownership/owner_calls_test.ts
@@ -0,0 +1,54 @@
+/**
+ * The load of an outage: callers who ask for states while nothing can be
+ * committed.
+ */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createDomain } from "../domain/mod.ts";
+import { silentLogger } from "../entry/testing/manual_clock.ts";
+import { awaitTellable, refuseUncommitted } from "./owner_calls.ts";
+import type { OwnerState } from "./owner_state.ts";
+import { createUncommittedJobs } from "./uncommitted_jobs.ts";
+
+const SILENT_MS = 900;
+
+/** An owner whose append has had no answer for a time. */
+function ownerWith(stalled: { ms: number }): OwnerState {
+  const domain = createDomain({ endedJobKeepMs: 1_000 });
+  domain.owners.push({ instance: "10.0.0.1:1", epoch: 3 });
+  return {
+    domain,
+    host: { signal: new AbortController().signal, logger: silentLogger },
+    waiting: [],
+    writer: { stalledMs: () => stalled.ms, isIdle: () => false, kick() {} },
+    calls: new Map(),
+    reads: new Set(),
+    nextCall: 1,
+    uncommitted: createUncommittedJobs(),
+  } as unknown as OwnerState;
+}
+
+describe("pattern: questions for states while the store is silent", () => {
+  it("are refused at once where the answer needs a commit", async () => {
+    const state = ownerWith({ ms: SILENT_MS });
+    const silence = { kind: "storeDown", silentMs: SILENT_MS };
+    assert.deepEqual(await awaitTellable(state, "completed"), silence);
+    assert.deepEqual(await awaitTellable(state, "unknownJob"), silence);
+  });
+
+  it("are answered where it needs none", async () => {
+    const state = ownerWith({ ms: SILENT_MS });
+    assert.equal(await awaitTellable(state, "running"), undefined);
+  });
+
+  it("do not wait for the end of the outage if they came before it", async () => {
+    const stalled = { ms: 0 };
+    const state = ownerWith(stalled);
+    const told = awaitTellable(state, "completed");
+    stalled.ms = SILENT_MS;
+    refuseUncommitted(state);
+    assert.equal((await told)?.kind, "storeDown");
+    assert.equal(state.reads.size, 0);
+    assert.equal(state.calls.size, 0);
+  });
+});
--- a/src/ownership/owner_state.ts
+++ b/src/ownership/owner_state.ts
@@ -37,6 +37,8 @@
   writer: DomainWriter;
   advisor: Advisor;
   calls: Map<number, (answer: OwnerAnswer) => void>;
+  /** The numbers of calls that change nothing. */
+  reads: Set<number>;
   nextCall: number;
   uncommitted: UncommittedJobs;
   /** When every lease of earlier owners has lapsed, on the steady clock. */
