--- a/src/ownership/domain_writer.ts
+++ b/src/ownership/domain_writer.ts
@@ -9,6 +9,8 @@
 const LONGEST_RETRY_MS = 150;
 /** Least time from one commit to the next, in milliseconds. */
 const LEAST_GAP_MS = 10;
+/** An append that takes longer is reported, in milliseconds. */
+const SLOW_APPEND_MS = 200;
 /** The most bytes of records in one append; a call may hold 2 MiB. */
 const MAX_APPEND_BYTES = 1_000_000;
 
@@ -93,6 +95,7 @@
         appendingSinceMs = undefined;
         confirmedAt = sentAt;
         host.counters.observe("append_ms", elapsedMs);
+        if (elapsedMs > SLOW_APPEND_MS) reportSlow(records.length, elapsedMs);
         return true;
       }
       const fault = result.error;
@@ -117,6 +120,15 @@
     return false;
   }
 
+  function reportSlow(records: number, elapsedMs: number): void {
+    host.logger.info("An append was slow.", {
+      epoch: host.epoch,
+      sequence,
+      records,
+      elapsedMs: Math.round(elapsedMs),
+    });
+  }
+
   return {
     kick() {
       if (!isRunning) run();
