Follow the list of workers only where it is of use

Change: owners and the four best candidates follow the list; the others read it once they own a domain, and start from the newest entries. News of other instances are read at most every 300 ms.

--- a/src/entry/follow.ts
+++ b/src/entry/follow.ts
@@ -19,7 +19,11 @@
 const IDLE_LIST_PAUSE_MS = 1_500;
 /** How long the store holds back news of other instances, in ms. */
 const INSTANCES_WAIT_MS = 8_000;
+/** Least time between two reads of other instances, in milliseconds. */
+const INSTANCES_PAUSE_MS = 300;
 const ANNOUNCE_RETRY_MS = 300;
+/** How many of the best candidates keep the list of workers at hand. */
+const FOLLOWING_CANDIDATES = 4;
 
 /** Follows the configuration and the other instances. */
 export function follow(running: Running): void {
@@ -64,6 +68,7 @@
     waitMs: 0,
     pauseMs: () =>
       running.holder.count() > 0 ? WORKER_LIST_PAUSE_MS : IDLE_LIST_PAUSE_MS,
+    isWanted: () => needsWorkers(running),
     partition: platform.workersTopic,
     onFailure: () => running.workers.noteUnreadable(),
     onSnapshot: (records) => running.workers.replace(records),
@@ -73,12 +78,29 @@
   followTopic({
     ...follower,
     waitMs: INSTANCES_WAIT_MS,
+    pauseMs: () => INSTANCES_PAUSE_MS,
     partition: INSTANCES,
     onSnapshot: (records) => instances.apply(records),
     onRecords: (records) => instances.apply(records),
   });
 }
 
+/**
+ * Whether this instance owns domains, or is likely to own some next. Every
+ * worker confirms its entry all the time, so what all instances together would
+ * read grows with instances times workers.
+ */
+export function needsWorkers(
+  { holder, instances, directory }: Pick<
+    Running,
+    "holder" | "instances" | "directory"
+  >,
+): boolean {
+  if (holder.count() > 0) return true;
+  const rank = instances.rank(Object.values(directory.known()));
+  return rank !== undefined && rank < FOLLOWING_CANDIDATES;
+}
+
 /** Follows the manifest, which the product's own interface needs. */
 function followManifest(running: Running): void {
   const { platform, clock, logger, ending, manifest } = running;
--- a/src/ownership/follow_topic.ts
+++ b/src/ownership/follow_topic.ts
@@ -12,6 +12,9 @@
 /** Pause after a read that failed, in milliseconds. */
 const RETRY_MS = 250;
 
+/** How often a topic that is not wanted is asked about, in milliseconds. */
+const UNWANTED_POLL_MS = 50;
+
 /** How a keyed topic is followed. */
 export type TopicFollower = {
   store: StoreHost;
@@ -22,6 +25,11 @@
   waitMs: number;
   /** Pause between two reads, in milliseconds. */
   pauseMs(): number;
+  /**
+   * Whether the topic is of use now; always if absent. While it is not, nothing
+   * is read, and what was read counts as gone.
+   */
+  isWanted?(): boolean;
   /** A read failed. */
   onFailure?(): void;
   /** Takes the newest record of every key. */
@@ -45,6 +53,12 @@
   let offset: number | undefined;
   let isDown = false;
   while (!signal.aborted) {
+    if (follower.isWanted?.() === false) {
+      if (offset !== undefined) follower.onSnapshot([]);
+      offset = undefined;
+      await clock.sleep(UNWANTED_POLL_MS, signal);
+      continue;
+    }
     const isFirst = offset === undefined;
     const page: Result<RecordPage, StoreFault> = offset === undefined
       ? await store.newest(partition, signal)
