--- a/src/base/mod.ts
+++ b/src/base/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./abort_reason.ts";
 export * from "./assert_never.ts";
+export * from "./child_controller.ts";
 export * from "./compare.ts";
 export * from "./day.ts";
 export * from "./hash.ts";
--- a/src/ownership/domain_holder.ts
+++ b/src/ownership/domain_holder.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { setMaxListeners } from "node:events";
+import { childController } from "../base/mod.ts";
 import type { DomainOptions } from "../domain/mod.ts";
 import type { Assignment, Partition } from "../hosts/mod.ts";
 import { type DomainOwner, startDomainOwner } from "./domain_owner.ts";
@@ -150,12 +150,7 @@
   }
 
   function take(partition: Partition, epoch: number): void {
-    const ending = new AbortController();
-    // Every link and call of the domain listens to its end.
-    setMaxListeners(0, ending.signal);
-    host.signal.addEventListener("abort", () => ending.abort(), {
-      signal: ending.signal,
-    });
+    const ending = childController(host.signal);
     const onFenced = (cause: string) => {
       fence(partition.number, epoch);
       drop(partition.number, ending, cause);
--- a/src/ownership/owner_links.ts
+++ b/src/ownership/owner_links.ts
@@ -3,8 +3,7 @@
  *
  * @module
  */
-import { setMaxListeners } from "node:events";
-import { assertNever } from "../base/mod.ts";
+import { assertNever, childController } from "../base/mod.ts";
 import type { Domain, WorkerListing, WorkerOrder } from "../domain/mod.ts";
 import { elapsedMs } from "./instant.ts";
 import { longestLeaseMs } from "./lease_time.ts";
@@ -134,12 +133,7 @@
     ? 0
     : longestLeaseMs(host.leaseMs + RELAY_GRANT_MS);
   const floorAtMs = host.clock.steadyMs() + floorMs;
-  const ending = new AbortController();
-  // Each order that is on its way listens to the end of the link.
-  setMaxListeners(0, ending.signal);
-  host.signal.addEventListener("abort", () => ending.abort(), {
-    signal: ending.signal,
-  });
+  const ending = childController(host.signal);
   const start = { target, zone: worker.zone, floorMs, ...known };
   const held = hasMany(state) ? relayed.open(start, ending.signal) : undefined;
   const link = held ?? openWorkerLink({
--- a/src/ownership/relay/relay_session.ts
+++ b/src/ownership/relay/relay_session.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { setMaxListeners } from "node:events";
-import { assertNever } from "../../base/mod.ts";
+import { assertNever, childController } from "../../base/mod.ts";
 import type { DomainEvent } from "../../domain/mod.ts";
 import type { Clock, TaskHost } from "../../hosts/mod.ts";
 import type { Counters, PartLogger } from "../../telemetry/mod.ts";
@@ -47,7 +47,6 @@
   take(batch: Batch<RelayMessage>, ownerMs: number): void;
   /** Aborts when the session has ended. */
   ended: AbortSignal;
-  end(reason: string): void;
 };
 
 type OpenLink = { link: WorkerLink; ending: AbortController };
@@ -134,12 +133,7 @@
   function open(message: Extract<RelayMessage, { kind: "open" }>): void {
     const { worker, address } = message;
     close(worker);
-    const linkEnding = new AbortController();
-    // Each order that is on its way listens to the end of the link.
-    setMaxListeners(0, linkEnding.signal);
-    signal.addEventListener("abort", () => linkEnding.abort(), {
-      signal: linkEnding.signal,
-    });
+    const linkEnding = childController(signal);
     const floorAtMs = clock.steadyMs() + message.floorMs;
     const link = openWorkerLink({
       ...host,
@@ -171,7 +165,6 @@
       receiver.accept(batch);
     },
     ended: signal,
-    end,
   };
 }
 
--- a/src/ownership/relay/relayed_links.ts
+++ b/src/ownership/relay/relayed_links.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { setMaxListeners } from "node:events";
+import { childController } from "../../base/mod.ts";
 import type { DomainEvent } from "../../domain/mod.ts";
 import type { Clock, Partition, WorkerTarget } from "../../hosts/mod.ts";
 import type { Counters, PartLogger } from "../../telemetry/mod.ts";
@@ -121,11 +121,7 @@
   function begin(peer: RelayPeer): Relay {
     const { address } = peer;
     const session = host.newSession();
-    const ending = new AbortController();
-    setMaxListeners(0, ending.signal);
-    signal.addEventListener("abort", () => ending.abort(), {
-      signal: ending.signal,
-    });
+    const ending = childController(signal);
     const sender = createBatchSender<RelayMessage>({
       clock,
       idleMs: IDLE_MS,
