Report an instance as ready once the domains in use have owners

Cause: /readyz asked for the configuration and the group's members only, so an instance that had just started attracted calls before any domain had an owner, and before the owner knew a worker.

The instance now searches the owners of the domains in use after its start; an own domain counts once it is taken over and the worker list has been read.

--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -46,6 +46,7 @@
 import type { Settings } from "../settings/mod.ts";
 import { createInstanceList, type InstanceList } from "./instance_list.ts";
 import { createManifestState, type ManifestState } from "./manifest_state.ts";
+import type { OwnerDiscovery } from "./owner_discovery.ts";
 import { createPeerRpc, type PeerRpc } from "./peer_rpc.ts";
 import { createReachability, type Reachability } from "./reachability.ts";
 import { createRecordingLogger } from "./recording_logger.ts";
@@ -100,6 +101,8 @@
   member: GroupMember;
   /** Membership in the owner group; undefined until the instance joins. */
   membership: GroupMembership | undefined;
+  /** The search for owners after the start; undefined until it begins. */
+  ownerDiscovery: OwnerDiscovery | undefined;
   /** Aborts when the graceful stop begins. */
   stopping: AbortController;
   /** Aborts when the process ends. */
@@ -184,6 +187,7 @@
       ttlMs: settings.store.memberTtlMs,
     },
     membership: undefined,
+    ownerDiscovery: undefined,
     stopping,
     ending,
   };
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -16,11 +16,12 @@
 import type { EntryPlatform, PlatformHost } from "./entry_platform.ts";
 import type { Settings } from "../settings/mod.ts";
 import { announceInstance, followStoreTopics } from "./follow_store_topics.ts";
-import { createEntryContext } from "./entry_context.ts";
+import { createEntryContext, partitionsInUse } from "./entry_context.ts";
 import { serve } from "./serve.ts";
 import { stopEntry } from "./stop_entry.ts";
 import { logUncaughtErrors } from "./log_uncaught_errors.ts";
 import { monitorOwners } from "./monitor_owners.ts";
+import { discoverOwners } from "./owner_discovery.ts";
 import { recheckReachability, watchMembership } from "./connectivity_watch.ts";
 
 /**
@@ -74,6 +75,11 @@
     onAssignment: (assignment) => context.ownedDomains.assign(assignment),
     signal: stopping.signal,
   });
+  context.ownerDiscovery = discoverOwners({
+    ...context,
+    partitionsInUse: () => partitionsInUse(context),
+    signal: stopping.signal,
+  });
   watchMembership(context);
   recheckReachability(context);
   monitorOwners(context);
--- a/src/ownership/worker_list.ts
+++ b/src/ownership/worker_list.ts
@@ -17,6 +17,8 @@
 /** The platform's list of workers, as this instance last read it. */
 export type WorkerList = {
   workers(): WorkerListing[];
+  /** Whether the whole list has been read once. */
+  hasBeenRead(): boolean;
   /**
    * Whether a worker was removed from the list by a planned shutdown, rather
    * than dropped: the worker and all its tasks have ended.
@@ -59,6 +61,7 @@
   const shutDown = new Set<string>();
   const subscribers = new Set<() => void>();
   let lastReadFailureAtMs = -Infinity;
+  let hasBeenRead = false;
 
   /** Whether the removal of a worker proves that it has shut down. */
   function indicatesShutdown(known: WorkerListing): boolean {
@@ -124,6 +127,7 @@
 
   return {
     workers: () => [...workers.values()],
+    hasBeenRead: () => hasBeenRead,
     hasLeft: (id) => shutDown.has(id),
     recordReadFailure() {
       lastReadFailureAtMs = clock.steadyMs();
@@ -132,6 +136,7 @@
       if (applyRecords(records)) notify();
     },
     replace(records) {
+      hasBeenRead = true;
       workers = new Map();
       applyRecords(records);
       notify();
