Note and model of starts before their record: permits, adoption, the wait of a new owner

Nothing starts so yet: the reducer grants permits, adopts runs that an earlier owner started without a record, and holds restored jobs until every worker with a permit has reported or its leases have expired. docs/design/outages.md has the argument and the ways weighed.

The model now has a store that takes up to 4 s for a commit, owners lost with their last append stored or not, gangs, and checks of predecessors, stored jobs and attempt numbers.

--- /dev/null
+++ b/src/domain/adopt_run.ts
@@ -0,0 +1,108 @@
+/**
+ * Adoption of runs that an earlier owner started before their placement was
+ * stored.
+ *
+ * @module
+ */
+import type { Domain } from "./domain.ts";
+import type { DomainWorker } from "./domain_worker.ts";
+import type { Moment } from "./domain_event.ts";
+import { completeTask, endAttempt } from "./end_attempt.ts";
+import { createReadySteps, getOrCreateOccurrence } from "./job_lifecycle.ts";
+import type { JobRun, Occurrence } from "./job_run.ts";
+import { stepRecordKey } from "./record_keys.ts";
+import { findTask, parseStepKey, parseTaskName } from "./step_run.ts";
+import { placeTask, releaseTask } from "./task_placement.ts";
+
+/**
+ * Places a task on the worker that lists a run of it, if the run is a later
+ * attempt than any that is known. Its owner had stored the job, and knew that
+ * all earlier attempts had ended and that all predecessors were done.
+ */
+export function adoptRun(
+  domain: Domain,
+  worker: DomainWorker,
+  listed: { task: string; attempt: number },
+  moment: Moment,
+): void {
+  makeStepReady(domain, listed.task, moment);
+  const found = findTask(domain, listed.task);
+  if (found === undefined || !found.run.jobRun.isRestored) return;
+  const { run, index } = found;
+  const known = run.tasks[index]!;
+  if (known.kind === "done" || known.attempt >= listed.attempt) return;
+  if (known.kind === "placed") {
+    const earlier = domain.workers.get(known.worker);
+    if (earlier !== undefined) releaseTask(earlier, listed.task);
+    const { attempt, failures, checkpoint } = known;
+    run.tasks[index] = { kind: "waiting", attempt, failures, checkpoint };
+    run.waitingCount += 1;
+  }
+  placeTask(run, index, worker, {
+    attempt: listed.attempt,
+    nowMs: moment.steadyMs,
+    phase: { kind: "recorded" },
+  });
+  if (run.waitingCount === 0) domain.waitingSteps.delete(run);
+  domain.dirtyKeys.add(stepRecordKey(run.key));
+  domain.commands.push({
+    kind: "report",
+    message: "Adopted a run that an earlier owner started.",
+    fields: {
+      job: run.jobRun.job.id,
+      task: listed.task,
+      attempt: listed.attempt,
+      worker: worker.id,
+      knownAttempt: known.attempt,
+    },
+  });
+}
+
+/**
+ * Creates the step of a task if it is not ready yet. A run of the task proves
+ * that the occurrence was due and that the predecessors of its step are done.
+ */
+function makeStepReady(domain: Domain, task: string, moment: Moment): void {
+  const stepKey = parseTaskName(task)?.stepKey ?? "";
+  const parsed = parseStepKey(stepKey);
+  if (parsed === undefined || domain.steps.has(stepKey)) return;
+  const run = domain.jobs.get(parsed.job);
+  if (run === undefined || !run.isRestored) return;
+  if (run.job.steps[parsed.index] === undefined) return;
+  const total = run.job.schedule?.occurrences ?? 1;
+  if (parsed.occurrence >= total) return;
+  while (run.nextOccurrence <= parsed.occurrence) {
+    const occurrence = getOrCreateOccurrence(run, run.nextOccurrence);
+    run.nextOccurrence += 1;
+    createReadySteps(domain, run, occurrence, moment);
+  }
+  const occurrence = run.occurrences.get(parsed.occurrence);
+  if (occurrence === undefined) return;
+  completePredecessors(domain, run, occurrence, parsed.index, moment);
+  createReadySteps(domain, run, occurrence, moment);
+  if (run.job.outcome === "open") return;
+  for (const step of occurrence.steps.values()) {
+    domain.waitingSteps.delete(step);
+  }
+}
+
+function completePredecessors(
+  domain: Domain,
+  run: JobRun,
+  occurrence: Occurrence,
+  index: number,
+  moment: Moment,
+): void {
+  for (const predecessor of run.job.steps[index]?.after ?? []) {
+    completePredecessors(domain, run, occurrence, predecessor, moment);
+    const step = occurrence.steps.get(predecessor);
+    step?.tasks.forEach((_, position) => {
+      const task = step.tasks[position]!;
+      if (task.kind === "placed") {
+        endAttempt(domain, step, position, "done", moment);
+      } else if (task.kind === "waiting") {
+        completeTask(domain, step, position, moment);
+      }
+    });
+  }
+}
--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -17,7 +17,6 @@
 import { jobKey, ownerKey } from "./record_keys.ts";
 import {
   applyWorkerReport,
-  findTask,
   markTasksLost,
   resendUnconfirmedStops,
   stopUnconfirmedStarts,
@@ -25,6 +24,8 @@
 import { adjustPace } from "./opportunistic_pacing.ts";
 import { createDomainWorker } from "./task_placement.ts";
 import { schedule } from "./schedule.ts";
+import { grantPermit, revokePermit } from "./start_permit.ts";
+import { findTask } from "./step_run.ts";
 import { stopStalledTasks } from "./stalled_tasks.ts";
 import { stopTask } from "./stop_task.ts";
 import { withdrawJob } from "./withdraw_job.ts";
@@ -87,7 +88,7 @@
     case "workerSilent": {
       const worker = domain.workers.get(event.worker);
       if (worker !== undefined) worker.isReachable = false;
-      return;
+      return revokeSettledPermit(domain, event.worker);
     }
     case "linkReopened": {
       const worker = domain.workers.get(event.worker);
@@ -100,7 +101,8 @@
       const worker = domain.workers.get(event.worker);
       if (worker === undefined) return;
       worker.isReachable = false;
-      return markTasksLost(domain, worker, moment);
+      markTasksLost(domain, worker, moment);
+      return revokeSettledPermit(domain, worker.id);
     }
     case "startAnswered":
       return applyStartAnswer(domain, event, moment);
@@ -209,14 +211,26 @@
     worker.listing = listing;
     worker.capacity = listing.capacity;
     domain.workers.set(listing.id, worker);
+    if (listing.draining) revokeSettledPermit(domain, listing.id);
   }
   for (const [id, worker] of domain.workers) {
     if (listed.has(id)) continue;
     worker.listing = undefined;
-    if (worker.placed.size === 0) domain.workers.delete(id);
+    revokeSettledPermit(domain, id);
+    const isSettled = !domain.unsettledWorkers.has(id);
+    if (worker.placed.size === 0 && isSettled) domain.workers.delete(id);
   }
 }
 
+/**
+ * Revokes the permit for a worker that gets no starts at present, so that a
+ * later owner does not have to wait for it. While it is not known what an
+ * earlier owner has started there, the permit stays.
+ */
+function revokeSettledPermit(domain: Domain, worker: string): void {
+  if (!domain.unsettledWorkers.has(worker)) revokePermit(domain, worker);
+}
+
 function handleWorkerReport(
   domain: Domain,
   event: EventOf<"looked">,
@@ -230,6 +244,7 @@
   applyWorkerReport(domain, worker, event.look, moment);
   stopUnconfirmedStarts(domain, worker);
   if (!wasReachable) resendUnconfirmedStops(domain, worker);
+  grantPermit(domain, worker);
   adjustPace(domain, worker);
   stopStalledTasks(domain, worker, moment);
   if (worker.lastEnd === previousLastEnd && worker.bornMs === previousBornMs) {
--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -4,6 +4,7 @@
 import type { DomainWorker } from "./domain_worker.ts";
 import type { JobRun } from "./job_run.ts";
 import type { OwnerEntry } from "./owner_entry.ts";
+import type { StartPermit } from "./start_permit.ts";
 import type { StepRun } from "./step_run.ts";
 import type { ResourceTime } from "./resource_time.ts";
 import type { DayUsage } from "./usage.ts";
@@ -24,6 +25,13 @@
   /** Steps that need advice of the placement policy, the most urgent first. */
   adviceQueue: StepRun[];
   workers: Map<string, DomainWorker>;
+  /** Permits to start tasks before their placement is stored, by worker. */
+  startPermits: Map<string, StartPermit>;
+  /**
+   * Workers at which earlier owners may have started tasks that are not
+   * recorded: they have not reported since the takeover.
+   */
+  unsettledWorkers: Set<string>;
   /** Jobs with occurrences that are not due yet. */
   scheduledJobs: Set<JobRun>;
   /** Commands that the driver has yet to execute. */
@@ -63,6 +71,8 @@
     waitingSteps: new Set(),
     adviceQueue: [],
     workers: new Map(),
+    startPermits: new Map(),
+    unsettledWorkers: new Set(),
     scheduledJobs: new Set(),
     commands: [],
     dirtyKeys: new Set(),
--- a/src/domain/job_lifecycle.ts
+++ b/src/domain/job_lifecycle.ts
@@ -22,6 +22,8 @@
     nextOccurrence: 0,
     completedOccurrences: 0,
     hasStarted: false,
+    isStored: false,
+    isRestored: false,
   };
 }
 
@@ -251,17 +253,17 @@
       lateMs: Math.round(moment.wallMs - completionDeadlineMs(domain, run.job)),
     },
   });
-  if (canCompact(run)) compactJob(domain, run);
+  if (canCompact(domain, run)) compactJob(domain, run);
 }
 
 /**
  * Whether an ended job may be reduced to its outcome. Jobs under an agreement
  * keep their tasks, which are shown after the end.
  */
-function canCompact(run: JobRun): boolean {
+function canCompact(domain: Domain, run: JobRun): boolean {
   const { policy, steps } = run.job;
   return policy.agreement === undefined && steps.length > 0 &&
-    !hasPlacedTasks(run);
+    !mayHavePlacedTasks(domain, run);
 }
 
 /**
@@ -291,6 +293,7 @@
   for (const run of domain.jobs.values()) {
     const { startWithinMs, acceptedAtMs } = run.job;
     if (startWithinMs === undefined || run.hasStarted) continue;
+    if (run.isRestored && domain.unsettledWorkers.size > 0) continue;
     if (moment.wallMs <= acceptedAtMs + startWithinMs) continue;
     endJob(domain, run, "cancelled", moment);
   }
@@ -304,15 +307,17 @@
   const cutoffMs = moment.wallMs - domain.options.endedJobKeepMs;
   for (const [id, run] of domain.jobs) {
     const { endedAtMs } = run.job;
-    if (endedAtMs === undefined || hasPlacedTasks(run)) continue;
-    if (canCompact(run)) compactJob(domain, run);
+    if (endedAtMs === undefined || mayHavePlacedTasks(domain, run)) continue;
+    if (canCompact(domain, run)) compactJob(domain, run);
     if (endedAtMs > cutoffMs) continue;
     compactJob(domain, run);
     domain.jobs.delete(id);
   }
 }
 
-function hasPlacedTasks(run: JobRun): boolean {
+/** Whether a worker may hold tasks of a job, also unrecorded ones. */
+function mayHavePlacedTasks(domain: Domain, run: JobRun): boolean {
+  if (run.isRestored && domain.unsettledWorkers.size > 0) return true;
   for (const step of stepRunsOf(run)) {
     if (step.tasks.some((task) => task.kind === "placed")) return true;
   }
--- a/src/domain/job_run.ts
+++ b/src/domain/job_run.ts
@@ -10,6 +10,10 @@
   completedOccurrences: number;
   /** Whether a task was ever placed. */
   hasStarted: boolean;
+  /** Whether its record is known to be in the store. */
+  isStored: boolean;
+  /** Whether an earlier owner accepted it. */
+  isRestored: boolean;
 };
 
 /** One repetition of a job; a job without a schedule has only number 0. */
--- a/src/domain/mod.ts
+++ b/src/domain/mod.ts
@@ -17,6 +17,7 @@
 export * from "./domain_command.ts";
 export * from "./domain_event.ts";
 export * from "./domain_options.ts";
+export type { DomainWorker } from "./domain_worker.ts";
 export {
   type TaskView,
   viewTasks,
@@ -30,6 +31,7 @@
 export * from "./records.ts";
 export * from "./resource_time.ts";
 export * from "./apply_domain_event.ts";
+export { mayPrecedeCommit } from "./start_permit.ts";
 export { type DayUsage, dayUsageSchema } from "./usage.ts";
 export * from "./worker_listing.ts";
 export * from "./worker_report.ts";
--- a/src/domain/place_gang.ts
+++ b/src/domain/place_gang.ts
@@ -17,6 +17,7 @@
 import type { SchedulingPass } from "./scheduling_pass.ts";
 import { reportPlacements, startTask } from "./schedule.ts";
 import type { TaskSlot } from "./task_slot.ts";
+import { nextAttempt } from "./start_permit.ts";
 import type { StepRun } from "./step_run.ts";
 import { maxRunningTasks } from "./worker_health.ts";
 
@@ -194,10 +195,13 @@
   run: StepRun,
   slots: TaskSlot[],
 ): void {
-  const attempt = Math.max(...run.tasks.map((task) => task.attempt)) + 1;
+  const { domain } = pass;
+  const attempt = Math.max(
+    ...run.tasks.map((task) => nextAttempt(domain, run, task)),
+  );
   const placements = slots.map(({ worker }, index) =>
     startTask(pass, run, index, worker, attempt)
   );
   reportPlacements(pass, run, placements);
-  pass.domain.waitingSteps.delete(run);
+  domain.waitingSteps.delete(run);
 }
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { adoptRun } from "./adopt_run.ts";
 import type { Domain } from "./domain.ts";
 import type { DomainWorker, PlacedTaskRef } from "./domain_worker.ts";
 import type { Moment } from "./domain_event.ts";
@@ -13,8 +14,8 @@
   countsAgainstWorker,
   endAttempt,
 } from "./end_attempt.ts";
-import { releaseTask } from "./task_placement.ts";
-import { parseTaskName, type StepRun } from "./step_run.ts";
+import { allocateTask, releaseTask } from "./task_placement.ts";
+import { findTask, type StepRun } from "./step_run.ts";
 import { orderStop, stopTask } from "./stop_task.ts";
 import type { PlacedTask } from "./task_state.ts";
 import { recordTaskDuration } from "./task_durations.ts";
@@ -49,6 +50,8 @@
       moment,
     });
   }
+  // It refuses further starts of earlier owners.
+  domain.unsettledWorkers.delete(worker.id);
 }
 
 /**
@@ -79,6 +82,7 @@
     }
     releaseTask(worker, name);
   }
+  domain.unsettledWorkers.delete(worker.id);
 }
 
 /** Discards the tickets for a worker, which are not valid after its restart. */
@@ -95,6 +99,7 @@
 ): void {
   if (ended.number <= worker.lastEnd) return;
   worker.lastEnd = ended.number;
+  adoptRun(domain, worker, ended, moment);
   const found = findTask(domain, ended.task);
   if (found === undefined) return;
   const { run, index } = found;
@@ -171,6 +176,7 @@
   listed: ListedRun,
   moment: Moment,
 ): void {
+  adoptRun(domain, worker, listed, moment);
   const ref = worker.placed.get(listed.task);
   const task = ref?.run.tasks[ref.index];
   if (
@@ -203,6 +209,11 @@
   const task = ref?.run.tasks[ref.index];
   // The remaining members of a gang that is done end by themselves.
   if (task?.kind === "done" && task.attempt === listed.attempt) return;
+  const found = findTask(domain, listed.task);
+  if (ref === undefined && found !== undefined) {
+    // It takes its share of the worker until its end is listed.
+    allocateTask(found.run, found.index, worker);
+  }
   orderStop(domain, worker.id, listed.task, listed.attempt);
 }
 
@@ -243,20 +254,6 @@
   }
 }
 
-/** Finds a task by its name at workers. */
-export function findTask(
-  domain: Domain,
-  name: string,
-): { run: StepRun; index: number } | undefined {
-  const parsed = parseTaskName(name);
-  if (parsed === undefined) return undefined;
-  const run = domain.steps.get(parsed.stepKey);
-  if (run === undefined || run.tasks[parsed.index] === undefined) {
-    return undefined;
-  }
-  return { run, index: parsed.index };
-}
-
 /** Repeats every stop that the worker has not confirmed. */
 export function resendUnconfirmedStops(
   domain: Domain,
--- a/src/domain/record_keys.ts
+++ b/src/domain/record_keys.ts
@@ -2,6 +2,7 @@
 export const USAGE_PREFIX = "usage/";
 export const JOB_PREFIX = "job/";
 export const STEP_PREFIX = "step/";
+export const PERMIT_PREFIX = "permit/";
 
 /** Key of the record of an owner that may still renew leases of workers. */
 export function ownerKey(epoch: number): string {
@@ -13,6 +14,11 @@
   return USAGE_PREFIX + day;
 }
 
+/** Key of the permit to start tasks on a worker before they are recorded. */
+export function permitKey(worker: string): string {
+  return PERMIT_PREFIX + worker;
+}
+
 /** Key of a job's record. */
 export function jobKey(id: string): string {
   return JOB_PREFIX + id;
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -9,6 +9,7 @@
 import * as v from "valibot";
 import { assertNever, parseAs } from "../base/mod.ts";
 import type { Domain } from "./domain.ts";
+import type { DomainWorker } from "./domain_worker.ts";
 import { type Job, jobSchema } from "./job.ts";
 import type { JobRun } from "./job_run.ts";
 import {
@@ -20,18 +21,24 @@
   JOB_PREFIX,
   OWNER_PREFIX,
   ownerKey,
+  PERMIT_PREFIX,
   STEP_PREFIX,
+  stepRecordKey,
   USAGE_PREFIX,
 } from "./record_keys.ts";
 import { type OwnerEntry, ownerEntrySchema } from "./owner_entry.ts";
 import { createDomainWorker, placeTask } from "./task_placement.ts";
-import type { StepRun } from "./step_run.ts";
+import { parseStepKey, type StepRun } from "./step_run.ts";
 import type { TaskState } from "./task_state.ts";
+import { confirmPermit } from "./start_permit.ts";
 import { type DayUsage, dayUsageSchema } from "./usage.ts";
 
 /** A key with its new value; undefined deletes the key. */
 export type DomainRecord = { key: string; value: string | undefined };
 
+/** The value of a permit's record, whose key says everything. */
+const PERMIT_VALUE = "1";
+
 /** Numeric tag of a task's state in the record of its step. */
 const TASK_TAGS = { waiting: 0, placed: 1, done: 2 } as const;
 
@@ -75,6 +82,32 @@
   return keys.map((key) => ({ key, value: recordValueOf(domain, key) }));
 }
 
+/**
+ * Records that the store has confirmed records of the domain: tasks of their
+ * jobs may be started where a permit is stored.
+ *
+ * @example
+ * ```ts
+ * const records = drainDirtyRecords(domain);
+ * // ...once the store has confirmed them:
+ * recordCommitted(domain, records);
+ * ```
+ */
+export function recordCommitted(
+  domain: Domain,
+  records: DomainRecord[],
+): void {
+  for (const { key, value } of records) {
+    if (key.startsWith(JOB_PREFIX)) {
+      const run = domain.jobs.get(key.slice(JOB_PREFIX.length));
+      if (run !== undefined && value !== undefined) run.isStored = true;
+    } else if (key.startsWith(PERMIT_PREFIX)) {
+      const worker = key.slice(PERMIT_PREFIX.length);
+      confirmPermit(domain, worker, value !== undefined);
+    }
+  }
+}
+
 /**
  * Creates the record of an owner. It is written by the append that raises the
  * epoch.
@@ -97,6 +130,11 @@
     const usage = domain.usage.get(key.slice(USAGE_PREFIX.length));
     return usage === undefined ? undefined : JSON.stringify(usage);
   }
+  if (key.startsWith(PERMIT_PREFIX)) {
+    const permit = domain.startPermits.get(key.slice(PERMIT_PREFIX.length));
+    const isInForce = permit === "granting" || permit === "granted";
+    return isInForce ? PERMIT_VALUE : undefined;
+  }
   if (key.startsWith(JOB_PREFIX)) {
     const run = domain.jobs.get(key.slice(JOB_PREFIX.length));
     return run === undefined ? undefined : JSON.stringify(run.job);
@@ -166,13 +204,18 @@
       else domain.owners.push(owner.value);
       continue;
     }
+    if (key.startsWith(PERMIT_PREFIX)) {
+      restorePermit(domain, key.slice(PERMIT_PREFIX.length));
+      continue;
+    }
     const job = parseAs(jobSchema, value);
     if (job.isErr()) unreadable.push({ key, reason: job.error });
     else restoreJob(domain, job.value);
   }
   for (const [stepKey, value] of sortByOccurrenceAndStep(steps)) {
     const reason = restoreStep(domain, stepKey, value, nowMs);
-    if (reason !== undefined) unreadable.push({ key: stepKey, reason });
+    if (reason === undefined) continue;
+    unreadable.push({ key: stepRecordKey(stepKey), reason });
   }
   for (const run of domain.jobs.values()) {
     if (run.job.outcome === "open") restoreOccurrences(domain, run, nowMs);
@@ -205,7 +248,23 @@
 }
 
 function restoreJob(domain: Domain, job: Job): void {
-  domain.jobs.set(job.id, createJobRun(job));
+  const run = createJobRun(job);
+  domain.jobs.set(job.id, { ...run, isStored: true, isRestored: true });
+}
+
+/** Restores a permit, under which an earlier owner may have started tasks. */
+function restorePermit(domain: Domain, worker: string): void {
+  domain.startPermits.set(worker, "granted");
+  domain.unsettledWorkers.add(worker);
+  getOrCreateWorker(domain, worker);
+}
+
+function getOrCreateWorker(domain: Domain, id: string): DomainWorker {
+  const known = domain.workers.get(id);
+  if (known !== undefined) return known;
+  const worker = createDomainWorker(id, domain.allocatedByAgreement);
+  domain.workers.set(id, worker);
+  return worker;
 }
 
 /** Sorts steps by occurrence and index, which puts predecessors first. */
@@ -213,8 +272,8 @@
   steps: Map<string, string>,
 ): [string, string][] {
   const position = (key: string) => {
-    const [, occurrence = "0", index = "0"] = key.split(".");
-    return [Number(occurrence), Number(index)] as const;
+    const { occurrence = 0, index = 0 } = parseStepKey(key) ?? {};
+    return [occurrence, index] as const;
   };
   return [...steps].sort(([left], [right]) => {
     const [leftOccurrence, leftIndex] = position(left);
@@ -229,16 +288,18 @@
   value: string,
   nowMs: number,
 ): string | undefined {
-  const [jobId = "", occurrence, index] = stepKey.split(".");
-  const run = domain.jobs.get(jobId);
+  const parsed = parseStepKey(stepKey);
+  if (parsed === undefined) return "its key is malformed";
+  const { job, occurrence, index } = parsed;
+  const run = domain.jobs.get(job);
   if (run === undefined) return "its job is unknown";
   const stored = parseAs(storedStepSchema, value);
   if (stored.isErr()) return stored.error;
   const step = createStepIfReady(
     domain,
     run,
-    getOrCreateOccurrence(run, Number(occurrence)),
-    Number(index),
+    getOrCreateOccurrence(run, occurrence),
+    index,
     nowMs,
   );
   if (step === undefined) return "its job has no such step";
@@ -273,12 +334,7 @@
     }
     case TASK_TAGS.placed: {
       const [, attempt, failures, checkpoint, workerId] = stored;
-      const known = domain.workers.get(workerId);
-      const worker = known ?? createDomainWorker(
-        workerId,
-        domain.allocatedByAgreement,
-      );
-      domain.workers.set(workerId, worker);
+      const worker = getOrCreateWorker(domain, workerId);
       run.tasks[index] = {
         kind: "waiting",
         attempt: attempt - 1,
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -27,6 +27,7 @@
   type SchedulingPass,
 } from "./scheduling_pass.ts";
 import { allocationOf, placeTask } from "./task_placement.ts";
+import { mayRunUnrecorded, nextAttempt } from "./start_permit.ts";
 import { updateDemandPressure } from "./demand_pressure.ts";
 import { sortByRank } from "./step_rank.ts";
 import {
@@ -51,6 +52,7 @@
       domain.allocatedByAgreement,
     )
   ) {
+    if (mayRunUnrecorded(domain, run)) continue;
     if (run.step.gang) placeGang(pass, run);
     else placeTasks(pass, run);
   }
@@ -69,10 +71,11 @@
   );
   const placements: string[] = [];
   for (let index = 0; index < run.tasks.length; index += 1) {
-    if (run.tasks[index]?.kind !== "waiting") continue;
+    const task = run.tasks[index];
+    if (task?.kind !== "waiting") continue;
     const worker = takeBestWorker(pass, allowedCandidates, run);
     if (worker === undefined) break;
-    const attempt = nextAttempt(run, index);
+    const attempt = nextAttempt(domain, run, task);
     placements.push(startTask(pass, run, index, worker, attempt));
   }
   reportPlacements(pass, run, placements);
@@ -151,10 +154,6 @@
   return best;
 }
 
-function nextAttempt(run: StepRun, index: number): number {
-  return run.tasks[index]!.attempt + 1;
-}
-
 /** Logs the placements that a pass has made for a step, in one line. */
 export function reportPlacements(
   { domain, moment }: SchedulingPass,
--- /dev/null
+++ b/src/domain/start_permit.ts
@@ -0,0 +1,123 @@
+/**
+ * Start permits: records that name the workers on which tasks of stored jobs
+ * may be started before the record of their placement is stored. A new owner
+ * restarts such a task only after each worker with a permit has reported or its
+ * leases have expired; see docs/design/outages.md.
+ *
+ * @module
+ */
+import { isEligible } from "./choose_worker.ts";
+import { mayBeAllowed } from "./advice_requests.ts";
+import type { Domain } from "./domain.ts";
+import type { WorkerOrder } from "./domain_command.ts";
+import type { DomainWorker } from "./domain_worker.ts";
+import { permitKey } from "./record_keys.ts";
+import { parseTaskName, type StepRun } from "./step_run.ts";
+import type { TaskState } from "./task_state.ts";
+
+/** How far the permit for a worker is stored. */
+export type StartPermit =
+  /** The record is not known to be stored. */
+  | "granting"
+  | "granted"
+  /** The record is not known to be deleted. */
+  | "revoking";
+
+/** Begins to grant a permit for a worker that has reported. */
+export function grantPermit(
+  domain: Domain,
+  { id, listing }: DomainWorker,
+): void {
+  if (listing === undefined || listing.draining) return;
+  const known = domain.startPermits.get(id);
+  if (known === "granting" || known === "granted") return;
+  domain.startPermits.set(id, "granting");
+  domain.dirtyKeys.add(permitKey(id));
+}
+
+/** Ends the use of a permit, and begins to delete its record. */
+export function revokePermit(domain: Domain, worker: string): void {
+  const known = domain.startPermits.get(worker);
+  if (known === undefined || known === "revoking") return;
+  domain.startPermits.set(worker, "revoking");
+  domain.dirtyKeys.add(permitKey(worker));
+}
+
+/** Records that a permit, or its deletion, is in the store. */
+export function confirmPermit(
+  domain: Domain,
+  worker: string,
+  isStored: boolean,
+): void {
+  const known = domain.startPermits.get(worker);
+  if (isStored && known === "granting") {
+    domain.startPermits.set(worker, "granted");
+  } else if (!isStored && known === "revoking") {
+    domain.startPermits.delete(worker);
+  }
+}
+
+/**
+ * Whether an order may leave before the records of its cause are stored. A
+ * start may if a later owner will look for it at its worker; a stop may as long
+ * as the job is open, since a later owner would then only start the task again.
+ *
+ * @example
+ * ```ts
+ * if (mayPrecedeCommit(domain, order)) send(order);
+ * ```
+ */
+export function mayPrecedeCommit(domain: Domain, order: WorkerOrder): boolean {
+  if (order.kind === "pace") return false;
+  const stepKey = parseTaskName(order.task)?.stepKey ?? "";
+  const run = domain.steps.get(stepKey);
+  if (run === undefined || run.step.atMostOnce === true) return false;
+  const { job, isStored } = run.jobRun;
+  if (job.outcome !== "open" || !isStored) return false;
+  if (order.kind === "stop") return true;
+  return domain.startPermits.get(order.worker) === "granted";
+}
+
+/**
+ * Whether an earlier owner may have started tasks of a step at a worker that
+ * has not reported since the takeover.
+ */
+export function mayRunUnrecorded(domain: Domain, run: StepRun): boolean {
+  if (domain.unsettledWorkers.size === 0 || !run.jobRun.isRestored) {
+    return false;
+  }
+  for (const id of domain.unsettledWorkers) {
+    if (!mayBeAllowed(run, id)) continue;
+    const worker = domain.workers.get(id);
+    // Without a listing, nothing is known about the worker.
+    if (worker?.listing === undefined || canEverRun(worker, run)) return true;
+  }
+  return false;
+}
+
+/** Whether a worker could run a step when it was not draining yet. */
+function canEverRun(worker: DomainWorker, run: StepRun): boolean {
+  const { listing } = worker;
+  if (listing === undefined) return true;
+  return isEligible(
+    { ...worker, listing: { ...listing, draining: false } },
+    run,
+  );
+}
+
+/**
+ * Numbers of attempts continue after a takeover at the epoch times this, because
+ * not all earlier attempts are known. An owner makes fewer attempts of a task.
+ */
+const ATTEMPTS_PER_EPOCH = 1_000;
+
+/** The number of the next attempt of a task, which no owner has used. */
+export function nextAttempt(
+  domain: Domain,
+  run: StepRun,
+  task: TaskState,
+): number {
+  if (!run.jobRun.isRestored) return task.attempt + 1;
+  const epoch = Math.max(0, ...domain.owners.map((owner) => owner.epoch));
+  return Math.max(task.attempt, epoch * ATTEMPTS_PER_EPOCH) + 1;
+}
--- a/src/domain/step_run.ts
+++ b/src/domain/step_run.ts
@@ -1,3 +1,4 @@
+import type { Domain } from "./domain.ts";
 import type { Step } from "./job.ts";
 import type { JobRun } from "./job_run.ts";
 import type { StepAdvice } from "./step_advice.ts";
@@ -43,3 +44,34 @@
   if (dot <= 0 || !Number.isInteger(index) || index < 0) return undefined;
   return { stepKey: name.slice(0, dot), index };
 }
+
+/** Parses the key of a step; returns undefined if it is malformed. */
+export function parseStepKey(
+  key: string,
+): { job: string; occurrence: number; index: number } | undefined {
+  const indexDot = key.lastIndexOf(".");
+  const occurrenceDot = key.lastIndexOf(".", indexDot - 1);
+  if (occurrenceDot <= 0) return undefined;
+  const occurrence = Number(key.slice(occurrenceDot + 1, indexDot));
+  const index = Number(key.slice(indexDot + 1));
+  if (!isCount(occurrence) || !isCount(index)) return undefined;
+  return { job: key.slice(0, occurrenceDot), occurrence, index };
+}
+
+function isCount(value: number): boolean {
+  return Number.isInteger(value) && value >= 0;
+}
+
+/** Finds a task by its name at workers. */
+export function findTask(
+  domain: Domain,
+  name: string,
+): { run: StepRun; index: number } | undefined {
+  const parsed = parseTaskName(name);
+  if (parsed === undefined) return undefined;
+  const run = domain.steps.get(parsed.stepKey);
+  if (run === undefined || run.tasks[parsed.index] === undefined) {
+    return undefined;
+  }
+  return { run, index: parsed.index };
+}
--- a/src/domain/task_placement.ts
+++ b/src/domain/task_placement.ts
@@ -61,7 +61,6 @@
   const task = run.tasks[index];
   if (task?.kind !== "waiting") return;
   const { attempt, nowMs, phase } = placement;
-  const allocated = allocationOf(run.step);
   run.tasks[index] = {
     kind: "placed",
     attempt,
@@ -73,6 +72,16 @@
   };
   run.waitingCount -= 1;
   run.jobRun.hasStarted = true;
+  allocateTask(run, index, worker);
+}
+
+/** Allocates capacity on a worker to a run that it lists. */
+export function allocateTask(
+  run: StepRun,
+  index: number,
+  worker: DomainWorker,
+): void {
+  const allocated = allocationOf(run.step);
   worker.used = addResources(worker.used, allocated);
   updateAgreementAllocation(worker, run, allocated, addResources);
   if (run.step.opportunistic) {
--- a/src/domain/testing/domain_bench.ts
+++ b/src/domain/testing/domain_bench.ts
@@ -11,6 +11,7 @@
 import {
   type DomainRecord,
   drainDirtyRecords,
+  recordCommitted,
   restoreDomain,
 } from "../records.ts";
 import { applyDomainEvent, scheduleDomain } from "../apply_domain_event.ts";
@@ -27,6 +28,8 @@
   /** All commands that the domain has issued. */
   commands: DomainCommand[];
   nextCall: number;
+  /** Whether every event is committed at once. */
+  commitsAtOnce: boolean;
 };
 
 /** Creates a bench with an empty domain at time 0. */
@@ -38,6 +41,7 @@
     store: new Map(),
     commands: [],
     nextCall: 1,
+    commitsAtOnce: true,
   };
 }
 
@@ -51,11 +55,22 @@
     ...applyDomainEvent(bench.domain, event, moment),
     ...scheduleDomain(bench.domain, moment),
   ];
-  commit(bench);
+  if (bench.commitsAtOnce) commit(bench);
   bench.commands.push(...commands);
   return commands;
 }
 
+/** Applies an event and runs a pass; the store does not answer. */
+export function feedUncommitted(
+  bench: DomainBench,
+  event: DomainEvent,
+): DomainCommand[] {
+  bench.commitsAtOnce = false;
+  const commands = feedEvent(bench, event);
+  bench.commitsAtOnce = true;
+  return commands;
+}
+
 /** Advances the clock, applies a tick and runs a scheduling pass. */
 export function tick(bench: DomainBench, elapsedMs: number): DomainCommand[] {
   bench.nowMs += elapsedMs;
@@ -63,10 +78,12 @@
 }
 
 function commit(bench: DomainBench): void {
-  for (const { key, value } of drainDirtyRecords(bench.domain)) {
+  const records = drainDirtyRecords(bench.domain);
+  for (const { key, value } of records) {
     if (value === undefined) bench.store.delete(key);
     else bench.store.set(key, value);
   }
+  recordCommitted(bench.domain, records);
 }
 
 function momentOf(bench: DomainBench) {
--- a/src/domain/testing/owner_model.ts
+++ b/src/domain/testing/owner_model.ts
@@ -8,15 +8,18 @@
 import {
   COMMAND_PATHS,
   createWorker,
+  endDueRuns,
   handleCommand,
   heartbeatCommand,
 } from "../../../stand_ins/platform/worker.ts";
 import { createRandomness } from "../../clients/mod.ts";
 import { jobStateOf } from "../job_state.ts";
+import { ownerRecord } from "../records.ts";
 import type { EndedRun } from "../worker_report.ts";
 import {
   cancel,
   createBench,
+  type DomainBench,
   feedEvent,
   listing,
   simulateTakeover,
@@ -27,14 +30,24 @@
 import {
   checkCapacity,
   deliverOrder,
-  executeCommands,
   LEASE_MS,
   MAX_TIME_STEP_MS,
+  TASKS_PER_WORKER,
 } from "./owner_model_orders.ts";
+import {
+  completeDueCommit,
+  executeCommands,
+  loseCommits,
+} from "./owner_model_commits.ts";
+import { advanceGangs, taskDurationMs } from "./owner_model_gangs.ts";
 import type { Model, SimulatedWorker } from "./owner_model_state.ts";
 
 const WORKERS = 3;
-const TASK_MS = 700;
+const TASK_DEMAND = {
+  cpuMillis: 8_000 / TASKS_PER_WORKER,
+  memoryMb: 1_000,
+  accelerators: 0,
+};
 const FAULT_STEPS = 160;
 const RECOVERY_STEPS = 400;
 
@@ -56,6 +69,8 @@
   for (const job of model.jobs) {
     const state = jobStateOf(model.bench.domain, job);
     if (state === "completed" || state === "cancelled") continue;
+    // Its owner was lost before the submission was answered.
+    if (state === undefined && !model.acceptedJobs.has(job)) continue;
     model.violations.push(`job ${job} is ${state} at the end`);
   }
   return model.violations;
@@ -63,27 +78,36 @@
 
 function createModel(seed: number): Model {
   const bench = createBench();
-  const workers = new Map<string, SimulatedWorker>();
-  for (let index = 0; index < WORKERS; index += 1) {
-    const id = `w${index}`;
-    workers.set(id, {
-      worker: createWorker(id, () => TASK_MS, 1),
-      isPartitioned: false,
-      acknowledged: 0,
-      leaseUntilMs: 0,
-      endsBeforeExpiry: new Set(),
-    });
-  }
+  bench.commitsAtOnce = false;
+  recordOwner(bench, 1);
   const model: Model = {
     bench,
     random: createRandomness(seed),
     epoch: 1,
-    workers,
+    workers: new Map(),
     orders: [],
     jobs: [],
     acknowledgedDone: new Set(),
+    firstSteps: new Map(),
+    calls: new Map(),
+    acceptedJobs: new Set(),
+    doneTasks: new Set(),
+    startedAttempts: new Map(),
+    commit: undefined,
+    pendingCommands: [],
+    execute: (commands) => executeCommands(model, commands),
     violations: [],
   };
+  for (let index = 0; index < WORKERS; index += 1) {
+    const id = `w${index}`;
+    model.workers.set(id, {
+      worker: createWorker(id, (_, task) => taskDurationMs(model, task), 1),
+      isPartitioned: false,
+      acknowledged: 0,
+      leaseUntilMs: 0,
+      endsBeforeExpiry: new Set(),
+    });
+  }
   listAllWorkers(model);
   return model;
 }
@@ -92,8 +116,7 @@
   const workers = [...model.workers.values()].map(({ worker }) =>
     listing(worker.id, { bornMs: worker.bornMs })
   );
-  executeCommands(
-    model,
+  model.execute(
     feedEvent(model.bench, { kind: "workersListed", workers }),
   );
 }
@@ -116,7 +139,7 @@
     case 6:
       return replaceLink(model);
     default:
-      executeCommands(model, tick(bench, 0));
+      model.execute(tick(bench, 0));
       for (const simulated of model.workers.values()) {
         if (random.integer(0, 2) > 0) pollWorker(model, simulated);
       }
@@ -125,18 +148,21 @@
 
 function stepWithoutFaults(model: Model): void {
   advanceTime(model);
-  executeCommands(model, tick(model.bench, 0));
+  model.execute(tick(model.bench, 0));
   for (const simulated of model.workers.values()) pollWorker(model, simulated);
 }
 
 function advanceTime(model: Model): void {
   model.bench.nowMs += model.random.integer(1, MAX_TIME_STEP_MS);
+  advanceGangs(model);
   const dueOrders = model.orders.filter(({ dueAtMs }) =>
     dueAtMs <= model.bench.nowMs
   );
   model.orders = model.orders.filter((pending) => !dueOrders.includes(pending));
   for (const pending of dueOrders) deliverOrder(model, pending);
+  completeDueCommit(model);
   for (const simulated of model.workers.values()) {
+    recordDoneTasks(model, simulated);
     recordEndsBeforeExpiry(model, simulated);
     expireLeaseIfDue(model, simulated);
   }
@@ -146,15 +172,24 @@
 function submitRandomJob(model: Model): void {
   const id = `j${model.jobs.length}`;
   model.jobs.push(id);
-  const steps = [step({ taskCount: model.random.integer(1, 4) })];
-  if (model.random.integer(0, 1) === 0) steps.push(step({ after: [0] }));
-  executeCommands(model, submit(model.bench, id, steps, { maxAttempts: 50 }));
+  const first = step({
+    taskCount: model.random.integer(1, 4),
+    gang: model.random.integer(0, 3) === 0,
+    demand: TASK_DEMAND,
+  });
+  const steps = [first];
+  if (model.random.integer(0, 1) === 0) {
+    steps.push(step({ after: [0], demand: TASK_DEMAND }));
+  }
+  model.firstSteps.set(id, first);
+  model.calls.set(model.bench.nextCall, id);
+  model.execute(submit(model.bench, id, steps, { maxAttempts: 50 }));
 }
 
 function cancelRandomJob(model: Model): void {
   if (model.jobs.length === 0) return;
   const index = model.random.integer(0, model.jobs.length - 1);
-  executeCommands(model, cancel(model.bench, model.jobs[index]!));
+  model.execute(cancel(model.bench, model.jobs[index]!));
 }
 
 /** Replaces the owner; orders of the former one arrive late or are lost. */
@@ -164,6 +199,8 @@
   for (const pending of model.orders) {
     pending.dueAtMs += model.random.integer(0, 4_000);
   }
+  loseCommits(model);
+  recordOwner(model.bench, model.epoch);
   simulateTakeover(model.bench);
   for (const simulated of model.workers.values()) {
     simulated.acknowledged = 0;
@@ -176,12 +213,16 @@
   listAllWorkers(model);
 }
 
+function recordOwner(bench: DomainBench, epoch: number): void {
+  const { key, value = "" } = ownerRecord({ instance: `i${epoch}`, epoch });
+  bench.store.set(key, value);
+}
+
 function togglePartition(model: Model): void {
   const simulated = pickWorker(model);
   simulated.isPartitioned = !simulated.isPartitioned;
   if (!simulated.isPartitioned) return;
-  executeCommands(
-    model,
+  model.execute(
     feedEvent(model.bench, {
       kind: "workerSilent",
       worker: simulated.worker.id,
@@ -207,13 +248,17 @@
     simulated.leaseUntilMs,
     bench.nowMs + LEASE_MS,
   );
-  executeCommands(model, feedEvent(bench, { kind: "linkReopened", worker }));
+  model.execute(feedEvent(bench, { kind: "linkReopened", worker }));
 }
 
 function restartWorker(model: Model): void {
   const simulated = pickWorker(model);
   const { id, bornMs } = simulated.worker;
-  simulated.worker = createWorker(id, () => TASK_MS, bornMs + 1);
+  simulated.worker = createWorker(
+    id,
+    (_, task) => taskDurationMs(model, task),
+    bornMs + 1,
+  );
   simulated.acknowledged = 0;
   simulated.endsBeforeExpiry.clear();
 }
@@ -223,6 +268,13 @@
   return model.workers.get(`w${index}`)!;
 }
 
+function recordDoneTasks(model: Model, { worker }: SimulatedWorker): void {
+  endDueRuns(worker, model.bench.nowMs);
+  for (const [, task, , end] of worker.endedRuns) {
+    if (end === "done") model.doneTasks.add(task);
+  }
+}
+
 function recordEndsBeforeExpiry(
   model: Model,
   simulated: SimulatedWorker,
@@ -237,8 +289,7 @@
   const { bench } = model;
   if (!simulated.isPartitioned || bench.nowMs <= simulated.leaseUntilMs) return;
   simulated.leaseUntilMs = Infinity;
-  executeCommands(
-    model,
+  model.execute(
     feedEvent(bench, { kind: "workerLapsed", worker: simulated.worker.id }),
   );
 }
@@ -276,8 +327,7 @@
     end: end as EndedRun["end"],
     checkpoint,
   }));
-  executeCommands(
-    model,
+  model.execute(
     feedEvent(bench, {
       kind: "looked",
       worker: worker.id,
--- a/src/domain/testing/owner_model_orders.ts
+++ b/src/domain/testing/owner_model_orders.ts
@@ -11,7 +11,8 @@
 } from "../../../stand_ins/platform/worker.ts";
 import type { StandInResponse } from "../../../stand_ins/platform/store.ts";
 import type { DomainCommand, WorkerOrder } from "../domain_command.ts";
-import { findTask } from "../reconcile_worker.ts";
+import { jobKey } from "../record_keys.ts";
+import { findTask } from "../step_run.ts";
 import type { StartAnswer } from "../worker_report.ts";
 import { feedEvent } from "./domain_bench.ts";
 import type {
@@ -22,18 +23,13 @@
 
 /** Duration of a lease in the simulation, in milliseconds. */
 export const LEASE_MS = 5_500;
+/** How many tasks a worker has capacity for. */
+export const TASKS_PER_WORKER = 4;
 /** The longest time between two steps of the simulation, in milliseconds. */
 export const MAX_TIME_STEP_MS = 250;
 
-/** Executes commands of the domain. */
-export function executeCommands(model: Model, commands: DomainCommand[]): void {
-  for (const command of commands) {
-    if (command.kind === "order") sendOrder(model, command.order);
-    if (command.kind === "acknowledge") acknowledgeEnds(model, command);
-  }
-}
-
-function acknowledgeEnds(
+/** Acknowledges the stored ends of a worker. */
+export function acknowledgeEnds(
   model: Model,
   command: Extract<DomainCommand, { kind: "acknowledge" }>,
 ): void {
@@ -66,8 +62,9 @@
 }
 
 /** Queues an order for delivery at once or late, and sometimes once more. */
-function sendOrder(model: Model, order: WorkerOrder): void {
+export function sendOrder(model: Model, order: WorkerOrder): void {
   const { random, bench, epoch } = model;
+  if (!isStillValid(model, order)) return;
   const lateMs = random.integer(0, 5) === 0 ? random.integer(0, 4_000) : 0;
   const bornMs = model.workers.get(order.worker)?.worker.bornMs ?? 0;
   const dueAtMs = bench.nowMs + lateMs;
@@ -114,44 +111,44 @@
     bench.nowMs,
   );
   if (simulated.worker.started.length > startedBefore) {
-    checkStartAllowed(model, simulated.worker.id, order.task);
+    checkStartAllowed(model, simulated.worker.id, order);
   }
   if (epoch !== model.epoch || pending.isLinkLost) return;
   if (order.kind === "stop") {
     if (answer.status !== 200) return;
-    executeCommands(
-      model,
+    model.execute(
       feedEvent(bench, { ...order, kind: "stopConfirmed" }),
     );
     return;
   }
-  executeCommands(
-    model,
-    feedEvent(bench, {
-      ...order,
-      kind: "startAnswered",
-      answer: toStartAnswer(answer),
-    }),
-  );
+  model.execute(feedEvent(bench, {
+    ...order,
+    kind: "startAnswered",
+    answer: toStartAnswer(answer),
+  }));
 }
 
 /** Queues an unanswered order again if it is still valid, as an owner does. */
 function resendOrder(model: Model, pending: PendingOrder): void {
   const { order, epoch, isDuplicate, isLinkLost } = pending;
   if (isDuplicate || isLinkLost || epoch !== model.epoch) return;
+  if (!isStillValid(model, order)) return;
+  model.orders.push({
+    ...pending,
+    dueAtMs: model.bench.nowMs + MAX_TIME_STEP_MS,
+    deadlineMs: grantLease(model, order),
+  });
+}
+
+/** Whether an order still applies, as an owner checks before it sends it. */
+function isStillValid(model: Model, order: WorkerOrder): boolean {
   const found = findTask(model.bench.domain, order.task);
   const task = found?.run.tasks[found.index];
   const isPlaced = task?.kind === "placed" && task.worker === order.worker &&
     task.attempt === order.attempt;
-  const isStillValid = order.kind === "start"
+  return order.kind === "start"
     ? isPlaced && task.phase.kind === "starting"
     : !isPlaced || task.phase.kind === "stopping";
-  if (!isStillValid) return;
-  model.orders.push({
-    ...pending,
-    dueAtMs: model.bench.nowMs + MAX_TIME_STEP_MS,
-    deadlineMs: grantLease(model, order),
-  });
 }
 
 function toStartAnswer(answer: StandInResponse): StartAnswer {
@@ -162,10 +159,25 @@
 }
 
 /**
- * Records a violation if a task starts after its end was acknowledged, or while
- * another worker with a valid lease runs it.
+ * Records a violation if a task starts after its end was acknowledged, while
+ * another worker with a valid lease runs it, before the predecessors of its step
+ * are done, before its job is stored, or under a number that another worker has
+ * seen.
  */
-function checkStartAllowed(model: Model, worker: string, task: string): void {
+function checkStartAllowed(
+  model: Model,
+  worker: string,
+  { task, attempt }: Extract<WorkerOrder, { attempt: number }>,
+): void {
+  checkOrder(model, task);
+  const attemptKey = `${task}#${attempt}`;
+  const startedOn = model.startedAttempts.get(attemptKey) ?? worker;
+  model.startedAttempts.set(attemptKey, startedOn);
+  if (startedOn !== worker) {
+    model.violations.push(
+      `${attemptKey} started on ${startedOn} and ${worker}`,
+    );
+  }
   if (model.acknowledgedDone.has(task)) {
     model.violations.push(
       `${task} started again after its end was acknowledged`,
@@ -181,14 +193,30 @@
   }
 }
 
+function checkOrder(model: Model, task: string): void {
+  const [job = "", , index] = task.split(".");
+  if (!model.bench.store.has(jobKey(job))) {
+    model.violations.push(`${task} started before its job was stored`);
+  }
+  const first = model.firstSteps.get(job);
+  if (index === "0" || first === undefined) return;
+  const names = Array.from(
+    { length: first.taskCount },
+    (_, position) => `${job}.0.0.${position}`,
+  );
+  const isDone = (name: string) => model.doneTasks.has(name);
+  if (first.gang ? names.some(isDone) : names.every(isDone)) return;
+  model.violations.push(`${task} started before its predecessors were done`);
+}
+
 function isLeased(model: Model, simulated: SimulatedWorker): boolean {
   return simulated.worker.leaseUntilMs >= model.bench.nowMs;
 }
 
-/** Checks that no worker runs more than its capacity: 8 tasks of one core. */
+/** Checks that no worker runs more tasks than its capacity allows. */
 export function checkCapacity(model: Model): void {
   for (const [id, { worker }] of model.workers) {
-    if (worker.running.size > 8) {
+    if (worker.running.size > TASKS_PER_WORKER) {
       model.violations.push(`${id} runs ${worker.running.size} tasks`);
     }
   }
--- a/src/domain/testing/owner_model_state.ts
+++ b/src/domain/testing/owner_model_state.ts
@@ -1,6 +1,8 @@
 import type { Worker } from "../../../stand_ins/platform/worker.ts";
 import type { Randomness } from "../../hosts/mod.ts";
-import type { WorkerOrder } from "../domain_command.ts";
+import type { DomainCommand, WorkerOrder } from "../domain_command.ts";
+import type { Step } from "../job.ts";
+import type { DomainRecord } from "../records.ts";
 import type { DomainBench } from "./domain_bench.ts";
 
 /** A simulated worker with the owner's state about it. */
@@ -31,6 +33,14 @@
   isLinkLost: boolean;
 };
 
+/** An append, and the commands that follow it. */
+export type PendingCommit = {
+  records: DomainRecord[];
+  commands: DomainCommand[];
+  /** When the store answers. */
+  dueAtMs: number;
+};
+
 /** The state of a running simulation. */
 export type Model = {
   bench: DomainBench;
@@ -41,6 +51,22 @@
   jobs: string[];
   /** Tasks whose end as done has been acknowledged. */
   acknowledgedDone: Set<string>;
+  /** Steps without predecessors, by job. */
+  firstSteps: Map<string, Step>;
+  /** The job that each call submitted. */
+  calls: Map<number, string>;
+  /** Jobs whose submission was answered. */
+  acceptedJobs: Set<string>;
+  /** Tasks of which a worker has completed a run. */
+  doneTasks: Set<string>;
+  /** The worker on which each attempt started. */
+  startedAttempts: Map<string, string>;
+  /** The append that the store has not answered. */
+  commit: PendingCommit | undefined;
+  /** Commands that wait for the next commit. */
+  pendingCommands: DomainCommand[];
+  /** Executes commands of the domain. */
+  execute(commands: DomainCommand[]): void;
   /** Descriptions of violated invariants. */
   violations: string[];
 };
--- a/stand_ins/platform/worker.ts
+++ b/stand_ins/platform/worker.ts
@@ -187,7 +187,8 @@
   }
 }
 
-function endRun(
+/** Ends a run for a reason, as on the wire; does nothing if it is not active. */
+export function endRun(
   worker: Worker,
   task: string,
   reason: string,
