Send starts of stored jobs before their placement is recorded

Hypothesis: of the three commits that a task waits for (job, placement, end) the second is not needed where the store holds a start permit for the worker (docs/design/outages.md).

--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -17,6 +17,7 @@
   jobStateOf,
   type OwnerEntry,
   type QueuePolicy,
+  recordCommitted,
   takeAdviceRequest,
   viewTasks,
   viewWorkers,
@@ -50,6 +51,7 @@
   queueCommands,
   runPeriodicWork,
   schedulePass,
+  sendOrdersAheadOfCommit,
 } from "./owner_passes.ts";
 import { currentMoment, emit, type OwnerState } from "./owner_state.ts";
 import { createUncommittedJobs } from "./uncommitted_jobs.ts";
@@ -217,7 +219,11 @@
         const records = drainDirtyRecords(domain);
         return {
           records,
-          onCommitted: () => executeCommitted(state, commands),
+          onCommitted() {
+            recordCommitted(domain, records);
+            executeCommitted(state, commands);
+            sendOrdersAheadOfCommit(state);
+          },
         };
       },
     }),
--- a/src/ownership/owner_links.ts
+++ b/src/ownership/owner_links.ts
@@ -4,7 +4,12 @@
  * @module
  */
 import { assertNever, createChildController } from "../base/mod.ts";
-import type { Domain, WorkerListing, WorkerOrder } from "../domain/mod.ts";
+import type {
+  Domain,
+  DomainWorker,
+  WorkerListing,
+  WorkerOrder,
+} from "../domain/mod.ts";
 import { elapsedMs } from "./instant.ts";
 import { maxLeaseDurationMs } from "./lease_time.ts";
 import { emit, type OwnerState } from "./owner_state.ts";
@@ -27,7 +32,7 @@
   const listed = new Set(workers.map(({ id }) => id));
   for (const [id, worker] of domain.workers) {
     const hasShutDown = !listed.has(id) && host.workerList.hasLeft(id);
-    if (!hasShutDown || worker.placed.size === 0) continue;
+    if (!hasShutDown || !mayHoldTasks(domain, worker)) continue;
     host.logger.info("A worker shut down with tasks assigned to it.", {
       worker: id,
       tasks: worker.placed.size,
@@ -36,13 +41,19 @@
   }
   for (const [id, { controller }] of links) {
     // A worker that was removed from the list may still run its tasks.
-    const isIdle = (domain.workers.get(id)?.placed.size ?? 0) === 0;
+    const worker = domain.workers.get(id);
+    const isIdle = worker === undefined || !mayHoldTasks(domain, worker);
     if (listed.has(id) || !isIdle) continue;
     controller.abort();
     links.delete(id);
   }
 }
 
+/** Whether a worker has tasks, or an earlier owner may have started some. */
+function mayHoldTasks(domain: Domain, worker: DomainWorker): boolean {
+  return worker.placed.size > 0 || domain.unsettledWorkers.has(worker.id);
+}
+
 /** The links of domains with more workers than this are held by relays. */
 const MAX_DIRECT_LINKS = 64;
 /** The most links that are moved to relays at a time. */
@@ -193,7 +204,7 @@
   const { host, domain, links } = state;
   if (host.clock.steadyMs() < state.earlierLeasesExpireAtMs) return;
   for (const [id, worker] of domain.workers) {
-    if (links.has(id) || worker.placed.size === 0) continue;
+    if (links.has(id) || !mayHoldTasks(domain, worker)) continue;
     emit(state, { kind: "workerLapsed", worker: id });
   }
 }
--- a/src/ownership/owner_passes.ts
+++ b/src/ownership/owner_passes.ts
@@ -7,6 +7,7 @@
 import {
   type DomainCommand,
   explainWaits,
+  mayPrecedeCommit,
   scheduleDomain,
 } from "../domain/mod.ts";
 import { rejectUncommitted } from "./owner_calls.ts";
@@ -31,7 +32,10 @@
 /** Shorter waits are not explained, in milliseconds. */
 const MIN_EXPLAINED_WAIT_MS = 2_000;
 
-/** Logs reports, and queues all other commands until the next commit. */
+/**
+ * Logs reports, sends the orders that may leave now, and queues all other
+ * commands until the next commit.
+ */
 export function queueCommands(
   state: OwnerState,
   commands: DomainCommand[],
@@ -42,6 +46,10 @@
         state.host.logger.info(command.message, command.fields);
         break;
       case "order":
+        if (mayPrecedeCommit(state.domain, command.order)) {
+          sendOrder(state, command.order);
+        } else state.pendingCommands.push(command);
+        break;
       case "answer":
       case "acknowledge":
         state.pendingCommands.push(command);
@@ -55,6 +63,17 @@
   }
 }
 
+/** Sends queued orders that may leave before the next commit. */
+export function sendOrdersAheadOfCommit(state: OwnerState): void {
+  const kept = state.pendingCommands.splice(0).filter((command) => {
+    if (command.kind !== "order") return true;
+    if (!mayPrecedeCommit(state.domain, command.order)) return true;
+    sendOrder(state, command.order);
+    return false;
+  });
+  state.pendingCommands.push(...kept);
+}
+
 /** Executes commands whose commit is complete. */
 export function executeCommitted(
   state: OwnerState,
