Never report a task as not run that may have run without a record

A permit names the worker's incarnation. If another one reports after a takeover, or none before the leases have expired, tasks of earlier jobs that have no attempt on record may have run: they get an attempt number, which is stored. Until all workers are settled such tasks are described as starting, so that no outcome is final. Three tests in start_permit_test fail without it.

--- a/src/domain/describe_job.ts
+++ b/src/domain/describe_job.ts
@@ -2,6 +2,7 @@
 import type { Domain } from "./domain.ts";
 import type { Moment } from "./domain_event.ts";
 import { explainWait, waitReportSchema } from "./explain_wait.ts";
+import { mayHaveUnlistedRuns } from "./job_lifecycle.ts";
 import type { JobRun } from "./job_run.ts";
 import { jobRunState } from "./job_state.ts";
 import type { TaskState } from "./task_state.ts";
@@ -94,23 +95,23 @@
     ...(agreement === undefined ? {} : { agreement }),
     specification,
     state: jobRunState(run),
-    hasStarted: run.hasStarted,
+    hasStarted: run.hasStarted || mayHaveUnlistedRuns(domain, run),
     acceptedAtMs,
     ...(startWithinMs === undefined ? {} : { startWithinMs }),
     ...(endedAtMs === undefined ? {} : { endedAtMs }),
-    tasks: describeTasks(run),
+    tasks: describeTasks(run, mayHaveUnlistedRuns(domain, run)),
     waits: waiting.map((step) => explainWait(domain, step, moment)),
   };
 }
 
-function describeTasks(run: JobRun): TaskDescription[] {
+function describeTasks(run: JobRun, mayRun: boolean): TaskDescription[] {
   const steps = run.occurrences.get(0)?.steps;
   let firstIndex = 0;
   return run.job.steps.flatMap((step, stepIndex) => {
     const tasks = steps?.get(stepIndex)?.tasks;
     const described = Array.from(
       { length: step.taskCount },
-      (_, index) => describeTask(firstIndex + index, tasks?.[index]),
+      (_, index) => describeTask(firstIndex + index, tasks?.[index], mayRun),
     );
     firstIndex += step.taskCount;
     return described;
@@ -120,14 +121,16 @@
 function describeTask(
   index: number,
   task: TaskState | undefined,
+  mayRun: boolean,
 ): TaskDescription {
+  const unplaced = mayRun ? "starting" : "queued";
   if (task === undefined) {
-    return { index, state: "queued", attempt: 0, failures: 0 };
+    return { index, state: unplaced, attempt: 0, failures: 0 };
   }
   const { attempt, failures } = task;
   switch (task.kind) {
     case "waiting":
-      return { index, state: "queued", attempt, failures };
+      return { index, state: unplaced, attempt, failures };
     case "placed": {
       const isRunning = task.phase.kind === "running" ||
         task.phase.kind === "stopping";
--- a/src/domain/job_lifecycle.ts
+++ b/src/domain/job_lifecycle.ts
@@ -293,7 +293,7 @@
   for (const run of domain.jobs.values()) {
     const { startWithinMs, acceptedAtMs } = run.job;
     if (startWithinMs === undefined || run.hasStarted) continue;
-    if (run.isRestored && domain.unsettledWorkers.size > 0) continue;
+    if (mayHaveUnlistedRuns(domain, run)) continue;
     if (moment.wallMs <= acceptedAtMs + startWithinMs) continue;
     endJob(domain, run, "cancelled", moment);
   }
@@ -315,9 +315,14 @@
   }
 }
 
+/** Whether workers that have not reported yet may run tasks of a job. */
+export function mayHaveUnlistedRuns(domain: Domain, run: JobRun): boolean {
+  return run.isRestored && domain.unsettledWorkers.size > 0;
+}
+
 /** Whether a worker may hold tasks of a job, also unrecorded ones. */
 function mayHavePlacedTasks(domain: Domain, run: JobRun): boolean {
-  if (run.isRestored && domain.unsettledWorkers.size > 0) return true;
+  if (mayHaveUnlistedRuns(domain, run)) return true;
   for (const step of stepRunsOf(run)) {
     if (step.tasks.some((task) => task.kind === "placed")) return true;
   }
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -16,6 +16,7 @@
 } from "./end_attempt.ts";
 import { allocateTask, releaseTask } from "./task_placement.ts";
 import { findTask, type StepRun } from "./step_run.ts";
+import { settleWorker } from "./start_permit.ts";
 import { orderStop, stopTask } from "./stop_task.ts";
 import type { PlacedTask } from "./task_state.ts";
 import { recordTaskDuration } from "./task_durations.ts";
@@ -50,8 +51,7 @@
       moment,
     });
   }
-  // It refuses further starts of earlier owners.
-  domain.unsettledWorkers.delete(worker.id);
+  settleWorker(domain, worker.id, report.bornMs);
 }
 
 /**
@@ -82,7 +82,7 @@
     }
     releaseTask(worker, name);
   }
-  domain.unsettledWorkers.delete(worker.id);
+  settleWorker(domain, worker.id, undefined);
 }
 
 /** Discards the tickets for a worker, which are not valid after its restart. */
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -30,15 +30,12 @@
 import { createDomainWorker, placeTask } from "./task_placement.ts";
 import { parseStepKey, type StepRun } from "./step_run.ts";
 import type { TaskState } from "./task_state.ts";
-import { confirmPermit } from "./start_permit.ts";
+import { confirmPermit, startPermitSchema } from "./start_permit.ts";
 import { type DayUsage, dayUsageSchema } from "./usage.ts";
 
 /** A key with its new value; undefined deletes the key. */
 export type DomainRecord = { key: string; value: string | undefined };
 
-/** The value of a permit's record, whose key says everything. */
-const PERMIT_VALUE = "1";
-
 /** Numeric tag of a task's state in the record of its step. */
 const TASK_TAGS = { waiting: 0, placed: 1, done: 2 } as const;
 
@@ -102,8 +99,10 @@
       const run = domain.jobs.get(key.slice(JOB_PREFIX.length));
       if (run !== undefined && value !== undefined) run.isStored = true;
     } else if (key.startsWith(PERMIT_PREFIX)) {
-      const worker = key.slice(PERMIT_PREFIX.length);
-      confirmPermit(domain, worker, value !== undefined);
+      const stored = value === undefined
+        ? undefined
+        : parseAs(startPermitSchema, value).unwrapOr(undefined);
+      confirmPermit(domain, key.slice(PERMIT_PREFIX.length), stored);
     }
   }
 }
@@ -132,8 +131,8 @@
   }
   if (key.startsWith(PERMIT_PREFIX)) {
     const permit = domain.startPermits.get(key.slice(PERMIT_PREFIX.length));
-    const isInForce = permit === "granting" || permit === "granted";
-    return isInForce ? PERMIT_VALUE : undefined;
+    if (permit === undefined || permit.phase === "revoking") return undefined;
+    return JSON.stringify({ bornMs: permit.bornMs });
   }
   if (key.startsWith(JOB_PREFIX)) {
     const run = domain.jobs.get(key.slice(JOB_PREFIX.length));
@@ -205,7 +204,11 @@
       continue;
     }
     if (key.startsWith(PERMIT_PREFIX)) {
-      restorePermit(domain, key.slice(PERMIT_PREFIX.length));
+      const permit = parseAs(startPermitSchema, value);
+      if (permit.isErr()) unreadable.push({ key, reason: permit.error });
+      // Starts may have left under a permit that cannot be read, too.
+      const bornMs = permit.map((read) => read.bornMs).unwrapOr(0);
+      restorePermit(domain, key.slice(PERMIT_PREFIX.length), bornMs);
       continue;
     }
     const job = parseAs(jobSchema, value);
@@ -253,8 +256,8 @@
 }
 
 /** Restores a permit, under which an earlier owner may have started tasks. */
-function restorePermit(domain: Domain, worker: string): void {
-  domain.startPermits.set(worker, "granted");
+function restorePermit(domain: Domain, worker: string, bornMs: number): void {
+  domain.startPermits.set(worker, { bornMs, phase: "granted" });
   domain.unsettledWorkers.add(worker);
   getOrCreateWorker(domain, worker);
 }
--- a/src/domain/start_permit.ts
+++ b/src/domain/start_permit.ts
@@ -6,40 +6,50 @@
  *
  * @module
  */
+import * as v from "valibot";
 import { isEligible } from "./choose_worker.ts";
 import { mayBeAllowed } from "./advice_requests.ts";
 import type { Domain } from "./domain.ts";
 import type { WorkerOrder } from "./domain_command.ts";
 import type { DomainWorker } from "./domain_worker.ts";
-import { permitKey } from "./record_keys.ts";
+import { permitKey, stepRecordKey } from "./record_keys.ts";
 import { parseTaskName, type StepRun } from "./step_run.ts";
 import type { TaskState } from "./task_state.ts";
 
-/** How far the permit for a worker is stored. */
-export type StartPermit =
-  /** The record is not known to be stored. */
-  | "granting"
-  | "granted"
-  /** The record is not known to be deleted. */
-  | "revoking";
+/** Schema of the record of a permit. */
+export const startPermitSchema = v.object({
+  /** The worker's incarnation when the permit was granted. */
+  bornMs: v.number(),
+});
+
+/** A permit to start tasks on a worker, and how far it is stored. */
+export type StartPermit = {
+  bornMs: number;
+  phase:
+    /** The record is not known to be stored. */
+    | "granting"
+    | "granted"
+    /** The record is not known to be deleted. */
+    | "revoking";
+};
 
 /** Begins to grant a permit for a worker that has reported. */
 export function grantPermit(
   domain: Domain,
-  { id, listing }: DomainWorker,
+  { id, listing, bornMs }: DomainWorker,
 ): void {
   if (listing === undefined || listing.draining) return;
   const known = domain.startPermits.get(id);
-  if (known === "granting" || known === "granted") return;
-  domain.startPermits.set(id, "granting");
+  if (known?.bornMs === bornMs && known.phase !== "revoking") return;
+  domain.startPermits.set(id, { bornMs, phase: "granting" });
   domain.dirtyKeys.add(permitKey(id));
 }
 
 /** Ends the use of a permit, and begins to delete its record. */
 export function revokePermit(domain: Domain, worker: string): void {
   const known = domain.startPermits.get(worker);
-  if (known === undefined || known === "revoking") return;
-  domain.startPermits.set(worker, "revoking");
+  if (known === undefined || known.phase === "revoking") return;
+  known.phase = "revoking";
   domain.dirtyKeys.add(permitKey(worker));
 }
 
@@ -47,13 +57,14 @@
 export function confirmPermit(
   domain: Domain,
   worker: string,
-  isStored: boolean,
+  stored: v.InferOutput<typeof startPermitSchema> | undefined,
 ): void {
   const known = domain.startPermits.get(worker);
-  if (isStored && known === "granting") {
-    domain.startPermits.set(worker, "granted");
-  } else if (!isStored && known === "revoking") {
-    domain.startPermits.delete(worker);
+  if (known === undefined) return;
+  if (stored === undefined) {
+    if (known.phase === "revoking") domain.startPermits.delete(worker);
+  } else if (known.phase === "granting" && known.bornMs === stored.bornMs) {
+    known.phase = "granted";
   }
 }
 
@@ -75,7 +86,7 @@
   const { job, isStored } = run.jobRun;
   if (job.outcome !== "open" || !isStored) return false;
   if (order.kind === "stop") return true;
-  return domain.startPermits.get(order.worker) === "granted";
+  return domain.startPermits.get(order.worker)?.phase === "granted";
 }
 
 /**
@@ -118,6 +129,39 @@
   task: TaskState,
 ): number {
   if (!run.jobRun.isRestored) return task.attempt + 1;
+  return Math.max(task.attempt, highestEarlierAttempt(domain)) + 1;
+}
+
+/** The highest number that attempts of earlier owners may have. */
+function highestEarlierAttempt(domain: Domain): number {
   const epoch = Math.max(0, ...domain.owners.map((owner) => owner.epoch));
-  return Math.max(task.attempt, epoch * ATTEMPTS_PER_EPOCH) + 1;
+  return epoch * ATTEMPTS_PER_EPOCH;
+}
+
+/**
+ * Records that no start of an earlier owner is left at a worker: it has reported
+ * under the present epoch, or its leases have expired. If the runs of the
+ * permitted incarnation are not listed, restored tasks may have run there.
+ *
+ * @param bornMs the incarnation that reported; undefined if none did
+ */
+export function settleWorker(
+  domain: Domain,
+  worker: string,
+  bornMs: number | undefined,
+): void {
+  if (!domain.unsettledWorkers.delete(worker)) return;
+  if (domain.startPermits.get(worker)?.bornMs === bornMs) return;
+  for (const run of domain.steps.values()) {
+    if (run.jobRun.isRestored) recordPossibleAttempts(domain, run);
+  }
+}
+
+function recordPossibleAttempts(domain: Domain, run: StepRun): void {
+  for (const task of run.tasks) {
+    if (task.kind !== "waiting" || task.attempt > 0) continue;
+    task.attempt = Math.max(1, highestEarlierAttempt(domain));
+    run.jobRun.hasStarted = true;
+    domain.dirtyKeys.add(stepRecordKey(run.key));
+  }
 }
--- a/src/domain/start_permit_test.ts
+++ b/src/domain/start_permit_test.ts
@@ -1,9 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { DomainCommand, WorkerOrder } from "./domain_command.ts";
+import { describeJob } from "./describe_job.ts";
 import { jobStateOf } from "./job_state.ts";
 import { mayPrecedeCommit } from "./start_permit.ts";
 import {
+  cancel,
   createBench,
   type DomainBench,
   ended,
@@ -208,6 +210,44 @@
   });
 });
 
+describe("a cancelled job that may have run unrecorded", () => {
+  /** A bench after a takeover, with a cancelled job that had not started. */
+  function cancelAfterTakeover(): DomainBench {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    submit(bench, "blocker", [step({ demand: WHOLE_WORKER })]);
+    submit(bench, "a", [step({ demand: WHOLE_WORKER })]);
+    simulateTakeover(bench);
+    cancel(bench, "a");
+    return bench;
+  }
+
+  const describeIt = (bench: DomainBench) =>
+    describeJob(bench.domain, "a", { steadyMs: 0, wallMs: 0 })!;
+
+  it("is not described as not run before its worker has reported", () => {
+    const bench = cancelAfterTakeover();
+    assert.equal(describeIt(bench).hasStarted, true);
+    assert.equal(describeIt(bench).tasks[0]?.state, "starting");
+  });
+
+  it("is described as not run once its worker has reported", () => {
+    const bench = cancelAfterTakeover();
+    listWorkers(bench, listing("w1"));
+    assert.equal(describeIt(bench).hasStarted, false);
+  });
+
+  it("is never described as not run if its worker has restarted", () => {
+    const bench = cancelAfterTakeover();
+    feedEvent(bench, { kind: "workersListed", workers: [listing("w1")] });
+    reportFrom(bench, "w1", { bornMs: 2 });
+    simulateTakeover(bench);
+    feedEvent(bench, { kind: "workersListed", workers: [listing("w1")] });
+    reportFrom(bench, "w1", { bornMs: 2 });
+    assert.equal(describeIt(bench).hasStarted, true);
+  });
+});
+
 describe("a job whose id contains dots", () => {
   it("is restored with its steps", () => {
     const bench = createBench();
