Store failures of a task before it is started again ahead of its record

A task is now started ahead of its record only if all failures of its step are stored.

A probation now ends after 8 s without a run (probation_pattern_test fails without it).

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -24,7 +24,11 @@
 import { adjustPace } from "./opportunistic_pacing.ts";
 import { createDomainWorker } from "./task_placement.ts";
 import { schedule } from "./schedule.ts";
-import { grantPermit, revokePermit } from "./start_permit.ts";
+import {
+  grantPermit,
+  revokePermit,
+  revokeUnusedPermits,
+} from "./start_permit.ts";
 import { findTask } from "./step_run.ts";
 import { stopStalledTasks } from "./stalled_tasks.ts";
 import { stopTask } from "./stop_task.ts";
@@ -88,7 +92,7 @@
     case "workerSilent": {
       const worker = domain.workers.get(event.worker);
       if (worker !== undefined) worker.isReachable = false;
-      return revokeSettledPermit(domain, event.worker);
+      return revokePermit(domain, event.worker);
     }
     case "linkReopened": {
       const worker = domain.workers.get(event.worker);
@@ -102,7 +106,7 @@
       if (worker === undefined) return;
       worker.isReachable = false;
       markTasksLost(domain, worker, moment);
-      return revokeSettledPermit(domain, worker.id);
+      return revokePermit(domain, worker.id);
     }
     case "startAnswered":
       return applyStartAnswer(domain, event, moment);
@@ -120,6 +124,7 @@
     }
     case "ticked":
       recordUsage(domain, moment);
+      revokeUnusedPermits(domain);
       expireUnstartedJobs(domain, moment);
       return purgeEndedJobs(domain, moment);
     default:
@@ -211,26 +216,17 @@
     worker.listing = listing;
     worker.capacity = listing.capacity;
     domain.workers.set(listing.id, worker);
-    if (listing.draining) revokeSettledPermit(domain, listing.id);
+    if (listing.draining) revokePermit(domain, listing.id);
   }
   for (const [id, worker] of domain.workers) {
     if (listed.has(id)) continue;
     worker.listing = undefined;
-    revokeSettledPermit(domain, id);
+    revokePermit(domain, id);
     const isSettled = !domain.unsettledWorkers.has(id);
     if (worker.placed.size === 0 && isSettled) domain.workers.delete(id);
   }
 }
 
-/**
- * Revokes the permit for a worker that gets no starts at present, so that a
- * later owner does not have to wait for it. While it is not known what an
- * earlier owner has started there, the permit stays.
- */
-function revokeSettledPermit(domain: Domain, worker: string): void {
-  if (!domain.unsettledWorkers.has(worker)) revokePermit(domain, worker);
-}
-
 function handleWorkerReport(
   domain: Domain,
   event: EventOf<"looked">,
--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -32,6 +32,8 @@
    * recorded: they have not reported since the takeover.
    */
   unsettledWorkers: Set<string>;
+  /** Whether runs of earlier owners may have ended without being listed. */
+  hasUnlistedAttempts: boolean;
   /** Jobs with occurrences that are not due yet. */
   scheduledJobs: Set<JobRun>;
   /** Commands that the driver has yet to execute. */
@@ -73,6 +75,7 @@
     workers: new Map(),
     startPermits: new Map(),
     unsettledWorkers: new Set(),
+    hasUnlistedAttempts: false,
     scheduledJobs: new Set(),
     commands: [],
     dirtyKeys: new Set(),
--- a/src/domain/end_attempt.ts
+++ b/src/domain/end_attempt.ts
@@ -45,6 +45,7 @@
   const { attempt, checkpoint } = task;
   const failed = end === "failed";
   const failures = task.failures + (failed ? 1 : 0);
+  if (failed) run.failureCount += 1;
   run.tasks[index] = { kind: "waiting", attempt, failures, checkpoint };
   run.waitingCount += 1;
   if (run.jobRun.job.outcome !== "open") return;
--- a/src/domain/job_lifecycle.ts
+++ b/src/domain/job_lifecycle.ts
@@ -81,6 +81,8 @@
     doneCount: 0,
     gangFailures: 0,
     gangFailedAttempt: 0,
+    failureCount: 0,
+    storedFailureCount: 0,
     advice: createStepAdvice(),
     ...startDeadlines(domain, run.job, occurrence, index),
     readyAtMs: nowMs,
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -34,7 +34,12 @@
 import { type DayUsage, dayUsageSchema } from "./usage.ts";
 
 /** A key with its new value; undefined deletes the key. */
-export type DomainRecord = { key: string; value: string | undefined };
+export type DomainRecord = {
+  key: string;
+  value: string | undefined;
+  /** For a step: the number of failures that the value includes. */
+  failureCount?: number;
+};
 
 /** Numeric tag of a task's state in the record of its step. */
 const TASK_TAGS = { waiting: 0, placed: 1, done: 2 } as const;
@@ -76,7 +81,14 @@
 export function drainDirtyRecords(domain: Domain): DomainRecord[] {
   const keys = [...domain.dirtyKeys];
   domain.dirtyKeys.clear();
-  return keys.map((key) => ({ key, value: recordValueOf(domain, key) }));
+  return keys.map((key) => {
+    const step = domain.steps.get(key.slice(STEP_PREFIX.length));
+    const value = recordValueOf(domain, key);
+    if (!key.startsWith(STEP_PREFIX) || step === undefined) {
+      return { key, value };
+    }
+    return { key, value, failureCount: step.failureCount };
+  });
 }
 
 /**
@@ -94,8 +106,11 @@
   domain: Domain,
   records: DomainRecord[],
 ): void {
-  for (const { key, value } of records) {
-    if (key.startsWith(JOB_PREFIX)) {
+  for (const { key, value, failureCount = 0 } of records) {
+    if (key.startsWith(STEP_PREFIX)) {
+      const step = domain.steps.get(key.slice(STEP_PREFIX.length));
+      if (step !== undefined) step.storedFailureCount = failureCount;
+    } else if (key.startsWith(JOB_PREFIX)) {
       const run = domain.jobs.get(key.slice(JOB_PREFIX.length));
       if (run !== undefined && value !== undefined) run.isStored = true;
     } else if (key.startsWith(PERMIT_PREFIX)) {
--- a/src/domain/start_permit.ts
+++ b/src/domain/start_permit.ts
@@ -40,19 +40,34 @@
 ): void {
   if (listing === undefined || listing.draining) return;
   const known = domain.startPermits.get(id);
+  if (known !== undefined && domain.unsettledWorkers.size > 0) return;
   if (known?.bornMs === bornMs && known.phase !== "revoking") return;
   domain.startPermits.set(id, { bornMs, phase: "granting" });
   domain.dirtyKeys.add(permitKey(id));
 }
 
-/** Ends the use of a permit, and begins to delete its record. */
+/**
+ * Ends the use of a permit, and begins to delete its record. While workers are
+ * unsettled, permits stay as they are, for the case that this owner is lost too.
+ */
 export function revokePermit(domain: Domain, worker: string): void {
   const known = domain.startPermits.get(worker);
   if (known === undefined || known.phase === "revoking") return;
+  if (domain.unsettledWorkers.size > 0) return;
   known.phase = "revoking";
   domain.dirtyKeys.add(permitKey(worker));
 }
 
+/** Revokes the permits for workers that get no starts at present. */
+export function revokeUnusedPermits(domain: Domain): void {
+  for (const id of domain.startPermits.keys()) {
+    const worker = domain.workers.get(id);
+    const isUsable = worker?.isReachable === true &&
+      worker.listing?.draining === false;
+    if (!isUsable) revokePermit(domain, id);
+  }
+}
+
 /** Records that a permit, or its deletion, is in the store. */
 export function confirmPermit(
   domain: Domain,
@@ -86,6 +101,8 @@
   const { job, isStored } = run.jobRun;
   if (job.outcome !== "open" || !isStored) return false;
   if (order.kind === "stop") return true;
+  // A later owner that does not know of a failure would allow one more attempt.
+  if (run.storedFailureCount < run.failureCount) return false;
   return domain.startPermits.get(order.worker)?.phase === "granted";
 }
 
@@ -151,7 +168,10 @@
   bornMs: number | undefined,
 ): void {
   if (!domain.unsettledWorkers.delete(worker)) return;
-  if (domain.startPermits.get(worker)?.bornMs === bornMs) return;
+  if (domain.startPermits.get(worker)?.bornMs !== bornMs) {
+    domain.hasUnlistedAttempts = true;
+  }
+  if (domain.unsettledWorkers.size > 0 || !domain.hasUnlistedAttempts) return;
   for (const run of domain.steps.values()) {
     if (run.jobRun.isRestored) recordPossibleAttempts(domain, run);
   }
--- a/src/domain/step_run.ts
+++ b/src/domain/step_run.ts
@@ -21,6 +21,10 @@
   gangFailures: number;
   /** The last attempt of the gang whose failure was counted. */
   gangFailedAttempt: number;
+  /** Number of failed attempts of its tasks that this owner has counted. */
+  failureCount: number;
+  /** How many of them are known to be stored. */
+  storedFailureCount: number;
   advice: StepAdvice;
   /** The latest start that still meets the objective (wall clock). */
   latestStartMs: number;
--- a/src/domain/testing/owner_model_orders.ts
+++ b/src/domain/testing/owner_model_orders.ts
@@ -15,6 +15,10 @@
 import { findTask } from "../step_run.ts";
 import type { StartAnswer } from "../worker_report.ts";
 import { feedEvent } from "./domain_bench.ts";
+import {
+  acknowledgeFailedRuns,
+  recordRestart,
+} from "./owner_model_failures.ts";
 import type {
   Model,
   PendingOrder,
@@ -38,6 +42,7 @@
     return;
   }
   simulated.acknowledged = command.lastEnd;
+  acknowledgeFailedRuns(model, simulated, command.lastEnd);
   for (const [number, task, , end] of simulated.worker.endedRuns) {
     const isAccepted = number <= command.lastEnd &&
       !simulated.endsBeforeExpiry.has(number);
@@ -170,6 +175,7 @@
   { task, attempt }: Extract<WorkerOrder, { attempt: number }>,
 ): void {
   checkOrder(model, task);
+  recordRestart(model, task);
   const attemptKey = `${task}#${attempt}`;
   const startedOn = model.startedAttempts.get(attemptKey) ?? worker;
   model.startedAttempts.set(attemptKey, startedOn);
--- a/src/domain/testing/owner_model_state.ts
+++ b/src/domain/testing/owner_model_state.ts
@@ -33,6 +33,16 @@
   isLinkLost: boolean;
 };
 
+/** A failed run as its worker listed it. */
+export type FailedRun = {
+  worker: string;
+  bornMs: number;
+  number: number;
+  attempt: number;
+  /** Whether its end was acknowledged in time. */
+  isAcknowledged: boolean;
+};
+
 /** An append, and the commands that follow it. */
 export type PendingCommit = {
   records: DomainRecord[];
@@ -61,6 +71,10 @@
   doneTasks: Set<string>;
   /** The worker on which each attempt started. */
   startedAttempts: Map<string, string>;
+  /** The runs that failed, by task. */
+  failedRuns: Map<string, FailedRun[]>;
+  /** The runs of a task that had failed when it was started again. */
+  restarts: { task: string; failed: FailedRun[] }[];
   /** The append that the store has not answered. */
   commit: PendingCommit | undefined;
   /** Commands that wait for the next commit. */
--- a/src/domain/worker_health.ts
+++ b/src/domain/worker_health.ts
@@ -6,6 +6,8 @@
 const INITIAL_QUARANTINE_MS = 1_000;
 /** Upper bound on the duration of a quarantine, in milliseconds. */
 const MAX_QUARANTINE_MS = 8_000;
+/** How long a worker stays on probation without a run, in milliseconds. */
+const MAX_PROBATION_MS = 8_000;
 /** Quarantine of a worker that reports itself unhealthy, in milliseconds. */
 const UNHEALTHY_QUARANTINE_MS = 500;
 
@@ -41,10 +43,14 @@
 
 /**
  * How many tasks a worker may run now: none in quarantine, one on probation
- * after it, until a run succeeds, and otherwise any number.
+ * after it, and otherwise any number. A probation ends with a successful run, or
+ * after some time: work that needs more than one task of a worker would wait
+ * forever if nothing else were submitted.
  */
 export function maxRunningTasks(worker: DomainWorker, nowMs: number): number {
   const { consecutiveFailures, avoidUntilMs } = worker.health;
   if (nowMs < avoidUntilMs) return 0;
-  return consecutiveFailures >= QUARANTINE_FAILURES ? 1 : Infinity;
+  const isOnProbation = consecutiveFailures >= QUARANTINE_FAILURES &&
+    nowMs < avoidUntilMs + MAX_PROBATION_MS;
+  return isOnProbation ? 1 : Infinity;
 }
