Keep several appends in flight while the store is slow

With a new append every 45 ms the wait is close to one append.

Up to four appends are in flight, in order by their sequence numbers; the store remembers the answers of five. One that arrives before its predecessor is refused and sent again after it. Commits complete in order; permits carry a revision, since a grant can be confirmed while a revocation is on its way (a test that fails without it).

--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -37,8 +37,11 @@
 export type DomainRecord = {
   key: string;
   value: string | undefined;
-  /** For a step: the number of failures that the value includes. */
-  failureCount?: number;
+  /**
+   * What the value includes: the number of failures of a step, or of changes of
+   * a permit. Not stored.
+   */
+  revision?: number;
 };
 
 /** Numeric tag of a task's state in the record of its step. */
@@ -82,15 +85,20 @@
   const keys = [...domain.dirtyKeys];
   domain.dirtyKeys.clear();
   return keys.map((key) => {
-    const step = domain.steps.get(key.slice(STEP_PREFIX.length));
     const value = recordValueOf(domain, key);
-    if (!key.startsWith(STEP_PREFIX) || step === undefined) {
-      return { key, value };
-    }
-    return { key, value, failureCount: step.failureCount };
+    const revision = revisionOf(domain, key);
+    return revision === undefined ? { key, value } : { key, value, revision };
   });
 }
 
+function revisionOf(domain: Domain, key: string): number | undefined {
+  if (key.startsWith(PERMIT_PREFIX)) {
+    return domain.startPermits.get(key.slice(PERMIT_PREFIX.length))?.revision;
+  }
+  if (!key.startsWith(STEP_PREFIX)) return undefined;
+  return domain.steps.get(key.slice(STEP_PREFIX.length))?.failureCount;
+}
+
 /**
  * Records that the store has confirmed records of the domain: tasks of their
  * jobs may be started where a permit is stored.
@@ -106,18 +114,15 @@
   domain: Domain,
   records: DomainRecord[],
 ): void {
-  for (const { key, value, failureCount = 0 } of records) {
+  for (const { key, value, revision } of records) {
     if (key.startsWith(STEP_PREFIX)) {
       const step = domain.steps.get(key.slice(STEP_PREFIX.length));
-      if (step !== undefined) step.storedFailureCount = failureCount;
+      if (step !== undefined) step.storedFailureCount = revision ?? 0;
     } else if (key.startsWith(JOB_PREFIX)) {
       const run = domain.jobs.get(key.slice(JOB_PREFIX.length));
       if (run !== undefined && value !== undefined) run.isStored = true;
     } else if (key.startsWith(PERMIT_PREFIX)) {
-      const stored = value === undefined
-        ? undefined
-        : parseAs(startPermitSchema, value).unwrapOr(undefined);
-      confirmPermit(domain, key.slice(PERMIT_PREFIX.length), stored);
+      confirmPermit(domain, key.slice(PERMIT_PREFIX.length), revision);
     }
   }
 }
@@ -272,7 +277,7 @@
 
 /** Restores a permit, under which an earlier owner may have started tasks. */
 function restorePermit(domain: Domain, worker: string, bornMs: number): void {
-  domain.startPermits.set(worker, { bornMs, phase: "granted" });
+  domain.startPermits.set(worker, { bornMs, revision: 0, phase: "granted" });
   domain.unsettledWorkers.add(worker);
   getOrCreateWorker(domain, worker);
 }
--- a/src/domain/start_permit.ts
+++ b/src/domain/start_permit.ts
@@ -25,6 +25,8 @@
 /** A permit to start tasks on a worker, and how far it is stored. */
 export type StartPermit = {
   bornMs: number;
+  /** Number of changes of the permit, of which the last has to be stored. */
+  revision: number;
   phase:
     /** The record is not known to be stored. */
     | "granting"
@@ -42,7 +44,8 @@
   const known = domain.startPermits.get(id);
   if (known !== undefined && domain.unsettledWorkers.size > 0) return;
   if (known?.bornMs === bornMs && known.phase !== "revoking") return;
-  domain.startPermits.set(id, { bornMs, phase: "granting" });
+  const revision = (known?.revision ?? 0) + 1;
+  domain.startPermits.set(id, { bornMs, revision, phase: "granting" });
   domain.dirtyKeys.add(permitKey(id));
 }
 
@@ -55,6 +58,7 @@
   if (known === undefined || known.phase === "revoking") return;
   if (domain.unsettledWorkers.size > 0) return;
   known.phase = "revoking";
+  known.revision += 1;
   domain.dirtyKeys.add(permitKey(worker));
 }
 
@@ -68,19 +72,16 @@
   }
 }
 
-/** Records that a permit, or its deletion, is in the store. */
+/** Records that a revision of a permit, or its deletion, is in the store. */
 export function confirmPermit(
   domain: Domain,
   worker: string,
-  stored: v.InferOutput<typeof startPermitSchema> | undefined,
+  revision: number | undefined,
 ): void {
   const known = domain.startPermits.get(worker);
-  if (known === undefined) return;
-  if (stored === undefined) {
-    if (known.phase === "revoking") domain.startPermits.delete(worker);
-  } else if (known.phase === "granting" && known.bornMs === stored.bornMs) {
-    known.phase = "granted";
-  }
+  if (known === undefined || known.revision !== revision) return;
+  if (known.phase === "revoking") domain.startPermits.delete(worker);
+  else known.phase = "granted";
 }
 
 /**
--- a/src/domain/start_permit_test.ts
+++ b/src/domain/start_permit_test.ts
@@ -3,6 +3,7 @@
 import type { DomainCommand, WorkerOrder } from "./domain_command.ts";
 import { describeJob } from "./describe_job.ts";
 import { jobStateOf } from "./job_state.ts";
+import { drainDirtyRecords, recordCommitted } from "./records.ts";
 import { mayPrecedeCommit } from "./start_permit.ts";
 import {
   cancel,
@@ -107,6 +108,24 @@
     assert.equal(mayPrecedeCommit(bench.domain, start!), false);
   });
 
+  it("if an earlier grant was stored, but a revocation is on its way", () => {
+    const bench = createBench();
+    const { domain } = bench;
+    submit(bench, "a", [step()]);
+    feedEvent(bench, { kind: "workersListed", workers: [listing("w1")] });
+    const [start] = startsIn(reportUncommitted(bench, "w1", {}));
+    const grant = drainDirtyRecords(domain);
+    feedUncommitted(bench, { kind: "workerSilent", worker: "w1" });
+    const revocation = drainDirtyRecords(domain);
+    reportUncommitted(bench, "w1", { running: [running("a.0.0.0", 1)] });
+    recordCommitted(domain, grant);
+    assert.equal(mayPrecedeCommit(domain, start!), false);
+    recordCommitted(domain, revocation);
+    assert.equal(mayPrecedeCommit(domain, start!), false);
+    recordCommitted(domain, drainDirtyRecords(domain));
+    assert.equal(mayPrecedeCommit(domain, start!), true);
+  });
+
   it("after a failure that is not known to be stored", () => {
     const bench = createBench();
     listWorkers(bench, listing("w1"));
--- a/src/domain/testing/owner_model.ts
+++ b/src/domain/testing/owner_model.ts
@@ -35,7 +35,7 @@
   TASKS_PER_WORKER,
 } from "./owner_model_orders.ts";
 import {
-  completeDueCommit,
+  completeDueCommits,
   executeCommands,
   loseCommits,
 } from "./owner_model_commits.ts";
@@ -102,7 +102,7 @@
     failedRuns: new Map(),
     restarts: [],
     startedAttempts: new Map(),
-    commit: undefined,
+    commits: [],
     pendingCommands: [],
     execute: (commands) => executeCommands(model, commands),
     violations: [],
@@ -170,7 +170,7 @@
   );
   model.orders = model.orders.filter((pending) => !dueOrders.includes(pending));
   for (const pending of dueOrders) deliverOrder(model, pending);
-  completeDueCommit(model);
+  completeDueCommits(model);
   for (const simulated of model.workers.values()) {
     recordDoneTasks(model, simulated);
     recordEndsBeforeExpiry(model, simulated);
--- a/src/domain/testing/owner_model_commits.ts
+++ b/src/domain/testing/owner_model_commits.ts
@@ -1,6 +1,6 @@
 /**
- * The store of the simulation: one commit is in flight at a time, and takes
- * long at times. Orders leave as they do in an owner.
+ * The store of the simulation: a few commits are in flight at a time, and some
+ * take long. Orders leave as they do in an owner.
  *
  * @module
  */
@@ -10,6 +10,7 @@
 import { acknowledgeEnds, sendOrder } from "./owner_model_orders.ts";
 import type { Model } from "./owner_model_state.ts";
 
+const MAX_COMMITS_IN_FLIGHT = 3;
 /** The longest time that a commit takes while the store is healthy, in ms. */
 const MAX_COMMIT_MS = 60;
 /** The longest time that a commit takes otherwise, in milliseconds. */
@@ -26,43 +27,46 @@
   beginCommit(model);
 }
 
-/** Completes the commit in flight if the store has answered. */
-export function completeDueCommit(model: Model): void {
-  const { commit, bench } = model;
-  if (commit === undefined || commit.dueAtMs > bench.nowMs) return;
-  model.commit = undefined;
-  storeRecords(model, commit.records);
-  recordCommitted(bench.domain, commit.records);
-  for (const command of commit.commands) executeCommitted(model, command);
-  model.pendingCommands = model.pendingCommands.filter((command) =>
-    !sendAheadOfCommit(model, command)
-  );
+/** Completes the commits in flight that the store has answered, in order. */
+export function completeDueCommits(model: Model): void {
+  const { bench } = model;
+  while ((model.commits[0]?.dueAtMs ?? Infinity) <= bench.nowMs) {
+    const { records, commands } = model.commits.shift()!;
+    storeRecords(model, records);
+    recordCommitted(bench.domain, records);
+    for (const command of commands) executeCommitted(model, command);
+    model.pendingCommands = model.pendingCommands.filter((command) =>
+      !sendAheadOfCommit(model, command)
+    );
+  }
   beginCommit(model);
 }
 
-/** Drops the state of an owner that is lost; its last append may succeed. */
+/** Drops the state of an owner that is lost; its last appends may succeed. */
 export function loseCommits(model: Model): void {
-  const { commit, random } = model;
-  if (commit !== undefined && random.integer(0, 1) === 0) {
-    storeRecords(model, commit.records);
+  const stored = model.random.integer(0, model.commits.length);
+  for (const { records } of model.commits.slice(0, stored)) {
+    storeRecords(model, records);
   }
-  model.commit = undefined;
+  model.commits = [];
   model.pendingCommands = [];
 }
 
 function beginCommit(model: Model): void {
   const { bench, random } = model;
-  if (model.commit !== undefined) return;
+  if (model.commits.length === MAX_COMMITS_IN_FLIGHT) return;
   if (bench.domain.dirtyKeys.size === 0 && model.pendingCommands.length === 0) {
     return;
   }
   const isSlow = random.integer(1, OUTAGE_ODDS) === 1;
-  model.commit = {
+  const earlierDueAtMs = model.commits.at(-1)?.dueAtMs ?? 0;
+  const dueAtMs = bench.nowMs +
+    random.integer(1, isSlow ? MAX_OUTAGE_MS : MAX_COMMIT_MS);
+  model.commits.push({
     records: drainDirtyRecords(bench.domain),
     commands: model.pendingCommands,
-    dueAtMs: bench.nowMs +
-      random.integer(1, isSlow ? MAX_OUTAGE_MS : MAX_COMMIT_MS),
-  };
+    dueAtMs: Math.max(earlierDueAtMs, dueAtMs),
+  });
   model.pendingCommands = [];
 }
 
--- a/src/domain/testing/owner_model_state.ts
+++ b/src/domain/testing/owner_model_state.ts
@@ -75,8 +75,8 @@
   failedRuns: Map<string, FailedRun[]>;
   /** The runs of a task that had failed when it was started again. */
   restarts: { task: string; failed: FailedRun[] }[];
-  /** The append that the store has not answered. */
-  commit: PendingCommit | undefined;
+  /** The appends that the store has not answered, in order. */
+  commits: PendingCommit[];
   /** Commands that wait for the next commit. */
   pendingCommands: DomainCommand[];
   /** Executes commands of the domain. */
--- a/src/ownership/domain_writer.ts
+++ b/src/ownership/domain_writer.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import type { Clock, Partition, StoreHost } from "../hosts/mod.ts";
 import type { DomainRecord } from "../domain/mod.ts";
 import type { Counters, PartLogger } from "../telemetry/mod.ts";
@@ -9,6 +10,15 @@
 const MAX_RETRY_DELAY_MS = 150;
 /** The shortest time from one append to the next commit, in milliseconds. */
 const MIN_COMMIT_INTERVAL_MS = 10;
+/**
+ * The shortest time from one append to the next while it has no answer, in ms.
+ * A healthy store answers within this time, so that appends are not split.
+ */
+const PIPELINE_INTERVAL_MS = 45;
+/** The store remembers the answers of the last five appends for retries. */
+const MAX_APPENDS_IN_FLIGHT = 4;
+/** How often the writer checks whether it may send, in milliseconds. */
+const MAX_SEND_DELAY_MS = 1_000;
 /** Appends that take longer are logged, in milliseconds. */
 const SLOW_APPEND_THRESHOLD_MS = 200;
 /** Size limit of the records of one append; the store's limit is 2 MiB. */
@@ -48,10 +58,19 @@
   appendAgeMs(): number;
 };
 
+/** An append that the store has not confirmed. */
+type AppendInFlight = {
+  sentAtMs: number;
+  /** Resolves to whether it is in the store, after all earlier appends. */
+  done: Promise<boolean>;
+};
+
 /**
- * Creates the writer of a domain. One append is in flight at a time; changes
- * made in the meantime are committed with the next one. An append without an
- * answer is retried under the same sequence number, which makes it idempotent.
+ * Creates the writer of a domain. While an append has no answer, changes made in
+ * the meantime are sent with the next one after a pause, a few at a time. The
+ * sequence numbers keep them in order: the store refuses an append that arrives
+ * before its predecessor, and it is then sent again. An append without an answer
+ * is retried under the same sequence number, which makes it idempotent.
  *
  * @example
  * ```ts
@@ -60,47 +79,109 @@
  * ```
  */
 export function createDomainWriter(host: DomainWriterHost): DomainWriter {
+  const { clock, signal } = host;
+  const inFlight: AppendInFlight[] = [];
   let isRunning = false;
   let sentAtMs = -Infinity;
-  let confirmedAt = currentInstant(host.clock);
-  let appendingSinceMs: number | undefined;
-  let { sequence } = host;
+  let confirmedAt = currentInstant(clock);
+  let nextSequence = host.sequence;
 
   async function commitChanges(): Promise<void> {
     isRunning = true;
-    while (!host.signal.aborted) {
-      const gapMs = sentAtMs + MIN_COMMIT_INTERVAL_MS - host.clock.steadyMs();
-      if (gapMs > 0) await host.clock.sleep(gapMs, host.signal);
+    while (!signal.aborted) {
+      const delayMs = nextSendDelayMs();
+      if (delayMs > 0) {
+        const answered = inFlight[0]?.done ?? new Promise<never>(() => {});
+        await Promise.race([clock.sleep(delayMs, signal), answered]);
+        continue;
+      }
       const commit = host.takeChanges();
       if (commit === undefined) break;
-      for (const chunk of splitIntoChunks(commit.records)) {
-        if (!await append(chunk)) return;
-      }
-      commit.onCommitted();
+      const chunks = [...splitIntoChunks(commit.records)];
+      if (chunks.length <= 1) sendCommit(commit);
+      else await sendLargeCommit(commit, chunks);
     }
     isRunning = false;
   }
 
-  async function append(records: DomainRecord[]): Promise<boolean> {
-    const { store, clock, partition, epoch, signal } = host;
-    appendingSinceMs = clock.steadyMs();
-    sentAtMs = appendingSinceMs;
+  /** Time until the next append may be sent; it may end with an answer. */
+  function nextSendDelayMs(): number {
+    const sinceSentMs = clock.steadyMs() - sentAtMs;
+    if (inFlight.length === 0) return MIN_COMMIT_INTERVAL_MS - sinceSentMs;
+    if (inFlight.length >= MAX_APPENDS_IN_FLIGHT) return MAX_SEND_DELAY_MS;
+    return PIPELINE_INTERVAL_MS - sinceSentMs;
+  }
+
+  /** Sends the records of a commit, and completes it in order. */
+  async function sendCommit({ records, onCommitted }: Commit): Promise<void> {
+    const previous = lastAppend();
+    const stored = records.length === 0
+      ? previous
+      : sendAppend(records, previous);
+    if (await stored) onCommitted();
+  }
+
+  /** Sends a commit that takes several appends, with nothing in between. */
+  async function sendLargeCommit(
+    commit: Commit,
+    chunks: DomainRecord[][],
+  ): Promise<void> {
+    for (const chunk of chunks) {
+      if (!await sendAppend(chunk, lastAppend())) return;
+    }
+    commit.onCommitted();
+  }
+
+  function lastAppend(): Promise<boolean> {
+    return inFlight.at(-1)?.done ?? Promise.resolve(true);
+  }
+
+  function sendAppend(
+    records: DomainRecord[],
+    previous: Promise<boolean>,
+  ): Promise<boolean> {
+    sentAtMs = clock.steadyMs();
+    const sequence = nextSequence++;
+    const done = append(records, sequence, previous).then((isStored) => {
+      inFlight.splice(inFlight.indexOf(flight), 1);
+      return isStored;
+    });
+    const flight = { sentAtMs, done };
+    inFlight.push(flight);
+    return done;
+  }
+
+  /** Appends records; resolves after all earlier appends. */
+  async function append(
+    records: DomainRecord[],
+    sequence: number,
+    previous: Promise<boolean>,
+  ): Promise<boolean> {
+    const { store, partition, epoch } = host;
+    const fence = { epoch, sequence };
+    let isPredecessorStored = false;
     for (let tries = 0; !signal.aborted; tries += 1) {
       const sentAt = currentInstant(clock);
-      const fence = { epoch, sequence };
       const result = await store.append(partition, records, fence, signal);
       const elapsedMs = clock.steadyMs() - sentAt.steadyMs;
       if (result.isOk()) {
-        sequence += 1;
-        appendingSinceMs = undefined;
         confirmedAt = sentAt;
         host.counters.observe("append_ms", elapsedMs);
         if (elapsedMs > SLOW_APPEND_THRESHOLD_MS) {
-          logSlowAppend(records.length, elapsedMs);
+          logSlowAppend(records.length, sequence, elapsedMs);
         }
-        return true;
+        return await previous;
       }
       const fault = result.error;
+      const { expectedSequence = sequence } = fault;
+      // Only this writer uses the epoch, so an earlier try has succeeded.
+      if (expectedSequence > sequence) return await previous;
+      if (expectedSequence < sequence && !isPredecessorStored) {
+        host.counters.count("appends_ahead_of_predecessor");
+        if (!await previous) return false;
+        isPredecessorStored = true;
+        continue;
+      }
       host.counters.count("append_faults", { kind: fault.kind });
       host.logger.warn("An append failed.", {
         epoch,
@@ -114,19 +195,21 @@
         host.onFenced(fault.message);
         return false;
       }
-      if (fault.kind === "sequence" && fault.expectedSequence !== undefined) {
-        sequence = fault.expectedSequence;
-      }
       await clock.sleep(retryDelayMs(tries), signal);
     }
     return false;
   }
 
-  function logSlowAppend(records: number, elapsedMs: number): void {
+  function logSlowAppend(
+    records: number,
+    sequence: number,
+    elapsedMs: number,
+  ): void {
     host.logger.info("An append was slow.", {
       epoch: host.epoch,
       sequence,
       records,
+      inFlight: inFlight.length,
       elapsedMs: Math.round(elapsedMs),
     });
   }
@@ -136,11 +219,11 @@
       if (!isRunning) commitChanges();
     },
     confirmedAt: () => confirmedAt,
-    isIdle: () => !isRunning,
-    appendAgeMs: () =>
-      appendingSinceMs === undefined
-        ? 0
-        : host.clock.steadyMs() - appendingSinceMs,
+    isIdle: () => !isRunning && inFlight.length === 0,
+    appendAgeMs() {
+      const oldest = inFlight[0];
+      return oldest === undefined ? 0 : clock.steadyMs() - oldest.sentAtMs;
+    },
   };
 }
 
@@ -153,7 +236,8 @@
   let chunk: DomainRecord[] = [];
   let chunkBytes = 0;
   for (const record of records) {
-    const recordBytes = record.key.length + (record.value?.length ?? 0);
+    const recordBytes = Buffer.byteLength(record.key) +
+      Buffer.byteLength(record.value ?? "");
     if (chunk.length > 0 && chunkBytes + recordBytes > MAX_APPEND_BYTES) {
       yield chunk;
       chunk = [];
--- /dev/null
+++ b/src/ownership/domain_writer_test.ts
@@ -0,0 +1,164 @@
+import assert from "node:assert/strict";
+import { setImmediate } from "node:timers/promises";
+import { afterEach, describe, it } from "node:test";
+import { err, ok, type Result } from "neverthrow";
+import type { DomainRecord } from "../domain/mod.ts";
+import {
+  createManualClock,
+  silentLogger,
+} from "../entry/testing/manual_clock.ts";
+import type { Clock, Fence, StoreFault, StoreHost } from "../hosts/mod.ts";
+import type { Counters } from "../telemetry/mod.ts";
+import { type Commit, createDomainWriter } from "./domain_writer.ts";
+
+type Answer = Result<void, StoreFault>;
+
+/** An append that the test answers. */
+type Append = { key: string; sequence: number; answer(answer: Answer): void };
+
+const EXPECTED_FIRST: Answer = err({
+  kind: "sequence",
+  step: "store.append",
+  message: "",
+  expectedSequence: 1,
+});
+
+const controllers: AbortController[] = [];
+
+afterEach(() => controllers.splice(0).forEach((one) => one.abort()));
+
+/** A clock whose sleeps let other work run first. */
+function createYieldingClock(): Clock {
+  const clock = createManualClock();
+  return {
+    ...clock,
+    async sleep(delayMs, signal) {
+      await setImmediate();
+      await clock.sleep(delayMs, signal);
+    },
+  };
+}
+
+/** A writer on a store that answers when the test says so. */
+function createWriterBench(valueBytes = 1) {
+  const appends: Append[] = [];
+  const committed: string[] = [];
+  const pending: Commit[] = [];
+  const controller = new AbortController();
+  controllers.push(controller);
+  const store = {
+    append: (_: unknown, records: DomainRecord[], fence: Fence) =>
+      new Promise<Answer>((answer) => {
+        const key = records.map((record) => record.key).join(" ");
+        appends.push({ key, sequence: fence.sequence, answer });
+      }),
+  };
+  const writer = createDomainWriter({
+    store: store as unknown as StoreHost,
+    clock: createYieldingClock(),
+    logger: silentLogger,
+    counters: { count() {}, observe() {} } as unknown as Counters,
+    partition: { topic: "domains", number: 0 },
+    epoch: 7,
+    sequence: 1,
+    takeChanges: () => pending.shift(),
+    onFenced: () => controller.abort(),
+    signal: controller.signal,
+  });
+  async function commit(...keys: string[]): Promise<void> {
+    const value = "x".repeat(valueBytes);
+    pending.push({
+      records: keys.map((key) => ({ key, value })),
+      onCommitted: () => committed.push(keys.join(" ")),
+    });
+    writer.requestCommit();
+    await settle();
+  }
+  return { appends, committed, commit, writer };
+}
+
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 20; turn += 1) await setImmediate();
+}
+
+describe("a slow store, several appends in flight", () => {
+  it("completes commits in order, whatever the order of the answers", async () => {
+    const { appends, committed, commit } = createWriterBench();
+    await commit("a");
+    await commit("b");
+    assert.deepEqual(appends.map(({ sequence }) => sequence), [1, 2]);
+    appends[1]!.answer(ok(undefined));
+    await settle();
+    assert.deepEqual(committed, []);
+    appends[0]!.answer(ok(undefined));
+    await settle();
+    assert.deepEqual(committed, ["a", "b"]);
+  });
+
+  it("repeats an append that arrived before its predecessor", async () => {
+    const { appends, committed, commit } = createWriterBench();
+    await commit("a");
+    await commit("b");
+    appends[1]!.answer(EXPECTED_FIRST);
+    await settle();
+    assert.equal(appends.length, 2);
+    appends[0]!.answer(ok(undefined));
+    await settle();
+    assert.equal(appends[2]?.key, "b");
+    assert.equal(appends[2]?.sequence, 2);
+    appends[2]!.answer(ok(undefined));
+    await settle();
+    assert.deepEqual(committed, ["a", "b"]);
+  });
+
+  it("takes an append as stored if the store expects a later one", async () => {
+    const { appends, committed, commit } = createWriterBench();
+    await commit("a");
+    await commit("b");
+    const unknown = { kind: "unknown", step: "", message: "" } as const;
+    appends[0]!.answer(err(unknown));
+    appends[1]!.answer(ok(undefined));
+    await settle();
+    const expected = { ...unknown, kind: "sequence", expectedSequence: 3 };
+    appends[2]!.answer(err(expected as StoreFault));
+    await settle();
+    assert.equal(appends.length, 3);
+    assert.deepEqual(committed, ["a", "b"]);
+  });
+
+  it("has at most as many in flight as the store remembers", async () => {
+    const { appends, commit } = createWriterBench();
+    for (const key of ["a", "b", "c", "d", "e", "f"]) await commit(key);
+    assert.equal(appends.length, 4);
+  });
+
+  it("completes nothing after an append was fenced", async () => {
+    const { appends, committed, commit } = createWriterBench();
+    await commit("a");
+    await commit("b");
+    appends[0]!.answer(err({ kind: "fenced", step: "", message: "" }));
+    appends[1]!.answer(ok(undefined));
+    await settle();
+    assert.deepEqual(committed, []);
+  });
+
+  it("sends nothing between the appends of a large commit", async () => {
+    const { appends, commit } = createWriterBench(600_000);
+    await commit("a", "b");
+    await commit("c");
+    assert.deepEqual(appends.map(({ key }) => key), ["a"]);
+    appends[0]!.answer(ok(undefined));
+    await settle();
+    assert.deepEqual(appends.map(({ key }) => key), ["a", "b"]);
+  });
+});
+
+it("the age of an append is that of the oldest without an answer", async () => {
+  const { appends, commit, writer } = createWriterBench();
+  await commit("a");
+  const { length } = appends;
+  assert.equal(length, 1);
+  await commit("b");
+  assert.ok(writer.appendAgeMs() > 0);
+  assert.equal(writer.isIdle(), false);
+});
