--- a/soak/main.ts
+++ b/soak/main.ts
@@ -71,7 +71,11 @@
   }
 }
 
-function writeLogs(folder: string, { seed, logs }: SoakResult): void {
+/** Writes the violations of a seed, and what its instances have logged. */
+function writeLogs(folder: string, result: SoakResult): void {
+  const { seed, plan, violations, logs } = result;
+  const lines = [...violations, ...plan.map((fault) => JSON.stringify(fault))];
+  writeFileSync(join(folder, `${seed}-violations.txt`), lines.join("\n"));
   for (const [instance, text] of logs) {
     writeFileSync(join(folder, `${seed}-${instance}.log`), text);
   }
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -72,8 +72,16 @@
   const targets: FaultTargets = { cluster, storeProxies, workerProxies };
   const violations = new Set<string>();
   const watchController = new AbortController();
+  const collectLogs = () =>
+    new Map(
+      cluster.instances.map(({ id, program, earlierOutput }) => [
+        id,
+        earlierOutput + program.output(),
+      ]),
+    );
+  let plan: PlannedFault[] = [];
   try {
-    const plan = [...planFaults(createRandomness(seed), {
+    plan = [...planFaults(createRandomness(seed), {
       instances: cluster.instances.length,
       workers: workerProxies.length,
       durationMs,
@@ -97,13 +105,12 @@
     for (const violation of checkTrackedRequests(trackedRequests, runs)) {
       violations.add(violation);
     }
-    const logs = new Map(
-      cluster.instances.map(({ id, program, earlierOutput }) => [
-        id,
-        earlierOutput + program.output(),
-      ]),
-    );
+    const logs = collectLogs();
     return { seed, plan, violations: [...violations], workItems, logs };
+  } catch (error) {
+    violations.add(`the run did not finish: ${String(error)}`);
+    const logs = collectLogs();
+    return { seed, plan, violations: [...violations], workItems: [], logs };
   } finally {
     watchController.abort();
     const proxies = [...storeProxies, ...workerProxies];
