Ask callers to return during an outage of the store by what their job can use

Cause: a refused call was asked to return after as long as the store had been silent, up to 5 s.

Half of the job's objective now bounds the delay, one second the delay of reads. Long jobs keep the longer one: their retries would be used up before the end. outage_retry_test has the pattern. The router's test of the refusal keeps its expectation, with a job that is long enough for it.

Not measured yet.

--- a/src/entry/call_router.ts
+++ b/src/entry/call_router.ts
@@ -15,6 +15,7 @@
 import type { Directory, OwnedDomains } from "../ownership/mod.ts";
 import type { Counters, PartLogger } from "../telemetry/mod.ts";
 import { executeDomainCall } from "./execute_domain_call.ts";
+import { retryAfterOutageMs } from "./outage_retry.ts";
 import type { DomainAnswer, DomainCall } from "./peer_call.ts";
 import type { Reachability } from "./reachability.ts";
 
@@ -24,8 +25,6 @@
 const ATTEMPT_TIMEOUT_MS = 1_200;
 /** Expected duration of a takeover, in milliseconds. */
 const EXPECTED_TAKEOVER_MS = 1_000;
-/** Upper limit of the retry delay suggested to clients, in milliseconds. */
-const MAX_RETRY_AFTER_MS = 5_000;
 /** Pause between two lookups of the owner, in milliseconds. */
 const OWNER_LOOKUP_INTERVAL_MS = 100;
 
@@ -308,7 +307,7 @@
         attemptTimeoutMs,
       );
       host.reachability.recordCall(outcome.kind === "answered");
-      const attempt = classifyAttempt(outcome);
+      const attempt = classifyAttempt(call, outcome);
       switch (attempt.kind) {
         case "answered":
           return { kind: "done", value: attempt.answer };
@@ -359,18 +358,18 @@
   | { kind: "notExecuted"; cause: string }
   | { kind: "unknown"; cause: string };
 
-function classifyAttempt(outcome: PeerCallOutcome): AttemptResult {
+function classifyAttempt(
+  call: DomainCall,
+  outcome: PeerCallOutcome,
+): AttemptResult {
   switch (outcome.kind) {
     case "answered":
       if (outcome.answer.kind === "lost") {
         return { kind: "unknown", cause: "the owner lost the domain" };
       }
       if (outcome.answer.kind === "storeDown") {
-        // An outage is expected to last as long again as it already has.
-        const retryAfterMs = Math.min(
-          Math.max(outcome.answer.silentMs, EXPECTED_TAKEOVER_MS),
-          MAX_RETRY_AFTER_MS,
-        );
+        const { silentMs } = outcome.answer;
+        const retryAfterMs = retryAfterOutageMs(call, silentMs);
         const cause = "the store does not answer";
         return { kind: "refused", cause, retryAfterMs };
       }
--- a/src/entry/call_router_test.ts
+++ b/src/entry/call_router_test.ts
@@ -135,7 +135,8 @@
     const { router, calls } = routerAnsweredBy(
       { kind: "answered", answer: { kind: "storeDown", silentMs: 3_000 } },
     );
-    const outcome = await router.submit(REQUEST, policy(), 3_000);
+    const longJob = { ...REQUEST, steps: [step({ estimateMs: 9_000 })] };
+    const outcome = await router.submit(longJob, policy(), 3_000);
     assert.deepEqual(outcome, {
       kind: "unavailable",
       cause: "the store does not answer",
