Answer a submission under another customer's id as an unknown id

The content was compared before the customer, so a 409 told one customer that another's id exists; and a submission that could not be placed cancelled the other customer's request.

--- a/src/entry/requests_api.ts
+++ b/src/entry/requests_api.ts
@@ -129,6 +129,10 @@
       }
     }
     const stored = await describe(id);
+    // Its content and its existence are no business of another customer.
+    if ("customer" in stored && stored.customer !== customer) {
+      return problemResponse(NOT_FOUND, diagnostics.requestIdInvalid);
+    }
     const hasConflict = "specification" in stored &&
       stored.specification !== request.specification;
     if (hasConflict) {
--- a/src/entry/requests_api_test.ts
+++ b/src/entry/requests_api_test.ts
@@ -32,6 +32,50 @@
   retryAfterMs: 500,
 };
 
+describe("a submission under the id of another customer's request", () => {
+  it("is answered as an unknown id, and cancels nothing", async () => {
+    const cancelled: string[] = [];
+    const description = {
+      id: "5c0e7a21d94b36f8",
+      queue: "proof",
+      customer: "funeral-homes",
+      service: "default",
+      specification: "another text",
+      state: "pending",
+      hasStarted: false,
+      acceptedAtMs: 0,
+      tasks: [],
+      waits: [],
+    };
+    const router = {
+      submit: () => Promise.resolve({ kind: "done", value: undefined }),
+      describe: () => Promise.resolve({ kind: "done", value: description }),
+      cancel: (id: string) => {
+        cancelled.push(id);
+        return Promise.resolve({ kind: "done", value: undefined });
+      },
+    };
+    const api = createRequestsApi(
+      contextWithoutOwners(),
+      router as unknown as CallRouter,
+    );
+    const submission = {
+      agreement: "order-desk",
+      work: "proof",
+      tasks: [{}],
+    };
+    const response = await api.submit(
+      "order-desk",
+      description.id,
+      submission,
+      0,
+    );
+    assert.ok(response.kind === "problem");
+    assert.equal(response.status, 404);
+    assert.deepEqual(cancelled, []);
+  });
+});
+
 describe("an instance that reaches no owner", () => {
   it("does not report that a request did not run, since an earlier call may have run it", async () => {
     const router = {
