--- a/src/domain/start_permit.ts
+++ b/src/domain/start_permit.ts
@@ -172,7 +172,14 @@
   if (domain.startPermits.get(worker)?.bornMs !== bornMs) {
     domain.hasUnlistedAttempts = true;
   }
-  if (domain.unsettledWorkers.size > 0 || !domain.hasUnlistedAttempts) return;
+  if (domain.unsettledWorkers.size > 0) return;
+  const { hasUnlistedAttempts } = domain;
+  domain.commands.push({
+    kind: "report",
+    message: "No worker may hold unrecorded tasks any more.",
+    fields: { lastWorker: worker, unlistedAttempts: `${hasUnlistedAttempts}` },
+  });
+  if (!hasUnlistedAttempts) return;
   for (const run of domain.steps.values()) {
     if (run.jobRun.isRestored) recordPossibleAttempts(domain, run);
   }
--- a/src/ownership/take_over.ts
+++ b/src/ownership/take_over.ts
@@ -76,6 +76,7 @@
     epoch,
     records: newest.value.records.length,
     jobs: domain.jobs.size,
+    unsettledWorkers: domain.unsettledWorkers.size,
     elapsedMs: Math.round(clock.steadyMs() - startedAtMs),
   });
   return ok({ domain, sequence: FIRST_SEQUENCE + 1 });
