--- a/src/ownership/domain_writer.ts
+++ b/src/ownership/domain_writer.ts
@@ -14,9 +14,12 @@
  * The shortest time from one append to the next while it has no answer, in ms.
  * A healthy store answers within this time, so that appends are not split.
  */
-const PIPELINE_INTERVAL_MS = 45;
-/** The store remembers the answers of the last five appends for retries. */
-const MAX_APPENDS_IN_FLIGHT = 4;
+const MIN_PIPELINE_INTERVAL_MS = 45;
+/**
+ * The store executes the appends of a partition one after the other, so more of
+ * them would only wait there. It remembers the answers of five for retries.
+ */
+const MAX_APPENDS_IN_FLIGHT = 3;
 /** How often the writer checks whether it may send, in milliseconds. */
 const MAX_SEND_DELAY_MS = 1_000;
 /** Appends that take longer are logged, in milliseconds. */
@@ -84,6 +87,7 @@
   let isRunning = false;
   let sentAtMs = -Infinity;
   let confirmedAt = currentInstant(clock);
+  let lastAppendMs = 0;
   let nextSequence = host.sequence;
 
   async function commitChanges(): Promise<void> {
@@ -109,7 +113,11 @@
     const sinceSentMs = clock.steadyMs() - sentAtMs;
     if (inFlight.length === 0) return MIN_COMMIT_INTERVAL_MS - sinceSentMs;
     if (inFlight.length >= MAX_APPENDS_IN_FLIGHT) return MAX_SEND_DELAY_MS;
-    return PIPELINE_INTERVAL_MS - sinceSentMs;
+    const intervalMs = Math.max(
+      MIN_PIPELINE_INTERVAL_MS,
+      lastAppendMs / MAX_APPENDS_IN_FLIGHT,
+    );
+    return intervalMs - sinceSentMs;
   }
 
   /** Sends the records of a commit, and completes it in order. */
@@ -166,6 +174,7 @@
       const elapsedMs = clock.steadyMs() - sentAt.steadyMs;
       if (result.isOk()) {
         confirmedAt = sentAt;
+        lastAppendMs = elapsedMs;
         host.counters.observe("append_ms", elapsedMs);
         if (elapsedMs > SLOW_APPEND_THRESHOLD_MS) {
           logSlowAppend(records.length, sequence, elapsedMs);
--- a/src/ownership/owner_links.ts
+++ b/src/ownership/owner_links.ts
@@ -54,6 +54,8 @@
   return worker.placed.size > 0 || domain.unsettledWorkers.has(worker.id);
 }
 
+/** Time until a worker is polled although its ends are not stored, in ms. */
+const UNACKNOWLEDGED_POLL_DELAY_MS = 80;
 /** The links of domains with more workers than this are held by relays. */
 const MAX_DIRECT_LINKS = 64;
 /** The most links that are moved to relays at a time. */
@@ -154,6 +156,7 @@
     target,
     resumeFrom,
     ownerClockMs: host.clock.steadyMs,
+    unacknowledgedPollDelayMs: UNACKNOWLEDGED_POLL_DELAY_MS,
     earlierLeasesExpireAtMs: () =>
       Math.max(state.earlierLeasesExpireAtMs, previousLeaseExpiresAtMs),
     mayGrantLeases: () => remainingGrantMs(state) > 0,
--- a/src/ownership/relay/relay_session.ts
+++ b/src/ownership/relay/relay_session.ts
@@ -23,6 +23,13 @@
   RelayReportAnswer,
 } from "./relay_message.ts";
 
+/**
+ * Time until a worker is polled although its ends are not stored, in ms. A relay
+ * cannot tell whether the store is slow or the owner is busy, which would get
+ * the same ends again.
+ */
+const UNACKNOWLEDGED_POLL_DELAY_MS = 1_000;
+
 /** How often the grant is renewed with the owner, in milliseconds. */
 const GRANT_RENEWAL_INTERVAL_MS = 300;
 /** A session ends after this time without an answer from the owner, in ms. */
@@ -150,6 +157,7 @@
       },
       earlierLeasesExpireAtMs: () =>
         Math.max(earlierLeasesExpireAtMs, earlierLinkLeasesExpireAtMs),
+      unacknowledgedPollDelayMs: UNACKNOWLEDGED_POLL_DELAY_MS,
       mayGrantLeases: grant.isValid,
       ownerClockMs: ownerClock.lowerBoundMs,
       emit: (event) => {
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -20,8 +20,11 @@
 const POLL_WAIT_MS = 1_000;
 /** Delay after a failed poll or order, in milliseconds. */
 const RETRY_DELAY_MS = 150;
-/** The longest wait until the run ends listed by a poll are stored, in ms. */
-const ACKNOWLEDGEMENT_TIMEOUT_MS = 1_000;
+/**
+ * The longest time between two polls while listed run ends are not stored yet,
+ * in milliseconds. The worker answers such polls at once.
+ */
+const MAX_UNACKNOWLEDGED_POLL_DELAY_MS = 1_000;
 
 /** Dependencies of a link. */
 export type WorkerLinkHost = {
@@ -34,6 +37,12 @@
   leaseMs: number;
   /** When all leases of earlier owners have expired, on the steady clock. */
   earlierLeasesExpireAtMs(): number;
+  /**
+   * Time until the worker is polled again although the run ends that it listed
+   * are not stored yet, in milliseconds; doubled each time. While the store is
+   * slow, further ends would otherwise be noticed late.
+   */
+  unacknowledgedPollDelayMs: number;
   /** Whether the owner may still grant leases. */
   mayGrantLeases(): boolean;
   /** The last run end that an earlier link acknowledged, and its incarnation. */
@@ -103,18 +112,27 @@
 
 /** Polls the worker until the link closes. */
 async function pollWorker(state: LinkState): Promise<void> {
-  const { clock, signal } = state.host;
+  const { clock, signal, unacknowledgedPollDelayMs } = state.host;
+  let delayMs = unacknowledgedPollDelayMs;
   while (!signal.aborted) {
     const succeeded = await pollOnce(state);
-    if (!succeeded) await clock.sleep(RETRY_DELAY_MS, signal);
-    else if (state.highestListedEnd > state.acknowledged) {
-      await waitForAcknowledgement(state);
+    if (!succeeded) {
+      await clock.sleep(RETRY_DELAY_MS, signal);
+    } else if (state.highestListedEnd > state.acknowledged) {
+      await waitForAcknowledgement(state, delayMs);
+      const isAcknowledged = state.highestListedEnd <= state.acknowledged;
+      delayMs = isAcknowledged
+        ? unacknowledgedPollDelayMs
+        : Math.min(2 * delayMs, MAX_UNACKNOWLEDGED_POLL_DELAY_MS);
     }
   }
 }
 
 /** Waits until the listed run ends are acknowledged, or a timeout. */
-async function waitForAcknowledgement(state: LinkState): Promise<void> {
+async function waitForAcknowledgement(
+  state: LinkState,
+  timeoutMs: number,
+): Promise<void> {
   const { clock, signal } = state.host;
   const waitController = new AbortController();
   const endWait = () => waitController.abort(NO_LONGER_NEEDED);
@@ -122,7 +140,7 @@
     if (state.highestListedEnd <= state.acknowledged) endWait();
   };
   signal.addEventListener("abort", endWait);
-  await clock.sleep(ACKNOWLEDGEMENT_TIMEOUT_MS, waitController.signal);
+  await clock.sleep(timeoutMs, waitController.signal);
   signal.removeEventListener("abort", endWait);
   state.onAcknowledged = () => {};
 }
--- a/src/ownership/worker_link_test.ts
+++ b/src/ownership/worker_link_test.ts
@@ -27,6 +27,7 @@
     target: { id: "w", address: "10.0.0.1:1", epoch: 1 },
     leaseMs: LEASE_MS,
     earlierLeasesExpireAtMs: () => 0,
+    unacknowledgedPollDelayMs: 80,
     mayGrantLeases: () => true,
     resumeFrom: { bornMs: 0, acknowledged: 0 },
     ownerClockMs: clock.steadyMs,
@@ -75,6 +76,35 @@
   });
 });
 
+describe("a slow store, run ends that are not stored yet", () => {
+  it("does not delay the notice of further ends until they are", async () => {
+    const clock = createManualClock();
+    const controller = new AbortController();
+    const pollsAtMs: number[] = [];
+    const tasks = {
+      poll() {
+        pollsAtMs.push(clock.steadyMs());
+        if (pollsAtMs.length === 6) controller.abort();
+        const ends = [{
+          number: 1,
+          task: "a.0.0.0",
+          attempt: 1,
+          end: "done",
+          checkpoint: "",
+        }];
+        const clockMs = clock.steadyMs();
+        const answer = { clockMs, bornMs: 1, running: [], ended: ends };
+        return Promise.resolve(ok(answer));
+      },
+    } as unknown as TaskHost;
+    await new Promise<void>((resolve) => {
+      controller.signal.addEventListener("abort", () => resolve());
+      openWorkerLink(hostOf(tasks, clock, controller.signal));
+    });
+    assert.deepEqual(pollsAtMs, [0, 80, 240, 560, 1_200, 2_200]);
+  });
+});
+
 describe("the first poll of a link", () => {
   it("acknowledges no run ends, even if an earlier link has", async () => {
     const clock = createManualClock();
