Report a stored end at once, and wait for its own commit only

A read of a final state waited until all changes were in the store, also those of other jobs. While the store is slow, every read of a job that had ended so waited for one commit more, the third on a job's way.

A read now waits for the record of that job's end and for nothing else. While the store is silent and the end is not stored, the state is reported as running, as the store has it, in place of a refusal. Two tests in owner_calls_test fail without it.

--- a/src/domain/job_lifecycle.ts
+++ b/src/domain/job_lifecycle.ts
@@ -23,6 +23,7 @@
     completedOccurrences: 0,
     hasStarted: false,
     isStored: false,
+    isOutcomeStored: false,
     isRestored: false,
   };
 }
--- a/src/domain/job_run.ts
+++ b/src/domain/job_run.ts
@@ -12,6 +12,8 @@
   hasStarted: boolean;
   /** Whether its record is known to be in the store. */
   isStored: boolean;
+  /** Whether the record of its end is known to be in the store. */
+  isOutcomeStored: boolean;
   /** Whether an earlier owner accepted it. */
   isRestored: boolean;
 };
--- a/src/domain/job_state.ts
+++ b/src/domain/job_state.ts
@@ -15,6 +15,14 @@
   return run === undefined ? undefined : jobRunState(run);
 }
 
+/**
+ * Whether the state of a job may be reported as final: the store holds its end,
+ * which no later owner changes. A job that is no longer kept counts as ended.
+ */
+export function isOutcomeStored(domain: Domain, id: string): boolean {
+  return domain.jobs.get(id)?.isOutcomeStored ?? true;
+}
+
 /** Returns the state of a job. */
 export function jobRunState(run: JobRun): JobState {
   const { outcome } = run.job;
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -38,8 +38,8 @@
   key: string;
   value: string | undefined;
   /**
-   * What the value includes: the number of failures of a step, or of changes of
-   * a permit. Not stored.
+   * What the value includes: the number of failures of a step, of changes of a
+   * permit, or of ends of a job. Not stored.
    */
   revision?: number;
 };
@@ -95,6 +95,10 @@
   if (key.startsWith(PERMIT_PREFIX)) {
     return domain.startPermits.get(key.slice(PERMIT_PREFIX.length))?.revision;
   }
+  if (key.startsWith(JOB_PREFIX)) {
+    const run = domain.jobs.get(key.slice(JOB_PREFIX.length));
+    return run === undefined || run.job.outcome === "open" ? 0 : 1;
+  }
   if (!key.startsWith(STEP_PREFIX)) return undefined;
   return domain.steps.get(key.slice(STEP_PREFIX.length))?.failureCount;
 }
@@ -120,7 +124,9 @@
       if (step !== undefined) step.storedFailureCount = revision ?? 0;
     } else if (key.startsWith(JOB_PREFIX)) {
       const run = domain.jobs.get(key.slice(JOB_PREFIX.length));
-      if (run !== undefined && value !== undefined) run.isStored = true;
+      if (run === undefined || value === undefined) continue;
+      run.isStored = true;
+      if (revision === 1) run.isOutcomeStored = true;
     } else if (key.startsWith(PERMIT_PREFIX)) {
       confirmPermit(domain, key.slice(PERMIT_PREFIX.length), revision);
     }
@@ -271,8 +277,12 @@
 }
 
 function restoreJob(domain: Domain, job: Job): void {
-  const run = createJobRun(job);
-  domain.jobs.set(job.id, { ...run, isStored: true, isRestored: true });
+  domain.jobs.set(job.id, {
+    ...createJobRun(job),
+    isStored: true,
+    isOutcomeStored: job.outcome !== "open",
+    isRestored: true,
+  });
 }
 
 /** Restores a permit, under which an earlier owner may have started tasks. */
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -33,6 +33,7 @@
   StateAnswer,
 } from "./owner_answer.ts";
 import {
+  answerOutcomeReads,
   applyCall,
   failPendingCalls,
   waitForCommit,
@@ -126,7 +127,11 @@
       applyCall(state, (number) => ({ kind: "cancelled", call: number, job })),
     async stateOf(job) {
       const jobState = jobStateOf(domain, job) ?? "unknownJob";
-      const unavailable = await waitUntilReportable(state, jobState);
+      const unavailable = await waitUntilReportable(state, job, jobState);
+      if (unavailable?.kind === "storeDown" && jobState !== "unknownJob") {
+        // As far as the store knows, the job has not ended.
+        return { kind: "state", state: "running" };
+      }
       if (unavailable !== undefined) return unavailable;
       if (jobState === "unknownJob") return { kind: jobState };
       return { kind: "state", state: jobState };
@@ -136,6 +141,7 @@
       const description = describeJob(domain, job, currentMoment(state));
       const unavailable = await waitUntilReportable(
         state,
+        job,
         description?.state ?? "unknownJob",
       );
       if (unavailable !== undefined) return unavailable;
@@ -221,6 +227,7 @@
           records,
           onCommitted() {
             recordCommitted(domain, records);
+            answerOutcomeReads(state);
             executeCommitted(state, commands);
             sendOrdersAheadOfCommit(state);
           },
@@ -242,6 +249,7 @@
     }),
     pendingCalls: new Map(),
     pendingReads: new Set(),
+    outcomeReads: new Map(),
     nextCallNumber: 1,
     uncommittedJobs,
     earlierLeasesExpireAtMs: host.clock.steadyMs() +
--- a/src/ownership/owner_calls.ts
+++ b/src/ownership/owner_calls.ts
@@ -5,6 +5,7 @@
  */
 import {
   type DomainEvent,
+  isOutcomeStored,
   type JobState,
   verifyOwnershipOnCommit,
 } from "../domain/mod.ts";
@@ -36,22 +37,48 @@
 
 /**
  * Waits until a job state may be reported. A final state has to be in the store
- * first.
+ * first; then it is reported whether or not the store answers.
  *
  * @returns why the state cannot be reported; undefined if it can
  */
 export async function waitUntilReportable(
   state: OwnerState,
+  job: string,
   jobState: JobState | "unknownJob",
 ): Promise<OwnerUnavailable | undefined> {
   if (jobState === "pending" || jobState === "running") return undefined;
+  const isUnknown = jobState === "unknownJob";
+  if (!isUnknown && isOutcomeStored(state.domain, job)) return undefined;
   const silentMs = state.writer.appendAgeMs();
   if (silentMs > STORE_DOWN_AFTER_MS) return { kind: "storeDown", silentMs };
+  if (!isUnknown) return await waitForOutcome(state, job);
   // A successor may have accepted the job.
-  if (jobState === "unknownJob") verifyOwnershipOnCommit(state.domain);
+  verifyOwnershipOnCommit(state.domain);
   return await waitForCommit(state);
 }
 
+/** Answers the reads that waited for ends which are now in the store. */
+export function answerOutcomeReads(state: OwnerState): void {
+  for (const [number, job] of state.outcomeReads) {
+    if (!isOutcomeStored(state.domain, job)) continue;
+    state.pendingCalls.get(number)?.({ kind: "accepted" });
+    state.pendingCalls.delete(number);
+  }
+}
+
+/** Waits until the end of a job is in the store. */
+async function waitForOutcome(
+  state: OwnerState,
+  job: string,
+): Promise<OwnerUnavailable | undefined> {
+  if (state.host.signal.aborted) return { kind: "lost" };
+  return await new Promise((resolve) => {
+    const number = addPendingRead(state, resolve);
+    state.outcomeReads.set(number, job);
+    state.writer.requestCommit();
+  });
+}
+
 /**
  * Waits until all changes so far are in the store.
  *
@@ -64,14 +91,7 @@
   if (host.signal.aborted) return { kind: "lost" };
   if (writer.isIdle() && domain.dirtyKeys.size === 0) return undefined;
   return await new Promise((resolve) => {
-    const number = state.nextCallNumber++;
-    state.pendingReads.add(number);
-    state.pendingCalls.set(number, (answer) => {
-      state.pendingReads.delete(number);
-      const isUnavailable = answer.kind === "lost" ||
-        answer.kind === "storeDown";
-      resolve(isUnavailable ? answer : undefined);
-    });
+    const number = addPendingRead(state, resolve);
     pendingCommands.push({
       kind: "answer",
       call: number,
@@ -81,6 +101,22 @@
   });
 }
 
+/** Adds a call that changes nothing; returns its number. */
+function addPendingRead(
+  state: OwnerState,
+  resolve: (unavailable: OwnerUnavailable | undefined) => void,
+): number {
+  const number = state.nextCallNumber++;
+  state.pendingReads.add(number);
+  state.pendingCalls.set(number, (answer) => {
+    state.pendingReads.delete(number);
+    state.outcomeReads.delete(number);
+    const isUnavailable = answer.kind === "lost" || answer.kind === "storeDown";
+    resolve(isUnavailable ? answer : undefined);
+  });
+  return number;
+}
+
 /** Answers all pending calls with `lost` when the ownership ends. */
 export function failPendingCalls(state: OwnerState): void {
   for (const resolve of state.pendingCalls.values()) resolve({ kind: "lost" });
--- a/src/ownership/owner_calls_test.ts
+++ b/src/ownership/owner_calls_test.ts
@@ -4,18 +4,38 @@
  */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createDomain } from "../domain/mod.ts";
+import {
+  applyDomainEvent,
+  createDomain,
+  drainDirtyRecords,
+  recordCommitted,
+} from "../domain/mod.ts";
+import { policy, step } from "../domain/testing/domain_bench.ts";
 import { silentLogger } from "../entry/testing/manual_clock.ts";
-import { rejectUncommitted, waitUntilReportable } from "./owner_calls.ts";
+import {
+  answerOutcomeReads,
+  rejectUncommitted,
+  waitUntilReportable,
+} from "./owner_calls.ts";
 import type { OwnerState } from "./owner_state.ts";
 import { createUncommittedJobs } from "./uncommitted_jobs.ts";
 
 const SILENT_MS = 900;
+const JOB = "a";
 
 /** An owner whose append in flight has the given age. */
 function ownerWith(append: { ageMs: number }): OwnerState {
   const domain = createDomain({ endedJobKeepMs: 1_000 });
   domain.owners.push({ instance: "10.0.0.1:1", epoch: 3 });
+  const moment = { steadyMs: 0, wallMs: 0 };
+  const request = { id: JOB, specification: "", steps: [step()] };
+  applyDomainEvent(
+    domain,
+    { kind: "submitted", call: 1, request, policy: policy() },
+    moment,
+  );
+  recordCommitted(domain, drainDirtyRecords(domain));
+  applyDomainEvent(domain, { kind: "cancelled", call: 2, job: JOB }, moment);
   return {
     domain,
     host: { signal: new AbortController().signal, logger: silentLogger },
@@ -27,6 +47,7 @@
     },
     pendingCalls: new Map(),
     pendingReads: new Set(),
+    outcomeReads: new Map(),
     nextCallNumber: 1,
     uncommittedJobs: createUncommittedJobs(),
   } as unknown as OwnerState;
@@ -37,24 +58,46 @@
     const state = ownerWith({ ageMs: SILENT_MS });
     const unavailable = { kind: "storeDown", silentMs: SILENT_MS };
     assert.deepEqual(
-      await waitUntilReportable(state, "completed"),
+      await waitUntilReportable(state, JOB, "completed"),
       unavailable,
     );
     assert.deepEqual(
-      await waitUntilReportable(state, "unknownJob"),
+      await waitUntilReportable(state, JOB, "unknownJob"),
       unavailable,
     );
   });
 
   it("are answered if the answer needs no commit", async () => {
     const state = ownerWith({ ageMs: SILENT_MS });
-    assert.equal(await waitUntilReportable(state, "running"), undefined);
+    assert.equal(await waitUntilReportable(state, JOB, "running"), undefined);
+  });
+
+  it("are answered if the end of the job is in the store", async () => {
+    const state = ownerWith({ ageMs: SILENT_MS });
+    recordCommitted(state.domain, drainDirtyRecords(state.domain));
+    assert.equal(
+      await waitUntilReportable(state, JOB, "cancelled"),
+      undefined,
+    );
+  });
+
+  it("are answered by the commit of the job's end, not by a later one", async () => {
+    const state = ownerWith({ ageMs: 0 });
+    const inFlight = drainDirtyRecords(state.domain);
+    const reported = waitUntilReportable(state, JOB, "cancelled");
+    answerOutcomeReads(state);
+    assert.equal(state.pendingCalls.size, 1);
+    recordCommitted(state.domain, inFlight);
+    answerOutcomeReads(state);
+    assert.equal(await reported, undefined);
+    assert.equal(state.pendingReads.size, 0);
+    assert.deepEqual(state.pendingCommands, []);
   });
 
   it("are rejected during the outage if they were pending before it", async () => {
     const append = { ageMs: 0 };
     const state = ownerWith(append);
-    const reported = waitUntilReportable(state, "completed");
+    const reported = waitUntilReportable(state, JOB, "completed");
     append.ageMs = SILENT_MS;
     rejectUncommitted(state);
     assert.equal((await reported)?.kind, "storeDown");
--- a/src/ownership/owner_state.ts
+++ b/src/ownership/owner_state.ts
@@ -39,6 +39,8 @@
   pendingCalls: Map<number, (answer: OwnerAnswer) => void>;
   /** The numbers of pending calls that change nothing. */
   pendingReads: Set<number>;
+  /** The jobs whose end pending reads wait for, by the number of the call. */
+  outcomeReads: Map<number, string>;
   nextCallNumber: number;
   uncommittedJobs: UncommittedJobs;
   /** When all leases of earlier owners have expired, on the steady clock. */
