--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -1,8 +1,9 @@
 /**
  * Serialization of a domain's state to records in the store, and its recovery
  * from them. There is one record for each job, each step of an occurrence that
- * has begun, each day of usage and each owner. A record holds the complete
- * state of its key, so the newest record of every key is the domain's state.
+ * has begun, each worker with a start permit, each day of usage and each owner.
+ * A record holds the complete state of its key, so the newest record of every
+ * key is the domain's state.
  *
  * @module
  */
