Read what workers list without looking up current runs again

Each report of a worker looked up and parsed the name of every run that it lists, also of those that are placed there as the domain knows them; adoption now returns at once for these. The wait after a takeover uses the check that the job lifecycle already has, and one check of the listing in place of two.

--- a/src/domain/adopt_run.ts
+++ b/src/domain/adopt_run.ts
@@ -25,6 +25,7 @@
   listed: { task: string; attempt: number },
   moment: Moment,
 ): void {
+  if (isPlacedOn(worker, listed)) return;
   makeStepReady(domain, listed.task, moment);
   const found = findTask(domain, listed.task);
   if (found === undefined || !found.run.jobRun.isRestored) return;
@@ -58,6 +59,17 @@
   });
 }
 
+/** Whether the listed attempt, or a later one, is placed on the worker. */
+function isPlacedOn(
+  worker: DomainWorker,
+  listed: { task: string; attempt: number },
+): boolean {
+  const ref = worker.placed.get(listed.task);
+  const task = ref?.run.tasks[ref.index];
+  return task?.kind === "placed" && task.worker === worker.id &&
+    task.attempt >= listed.attempt;
+}
+
 /**
  * Creates the step of a task if it is not ready yet. A run of the task proves
  * that the occurrence was due and that the predecessors of its step are done.
--- a/src/domain/start_permit.ts
+++ b/src/domain/start_permit.ts
@@ -12,6 +12,7 @@
 import type { Domain } from "./domain.ts";
 import type { WorkerOrder } from "./domain_command.ts";
 import type { DomainWorker } from "./domain_worker.ts";
+import { mayHaveUnlistedRuns } from "./job_lifecycle.ts";
 import { permitKey, stepRecordKey } from "./record_keys.ts";
 import { parseTaskName, type StepRun } from "./step_run.ts";
 import type { TaskState } from "./task_state.ts";
@@ -112,26 +113,22 @@
  * has not reported since the takeover.
  */
 export function mayRunUnrecorded(domain: Domain, run: StepRun): boolean {
-  if (domain.unsettledWorkers.size === 0 || !run.jobRun.isRestored) {
-    return false;
-  }
+  if (!mayHaveUnlistedRuns(domain, run.jobRun)) return false;
   for (const id of domain.unsettledWorkers) {
     if (!mayBeAllowed(run, id)) continue;
-    const worker = domain.workers.get(id);
-    // Without a listing, nothing is known about the worker.
-    if (worker?.listing === undefined || canEverRun(worker, run)) return true;
+    if (canEverRun(domain.workers.get(id), run)) return true;
   }
   return false;
 }
 
-/** Whether a worker could run a step when it was not draining yet. */
-function canEverRun(worker: DomainWorker, run: StepRun): boolean {
-  const { listing } = worker;
-  if (listing === undefined) return true;
-  return isEligible(
-    { ...worker, listing: { ...listing, draining: false } },
-    run,
-  );
+/**
+ * Whether a worker could run a step when it was not draining yet; true if
+ * nothing is known about the worker.
+ */
+function canEverRun(worker: DomainWorker | undefined, run: StepRun): boolean {
+  if (worker?.listing === undefined) return true;
+  const listing = { ...worker.listing, draining: false };
+  return isEligible({ ...worker, listing }, run);
 }
 
 /**
