Write log entries in portions that a pipe takes whole

An owner in a busy second writes more than 8 KB of log at a time.

Portions of whole entries, at most 4,096 bytes each, which a pipe takes at once.

--- a/src/telemetry/bounded_stream.ts
+++ b/src/telemetry/bounded_stream.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import { write } from "node:fs";
 import { Writable } from "node:stream";
+import { joinIntoPortions } from "./write_portions.ts";
 
 /** Interval at which buffered text is written, in milliseconds. */
 const FLUSH_INTERVAL_MS = 200;
@@ -75,14 +76,19 @@
     );
     state.droppedEntries = 0;
   }
-  const text = Buffer.from(state.chunks.splice(0).join(""));
+  const portions = joinIntoPortions(state.chunks.splice(0));
   state.bufferedBytes = 0;
   state.isWriting = true;
-  writeAll(state.descriptor, text, () => {
+  const writeNext = () => {
+    const portion = portions.next();
+    if (!portion.done) {
+      return writeAll(state.descriptor, portion.value, writeNext);
+    }
     state.isWriting = false;
     callback();
     if (state.chunks.length > 0) flush(state, () => {});
-  });
+  };
+  writeNext();
 }
 
 function writeAll(
