Count jobs as waiting until a worker is known to have begun a task

Cause: a job left the count when a start was sent. If the worker has lost the path to its owner, the start never arrives, and nothing runs. After a takeover in which a worker with a start permit could not be reached, all restored jobs left the count, because each of them may have been started there.

Ruled out: the count is not behind in time, it is computed on each call.

The count now asks whether a worker is known to have begun a task: it accepted the start, listed the run, or listed an end. Whether a task may have been started is still what decides about limits on the wait before a start.

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -269,6 +269,7 @@
   const worker = domain.workers.get(event.worker);
   switch (answer.kind) {
     case "accepted":
+      run.jobRun.hasBegun = true;
       if (task.phase.kind !== "starting") return;
       task.phase = {
         kind: "running",
--- a/src/domain/end_attempt.ts
+++ b/src/domain/end_attempt.ts
@@ -92,6 +92,7 @@
   const { attempt, failures } = task;
   run.tasks[index] = { kind: "done", attempt, failures };
   run.doneCount += 1;
+  run.jobRun.hasBegun = true;
 }
 
 /**
--- a/src/domain/job_lifecycle.ts
+++ b/src/domain/job_lifecycle.ts
@@ -22,6 +22,7 @@
     nextOccurrence: 0,
     completedOccurrences: 0,
     hasStarted: false,
+    hasBegun: false,
     isStored: false,
     isOutcomeStored: false,
     isRestored: false,
--- a/src/domain/job_run.ts
+++ b/src/domain/job_run.ts
@@ -8,8 +8,10 @@
   /** Number of the next occurrence to create. */
   nextOccurrence: number;
   completedOccurrences: number;
-  /** Whether a task was ever placed. */
+  /** Whether a start may have been sent: a task was placed, or may have been. */
   hasStarted: boolean;
+  /** Whether a worker is known to have begun a task. */
+  hasBegun: boolean;
   /** Whether its record is known to be in the store. */
   isStored: boolean;
   /** Whether the record of its end is known to be in the store. */
--- a/src/domain/job_state.ts
+++ b/src/domain/job_state.ts
@@ -30,11 +30,14 @@
   return run.hasStarted ? "running" : "pending";
 }
 
-/** Counts the open jobs of a queue of which no task has started. */
+/**
+ * Counts the open jobs of a queue of which no worker is known to have begun a
+ * task. A start that was sent may not have arrived.
+ */
 export function countPendingJobs(domain: Domain, queue: string): number {
   let count = 0;
   for (const run of domain.jobs.values()) {
-    if (run.job.policy.queue !== queue || run.hasStarted) continue;
+    if (run.job.policy.queue !== queue || run.hasBegun) continue;
     if (run.job.outcome === "open") count += 1;
   }
   return count;
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -103,6 +103,7 @@
   const found = findTask(domain, ended.task);
   if (found === undefined) return;
   const { run, index } = found;
+  run.jobRun.hasBegun = true;
   const task = run.tasks[index];
   const isCurrent = task?.kind === "placed" && task.worker === worker.id &&
     task.attempt === ended.attempt;
@@ -186,6 +187,7 @@
     stopUnrecordedRun(domain, worker, listed, ref);
     return;
   }
+  ref.run.jobRun.hasBegun = true;
   ref.reading = listed.reading;
   if (listed.checkpoint !== "") task.checkpoint = listed.checkpoint;
   const { phase } = task;
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -354,7 +354,9 @@
   nowMs: number,
 ): void {
   if (run.tasks[index] === undefined) return;
-  if (stored[1] > 0) run.jobRun.hasStarted = true;
+  const [tag, attempt, failures] = stored;
+  if (attempt > 0) run.jobRun.hasStarted = true;
+  if (tag === TASK_TAGS.done || failures > 0) run.jobRun.hasBegun = true;
   switch (stored[0]) {
     case TASK_TAGS.waiting: {
       const [, attempt, failures, checkpoint] = stored;
