--- a/src/domain/explain_wait.ts
+++ b/src/domain/explain_wait.ts
@@ -4,6 +4,7 @@
 import { findEligibleWorkers, hasCapacityForTask } from "./choose_worker.ts";
 import type { Domain } from "./domain.ts";
 import type { Moment } from "./domain_event.ts";
+import { findPossibleHolders } from "./start_permit.ts";
 import type { StepRun } from "./step_run.ts";
 
 /**
@@ -33,6 +34,11 @@
   ticketed: v.number(),
   /** 1 while an advice request of the step is in flight, otherwise 0. */
   asking: v.number(),
+  /**
+   * Workers that have to report, or whose leases have to expire, before tasks
+   * of the step may be started: an earlier owner may have started some there.
+   */
+  unsettled: v.optional(v.number(), 0),
 });
 
 /** Why a step waits, as worker counts that narrow down by condition. */
@@ -92,6 +98,7 @@
     withRoom: withCapacity.length,
     ticketed: ticketed.length,
     asking: run.advice.requestInFlight ? 1 : 0,
+    unsettled: [...findPossibleHolders(domain, run)].length,
   };
 }
 
--- a/src/domain/start_permit.ts
+++ b/src/domain/start_permit.ts
@@ -113,12 +113,22 @@
  * has not reported since the takeover.
  */
 export function mayRunUnrecorded(domain: Domain, run: StepRun): boolean {
-  if (!mayHaveUnlistedRuns(domain, run.jobRun)) return false;
+  return findPossibleHolders(domain, run).next().done === false;
+}
+
+/**
+ * Finds the workers that have not reported since the takeover and at which an
+ * earlier owner may have started tasks of a step.
+ */
+export function* findPossibleHolders(
+  domain: Domain,
+  run: StepRun,
+): Generator<string> {
+  if (!mayHaveUnlistedRuns(domain, run.jobRun)) return;
   for (const id of domain.unsettledWorkers) {
     if (!mayBeAllowed(run, id)) continue;
-    if (canEverRun(domain.workers.get(id), run)) return true;
+    if (canEverRun(domain.workers.get(id), run)) yield id;
   }
-  return false;
 }
 
 /**
--- a/src/entry/explain_job.ts
+++ b/src/entry/explain_job.ts
@@ -35,6 +35,10 @@
 }
 
 function explainWaitReason(wait: WaitReport): string {
+  if (wait.unsettled > 0) {
+    return `${wait.unsettled} workers may run them since before the ` +
+      "last change of the owner";
+  }
   if (wait.eligible === 0) return "no listed worker fits them";
   if (wait.held === 0) return "the owner reaches none of the workers";
   if (wait.unrefused === 0) return "the placement policy refuses every worker";
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -15,7 +15,6 @@
   type JobDescription,
   type JobRequest,
   jobStateOf,
-  type OwnerEntry,
   type QueuePolicy,
   recordCommitted,
   takeAdviceRequest,
@@ -26,6 +25,7 @@
 import type { DomainOwnerHost } from "./domain_owner_host.ts";
 import type { DomainView } from "./domain_view.ts";
 import { createDomainWriter } from "./domain_writer.ts";
+import { awaitEarlierOwners } from "./earlier_owners.ts";
 import { createEventSource } from "./event_source.ts";
 import type {
   DescriptionAnswer,
@@ -57,9 +57,6 @@
 import { currentMoment, emit, type OwnerState } from "./owner_state.ts";
 import { createUncommittedJobs } from "./uncommitted_jobs.ts";
 
-/** Delay between two checks whether an earlier owner has ended, in ms. */
-const EARLIER_OWNER_POLL_INTERVAL_MS = 400;
-
 /** The owner of a domain. */
 export type DomainOwner = {
   /**
@@ -165,35 +162,6 @@
   };
 }
 
-/**
- * Waits until the earlier owners have ended, and records their end. Their leases
- * then expire earlier: an owner that may still run may have renewed a lease just
- * now, but one that has ended leaves only the leases that it granted before.
- */
-async function awaitEarlierOwners(
-  state: OwnerState,
-  earlierOwners: OwnerEntry[],
-): Promise<void> {
-  const { host } = state;
-  const { signal, clock } = host;
-  await Promise.all(earlierOwners.map(async (owner) => {
-    const deadlineMs = clock.steadyMs() + host.ownershipValidMs;
-    while (!signal.aborted && clock.steadyMs() < deadlineMs) {
-      if (await host.hasStoppedGranting(owner, host.partition.number)) break;
-      await clock.sleep(EARLIER_OWNER_POLL_INTERVAL_MS, signal);
-    }
-    emit(state, { kind: "ownerEnded", owner });
-  }));
-  // Relays of an owner may grant leases for RELAY_GRANT_MS after it has ended.
-  const earlierLeasesExpireAtMs = clock.steadyMs() +
-    maxLeaseDurationMs(host.leaseMs + RELAY_GRANT_MS);
-  state.earlierLeasesExpireAtMs = Math.min(
-    state.earlierLeasesExpireAtMs,
-    earlierLeasesExpireAtMs,
-  );
-  state.relayedLinks.sendLeaseFloor();
-}
-
 function createOwnerState(host: DomainOwnerHost, domain: Domain): OwnerState {
   const pendingCommands: DomainCommand[] = [];
   const uncommittedJobs = createUncommittedJobs();
