Stop granting leases without answers of the store or of most workers

Cause: after a takeover, a waiting task of a restored job is started only once no worker can hold a run of it that is not on record. Workers that don't answer are waited for until the leases of the earlier owner have expired. If its machine does not come back, the new owner assumed that it renews leases for another 14 s, as it may in an outage of the store: 14 + 7.5 s.

Fix: an owner grants leases only with an append that succeeded, or with answers of most workers with a start permit, in the last 3 s. Most workers refuse it once they have answered its successor, so the successor waits 3 s instead of 14. An append that is sent again counts from its first try, because the store repeats its first answer.

In owner_links_test.ts the expected grant right after a confirmation changes from 14 s to the 3 s for which it is valid now without further answers; the check that it ends with a suspension stays, and two tests are added.

--- a/src/domain/mod.ts
+++ b/src/domain/mod.ts
@@ -31,7 +31,7 @@
 export * from "./records.ts";
 export * from "./resource_time.ts";
 export * from "./apply_domain_event.ts";
-export { mayPrecedeCommit } from "./start_permit.ts";
+export { mayPrecedeCommit, type StartPermit } from "./start_permit.ts";
 export { type DayUsage, dayUsageSchema } from "./usage.ts";
 export * from "./worker_listing.ts";
 export * from "./worker_report.ts";
--- a/src/domain/start_permit.ts
+++ b/src/domain/start_permit.ts
@@ -36,14 +36,18 @@
     | "revoking";
 };
 
-/** Begins to grant a permit for a worker that has reported. */
+/**
+ * Begins to grant a permit for a worker that has reported. While workers are
+ * unsettled, permits stay as they are: an earlier owner that gets no answers
+ * from most of the workers named by them grants no leases.
+ */
 export function grantPermit(
   domain: Domain,
   { id, listing, bornMs }: DomainWorker,
 ): void {
   if (listing === undefined || listing.draining) return;
   const known = domain.startPermits.get(id);
-  if (known !== undefined && domain.unsettledWorkers.size > 0) return;
+  if (domain.unsettledWorkers.size > 0) return;
   if (known?.bornMs === bornMs && known.phase !== "revoking") return;
   const revision = (known?.revision ?? 0) + 1;
   domain.startPermits.set(id, { bornMs, revision, phase: "granting" });
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -56,6 +56,7 @@
 } from "./owner_passes.ts";
 import { currentMoment, emit, type OwnerState } from "./owner_state.ts";
 import { createUncommittedJobs } from "./uncommitted_jobs.ts";
+import { createWorkerContact } from "./worker_contact.ts";
 
 /** The owner of a domain. */
 export type DomainOwner = {
@@ -181,6 +182,8 @@
       emit: (event) => emit(state, event),
       onLinksLost: (workers) => reopenLinks(state, workers),
     }),
+    contact: createWorkerContact(host.clock),
+    restoredPermits: domain.startPermits.size,
     pendingCommands,
     writer: createDomainWriter({
       ...host,
--- a/src/ownership/domain_owner_host.ts
+++ b/src/ownership/domain_owner_host.ts
@@ -24,6 +24,8 @@
   epoch: number;
   /** Sequence number of the next append. */
   sequence: number;
+  /** When the append that raised the epoch was first sent. */
+  epochRaisedAt: Instant;
   /** Duration of the leases that workers get, in milliseconds. */
   leaseMs: number;
   /** Address of this instance. */
--- a/src/ownership/domain_writer.ts
+++ b/src/ownership/domain_writer.ts
@@ -43,6 +43,8 @@
   epoch: number;
   /** The sequence number of the next append. */
   sequence: number;
+  /** When the append that raised the epoch was first sent. */
+  epochRaisedAt: Instant;
   /** Takes the changes since the last commit; undefined if there are none. */
   takeChanges(): Commit | undefined;
   /** Called when another owner has a higher epoch. */
@@ -54,7 +56,7 @@
 export type DomainWriter = {
   /** Commits the changes now, or after the append in flight. */
   requestCommit(): void;
-  /** When the latest successful append was sent. */
+  /** When the latest successful append was first sent. */
   confirmedAt(): Instant;
   isIdle(): boolean;
   /** Age of the append in flight, in milliseconds; 0 if there is none. */
@@ -86,7 +88,7 @@
   const inFlight: AppendInFlight[] = [];
   let isRunning = false;
   let sentAtMs = -Infinity;
-  let confirmedAt = currentInstant(clock);
+  let confirmedAt = host.epochRaisedAt;
   let lastAppendMs = 0;
   let nextSequence = host.sequence;
 
@@ -168,12 +170,16 @@
     const { store, partition, epoch } = host;
     const fence = { epoch, sequence };
     let isPredecessorStored = false;
+    // The store repeats its first answer to an append that is sent again.
+    const firstSentAt = currentInstant(clock);
     for (let tries = 0; !signal.aborted; tries += 1) {
-      const sentAt = currentInstant(clock);
+      const sentAtMs = clock.steadyMs();
       const result = await store.append(partition, records, fence, signal);
-      const elapsedMs = clock.steadyMs() - sentAt.steadyMs;
+      const elapsedMs = clock.steadyMs() - sentAtMs;
       if (result.isOk()) {
-        confirmedAt = sentAt;
+        if (firstSentAt.steadyMs > confirmedAt.steadyMs) {
+          confirmedAt = firstSentAt;
+        }
         lastAppendMs = elapsedMs;
         host.counters.observe("append_ms", elapsedMs);
         if (elapsedMs > SLOW_APPEND_THRESHOLD_MS) {
--- a/src/ownership/domain_writer_test.ts
+++ b/src/ownership/domain_writer_test.ts
@@ -10,6 +10,7 @@
 import type { Clock, Fence, StoreFault, StoreHost } from "../hosts/mod.ts";
 import type { Counters } from "../telemetry/mod.ts";
 import { type Commit, createDomainWriter } from "./domain_writer.ts";
+import { DISTANT_PAST } from "./instant.ts";
 
 type Answer = Result<void, StoreFault>;
 
@@ -61,6 +62,7 @@
     partition: { topic: "domains", number: 0 },
     epoch: 7,
     sequence: 1,
+    epochRaisedAt: DISTANT_PAST,
     takeChanges: () => pending.shift(),
     onFenced: () => controller.abort(),
     signal: controller.signal,
--- a/src/ownership/lease_time.ts
+++ b/src/ownership/lease_time.ts
@@ -1,5 +1,10 @@
 /** The lowest rate of another machine's clock, relative to the local clock. */
 export const MIN_CLOCK_RATE = 0.98;
+/**
+ * For how long an owner grants leases without an answer of the store or of most
+ * workers with a start permit, in milliseconds.
+ */
+export const UNWITNESSED_GRANT_MS = 3_000;
 /** Time for a worker to end its tasks after the expiry, in milliseconds. */
 const LEASE_END_MARGIN_MS = 400;
 
--- a/src/ownership/owned_domains.ts
+++ b/src/ownership/owned_domains.ts
@@ -23,6 +23,7 @@
     | "partition"
     | "epoch"
     | "sequence"
+    | "epochRaisedAt"
     | "servesDomain"
     | "onFenced"
     | "onFailed"
@@ -214,14 +215,16 @@
     if (host.isInUse(partition.number)) {
       host.onTakeover(partition.number, epoch);
     }
+    const { domain, sequence, epochRaisedAt } = takeover.value;
     return startDomainOwner({
       ...host,
       ...callbacks,
       partition,
       epoch,
-      sequence: takeover.value.sequence,
+      sequence,
+      epochRaisedAt,
       servesDomain: (service) => host.servesDomain(service, partition.number),
-    }, takeover.value.domain);
+    }, domain);
   }
 
   return {
--- a/src/ownership/owner_links.ts
+++ b/src/ownership/owner_links.ts
@@ -11,7 +11,7 @@
   WorkerOrder,
 } from "../domain/mod.ts";
 import { elapsedMs } from "./instant.ts";
-import { maxLeaseDurationMs } from "./lease_time.ts";
+import { maxLeaseDurationMs, UNWITNESSED_GRANT_MS } from "./lease_time.ts";
 import { emit, type OwnerState } from "./owner_state.ts";
 import { RELAY_GRANT_MS } from "./relay/mod.ts";
 import { openWorkerLink } from "./worker_link.ts";
@@ -170,16 +170,25 @@
 
 /**
  * For how long leases may still be granted, in milliseconds; 0 or less for not
- * at all. The period starts at the last confirmation of the ownership, through
+ * at all. An append that succeeded shows that there was no successor when it was
+ * sent, and so do answers of most workers with a start permit. The latter count
+ * only for a limited time after the last confirmation of the ownership, through
  * the group membership or an append.
  */
 export function remainingGrantMs(state: OwnerState): number {
-  const { host, writer } = state;
+  const { host, writer, contact, domain } = state;
+  const appendAgeMs = elapsedMs(host.clock, writer.confirmedAt());
+  const afterAppendMs = UNWITNESSED_GRANT_MS - appendAgeMs;
+  if (afterAppendMs >= RELAY_GRANT_MS) return afterAppendMs;
   const confirmedAgoMs = Math.min(
     elapsedMs(host.clock, host.confirmedAt()),
-    elapsedMs(host.clock, writer.confirmedAt()),
+    appendAgeMs,
   );
-  return host.ownershipValidMs - confirmedAgoMs;
+  const afterAnswersMs = Math.min(
+    host.ownershipValidMs - confirmedAgoMs,
+    UNWITNESSED_GRANT_MS - contact.majorityAgeMs(domain.startPermits),
+  );
+  return Math.max(afterAppendMs, afterAnswersMs);
 }
 
 /** Whether an order to a worker still applies. */
--- a/src/ownership/owner_links_test.ts
+++ b/src/ownership/owner_links_test.ts
@@ -1,12 +1,15 @@
 import assert from "node:assert/strict";
 import { it } from "node:test";
 import { currentInstant } from "./instant.ts";
+import { UNWITNESSED_GRANT_MS } from "./lease_time.ts";
 import { remainingGrantMs } from "./owner_links.ts";
 import type { OwnerState } from "./owner_state.ts";
+import { createWorkerContact } from "./worker_contact.ts";
 
 const VALID_MS = 14_000;
 
-it("an owner may not grant leases after its machine was suspended", () => {
+/** An owner of one worker, which was confirmed by the store just now. */
+function createFixture() {
   const time = { steadyMs: 1_000, wallMs: 90_000 };
   const clock = {
     steadyMs: () => time.steadyMs,
@@ -14,12 +17,48 @@
     sleep: () => Promise.resolve(),
   };
   const confirmedAt = currentInstant(clock);
+  const contact = createWorkerContact(clock);
+  const permit = { bornMs: 1, revision: 1, phase: "granted" };
   const state = {
     host: { clock, ownershipValidMs: VALID_MS, confirmedAt: () => confirmedAt },
     writer: { confirmedAt: () => confirmedAt },
+    domain: { startPermits: new Map([["w", permit]]) },
+    contact,
   } as unknown as OwnerState;
-  assert.equal(remainingGrantMs(state), VALID_MS);
+  const advance = (durationMs: number) => {
+    time.steadyMs += durationMs;
+    time.wallMs += durationMs;
+  };
+  const answer = () => contact.record("w", 1, time.steadyMs);
+  return { time, state, advance, answer };
+}
+
+it("an owner may not grant leases after its machine was suspended", () => {
+  const { time, state, answer } = createFixture();
+  answer();
+  assert.equal(remainingGrantMs(state), UNWITNESSED_GRANT_MS);
   // The steady clock stops during a suspension.
   time.wallMs += VALID_MS;
   assert.ok(remainingGrantMs(state) <= 0);
 });
+
+it("an owner that gets answers grants leases while the store is silent", () => {
+  const { state, advance, answer } = createFixture();
+  for (let elapsedMs = 1_000; elapsedMs < VALID_MS; elapsedMs += 1_000) {
+    advance(1_000);
+    answer();
+    assert.ok(remainingGrantMs(state) > 0, `after ${elapsedMs} ms`);
+  }
+  advance(1_000);
+  answer();
+  assert.ok(remainingGrantMs(state) <= 0);
+});
+
+it("an owner grants no leases without answers of the store and workers", () => {
+  const { state, advance, answer } = createFixture();
+  answer();
+  advance(UNWITNESSED_GRANT_MS);
+  assert.ok(remainingGrantMs(state) <= 0);
+  answer();
+  assert.ok(remainingGrantMs(state) > 0);
+});
--- a/src/ownership/owner_state.ts
+++ b/src/ownership/owner_state.ts
@@ -11,6 +11,7 @@
 import type { OwnerAnswer } from "./owner_answer.ts";
 import type { RelayedLinks } from "./relay/mod.ts";
 import type { UncommittedJobs } from "./uncommitted_jobs.ts";
+import type { WorkerContact } from "./worker_contact.ts";
 import type { WorkerLink } from "./worker_link.ts";
 
 /** The link to a worker, held by this instance or by a relay. */
@@ -32,6 +33,9 @@
   links: Map<string, OwnerLink>;
   /** Links that relays hold. */
   relayedLinks: RelayedLinks;
+  contact: WorkerContact;
+  /** Number of start permits in the records that the domain was restored from. */
+  restoredPermits: number;
   /** Orders, answers and acknowledgements that wait for the next commit. */
   pendingCommands: DomainCommand[];
   writer: DomainWriter;
@@ -57,5 +61,10 @@
 
 /** Passes an event to the reducer, unless the ownership has ended. */
 export function emit(state: OwnerState, event: DomainEvent): void {
-  if (!state.host.signal.aborted) state.events.emit(event);
+  if (state.host.signal.aborted) return;
+  if (event.kind === "looked") {
+    const { bornMs, sentAtMs } = event.look;
+    state.contact.record(event.worker, bornMs, sentAtMs);
+  }
+  state.events.emit(event);
 }
--- a/src/ownership/take_over.ts
+++ b/src/ownership/take_over.ts
@@ -8,6 +8,8 @@
 } from "../domain/mod.ts";
 import type { Clock, Partition, StoreFault, StoreHost } from "../hosts/mod.ts";
 import type { PartLogger } from "../telemetry/mod.ts";
+import { currentInstant, type Instant } from "./instant.ts";
+import { UNWITNESSED_GRANT_MS } from "./lease_time.ts";
 
 /** Delay before a failed store call is retried, in milliseconds. */
 const RETRY_DELAY_MS = 60;
@@ -27,8 +29,14 @@
   signal: AbortSignal;
 };
 
-/** A restored domain, and the sequence number of the next append. */
-export type Takeover = { domain: Domain; sequence: number };
+/** A restored domain. */
+export type Takeover = {
+  domain: Domain;
+  /** Sequence number of the next append. */
+  sequence: number;
+  /** When the append that raised the epoch was first sent. */
+  epochRaisedAt: Instant;
+};
 
 /**
  * Takes over a domain: appends this instance as the owner under the new epoch,
@@ -49,8 +57,12 @@
   host: TakeoverHost,
 ): Promise<Result<Takeover, StoreFault>> {
   const { store, partition, epoch, signal, clock, logger } = host;
-  const startedAtMs = clock.steadyMs();
-  const record = ownerRecord({ instance: host.self, epoch });
+  const epochRaisedAt = currentInstant(clock);
+  const record = ownerRecord({
+    instance: host.self,
+    epoch,
+    unwitnessedGrantMs: UNWITNESSED_GRANT_MS,
+  });
   const fence = { epoch, sequence: FIRST_SEQUENCE };
   const ownerAppend = await retryUntilFinal(
     host,
@@ -77,9 +89,9 @@
     records: newest.value.records.length,
     jobs: domain.jobs.size,
     unsettledWorkers: domain.unsettledWorkers.size,
-    elapsedMs: Math.round(clock.steadyMs() - startedAtMs),
+    elapsedMs: Math.round(clock.steadyMs() - epochRaisedAt.steadyMs),
   });
-  return ok({ domain, sequence: FIRST_SEQUENCE + 1 });
+  return ok({ domain, sequence: FIRST_SEQUENCE + 1, epochRaisedAt });
 }
 
 /**
--- /dev/null
+++ b/src/ownership/testing/simulated_clock.ts
@@ -0,0 +1,47 @@
+import { setImmediate } from "node:timers/promises";
+import type { Clock } from "../../hosts/mod.ts";
+
+/** A clock whose time passes only in `advance`. */
+export type SimulatedClock = Clock & {
+  /** Advances the time and ends the sleeps that are due, in their order. */
+  advance(durationMs: number): Promise<void>;
+};
+
+type Sleep = { untilMs: number; end: () => void };
+
+/** Creates a clock at time 0. */
+export function createSimulatedClock(): SimulatedClock {
+  let nowMs = 0;
+  const sleeps = new Set<Sleep>();
+
+  function nextDue(untilMs: number): Sleep | undefined {
+    return [...sleeps].filter((sleep) => sleep.untilMs <= untilMs)
+      .sort((left, right) => left.untilMs - right.untilMs)[0];
+  }
+
+  return {
+    nowMs: () => nowMs,
+    steadyMs: () => nowMs,
+    sleep: (delayMs, signal) =>
+      new Promise((resolve) => {
+        if (signal?.aborted) return resolve();
+        const end = () => {
+          sleeps.delete(sleep);
+          resolve();
+        };
+        const sleep = { untilMs: nowMs + delayMs, end };
+        sleeps.add(sleep);
+        signal?.addEventListener("abort", end);
+      }),
+    async advance(durationMs) {
+      const untilMs = nowMs + durationMs;
+      await setImmediate();
+      for (let due = nextDue(untilMs); due; due = nextDue(untilMs)) {
+        nowMs = Math.max(nowMs, due.untilMs);
+        due.end();
+        await setImmediate();
+      }
+      nowMs = untilMs;
+    },
+  };
+}
