Ask the policy again about refused workers that have restarted

Cause: a refusal of the placement policy was kept for as long as the step waited, also after the worker had restarted or had left the list and come back, whereas tickets were discarded. A policy that is asked about a worker which is down, but not known to be, has no incarnation to allow. A step whose remaining workers were all refused sent no request any more.

Fix: what the policy decided about a worker is discarded with its incarnation, refusals as well as tickets, and when the worker leaves the list. The answer to a request that was in flight meanwhile doesn't apply to the new incarnation. The owner names only workers that have reported, so a worker that may hold unrecorded tasks is never affected.

--- a/src/domain/advice_requests.ts
+++ b/src/domain/advice_requests.ts
@@ -242,6 +242,19 @@
   return Math.max(missing === 0 ? 0 : wanted, cheapWorkerCount(run));
 }
 
+/**
+ * Discards what the policy has decided about a worker that has restarted or
+ * left: tickets are not valid for its next incarnation, which the policy may
+ * allow although it refused the previous one.
+ */
+export function discardAdvice(domain: Domain, worker: string): void {
+  for (const { advice } of domain.steps.values()) {
+    advice.allowed.delete(worker);
+    advice.refused.delete(worker);
+    if (advice.requestInFlight) advice.outdated.add(worker);
+  }
+}
+
 /** Applies the policy's answer to a request, or its failure. */
 export function applyAdvice(
   domain: Domain,
@@ -251,6 +264,8 @@
   const run = domain.steps.get(event.stepKey);
   if (run === undefined) return;
   const { advice } = run;
+  const { outdated } = advice;
+  advice.outdated = new Set();
   advice.requestInFlight = false;
   if (event.allowed === undefined) {
     advice.notBeforeMs = moment.steadyMs + FAILED_REQUEST_BACKOFF_MS;
@@ -260,6 +275,7 @@
   const validUntilMs = moment.steadyMs + event.validMs - TICKET_MARGIN_MS;
   const isFirst = advice.allowed.size === 0 && advice.refused.size === 0;
   for (const worker of event.namedWorkers) {
+    if (outdated.has(worker)) continue;
     const ticketText = allowed.get(worker);
     if (ticketText === undefined) {
       advice.refused.add(worker);
--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -1,5 +1,5 @@
 import { assertNever } from "../base/mod.ts";
-import { applyAdvice } from "./advice_requests.ts";
+import { applyAdvice, discardAdvice } from "./advice_requests.ts";
 import type { Domain } from "./domain.ts";
 import type { DomainCommand } from "./domain_command.ts";
 import type { DomainEvent, Moment } from "./domain_event.ts";
@@ -223,7 +223,9 @@
     worker.listing = undefined;
     revokePermit(domain, id);
     const isSettled = !domain.unsettledWorkers.has(id);
-    if (worker.placed.size === 0 && isSettled) domain.workers.delete(id);
+    if (worker.placed.size > 0 || !isSettled) continue;
+    domain.workers.delete(id);
+    discardAdvice(domain, id);
   }
 }
 
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { adoptRun } from "./adopt_run.ts";
+import { discardAdvice } from "./advice_requests.ts";
 import type { Domain } from "./domain.ts";
 import type { DomainWorker, PlacedTaskRef } from "./domain_worker.ts";
 import type { Moment } from "./domain_event.ts";
@@ -66,7 +67,7 @@
   const hasReportedBefore = worker.bornMs !== 0;
   worker.bornMs = report.bornMs;
   worker.lastEnd = 0;
-  if (hasReportedBefore) discardTickets(domain, worker.id);
+  if (hasReportedBefore) discardAdvice(domain, worker.id);
 }
 
 /** Ends the attempts placed on a worker that certainly runs none of them. */
@@ -85,11 +86,6 @@
   settleWorker(domain, worker.id, undefined);
 }
 
-/** Discards the tickets for a worker, which are not valid after its restart. */
-function discardTickets(domain: Domain, worker: string): void {
-  for (const run of domain.steps.values()) run.advice.allowed.delete(worker);
-}
-
 /** Applies the end of a run; one that was applied before is ignored. */
 function applyRunEnd(
   domain: Domain,
--- a/src/domain/step_advice.ts
+++ b/src/domain/step_advice.ts
@@ -7,6 +7,8 @@
   preferred: Set<string>;
   /** Whether a request has been sent and not been answered yet. */
   requestInFlight: boolean;
+  /** Workers to which the answer in flight does not apply any more. */
+  outdated: Set<string>;
   /** The earliest time of the next request, on the steady clock. */
   notBeforeMs: number;
 };
@@ -25,6 +27,7 @@
     refused: new Set(),
     preferred: new Set(),
     requestInFlight: false,
+    outdated: new Set(),
     notBeforeMs: 0,
   };
 }
