Don't quarantine workers for a step that fails on all of them

Cause: each failed run counted against its worker. A wide job that can't be done fails on every worker that it is tried on, up to its limit of attempts for each task. When little else runs, as after the end of the traffic, no success comes in between, and one such job quarantines most of the workers for up to 8 s and keeps them on probation for 8 s more. A gang may not use either, so that it waits for up to 16 s although the workers are sound and idle.

Fix: once a step has failed on several workers and none has completed a task of it, its failures say nothing about the worker and no longer count against it. Failures of one step on one worker count as before, and so do those of steps that other workers complete, and those of long-running steps, which are never completed. The first worker may still be quarantined, before there is anything to compare it with.

--- a/src/domain/job_lifecycle.ts
+++ b/src/domain/job_lifecycle.ts
@@ -85,6 +85,7 @@
     gangFailedAttempt: 0,
     failureCount: 0,
     storedFailureCount: 0,
+    failedOn: new Set(),
     advice: createStepAdvice(),
     ...startDeadlines(domain, run.job, occurrence, index),
     readyAtMs: nowMs,
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -121,14 +121,24 @@
       ranMs: Math.round(moment.steadyMs - task.placedAtMs),
     },
   });
-  if (countsAgainstWorker(ended.end)) recordFailure(worker, moment.steadyMs);
-  else if (ended.end === "done") {
+  if (countsAgainstWorker(ended.end)) {
+    run.failedOn.add(worker.id);
+    if (!failsAnywhere(run)) recordFailure(worker, moment.steadyMs);
+  } else if (ended.end === "done") {
     recordSuccess(worker);
     recordTaskDuration(domain, worker, run, moment.steadyMs - task.placedAtMs);
   }
   endAttempt(domain, run, index, ended.end, moment);
 }
 
+/**
+ * Whether a step fails regardless of the worker: on several of them, and none
+ * has completed a task of it. Long-running tasks are never completed.
+ */
+function failsAnywhere({ step, failedOn, doneCount }: StepRun): boolean {
+  return !step.longRunning && failedOn.size > 1 && doneCount === 0;
+}
+
 /**
  * Applies the end of an attempt that is no longer current. If it was done, the
  * task is done, and a later attempt is stopped.
--- a/src/domain/step_run.ts
+++ b/src/domain/step_run.ts
@@ -25,6 +25,8 @@
   failureCount: number;
   /** How many of them are known to be stored. */
   storedFailureCount: number;
+  /** The workers on which attempts of its tasks failed under this owner. */
+  failedOn: Set<string>;
   advice: StepAdvice;
   /** The latest start that still meets the objective (wall clock). */
   latestStartMs: number;
