Treat the orders of a link as lost when its worker's address changes

Cause: a link to a new address replaced the previous one without the event that says so. Starts and stops in flight end without an answer when their link closes. The event makes the owner stop the starts and repeat the stops; without it, their tasks kept the phases 'starting' and 'stopping' for as long as the worker answered, and their capacity with them. The other members of their gang waited, too.

Fix: an address that changes replaces the link like any other cause, through reopenLinks.

The test failed before: the events lacked 'linkReopened'.

--- a/src/ownership/owner_links.ts
+++ b/src/ownership/owner_links.ts
@@ -25,9 +25,10 @@
   emit(state, { kind: "workersListed", workers });
   for (const worker of workers) {
     const known = links.get(worker.id);
-    if (known?.link.address === worker.address) continue;
-    known?.controller.abort();
-    openLink(state, worker);
+    if (known === undefined) openLink(state, worker);
+    else if (known.link.address !== worker.address) {
+      reopenLinks(state, [worker.id]);
+    }
   }
   const listed = new Set(workers.map(({ id }) => id));
   for (const [id, worker] of domain.workers) {
