Check allocations in the model of the owner

In each step of the model, what is allocated on a worker has to equal the sum over the tasks placed there.

--- a/src/domain/testing/owner_model.ts
+++ b/src/domain/testing/owner_model.ts
@@ -12,7 +12,9 @@
   handleCommand,
   heartbeatCommand,
 } from "../../../stand_ins/platform/worker.ts";
+import { isDeepStrictEqual } from "node:util";
 import { createRandomness } from "../../clients/mod.ts";
+import { addResources, NO_RESOURCES } from "../../model/mod.ts";
 import { jobStateOf } from "../job_state.ts";
 import { ownerRecord } from "../records.ts";
 import type { EndedRun } from "../worker_report.ts";
@@ -83,6 +85,19 @@
   return model.violations;
 }
 
+/** Checks that each worker's allocation is the sum over its placed tasks. */
+function* checkAllocations({ bench }: Model): Generator<string> {
+  for (const { id, used, placed } of bench.domain.workers.values()) {
+    const allocated = [...placed.values()].reduce(
+      (sum, ref) => addResources(sum, ref.allocated),
+      NO_RESOURCES,
+    );
+    if (isDeepStrictEqual(used, allocated)) continue;
+    yield `${id} has ${used.cpuMillis} millicores allocated to tasks of ` +
+      `${allocated.cpuMillis}`;
+  }
+}
+
 function createModel(seed: number): Model {
   const bench = createBench();
   bench.commitsAtOnce = false;
@@ -177,6 +192,7 @@
     expireLeaseIfDue(model, simulated);
   }
   checkCapacity(model);
+  model.violations.push(...checkAllocations(model));
 }
 
 function submitRandomJob(model: Model): void {
