Replace the allocation of an earlier run when its task is placed again

A worker's allocation grew for ever when a task was placed on a worker at which an earlier run of it was listed and being stopped: the entry under the task's name was overwritten, and its share never released. To callers such a worker looks full, and a step that could run there doesn't start.

This needs a worker that lists a run whose attempt the owner has ended as lost.

Fix: the allocation of a task replaces the one under the same name, as a worker holds one run of a task at a time.

--- a/src/domain/task_placement.ts
+++ b/src/domain/task_placement.ts
@@ -75,12 +75,16 @@
   allocateTask(run, index, worker);
 }
 
-/** Allocates capacity on a worker to a run that it lists. */
+/**
+ * Allocates capacity on a worker to a run that it lists. A worker holds one run
+ * of a task at a time, so the allocation of an earlier run is replaced.
+ */
 export function allocateTask(
   run: StepRun,
   index: number,
   worker: DomainWorker,
 ): void {
+  releaseTask(worker, taskNameOf(run, index));
   const allocated = allocationOf(run.step);
   worker.used = addResources(worker.used, allocated);
   updateAgreementAllocation(worker, run, allocated, addResources);
