Count a stalled gang as one failure of each of its workers

Cause: the members of a gang make progress only together, so that one worker that hangs stalls all of them. Each stalled member counted as a failure of its own worker. A worker with three members or more was quarantined at once, also where it was sound, and stayed on probation for 8 s after that. Gangs, this one first, may use neither: with four members a worker they waited for 10 s, beside the 7 s until the stall was noticed, on idle workers.

Fix: the members of a gang on a worker count as one failure. Several gangs in a row that stall on a worker, or other tasks that do, quarantine it as before.

--- a/src/domain/stalled_tasks.ts
+++ b/src/domain/stalled_tasks.ts
@@ -8,7 +8,7 @@
 import type { DomainWorker, PlacedTaskRef } from "./domain_worker.ts";
 import type { Moment } from "./domain_event.ts";
 import { stopTask } from "./stop_task.ts";
-import { taskNameOf } from "./step_run.ts";
+import { type StepRun, taskNameOf } from "./step_run.ts";
 import { recordFailure } from "./worker_health.ts";
 
 /**
@@ -25,17 +25,20 @@
 
 /**
  * Stops the stalled tasks of a worker, and counts each as a failure of the
- * worker.
+ * worker. The members of a gang stall together, wherever the cause is, so they
+ * count as one.
  */
 export function stopStalledTasks(
   domain: Domain,
   worker: DomainWorker,
   moment: Moment,
 ): void {
+  const stalledGangs = new Set<StepRun>();
   for (const ref of worker.placed.values()) {
     const stalledMs = exceededStallMs(ref, moment.steadyMs);
     if (stalledMs === undefined) continue;
-    recordFailure(worker, moment.steadyMs);
+    if (!stalledGangs.has(ref.run)) recordFailure(worker, moment.steadyMs);
+    if (ref.run.step.gang) stalledGangs.add(ref.run);
     domain.commands.push({
       kind: "report",
       message: "Stopping a task that makes no progress.",
