--- a/src/ownership/owner_passes.ts
+++ b/src/ownership/owner_passes.ts
@@ -25,6 +25,8 @@
 const PASS_GAP_FACTOR = 4;
 /** The longest time between two scheduling passes, in milliseconds. */
 const MAX_PASS_GAP_MS = 100;
+/** Passes that take longer are logged, in milliseconds. */
+const SLOW_PASS_MS = MAX_PASS_GAP_MS;
 /** Interval for removing ended jobs and explaining long waits, in ms. */
 const TICK_INTERVAL_MS = 2_000;
 /** How many of the longest waiting steps are explained each time. */
@@ -122,10 +124,23 @@
   const endedAtMs = host.clock.steadyMs();
   const elapsedMs = endedAtMs - startedAtMs;
   host.counters.observe("pass_ms", elapsedMs);
+  if (elapsedMs > SLOW_PASS_MS) logSlowPass(state, elapsedMs);
   const gapMs = Math.max(MIN_PASS_GAP_MS, elapsedMs * PASS_GAP_FACTOR);
   state.nextPassAtMs = endedAtMs + Math.min(gapMs, MAX_PASS_GAP_MS);
 }
 
+function logSlowPass({ host, domain }: OwnerState, elapsedMs: number): void {
+  const waitingSteps = [...domain.waitingSteps];
+  host.logger.info("A scheduling pass was slow.", {
+    partition: host.partition.number,
+    elapsedMs: Math.round(elapsedMs),
+    waitingSteps: waitingSteps.length,
+    waitingGangs: waitingSteps.filter(({ step }) => step.gang).length,
+    adviceQueue: domain.adviceQueue.length,
+    unsettledWorkers: domain.unsettledWorkers.size,
+  });
+}
+
 /** Runs passes, link moves and other periodic work until ownership ends. */
 export async function runPeriodicWork(state: OwnerState): Promise<void> {
   const { clock, signal } = state.host;
