Look for workers of a step only if it may use them

Cause: for each waiting step, each pass listed all workers with free capacity, and then dropped all without a ticket.

Now workers are listed only if the step holds a valid ticket, or its queue needs none. A step without one stops at the first worker that it could use, and is not looked at while it can request nothing. What is placed and requested, and the order of candidates, stay as they were.

--- a/src/domain/advice_requests.ts
+++ b/src/domain/advice_requests.ts
@@ -67,6 +67,15 @@
   return ticket !== undefined && ticket.validUntilMs > nowMs;
 }
 
+/** Whether a start order of a step may be sent to any worker at a time. */
+export function holdsValidTicket(run: StepRun, nowMs: number): boolean {
+  if (run.jobRun.job.policy.advice === undefined) return true;
+  for (const { validUntilMs } of run.advice.allowed.values()) {
+    if (validUntilMs > nowMs) return true;
+  }
+  return false;
+}
+
 /** Whether the policy has not refused a worker for the step. */
 export function mayBeAllowed(run: StepRun, worker: string): boolean {
   if (run.jobRun.job.policy.advice === undefined) return true;
--- a/src/domain/backlog_pattern_test.ts
+++ b/src/domain/backlog_pattern_test.ts
@@ -4,6 +4,7 @@
  */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { takeAdviceRequest } from "./advice_requests.ts";
 import {
   createBench,
   type DomainBench,
@@ -142,3 +143,43 @@
     assert.equal(startsIn(submit(bench, "small", [small])).length, 1);
   });
 });
+
+describe("a backlog that waits for advice while capacity is free", () => {
+  const advice = { decideMs: 9, perWorkerMs: 0.1, validMs: 2_000 };
+
+  function createUndecidedBacklog(): DomainBench {
+    const bench = createBench();
+    const workers = Array.from(
+      { length: WORKER_COUNT },
+      (_, index) => listing(`w${index}`),
+    );
+    listWorkers(bench, ...workers);
+    for (let index = 0; index < BACKLOG_STEP_COUNT; index += 1) {
+      const steps = [step({ demand: QUARTER_WORKER })];
+      submit(bench, `waits-${index}`, steps, { advice });
+    }
+    return bench;
+  }
+
+  // Guards against SHORT: each step scanned all workers, to place nothing.
+  it("costs a pass one worker for each step that is to be requested", () => {
+    const bench = createUndecidedBacklog();
+    const counted = countWorkerReads(bench);
+    tick(bench, 10);
+    assert.equal(bench.domain.adviceQueue.length, BACKLOG_STEP_COUNT);
+    const most = 2 * BACKLOG_STEP_COUNT + 2 * WORKER_COUNT;
+    assert.ok(counted.reads <= most, `${counted.reads} reads`);
+  });
+
+  // Guards against SHORT: the same while all requests are in flight.
+  it("costs a pass no scan for steps whose request is in flight", () => {
+    const bench = createUndecidedBacklog();
+    const moment = { steadyMs: bench.nowMs, wallMs: bench.nowMs };
+    for (let index = 0; index < BACKLOG_STEP_COUNT; index += 1) {
+      assert.ok(takeAdviceRequest(bench.domain, moment, Infinity));
+    }
+    const counted = countWorkerReads(bench);
+    tick(bench, 10);
+    assert.ok(counted.reads <= 2 * WORKER_COUNT, `${counted.reads} reads`);
+  });
+});
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -5,8 +5,10 @@
  * @module
  */
 import {
+  canRequestAdvice,
   hasAdvice,
   hasValidTicket,
+  holdsValidTicket,
   mayBeAllowed,
   queueAdviceRequest,
   requestLeadTimeMs,
@@ -59,21 +61,15 @@
 }
 
 function placeTasks(pass: SchedulingPass, run: StepRun): void {
-  const { domain, moment } = pass;
+  const { domain } = pass;
   const candidates = findCandidates(pass, run);
   const isLarge = isLargeStep(pass, run);
-  if (candidates.length === 0) {
-    if (isLarge) prepareLargeStep(pass, run);
-    return;
-  }
-  const allowedCandidates = candidates.filter((worker) =>
-    hasValidTicket(run, worker.id, moment.steadyMs)
-  );
+  if (candidates.length === 0) return prepareStep(pass, run, isLarge);
   const placements: string[] = [];
   for (let index = 0; index < run.tasks.length; index += 1) {
     const task = run.tasks[index];
     if (task?.kind !== "waiting") continue;
-    const worker = takeBestWorker(pass, allowedCandidates, run);
+    const worker = takeBestWorker(pass, candidates, run);
     if (worker === undefined) break;
     const attempt = nextAttempt(domain, run, task);
     placements.push(startTask(pass, run, index, worker, attempt));
@@ -87,24 +83,54 @@
   queueAdviceRequest(pass, run, slots);
 }
 
+/** Finds the workers on which a task of a step can be placed now. */
+function findCandidates(pass: SchedulingPass, run: StepRun): DomainWorker[] {
+  const nowMs = pass.moment.steadyMs;
+  if (!holdsValidTicket(run, nowMs)) return [];
+  return [...placeableWorkers(pass, run)].filter((worker) =>
+    hasValidTicket(run, worker.id, nowMs)
+  );
+}
+
 /**
- * Finds the workers on which a task of a step could be placed now, whether or
+ * Lists the workers on which a task of a step could be placed now, whether or
  * not the step holds a ticket for them.
  */
-function findCandidates(pass: SchedulingPass, run: StepRun): DomainWorker[] {
+function* placeableWorkers(
+  pass: SchedulingPass,
+  run: StepRun,
+): Generator<DomainWorker> {
   const demand = allocationOf(run.step);
   const { service } = run.jobRun.job.policy;
-  if (pass.hasNoCapacityFor(service, demand, 1)) return [];
+  if (pass.hasNoCapacityFor(service, demand, 1)) return;
   const nowMs = pass.moment.steadyMs;
-  const withCapacity = pass.workersOf(service).filter((worker) =>
-    hasFreeCapacity(worker, demand, nowMs)
-  );
-  if (withCapacity.length === 0) pass.recordNoCapacity(service, demand, 1);
-  return withCapacity.filter((worker) =>
-    isEligible(worker, run) && mayBeAllowed(run, worker.id) &&
-    hasCapacityForTask(worker, run, nowMs) &&
-    respectsReservation(pass, worker, run)
-  );
+  let isFull = true;
+  for (const worker of pass.workersOf(service)) {
+    if (!hasFreeCapacity(worker, demand, nowMs)) continue;
+    isFull = false;
+    const isPlaceable = isEligible(worker, run) &&
+      mayBeAllowed(run, worker.id) &&
+      hasCapacityForTask(worker, run, nowMs) &&
+      respectsReservation(pass, worker, run);
+    if (isPlaceable) yield worker;
+  }
+  if (isFull) pass.recordNoCapacity(service, demand, 1);
+}
+
+/** Requests advice for a step of which no task can be placed now. */
+function prepareStep(
+  pass: SchedulingPass,
+  run: StepRun,
+  isLarge: boolean,
+): void {
+  if (!isLarge && !canRequestAdvice(run, pass.moment.steadyMs)) return;
+  const isPlaceable = placeableWorkers(pass, run).next().done !== true;
+  if (!isPlaceable) {
+    if (isLarge) prepareLargeStep(pass, run);
+    return;
+  }
+  const slots = isLarge ? reserveForLargeStep(pass, run) : [];
+  queueAdviceRequest(pass, run, slots);
 }
 
 /**
