Log what had just started on a worker that crashed

A worker counts as crashed once a new incarnation answers, at its address or under its id; a relay or an owner of an earlier version reports such a worker as lapsed only. No decision depends on it yet.

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -16,8 +16,8 @@
 } from "./job_lifecycle.ts";
 import { jobKey, ownerKey } from "./record_keys.ts";
 import {
+  applyWorkerLapse,
   applyWorkerReport,
-  markTasksLost,
   resendUnconfirmedStops,
   stopUnconfirmedStarts,
 } from "./reconcile_worker.ts";
@@ -105,7 +105,8 @@
       const worker = domain.workers.get(event.worker);
       if (worker === undefined) return;
       worker.isReachable = false;
-      markTasksLost(domain, worker, moment);
+      const isReplaced = event.isReplaced === true;
+      applyWorkerLapse(domain, worker, isReplaced, moment);
       return revokePermit(domain, worker.id);
     }
     case "startAnswered":
@@ -270,8 +271,10 @@
   const { answer } = event;
   const worker = domain.workers.get(event.worker);
   switch (answer.kind) {
-    case "accepted":
+    case "accepted": {
       run.jobRun.hasBegun = true;
+      const ref = worker?.placed.get(event.task);
+      if (ref !== undefined) ref.runningSinceMs ??= moment.steadyMs;
       if (task.phase.kind !== "starting") return;
       task.phase = {
         kind: "running",
@@ -279,6 +282,7 @@
         progressAtMs: moment.steadyMs,
       };
       return;
+    }
     case "superseded":
       // The worker lists the end of this attempt; its next report resolves it.
       task.phase = { kind: "stopping", confirmedAtMs: moment.steadyMs };
--- a/src/domain/domain_event.ts
+++ b/src/domain/domain_event.ts
@@ -22,7 +22,12 @@
   /** The link to the worker was replaced; orders in flight may be lost. */
   | { kind: "linkReopened"; worker: string }
   /** Every lease that the worker may hold has expired. */
-  | { kind: "workerLapsed"; worker: string }
+  | {
+    kind: "workerLapsed";
+    worker: string;
+    /** Whether a new incarnation answers at the worker's address. */
+    isReplaced?: boolean | undefined;
+  }
   | {
     kind: "startAnswered";
     worker: string;
--- a/src/domain/domain_worker.ts
+++ b/src/domain/domain_worker.ts
@@ -23,6 +23,8 @@
   allocatedByAgreement: Map<string, Resources>;
   /** Placed tasks by name. */
   placed: Map<string, PlacedTaskRef>;
+  /** Tasks that had just started when its lease expired. */
+  lapsedStarts: TaskRef[];
   health: WorkerHealth;
   /**
    * Demand of the waiting steps for this worker: the sum over the steps of the
@@ -32,15 +34,20 @@
   demandPressure: number;
 };
 
+/** Reference to a task of a step. */
+export type TaskRef = { run: StepRun; index: number };
+
 /** Reference to a placed task, with its allocation on the worker. */
-export type PlacedTaskRef = {
-  run: StepRun;
-  index: number;
+export type PlacedTaskRef = TaskRef & {
   allocated: Resources;
   /** Speed that the task was last ordered to run at, in percent. */
   pacedToPercent: number;
   /** Tail latency in ms for a service; processor usage for other tasks. */
   reading: number;
+  /** When it was first known to run, on the steady clock. */
+  runningSinceMs: number | undefined;
+  /** Whether the worker has survived its start; see `worker_crash.ts`. */
+  isSettled: boolean;
 };
 
 /** Health of a worker, derived from how its tasks ran. */
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -16,11 +16,16 @@
   endAttempt,
 } from "./end_attempt.ts";
 import { allocateTask, releaseTask } from "./task_placement.ts";
-import { findTask, type StepRun } from "./step_run.ts";
+import { findTask, type StepRun, taskNameOf } from "./step_run.ts";
 import { settleWorker } from "./start_permit.ts";
 import { orderStop, stopTask } from "./stop_task.ts";
 import type { PlacedTask } from "./task_state.ts";
 import { recordTaskDuration } from "./task_durations.ts";
+import {
+  findUnsettledTasks,
+  recordWorkerCrash,
+  updateSettled,
+} from "./worker_crash.ts";
 import { recordFailure, recordSuccess } from "./worker_health.ts";
 
 /**
@@ -33,6 +38,11 @@
   report: WorkerReport,
   moment: Moment,
 ): void {
+  const knownBornMs = worker.bornMs === 0
+    ? domain.startPermits.get(worker.id)?.bornMs ?? 0
+    : worker.bornMs;
+  const hasCrashed = knownBornMs !== 0 && knownBornMs !== report.bornMs;
+  if (hasCrashed) applyWorkerCrash(domain, worker, report);
   if (worker.bornMs !== report.bornMs) {
     applyWorkerRestart(domain, worker, report);
   }
@@ -42,7 +52,7 @@
   const running = new Set<string>();
   for (const run of report.running) {
     running.add(run.task);
-    applyListedRun(domain, worker, run, moment);
+    applyListedRun(domain, worker, run, { report, moment });
   }
   for (const [name, ref] of worker.placed) {
     if (running.has(name)) continue;
@@ -70,8 +80,46 @@
   if (hasReportedBefore) discardAdvice(domain, worker.id);
 }
 
+/**
+ * Records the crash of a worker that reports a new incarnation. What the report
+ * lists was started after the crash.
+ */
+function applyWorkerCrash(
+  domain: Domain,
+  worker: DomainWorker,
+  { running, ended }: WorkerReport,
+): void {
+  const listed = new Set([...running, ...ended].map(({ task }) => task));
+  const unsettled = findUnsettledTasks(worker).filter(({ run, index }) =>
+    !listed.has(taskNameOf(run, index))
+  );
+  recordWorkerCrash(domain, worker, [...worker.lapsedStarts, ...unsettled]);
+  worker.lapsedStarts = [];
+  for (const ref of worker.placed.values()) {
+    ref.runningSinceMs = undefined;
+    ref.isSettled = false;
+  }
+}
+
+/** Applies that all leases of a worker have expired, or that it was replaced. */
+export function applyWorkerLapse(
+  domain: Domain,
+  worker: DomainWorker,
+  isReplaced: boolean,
+  moment: Moment,
+): void {
+  worker.lapsedStarts.push(...findUnsettledTasks(worker));
+  markTasksLost(domain, worker, moment);
+  if (!isReplaced) return;
+  // The address of a worker that was drained passes to another one.
+  if (worker.listing?.draining !== true) {
+    recordWorkerCrash(domain, worker, worker.lapsedStarts);
+  }
+  worker.lapsedStarts = [];
+}
+
 /** Ends the attempts placed on a worker that certainly runs none of them. */
-export function markTasksLost(
+function markTasksLost(
   domain: Domain,
   worker: DomainWorker,
   moment: Moment,
@@ -181,7 +229,7 @@
   domain: Domain,
   worker: DomainWorker,
   listed: ListedRun,
-  moment: Moment,
+  { report, moment }: { report: WorkerReport; moment: Moment },
 ): void {
   adoptRun(domain, worker, listed, moment);
   const ref = worker.placed.get(listed.task);
@@ -195,6 +243,8 @@
   }
   ref.run.jobRun.hasBegun = true;
   ref.reading = listed.reading;
+  ref.runningSinceMs ??= moment.steadyMs;
+  updateSettled(ref, report.sentAtMs);
   if (listed.checkpoint !== "") task.checkpoint = listed.checkpoint;
   const { phase } = task;
   if (phase.kind === "stopping") return;
--- a/src/domain/task_placement.ts
+++ b/src/domain/task_placement.ts
@@ -38,6 +38,7 @@
     used: NO_RESOURCES,
     opportunisticCpuMillis: 0,
     placed: new Map(),
+    lapsedStarts: [],
     health: { consecutiveFailures: 0, avoidUntilMs: 0, slowdown: 1 },
     demandPressure: 0,
   };
@@ -97,6 +98,8 @@
     allocated,
     pacedToPercent: FULL_SPEED_PERCENT,
     reading: 0,
+    runningSinceMs: undefined,
+    isSettled: false,
   });
 }
 
--- a/src/ownership/relay/relay_message.ts
+++ b/src/ownership/relay/relay_message.ts
@@ -49,7 +49,12 @@
     look: workerReportSchema,
   }),
   v.object({ kind: v.literal("workerSilent"), worker: v.string() }),
-  v.object({ kind: v.literal("workerLapsed"), worker: v.string() }),
+  v.object({
+    kind: v.literal("workerLapsed"),
+    worker: v.string(),
+    /** Missing in events of earlier versions. */
+    isReplaced: v.optional(v.boolean()),
+  }),
   v.object({
     kind: v.literal("startAnswered"),
     worker: v.string(),
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -76,6 +76,8 @@
   onAcknowledged: () => void;
   isSilent: boolean;
   hasLeaseExpired: boolean;
+  /** Whether a new incarnation was found at the worker's address. */
+  isReplaced: boolean;
 };
 
 /**
@@ -97,6 +99,7 @@
     onAcknowledged: () => {},
     isSilent: false,
     hasLeaseExpired: false,
+    isReplaced: false,
   };
   pollWorker(state);
   return {
@@ -180,6 +183,7 @@
   }
   state.isSilent = false;
   state.hasLeaseExpired = false;
+  state.isReplaced = false;
   for (const { number } of ended) {
     state.highestListedEnd = Math.max(state.highestListedEnd, number);
   }
@@ -200,7 +204,7 @@
     case "fenced":
       return host.onFenced(fault.message);
     case "gone":
-      return expireLease(state, fault.message);
+      return expireLease(state, fault.message, true);
     case "refused":
     case "unknown":
       if (!state.isSilent) {
@@ -216,7 +220,7 @@
         host.emit({ kind: "workerSilent", worker: id });
       }
       if (host.clock.steadyMs() > leasesExpireAtMs(state)) {
-        expireLease(state, fault.message);
+        expireLease(state, fault.message, false);
       }
   }
 }
@@ -227,15 +231,23 @@
   return Math.max(clock.leasesExpireAtMs, host.earlierLeasesExpireAtMs());
 }
 
-function expireLease(state: LinkState, cause: string): void {
+function expireLease(
+  state: LinkState,
+  cause: string,
+  isReplaced: boolean,
+): void {
   const { host } = state;
-  if (state.hasLeaseExpired) return;
+  // A worker may be found to be replaced long after its lease has expired.
+  const isKnown = state.hasLeaseExpired && (state.isReplaced || !isReplaced);
+  if (isKnown) return;
   state.hasLeaseExpired = true;
+  state.isReplaced = isReplaced;
   host.logger.warn("The lease of a worker has expired.", {
     worker: host.target.id,
     cause,
+    isReplaced,
   });
-  host.emit({ kind: "workerLapsed", worker: host.target.id });
+  host.emit({ kind: "workerLapsed", worker: host.target.id, isReplaced });
 }
 
 async function executeOrder(
