Give up jobs of tasks that crash the workers that start them

Cause: an attempt that ends with its worker's restart is `lost`, and nothing counts it, neither for the task nor towards giving up its job. A start that had no answer was also repeated at a new incarnation of the same id.

A crash now counts against the tasks whose start the worker may not have survived: those that it has not been known to run for a second. A task with a crash is started away from other such tasks and from tasks that have just started, others are kept away from it, and its placement is recorded before it is started. Its job fails after the second crash if nothing else had just started there, and after the third one in any case, which leaves two starts for crashes that no owner has seen. The counts, and the incarnation of a placement, are in the step's record; earlier versions skip them.

Ruled out: counting such ends as failed, which fails jobs of neighbours; counting expired leases or workers that are gone, which prove no crash.

--- a/src/domain/choose_worker.ts
+++ b/src/domain/choose_worker.ts
@@ -4,6 +4,7 @@
 import type { Step } from "./job.ts";
 import { allocationOf } from "./task_placement.ts";
 import type { StepRun } from "./step_run.ts";
+import { findUnsettledTasks } from "./worker_crash.ts";
 import { maxRunningTasks } from "./worker_health.ts";
 
 /** Score penalty for a worker outside the rack of the step's data. */
@@ -17,6 +18,13 @@
 const DEMAND_PRESSURE_PENALTY = 0.5;
 /** Score penalty for a worker that takes twice the mean task duration. */
 const SLOWDOWN_PENALTY = 0.8;
+/** Score penalty for a worker that a suspect may crash. */
+const SUSPECT_PENALTY = 3;
+/**
+ * Score penalty of a suspect for each other suspect on the worker, and for each
+ * other task that has just started there. A crash can then be attributed.
+ */
+const SHARED_SUSPICION_PENALTIES = { suspect: 10, started: 1 };
 /** Score penalty for each consecutive failure. */
 const FAILURE_PENALTY = 0.25;
 
@@ -96,11 +104,22 @@
     score -= SERVICE_INTERFERENCE_PENALTY;
   }
   const { consecutiveFailures, slowdown } = worker.health;
+  if (worker.suspects.size > 0) score -= SUSPECT_PENALTY;
   return score - FAILURE_PENALTY * consecutiveFailures -
     SLOWDOWN_PENALTY * (slowdown - 1) -
     DEMAND_PRESSURE_PENALTY * Math.min(1, worker.demandPressure);
 }
 
+/** Scores a worker for a task that may crash it. */
+export function scoreWorkerForSuspect(
+  worker: DomainWorker,
+  run: StepRun,
+): number {
+  const { suspect, started } = SHARED_SUSPICION_PENALTIES;
+  return scoreWorker(worker, run) - suspect * worker.suspects.size -
+    started * findUnsettledTasks(worker).length;
+}
+
 /** Prefers full workers for accelerator tasks, idle ones for the rest. */
 function utilizationScore(worker: DomainWorker, step: Step): number {
   const { capacity, used, opportunisticCpuMillis } = worker;
--- a/src/domain/domain_worker.ts
+++ b/src/domain/domain_worker.ts
@@ -23,8 +23,10 @@
   allocatedByAgreement: Map<string, Resources>;
   /** Placed tasks by name. */
   placed: Map<string, PlacedTaskRef>;
+  /** Names of its unsettled tasks that have crashed a worker before. */
+  suspects: Set<string>;
   /** Tasks that had just started when its lease expired. */
-  lapsedStarts: TaskRef[];
+  lapsedStarts: UnsettledTask[];
   health: WorkerHealth;
   /**
    * Demand of the waiting steps for this worker: the sum over the steps of the
@@ -37,6 +39,12 @@
 /** Reference to a task of a step. */
 export type TaskRef = { run: StepRun; index: number };
 
+/** A task whose start its worker may not have survived. */
+export type UnsettledTask = TaskRef & {
+  /** The incarnation that was to start it; 0 if it is unknown. */
+  bornMs: number;
+};
+
 /** Reference to a placed task, with its allocation on the worker. */
 export type PlacedTaskRef = TaskRef & {
   allocated: Resources;
--- a/src/domain/job_lifecycle.ts
+++ b/src/domain/job_lifecycle.ts
@@ -86,6 +86,7 @@
     failureCount: 0,
     storedFailureCount: 0,
     failedOn: new Set(),
+    crashCounts: new Map(),
     advice: createStepAdvice(),
     ...startDeadlines(domain, run.job, occurrence, index),
     readyAtMs: nowMs,
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -28,6 +28,9 @@
 } from "./worker_crash.ts";
 import { recordFailure, recordSuccess } from "./worker_health.ts";
 
+/** Of an incarnation that no report or record has named. */
+const UNKNOWN_BORN_MS = 0;
+
 /**
  * Applies a worker's report: its ended runs, its running tasks, and the placed
  * tasks that it does not list.
@@ -38,12 +41,8 @@
   report: WorkerReport,
   moment: Moment,
 ): void {
-  const knownBornMs = worker.bornMs === 0
-    ? domain.startPermits.get(worker.id)?.bornMs ?? 0
-    : worker.bornMs;
-  const hasCrashed = knownBornMs !== 0 && knownBornMs !== report.bornMs;
-  if (hasCrashed) applyWorkerCrash(domain, worker, report);
   if (worker.bornMs !== report.bornMs) {
+    applyWorkerCrash(domain, worker, report, moment);
     applyWorkerRestart(domain, worker, report);
   }
   const isFirstReport = !worker.isReachable;
@@ -87,14 +86,31 @@
 function applyWorkerCrash(
   domain: Domain,
   worker: DomainWorker,
-  { running, ended }: WorkerReport,
+  { bornMs, running, ended }: WorkerReport,
+  moment: Moment,
 ): void {
   const listed = new Set([...running, ...ended].map(({ task }) => task));
   const unsettled = findUnsettledTasks(worker).filter(({ run, index }) =>
     !listed.has(taskNameOf(run, index))
   );
-  recordWorkerCrash(domain, worker, [...worker.lapsedStarts, ...unsettled]);
+  const suspects = [...worker.lapsedStarts, ...unsettled].filter((suspect) =>
+    suspect.bornMs !== UNKNOWN_BORN_MS && suspect.bornMs !== bornMs
+  );
   worker.lapsedStarts = [];
+  // A start without an answer would be repeated at the new incarnation.
+  for (const { run, index } of suspects) {
+    const task = run.tasks[index];
+    if (task?.kind !== "placed" || task.worker !== worker.id) continue;
+    if (task.phase.kind === "starting") stopTask(domain, run, index);
+    // The crash is not counted again if the task is still placed at a takeover.
+    task.bornMs = bornMs;
+  }
+  if (suspects.length > 0 || worker.bornMs !== UNKNOWN_BORN_MS) {
+    recordWorkerCrash(domain, worker, suspects, {
+      moment,
+      isInferred: worker.bornMs === UNKNOWN_BORN_MS,
+    });
+  }
   for (const ref of worker.placed.values()) {
     ref.runningSinceMs = undefined;
     ref.isSettled = false;
@@ -113,7 +129,10 @@
   if (!isReplaced) return;
   // The address of a worker that was drained passes to another one.
   if (worker.listing?.draining !== true) {
-    recordWorkerCrash(domain, worker, worker.lapsedStarts);
+    recordWorkerCrash(domain, worker, worker.lapsedStarts, {
+      moment,
+      isInferred: worker.bornMs === UNKNOWN_BORN_MS,
+    });
   }
   worker.lapsedStarts = [];
 }
@@ -244,7 +263,7 @@
   ref.run.jobRun.hasBegun = true;
   ref.reading = listed.reading;
   ref.runningSinceMs ??= moment.steadyMs;
-  updateSettled(ref, report.sentAtMs);
+  updateSettled(worker, ref, report.sentAtMs);
   if (listed.checkpoint !== "") task.checkpoint = listed.checkpoint;
   const { phase } = task;
   if (phase.kind === "stopping") return;
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -61,6 +61,8 @@
     v.number(),
     v.string(),
     v.string(),
+    /** The worker's incarnation; earlier versions omit it. */
+    v.optional(v.number(), 0),
   ]),
   v.tuple([v.literal(TASK_TAGS.done), v.number(), v.number()]),
 ]);
@@ -71,6 +73,8 @@
   tasks: v.array(storedTaskSchema),
   gangFailures: v.number(),
   gangFailedAttempt: v.number(),
+  /** Pairs of task and number of worker crashes; earlier versions omit it. */
+  crashCounts: v.optional(v.array(v.tuple([v.number(), v.number()]))),
 });
 
 /**
@@ -174,6 +178,9 @@
     tasks: run.tasks.map(serializeTask),
     gangFailures: run.gangFailures,
     gangFailedAttempt: run.gangFailedAttempt,
+    ...(run.crashCounts.size === 0
+      ? {}
+      : { crashCounts: [...run.crashCounts] }),
   };
 }
 
@@ -183,8 +190,8 @@
     case "waiting":
       return [TASK_TAGS.waiting, attempt, failures, task.checkpoint ?? ""];
     case "placed": {
-      const { checkpoint, worker } = task;
-      return [TASK_TAGS.placed, attempt, failures, checkpoint ?? "", worker];
+      const { checkpoint = "", worker, bornMs } = task;
+      return [TASK_TAGS.placed, attempt, failures, checkpoint, worker, bornMs];
     }
     case "done":
       return [TASK_TAGS.done, attempt, failures];
@@ -339,6 +346,7 @@
   if (step === undefined) return "its job has no such step";
   step.gangFailures = stored.value.gangFailures;
   step.gangFailedAttempt = stored.value.gangFailedAttempt;
+  step.crashCounts = new Map(stored.value.crashCounts);
   stored.value.tasks.forEach((task, position) => {
     restoreTask(domain, step, position, task, nowMs);
   });
@@ -369,7 +377,7 @@
       return;
     }
     case TASK_TAGS.placed: {
-      const [, attempt, failures, checkpoint, workerId] = stored;
+      const [, attempt, failures, checkpoint, workerId, bornMs] = stored;
       const worker = getOrCreateWorker(domain, workerId);
       run.tasks[index] = {
         kind: "waiting",
@@ -381,6 +389,7 @@
         attempt,
         nowMs,
         phase: { kind: "recorded" },
+        bornMs,
       });
       return;
     }
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -18,6 +18,7 @@
   hasFreeCapacity,
   isEligible,
   scoreWorker,
+  scoreWorkerForSuspect,
 } from "./choose_worker.ts";
 import type { Domain } from "./domain.ts";
 import type { Moment } from "./domain_event.ts";
@@ -37,7 +38,7 @@
   reserveForLargeStep,
   respectsReservation,
 } from "./reservations.ts";
-import { type StepRun, taskNameOf } from "./step_run.ts";
+import { crashCountOf, type StepRun, taskNameOf } from "./step_run.ts";
 
 /**
  * Runs one scheduling pass: places the tasks that can start now, and collects
@@ -69,7 +70,10 @@
   for (let index = 0; index < run.tasks.length; index += 1) {
     const task = run.tasks[index];
     if (task?.kind !== "waiting") continue;
-    const worker = takeBestWorker(pass, candidates, run);
+    const score = crashCountOf(run, index) > 0
+      ? scoreWorkerForSuspect
+      : scoreWorker;
+    const worker = takeBestWorker(pass, candidates, run, score);
     if (worker === undefined) break;
     const attempt = nextAttempt(domain, run, task);
     placements.push(startTask(pass, run, index, worker, attempt));
@@ -159,6 +163,7 @@
   pass: SchedulingPass,
   workers: DomainWorker[],
   run: StepRun,
+  scoreFor: (worker: DomainWorker, run: StepRun) => number,
 ): DomainWorker | undefined {
   const nowMs = pass.moment.steadyMs;
   let best: DomainWorker | undefined;
@@ -172,7 +177,7 @@
       workers.splice(index, 1);
       continue;
     }
-    const score = scoreWorker(worker, run);
+    const score = scoreFor(worker, run);
     if (score <= bestScore) continue;
     best = worker;
     bestScore = score;
--- a/src/domain/step_run.ts
+++ b/src/domain/step_run.ts
@@ -27,6 +27,8 @@
   storedFailureCount: number;
   /** The workers on which attempts of its tasks failed under this owner. */
   failedOn: Set<string>;
+  /** Number of worker crashes just after a task started, by its index. */
+  crashCounts: Map<number, number>;
   advice: StepAdvice;
   /** The latest start that still meets the objective (wall clock). */
   latestStartMs: number;
@@ -41,6 +43,15 @@
   return `${run.key}.${index}`;
 }
 
+/**
+ * How many workers have crashed just after a task started. A crash under one
+ * member of a gang counts for all of them.
+ */
+export function crashCountOf(run: StepRun, index: number): number {
+  if (!run.step.gang) return run.crashCounts.get(index) ?? 0;
+  return Math.max(0, ...run.crashCounts.values());
+}
+
 /** Parses a task's name; returns undefined if it is malformed. */
 export function parseTaskName(
   name: string,
--- a/src/domain/task_placement.ts
+++ b/src/domain/task_placement.ts
@@ -11,7 +11,7 @@
 } from "../model/mod.ts";
 import type { DomainWorker, PlacedTaskRef } from "./domain_worker.ts";
 import type { Step } from "./job.ts";
-import { type StepRun, taskNameOf } from "./step_run.ts";
+import { crashCountOf, type StepRun, taskNameOf } from "./step_run.ts";
 import type { PlacedPhase } from "./task_state.ts";
 
 const FULL_SPEED_PERCENT = 100;
@@ -38,6 +38,7 @@
     used: NO_RESOURCES,
     opportunisticCpuMillis: 0,
     placed: new Map(),
+    suspects: new Set(),
     lapsedStarts: [],
     health: { consecutiveFailures: 0, avoidUntilMs: 0, slowdown: 1 },
     demandPressure: 0,
@@ -57,23 +58,32 @@
   run: StepRun,
   index: number,
   worker: DomainWorker,
-  placement: { attempt: number; nowMs: number; phase: PlacedPhase },
+  placement: {
+    attempt: number;
+    nowMs: number;
+    phase: PlacedPhase;
+    bornMs?: number;
+  },
 ): void {
   const task = run.tasks[index];
   if (task?.kind !== "waiting") return;
-  const { attempt, nowMs, phase } = placement;
+  const { attempt, nowMs, phase, bornMs = worker.bornMs } = placement;
   run.tasks[index] = {
     kind: "placed",
     attempt,
     failures: task.failures,
     checkpoint: task.checkpoint,
     worker: worker.id,
+    bornMs,
     phase,
     placedAtMs: nowMs,
   };
   run.waitingCount -= 1;
   run.jobRun.hasStarted = true;
   allocateTask(run, index, worker);
+  if (crashCountOf(run, index) > 0) {
+    worker.suspects.add(taskNameOf(run, index));
+  }
 }
 
 /**
@@ -108,6 +118,7 @@
   const ref: PlacedTaskRef | undefined = worker.placed.get(name);
   if (ref === undefined) return;
   worker.placed.delete(name);
+  worker.suspects.delete(name);
   worker.used = subtractResources(worker.used, ref.allocated);
   updateAgreementAllocation(worker, ref.run, ref.allocated, subtractResources);
   if (ref.run.step.opportunistic) {
--- a/src/domain/task_state.ts
+++ b/src/domain/task_state.ts
@@ -21,6 +21,8 @@
   failures: number;
   checkpoint: string | undefined;
   worker: string;
+  /** The incarnation of the worker, as known then; 0 if it is unknown. */
+  bornMs: number;
   phase: PlacedPhase;
   /** When the task was placed, on the steady clock. */
   placedAtMs: number;
--- /dev/null
+++ b/src/domain/testing/owner_model_crashes.ts
@@ -0,0 +1,108 @@
+/**
+ * Crashes of workers in the simulation: at random, and by tasks that crash each
+ * worker that starts them.
+ *
+ * @module
+ */
+import { taskNameOf } from "../step_run.ts";
+import { createWorker } from "../../../stand_ins/platform/worker.ts";
+import { taskDurationMs } from "./owner_model_gangs.ts";
+import type { Model, SimulatedWorker } from "./owner_model_state.ts";
+
+/** One in this many jobs has a task that crashes its workers. */
+const DEADLY_ODDS = 8;
+/** The most starts of such a task: three, and two more. */
+const MAX_DEADLY_STARTS = 5;
+/** Number of crashes under a task from which its job may be given up. */
+const MIN_CRASHES = 2;
+
+/** Draws whether the first task of a new job crashes its workers. */
+export function drawDeadlyTask(model: Model, job: string): void {
+  if (model.random.integer(1, DEADLY_ODDS) > 1) return;
+  model.deadlyTasks.add(`${job}.0.0.0`);
+}
+
+/** Creates an incarnation of a worker. */
+export function createSimulatedWorker(
+  model: Model,
+  id: string,
+  bornMs: number,
+) {
+  return createWorker(
+    id,
+    (_, task) => taskDurationMs(model, task),
+    bornMs,
+    (task) => model.deadlyTasks.has(task),
+  );
+}
+
+/** Has a worker crash under the task that it has just started. */
+export function crashUnder(
+  model: Model,
+  simulated: SimulatedWorker,
+  task: string,
+): void {
+  model.deadlyStarts.set(task, (model.deadlyStarts.get(task) ?? 0) + 1);
+  restartWorker(model, simulated);
+}
+
+/** Restarts a worker, which then runs and knows nothing. */
+export function restartWorker(model: Model, simulated: SimulatedWorker): void {
+  const { id, bornMs, running } = simulated.worker;
+  const lapsed = model.bench.domain.workers.get(id)?.lapsedStarts ?? [];
+  const names = lapsed.map(({ run, index }) => taskNameOf(run, index));
+  simulated.crashedTasks = new Set();
+  recordCrash(model, simulated, [...running.keys(), ...names]);
+  recordCrash(model, simulated, placedOn(model, id));
+  simulated.worker = createSimulatedWorker(model, id, bornMs + 1);
+  simulated.acknowledged = 0;
+  simulated.endsBeforeExpiry.clear();
+}
+
+/**
+ * Counts the last restart of a worker for the tasks that were placed on it
+ * since: the owner can't know that they did not start before it.
+ */
+export function noticeRestart(model: Model, simulated: SimulatedWorker): void {
+  if (simulated.crashedTasks === undefined) return;
+  recordCrash(model, simulated, placedOn(model, simulated.worker.id));
+  simulated.crashedTasks = undefined;
+}
+
+function recordCrash(
+  model: Model,
+  { crashedTasks }: SimulatedWorker,
+  tasks: string[],
+): void {
+  for (const task of tasks) {
+    if (crashedTasks?.has(task)) continue;
+    crashedTasks?.add(task);
+    model.crashCounts.set(task, crashCountOf(model, task) + 1);
+  }
+}
+
+function placedOn(model: Model, worker: string): string[] {
+  return [...model.bench.domain.workers.get(worker)?.placed.keys() ?? []];
+}
+
+/** Finds tasks that were started although they had crashed enough workers. */
+export function* checkDeadlyTasks(model: Model): Generator<string> {
+  for (const task of model.deadlyTasks) {
+    const starts = model.deadlyStarts.get(task) ?? 0;
+    if (starts > MAX_DEADLY_STARTS) yield `${task} was started ${starts} times`;
+  }
+}
+
+/** Whether two workers have crashed under a task of a job, or under its gang. */
+export function mayBeGivenUp(model: Model, job: string): boolean {
+  const isGang = model.firstSteps.get(job)?.gang === true;
+  const counts = [...model.crashCounts].filter(([task]) =>
+    task.startsWith(`${job}.`)
+  ).map(([, count]) => count);
+  const gangCount = counts.reduce((sum, count) => sum + count, 0);
+  return Math.max(0, ...counts, isGang ? gangCount : 0) >= MIN_CRASHES;
+}
+
+function crashCountOf(model: Model, task: string): number {
+  return model.crashCounts.get(task) ?? 0;
+}
--- a/src/domain/testing/owner_model_state.ts
+++ b/src/domain/testing/owner_model_state.ts
@@ -10,6 +10,8 @@
   worker: Worker;
   /** Whether the network between owner and worker is down. */
   isPartitioned: boolean;
+  /** Tasks under which it has crashed since its last poll. */
+  crashedTasks: Set<string> | undefined;
   /** Number of the last end that the owner has acknowledged. */
   acknowledged: number;
   /** Expiry of the last lease granted to it. */
@@ -79,6 +81,12 @@
   commits: PendingCommit[];
   /** Commands that wait for the next commit. */
   pendingCommands: DomainCommand[];
+  /** Tasks that crash each worker that starts them. */
+  deadlyTasks: Set<string>;
+  /** How often each of them was started. */
+  deadlyStarts: Map<string, number>;
+  /** How many workers have crashed while a task was placed on them. */
+  crashCounts: Map<string, number>;
   /** Executes commands of the domain. */
   execute(commands: DomainCommand[]): void;
   /** Descriptions of violated invariants. */
--- a/src/domain/worker_crash.ts
+++ b/src/domain/worker_crash.ts
@@ -5,43 +5,98 @@
  * @module
  */
 import type { Domain } from "./domain.ts";
-import type { DomainWorker, PlacedTaskRef, TaskRef } from "./domain_worker.ts";
-import { taskNameOf } from "./step_run.ts";
+import type {
+  DomainWorker,
+  PlacedTaskRef,
+  TaskRef,
+  UnsettledTask,
+} from "./domain_worker.ts";
+import type { Moment } from "./domain_event.ts";
+import { endJob } from "./job_lifecycle.ts";
+import { stepRecordKey } from "./record_keys.ts";
+import { crashCountOf, taskNameOf } from "./step_run.ts";
 
 /** A task that has run for this long has not crashed its worker, in ms. */
 const SETTLE_MS = 1_000;
 
+/** Number of crashes after which a task is given up in any case. */
+const MAX_CRASHES = 3;
+/** The same if nothing else can have caused the last one. */
+const MAX_CRASHES_AS_ONLY_SUSPECT = 2;
+
 /**
  * Updates whether a worker has survived the start of a task.
  *
  * @param aliveAtMs a time at which the worker ran the task (steady clock)
  */
-export function updateSettled(ref: PlacedTaskRef, aliveAtMs: number): void {
-  if (ref.runningSinceMs === undefined) return;
-  if (aliveAtMs - ref.runningSinceMs >= SETTLE_MS) ref.isSettled = true;
+export function updateSettled(
+  worker: DomainWorker,
+  ref: PlacedTaskRef,
+  aliveAtMs: number,
+): void {
+  if (ref.isSettled || ref.runningSinceMs === undefined) return;
+  if (aliveAtMs - ref.runningSinceMs < SETTLE_MS) return;
+  ref.isSettled = true;
+  worker.suspects.delete(taskNameOf(ref.run, ref.index));
 }
 
 /** Finds the tasks placed on a worker whose start it may not have survived. */
-export function findUnsettledTasks(worker: DomainWorker): TaskRef[] {
-  return [...worker.placed.values()].filter(({ run, index, isSettled }) => {
+export function findUnsettledTasks(worker: DomainWorker): UnsettledTask[] {
+  return [...worker.placed.values()].flatMap(({ run, index, isSettled }) => {
     const task = run.tasks[index];
-    return !isSettled && task?.kind === "placed" && task.worker === worker.id;
+    if (isSettled || task?.kind !== "placed") return [];
+    return task.worker === worker.id
+      ? [{ run, index, bornMs: task.bornMs }]
+      : [];
   });
 }
 
-/** Records that a worker crashed just after tasks were started on it. */
+/**
+ * Counts the crash of a worker against each task whose start it may not have
+ * survived, and gives up the jobs of those that have probably caused it.
+ *
+ * @param isInferred whether only records tell what was started there: a run
+ *   may have ended before the crash
+ */
 export function recordWorkerCrash(
   domain: Domain,
   worker: DomainWorker,
   unsettled: TaskRef[],
+  { moment, isInferred }: { moment: Moment; isInferred: boolean },
 ): void {
+  const suspects = unsettled.filter(({ run, index }) =>
+    run.jobRun.job.outcome === "open" && run.tasks[index]?.kind !== "done"
+  );
+  const isOnlyOne = !isInferred && new Set(suspects.map(suspectKey)).size === 1;
+  for (const { run, index } of suspects) {
+    run.crashCounts.set(index, (run.crashCounts.get(index) ?? 0) + 1);
+    domain.dirtyKeys.add(stepRecordKey(run.key));
+  }
   domain.commands.push({
     kind: "report",
     message: "A worker crashed.",
     fields: {
       worker: worker.id,
-      unsettled: unsettled.map(({ run, index }) => taskNameOf(run, index))
-        .join(" "),
+      unsettled: suspects.map((suspect) => describeSuspect(suspect)).join(" "),
     },
   });
+  for (const { run, index } of suspects) {
+    if (!isGivenUp(crashCountOf(run, index), isOnlyOne)) continue;
+    endJob(domain, run.jobRun, "failed", moment);
+  }
+}
+
+/** Members of a gang are one suspect. */
+function suspectKey({ run, index }: TaskRef): string {
+  return run.step.gang ? run.key : taskNameOf(run, index);
+}
+
+/** The task as logged: `NAME:CRASHES`. */
+function describeSuspect({ run, index }: TaskRef): string {
+  return `${taskNameOf(run, index)}:${crashCountOf(run, index)}`;
+}
+
+function isGivenUp(crashCount: number, isOnlySuspect: boolean): boolean {
+  return crashCount >= MAX_CRASHES ||
+    isOnlySuspect && crashCount >= MAX_CRASHES_AS_ONLY_SUSPECT;
 }
--- /dev/null
+++ b/src/domain/worker_crash_test.ts
@@ -0,0 +1,252 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { jobStateOf } from "./job_state.ts";
+import { mayPrecedeCommit } from "./start_permit.ts";
+import {
+  createBench,
+  type DomainBench,
+  feedEvent,
+  listing,
+  listWorkers,
+  reportFrom,
+  running,
+  simulateTakeover,
+  startsIn,
+  step,
+  stopsIn,
+  submit,
+  tick,
+} from "./testing/domain_bench.ts";
+
+const TASK = "deadly.0.0.0";
+const WORKERS = ["w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"];
+/** The most starts of a task that crashes its workers: three, and two more. */
+const MAX_STARTS = 5;
+
+/** How the owner finds out that a worker has crashed. */
+type CrashNotice = "new id" | "same id" | "new id, after its lease";
+
+/** Has every worker crash that starts the task; the worker is back at once. */
+function playDeadlyTask(
+  bench: DomainBench,
+  notice: CrashNotice,
+  onCrash = () => {},
+): string[] {
+  const crashed: string[] = [];
+  let bornMs = 1;
+  let seen = 0;
+  for (let round = 0; round < 60; round += 1) {
+    const starts = startsIn(bench.commands.slice(seen));
+    seen = bench.commands.length;
+    for (const { worker, task } of starts) {
+      if (task !== TASK) continue;
+      crashed.push(worker);
+      bornMs += 1;
+      onCrash();
+      crash(bench, worker, notice, bornMs);
+    }
+    for (const command of bench.commands) {
+      if (command.kind !== "order" || command.order.kind !== "stop") continue;
+      feedEvent(bench, { ...command.order, kind: "stopConfirmed" });
+    }
+    tick(bench, 100);
+    for (const [id, worker] of bench.domain.workers) {
+      if (worker.isReachable) reportFrom(bench, id, { bornMs: worker.bornMs });
+    }
+  }
+  return crashed;
+}
+
+function crash(
+  bench: DomainBench,
+  worker: string,
+  notice: CrashNotice,
+  bornMs: number,
+): void {
+  feedEvent(bench, { kind: "workerSilent", worker });
+  bench.nowMs += 3_500;
+  switch (notice) {
+    case "same id":
+      reportFrom(bench, worker, { bornMs });
+      return;
+    case "new id, after its lease":
+      feedEvent(bench, { kind: "workerLapsed", worker });
+      feedEvent(bench, { kind: "workerLapsed", worker, isReplaced: true });
+      return;
+    case "new id":
+      feedEvent(bench, { kind: "workerLapsed", worker, isReplaced: true });
+  }
+}
+
+function createBenchWithWorkers(): DomainBench {
+  const bench = createBench();
+  listWorkers(bench, ...WORKERS.map((id) => listing(id)));
+  return bench;
+}
+
+// Guards against BUDGET: a task is started on one worker after the other, each
+// of which it crashes.
+describe("a task that crashes each worker that starts it", () => {
+  const expectedStarts: [CrashNotice, number][] = [
+    ["new id", 2],
+    ["same id", 2],
+    // The third start leaves before the second crash is known.
+    ["new id, after its lease", 3],
+  ];
+  for (const [notice, starts] of expectedStarts) {
+    it(`fails its job after ${starts} starts (${notice})`, () => {
+      const bench = createBenchWithWorkers();
+      submit(bench, "deadly", [step()]);
+      assert.equal(playDeadlyTask(bench, notice).length, starts);
+      assert.equal(jobStateOf(bench.domain, "deadly"), "failed");
+    });
+  }
+
+  it("fails its job too if its tasks are long-running", () => {
+    const bench = createBenchWithWorkers();
+    submit(bench, "deadly", [step({ longRunning: true })]);
+    assert.equal(playDeadlyTask(bench, "new id").length, 2);
+    assert.equal(jobStateOf(bench.domain, "deadly"), "failed");
+  });
+
+  it("fails its job if it is the member of a gang", () => {
+    const bench = createBenchWithWorkers();
+    submit(bench, "deadly", [step({ gang: true, taskCount: 3 })]);
+    assert.ok(playDeadlyTask(bench, "new id").length <= MAX_STARTS);
+    assert.equal(jobStateOf(bench.domain, "deadly"), "failed");
+  });
+
+  it("fails its job after three crashes if other tasks have just started", () => {
+    const bench = createBenchWithWorkers();
+    let jobs = 0;
+    const submitOthers = () => {
+      jobs += 1;
+      submit(bench, `other${jobs}`, [step({ taskCount: 8 })]);
+    };
+    submitOthers();
+    submit(bench, "deadly", [step()]);
+    const crashed = playDeadlyTask(bench, "new id", submitOthers);
+    assert.ok(crashed.length >= 2 && crashed.length <= 3, `${crashed}`);
+    assert.equal(jobStateOf(bench.domain, "deadly"), "failed");
+  });
+
+  it("fails its job although each crash is followed by a takeover", () => {
+    const bench = createBenchWithWorkers();
+    submit(bench, "deadly", [step()]);
+    let crashes = 0;
+    for (let round = 0; round < 10; round += 1) {
+      const [start] = startsIn(bench.commands);
+      bench.commands = [];
+      if (start === undefined) break;
+      crashes += 1;
+      simulateTakeover(bench);
+      const listings = WORKERS.map((id) => listing(id));
+      feedEvent(bench, { kind: "workersListed", workers: listings });
+      for (const worker of WORKERS) {
+        if (worker === start.worker) {
+          feedEvent(bench, { kind: "workerLapsed", worker, isReplaced: true });
+        } else reportFrom(bench, worker, {});
+      }
+    }
+    assert.ok(crashes <= 3, `${crashes}`);
+    assert.equal(jobStateOf(bench.domain, "deadly"), "failed");
+  });
+
+  it("is started only after its record, once it has crashed a worker", () => {
+    const bench = createBenchWithWorkers();
+    submit(bench, "deadly", [step()]);
+    const [first] = startsIn(bench.commands);
+    assert.equal(mayPrecedeCommit(bench.domain, first!), true);
+    bench.commands = [];
+    crash(bench, first!.worker, "new id", 2);
+    const [second] = startsIn(bench.commands);
+    assert.equal(mayPrecedeCommit(bench.domain, second!), false);
+  });
+
+  it("is not started again by the order that has crashed its worker", () => {
+    const bench = createBenchWithWorkers();
+    submit(bench, "deadly", [step()]);
+    const [start] = startsIn(bench.commands);
+    crash(bench, start!.worker, "same id", 2);
+    const stopped = stopsIn(bench.commands).map(({ task }) => task);
+    assert.deepEqual([...new Set(stopped)], [TASK]);
+  });
+});
+
+// Guards against LOST: a job is given up for crashes that others have caused.
+describe("a task on a worker that crashes", () => {
+  it("is no suspect if the worker has survived its start", () => {
+    const bench = createBenchWithWorkers();
+    submit(bench, "a", [step()]);
+    for (let round = 0; round < 4; round += 1) {
+      const [start] = startsIn(bench.commands.splice(0));
+      const { task, attempt, worker } = start!;
+      const { bornMs } = bench.domain.workers.get(worker)!;
+      for (let poll = 0; poll < 4; poll += 1) {
+        bench.nowMs += 500;
+        const percent = poll + 1;
+        const run = running(task, attempt, { percent });
+        reportFrom(bench, worker, { bornMs, running: [run] });
+      }
+      crash(bench, worker, "same id", bornMs + 1);
+      tick(bench, 100);
+    }
+    assert.equal(jobStateOf(bench.domain, "a"), "running");
+    assert.equal(bench.domain.steps.get("a.0.0")?.crashCounts.size, 0);
+  });
+
+  it("is no suspect if the worker only lost its lease", () => {
+    const bench = createBenchWithWorkers();
+    submit(bench, "a", [step()]);
+    for (let round = 0; round < 6; round += 1) {
+      const [start] = startsIn(bench.commands.splice(0));
+      const { worker } = start!;
+      feedEvent(bench, { kind: "workerLapsed", worker, isReplaced: false });
+      tick(bench, 100);
+    }
+    assert.equal(jobStateOf(bench.domain, "a"), "running");
+  });
+
+  it("is no suspect if the worker was drained", () => {
+    const bench = createBenchWithWorkers();
+    submit(bench, "a", [step()]);
+    const [start] = startsIn(bench.commands.splice(0));
+    const { worker } = start!;
+    const listings = WORKERS.map((id) =>
+      listing(id, { draining: id === worker })
+    );
+    feedEvent(bench, { kind: "workersListed", workers: listings });
+    feedEvent(bench, { kind: "workerLapsed", worker, isReplaced: true });
+    assert.equal(bench.domain.steps.get("a.0.0")?.crashCounts.size, 0);
+  });
+
+  it("is started away from the other suspects, and others away from it", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    submit(bench, "a", [step({ taskCount: 3 })]);
+    const others = ["w2", "w3", "w4", "w5"];
+    const listings = ["w1", ...others].map((id) => listing(id));
+    feedEvent(bench, { kind: "workersListed", workers: listings });
+    for (const worker of others) reportFrom(bench, worker, {});
+    bench.commands = [];
+    crash(bench, "w1", "new id", 2);
+    const tried = startsIn(bench.commands).map(({ worker }) => worker);
+    assert.equal(new Set(tried).size, 3);
+    bench.commands = [];
+    submit(bench, "b", [step({ taskCount: 4 })]);
+    const [free] = others.filter((worker) => !tried.includes(worker));
+    for (const { worker } of startsIn(bench.commands)) {
+      assert.equal(worker, free);
+    }
+  });
+
+  it("keeps its number of crashes in the record of its step", () => {
+    const bench = createBenchWithWorkers();
+    submit(bench, "deadly", [step()]);
+    const [start] = startsIn(bench.commands);
+    crash(bench, start!.worker, "new id", 2);
+    simulateTakeover(bench);
+    const run = bench.domain.steps.get("deadly.0.0");
+    assert.deepEqual(run?.crashCounts, new Map([[0, 1]]));
+  });
+});
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -271,7 +271,10 @@
   const { host } = state;
   const { task, attempt } = order;
   let earlierUnknown = false;
+  const { bornMs } = state;
   while (host.isCurrent(order) && !host.signal.aborted) {
+    // The start may have crashed the worker; its owner decides what follows.
+    if (earlierUnknown && state.bornMs !== bornMs) return;
     const nowMs = host.clock.steadyMs();
     const leaseUntilMs = host.mayGrantLeases() && !state.isSilent
       ? grantLease(state.clock, host.leaseMs, nowMs)
--- a/stand_ins/platform/worker.ts
+++ b/stand_ins/platform/worker.ts
@@ -41,6 +41,10 @@
   /** Every run that was started, in order. */
   started: RunRecord[];
   durationMs: TaskDuration;
+  /** Whether a task crashes each worker that starts it. */
+  isDeadly: (task: string) => boolean;
+  /** Whether a task has crashed this incarnation; it then does nothing more. */
+  hasCrashed: boolean;
 };
 
 type WorkerCommand = {
@@ -99,6 +103,7 @@
   id: string,
   durationMs: TaskDuration,
   nowMs: number,
+  isDeadly: (task: string) => boolean = () => false,
 ): Worker {
   return {
     id,
@@ -111,6 +116,8 @@
     leaseUntilMs: 0,
     started: [],
     durationMs,
+    isDeadly,
+    hasCrashed: false,
   };
 }
 
@@ -176,6 +183,7 @@
   const endsAtMs = nowMs + worker.durationMs(specification, task);
   worker.running.set(task, { attempt, endsAtMs, record });
   worker.started.push(record);
+  worker.hasCrashed = worker.isDeadly(task);
   return okResponse(worker, nowMs);
 }
 
