Follow the capacity of workers while they run

Callers would see a worker started beyond its capacity after it has shrunk (LIMIT), or room left unused after it has grown.

Cause: the worker list compared draining, address, incarnation and service of an entry only, so a change of capacity alone was told to nobody, and the owner kept the earlier one. All fields are compared now. A start that is not known to have arrived when the capacity shrinks, such as one that waits for a lease, would still use the earlier capacity: the latest of them are stopped until the rest fits.

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -30,6 +30,7 @@
   revokeUnusedPermits,
 } from "./start_permit.ts";
 import { findTask } from "./step_run.ts";
+import { stopExcessStarts } from "./shrunk_capacity.ts";
 import { stopStalledTasks } from "./stalled_tasks.ts";
 import { stopTask } from "./stop_task.ts";
 import { withdrawJob } from "./withdraw_job.ts";
@@ -216,6 +217,7 @@
     );
     worker.listing = listing;
     worker.capacity = listing.capacity;
+    stopExcessStarts(domain, worker);
     domain.workers.set(listing.id, worker);
     if (listing.draining) revokePermit(domain, listing.id);
   }
--- a/src/ownership/worker_list.ts
+++ b/src/ownership/worker_list.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from "node:util";
 import type { WorkerListing } from "../domain/mod.ts";
 import type { Clock, KeyedRecord } from "../hosts/mod.ts";
 import type { PartLogger } from "../telemetry/mod.ts";
@@ -115,6 +116,7 @@
         service: listing.service,
         draining: listing.draining,
         bornMs: listing.bornMs,
+        ...listing.capacity,
       });
       return true;
     }
@@ -149,6 +151,5 @@
 }
 
 function differs(left: WorkerListing, right: WorkerListing): boolean {
-  return left.draining !== right.draining || left.address !== right.address ||
-    left.bornMs !== right.bornMs || left.service !== right.service;
+  return !isDeepStrictEqual(left, right);
 }
--- a/src/ownership/worker_list_test.ts
+++ b/src/ownership/worker_list_test.ts
@@ -21,9 +21,37 @@
   );
   const applyRecord = (value: string | undefined) =>
     list.apply([{ key: "w", value }]);
-  return { time, list, applyRecord };
+  return { time, clock, list, applyRecord };
 }
 
+// Guards against LIMIT: starts on a worker that no longer has room for them.
+describe("a worker whose capacity shrinks while it runs", () => {
+  it("is reported to the owner, and again when it grows", () => {
+    const list = createWorkerList(
+      (id, text) => ({
+        listing: listing(id, {
+          capacity: {
+            cpuMillis: Number(text),
+            memoryMb: 8_000,
+            accelerators: 8,
+          },
+        }),
+      }),
+      silentLogger,
+      createTestSetup().clock,
+      HEARTBEAT_MS,
+    );
+    const seen: number[] = [];
+    list.subscribe(() => {
+      seen.push(...list.workers().map(({ capacity }) => capacity.cpuMillis));
+    }, new AbortController().signal);
+    for (const cpuMillis of ["8000", "8000", "3000", "8000"]) {
+      list.apply([{ key: "w", value: cpuMillis }]);
+    }
+    assert.deepEqual(seen, [8_000, 3_000, 8_000]);
+  });
+});
+
 describe("a worker list that is replaced", () => {
   it("does not keep a worker that is no longer listed", () => {
     const { list, applyRecord } = createTestSetup();
