After a takeover, look for runs on workers whose capacity has shrunk too

Callers could have seen a task run twice (TWICE): it was started before its placement was recorded, its owner was lost, its worker was out of reach, and the worker's capacity had shrunk below what the task takes.

Cause: the new owner waits for each worker that may hold a task and could run its step. Whether it could was taken from the present capacity. It is ignored there now, so a step also waits for workers that never had room for it.

The test fails without this: "starts nothing while a worker whose capacity shrinks while it runs may run it" sees attempt 1 of a.0.0.0 start on w3.

--- a/src/domain/start_permit.ts
+++ b/src/domain/start_permit.ts
@@ -139,12 +139,13 @@
 }
 
 /**
- * Whether a worker could run a step when it was not draining yet; true if
- * nothing is known about the worker.
+ * Whether a worker could run a step when it was not draining yet and had more
+ * capacity; true if nothing is known about the worker.
  */
 function canEverRun(worker: DomainWorker | undefined, run: StepRun): boolean {
   if (worker?.listing === undefined) return true;
-  const listing = { ...worker.listing, draining: false };
+  const capacity = run.step.demand;
+  const listing = { ...worker.listing, draining: false, capacity };
   return isEligible({ ...worker, listing }, run);
 }
 
--- a/src/domain/start_permit_test.ts
+++ b/src/domain/start_permit_test.ts
@@ -174,6 +174,21 @@
     assert.deepEqual(startsIn(bench.commands), []);
   });
 
+  // Guards against TWICE: the run at a worker that has shrunk is overlooked.
+  it("starts nothing while a worker whose capacity shrinks while it runs may run it", () => {
+    const bench = loseOwner();
+    const capacity = { cpuMillis: 500, memoryMb: 500, accelerators: 0 };
+    const workers = [
+      listing("w1", { capacity }),
+      listing("w2", { capacity }),
+      listing("w3"),
+    ];
+    feedEvent(bench, { kind: "workersListed", workers });
+    reportFrom(bench, "w3", {});
+    tick(bench, 100);
+    assert.deepEqual(startsIn(bench.commands), []);
+  });
+
   it("starts it once the leases of the workers have expired", () => {
     const bench = loseOwner();
     listWorkers(bench, listing("w3"));
