Test that a start is not repeated at a new incarnation, and late replacements

Both guard what the limit on crashing tasks relies on. Without the check in the link, "is not sent again to its new incarnation" fails ("29 !== 1"). The check compares with the incarnation that the order was sent to: a link that has not polled yet knows none. Records of earlier versions are restored (tested).

--- a/src/domain/worker_crash_test.ts
+++ b/src/domain/worker_crash_test.ts
@@ -249,4 +249,17 @@
     const run = bench.domain.steps.get("deadly.0.0");
     assert.deepEqual(run?.crashCounts, new Map([[0, 1]]));
   });
+
+  it("is restored from the record of an earlier version", () => {
+    const bench = createBenchWithWorkers();
+    submit(bench, "a", [step()]);
+    const key = [...bench.store.keys()].find((name) => name.includes("a.0.0"));
+    const record = JSON.parse(bench.store.get(key!)!);
+    delete record.crashCounts;
+    record.tasks = record.tasks.map((task: unknown[]) => task.slice(0, 5));
+    bench.store.set(key!, JSON.stringify(record));
+    simulateTakeover(bench);
+    const [task] = bench.domain.steps.get("a.0.0")!.tasks;
+    assert.equal(task?.kind === "placed" && task.bornMs, 0);
+  });
 });
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -271,10 +271,10 @@
   const { host } = state;
   const { task, attempt } = order;
   let earlierUnknown = false;
-  const { bornMs } = state;
+  let sentToBornMs: number | undefined;
   while (host.isCurrent(order) && !host.signal.aborted) {
     // The start may have crashed the worker; its owner decides what follows.
-    if (earlierUnknown && state.bornMs !== bornMs) return;
+    if (earlierUnknown && state.bornMs !== sentToBornMs) return;
     const nowMs = host.clock.steadyMs();
     const leaseUntilMs = host.mayGrantLeases() && !state.isSilent
       ? grantLease(state.clock, host.leaseMs, nowMs)
@@ -283,6 +283,7 @@
       await host.clock.sleep(RETRY_DELAY_MS, host.signal);
       continue;
     }
+    sentToBornMs ??= state.bornMs;
     const result = await host.tasks.start(host.target, {
       task,
       attempt,
--- a/src/ownership/worker_link_test.ts
+++ b/src/ownership/worker_link_test.ts
@@ -129,3 +129,82 @@
     assert.deepEqual(acknowledged, [0, 57]);
   });
 });
+
+// Guards against BUDGET: an order that has crashed its worker is sent again to
+// the next incarnation, which crashes in its turn.
+describe("a start without an answer, to a worker that restarts", () => {
+  it("is not sent again to its new incarnation", async () => {
+    const clock = createManualClock();
+    const controller = new AbortController();
+    let starts = 0;
+    let polls = 0;
+    const unknown = err({
+      kind: "unknown",
+      step: "worker.start",
+      peer: "w",
+      message: "reset",
+    });
+    const tasks = {
+      async poll() {
+        await clock.sleep(100, controller.signal);
+        polls += 1;
+        if (polls === 30) controller.abort();
+        const bornMs = starts === 0 ? 1 : 2;
+        const clockMs = clock.steadyMs();
+        return ok({ clockMs, bornMs, running: [], ended: [] });
+      },
+      start() {
+        starts += 1;
+        return Promise.resolve(unknown);
+      },
+    } as unknown as TaskHost;
+    await new Promise<void>((resolve) => {
+      controller.signal.addEventListener("abort", () => resolve());
+      let isOrdered = false;
+      const link = openWorkerLink({
+        ...hostOf(tasks, clock, controller.signal),
+        emit(event) {
+          if (event.kind !== "looked" || isOrdered) return;
+          isOrdered = true;
+          link.order({
+            kind: "start",
+            worker: "w",
+            task: "a.0.0.0",
+            attempt: 1,
+            specification: "",
+            ticket: undefined,
+            checkpoint: undefined,
+          });
+        },
+      });
+    });
+    assert.equal(starts, 1);
+  });
+});
+
+describe("a worker that is replaced after its lease has expired", () => {
+  it("is reported as replaced", async () => {
+    const clock = createManualClock();
+    const controller = new AbortController();
+    const reported: (boolean | undefined)[] = [];
+    const tasks = {
+      async poll() {
+        await clock.sleep(100, controller.signal);
+        const kind = reported.length === 0 ? "unknown" : "gone";
+        return err({ kind, step: "worker.look", peer: "w", message: kind });
+      },
+    } as unknown as TaskHost;
+    await new Promise<void>((resolve) => {
+      controller.signal.addEventListener("abort", () => resolve());
+      openWorkerLink({
+        ...hostOf(tasks, clock, controller.signal),
+        emit(event) {
+          if (event.kind !== "workerLapsed") return;
+          reported.push(event.isReplaced);
+          if (reported.length === 2) controller.abort();
+        },
+      });
+    });
+    assert.deepEqual(reported, [false, true]);
+  });
+});
