Let tasks backfill although a small gang finds no unreserved room

What callers would see: with half of the room reserved for a gang, short tasks that would end before it is needed don't start.

A gang leaves out what is reserved, while a short task may use it. For a gang of one task, the record says the same as for an ordinary task.

The new test failed before ([] instead of short.0.0.0). A record now says whether its tasks may backfill, and holds for others only if they may not either, or if nothing was left at all.

--- a/src/domain/load_patterns_test.ts
+++ b/src/domain/load_patterns_test.ts
@@ -241,6 +241,23 @@
     assert.ok(tasks.includes("large.0.0.0"));
   });
 
+  // Guards against short tasks that wait beside room that is only reserved,
+  // since a gang of one task has found none that is not.
+  it("let tasks backfill although a small gang finds no unreserved room", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    const half = { cpuMillis: 4_000, memoryMb: 1_000, accelerators: 0 };
+    const quarter = { ...half, cpuMillis: 2_000 };
+    submit(bench, "long", [step({ demand: half, estimateMs: 10_000 })]);
+    const whole = { ...half, cpuMillis: 8_000 };
+    submit(bench, "first", [step({ gang: true, demand: whole })]);
+    submit(bench, "second", [step({ gang: true, demand: quarter })]);
+    const commands = submit(bench, "short", [step({ demand: quarter })]);
+    assert.deepEqual(startsIn(commands).map(({ task }) => task), [
+      "short.0.0.0",
+    ]);
+  });
+
   it("let tasks that end in time backfill their reserved worker", () => {
     const bench = createBench();
     listWorkers(bench, listing("w1"), listing("w2"));
--- a/src/domain/place_gang.ts
+++ b/src/domain/place_gang.ts
@@ -94,7 +94,8 @@
   const { service } = run.jobRun.job.policy;
   const { taskCount } = run.step;
   const demand = allocationOf(run.step);
-  if (pass.hasNoCapacityFor(service, demand, taskCount)) return true;
+  const gang = { demand, count: taskCount, mayBackfill: false };
+  if (pass.hasNoCapacityFor(service, gang)) return true;
   let count = 0;
   for (const worker of pass.workersOf(service)) {
     if (!worker.isReachable) continue;
@@ -102,7 +103,7 @@
     for (const _ of findSlotsOn(pass, worker, demand, limit, "now")) count += 1;
     if (count === taskCount) return false;
   }
-  pass.recordNoCapacity(service, demand, taskCount);
+  pass.recordNoCapacity(service, gang);
   return true;
 }
 
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -106,7 +106,8 @@
 ): Generator<DomainWorker> {
   const demand = allocationOf(run.step);
   const { service } = run.jobRun.job.policy;
-  if (pass.hasNoCapacityFor(service, demand, 1)) return;
+  const task = { demand, count: 1, mayBackfill: true };
+  if (pass.hasNoCapacityFor(service, task)) return;
   const nowMs = pass.moment.steadyMs;
   let isFull = true;
   for (const worker of pass.workersOf(service)) {
@@ -118,7 +119,7 @@
       respectsReservation(pass, worker, run);
     if (isPlaceable) yield worker;
   }
-  if (isFull) pass.recordNoCapacity(service, demand, 1);
+  if (isFull) pass.recordNoCapacity(service, task);
 }
 
 /** Requests advice for a step of which no task can be placed now. */
--- a/src/domain/scheduling_pass.ts
+++ b/src/domain/scheduling_pass.ts
@@ -14,14 +14,19 @@
   releases: Map<DomainWorker, ExpectedRelease[]>;
   /** Returns the listed workers of a service that are not draining. */
   workersOf(service: string): DomainWorker[];
-  /** Whether an earlier step found no capacity for as many tasks of a demand. */
-  hasNoCapacityFor(service: string, demand: Resources, tasks: number): boolean;
-  /** Records that the workers of a service cannot hold some tasks of a demand. */
-  recordNoCapacity(service: string, demand: Resources, tasks: number): void;
+  /** Whether an earlier step has found no capacity for fewer or such tasks. */
+  hasNoCapacityFor(service: string, tasks: TaskGroup): boolean;
+  /** Records that the workers of a service have no capacity for some tasks. */
+  recordNoCapacity(service: string, tasks: TaskGroup): void;
 };
 
-/** Tasks for which there is no free capacity. */
-type UnplaceableTasks = { demand: Resources; tasks: number };
+/** Tasks that need capacity at the same time. */
+export type TaskGroup = {
+  demand: Resources;
+  count: number;
+  /** Whether they may take capacity that is reserved until it is needed. */
+  mayBackfill: boolean;
+};
 
 /**
  * Creates a pass without reservations. Free capacity only shrinks during a
@@ -40,21 +45,22 @@
     if (known === undefined) workersByService.set(listing.service, [worker]);
     else known.push(worker);
   }
-  const unplaceable = new Map<string, UnplaceableTasks[]>();
+  const unplaceable = new Map<string, TaskGroup[]>();
   return {
     domain,
     moment,
     reservations: new Map(),
     workersOf: (service) => workersByService.get(service) ?? [],
     releases: new Map(),
-    hasNoCapacityFor: (service, demand, tasks) =>
+    hasNoCapacityFor: (service, tasks) =>
       unplaceable.get(service)?.some((failed) =>
-        failed.tasks <= tasks && fitsInto(failed.demand, demand)
+        failed.count <= tasks.count && fitsInto(failed.demand, tasks.demand) &&
+        (failed.mayBackfill || !tasks.mayBackfill)
       ) ?? false,
-    recordNoCapacity(service, demand, tasks) {
+    recordNoCapacity(service, tasks) {
       const known = unplaceable.get(service);
-      if (known === undefined) unplaceable.set(service, [{ demand, tasks }]);
-      else known.push({ demand, tasks });
+      if (known === undefined) unplaceable.set(service, [tasks]);
+      else known.push(tasks);
     },
   };
 }
