Forget lapsed starts of a worker that answers in the same incarnation

What callers would see: a job fails after crashes that its tasks had nothing to do with. Tasks that had just started when the lease of a worker expired stayed suspects although the worker answered again, and counted at its next restart, however much later.

An answer of any incarnation now decides about them: it counts them if it is a new one, and drops them.

--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -45,6 +45,7 @@
     applyWorkerCrash(domain, worker, report, moment);
     applyWorkerRestart(domain, worker, report);
   }
+  worker.lapsedStarts = [];
   const isFirstReport = !worker.isReachable;
   worker.isReachable = true;
   for (const ended of report.ended) applyRunEnd(domain, worker, ended, moment);
@@ -96,7 +97,6 @@
   const suspects = [...worker.lapsedStarts, ...unsettled].filter((suspect) =>
     suspect.bornMs !== UNKNOWN_BORN_MS && suspect.bornMs !== bornMs
   );
-  worker.lapsedStarts = [];
   // A start without an answer would be repeated at the new incarnation.
   for (const { run, index } of suspects) {
     const task = run.tasks[index];
--- a/src/domain/worker_crash_test.ts
+++ b/src/domain/worker_crash_test.ts
@@ -263,3 +263,17 @@
     assert.equal(task?.kind === "placed" && task.bornMs, 0);
   });
 });
+
+describe("a worker that was cut off until its lease expired", () => {
+  // Guards against jobs that fail for a crash long after the start of a task.
+  it("has survived its last starts if the same incarnation answers", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"), listing("w2"));
+    const [start] = startsIn(submit(bench, "a", [step()]));
+    const cutOff = start!.worker;
+    feedEvent(bench, { kind: "workerLapsed", worker: cutOff });
+    reportFrom(bench, cutOff, {});
+    reportFrom(bench, cutOff, { bornMs: 2 });
+    assert.deepEqual(bench.domain.steps.get("a.0.0")?.crashCounts, new Map());
+  });
+});
