Leave start permits as they are while the store is silent

What callers would see: in an outage of the store of 6 s and more, the tasks of all workers are killed and run again if half of the workers miss one poll.

Cause: a missed poll revokes the permit of its worker, and its next answer grants it again. Neither can be stored in an outage. Since leases need answers of most workers with a permit that is known to be stored, those workers count against that, but not for it.

The owner tells its domain when the store has not answered for 800 ms. Changes of permits then wait for the next report or tick after it answers. A worker that does not answer gets no starts either way.

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -80,6 +80,9 @@
   moment: Moment,
 ): void {
   switch (event.kind) {
+    case "storeObserved":
+      domain.isStoreSilent = event.isSilent;
+      return;
     case "submitted":
       return submit(domain, event, moment);
     case "cancelled":
--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -27,6 +27,8 @@
   workers: Map<string, DomainWorker>;
   /** Permits to start tasks before their placement is stored, by worker. */
   startPermits: Map<string, StartPermit>;
+  /** Whether the store has not answered for a while. */
+  isStoreSilent: boolean;
   /**
    * Workers at which earlier owners may have started tasks that are not
    * recorded: they have not reported since the takeover.
@@ -74,6 +76,7 @@
     adviceQueue: [],
     workers: new Map(),
     startPermits: new Map(),
+    isStoreSilent: false,
     unsettledWorkers: new Set(),
     hasUnlistedAttempts: false,
     scheduledJobs: new Set(),
--- a/src/domain/domain_event.ts
+++ b/src/domain/domain_event.ts
@@ -5,6 +5,8 @@
 
 /** An input to a domain. */
 export type DomainEvent =
+  /** The store has not answered for a while, or answers again. */
+  | { kind: "storeObserved"; isSilent: boolean }
   | {
     kind: "submitted";
     call: number;
--- a/src/domain/start_permit.ts
+++ b/src/domain/start_permit.ts
@@ -37,17 +37,23 @@
 };
 
 /**
- * Begins to grant a permit for a worker that has reported. While workers are
- * unsettled, permits stay as they are: an earlier owner that gets no answers
- * from most of the workers named by them grants no leases.
+ * Whether permits have to stay as they are. While workers are unsettled, an
+ * earlier owner that gets no answers from most of the workers named by them
+ * grants no leases. While the store is silent, a change could not be stored, and
+ * the answers of its worker would not show that this owner has no successor.
  */
+function arePermitsFixed(domain: Domain): boolean {
+  return domain.unsettledWorkers.size > 0 || domain.isStoreSilent;
+}
+
+/** Begins to grant a permit for a worker that has reported. */
 export function grantPermit(
   domain: Domain,
   { id, listing, bornMs }: DomainWorker,
 ): void {
   if (listing === undefined || listing.draining) return;
+  if (arePermitsFixed(domain)) return;
   const known = domain.startPermits.get(id);
-  if (domain.unsettledWorkers.size > 0) return;
   if (known?.bornMs === bornMs && known.phase !== "revoking") return;
   const revision = (known?.revision ?? 0) + 1;
   domain.startPermits.set(id, { bornMs, revision, phase: "granting" });
@@ -55,13 +61,13 @@
 }
 
 /**
- * Ends the use of a permit, and begins to delete its record. While workers are
- * unsettled, permits stay as they are, for the case that this owner is lost too.
+ * Ends the use of a permit, and begins to delete its record. Where permits have
+ * to stay, a later tick revokes those that are not used.
  */
 export function revokePermit(domain: Domain, worker: string): void {
   const known = domain.startPermits.get(worker);
   if (known === undefined || known.phase === "revoking") return;
-  if (domain.unsettledWorkers.size > 0) return;
+  if (arePermitsFixed(domain)) return;
   known.phase = "revoking";
   known.revision += 1;
   domain.dirtyKeys.add(permitKey(worker));
--- a/src/domain/start_permit_test.ts
+++ b/src/domain/start_permit_test.ts
@@ -301,3 +301,36 @@
     assert.equal(jobStateOf(bench.domain, "order.7.b"), "completed");
   });
 });
+
+describe("the permits of workers while the store is silent", () => {
+  // Guards against leases that end in an outage of the store, since workers that
+  // missed one poll no longer show that their owner has no successor.
+  it("stay in use if the workers miss a poll", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"), listing("w2"));
+    feedUncommitted(bench, { kind: "storeObserved", isSilent: true });
+    feedUncommitted(bench, { kind: "workerSilent", worker: "w1" });
+    reportUncommitted(bench, "w1", {});
+    assert.deepEqual(
+      [...bench.domain.startPermits.values()].map(({ phase }) => phase),
+      ["granted", "granted"],
+    );
+  });
+
+  it("are granted and revoked once it answers again", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    feedUncommitted(bench, { kind: "storeObserved", isSilent: true });
+    feedUncommitted(bench, { kind: "workerSilent", worker: "w1" });
+    feedUncommitted(bench, {
+      kind: "workersListed",
+      workers: [listing("w1"), listing("w2")],
+    });
+    reportUncommitted(bench, "w2", {});
+    assert.deepEqual([...bench.domain.startPermits.keys()], ["w1"]);
+    feedEvent(bench, { kind: "storeObserved", isSilent: false });
+    tick(bench, 10);
+    reportFrom(bench, "w2", {});
+    assert.deepEqual([...bench.domain.startPermits.keys()], ["w2"]);
+  });
+});
--- a/src/ownership/owner_calls.ts
+++ b/src/ownership/owner_calls.ts
@@ -13,7 +13,7 @@
 import { emit, type OwnerState } from "./owner_state.ts";
 
 /** The store counts as down after an append without an answer for this time. */
-const STORE_DOWN_AFTER_MS = 800;
+export const STORE_DOWN_AFTER_MS = 800;
 
 /**
  * Applies a call to the domain, unless the store is down. Resolves after the
--- a/src/ownership/owner_passes.ts
+++ b/src/ownership/owner_passes.ts
@@ -10,7 +10,7 @@
   mayPrecedeCommit,
   scheduleDomain,
 } from "../domain/mod.ts";
-import { rejectUncommitted } from "./owner_calls.ts";
+import { rejectUncommitted, STORE_DOWN_AFTER_MS } from "./owner_calls.ts";
 import {
   acknowledgeEnds,
   expireUnlistedWorkers,
@@ -154,6 +154,7 @@
     expireUnlistedWorkers(state);
     moveLinksToRelays(state);
     rejectUncommitted(state);
+    observeStore(state);
     if (clock.steadyMs() < nextTickAtMs) continue;
     nextTickAtMs = clock.steadyMs() + TICK_INTERVAL_MS;
     emit(state, { kind: "ticked" });
@@ -161,6 +162,12 @@
   }
 }
 
+function observeStore(state: OwnerState): void {
+  const isSilent = state.writer.appendAgeMs() > STORE_DOWN_AFTER_MS;
+  if (isSilent === state.domain.isStoreSilent) return;
+  emit(state, { kind: "storeObserved", isSilent });
+}
+
 function explainLongWaits(state: OwnerState): void {
   const reports = explainWaits(
     state.domain,
