Confirm the ownership of a quiet domain before its leases end

What callers would see: long tasks of a domain in which little happens are killed and run again although the store and the workers are well: all their workers drain, or half of those with a permit were lost around a takeover.

Cause: leases need a recent append or answers of most workers with a permit. Progress of tasks writes nothing, and workers that drain have no permit.

The new test is about the step that was missing (an owner with one running task, no permit and an idle writer).

An owner with running tasks now stores its own record when its grant is about to end and nothing else is to be stored.

--- a/src/ownership/owner_links_test.ts
+++ b/src/ownership/owner_links_test.ts
@@ -3,6 +3,7 @@
 import { currentInstant } from "./instant.ts";
 import { UNWITNESSED_GRANT_MS } from "./lease_time.ts";
 import { remainingGrantMs } from "./owner_links.ts";
+import { confirmOwnership } from "./owner_passes.ts";
 import type { OwnerState } from "./owner_state.ts";
 import { createWorkerContact } from "./worker_contact.ts";
 
@@ -62,3 +63,28 @@
   answer();
   assert.ok(remainingGrantMs(state) > 0);
 });
+
+// Guards against tasks that lose their leases although the store answers, since
+// their workers drain and have no permit, and nothing else is to be stored.
+it("an owner of running tasks stores a record before its grant ends", () => {
+  const { state, advance } = createFixture();
+  let commits = 0;
+  const domain = {
+    startPermits: new Map(),
+    workers: new Map([["w", { placed: new Map([["a.0.0.0", {}]]) }]]),
+    owners: [{ instance: "a", epoch: 3 }],
+    dirtyKeys: new Set(),
+  };
+  const writer = {
+    ...state.writer,
+    isIdle: () => true,
+    requestCommit: () => commits += 1,
+  };
+  const owner = { ...state, domain, writer } as unknown as OwnerState;
+  confirmOwnership(owner);
+  assert.equal(commits, 0);
+  advance(UNWITNESSED_GRANT_MS - 1_000);
+  confirmOwnership(owner);
+  assert.equal(commits, 1);
+  assert.deepEqual([...domain.dirtyKeys], ["owner/3"]);
+});
--- a/src/ownership/owner_passes.ts
+++ b/src/ownership/owner_passes.ts
@@ -5,18 +5,22 @@
  */
 import { assertNever } from "../base/mod.ts";
 import {
+  type Domain,
   type DomainCommand,
   explainWaits,
   mayPrecedeCommit,
   scheduleDomain,
+  verifyOwnershipOnCommit,
 } from "../domain/mod.ts";
 import { rejectUncommitted, STORE_DOWN_AFTER_MS } from "./owner_calls.ts";
 import {
   acknowledgeEnds,
   expireUnlistedWorkers,
   moveLinksToRelays,
+  remainingGrantMs,
   sendOrder,
 } from "./owner_links.ts";
+import { RELAY_GRANT_MS } from "./relay/mod.ts";
 import { currentMoment, emit, type OwnerState } from "./owner_state.ts";
 
 /** The shortest time between two scheduling passes, in milliseconds. */
@@ -155,6 +159,7 @@
     moveLinksToRelays(state);
     rejectUncommitted(state);
     observeStore(state);
+    confirmOwnership(state);
     if (clock.steadyMs() < nextTickAtMs) continue;
     nextTickAtMs = clock.steadyMs() + TICK_INTERVAL_MS;
     emit(state, { kind: "ticked" });
@@ -168,6 +173,25 @@
   emit(state, { kind: "storeObserved", isSilent });
 }
 
+/**
+ * Stores a record if nothing else is to be stored and the answers of workers
+ * will soon not suffice to grant leases, so that running tasks keep theirs.
+ */
+export function confirmOwnership(state: OwnerState): void {
+  const { domain, writer } = state;
+  if (!writer.isIdle() || remainingGrantMs(state) > RELAY_GRANT_MS) return;
+  if (!hasPlacedTasks(domain)) return;
+  verifyOwnershipOnCommit(domain);
+  writer.requestCommit();
+}
+
+function hasPlacedTasks(domain: Domain): boolean {
+  for (const worker of domain.workers.values()) {
+    if (worker.placed.size > 0) return true;
+  }
+  return false;
+}
+
 function explainLongWaits(state: OwnerState): void {
   const reports = explainWaits(
     state.domain,
