Notice several short suspensions of an owner

What callers would see: a task that runs twice. An owner that is suspended again and again for less than 200 ms took answers of workers for younger than they were and granted leases although its successor no longer waited for them.

Cause: the offset of the clocks was compared with that of the last call only. 'leaves out answers from before several short suspensions' failed before.

Suspensions are measured in one place now, which adds up what it notices; what it does not notice stays below 200 ms in all.

--- a/src/ownership/worker_contact.ts
+++ b/src/ownership/worker_contact.ts
@@ -7,12 +7,7 @@
  */
 import type { StartPermit } from "../domain/mod.ts";
 import type { Clock } from "../hosts/mod.ts";
-
-/**
- * A difference between the changes of the two clocks from which the process was
- * suspended, in milliseconds: the steady clock stops during a suspension.
- */
-const SUSPENSION_THRESHOLD_MS = 200;
+import { createSuspensionMeter } from "./suspension_meter.ts";
 
 /** The latest answers of the workers of a domain to polls of its owner. */
 export type WorkerContact = {
@@ -42,16 +37,15 @@
  */
 export function createWorkerContact(clock: Clock): WorkerContact {
   const answers = new Map<string, { bornMs: number; sentAtMs: number }>();
-  let clockOffsetMs = clock.nowMs() - clock.steadyMs();
+  const suspensions = createSuspensionMeter(clock);
+  let suspendedForMs = suspensions.totalMs();
   let suspendedAtMs = -Infinity;
 
   /** Discards the answers from before a suspension of this process. */
   function discardOutdated(): void {
-    const offsetMs = clock.nowMs() - clock.steadyMs();
-    if (offsetMs - clockOffsetMs > SUSPENSION_THRESHOLD_MS) {
-      suspendedAtMs = clock.steadyMs();
-    }
-    clockOffsetMs = offsetMs;
+    const totalMs = suspensions.totalMs();
+    if (totalMs > suspendedForMs) suspendedAtMs = clock.steadyMs();
+    suspendedForMs = totalMs;
   }
 
   return {
--- a/src/ownership/worker_contact_test.ts
+++ b/src/ownership/worker_contact_test.ts
@@ -73,4 +73,17 @@
     for (const worker of THREE.keys()) contact.record(worker, 1, time.steadyMs);
     assert.equal(contact.majorityAgeMs(THREE), 0);
   });
+
+  // Guards against leases that an owner grants although its successor has taken
+  // over, since each of its suspensions is too short to be noticed by itself.
+  it("leaves out answers from before several short suspensions", () => {
+    const { time, contact, advance } = createFixture();
+    for (const worker of THREE.keys()) contact.record(worker, 1, time.steadyMs);
+    for (let count = 0; count < 10; count += 1) {
+      advance(10);
+      time.wallMs += 150;
+      contact.majorityAgeMs(THREE);
+    }
+    assert.equal(contact.majorityAgeMs(THREE), Infinity);
+  });
 });
