Keep the latest answer of a worker if an earlier one arrives after it

An owner granted leases for less long than it may, since a report that came late replaced the time of a newer answer.

--- a/src/ownership/worker_contact.ts
+++ b/src/ownership/worker_contact.ts
@@ -51,6 +51,8 @@
   return {
     record(worker, bornMs, sentAtMs) {
       discardOutdated();
+      const known = answers.get(worker);
+      if (known?.bornMs === bornMs && known.sentAtMs > sentAtMs) return;
       answers.set(worker, { bornMs, sentAtMs });
     },
     majorityAgeMs(permits) {
--- a/src/ownership/worker_contact_test.ts
+++ b/src/ownership/worker_contact_test.ts
@@ -86,4 +86,14 @@
     }
     assert.equal(contact.majorityAgeMs(THREE), Infinity);
   });
+
+  it("keeps the latest answer if an earlier one arrives after it", () => {
+    const { time, contact } = createFixture();
+    const sentAtMs = time.steadyMs;
+    for (const worker of THREE.keys()) contact.record(worker, 1, sentAtMs);
+    for (const worker of THREE.keys()) {
+      contact.record(worker, 1, sentAtMs - 900);
+    }
+    assert.equal(contact.majorityAgeMs(THREE), 0);
+  });
 });
