Start nothing ahead of its record on a worker that has restarted

What callers would see: a task that runs twice. An owner that is cut off from the store may grant leases for 3 s after most workers refuse it. In that time a worker that has answered the successor may restart. It has forgotten the successor's epoch then, and the successor has already settled it and starts its tasks elsewhere. If the earlier owner polls it first, it starts a waiting task there without a record, since the permit still counts as granted: while the store is silent, and while workers are unsettled, permits stay as they are, so the permit names the incarnation before the restart.

Found by reading the argument in docs/design/outages.md, which said that a worker that has reported to owner 2 refuses owner 1 from then on. The window was opened by leaving permits as they are while the store is silent; before, the answer of the new incarnation replaced the permit, and starts waited for it.

The test failed before: the start of the next job left ahead of its record.

A permit now covers starts only on the incarnation that it names. Starts on the new one wait for their record, which a successor has fenced, or for a new permit, which is granted once the store answers. In an outage a worker that restarts gets no tasks until then.

--- a/src/domain/start_permit.ts
+++ b/src/domain/start_permit.ts
@@ -118,7 +118,14 @@
   if (crashCountOf(run, index) > 0) return false;
   // A later owner that does not know of a failure would allow one more attempt.
   if (run.storedFailureCount < run.failureCount) return false;
-  return domain.startPermits.get(order.worker)?.phase === "granted";
+  return hasStoredPermit(domain, order.worker);
+}
+
+/** Whether the store holds a permit for the present incarnation of a worker. */
+function hasStoredPermit(domain: Domain, worker: string): boolean {
+  const permit = domain.startPermits.get(worker);
+  return permit?.phase === "granted" &&
+    permit.bornMs === domain.workers.get(worker)?.bornMs;
 }
 
 /**
--- a/src/domain/start_permit_test.ts
+++ b/src/domain/start_permit_test.ts
@@ -333,4 +333,23 @@
     reportFrom(bench, "w2", {});
     assert.deepEqual([...bench.domain.startPermits.keys()], ["w2"]);
   });
+
+  // Guards against a task that runs twice: a worker that restarts after it has
+  // answered a successor no longer refuses the orders of an owner that is cut
+  // off from the store, and the successor does not look for its runs again.
+  it("do not cover starts on a worker that has restarted", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1"));
+    submit(bench, "a", [step({ demand: WHOLE_WORKER })]);
+    submit(bench, "b", [step({ demand: WHOLE_WORKER })]);
+    const [first] = startsIn(bench.commands);
+    feedUncommitted(bench, { kind: "storeObserved", isSilent: true });
+    const done = ended(1, first!.task, 1, "done");
+    const commands = reportUncommitted(bench, "w1", {
+      bornMs: 2,
+      ended: [done],
+    });
+    assert.equal(startsIn(commands).length, 1);
+    assert.deepEqual(startsAheadOfCommit(bench, commands), []);
+  });
 });
