Keep the times of relayed reports right over a suspension of the owner

What callers would see: a task that runs twice on a deployment of more than 64 workers, after the machine of the owner was suspended for up to 6 s; and leases that such an owner grants for seconds longer than its successor assumes.

Cause: a relay stamps worker reports with a lower bound of the owner's steady clock, the last reading plus 0.98 of the time since. The steady clock of a machine that is suspended stands still and the relay's does not, so the bound lies ahead by the length of the suspension, and the owner's clock gains on it by 2 % only. Until then a report without a run counts as one that was asked for after the task's start was confirmed, although it was asked for before, and the task as lost while it runs. The owner also discards the answers of workers from before a suspension, since a successor may have taken over meanwhile; reports with a time in the future passed that check, and counted for longer than 3 s.

The owner now gives relays a clock that includes its suspensions, which it measures as elsewhere by comparing the steady and the wall clock, and takes them off the times of reports. Suspensions of up to 200 ms are not noticed at once, as before.

--- a/src/ownership/relay/owner_clock_estimate.ts
+++ b/src/ownership/relay/owner_clock_estimate.ts
@@ -1,14 +1,14 @@
 import type { Clock } from "../../hosts/mod.ts";
 import { MIN_CLOCK_RATE } from "../lease_time.ts";
 
-/** A lower bound of the owner's steady clock. */
+/** A lower bound of the owner's clock, which does not stop in suspensions. */
 export type OwnerClockEstimate = {
   /**
    * Adds a reading of the owner's clock, in milliseconds. The clock is already
    * past it when it arrives.
    */
   addSample(ownerMs: number): void;
-  /** A time no later than the owner's steady clock, in milliseconds. */
+  /** A time no later than the owner's clock, in milliseconds. */
   lowerBoundMs(): number;
 };
 
--- a/src/ownership/relay/relay_message.ts
+++ b/src/ownership/relay/relay_message.ts
@@ -87,7 +87,7 @@
     kind: v.literal("granted"),
     /** How long the relay may grant leases, measured from its call, in ms. */
     grantMs: v.number(),
-    /** The owner's steady clock when it answered, in milliseconds. */
+    /** The owner's clock when it answered, in milliseconds. */
     ownerMs: v.number(),
   }),
   v.object({ kind: v.literal("closed") }),
--- a/src/ownership/relay/relay_server.ts
+++ b/src/ownership/relay/relay_server.ts
@@ -37,7 +37,7 @@
   /** Address of the owner. */
   owner: string;
   epoch: number;
-  /** The owner's steady clock when it sent the batch, in milliseconds. */
+  /** The owner's clock when it sent the batch, in milliseconds. */
   ownerMs: number;
   first: number;
   messages: RelayMessage[];
--- a/src/ownership/relay/relay_session.ts
+++ b/src/ownership/relay/relay_session.ts
@@ -52,7 +52,7 @@
 
 /** A relay session of one owner. */
 export type RelaySession = {
-  /** Receives a batch and the owner's steady clock when it was sent. */
+  /** Receives a batch and the owner's clock when it was sent. */
   receive(batch: Batch<RelayMessage>, ownerMs: number): void;
   /** Aborts when the session ends. */
   ended: AbortSignal;
--- a/src/ownership/relay/relay_test.ts
+++ b/src/ownership/relay/relay_test.ts
@@ -17,6 +17,7 @@
 
 const LEASE_MS = 5_000;
 const POLL_DURATION_MS = 20;
+const SUSPENSION_MS = 400;
 const CONDITION_CHECK_INTERVAL_MS = 5;
 const PEER = { address: "relay", zone: "a", cores: 1 };
 
@@ -24,6 +25,11 @@
 
 function createFixture() {
   const clock = createSystemClock();
+  const suspension = { totalMs: 0 };
+  const ownerClock = {
+    ...clock,
+    steadyMs: () => clock.steadyMs() - suspension.totalMs,
+  };
   const controller = new AbortController();
   const connection: Connection = {
     isDisconnected: false,
@@ -62,9 +68,12 @@
     },
   });
   const events: DomainEvent[] = [];
+  /** How far the owner's clock was past the time of each worker report. */
+  const reportAgesMs: number[] = [];
   const lost: string[][] = [];
   const relayed = createRelayedLinks({
     ...common,
+    clock: ownerClock,
     self: "owner",
     newSession: () => `session-${lost.length}`,
     epoch: 3,
@@ -81,7 +90,11 @@
       ),
     grantMs: () => connection.isGrantRefused ? 0 : 10_000,
     earlierLeasesRemainingMs: () => 0,
-    emit: (event) => events.push(event),
+    emit: (event) => {
+      events.push(event);
+      if (event.kind !== "looked") return;
+      reportAgesMs.push(ownerClock.steadyMs() - event.look.sentAtMs);
+    },
     onFenced: () => assert.fail("fenced"),
     onLinksLost: (workers) => lost.push(workers),
   });
@@ -93,7 +106,17 @@
       acknowledged: 0,
       floorMs: 0,
     }, controller.signal);
-  return { connection, polls, started, events, lost, controller, open };
+  return {
+    connection,
+    suspension,
+    polls,
+    started,
+    events,
+    reportAgesMs,
+    lost,
+    controller,
+    open,
+  };
 }
 
 async function waitUntil(condition: () => boolean): Promise<void> {
@@ -171,4 +194,22 @@
     controller.abort();
     assert.deepEqual(started, []);
   });
+
+  // Guards against a task that runs twice after its owner was suspended: the
+  // owner's clock has stood still and the relay's has not, so that reports would
+  // seem to be from after starts which they don't list yet.
+  it("reports no time that the owner's clock has not reached", async () => {
+    const { connection, suspension, reportAgesMs, controller, open } =
+      createFixture();
+    open();
+    await waitUntil(() => reportAgesMs.length > 0);
+    connection.isDisconnected = true;
+    await delay(SUSPENSION_MS);
+    suspension.totalMs += SUSPENSION_MS;
+    connection.isDisconnected = false;
+    const reportsBefore = reportAgesMs.length;
+    await waitUntil(() => reportAgesMs.length > reportsBefore + 10);
+    controller.abort();
+    assert.ok(Math.min(...reportAgesMs) >= 0, `${reportAgesMs}`);
+  });
 });
--- a/src/ownership/relay/relayed_links.ts
+++ b/src/ownership/relay/relayed_links.ts
@@ -10,6 +10,7 @@
 import type { Clock, Partition, WorkerTarget } from "../../hosts/mod.ts";
 import type { Counters, PartLogger } from "../../telemetry/mod.ts";
 import type { WorkerLink } from "../worker_link.ts";
+import { createSuspensionMeter } from "../suspension_meter.ts";
 import { createBatchReceiver } from "./batch_receiver.ts";
 import { type BatchSender, createBatchSender } from "./batch_sender.ts";
 import { chooseRelay, type RelayPeer } from "./relay_choice.ts";
@@ -111,8 +112,26 @@
   const { clock, signal } = host;
   const relays = new Map<string, Relay>();
   const cooldownUntilMs = new Map<string, number>();
+  const suspensions = createSuspensionMeter(clock);
   let isMonitoring = false;
 
+  /**
+   * The steady clock plus all suspensions: the clocks of relays advance while
+   * this process is suspended.
+   */
+  function relayClockMs(): number {
+    return clock.steadyMs() + suspensions.totalMs();
+  }
+
+  /** Converts the time of a worker report to the steady clock. */
+  function toOwnerEvent(
+    event: Exclude<RelayEvent, { kind: "fenced" }>,
+  ): DomainEvent {
+    if (event.kind !== "looked") return event;
+    const sentAtMs = event.look.sentAtMs - suspensions.totalMs();
+    return { ...event, look: { ...event.look, sentAtMs } };
+  }
+
   function choose(zone: string): RelayPeer | undefined {
     const nowMs = clock.steadyMs();
     const usable = host.peers().filter(({ address }) =>
@@ -139,7 +158,7 @@
           session: sessionId,
           owner: host.self,
           epoch: host.epoch,
-          ownerMs: clock.steadyMs(),
+          ownerMs: relayClockMs(),
         }) ?? "failed",
       onClosed: () => dropRelay(relay, "relay does not know the session"),
       signal: controller.signal,
@@ -152,7 +171,9 @@
       controller,
     };
     const receiver = createBatchReceiver<RelayEvent>((event) =>
-      event.kind === "fenced" ? host.onFenced(event.cause) : host.emit(event)
+      event.kind === "fenced"
+        ? host.onFenced(event.cause)
+        : host.emit(toOwnerEvent(event))
     );
     host.sessions.register(
       sessionId,
@@ -179,7 +200,7 @@
     if (report.isLeaving) dropRelay(relay, "relay is shutting down");
     if (relay.controller.signal.aborted) return { kind: "closed" };
     const grantMs = Math.min(RELAY_GRANT_MS, Math.max(0, host.grantMs()));
-    return { kind: "granted", grantMs, ownerMs: clock.steadyMs() };
+    return { kind: "granted", grantMs, ownerMs: relayClockMs() };
   }
 
   function dropRelay(relay: Relay, reason: string): void {
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -47,7 +47,7 @@
   mayGrantLeases(): boolean;
   /** The last run end that an earlier link acknowledged, and its incarnation. */
   resumeFrom: { bornMs: number; acknowledged: number };
-  /** The current time on the owner's steady clock, sent with poll results. */
+  /** The current time on the owner's clock, sent with poll results. */
   ownerClockMs(): number;
   emit(event: DomainEvent): void;
   /** Whether an order still applies. */
