Store the outcome of a job before the deletion of its steps

What callers would see: a finished job runs again, and tasks run after their ends were acknowledged.

Cause: a commit of more than 1 MB is sent in several appends. When a job ends, its job record gets the outcome and the records of its steps are deleted; the key of a step is usually changed before that of the job, so the deletion came first. An owner that is lost between two such appends leaves an open job without its steps. The next owner creates them anew, with all tasks waiting, and the workers no longer list the ends that were acknowledged.

Found by reading; not seen in a run. Such commits need about a second of submissions in a slow store.

Records of jobs now come first. A part of a commit then leaves at most step records of a job that has ended, which a takeover skips. Permits need no rule: a revocation follows the placements that it covers, since starts don't precede their record once it has begun.

--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -79,7 +79,9 @@
 
 /**
  * Returns the records that changed since the last call and marks them clean.
- * The caller has to write them to the store.
+ * The caller has to write them to the store, in this order if it needs several
+ * appends: the outcome of a job comes before the deletion of its steps, without
+ * which its tasks would be restored as waiting.
  *
  * @example
  * ```ts
@@ -87,8 +89,13 @@
  * ```
  */
 export function drainDirtyRecords(domain: Domain): DomainRecord[] {
-  const keys = [...domain.dirtyKeys];
+  const dirtyKeys = [...domain.dirtyKeys];
   domain.dirtyKeys.clear();
+  const isJob = (key: string) => key.startsWith(JOB_PREFIX);
+  const keys = [
+    ...dirtyKeys.filter(isJob),
+    ...dirtyKeys.filter((key) => !isJob(key)),
+  ];
   return keys.map((key) => {
     const value = recordValueOf(domain, key);
     const revision = revisionOf(domain, key);
