Let a second SIGTERM not cut a graceful stop short

What callers saw: connections that break while their requests are answered, and a gap until another instance notices that the owner is gone.

Cause: the handler of SIGTERM was removed by the first signal. The second one then had its default action, which ends the process at once.

The new test sends a process two SIGTERM and a SIGINT 50 ms apart and calls it after each. It failed before: the connection was refused after the second signal.

A second SIGINT still ends the process at once, for those who run it in a terminal.

--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -46,7 +46,8 @@
     zone: settings.instance.zone,
     address: context.self,
   });
-  process.once("SIGTERM", () => stopping.abort());
+  process.on("SIGTERM", () => stopping.abort());
+  // A second SIGINT ends the process at once.
   process.once("SIGINT", () => stopping.abort());
   process.on("SIGHUP", () => {
     logger.part("daemon").info(
