Answer the calls that still wait at the end of a graceful stop

What callers saw: a connection that is closed without an answer, 5.3 s after the SIGTERM of the instance that had read the request.

Cause: a call whose owner may have executed it and is lost is repeated until the client's timeout. A graceful stop closes all connections 0.75 s before the process is killed, whether or not they wait for such a call. With other instances stopping at the same time, a domain may have no owner for that long.

The router's signal now aborts before the connections are closed. A call that waits then is undecided: a change is answered with 504 and a read with 503. The signal was that of the process's end before, which aborts after the connections are closed.

--- a/src/base/mod.ts
+++ b/src/base/mod.ts
@@ -10,3 +10,4 @@
 export * from "./day.ts";
 export * from "./hash.ts";
 export * from "./parse_as.ts";
+export * from "./until_aborted.ts";
--- a/src/entry/call_router.ts
+++ b/src/entry/call_router.ts
@@ -4,7 +4,12 @@
  *
  * @module
  */
-import { assertNever, hash32, NO_LONGER_NEEDED } from "../base/mod.ts";
+import {
+  assertNever,
+  hash32,
+  NO_LONGER_NEEDED,
+  untilAborted,
+} from "../base/mod.ts";
 import type {
   JobDescription,
   JobRequest,
@@ -49,6 +54,7 @@
   findJobAt(instance: string, job: string): Promise<number | undefined>;
   /** Returns the services to which a queue was assigned before. */
   previousServices(queue: string): string[];
+  /** Ends the wait of all calls, whose outcome is then undecided. */
   signal: AbortSignal;
 };
 
@@ -255,12 +261,12 @@
   timeoutMs: number,
 ): Promise<CallOutcome<DomainAnswer>> {
   const startedAtMs = host.clock.steadyMs();
-  const outcome = await callOwnerWithRetries(
-    host,
-    call,
-    startedAtMs,
-    timeoutMs,
+  const finished = await untilAborted(
+    callOwnerWithRetries(host, call, startedAtMs, timeoutMs),
+    host.signal,
   );
+  const outcome: CallOutcome<DomainAnswer> = finished ??
+    { kind: "undecided", cause: "the instance is stopping" };
   const elapsedMs = host.clock.steadyMs() - startedAtMs;
   host.counters.count("calls", { kind: call.kind, outcome: outcome.kind });
   host.counters.observe("call_ms", elapsedMs);
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -105,6 +105,8 @@
   ownerDiscovery: OwnerDiscovery | undefined;
   /** Aborts when the graceful stop begins. */
   stopping: AbortController;
+  /** Aborts when client calls that still wait have to be answered. */
+  closing: AbortController;
   /** Aborts when the process ends. */
   ending: AbortController;
 };
@@ -125,10 +127,11 @@
   const platform = { ...connectedPlatform, store };
   const ending = new AbortController();
   const stopping = new AbortController();
+  const closing = new AbortController();
   const { signal } = ending;
   // Every loop and call in flight adds a listener, which exceeds the limit
   // above which Node warns of a leak.
-  setMaxListeners(0, signal, stopping.signal);
+  setMaxListeners(0, signal, stopping.signal, closing.signal);
   const incarnation = Date.now().toString(BASE_36);
   const timeLine = createTimeLine({
     process: settings.instance.id,
@@ -189,6 +192,7 @@
     membership: undefined,
     ownerDiscovery: undefined,
     stopping,
+    closing,
     ending,
   };
   return Object.assign(parts, {
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -51,7 +51,7 @@
     callPeer: context.rpc.callOwner,
     findJobAt: context.rpc.find,
     previousServices: (queue) => configuration.previousServices(queue),
-    signal: context.ending.signal,
+    signal: context.closing.signal,
   });
   const callers = platform.createCallerServer({
     router,
--- a/src/entry/stop_entry.ts
+++ b/src/entry/stop_entry.ts
@@ -7,6 +7,10 @@
 
 /** Time reserved between the last answers and the kill, in milliseconds. */
 const KILL_MARGIN_MS = 1_500;
+/** How long calls may take after the server has closed, in milliseconds. */
+const LAST_CALLS_MS = 700;
+/** Time in which the calls that then still wait are answered, in milliseconds. */
+const LAST_ANSWERS_MS = 200;
 const POLL_INTERVAL_MS = 50;
 /** Time in which the balancer removes an unready instance, in milliseconds. */
 const BALANCER_REMOVAL_MS = 2_500;
@@ -20,8 +24,16 @@
   context: EntryContext,
   servers: Servers,
 ): Promise<void> {
-  const { platform, clock, logger, ownedDomains, member, ending, self } =
-    context;
+  const {
+    platform,
+    clock,
+    logger,
+    ownedDomains,
+    member,
+    closing,
+    ending,
+    self,
+  } = context;
   const { signal } = ending;
   const graceMs = context.settings.stop.graceS * 1_000;
   const deadlineAtMs = clock.steadyMs() + graceMs - KILL_MARGIN_MS;
@@ -46,12 +58,9 @@
   const closed = once(servers.callers, "close");
   servers.callers.close();
   servers.callers.closeIdleConnections();
-  const closeTimeout = new AbortController();
-  await Promise.race([
-    closed,
-    clock.sleep(KILL_MARGIN_MS / 2, closeTimeout.signal),
-  ]);
-  closeTimeout.abort();
+  await Promise.race([closed, clock.sleep(LAST_CALLS_MS, ending.signal)]);
+  closing.abort();
+  await Promise.race([closed, clock.sleep(LAST_ANSWERS_MS, ending.signal)]);
   servers.callers.closeAllConnections();
   for (const server of servers.internal) {
     server.close();
