Search for a job also in domains that are yet to be taken over

What callers would see: 410 for a job that was accepted, just after a takeover, if its queue has moved to another service.

Cause: an owner takes over the domains of services in use first and the others one after the other. A job of a moved queue is searched for in the other domains, but only in those whose takeover had begun. A domain that nothing else uses may be the last.

The new test failed before: the job was not found.

The search now covers all assigned domains and takes over those that are left, as a call to such a domain does.

--- a/src/ownership/owned_domains.ts
+++ b/src/ownership/owned_domains.ts
@@ -46,7 +46,10 @@
 export type OwnedDomains = {
   /** The owner of a domain; undefined if this instance does not own it. */
   ownerOf(partition: number): Promise<DomainOwner | undefined>;
-  /** The partition of the owned domain that contains a job. */
+  /**
+   * The partition of the owned domain that contains a job. Waits for takeovers,
+   * also of domains that are not in use.
+   */
   find(job: string): Promise<number | undefined>;
   /** The number of owned domains. */
   count(): number;
@@ -230,10 +233,16 @@
   return {
     ownerOf: ownerOrTakeOver,
     async find(job) {
-      for (const [partition, domain] of domains) {
-        if ((await domain.owner)?.hasJob(job)) return partition;
-      }
-      return undefined;
+      const numbers = new Set([
+        ...domains.keys(),
+        ...assigned.partitions.map(({ number }) => number),
+      ]);
+      const found = await Promise.all(
+        [...numbers].map(async (number) =>
+          (await ownerOrTakeOver(number))?.hasJob(job) ? [number] : []
+        ),
+      );
+      return found.flat()[0];
     },
     count: () => domains.size,
     async owners() {
--- a/src/ownership/owned_domains_test.ts
+++ b/src/ownership/owned_domains_test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { setImmediate } from "node:timers/promises";
 import { err, ok } from "neverthrow";
+import { policy, step } from "../domain/testing/domain_bench.ts";
 import {
   createManualClock,
   silentLogger,
@@ -14,6 +15,18 @@
 import { createWorkerList } from "./worker_list.ts";
 
 const IN_USE = 2;
+const IDLE = 1;
+const JOB_RECORD = {
+  key: "job/a",
+  value: JSON.stringify({
+    id: "a",
+    specification: "text",
+    steps: [step()],
+    policy: policy(),
+    acceptedAtMs: 0,
+    outcome: "open",
+  }),
+};
 const PARTITIONS: Partition[] = [0, 1, 2].map((number) => ({
   topic: "domains",
   number,
@@ -37,7 +50,10 @@
         }),
       );
     },
-    newest: () => Promise.resolve(ok({ records: [], nextOffset: 0 })),
+    newest: ({ number }) =>
+      Promise.resolve(
+        ok({ records: number === IDLE ? [JOB_RECORD] : [], nextOffset: 0 }),
+      ),
     read: unused,
     join: unused,
     leave: unused,
@@ -97,6 +113,15 @@
     controller.abort();
   });
 
+  // Guards against a job that is reported as unknown after a takeover, since its
+  // queue moved to another service, and nothing uses its domain any more.
+  it("are searched for a job before they have all been taken over", async () => {
+    const { domains, controller } = createTestSetup(0);
+    domains.assign({ generation: 5, partitions: PARTITIONS });
+    assert.equal(await domains.find("a"), IDLE);
+    controller.abort();
+  });
+
   it("are served after a reassignment until the new owner takes over", async () => {
     const { domains, controller } = createTestSetup(0);
     const partitions = [PARTITIONS[IN_USE]!];
