Report no job as unknown that an owner could not be asked for

What callers would see: 410 for a job that was accepted, or a second copy of it that runs beside the first, after its queue has moved to another service.

Cause: a job that the domain of its queue doesn't have is searched for at all owners, as the queue may have belonged to another service. An owner that does not answer within 400 ms, since it is lost, busy or taking over, counted as one that does not have the job.

The new tests failed before (unknownJob instead of unavailable, done instead of undecided).

A read or a cancellation is now refused with 503 if an owner did not answer and none has the job; a submission ends undecided, with 504, since an earlier attempt may have been accepted.

--- a/src/entry/call_router.ts
+++ b/src/entry/call_router.ts
@@ -16,10 +16,9 @@
   JobState,
   QueuePolicy,
 } from "../domain/mod.ts";
-import type { Clock } from "../hosts/mod.ts";
-import type { Directory, OwnedDomains } from "../ownership/mod.ts";
 import type { Counters, PartLogger } from "../telemetry/mod.ts";
 import { executeDomainCall } from "./execute_domain_call.ts";
+import { findJobElsewhere, type JobSearchHost } from "./job_search.ts";
 import { retryAfterOutageMs } from "./outage_retry.ts";
 import type { DomainAnswer, DomainCall } from "./peer_call.ts";
 import type { Reachability } from "./reachability.ts";
@@ -32,16 +31,12 @@
 const EXPECTED_TAKEOVER_MS = 1_000;
 /** Pause between two lookups of the owner, in milliseconds. */
 const OWNER_LOOKUP_INTERVAL_MS = 100;
+const SEARCH_UNANSWERED = "an owner that may have the job does not answer";
 
 /** Dependencies of a call router. */
-export type CallRouterHost = {
-  clock: Clock;
+export type CallRouterHost = JobSearchHost & {
   logger: PartLogger;
   counters: Counters;
-  directory: Directory;
-  ownedDomains: OwnedDomains;
-  /** Address of this instance as listed in the directory. */
-  self: string;
   partitionCount: number;
   /** Calls another instance. */
   callPeer(
@@ -50,8 +45,6 @@
     timeoutMs: number,
   ): Promise<PeerCallOutcome>;
   reachability: Reachability;
-  /** Returns the partition of the domain at an instance that has a job. */
-  findJobAt(instance: string, job: string): Promise<number | undefined>;
   /** Returns the services to which a queue was assigned before. */
   previousServices(queue: string): string[];
   /** Ends the wait of all calls, whose outcome is then undecided. */
@@ -122,23 +115,17 @@
     partitionOf(service, host.partitionCount);
   return {
     async submit(request, policy, timeoutMs) {
+      const partition = partitionOfService(policy.service);
       // A retried submission must not start a second copy of a job that the
       // domain of a previous service has accepted.
-      const isAcceptedElsewhere =
-        host.previousServices(policy.queue).length > 0 &&
-        await findJobElsewhere(
-            host,
-            request.id,
-            partitionOfService(policy.service),
-          ) !==
-          undefined;
-      if (isAcceptedElsewhere) return { kind: "done", value: undefined };
-      const call = {
-        kind: "submit",
-        partition: partitionOfService(policy.service),
-        request,
-        policy,
-      } as const;
+      if (host.previousServices(policy.queue).length > 0) {
+        const search = await findJobElsewhere(host, request.id, partition);
+        if (search.kind === "found") return { kind: "done", value: undefined };
+        if (search.kind === "unanswered") {
+          return { kind: "undecided", cause: SEARCH_UNANSWERED };
+        }
+      }
+      const call = { kind: "submit", partition, request, policy } as const;
       return expectAccepted(
         await forwardToOwner(host, call, request.id, timeoutMs),
       );
@@ -229,28 +216,23 @@
   if (outcome.kind !== "done" || outcome.value.kind !== "unknownJob") {
     return outcome;
   }
-  const partition = await findJobElsewhere(host, job, call.partition);
-  if (partition === undefined) return outcome;
-  return await forwardToOwner(host, { ...call, partition }, job, timeoutMs);
-}
-
-/** Queries all known owners for the partition of another domain that has a job. */
-async function findJobElsewhere(
-  host: CallRouterHost,
-  job: string,
-  excludedPartition: number,
-): Promise<number | undefined> {
-  const owners = new Set(Object.values(host.directory.knownOwners()));
-  const partitions = await Promise.all(
-    [...owners].map((owner) =>
-      owner === host.self
-        ? host.ownedDomains.find(job)
-        : host.findJobAt(owner, job)
-    ),
-  );
-  return partitions.find((partition) =>
-    partition !== undefined && partition !== excludedPartition
-  );
+  const search = await findJobElsewhere(host, job, call.partition);
+  switch (search.kind) {
+    case "found": {
+      const { partition } = search;
+      return await forwardToOwner(host, { ...call, partition }, job, timeoutMs);
+    }
+    case "notFound":
+      return outcome;
+    case "unanswered":
+      return {
+        kind: "unavailable",
+        cause: SEARCH_UNANSWERED,
+        retryAfterMs: EXPECTED_TAKEOVER_MS,
+      };
+    default:
+      return assertNever(search);
+  }
 }
 
 /** Forwards a call to the owner of its domain, and records the outcome. */
--- a/src/entry/call_router_test.ts
+++ b/src/entry/call_router_test.ts
@@ -64,7 +64,7 @@
       return outcome;
     },
     reachability: createReachability(clock),
-    findJobAt: () => Promise.resolve(jobPartition),
+    findJobAt: () => Promise.resolve({ partition: jobPartition }),
     previousServices: () => (jobPartition === undefined ? [] : ["old"]),
     signal: new AbortController().signal,
     ...overrides,
@@ -183,4 +183,24 @@
     assert.equal(outcome.kind, "done");
     assert.deepEqual(calls, []);
   });
+
+  // Guards against a job that is reported as unknown, or accepted a second time
+  // by the new domain, since the owner of its domain does not answer in time.
+  it("is not reported as unknown if the search has no answer", async () => {
+    const noAnswer = { findJobAt: () => Promise.resolve(undefined) };
+    const { router } = routerWithJobAt(undefined, [
+      { kind: "answered", answer: { kind: "unknownJob" } },
+    ], noAnswer);
+    const outcome = await router.stateOf("a", "desk", 3_000);
+    assert.equal(outcome.kind, "unavailable");
+  });
+
+  it("is not accepted again if the search has no answer", async () => {
+    const { router, calls } = routerWithJobAt(9, [
+      { kind: "answered", answer: { kind: "accepted" } },
+    ], { findJobAt: () => Promise.resolve(undefined) });
+    const outcome = await router.submit(REQUEST, policy(), 3_000);
+    assert.equal(outcome.kind, "undecided");
+    assert.deepEqual(calls, []);
+  });
 });
--- a/src/entry/peer_rpc.ts
+++ b/src/entry/peer_rpc.ts
@@ -22,6 +22,7 @@
   relayReportAnswerSchema,
 } from "../ownership/mod.ts";
 import type { PeerCallOutcome } from "./call_router.ts";
+import type { JobSearchAnswer } from "./job_search.ts";
 import {
   acknowledgementSchema,
   adviceAnswerSchema,
@@ -100,8 +101,8 @@
     question: AdviceRequest,
   ): Promise<Advice | undefined>;
   owners(instance: string): Promise<Record<string, string> | undefined>;
-  /** Returns the partition of the domain at an instance that has a job. */
-  find(instance: string, job: string): Promise<number | undefined>;
+  /** Searches the domains of an instance for a job; undefined if no answer. */
+  find(instance: string, job: string): Promise<JobSearchAnswer | undefined>;
   /** Whether one instance reaches another; undefined without an answer. */
   reach(via: string, instance: string): Promise<boolean | undefined>;
   /** Invites another instance to join now; returns whether it acknowledged. */
@@ -186,14 +187,8 @@
     },
     owners: (instance) =>
       request(instance, { kind: "owners" }, ownersAnswerSchema),
-    async find(instance, job) {
-      const found = await request(
-        instance,
-        { kind: "find", job },
-        findAnswerSchema,
-      );
-      return found?.partition;
-    },
+    find: (instance, job) =>
+      request(instance, { kind: "find", job }, findAnswerSchema),
     async reach(via, instance) {
       const call = { kind: "reach", instance } as const;
       return (await request(via, call, reachAnswerSchema))?.reached;
