Don't start work that runs at most once again after its worker restarted

What callers would see: work that is not idempotent runs twice. It runs on a worker, the worker restarts under the same id, and its owner is lost, in either order. The next owner takes the attempt for one that has never started, and starts another one.

Cause: a recorded attempt that the first report of its worker doesn't list was taken as not started, in whichever incarnation the worker reported. That holds only for the incarnation that the record names. The record didn't name it reliably either: a crash that an owner counts replaces it, so that the crash is not counted twice.

Now the attempt has certainly not run only if the incarnation on record reports, and a crash leaves the incarnation of such work as it is; its job fails in any case. Records of earlier versions name none, so that their job fails too. Other work is started again either way.

--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -102,6 +102,8 @@
     const task = run.tasks[index];
     if (task?.kind !== "placed" || task.worker !== worker.id) continue;
     if (task.phase.kind === "starting") stopTask(domain, run, index);
+    // A later owner has to know in which incarnation it may have run.
+    if (run.step.atMostOnce === true) continue;
     // The crash is not counted again if the task is still placed at a takeover.
     task.bornMs = bornMs;
   }
@@ -318,14 +320,16 @@
   }
   const { phase } = task;
   // The worker has seen this epoch and rejects starts of earlier owners.
-  const neverStarted = isFirstReport && phase.kind === "recorded";
+  const isOver = isFirstReport && phase.kind === "recorded";
+  // A later incarnation does not list what ran in the recorded one.
+  const neverStarted = isOver && task.bornMs === report.bornMs;
   // It ran before the worker restarted; otherwise its end would be listed.
   const lostInRestart = phase.kind === "running" &&
     phase.progressAtMs < report.sentAtMs;
   // After a confirmed stop, the worker no longer starts the attempt.
   const hasConfirmedStop = phase.kind === "stopping" &&
     phase.confirmedAtMs !== undefined && phase.confirmedAtMs < report.sentAtMs;
-  if (neverStarted || lostInRestart || hasConfirmedStop) {
+  if (isOver || lostInRestart || hasConfirmedStop) {
     const end = neverStarted ? "unstarted" : "lost";
     endAttempt(domain, ref.run, ref.index, end, moment);
   }
