Count a worker's crash only for tasks whose start may have reached it

What callers would see: an accepted job fails although at most one worker has crashed under any of its tasks (LOST). A task with one crash is started only after its placement is recorded. If the worker crashes for another reason while the order waits for that record, such as in an outage of the store, or while the order waits at the link because the worker doesn't answer, or if the connection for it was refused, the crash counted as one of the task, the only one that had just started there: its job was given up.

Cause: a task counts as started on a worker once it is placed there. Only the link knows which starts have left. It now says so when it finds a new incarnation or an expired lease: the tasks whose start it has sent and that have no answer. A call that has not been sent counts as no start. What has not left is neither counted nor stopped, and goes to the new incarnation. A link that has not heard from the worker says nothing, since an earlier link may have sent starts; then all of them count as before, as they do with a relay of an earlier version.

Without the check, the two tests of the domain fail: 'a.0.0.8' is stopped too, and the number of crashes is 1 instead of none. Without the changes at the link, its two tests fail (undefined instead of [] and ['a.0.0.0']).

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -109,8 +109,7 @@
       const worker = domain.workers.get(event.worker);
       if (worker === undefined) return;
       worker.isReachable = false;
-      const isReplaced = event.isReplaced === true;
-      applyWorkerLapse(domain, worker, isReplaced, moment);
+      applyWorkerLapse(domain, worker, event, moment);
       return revokePermit(domain, worker.id);
     }
     case "startAnswered":
--- a/src/domain/domain_event.ts
+++ b/src/domain/domain_event.ts
@@ -29,6 +29,11 @@
     worker: string;
     /** Whether a new incarnation answers at the worker's address. */
     isReplaced?: boolean | undefined;
+    /**
+     * Tasks whose start was sent to it and not answered; missing in events of
+     * earlier versions.
+     */
+    unansweredStarts?: string[] | undefined;
   }
   | {
     kind: "startAnswered";
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -8,7 +8,7 @@
 import { discardAdvice } from "./advice_requests.ts";
 import type { Domain } from "./domain.ts";
 import type { DomainWorker, PlacedTaskRef } from "./domain_worker.ts";
-import type { Moment } from "./domain_event.ts";
+import type { DomainEvent, Moment } from "./domain_event.ts";
 import type { EndedRun, ListedRun, WorkerReport } from "./worker_report.ts";
 import {
   completeTask,
@@ -31,6 +31,8 @@
 /** Of an incarnation that no report or record has named. */
 const UNKNOWN_BORN_MS = 0;
 
+type WorkerLapse = Extract<DomainEvent, { kind: "workerLapsed" }>;
+
 /**
  * Applies a worker's report: its ended runs, its running tasks, and the placed
  * tasks that it does not list.
@@ -87,13 +89,13 @@
 function applyWorkerCrash(
   domain: Domain,
   worker: DomainWorker,
-  { bornMs, running, ended }: WorkerReport,
+  { bornMs, running, ended, unansweredStarts }: WorkerReport,
   moment: Moment,
 ): void {
   const listed = new Set([...running, ...ended].map(({ task }) => task));
-  const unsettled = findUnsettledTasks(worker).filter(({ run, index }) =>
-    !listed.has(taskNameOf(run, index))
-  );
+  const unsettled = findUnsettledTasks(worker, unansweredStarts).filter((
+    { run, index },
+  ) => !listed.has(taskNameOf(run, index)));
   const suspects = [...worker.lapsedStarts, ...unsettled].filter((suspect) =>
     suspect.bornMs !== UNKNOWN_BORN_MS && suspect.bornMs !== bornMs
   );
@@ -116,6 +118,11 @@
   for (const ref of worker.placed.values()) {
     ref.runningSinceMs = undefined;
     ref.isSettled = false;
+    const task = ref.run.tasks[ref.index];
+    // Its start has not left; it goes to the new incarnation.
+    if (task?.kind === "placed" && task.phase.kind === "starting") {
+      task.bornMs = bornMs;
+    }
   }
 }
 
@@ -123,12 +130,12 @@
 export function applyWorkerLapse(
   domain: Domain,
   worker: DomainWorker,
-  isReplaced: boolean,
+  { isReplaced, unansweredStarts }: WorkerLapse,
   moment: Moment,
 ): void {
-  worker.lapsedStarts.push(...findUnsettledTasks(worker));
+  worker.lapsedStarts.push(...findUnsettledTasks(worker, unansweredStarts));
   markTasksLost(domain, worker, moment);
-  if (!isReplaced) return;
+  if (isReplaced !== true) return;
   // The address of a worker that was drained passes to another one.
   if (worker.listing?.draining !== true) {
     recordWorkerCrash(domain, worker, worker.lapsedStarts, {
--- a/src/domain/worker_crash.ts
+++ b/src/domain/worker_crash.ts
@@ -40,14 +40,26 @@
   worker.suspects.delete(taskNameOf(ref.run, ref.index));
 }
 
-/** Finds the tasks placed on a worker whose start it may not have survived. */
-export function findUnsettledTasks(worker: DomainWorker): UnsettledTask[] {
-  return [...worker.placed.values()].flatMap(({ run, index, isSettled }) => {
+/**
+ * Finds the tasks placed on a worker whose start it may not have survived.
+ *
+ * @param unansweredStarts the tasks whose start has left without an answer;
+ *   undefined if this is unknown
+ */
+export function findUnsettledTasks(
+  worker: DomainWorker,
+  unansweredStarts?: string[],
+): UnsettledTask[] {
+  const unanswered = unansweredStarts && new Set(unansweredStarts);
+  return [...worker.placed.values()].flatMap((ref) => {
+    const { run, index, isSettled } = ref;
     const task = run.tasks[index];
     if (isSettled || task?.kind !== "placed") return [];
-    return task.worker === worker.id
-      ? [{ run, index, bornMs: task.bornMs }]
-      : [];
+    if (task.worker !== worker.id) return [];
+    const mayHaveStarted = task.phase.kind === "recorded" ||
+      ref.runningSinceMs !== undefined ||
+      unanswered?.has(taskNameOf(run, index)) !== false;
+    return mayHaveStarted ? [{ run, index, bornMs: task.bornMs }] : [];
   });
 }
 
--- a/src/domain/worker_crash_test.ts
+++ b/src/domain/worker_crash_test.ts
@@ -207,6 +207,46 @@
     assert.equal(jobStateOf(bench.domain, "a"), "running");
   });
 
+  it("is no suspect if its start had not left, and starts afterwards", () => {
+    const bench = createBenchWithWorkers();
+    submit(bench, "a", [step({ taskCount: 2 * WORKERS.length })]);
+    const starts = startsIn(bench.commands);
+    const { worker, task } = starts[0]!;
+    const placed = starts.filter((start) => start.worker === worker);
+    assert.equal(placed.length, 2);
+    bench.commands = [];
+    feedEvent(bench, {
+      kind: "looked",
+      worker,
+      look: {
+        bornMs: 2,
+        running: [],
+        ended: [],
+        sentAtMs: bench.nowMs,
+        unansweredStarts: [task],
+      },
+    });
+    assert.deepEqual(stopsIn(bench.commands).map((stop) => stop.task), [task]);
+    const { crashCounts } = bench.domain.steps.get("a.0.0")!;
+    assert.deepEqual([...crashCounts], [[0, 1]]);
+  });
+
+  it("is no suspect if its start had not left when the lease expired", () => {
+    const bench = createBenchWithWorkers();
+    submit(bench, "a", [step()]);
+    const { worker } = startsIn(bench.commands)[0]!;
+    for (const isReplaced of [false, true]) {
+      const unansweredStarts: string[] = [];
+      feedEvent(bench, {
+        kind: "workerLapsed",
+        worker,
+        isReplaced,
+        unansweredStarts,
+      });
+    }
+    assert.deepEqual(bench.domain.steps.get("a.0.0")?.crashCounts, new Map());
+  });
+
   it("is no suspect if the worker was drained", () => {
     const bench = createBenchWithWorkers();
     submit(bench, "a", [step()]);
--- a/src/domain/worker_report.ts
+++ b/src/domain/worker_report.ts
@@ -55,6 +55,12 @@
   ended: v.array(endedRunSchema),
   /** At or before the sending of the poll, on the owner's steady clock. */
   sentAtMs: v.number(),
+  /**
+   * Tasks whose start was sent to the incarnation that reported before, and not
+   * answered. Only in the first report of an incarnation after another one;
+   * missing in those of earlier versions.
+   */
+  unansweredStarts: v.optional(v.array(v.string())),
 });
 
 /** A worker's answer to a poll: its running tasks and its ended ones. */
--- a/src/hosts/task_host.ts
+++ b/src/hosts/task_host.ts
@@ -10,6 +10,8 @@
     | "gone"
     /** The call may have taken effect, or may still do so. */
     | "unknown"
+    /** The call has not reached the worker. */
+    | "unsent"
     /** The worker did not execute the call. */
     | "refused";
   /** The operation that failed, such as `worker.start`. */
--- a/src/ownership/relay/relay_message.ts
+++ b/src/ownership/relay/relay_message.ts
@@ -54,6 +54,8 @@
     worker: v.string(),
     /** Missing in events of earlier versions. */
     isReplaced: v.optional(v.boolean()),
+    /** Missing in events of earlier versions. */
+    unansweredStarts: v.optional(v.array(v.string())),
   }),
   v.object({
     kind: v.literal("startAnswered"),
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -72,6 +72,8 @@
   /** The highest number of a run end that a poll listed. */
   highestListedEnd: number;
   acknowledged: number;
+  /** Tasks whose start was sent to this incarnation and not answered. */
+  unansweredStarts: Set<string>;
   /** Called after each acknowledgement. */
   onAcknowledged: () => void;
   isSilent: boolean;
@@ -96,6 +98,7 @@
     bornMs: 0,
     highestListedEnd: 0,
     acknowledged: 0,
+    unansweredStarts: new Set(),
     onAcknowledged: () => {},
     isSilent: false,
     hasLeaseExpired: false,
@@ -171,7 +174,10 @@
   }
   const { clockMs, bornMs, running, ended } = result.value;
   recordReading(state.clock, clockMs, host.clock.steadyMs());
+  let unansweredStarts: string[] | undefined;
   if (bornMs !== state.bornMs) {
+    if (state.bornMs !== 0) unansweredStarts = [...state.unansweredStarts];
+    state.unansweredStarts.clear();
     state.bornMs = bornMs;
     // A new incarnation restarts the numbers of run ends; none is stored yet.
     const isSameIncarnation = bornMs === host.resumeFrom.bornMs;
@@ -190,7 +196,13 @@
   host.emit({
     kind: "looked",
     worker: host.target.id,
-    look: { bornMs, running, ended, sentAtMs: ownerSentAtMs },
+    look: {
+      bornMs,
+      running,
+      ended,
+      sentAtMs: ownerSentAtMs,
+      ...(unansweredStarts === undefined ? {} : { unansweredStarts }),
+    },
   });
   // Without a lease, the worker answers immediately.
   return host.mayGrantLeases();
@@ -206,6 +218,7 @@
     case "gone":
       return expireLease(state, fault.message, true);
     case "refused":
+    case "unsent":
     case "unknown":
       if (!state.isSilent) {
         state.isSilent = true;
@@ -247,7 +260,15 @@
     cause,
     isReplaced,
   });
-  host.emit({ kind: "workerLapsed", worker: host.target.id, isReplaced });
+  host.emit({
+    kind: "workerLapsed",
+    worker: host.target.id,
+    isReplaced,
+    // An earlier link may have sent starts to a worker that has not reported.
+    ...(state.bornMs === 0
+      ? {}
+      : { unansweredStarts: [...state.unansweredStarts] }),
+  });
 }
 
 async function executeOrder(
@@ -283,7 +304,8 @@
       await host.clock.sleep(RETRY_DELAY_MS, host.signal);
       continue;
     }
-    sentToBornMs ??= state.bornMs;
+    if (!earlierUnknown) sentToBornMs = state.bornMs;
+    state.unansweredStarts.add(task);
     const result = await host.tasks.start(host.target, {
       task,
       attempt,
@@ -293,6 +315,8 @@
       checkpoint: order.checkpoint,
     }, host.signal);
     if (host.signal.aborted) return;
+    const isAnswered = result.isOk() || result.error.kind !== "unknown";
+    if (isAnswered && !earlierUnknown) state.unansweredStarts.delete(task);
     if (result.isOk()) {
       host.counters.observe("start_ms", host.clock.steadyMs() - nowMs);
       reportStartOutcome(state, order, result.value, earlierUnknown);
@@ -313,7 +337,7 @@
       reportStartOutcome(state, order, outcome, earlierUnknown);
       return;
     }
-    earlierUnknown = true;
+    if (fault.kind === "unknown") earlierUnknown = true;
     await host.clock.sleep(RETRY_DELAY_MS, host.signal);
   }
 }
--- a/src/ownership/worker_link_test.ts
+++ b/src/ownership/worker_link_test.ts
@@ -182,6 +182,59 @@
   });
 });
 
+// Guards against LOST: jobs that fail for crashes of workers on which none of
+// their tasks has been started.
+describe("a worker that restarts", () => {
+  const fates = [
+    ["unsent", "unsent", []],
+    ["without an answer", "unknown", ["a.0.0.0"]],
+  ] as const;
+  for (const [title, kind, unansweredStarts] of fates) {
+    it(`is reported with the starts that it may have got: ${title}`, async () => {
+      const clock = createManualClock();
+      const controller = new AbortController();
+      let starts = 0;
+      let reported: string[] | undefined;
+      const tasks = {
+        async poll() {
+          await clock.sleep(100, controller.signal);
+          const bornMs = starts === 0 ? 1 : 2;
+          const clockMs = clock.steadyMs();
+          return ok({ clockMs, bornMs, running: [], ended: [] });
+        },
+        start() {
+          starts += 1;
+          const fault = { step: "worker.start", peer: "w", message: "reset" };
+          return Promise.resolve(err({ ...fault, kind }));
+        },
+      } as unknown as TaskHost;
+      await new Promise<void>((resolve) => {
+        controller.signal.addEventListener("abort", () => resolve());
+        const link = openWorkerLink({
+          ...hostOf(tasks, clock, controller.signal),
+          emit(event) {
+            if (event.kind !== "looked") return;
+            if (event.look.bornMs === 2) {
+              reported = event.look.unansweredStarts;
+              return controller.abort();
+            }
+            link.order({
+              kind: "start",
+              worker: "w",
+              task: "a.0.0.0",
+              attempt: 1,
+              specification: "",
+              ticket: undefined,
+              checkpoint: undefined,
+            });
+          },
+        });
+      });
+      assert.deepEqual(reported, unansweredStarts);
+    });
+  }
+});
+
 describe("a worker that is replaced after its lease has expired", () => {
   it("is reported as replaced", async () => {
     const clock = createManualClock();
