Count no crash for a drained worker that has left the list

What callers would see: a job fails although only one worker has crashed under any of its tasks (LOST). A drained worker shuts down and leaves the list, its address passes to another one, and that counted as a crash under the tasks that were not known to have run for a second: after a takeover, for example, none is. Found by reading.

Cause: whether a worker drained was taken from its entry in the list, which was gone by then. The last entry is kept.

Failed before: "is no suspect if the worker was drained, no longer on the list" (1 !== 0).

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -218,6 +218,7 @@
       domain.allocatedByAgreement,
     );
     worker.listing = listing;
+    worker.lastListing = listing;
     worker.capacity = listing.capacity;
     stopExcessStarts(domain, worker);
     domain.workers.set(listing.id, worker);
--- a/src/domain/domain_worker.ts
+++ b/src/domain/domain_worker.ts
@@ -7,6 +7,8 @@
   id: string;
   /** Its entry in the list of workers; undefined while it is not listed. */
   listing: WorkerListing | undefined;
+  /** The same, kept while it is not listed any more. */
+  lastListing: WorkerListing | undefined;
   /** Whether it has reported under this epoch and answered since. */
   isReachable: boolean;
   /** When its link was replaced, until its next report (steady clock). */
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -137,7 +137,7 @@
   markTasksLost(domain, worker, moment);
   if (isReplaced !== true) return;
   // The address of a worker that was drained passes to another one.
-  if (worker.listing?.draining !== true) {
+  if (worker.lastListing?.draining !== true) {
     recordWorkerCrash(domain, worker, worker.lapsedStarts, {
       moment,
       isInferred: worker.bornMs === UNKNOWN_BORN_MS,
--- a/src/domain/task_placement.ts
+++ b/src/domain/task_placement.ts
@@ -30,6 +30,7 @@
     id,
     allocatedByAgreement,
     listing: undefined,
+    lastListing: undefined,
     isReachable: false,
     linkReopenedAtMs: undefined,
     bornMs: 0,
--- a/src/domain/worker_crash_test.ts
+++ b/src/domain/worker_crash_test.ts
@@ -247,18 +247,24 @@
     assert.deepEqual(bench.domain.steps.get("a.0.0")?.crashCounts, new Map());
   });
 
-  it("is no suspect if the worker was drained", () => {
-    const bench = createBenchWithWorkers();
-    submit(bench, "a", [step()]);
-    const [start] = startsIn(bench.commands.splice(0));
-    const { worker } = start!;
-    const listings = WORKERS.map((id) =>
-      listing(id, { draining: id === worker })
-    );
-    feedEvent(bench, { kind: "workersListed", workers: listings });
-    feedEvent(bench, { kind: "workerLapsed", worker, isReplaced: true });
-    assert.equal(bench.domain.steps.get("a.0.0")?.crashCounts.size, 0);
-  });
+  for (const place of ["still on", "no longer on"]) {
+    it(`is no suspect if the worker was drained, ${place} the list`, () => {
+      const bench = createBenchWithWorkers();
+      submit(bench, "a", [step()]);
+      const [start] = startsIn(bench.commands.splice(0));
+      const { worker } = start!;
+      const listings = WORKERS.map((id) =>
+        listing(id, { draining: id === worker })
+      );
+      feedEvent(bench, { kind: "workersListed", workers: listings });
+      if (place === "no longer on") {
+        const others = listings.filter(({ id }) => id !== worker);
+        feedEvent(bench, { kind: "workersListed", workers: others });
+      }
+      feedEvent(bench, { kind: "workerLapsed", worker, isReplaced: true });
+      assert.equal(bench.domain.steps.get("a.0.0")?.crashCounts.size, 0);
+    });
+  }
 
   it("is started away from the other suspects, and others away from it", () => {
     const bench = createBench();
