Count crashes of workers that return after they have left the list

What callers would see: a task that crashes each worker that starts it is started again without a limit (BUDGET) if the workers stay away for longer than a lease: it takes the next worker each time.

Cause: a worker that has left the list and runs nothing is forgotten, and with it the tasks that had just started when its lease expired. Its link, which would have found a new incarnation at its address, is closed.

What had just started there is now kept for as long as one of its jobs is open. The crash counts when the worker is listed again and another incarnation answers, or when a new worker is listed at its address, unless it had drained. A worker that was only cut off is listed with the same incarnation, and counts nothing.

Without it, the two new cases of the test of BUDGET fail (60 !== 3 starts). They use worker lists with an address for each worker, which all tests of that group now have.

Still not counted: such a worker that returns under another id and address, or after a takeover.

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -1,5 +1,10 @@
 import { assertNever } from "../base/mod.ts";
 import { applyAdvice, discardAdvice } from "./advice_requests.ts";
+import {
+  addWorker,
+  forgetDepartedWorkers,
+  removeWorker,
+} from "./departed_worker.ts";
 import type { Domain } from "./domain.ts";
 import type { DomainCommand } from "./domain_command.ts";
 import type { DomainEvent, Moment } from "./domain_event.ts";
@@ -22,7 +27,6 @@
   stopUnconfirmedStarts,
 } from "./reconcile_worker.ts";
 import { adjustPace } from "./opportunistic_pacing.ts";
-import { createDomainWorker } from "./task_placement.ts";
 import { schedule } from "./schedule.ts";
 import {
   grantPermit,
@@ -90,7 +94,7 @@
     case "withdrawn":
       return withdrawJob(domain, event.job);
     case "workersListed":
-      return applyWorkerList(domain, event.workers);
+      return applyWorkerList(domain, event.workers, moment);
     case "looked":
       return handleWorkerReport(domain, event, moment);
     case "workerSilent": {
@@ -208,31 +212,31 @@
  * Applies a new list of workers. A worker that is missing from it stays known
  * while tasks are placed on it, but gets no new ones.
  */
-function applyWorkerList(domain: Domain, listings: WorkerListing[]): void {
-  const listed = new Set<string>();
-  for (const listing of listings) {
-    listed.add(listing.id);
-    const known = domain.workers.get(listing.id);
-    const worker = known ?? createDomainWorker(
-      listing.id,
-      domain.allocatedByAgreement,
-    );
-    worker.listing = listing;
-    worker.lastListing = listing;
-    worker.capacity = listing.capacity;
-    stopExcessStarts(domain, worker);
-    domain.workers.set(listing.id, worker);
-    if (listing.draining) revokePermit(domain, listing.id);
-  }
+function applyWorkerList(
+  domain: Domain,
+  listings: WorkerListing[],
+  moment: Moment,
+): void {
+  const listed = new Set(listings.map(({ id }) => id));
   for (const [id, worker] of domain.workers) {
     if (listed.has(id)) continue;
     worker.listing = undefined;
     revokePermit(domain, id);
     const isSettled = !domain.unsettledWorkers.has(id);
     if (worker.placed.size > 0 || !isSettled) continue;
-    domain.workers.delete(id);
+    removeWorker(domain, worker);
     discardAdvice(domain, id);
   }
+  forgetDepartedWorkers(domain);
+  for (const listing of listings) {
+    const known = domain.workers.get(listing.id);
+    const worker = known ?? addWorker(domain, listing, moment);
+    worker.listing = listing;
+    worker.lastListing = listing;
+    worker.capacity = listing.capacity;
+    stopExcessStarts(domain, worker);
+    if (listing.draining) revokePermit(domain, listing.id);
+  }
 }
 
 function handleWorkerReport(
--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -1,4 +1,5 @@
 import type { Resources } from "../model/mod.ts";
+import type { DepartedWorker } from "./departed_worker.ts";
 import type { DomainCommand } from "./domain_command.ts";
 import type { DomainOptions } from "./domain_options.ts";
 import type { DomainWorker } from "./domain_worker.ts";
@@ -25,6 +26,8 @@
   /** Steps that need advice of the placement policy, the most urgent first. */
   adviceQueue: StepRun[];
   workers: Map<string, DomainWorker>;
+  /** Workers that left the list and may have crashed, by id. */
+  departedWorkers: Map<string, DepartedWorker>;
   /** Permits to start tasks before their placement is stored, by worker. */
   startPermits: Map<string, StartPermit>;
   /** Whether the store has not answered for a while. */
@@ -75,6 +78,7 @@
     waitingSteps: new Set(),
     adviceQueue: [],
     workers: new Map(),
+    departedWorkers: new Map(),
     startPermits: new Map(),
     isStoreSilent: false,
     unsettledWorkers: new Set(),
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -110,7 +110,7 @@
     task.bornMs = bornMs;
   }
   if (suspects.length > 0 || worker.bornMs !== UNKNOWN_BORN_MS) {
-    recordWorkerCrash(domain, worker, suspects, {
+    recordWorkerCrash(domain, worker.id, suspects, {
       moment,
       isInferred: worker.bornMs === UNKNOWN_BORN_MS,
     });
@@ -138,7 +138,7 @@
   if (isReplaced !== true) return;
   // The address of a worker that was drained passes to another one.
   if (worker.lastListing?.draining !== true) {
-    recordWorkerCrash(domain, worker, worker.lapsedStarts, {
+    recordWorkerCrash(domain, worker.id, worker.lapsedStarts, {
       moment,
       isInferred: worker.bornMs === UNKNOWN_BORN_MS,
     });
--- a/src/domain/worker_crash.ts
+++ b/src/domain/worker_crash.ts
@@ -72,7 +72,7 @@
  */
 export function recordWorkerCrash(
   domain: Domain,
-  worker: DomainWorker,
+  worker: string,
   unsettled: TaskRef[],
   { moment, isInferred }: { moment: Moment; isInferred: boolean },
 ): void {
@@ -88,7 +88,7 @@
     kind: "report",
     message: "A worker crashed.",
     fields: {
-      worker: worker.id,
+      worker,
       unsettled: suspects.map((suspect) => describeSuspect(suspect)).join(" "),
     },
   });
--- a/src/domain/worker_crash_test.ts
+++ b/src/domain/worker_crash_test.ts
@@ -24,7 +24,12 @@
 const MAX_STARTS = 5;
 
 /** How the owner finds out that a worker has crashed. */
-type CrashNotice = "new id" | "same id" | "new id, after its lease";
+type CrashNotice =
+  | "new id"
+  | "same id"
+  | "new id, after its lease"
+  | "new id, after it left the list"
+  | "same id, after it left the list";
 
 /** Has every worker crash that starts the task; the worker is back at once. */
 function playDeadlyTask(
@@ -75,12 +80,38 @@
       return;
     case "new id":
       feedEvent(bench, { kind: "workerLapsed", worker, isReplaced: true });
+      return;
+    case "new id, after it left the list":
+      return returnToList(bench, worker, `${worker}+`, bornMs);
+    case "same id, after it left the list":
+      return returnToList(bench, worker, worker, bornMs);
   }
 }
 
+/** Has a worker leave the list after its lease, and another one join it. */
+function returnToList(
+  bench: DomainBench,
+  worker: string,
+  id: string,
+  bornMs: number,
+): void {
+  const listings = [...bench.domain.workers.values()].flatMap((known) =>
+    known.listing ?? []
+  );
+  const crashed = listings.find((known) => known.id === worker);
+  const others = listings.filter((known) => known.id !== worker);
+  feedEvent(bench, { kind: "workerLapsed", worker });
+  feedEvent(bench, { kind: "workersListed", workers: others });
+  bench.nowMs += 3_500;
+  const returned = listing(id, { address: crashed?.address ?? "", bornMs });
+  feedEvent(bench, { kind: "workersListed", workers: [...others, returned] });
+  reportFrom(bench, id, { bornMs });
+}
+
 function createBenchWithWorkers(): DomainBench {
   const bench = createBench();
-  listWorkers(bench, ...WORKERS.map((id) => listing(id)));
+  const listings = WORKERS.map((id) => listing(id, { address: `${id}:1` }));
+  listWorkers(bench, ...listings);
   return bench;
 }
 
@@ -92,6 +123,8 @@
     ["same id", 2],
     // The third start leaves before the second crash is known.
     ["new id, after its lease", 3],
+    ["new id, after it left the list", 3],
+    ["same id, after it left the list", 3],
   ];
   for (const [notice, starts] of expectedStarts) {
     it(`fails its job after ${starts} starts (${notice})`, () => {
