Keep to a call's timeout when its job is in another domain

What callers would see: no answer before their own timeout, for a job whose queue has moved to another service.

Cause: such a call asks the domain of the queue, searches all owners and asks the domain that has the job. Each of the two calls could take the whole timeout, and the search 400 ms more.

The last call gets what is left of the timeout.

--- a/src/entry/call_router.ts
+++ b/src/entry/call_router.ts
@@ -115,6 +115,7 @@
     partitionOf(service, host.partitionCount);
   return {
     async submit(request, policy, timeoutMs) {
+      const deadlineAtMs = host.clock.steadyMs() + timeoutMs;
       let partition = partitionOfService(policy.service);
       // A retried submission must not start a second copy of a job that the
       // domain of a previous service has accepted.
@@ -127,7 +128,12 @@
       }
       const call = { kind: "submit", partition, request, policy } as const;
       return expectAccepted(
-        await forwardToOwner(host, call, request.id, timeoutMs),
+        await forwardToOwner(
+          host,
+          call,
+          request.id,
+          deadlineAtMs - host.clock.steadyMs(),
+        ),
       );
     },
     async cancel(job, service, timeoutMs) {
@@ -212,6 +218,7 @@
   job: string,
   timeoutMs: number,
 ): Promise<CallOutcome<DomainAnswer>> {
+  const deadlineAtMs = host.clock.steadyMs() + timeoutMs;
   const outcome = await forwardToOwner(host, call, job, timeoutMs);
   if (outcome.kind !== "done" || outcome.value.kind !== "unknownJob") {
     return outcome;
@@ -220,7 +227,9 @@
   switch (search.kind) {
     case "found": {
       const { partition } = search;
-      return await forwardToOwner(host, { ...call, partition }, job, timeoutMs);
+      const remainingMs = deadlineAtMs - host.clock.steadyMs();
+      const moved = { ...call, partition };
+      return await forwardToOwner(host, moved, job, remainingMs);
     }
     case "notFound":
       return outcome;
--- a/src/entry/call_router_test.ts
+++ b/src/entry/call_router_test.ts
@@ -210,4 +210,29 @@
     assert.equal(outcome.kind, "undecided");
     assert.deepEqual(calls, []);
   });
+
+  // Guards against a call that is answered after its client has given up: each
+  // of its parts took as long as the whole call may take.
+  it("is answered within the timeout of its call", async () => {
+    const clock = createManualClock();
+    const { signal } = new AbortController();
+    const timeoutsMs: number[] = [];
+    const { router } = routerWithJobAt(9, [], {
+      clock,
+      async callPeer(_instance, { partition }, timeoutMs) {
+        timeoutsMs.push(timeoutMs);
+        await clock.sleep(partition === 9 ? timeoutMs : 800, signal);
+        if (partition === 9) return { kind: "unknown", cause: "no answer" };
+        return { kind: "answered", answer: { kind: "unknownJob" } };
+      },
+      async findJobAt() {
+        await clock.sleep(400, signal);
+        return { partition: 9 };
+      },
+    });
+    await router.stateOf("a", "desk", 1_500);
+    assert.equal(timeoutsMs[1], 300);
+    await router.submit(REQUEST, policy(), 1_000);
+    assert.equal(timeoutsMs.at(-1), 600);
+  });
 });
