Take the age of a worker's last record from the read before it

What callers would see: a task that runs twice, after a takeover, if its worker drains and has lost its path to the store.

Cause: a draining worker that is removed from the list counts as shut down if its last record is younger than 2.5 heartbeats; the platform drops a silent one after three. The age was counted from the time at which the record was read. An instance that took over in that time took the tasks of the worker for ended. It also counts the worker as one that can't answer the earlier owner any more.

The two new tests failed before.

An owner reads the list every 400 ms and still notices shutdowns at once. In the test of that, the list is read once before the worker drains, as it is in operation; a record in the very first read proves nothing any more.

--- a/src/ownership/worker_list.ts
+++ b/src/ownership/worker_list.ts
@@ -57,43 +57,58 @@
   heartbeatMs: number,
 ): WorkerList {
   let workers = new Map<string, WorkerListing>();
-  /** When the last record of each worker was read, on the steady clock. */
-  const lastRecordReadAtMs = new Map<string, number>();
+  /**
+   * The time after which each worker has written its last record, on the steady
+   * clock: that of the read before the one that returned it.
+   */
+  const lastWrittenAfterMs = new Map<string, number>();
+  let lastReadAtMs = -Infinity;
   const shutDown = new Set<string>();
   const subscribers = new Set<() => void>();
   let lastReadFailureAtMs = -Infinity;
   let hasBeenRead = false;
 
+  /** The longest time for which a worker may have written no record. */
+  function maxSilentMs(id: string): number {
+    return clock.steadyMs() - (lastWrittenAfterMs.get(id) ?? -Infinity);
+  }
+
   /** Whether the removal of a worker proves that it has shut down. */
-  function indicatesShutdown(known: WorkerListing): boolean {
-    const nowMs = clock.steadyMs();
-    const silentMs = nowMs - (lastRecordReadAtMs.get(known.id) ?? -Infinity);
+  function indicatesShutdown({ id, draining }: WorkerListing): boolean {
     // Before a planned shutdown, every worker reports that it is draining.
-    return known.draining &&
-      silentMs < heartbeatMs * DROPPED_AFTER_HEARTBEATS &&
-      nowMs - lastReadFailureAtMs > heartbeatMs * RECOVERY_HEARTBEATS;
+    return draining &&
+      maxSilentMs(id) < heartbeatMs * DROPPED_AFTER_HEARTBEATS &&
+      clock.steadyMs() - lastReadFailureAtMs >
+        heartbeatMs * RECOVERY_HEARTBEATS;
   }
 
-  function applyRecords(records: KeyedRecord[]): boolean {
+  /** Applies records that were written after a time, on the steady clock. */
+  function applyRecords(
+    records: KeyedRecord[],
+    writtenAfterMs: number,
+  ): boolean {
+    lastReadAtMs = clock.steadyMs();
     let changed = false;
     for (const { key, value } of records) {
-      changed = applyRecord(key, value) || changed;
+      changed = applyRecord(key, value, writtenAfterMs) || changed;
     }
     return changed;
   }
 
-  function applyRecord(id: string, value: string | undefined): boolean {
+  function applyRecord(
+    id: string,
+    value: string | undefined,
+    writtenAfterMs: number,
+  ): boolean {
     const known = workers.get(id);
     if (value === undefined) {
       if (known === undefined) return false;
       workers.delete(id);
       if (indicatesShutdown(known)) shutDown.add(id);
-      const silentMs = clock.steadyMs() -
-        (lastRecordReadAtMs.get(id) ?? -Infinity);
       logger.info("A worker was removed from the worker list.", {
         worker: id,
         draining: known.draining,
-        silentMs: Math.round(silentMs),
+        silentMs: Math.round(maxSilentMs(id)),
         ended: shutDown.has(id),
       });
       return true;
@@ -108,7 +123,7 @@
     }
     const { listing } = decoded;
     workers.set(id, listing);
-    lastRecordReadAtMs.set(id, clock.steadyMs());
+    lastWrittenAfterMs.set(id, writtenAfterMs);
     shutDown.delete(id);
     if (known === undefined || differs(known, listing)) {
       logger.info("The worker list changed.", {
@@ -135,12 +150,12 @@
       lastReadFailureAtMs = clock.steadyMs();
     },
     apply(records) {
-      if (applyRecords(records)) notify();
+      if (applyRecords(records, lastReadAtMs)) notify();
     },
     replace(records) {
       hasBeenRead = true;
       workers = new Map();
-      applyRecords(records);
+      applyRecords(records, -Infinity);
       notify();
     },
     subscribe(onChange, signal) {
--- a/src/ownership/worker_list_test.ts
+++ b/src/ownership/worker_list_test.ts
@@ -5,6 +5,7 @@
 import { createWorkerList } from "./worker_list.ts";
 
 const HEARTBEAT_MS = 1_500;
+const READ_INTERVAL_MS = 400;
 
 function createTestSetup() {
   const time = { nowMs: 100_000 };
@@ -64,6 +65,8 @@
 describe("a worker that is removed from the list", () => {
   it("has shut down if it was draining and reported recently", () => {
     const { time, list, applyRecord } = createTestSetup();
+    list.replace([{ key: "w", value: "ready" }]);
+    time.nowMs += READ_INTERVAL_MS;
     applyRecord("draining");
     time.nowMs += 1_000;
     applyRecord(undefined);
@@ -86,6 +89,26 @@
     assert.ok(!list.hasLeft("w"));
   });
 
+  // Guards against tasks that run twice: a worker that drains and has lost its
+  // path to the store is dropped like one that has shut down.
+  it("may still run if only a snapshot has listed it", () => {
+    const { time, list, applyRecord } = createTestSetup();
+    list.replace([{ key: "w", value: "draining" }]);
+    time.nowMs += READ_INTERVAL_MS;
+    applyRecord(undefined);
+    assert.ok(!list.hasLeft("w"));
+  });
+
+  it("may still run if its last report was read late", () => {
+    const { time, list, applyRecord } = createTestSetup();
+    list.apply([]);
+    time.nowMs += HEARTBEAT_MS;
+    applyRecord("draining");
+    time.nowMs += 2 * HEARTBEAT_MS;
+    applyRecord(undefined);
+    assert.ok(!list.hasLeft("w"));
+  });
+
   it("may still run after an outage, even if it was listed again briefly", () => {
     const { time, list, applyRecord } = createTestSetup();
     applyRecord("draining");
