Keep ended jobs for longer than clocks may differ

What callers would see: 410 for a job that ended less than 'keep_ended_s' ago.

Cause: the end of a job is recorded by the wall clock of its owner, and its age is taken from that of the owner at the time. If the second is ahead, since it was set or another instance has taken over, the job is removed too early.

The new test failed before: a job was unknown 125 s after its end by a clock that may be 5 s ahead, where 120 s are asked for.

Jobs are kept for 10 s longer.

--- a/src/domain/job_lifecycle.ts
+++ b/src/domain/job_lifecycle.ts
@@ -305,12 +305,16 @@
   }
 }
 
+/** How far the clocks of two owners may be apart, in milliseconds. */
+const MAX_CLOCK_DIFFERENCE_MS = 10_000;
+
 /**
  * Compacts ended jobs without placed tasks, and removes those that ended more
- * than `endedJobKeepMs` ago.
+ * than `endedJobKeepMs` ago by any clock.
  */
 export function purgeEndedJobs(domain: Domain, moment: Moment): void {
-  const cutoffMs = moment.wallMs - domain.options.endedJobKeepMs;
+  const keepMs = domain.options.endedJobKeepMs + MAX_CLOCK_DIFFERENCE_MS;
+  const cutoffMs = moment.wallMs - keepMs;
   for (const [id, run] of domain.jobs) {
     const { endedAtMs } = run.job;
     if (endedAtMs === undefined || mayHavePlacedTasks(domain, run)) continue;
