End a graceful stop before the process is killed

What callers would see: connections that break at the kill, 6 s after SIGTERM, of an owner that finds no successor.

The last commits and the last calls now have the same time.

--- a/src/entry/stop_entry.ts
+++ b/src/entry/stop_entry.ts
@@ -24,16 +24,8 @@
   context: EntryContext,
   servers: Servers,
 ): Promise<void> {
-  const {
-    platform,
-    clock,
-    logger,
-    ownedDomains,
-    member,
-    closing,
-    ending,
-    self,
-  } = context;
+  const { platform, clock, logger, ownedDomains, member, ending, self } =
+    context;
   const { signal } = ending;
   const graceMs = context.settings.stop.graceS * 1_000;
   const deadlineAtMs = clock.steadyMs() + graceMs - KILL_MARGIN_MS;
@@ -55,19 +47,29 @@
   }
   if (ownedDomains.count() > 0) await handOverDomains(context, deadlineAtMs);
   await waitForClientsToDisconnect(servers.callers, clock, deadlineAtMs);
-  const closed = once(servers.callers, "close");
-  servers.callers.close();
-  servers.callers.closeIdleConnections();
-  await Promise.race([closed, clock.sleep(LAST_CALLS_MS, ending.signal)]);
-  closing.abort();
-  await Promise.race([closed, clock.sleep(LAST_ANSWERS_MS, ending.signal)]);
-  servers.callers.closeAllConnections();
+  // Both may take most of the time until the kill.
+  await Promise.all([ownedDomains.close(), closeCallers(context, servers)]);
   for (const server of servers.internal) {
     server.close();
     server.closeAllConnections();
   }
 }
 
+/** Closes the server for client calls once they have been answered. */
+async function closeCallers(
+  { clock, closing, ending }: EntryContext,
+  { callers }: Servers,
+): Promise<void> {
+  const { signal } = ending;
+  const closed = once(callers, "close");
+  callers.close();
+  callers.closeIdleConnections();
+  await Promise.race([closed, clock.sleep(LAST_CALLS_MS, signal)]);
+  closing.abort();
+  await Promise.race([closed, clock.sleep(LAST_ANSWERS_MS, signal)]);
+  callers.closeAllConnections();
+}
+
 /**
  * Keeps serving the domains until successors have taken them over, or until
  * the deadline, so that no call finds a domain without an owner.
@@ -81,7 +83,6 @@
   while (ownedDomains.count() > 0 && clock.steadyMs() < deadlineAtMs) {
     await clock.sleep(POLL_INTERVAL_MS, ending.signal);
   }
-  await ownedDomains.close();
 }
 
 /** Invites the candidates in order, until one accepts, to take over the domains. */
