Answer API calls that wait for an outcome when the instance stops

What callers would see: a call of the product's API with a wait of up to 60 s ends with a broken connection when its instance is stopped.

Cause: the wait ended only with the process, after the connections were closed.

The platform's clients don't use this API.

The wait ends now with that of all other calls, and the call is answered with the request's present state. The internal servers, which serve the API and calls of other instances, finish the calls in flight before their connections are closed.

--- a/src/entry/requests_api.ts
+++ b/src/entry/requests_api.ts
@@ -66,7 +66,8 @@
     waitMs: number,
     initial?: JobDescription | Outcome,
   ): Promise<ApiResponse> {
-    const { clock, ending } = context;
+    const { clock } = context;
+    const { signal } = context.closing;
     const waitUntilMs = clock.steadyMs() + Math.min(waitMs, MAX_WAIT_MS);
     let found = initial ?? await describe(id);
     while (true) {
@@ -81,10 +82,10 @@
       }
       const view = buildRequestView(found);
       const isFinal = view.outcome.kind !== "notKnownYet";
-      const isTimeUp = clock.steadyMs() >= waitUntilMs || ending.signal.aborted;
+      const isTimeUp = clock.steadyMs() >= waitUntilMs || signal.aborted;
       if (isFinal || isTimeUp) return { kind: "view", view };
-      await clock.sleep(OUTCOME_POLL_INTERVAL_MS, ending.signal);
-      found = await describe(id);
+      await clock.sleep(OUTCOME_POLL_INTERVAL_MS, signal);
+      if (!signal.aborted) found = await describe(id);
     }
   }
 
--- a/src/entry/stop_entry.ts
+++ b/src/entry/stop_entry.ts
@@ -49,10 +49,21 @@
   await waitForClientsToDisconnect(servers.callers, clock, deadlineAtMs);
   // Both may take most of the time until the kill.
   await Promise.all([ownedDomains.close(), closeCallers(context, servers)]);
-  for (const server of servers.internal) {
+  await closeInternalServers(context, servers);
+}
+
+/** Closes the other servers; calls that wait for an outcome end first. */
+async function closeInternalServers(
+  { clock, ending }: EntryContext,
+  { internal }: Servers,
+): Promise<void> {
+  const closed = Promise.all(internal.map((server) => once(server, "close")));
+  for (const server of internal) {
     server.close();
-    server.closeAllConnections();
+    server.closeIdleConnections();
   }
+  await Promise.race([closed, clock.sleep(LAST_ANSWERS_MS, ending.signal)]);
+  for (const server of internal) server.closeAllConnections();
 }
 
 /** Closes the server for client calls once they have been answered. */
