Accept a job in one domain of an instance only

What callers would see: a job whose submission is repeated after its queue has moved to another service runs twice.

Cause: the domain of the present service accepts the repeat, unless the instance that gets it remembers the service before. One that was started since does not.

An owner now passes a submission to the other domains of its instance if one has the job. With one owner for all domains this covers every repeat; with several, instances still need to remember the earlier service.

--- a/src/entry/call_router_test.ts
+++ b/src/entry/call_router_test.ts
@@ -49,6 +49,7 @@
       assign() {},
       count: () => 0,
       owners: () => Promise.resolve([]),
+      loadedOwners: () => [],
       find: () => Promise.resolve(undefined),
       release() {},
       close: () => Promise.resolve(),
--- a/src/entry/execute_domain_call.ts
+++ b/src/entry/execute_domain_call.ts
@@ -17,8 +17,12 @@
   const owner = await ownedDomains.ownerOf(call.partition);
   if (owner === undefined) return { kind: "notOwner" };
   switch (call.kind) {
-    case "submit":
-      return await owner.submit(call.request, call.policy);
+    case "submit": {
+      // Its queue may have belonged to another service when it was accepted.
+      const holder = [owner, ...ownedDomains.loadedOwners()]
+        .find((candidate) => candidate.hasJob(call.request.id));
+      return await (holder ?? owner).submit(call.request, call.policy);
+    }
     case "cancel":
       return await owner.cancel(call.job);
     case "state":
--- a/src/ownership/owned_domains.ts
+++ b/src/ownership/owned_domains.ts
@@ -55,6 +55,8 @@
   count(): number;
   /** The owners of all owned domains. */
   owners(): Promise<DomainOwner[]>;
+  /** The owners of the domains whose takeover is complete. */
+  loadedOwners(): DomainOwner[];
   /** Takes over and releases domains to match an assignment. */
   assign(assignment: Assignment): void;
   /**
@@ -72,6 +74,8 @@
   controller: AbortController;
   /** Resolves to undefined if the takeover was fenced. */
   owner: Promise<DomainOwner | undefined>;
+  /** The owner once the takeover is complete. */
+  loaded: DomainOwner | undefined;
 };
 
 /**
@@ -176,7 +180,9 @@
       onFailed,
       signal: controller.signal,
     });
-    domains.set(partition.number, { epoch, controller, owner });
+    const domain: OwnedDomain = { epoch, controller, owner, loaded: undefined };
+    domains.set(partition.number, domain);
+    owner.then((loaded) => domain.loaded = loaded);
   }
 
   /** Takes over all other domains once the domains in use are served. */
@@ -251,6 +257,8 @@
       );
       return owners.filter((owner) => owner !== undefined);
     },
+    loadedOwners: () =>
+      [...domains.values()].flatMap(({ loaded }) => loaded ?? []),
     assign(assignment) {
       assigned = assignment;
       const { generation, partitions } = assignment;
--- a/src/ownership/owned_domains_test.ts
+++ b/src/ownership/owned_domains_test.ts
@@ -119,6 +119,7 @@
     const { domains, controller } = createTestSetup(0);
     domains.assign({ generation: 5, partitions: PARTITIONS });
     assert.equal(await domains.find("a"), IDLE);
+    assert.ok(domains.loadedOwners().some((owner) => owner.hasJob("a")));
     controller.abort();
   });
 
