Give a job up after two crashes only if owners have seen both

What callers would see: an accepted job fails although at most one worker has crashed under any of its tasks (LOST). A task is done, its owner is lost before that is stored, and its worker restarts, so that the end is not listed any more. The next owner knows from its records only that the task was on that worker and counts a crash. The task runs again, its worker crashes for another reason, and the job is given up.

A crash that only records tell of never was the one that needed no further proof, but it counted as one of the two. It is kept apart now, in the step's record too, and counts only for the limit of three, which holds as before.

Failed before: "may be innocent of a crash that only its record tells of" ('failed' instead of 'running' after one crash that was seen).

--- a/src/domain/job_lifecycle.ts
+++ b/src/domain/job_lifecycle.ts
@@ -87,6 +87,7 @@
     storedFailureCount: 0,
     failedOn: new Set(),
     crashCounts: new Map(),
+    inferredCrashCounts: new Map(),
     advice: createStepAdvice(),
     ...startDeadlines(domain, run.job, occurrence, index),
     readyAtMs: nowMs,
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -75,6 +75,8 @@
   gangFailedAttempt: v.number(),
   /** Pairs of task and number of worker crashes; earlier versions omit it. */
   crashCounts: v.optional(v.array(v.tuple([v.number(), v.number()]))),
+  /** The same for crashes that only records tell of. */
+  inferredCrashCounts: v.optional(v.array(v.tuple([v.number(), v.number()]))),
 });
 
 /**
@@ -188,6 +190,9 @@
     ...(run.crashCounts.size === 0
       ? {}
       : { crashCounts: [...run.crashCounts] }),
+    ...(run.inferredCrashCounts.size === 0
+      ? {}
+      : { inferredCrashCounts: [...run.inferredCrashCounts] }),
   };
 }
 
@@ -354,6 +359,7 @@
   step.gangFailures = stored.value.gangFailures;
   step.gangFailedAttempt = stored.value.gangFailedAttempt;
   step.crashCounts = new Map(stored.value.crashCounts);
+  step.inferredCrashCounts = new Map(stored.value.inferredCrashCounts);
   stored.value.tasks.forEach((task, position) => {
     restoreTask(domain, step, position, task, nowMs);
   });
--- a/src/domain/step_run.ts
+++ b/src/domain/step_run.ts
@@ -29,6 +29,8 @@
   failedOn: Set<string>;
   /** Number of worker crashes just after a task started, by its index. */
   crashCounts: Map<number, number>;
+  /** How many of them only records tell of; see `recordWorkerCrash`. */
+  inferredCrashCounts: Map<number, number>;
   advice: StepAdvice;
   /** The latest start that still meets the objective (wall clock). */
   latestStartMs: number;
@@ -52,6 +54,16 @@
   return Math.max(0, ...run.crashCounts.values());
 }
 
+/** The same without the crashes that only records tell of. */
+export function seenCrashCountOf(run: StepRun, index: number): number {
+  const indexes = run.step.gang ? run.crashCounts.keys() : [index];
+  const counts = [...indexes].map((member) =>
+    (run.crashCounts.get(member) ?? 0) -
+    (run.inferredCrashCounts.get(member) ?? 0)
+  );
+  return Math.max(0, ...counts);
+}
+
 /** Parses a task's name; returns undefined if it is malformed. */
 export function parseTaskName(
   name: string,
--- a/src/domain/worker_crash.ts
+++ b/src/domain/worker_crash.ts
@@ -14,14 +14,22 @@
 import type { Moment } from "./domain_event.ts";
 import { endJob } from "./job_lifecycle.ts";
 import { stepRecordKey } from "./record_keys.ts";
-import { crashCountOf, taskNameOf } from "./step_run.ts";
+import {
+  crashCountOf,
+  seenCrashCountOf,
+  type StepRun,
+  taskNameOf,
+} from "./step_run.ts";
 
 /** A task that has run for this long has not crashed its worker, in ms. */
 const SETTLE_MS = 1_000;
 
 /** Number of crashes after which a task is given up in any case. */
 const MAX_CRASHES = 3;
-/** The same if nothing else can have caused the last one. */
+/**
+ * The number of crashes that owners have seen after which it is given up if
+ * nothing else can have caused the last one.
+ */
 const MAX_CRASHES_AS_ONLY_SUSPECT = 2;
 
 /**
@@ -81,7 +89,8 @@
   );
   const isOnlyOne = !isInferred && new Set(suspects.map(suspectKey)).size === 1;
   for (const { run, index } of suspects) {
-    run.crashCounts.set(index, (run.crashCounts.get(index) ?? 0) + 1);
+    increment(run.crashCounts, index);
+    if (isInferred) increment(run.inferredCrashCounts, index);
     domain.dirtyKeys.add(stepRecordKey(run.key));
   }
   domain.commands.push({
@@ -93,7 +102,7 @@
     },
   });
   for (const { run, index } of suspects) {
-    if (!isGivenUp(crashCountOf(run, index), isOnlyOne)) continue;
+    if (!isGivenUp(run, index, isOnlyOne)) continue;
     endJob(domain, run.jobRun, "failed", moment);
   }
 }
@@ -108,7 +117,16 @@
   return `${taskNameOf(run, index)}:${crashCountOf(run, index)}`;
 }
 
-function isGivenUp(crashCount: number, isOnlySuspect: boolean): boolean {
-  return crashCount >= MAX_CRASHES ||
-    isOnlySuspect && crashCount >= MAX_CRASHES_AS_ONLY_SUSPECT;
+function isGivenUp(
+  run: StepRun,
+  index: number,
+  isOnlySuspect: boolean,
+): boolean {
+  return crashCountOf(run, index) >= MAX_CRASHES ||
+    isOnlySuspect &&
+      seenCrashCountOf(run, index) >= MAX_CRASHES_AS_ONLY_SUSPECT;
+}
+
+function increment(counts: Map<number, number>, index: number): void {
+  counts.set(index, (counts.get(index) ?? 0) + 1);
 }
--- a/src/domain/worker_crash_test.ts
+++ b/src/domain/worker_crash_test.ts
@@ -299,6 +299,25 @@
     });
   }
 
+  it("may be innocent of a crash that only its record tells of", () => {
+    const bench = createBenchWithWorkers();
+    submit(bench, "a", [step()]);
+    const [first] = startsIn(bench.commands.splice(0));
+    // The run may have ended before, and the end may not have been stored.
+    simulateTakeover(bench);
+    const listings = WORKERS.map((id) => listing(id));
+    feedEvent(bench, { kind: "workersListed", workers: listings });
+    for (const worker of WORKERS) {
+      reportFrom(bench, worker, { bornMs: worker === first!.worker ? 2 : 1 });
+    }
+    const states = [3, 4].map((bornMs) => {
+      const [start] = startsIn(bench.commands.splice(0));
+      if (start !== undefined) crash(bench, start.worker, "new id", bornMs);
+      return jobStateOf(bench.domain, "a");
+    });
+    assert.deepEqual(states, ["running", "failed"]);
+  });
+
   it("is started away from the other suspects, and others away from it", () => {
     const bench = createBench();
     listWorkers(bench, listing("w1"));
