--- a/scripts/bench_owner.ts
+++ b/scripts/bench_owner.ts
@@ -37,6 +37,11 @@
       default: "1",
       description: "Measurements of each daemon",
     },
+    takeover: {
+      type: "boolean",
+      default: false,
+      description: "Kill the owner at the end, and measure its successor",
+    },
     profile: { type: "string", description: "Folder for CPU profiles" },
     logs: { type: "string", description: "Folder for logs" },
   },
@@ -51,6 +56,7 @@
           workers: Number(args.workers),
           seconds: Number(args.seconds),
           loadFactor: Number(args.load),
+          takesOver: args.takeover,
           ...(args.profile === undefined
             ? {}
             : { profileFolder: args.profile }),
--- a/stand_ins/owner_bench/owner_bench.ts
+++ b/stand_ins/owner_bench/owner_bench.ts
@@ -30,6 +30,8 @@
 const PARTITIONS = 2;
 const WARM_UP_MS = 5_000;
 const POLL_INTERVAL_MS = 50;
+/** Time after the kill of an owner in which its successor is measured. */
+const TAKEOVER_MS = 4_000;
 const MS_PER_S = 1_000;
 /** Unit of processor time in `/proc` (USER_HZ of 100). */
 const CPU_TICK_MS = 10;
@@ -52,6 +54,8 @@
   seconds: number;
   /** Multiplier of the submission rates. */
   loadFactor: number;
+  /** Whether the owner is killed after the measurement, and its successor measured. */
+  takesOver?: boolean;
   /** Folder for CPU profiles of the instances; none are taken if absent. */
   profileFolder?: string;
   /** Folder for the logs of the instances; none are kept if absent. */
@@ -70,6 +74,20 @@
   refused: number;
   /** Median time from submission to the first start, in milliseconds. */
   medianStartMs: number;
+  /** The cost of the successor, if the owner was killed. */
+  takeover?: TakeoverCost;
+};
+
+/** What a takeover costs the new owner, in the time after the kill. */
+export type TakeoverCost = {
+  /** Average number of processor cores that the new owner used. */
+  cores: number;
+  /** Task starts on all workers. */
+  starts: number;
+  /** Calls for the earlier owner that workers refused. */
+  refusedByWorkers: number;
+  accepted: number;
+  refused: number;
 };
 
 type LoadCounters = {
@@ -130,6 +148,7 @@
     for (const { child } of instances) child.kill("SIGTERM");
     await Promise.all(
       instances.map(({ child }) =>
+        child.signalCode !== null ||
         new Promise((resolve) => child.once("close", resolve))
       ),
     );
@@ -168,6 +187,9 @@
   await delay(options.seconds * MS_PER_S);
   const cpuMs = readCpuMs(owner) - cpuBefore;
   const starts = countStarts(platform) - startsBefore;
+  const takeover = options.takesOver === true
+    ? await measureTakeover(platform, instances, owner, counters)
+    : undefined;
   loadController.abort();
   await Promise.all(loads);
   await Promise.all(pools.map((pool) => pool.destroy()));
@@ -178,6 +200,33 @@
     accepted: counters.accepted,
     refused: counters.refused,
     medianStartMs: medianStartMs(platform, counters),
+    ...(takeover === undefined ? {} : { takeover }),
+  };
+}
+
+/** Kills the owner, and measures the instance that takes its domains over. */
+async function measureTakeover(
+  platform: Platform,
+  instances: Daemon[],
+  owner: Daemon,
+  counters: LoadCounters,
+): Promise<TakeoverCost> {
+  const others = instances.filter((instance) => instance !== owner);
+  const cpuBefore = new Map(others.map((one) => [one, readCpuMs(one)]));
+  const startsBefore = countStarts(platform);
+  const refusedBefore = countRefusedAsFenced(platform);
+  const { accepted, refused } = counters;
+  owner.child.kill("SIGKILL");
+  await delay(TAKEOVER_MS);
+  const successor = findOwner(platform, others);
+  if (successor === undefined) throw new Error("no instance has taken over");
+  const cpuMs = readCpuMs(successor) - (cpuBefore.get(successor) ?? 0);
+  return {
+    cores: cpuMs / TAKEOVER_MS,
+    starts: countStarts(platform) - startsBefore,
+    refusedByWorkers: countRefusedAsFenced(platform) - refusedBefore,
+    accepted: counters.accepted - accepted,
+    refused: counters.refused - refused,
   };
 }
 
@@ -228,6 +277,10 @@
   return workers.reduce((sum, { started }) => sum + started.length, 0);
 }
 
+function countRefusedAsFenced({ workers }: Platform): number {
+  return workers.reduce((sum, worker) => sum + worker.refusedAsFenced, 0);
+}
+
 function medianStartMs({ workers }: Platform, counters: LoadCounters): number {
   const firstStartMs = new Map<string, number>();
   for (const { started } of workers) {
@@ -261,17 +314,22 @@
 ): Promise<Daemon> {
   while (true) {
     await delay(POLL_INTERVAL_MS);
-    const [group] = platform.store.groups.values();
-    const ownerAddress = group?.owners.find((one) => one !== undefined);
-    const owner = instances.find(({ peerAddress }) =>
-      peerAddress === ownerAddress
-    );
+    const owner = findOwner(platform, instances);
     if (owner === undefined) continue;
     const statuses = await Promise.all(instances.map(requestStatus));
     if (statuses.every((status) => status === 200)) return owner;
   }
 }
 
+function findOwner(
+  platform: Platform,
+  instances: Daemon[],
+): Daemon | undefined {
+  const [group] = platform.store.groups.values();
+  const ownerAddress = group?.owners.find((one) => one !== undefined);
+  return instances.find(({ peerAddress }) => peerAddress === ownerAddress);
+}
+
 async function requestStatus({ url }: Daemon): Promise<number> {
   try {
     const kind = JOB_KINDS[0]!;
--- a/stand_ins/platform/worker.ts
+++ b/stand_ins/platform/worker.ts
@@ -45,6 +45,8 @@
   isDeadly: (task: string) => boolean;
   /** Whether a task has crashed this incarnation; it then does nothing more. */
   hasCrashed: boolean;
+  /** Number of commands that were refused because of their fencing token. */
+  refusedAsFenced: number;
 };
 
 type WorkerCommand = {
@@ -118,6 +120,7 @@
     durationMs,
     isDeadly,
     hasCrashed: false,
+    refusedAsFenced: 0,
   };
 }
 
@@ -133,6 +136,7 @@
 ): StandInResponse {
   endDueRuns(worker, nowMs);
   if (command.fencing_token < worker.fence) {
+    worker.refusedAsFenced += 1;
     return conflictResponse(worker, "fence", nowMs);
   }
   worker.fence = command.fencing_token;
