Stop polling workers for an owner that has a successor

What callers would see: work waits for longer after a change of owner, since the new owner and the relays are busy with calls that workers refuse.

Cause: a relay goes on holding the links of an owner that was lost until it has had no answer from it for 6 s. Each of its polls is refused as soon as the worker has accepted the successor's epoch, and is repeated after 150 ms. With 350 workers these are up to 2,300 calls a second over all relays. The largest instances of a zone are relays, and also what owners are chosen from, so that the successor itself is often among those that repeat such calls.

A worker keeps the highest epoch that it has accepted, and an epoch that workers accept is already that of the domain's records. So no later poll for the earlier owner can succeed, but at a worker that restarts, where it would be of no use. A link now ends its polls once it is refused; the owner, if it is there, is told as before.

Ruled out: ending the relay's session at the first refusal. Workers that the successor cannot reach would lose their leases earlier than today.

--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -80,6 +80,8 @@
   hasLeaseExpired: boolean;
   /** Whether a new incarnation was found at the worker's address. */
   isReplaced: boolean;
+  /** Whether the worker has accepted an owner with a higher epoch. */
+  isFenced: boolean;
 };
 
 /**
@@ -103,6 +105,7 @@
     isSilent: false,
     hasLeaseExpired: false,
     isReplaced: false,
+    isFenced: false,
   };
   pollWorker(state);
   return {
@@ -116,11 +119,14 @@
   };
 }
 
-/** Polls the worker until the link closes. */
+/**
+ * Polls the worker until the link closes, or the worker refuses its epoch: the
+ * owner has a successor then, and may be gone, so that nobody closes the link.
+ */
 async function pollWorker(state: LinkState): Promise<void> {
   const { clock, signal, unacknowledgedPollDelayMs } = state.host;
   let delayMs = unacknowledgedPollDelayMs;
-  while (!signal.aborted) {
+  while (!signal.aborted && !state.isFenced) {
     const succeeded = await pollOnce(state);
     if (!succeeded) {
       await clock.sleep(RETRY_DELAY_MS, signal);
@@ -214,6 +220,7 @@
   host.counters.count("worker_faults", { step: fault.step, kind: fault.kind });
   switch (fault.kind) {
     case "fenced":
+      state.isFenced = true;
       return host.onFenced(fault.message);
     case "gone":
       return expireLease(state, fault.message, true);
--- a/src/ownership/worker_link_test.ts
+++ b/src/ownership/worker_link_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { setImmediate as nextEventLoopTurn } from "node:timers/promises";
 import { err, ok } from "neverthrow";
 import type { DomainEvent } from "../domain/mod.ts";
 import {
@@ -235,6 +236,38 @@
   }
 });
 
+// Guards against SHORT: the relays of an owner that was lost polled each worker
+// of its successor every 150 ms, for the 6 s until they gave the owner up.
+describe("a worker that has accepted an owner with a higher epoch", () => {
+  it("is not polled any more for the earlier one", async () => {
+    const clock = createManualClock();
+    const controller = new AbortController();
+    let polls = 0;
+    const causes: string[] = [];
+    const tasks = {
+      async poll() {
+        polls += 1;
+        if (polls > MAX_POLLS) controller.abort();
+        await clock.sleep(1, controller.signal);
+        return err({
+          kind: "fenced",
+          step: "worker.look",
+          peer: "w",
+          message: "epoch 2",
+        });
+      },
+    } as unknown as TaskHost;
+    openWorkerLink({
+      ...hostOf(tasks, clock, controller.signal),
+      onFenced: (cause) => causes.push(cause),
+    });
+    await nextEventLoopTurn();
+    controller.abort();
+    assert.equal(polls, 1);
+    assert.deepEqual(causes, ["epoch 2"]);
+  });
+});
+
 describe("a worker that is replaced after its lease has expired", () => {
   it("is reported as replaced", async () => {
     const clock = createManualClock();
