Bound the search for a successor by the end of a graceful stop

What callers would see: connections that break when a stopping owner is killed, if many other instances have failed.

Cause: the owner invites the known instances one after the other until one answers, and waits 400 ms for each. Instances that failed stay announced, so this could take longer than the stop may.

The new test stops an owner among 100 instances that don't answer, in simulated time; it failed before: the stop had not ended by the time of the kill.

The search ends at the time at which the owner gives its domains up. It serves them until then.

--- a/src/entry/stop_entry.ts
+++ b/src/entry/stop_entry.ts
@@ -90,17 +90,24 @@
   deadlineAtMs: number,
 ): Promise<void> {
   const { clock, ownedDomains, ending } = context;
-  await inviteSuccessor(context);
+  await inviteSuccessor(context, deadlineAtMs);
   while (ownedDomains.count() > 0 && clock.steadyMs() < deadlineAtMs) {
     await clock.sleep(POLL_INTERVAL_MS, ending.signal);
   }
 }
 
-/** Invites the candidates in order, until one accepts, to take over the domains. */
-async function inviteSuccessor(context: EntryContext): Promise<void> {
-  const { instances, rpc, self, logger } = context;
+/**
+ * Invites the candidates in order to take over the domains, until one accepts or
+ * the deadline.
+ */
+async function inviteSuccessor(
+  context: EntryContext,
+  deadlineAtMs: number,
+): Promise<void> {
+  const { clock, instances, rpc, self, logger } = context;
   for (const instance of instances.addresses()) {
     if (instance === self) continue;
+    if (clock.steadyMs() >= deadlineAtMs) break;
     if (!await rpc.confirm(instance)) continue;
     logger.part("ownership").info(
       "Asked a successor to take over the domains.",
--- a/src/entry/stop_entry_test.ts
+++ b/src/entry/stop_entry_test.ts
@@ -12,8 +12,14 @@
 /** How long the last commits of a domain may take to be given up, in ms. */
 const RELEASE_MS = 800;
 
-/** An owner without a successor, whose clients don't disconnect. */
-function createFixture() {
+const CALL_TIMEOUT_MS = 400;
+
+/**
+ * An owner whose clients don't disconnect, among instances that don't answer.
+ *
+ * @param others number of the other instances
+ */
+function createFixture(others = 0) {
   const clock = createSimulatedClock();
   const ending = new AbortController();
   setMaxListeners(0, ending.signal);
@@ -26,7 +32,14 @@
       },
     },
     logger: { part: () => silentLogger },
-    instances: { addresses: () => [] },
+    self: "self",
+    instances: {
+      addresses: () => Array.from({ length: others }, (_, n) => `peer-${n}`),
+    },
+    rpc: {
+      confirm: () =>
+        clock.sleep(CALL_TIMEOUT_MS, ending.signal).then(() => false),
+    },
     ownedDomains: {
       count: () => 1,
       close: () => clock.sleep(RELEASE_MS, new AbortController().signal),
@@ -56,3 +69,13 @@
   assert.ok(context.closing.signal.aborted);
   assert.ok(hasEnded);
 });
+
+// Guards against the same, since a successor is searched for among many
+// instances that have failed.
+it("a graceful stop ends in time although no instance answers", async () => {
+  const { clock, context, servers } = createFixture(100);
+  let hasEnded = false;
+  stopEntry(context, servers).then(() => hasEnded = true);
+  await clock.advance(GRACE_S * 1_000 - 1);
+  assert.ok(hasEnded);
+});
