Draw capacities that shrink and grow in the model of owners

The model had workers of one capacity, so it could not show a start that brings a worker over a capacity that has shrunk (LIMIT). Each step now changes the one of a worker with a chance of one in ten, to between none and all of its tasks; the worker list shows it up to a heartbeat later. Each start is checked against the capacity that the worker has then, where an earlier, larger one counts for 4 s and a heartbeat. The check of the full capacity is part of it: it was made after each step, and only starts can fail it.

--- a/src/domain/testing/owner_model.ts
+++ b/src/domain/testing/owner_model.ts
@@ -22,19 +22,24 @@
   createBench,
   type DomainBench,
   feedEvent,
-  listing,
   simulateTakeover,
   step,
   submit,
   tick,
 } from "./domain_bench.ts";
 import {
-  checkCapacity,
   deliverOrder,
   LEASE_MS,
   MAX_TIME_STEP_MS,
-  TASKS_PER_WORKER,
 } from "./owner_model_orders.ts";
+import {
+  changeSomeCapacity,
+  createCapacity,
+  listingOf,
+  restoreCapacities,
+  TASK_DEMAND,
+  updateListedCapacities,
+} from "./owner_model_capacity.ts";
 import {
   completeDueCommits,
   executeCommands,
@@ -57,11 +62,6 @@
 
 const WORKERS = 3;
 const FINAL_STATES = new Set(["completed", "failed", "cancelled"]);
-const TASK_DEMAND = {
-  cpuMillis: 8_000 / TASKS_PER_WORKER,
-  memoryMb: 1_000,
-  accelerators: 0,
-};
 const FAULT_STEPS = 160;
 const RECOVERY_STEPS = 400;
 
@@ -77,6 +77,7 @@
   for (const simulated of model.workers.values()) {
     simulated.isPartitioned = false;
   }
+  restoreCapacities(model);
   for (let index = 0; index < RECOVERY_STEPS; index += 1) {
     stepWithoutFaults(model);
   }
@@ -136,6 +137,7 @@
     model.workers.set(id, {
       worker: createSimulatedWorker(model, id, 1),
       isPartitioned: false,
+      capacity: createCapacity(),
       crashedTasks: undefined,
       acknowledged: 0,
       leaseUntilMs: 0,
@@ -147,9 +149,7 @@
 }
 
 function listAllWorkers(model: Model): void {
-  const workers = [...model.workers.values()].map(({ worker }) =>
-    listing(worker.id, { bornMs: worker.bornMs })
-  );
+  const workers = [...model.workers.values()].map(listingOf);
   model.execute(
     feedEvent(model.bench, { kind: "workersListed", workers }),
   );
@@ -158,6 +158,7 @@
 function stepWithFaults(model: Model): void {
   const { random, bench } = model;
   advanceTime(model);
+  changeSomeCapacity(model, pickWorker(model));
   switch (random.integer(0, 14)) {
     case 0:
     case 1:
@@ -201,7 +202,7 @@
     recordEndsBeforeExpiry(model, simulated);
     expireLeaseIfDue(model, simulated);
   }
-  checkCapacity(model);
+  if (updateListedCapacities(model)) listAllWorkers(model);
   model.violations.push(...checkAllocations(model));
 }
 
--- a/src/domain/testing/owner_model_orders.ts
+++ b/src/domain/testing/owner_model_orders.ts
@@ -19,6 +19,7 @@
   acknowledgeFailedRuns,
   recordRestart,
 } from "./owner_model_failures.ts";
+import { checkCapacity } from "./owner_model_capacity.ts";
 import { crashUnder } from "./owner_model_crashes.ts";
 import type {
   Model,
@@ -28,8 +29,6 @@
 
 /** Duration of a lease in the simulation, in milliseconds. */
 export const LEASE_MS = 5_500;
-/** How many tasks a worker has capacity for. */
-export const TASKS_PER_WORKER = 4;
 /** The longest time between two steps of the simulation, in milliseconds. */
 export const MAX_TIME_STEP_MS = 250;
 
@@ -121,6 +120,7 @@
   );
   if (simulated.worker.started.length > startedBefore) {
     checkStartAllowed(model, simulated.worker.id, order);
+    model.violations.push(...checkCapacity(model, simulated));
   }
   if (simulated.worker.hasCrashed) {
     crashUnder(model, simulated, order.task);
@@ -226,12 +226,3 @@
 function isLeased(model: Model, simulated: SimulatedWorker): boolean {
   return simulated.worker.leaseUntilMs >= model.bench.nowMs;
 }
-
-/** Checks that no worker runs more tasks than its capacity allows. */
-export function checkCapacity(model: Model): void {
-  for (const [id, { worker }] of model.workers) {
-    if (worker.running.size > TASKS_PER_WORKER) {
-      model.violations.push(`${id} runs ${worker.running.size} tasks`);
-    }
-  }
-}
--- a/src/domain/testing/owner_model_state.ts
+++ b/src/domain/testing/owner_model_state.ts
@@ -4,6 +4,7 @@
 import type { Step } from "../job.ts";
 import type { DomainRecord } from "../records.ts";
 import type { DomainBench } from "./domain_bench.ts";
+import type { SimulatedCapacity } from "./owner_model_capacity.ts";
 
 /** A simulated worker with the owner's state about it. */
 export type SimulatedWorker = {
@@ -12,6 +13,7 @@
   isPartitioned: boolean;
   /** Tasks under which it has crashed since its last poll. */
   crashedTasks: Set<string> | undefined;
+  capacity: SimulatedCapacity;
   /** Number of the last end that the owner has acknowledged. */
   acknowledged: number;
   /** Expiry of the last lease granted to it. */
