Split the orders of a worker link from its polls

The state that polls and orders share is in worker_link_state.ts, starts, stops and paces are in worker_orders.ts. No function changes, but for an exhaustive switch.

--- /dev/null
+++ b/src/ownership/worker_link_state.ts
@@ -0,0 +1,127 @@
+/**
+ * The state of a link to a worker, shared by its polls and its orders.
+ *
+ * @module
+ */
+import type { DomainEvent, WorkerOrder } from "../domain/mod.ts";
+import type { Clock, TaskFault, TaskHost, WorkerTarget } from "../hosts/mod.ts";
+import type { Counters, PartLogger } from "../telemetry/mod.ts";
+import type { WorkerClock } from "./worker_clock.ts";
+
+/** Delay after a failed poll or order, in milliseconds. */
+export const RETRY_DELAY_MS = 150;
+
+/** Dependencies of a link. */
+export type WorkerLinkHost = {
+  tasks: TaskHost;
+  clock: Clock;
+  logger: PartLogger;
+  counters: Counters;
+  target: WorkerTarget;
+  /** Duration of the lease that each poll grants, in milliseconds. */
+  leaseMs: number;
+  /** When all leases of earlier owners have expired, on the steady clock. */
+  earlierLeasesExpireAtMs(): number;
+  /**
+   * Time until the worker is polled again although the run ends that it listed
+   * are not stored yet, in milliseconds; doubled each time. While the store is
+   * slow, further ends would otherwise be noticed late.
+   */
+  unacknowledgedPollDelayMs: number;
+  /** Whether the owner may still grant leases. */
+  mayGrantLeases(): boolean;
+  /** The last run end that an earlier link acknowledged, and its incarnation. */
+  resumeFrom: { bornMs: number; acknowledged: number };
+  /** The current time on the owner's clock, sent with poll results. */
+  ownerClockMs(): number;
+  emit(event: DomainEvent): void;
+  /** Whether an order still applies. */
+  isCurrent(order: WorkerOrder): boolean;
+  onFenced(cause: string): void;
+  signal: AbortSignal;
+};
+
+/** The state of a link. */
+export type LinkState = {
+  host: WorkerLinkHost;
+  clock: WorkerClock;
+  bornMs: number;
+  /** The highest number of a run end that a poll listed. */
+  highestListedEnd: number;
+  acknowledged: number;
+  /** Tasks whose start was sent to this incarnation and not answered. */
+  unansweredStarts: Set<string>;
+  /** Called after each acknowledgement. */
+  onAcknowledged: () => void;
+  isSilent: boolean;
+  hasLeaseExpired: boolean;
+  /** Whether a new incarnation was found at the worker's address. */
+  isReplaced: boolean;
+  /** Whether the worker has accepted an owner with a higher epoch. */
+  isFenced: boolean;
+};
+
+/** Records that a call to the worker has failed. */
+export function handleFault(state: LinkState, fault: TaskFault): void {
+  const { host } = state;
+  const { id } = host.target;
+  host.counters.count("worker_faults", { step: fault.step, kind: fault.kind });
+  switch (fault.kind) {
+    case "fenced":
+      state.isFenced = true;
+      return host.onFenced(fault.message);
+    case "gone":
+      return expireLease(state, fault.message, true);
+    case "refused":
+    case "unsent":
+    case "unknown":
+      if (!state.isSilent) {
+        state.isSilent = true;
+        host.logger.warn("A worker does not answer.", {
+          worker: id,
+          step: fault.step,
+          cause: fault.message,
+          lapsesInMs: Math.round(
+            leasesExpireAtMs(state) - host.clock.steadyMs(),
+          ),
+        });
+        host.emit({ kind: "workerSilent", worker: id });
+      }
+      if (host.clock.steadyMs() > leasesExpireAtMs(state)) {
+        expireLease(state, fault.message, false);
+      }
+  }
+}
+
+/** When the leases of all owners have expired at the worker. */
+function leasesExpireAtMs(state: LinkState): number {
+  const { clock, host } = state;
+  return Math.max(clock.leasesExpireAtMs, host.earlierLeasesExpireAtMs());
+}
+
+function expireLease(
+  state: LinkState,
+  cause: string,
+  isReplaced: boolean,
+): void {
+  const { host } = state;
+  // A worker may be found to be replaced long after its lease has expired.
+  const isKnown = state.hasLeaseExpired && (state.isReplaced || !isReplaced);
+  if (isKnown) return;
+  state.hasLeaseExpired = true;
+  state.isReplaced = isReplaced;
+  host.logger.warn("The lease of a worker has expired.", {
+    worker: host.target.id,
+    cause,
+    isReplaced,
+  });
+  host.emit({
+    kind: "workerLapsed",
+    worker: host.target.id,
+    isReplaced,
+    // An earlier link may have sent starts to a worker that has not reported.
+    ...(state.bornMs === 0
+      ? {}
+      : { unansweredStarts: [...state.unansweredStarts] }),
+  });
+}
--- a/src/ownership/worker_link_test.ts
+++ b/src/ownership/worker_link_test.ts
@@ -9,7 +9,8 @@
 } from "../entry/testing/manual_clock.ts";
 import type { Clock, PollCall, TaskHost } from "../hosts/mod.ts";
 import { createCounters } from "../telemetry/mod.ts";
-import { openWorkerLink, type WorkerLinkHost } from "./worker_link.ts";
+import { openWorkerLink } from "./worker_link.ts";
+import type { WorkerLinkHost } from "./worker_link_state.ts";
 
 const LEASE_MS = 5_000;
 const MAX_POLLS = 500;
--- /dev/null
+++ b/src/ownership/worker_orders.ts
@@ -0,0 +1,167 @@
+/**
+ * The orders of a link to a worker: starts, stops and paces of tasks.
+ *
+ * @module
+ */
+import { assertNever } from "../base/mod.ts";
+import type { WorkerOrder } from "../domain/mod.ts";
+import type { StartOutcome } from "../hosts/mod.ts";
+import { grantLease } from "./worker_clock.ts";
+import {
+  handleFault,
+  type LinkState,
+  RETRY_DELAY_MS,
+} from "./worker_link_state.ts";
+
+/** Sends an order, and retries a start or stop while it still applies. */
+export async function executeOrder(
+  state: LinkState,
+  order: WorkerOrder,
+): Promise<void> {
+  switch (order.kind) {
+    case "start":
+      return await start(state, order);
+    case "stop":
+      return await stop(state, order);
+    case "pace":
+      return await pace(state, order);
+    default:
+      return assertNever(order);
+  }
+}
+
+async function start(
+  state: LinkState,
+  order: Extract<WorkerOrder, { kind: "start" }>,
+): Promise<void> {
+  const { host } = state;
+  const { task, attempt } = order;
+  let earlierUnknown = false;
+  let sentToBornMs: number | undefined;
+  while (host.isCurrent(order) && !host.signal.aborted) {
+    // The start may have crashed the worker; its owner decides what follows.
+    if (earlierUnknown && state.bornMs !== sentToBornMs) return;
+    const nowMs = host.clock.steadyMs();
+    const leaseUntilMs = host.mayGrantLeases() && !state.isSilent
+      ? grantLease(state.clock, host.leaseMs, nowMs)
+      : undefined;
+    if (leaseUntilMs === undefined) {
+      await host.clock.sleep(RETRY_DELAY_MS, host.signal);
+      continue;
+    }
+    if (!earlierUnknown) sentToBornMs = state.bornMs;
+    state.unansweredStarts.add(task);
+    const result = await host.tasks.start(host.target, {
+      task,
+      attempt,
+      specification: order.specification,
+      leaseUntilMs,
+      ticket: order.ticket,
+      checkpoint: order.checkpoint,
+    }, host.signal);
+    if (host.signal.aborted) return;
+    const isAnswered = result.isOk() || result.error.kind !== "unknown";
+    if (isAnswered && !earlierUnknown) state.unansweredStarts.delete(task);
+    if (result.isOk()) {
+      host.counters.observe("start_ms", host.clock.steadyMs() - nowMs);
+      reportStartOutcome(state, order, result.value, earlierUnknown);
+      return;
+    }
+    const fault = result.error;
+    host.logger.warn("Failed to start a task.", {
+      task,
+      attempt,
+      worker: host.target.id,
+      fault: fault.kind,
+      cause: fault.message,
+    });
+    handleFault(state, fault);
+    if (fault.kind === "fenced" || fault.kind === "gone") return;
+    if (fault.kind === "refused") {
+      const outcome = { kind: "rejected", cause: "unhealthy" } as const;
+      reportStartOutcome(state, order, outcome, earlierUnknown);
+      return;
+    }
+    if (fault.kind === "unknown") earlierUnknown = true;
+    await host.clock.sleep(RETRY_DELAY_MS, host.signal);
+  }
+}
+
+function reportStartOutcome(
+  state: LinkState,
+  order: Extract<WorkerOrder, { kind: "start" }>,
+  outcome: StartOutcome,
+  earlierUnknown: boolean,
+): void {
+  const { host } = state;
+  const { task, attempt } = order;
+  host.counters.count("starts", { outcome: outcome.kind });
+  if (outcome.kind !== "accepted") {
+    host.logger.info("A worker did not accept a task start.", {
+      task,
+      attempt,
+      worker: host.target.id,
+      outcome: outcome.kind === "rejected" ? outcome.cause : outcome.kind,
+    });
+  }
+  host.emit({
+    kind: "startAnswered",
+    worker: host.target.id,
+    task,
+    attempt,
+    answer: outcome.kind === "rejected"
+      ? { ...outcome, earlierUnknown }
+      : outcome,
+  });
+}
+
+async function stop(
+  state: LinkState,
+  order: Extract<WorkerOrder, { kind: "stop" }>,
+): Promise<void> {
+  const { host } = state;
+  const { task, attempt } = order;
+  while (host.isCurrent(order) && !host.signal.aborted) {
+    const result = await host.tasks.stop(
+      host.target,
+      task,
+      attempt,
+      host.signal,
+    );
+    if (host.signal.aborted) return;
+    if (result.isOk()) {
+      host.emit({
+        kind: "stopConfirmed",
+        worker: host.target.id,
+        task,
+        attempt,
+      });
+      return;
+    }
+    handleFault(state, result.error);
+    if (result.error.kind === "fenced" || result.error.kind === "gone") return;
+    await host.clock.sleep(RETRY_DELAY_MS, host.signal);
+  }
+}
+
+/** Sends a pace order without retries; a later change of the pace replaces it. */
+async function pace(
+  state: LinkState,
+  order: Extract<WorkerOrder, { kind: "pace" }>,
+): Promise<void> {
+  const { host } = state;
+  const { task, attempt, percent } = order;
+  const result = await host.tasks.pace(
+    host.target,
+    task,
+    attempt,
+    percent,
+    host.signal,
+  );
+  if (result.isOk()) return;
+  host.logger.info("Failed to set the pace of a task.", {
+    task,
+    worker: host.target.id,
+    cause: result.error.message,
+  });
+}
