Give up starts that a worker does not answer while it answers polls

Callers would see a job whose task could run and does not, with room free, for as long as one worker answers polls but neither starts nor stops (LOST).

Cause: the time limit of a start was the lease of its worker, and each poll that the worker answered renewed that lease. The start was repeated without end, and a stop of it (a cancellation, the end of a gang) waited for an answer, too.

Now a start without an answer for 2 s, sent again after the worker has answered a poll, is reported as not accepted (`unanswered`). The domain stops the attempt and counts a failure of the worker. The stop is repeated all the while, by one loop for each attempt, and sent again to a worker that is back, since it may list the run. The step prefers other workers from then on; so does a gang whose members have waited in vain for one that did not start.

Evidence: the model draws workers that answer polls and no orders, which execute these at once, up to 12 s later or never, and leaves up to two of three so at its end. The recovery of the model may take longer, as each try of a gang may last as long as a lease; all jobs still have to end.

Ruled out: withholding leases from such a worker, which would end its other tasks; ending the attempt at the time limit alone, as a late copy may still run.

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -23,7 +23,7 @@
 import {
   applyWorkerLapse,
   applyWorkerReport,
-  resendUnconfirmedStops,
+  resendStops,
   stopUnconfirmedStarts,
 } from "./reconcile_worker.ts";
 import { adjustPace } from "./opportunistic_pacing.ts";
@@ -39,7 +39,7 @@
 import { stopTask } from "./stop_task.ts";
 import { withdrawJob } from "./withdraw_job.ts";
 import { accrueUsage, recordUsage } from "./usage.ts";
-import { recordUnhealthy } from "./worker_health.ts";
+import { recordFailure, recordUnhealthy } from "./worker_health.ts";
 import type { WorkerListing } from "./worker_listing.ts";
 
 type EventOf<Kind extends DomainEvent["kind"]> = Extract<
@@ -251,7 +251,7 @@
   const previousBornMs = worker.bornMs;
   applyWorkerReport(domain, worker, event.look, moment);
   stopUnconfirmedStarts(domain, worker);
-  if (!wasReachable) resendUnconfirmedStops(domain, worker);
+  if (!wasReachable) resendStops(domain, worker);
   grantPermit(domain, worker);
   adjustPace(domain, worker);
   stopStalledTasks(domain, worker, moment);
@@ -300,6 +300,10 @@
       if (answer.cause === "unhealthy" && worker !== undefined) {
         recordUnhealthy(worker, moment.steadyMs);
       }
+      if (answer.cause === "unanswered" && worker !== undefined) {
+        recordFailure(worker, moment.steadyMs);
+        run.unansweredOn.add(worker.id);
+      }
       if (answer.cause === "ticket") run.advice.allowed.delete(event.worker);
       // An earlier copy of the order may still arrive; the stop prevents it
       // from starting the attempt.
--- a/src/domain/choose_worker.ts
+++ b/src/domain/choose_worker.ts
@@ -27,6 +27,8 @@
 const SHARED_SUSPICION_PENALTIES = { suspect: 10, started: 1 };
 /** Score penalty for each consecutive failure. */
 const FAILURE_PENALTY = 0.25;
+/** Score penalty for a worker that has not answered a start of the step. */
+const UNANSWERED_PENALTY = 10;
 
 /** Finds the workers that may run a step, regardless of free capacity. */
 export function findEligibleWorkers(
@@ -105,6 +107,7 @@
   }
   const { consecutiveFailures, slowdown } = worker.health;
   if (worker.suspects.size > 0) score -= SUSPECT_PENALTY;
+  if (run.unansweredOn.has(worker.id)) score -= UNANSWERED_PENALTY;
   return score - FAILURE_PENALTY * consecutiveFailures -
     SLOWDOWN_PENALTY * (slowdown - 1) -
     DEMAND_PRESSURE_PENALTY * Math.min(1, worker.demandPressure);
--- a/src/domain/domain_event.ts
+++ b/src/domain/domain_event.ts
@@ -42,6 +42,7 @@
     attempt: number;
     answer: StartAnswer;
   }
+  /** The worker does not begin the attempt any more; it may still run it. */
   | { kind: "stopConfirmed"; worker: string; task: string; attempt: number }
   | {
     kind: "advised";
--- a/src/domain/end_attempt.ts
+++ b/src/domain/end_attempt.ts
@@ -110,9 +110,12 @@
     run.gangFailures += 1;
   }
   run.tasks.forEach((other, index) => {
-    if (other.kind === "placed" && other.attempt === attempt) {
-      stopTask(domain, run, index);
+    if (other.kind !== "placed" || other.attempt !== attempt) return;
+    // The member that ended has waited for those that have not started.
+    if (end === "alone" && other.phase.kind === "starting") {
+      run.unansweredOn.add(other.worker);
     }
+    stopTask(domain, run, index);
   });
 }
 
--- a/src/domain/job_lifecycle.ts
+++ b/src/domain/job_lifecycle.ts
@@ -86,6 +86,7 @@
     failureCount: 0,
     storedFailureCount: 0,
     failedOn: new Set(),
+    unansweredOn: new Set(),
     crashCounts: new Map(),
     inferredCrashCounts: new Map(),
     advice: createStepAdvice(),
--- a/src/domain/place_gang.ts
+++ b/src/domain/place_gang.ts
@@ -212,8 +212,8 @@
 
 /**
  * Returns the slots that are free earliest, or undefined if there are fewer
- * than tasks. Ties are broken by a valid ticket, then by low demand pressure.
- * Then slots that are free now are taken from the workers with the fewest free
+ * than tasks. Ties are broken by whether the worker has left a start of the step
+ * without an answer, by a valid ticket, then by low demand pressure. Then slots that are free now are taken from the workers with the fewest free
  * accelerators, and later ones from the workers with the most.
  */
 function earliestSlots(
@@ -224,6 +224,8 @@
   const { taskCount } = run.step;
   if (slots.length < taskCount) return undefined;
   const nowMs = pass.moment.steadyMs;
+  const unansweredRank = ({ worker }: TaskSlot) =>
+    run.unansweredOn.has(worker.id) ? 1 : 0;
   const ticketRank = ({ worker }: TaskSlot) =>
     hasValidTicket(run, worker.id, nowMs) ? 0 : 1;
   const spareCapacityRank = ({ worker, freeAtMs }: TaskSlot) => {
@@ -232,6 +234,7 @@
   };
   return [...slots].sort((left, right) =>
     left.freeAtMs - right.freeAtMs ||
+    unansweredRank(left) - unansweredRank(right) ||
     ticketRank(left) - ticketRank(right) ||
     left.worker.demandPressure - right.worker.demandPressure ||
     spareCapacityRank(left) - spareCapacityRank(right)
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -342,15 +342,14 @@
   }
 }
 
-/** Repeats every stop that the worker has not confirmed. */
-export function resendUnconfirmedStops(
+/** Repeats every stop of an attempt that has not ended. */
+export function resendStops(
   domain: Domain,
   worker: DomainWorker,
 ): void {
   for (const [name, ref] of worker.placed) {
     const task = ref.run.tasks[ref.index];
     if (task?.kind !== "placed" || task.phase.kind !== "stopping") continue;
-    if (task.phase.confirmedAtMs !== undefined) continue;
     orderStop(domain, worker.id, name, task.attempt);
   }
 }
--- a/src/domain/step_run.ts
+++ b/src/domain/step_run.ts
@@ -27,6 +27,8 @@
   storedFailureCount: number;
   /** The workers on which attempts of its tasks failed under this owner. */
   failedOn: Set<string>;
+  /** The workers that have not answered a start of its tasks in time. */
+  unansweredOn: Set<string>;
   /** Number of worker crashes just after a task started, by its index. */
   crashCounts: Map<number, number>;
   /** How many of them only records tell of; see `recordWorkerCrash`. */
--- a/src/domain/task_state.ts
+++ b/src/domain/task_state.ts
@@ -44,7 +44,8 @@
     progressAtMs: number;
   }
   /**
-   * A stop was ordered. `confirmedAtMs` is when the worker confirmed it, on the
-   * steady clock.
+   * A stop was ordered. From `confirmedAtMs` on, on the steady clock, the worker
+   * does not begin the attempt: it has answered the stop, or rejects the start
+   * as expired.
    */
   | { kind: "stopping"; confirmedAtMs: number | undefined };
--- a/src/domain/testing/owner_model.ts
+++ b/src/domain/testing/owner_model.ts
@@ -58,12 +58,18 @@
   restartWorker,
 } from "./owner_model_crashes.ts";
 import { advanceGangs } from "./owner_model_gangs.ts";
+import { toggleOrderAnswers } from "./owner_model_unanswered.ts";
 import type { Model, SimulatedWorker } from "./owner_model_state.ts";
 
 const WORKERS = 3;
 const FINAL_STATES = new Set(["completed", "failed", "cancelled"]);
 const FAULT_STEPS = 160;
 const RECOVERY_STEPS = 400;
+/**
+ * The longest recovery: a start on a worker that ignores orders takes as long as
+ * its lease.
+ */
+const MAX_RECOVERY_STEPS = 1_200;
 
 /**
  * Runs the simulation with one seed: first with faults, then without them until
@@ -78,20 +84,31 @@
     simulated.isPartitioned = false;
   }
   restoreCapacities(model);
-  for (let index = 0; index < RECOVERY_STEPS; index += 1) {
+  // The others may go on to ignore orders.
+  model.isRecovering = true;
+  pickWorker(model).ignoresOrders = false;
+  for (let index = 0; index < MAX_RECOVERY_STEPS; index += 1) {
+    if (index >= RECOVERY_STEPS && findOpenJobs(model).length === 0) break;
     stepWithoutFaults(model);
   }
-  for (const job of model.jobs) {
+  for (const job of findOpenJobs(model)) {
     const state = jobStateOf(model.bench.domain, job);
-    if (state !== undefined && FINAL_STATES.has(state)) continue;
-    // Its owner was lost before the submission was answered.
-    if (state === undefined && !model.acceptedJobs.has(job)) continue;
     model.violations.push(`job ${job} is ${state} at the end`);
   }
   model.violations.push(...checkAttempts(model), ...checkDeadlyTasks(model));
   return model.violations;
 }
 
+/** Finds the accepted jobs that have not ended. */
+function findOpenJobs(model: Model): string[] {
+  return model.jobs.filter((job) => {
+    const state = jobStateOf(model.bench.domain, job);
+    // Its owner may have been lost before the submission was answered.
+    if (state === undefined) return model.acceptedJobs.has(job);
+    return !FINAL_STATES.has(state);
+  });
+}
+
 /** Checks that each worker's allocation is the sum over its placed tasks. */
 function* checkAllocations({ bench }: Model): Generator<string> {
   for (const { id, used, placed } of bench.domain.workers.values()) {
@@ -113,8 +130,10 @@
     bench,
     random: createRandomness(seed),
     epoch: 1,
+    isRecovering: false,
     workers: new Map(),
     orders: [],
+    startExpiries: new Map(),
     jobs: [],
     acknowledgedDone: new Set(),
     firstSteps: new Map(),
@@ -138,6 +157,7 @@
       worker: createSimulatedWorker(model, id, 1),
       isPartitioned: false,
       capacity: createCapacity(),
+      ignoresOrders: false,
       crashedTasks: undefined,
       acknowledged: 0,
       leaseUntilMs: 0,
@@ -159,7 +179,7 @@
   const { random, bench } = model;
   advanceTime(model);
   changeSomeCapacity(model, pickWorker(model));
-  switch (random.integer(0, 14)) {
+  switch (random.integer(0, 15)) {
     case 0:
     case 1:
       return submitRandomJob(model);
@@ -173,6 +193,8 @@
       return restartWorker(model, pickWorker(model));
     case 6:
       return replaceLink(model);
+    case 7:
+      return toggleOrderAnswers(pickWorker(model));
     default:
       model.execute(tick(bench, 0));
       for (const simulated of model.workers.values()) {
--- a/src/domain/testing/owner_model_orders.ts
+++ b/src/domain/testing/owner_model_orders.ts
@@ -21,6 +21,13 @@
 } from "./owner_model_failures.ts";
 import { checkCapacity } from "./owner_model_capacity.ts";
 import { crashUnder } from "./owner_model_crashes.ts";
+import {
+  attemptKey,
+  confirmExpiredStart,
+  executeUnanswered,
+  giveUpStart,
+  reportUnanswered,
+} from "./owner_model_unanswered.ts";
 import type {
   Model,
   PendingOrder,
@@ -63,13 +70,14 @@
     return model.bench.nowMs;
   }
   simulated.leaseUntilMs = Math.max(simulated.leaseUntilMs, untilMs);
+  model.startExpiries.set(attemptKey(order), untilMs);
   return untilMs;
 }
 
 /** Queues an order for delivery at once or late, and sometimes once more. */
 export function sendOrder(model: Model, order: WorkerOrder): void {
   const { random, bench, epoch } = model;
-  if (!isStillValid(model, order)) return;
+  if (!isStillValid(model, order) || isBeingSent(model, order)) return;
   const lateMs = random.integer(0, 5) === 0 ? random.integer(0, 4_000) : 0;
   const bornMs = model.workers.get(order.worker)?.worker.bornMs ?? 0;
   const dueAtMs = bench.nowMs + lateMs;
@@ -82,6 +90,9 @@
     deadlineMs,
     isDuplicate: false,
     isLinkLost: false,
+    isExecutedUnanswered: false,
+    firstSentAtMs: bench.nowMs,
+    tries: 1,
   };
   model.orders.push(pending);
   if (random.integer(0, 5) > 0) return;
@@ -92,6 +103,16 @@
   });
 }
 
+/** Whether a link still repeats an order to stop the same attempt. */
+function isBeingSent(model: Model, order: WorkerOrder): boolean {
+  return order.kind === "stop" &&
+    model.orders.some((pending) =>
+      pending.order.kind === "stop" && pending.order.worker === order.worker &&
+      attemptKey(pending.order) === attemptKey(order) &&
+      isAwaited(model, pending)
+    );
+}
+
 /** Delivers an order to its worker and applies the answer. */
 export function deliverOrder(model: Model, pending: PendingOrder): void {
   const { bench } = model;
@@ -106,6 +127,14 @@
     resendOrder(model, { ...pending, bornMs });
     return;
   }
+  if (simulated.ignoresOrders && !pending.isExecutedUnanswered) {
+    executeUnanswered(model, pending);
+    if (!isAwaited(model, pending)) return;
+    reportUnanswered(model, pending);
+    confirmExpiredStart(model, pending);
+    resendOrder(model, pending);
+    return;
+  }
   const startedBefore = simulated.worker.started.length;
   const answer = handleCommand(
     simulated.worker,
@@ -127,6 +156,7 @@
     return;
   }
   if (epoch !== model.epoch || pending.isLinkLost) return;
+  if (pending.isExecutedUnanswered) return;
   if (order.kind === "stop") {
     if (answer.status !== 200) return;
     model.execute(
@@ -143,16 +173,24 @@
 
 /** Queues an unanswered order again if it is still valid, as an owner does. */
 function resendOrder(model: Model, pending: PendingOrder): void {
-  const { order, epoch, isDuplicate, isLinkLost } = pending;
-  if (isDuplicate || isLinkLost || epoch !== model.epoch) return;
-  if (!isStillValid(model, order)) return;
+  const { order } = pending;
+  if (!isAwaited(model, pending)) return;
+  if (!isStillValid(model, order) || giveUpStart(model, pending)) return;
   model.orders.push({
     ...pending,
+    tries: pending.tries + 1,
     dueAtMs: model.bench.nowMs + MAX_TIME_STEP_MS,
     deadlineMs: grantLease(model, order),
   });
 }
 
+/** Whether the present owner waits for the answer to an order. */
+function isAwaited(model: Model, pending: PendingOrder): boolean {
+  const { epoch, isDuplicate, isLinkLost, isExecutedUnanswered } = pending;
+  return epoch === model.epoch && !isDuplicate && !isLinkLost &&
+    !isExecutedUnanswered;
+}
+
 /** Whether an order still applies, as an owner checks before it sends it. */
 function isStillValid(model: Model, order: WorkerOrder): boolean {
   const found = findTask(model.bench.domain, order.task);
@@ -180,16 +218,17 @@
 function checkStartAllowed(
   model: Model,
   worker: string,
-  { task, attempt }: Extract<WorkerOrder, { attempt: number }>,
+  order: WorkerOrder,
 ): void {
+  const { task } = order;
   checkOrder(model, task);
   recordRestart(model, task);
-  const attemptKey = `${task}#${attempt}`;
-  const startedOn = model.startedAttempts.get(attemptKey) ?? worker;
-  model.startedAttempts.set(attemptKey, startedOn);
+  const key = attemptKey(order);
+  const startedOn = model.startedAttempts.get(key) ?? worker;
+  model.startedAttempts.set(key, startedOn);
   if (startedOn !== worker) {
     model.violations.push(
-      `${attemptKey} started on ${startedOn} and ${worker}`,
+      `${key} started on ${startedOn} and ${worker}`,
     );
   }
   if (model.acknowledgedDone.has(task)) {
--- a/src/domain/testing/owner_model_state.ts
+++ b/src/domain/testing/owner_model_state.ts
@@ -11,6 +11,8 @@
   worker: Worker;
   /** Whether the network between owner and worker is down. */
   isPartitioned: boolean;
+  /** Whether it answers polls, but no orders. */
+  ignoresOrders: boolean;
   /** Tasks under which it has crashed since its last poll. */
   crashedTasks: Set<string> | undefined;
   capacity: SimulatedCapacity;
@@ -35,6 +37,12 @@
   isDuplicate: boolean;
   /** Its link was replaced, so that the answer is lost. */
   isLinkLost: boolean;
+  /** Whether the worker executes it without an answer. */
+  isExecutedUnanswered: boolean;
+  /** When the first copy of it was sent. */
+  firstSentAtMs: number;
+  /** How many copies of it were sent. */
+  tries: number;
 };
 
 /** A failed run as its worker listed it. */
@@ -60,8 +68,12 @@
   bench: DomainBench;
   random: Randomness;
   epoch: number;
+  /** Whether the faults are over, but for workers that ignore orders. */
+  isRecovering: boolean;
   workers: Map<string, SimulatedWorker>;
   orders: PendingOrder[];
+  /** When the lease of the last copy of the start of an attempt expires. */
+  startExpiries: Map<string, number>;
   jobs: string[];
   /** Tasks whose end as done has been acknowledged. */
   acknowledgedDone: Set<string>;
--- a/src/domain/worker_report.ts
+++ b/src/domain/worker_report.ts
@@ -73,6 +73,8 @@
   "unhealthy",
   "invalid",
   "reborn",
+  /** The worker answers polls, but not the start. */
+  "unanswered",
 ]);
 
 /** Why a worker did not start a task. */
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -50,6 +50,8 @@
     acknowledged: 0,
     unansweredStarts: new Set(),
     onAcknowledged: () => {},
+    executableStarts: new Set(),
+    activeStops: new Set(),
     isSilent: false,
     hasLeaseExpired: false,
     isReplaced: false,
--- a/src/ownership/worker_link_state.ts
+++ b/src/ownership/worker_link_state.ts
@@ -53,6 +53,10 @@
   unansweredStarts: Set<string>;
   /** Called after each acknowledgement. */
   onAcknowledged: () => void;
+  /** Attempts whose start was sent and may still be executed. */
+  executableStarts: Set<string>;
+  /** Attempts whose stop is being sent until the worker answers it. */
+  activeStops: Set<string>;
   isSilent: boolean;
   hasLeaseExpired: boolean;
   /** Whether a new incarnation was found at the worker's address. */
--- a/src/ownership/worker_link_test.ts
+++ b/src/ownership/worker_link_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { setMaxListeners } from "node:events";
 import { describe, it } from "node:test";
 import { setImmediate as nextEventLoopTurn } from "node:timers/promises";
 import { err, ok } from "neverthrow";
@@ -7,8 +8,9 @@
   createManualClock,
   silentLogger,
 } from "../entry/testing/manual_clock.ts";
-import type { Clock, PollCall, TaskHost } from "../hosts/mod.ts";
+import type { Clock, PollCall, StartCall, TaskHost } from "../hosts/mod.ts";
 import { createCounters } from "../telemetry/mod.ts";
+import { createSimulatedClock } from "./testing/simulated_clock.ts";
 import { openWorkerLink } from "./worker_link.ts";
 import type { WorkerLinkHost } from "./worker_link_state.ts";
 
@@ -295,3 +297,67 @@
     assert.deepEqual(reported, [false, true]);
   });
 });
+
+// Guards against LOST: a start that its worker never answers, while it answers
+// polls, was repeated without end, so that the task never started elsewhere.
+describe("a start that a worker that answers polls does not answer", () => {
+  it("is given up, and can no longer be executed some time later", async () => {
+    const clock = createSimulatedClock();
+    const controller = new AbortController();
+    setMaxListeners(0, controller.signal);
+    const reported: { kind: DomainEvent["kind"]; atMs: number }[] = [];
+    const lastSent = { atMs: 0, leaseUntilMs: 0 };
+    const tasks = {
+      async poll() {
+        await clock.sleep(1_000, controller.signal);
+        const clockMs = clock.steadyMs();
+        return ok({ clockMs, bornMs: 1, running: [], ended: [] });
+      },
+      async start(_target: unknown, { leaseUntilMs }: StartCall) {
+        lastSent.atMs = clock.steadyMs();
+        lastSent.leaseUntilMs = leaseUntilMs;
+        return await timeOut();
+      },
+      stop: timeOut,
+    } as unknown as TaskHost;
+    async function timeOut() {
+      await clock.sleep(450, controller.signal);
+      const fault = { step: "worker.order", peer: "w", message: "no answer" };
+      return err({ kind: "unknown", ...fault });
+    }
+    const attempt = { worker: "w", task: "a.0.0.0", attempt: 1 };
+    let isStopped = false;
+    const link = openWorkerLink({
+      ...hostOf(tasks, clock, controller.signal),
+      isCurrent: ({ kind }) => (kind === "stop") === isStopped,
+      emit(event) {
+        if (event.kind === "looked" || event.kind === "workerSilent") return;
+        reported.push({ kind: event.kind, atMs: clock.steadyMs() });
+        if (event.kind === "startAnswered") {
+          isStopped = true;
+          link.order({ kind: "stop", ...attempt });
+          assert.deepEqual(event.answer, {
+            kind: "rejected",
+            cause: "unanswered",
+            earlierUnknown: true,
+          });
+        }
+      },
+    });
+    await clock.advance(1_500);
+    link.order({ kind: "start", ...attempt, specification: "" });
+    await clock.advance(30_000);
+    controller.abort();
+    assert.deepEqual(reported.map(({ kind }) => kind), [
+      "startAnswered",
+      "stopConfirmed",
+    ]);
+    const [givenUp, expired] = reported;
+    assert.ok(givenUp!.atMs < 6_000);
+    assert.ok(givenUp!.atMs > lastSent.atMs);
+    // A worker's clock may be 2 % slow.
+    const leaseMs = lastSent.leaseUntilMs - lastSent.atMs;
+    assert.ok(expired!.atMs >= lastSent.atMs + leaseMs / 0.98);
+    assert.ok(expired!.atMs < 12_000);
+  });
+});
--- a/src/ownership/worker_orders.ts
+++ b/src/ownership/worker_orders.ts
@@ -13,6 +13,15 @@
   RETRY_DELAY_MS,
 } from "./worker_link_state.ts";
 
+/**
+ * A start that has no answer for this long, although its worker answers polls,
+ * is given up, in milliseconds.
+ */
+const START_TIMEOUT_MS = 2_000;
+
+type StartOrder = Extract<WorkerOrder, { kind: "start" }>;
+type StopOrder = Extract<WorkerOrder, { kind: "stop" }>;
+
 /** Sends an order, and retries a start or stop while it still applies. */
 export async function executeOrder(
   state: LinkState,
@@ -30,14 +39,13 @@
   }
 }
 
-async function start(
-  state: LinkState,
-  order: Extract<WorkerOrder, { kind: "start" }>,
-): Promise<void> {
-  const { host } = state;
+async function start(state: LinkState, order: StartOrder): Promise<void> {
+  const { host, executableStarts } = state;
   const { task, attempt } = order;
   let earlierUnknown = false;
+  let firstSentAtMs: number | undefined;
   let sentToBornMs: number | undefined;
+  let expiresAtMs = 0;
   while (host.isCurrent(order) && !host.signal.aborted) {
     // The start may have crashed the worker; its owner decides what follows.
     if (earlierUnknown && state.bornMs !== sentToBornMs) return;
@@ -51,6 +59,9 @@
     }
     if (!earlierUnknown) sentToBornMs = state.bornMs;
     state.unansweredStarts.add(task);
+    firstSentAtMs ??= nowMs;
+    expiresAtMs = state.clock.leasesExpireAtMs;
+    executableStarts.add(attemptKey(order));
     const result = await host.tasks.start(host.target, {
       task,
       attempt,
@@ -65,7 +76,7 @@
     if (result.isOk()) {
       host.counters.observe("start_ms", host.clock.steadyMs() - nowMs);
       reportStartOutcome(state, order, result.value, earlierUnknown);
-      return;
+      break;
     }
     const fault = result.error;
     host.logger.warn("Failed to start a task.", {
@@ -80,16 +91,29 @@
     if (fault.kind === "refused") {
       const outcome = { kind: "rejected", cause: "unhealthy" } as const;
       reportStartOutcome(state, order, outcome, earlierUnknown);
-      return;
+      break;
+    }
+    // It is sent again only after the worker has answered a poll.
+    const unansweredMs = host.clock.steadyMs() - firstSentAtMs;
+    if (earlierUnknown && unansweredMs >= START_TIMEOUT_MS) {
+      const outcome = { kind: "rejected", cause: "unanswered" } as const;
+      reportStartOutcome(state, order, outcome, earlierUnknown);
+      break;
     }
     if (fault.kind === "unknown") earlierUnknown = true;
     await host.clock.sleep(RETRY_DELAY_MS, host.signal);
   }
+  if (earlierUnknown) {
+    await host.clock.sleep(expiresAtMs - host.clock.steadyMs(), host.signal);
+    // The clock of a new incarnation starts anew.
+    if (state.bornMs !== sentToBornMs) return;
+  }
+  executableStarts.delete(attemptKey(order));
 }
 
 function reportStartOutcome(
   state: LinkState,
-  order: Extract<WorkerOrder, { kind: "start" }>,
+  order: StartOrder,
   outcome: StartOutcome,
   earlierUnknown: boolean,
 ): void {
@@ -115,12 +139,21 @@
   });
 }
 
-async function stop(
-  state: LinkState,
-  order: Extract<WorkerOrder, { kind: "stop" }>,
-): Promise<void> {
+/** Stops an attempt, unless an earlier order to stop it is still retried. */
+async function stop(state: LinkState, order: StopOrder): Promise<void> {
+  const { activeStops } = state;
+  const key = attemptKey(order);
+  if (activeStops.has(key)) return;
+  activeStops.add(key);
+  await retryStop(state, order);
+  activeStops.delete(key);
+}
+
+async function retryStop(state: LinkState, order: StopOrder): Promise<void> {
   const { host } = state;
   const { task, attempt } = order;
+  const worker = host.target.id;
+  let isConfirmed = false;
   while (host.isCurrent(order) && !host.signal.aborted) {
     const result = await host.tasks.stop(
       host.target,
@@ -129,21 +162,32 @@
       host.signal,
     );
     if (host.signal.aborted) return;
-    if (result.isOk()) {
-      host.emit({
-        kind: "stopConfirmed",
-        worker: host.target.id,
-        task,
-        attempt,
-      });
-      return;
+    const mayStart = result.isErr() && isStartExecutable(state, order);
+    if (!mayStart && !isConfirmed) {
+      isConfirmed = true;
+      host.emit({ kind: "stopConfirmed", worker, task, attempt });
     }
+    if (result.isOk()) return;
     handleFault(state, result.error);
     if (result.error.kind === "fenced" || result.error.kind === "gone") return;
     await host.clock.sleep(RETRY_DELAY_MS, host.signal);
   }
 }
 
+/**
+ * Whether a worker that has not answered the stop of an attempt may still begin
+ * it: a copy of its start may arrive before the lease that it carries expires.
+ */
+function isStartExecutable(state: LinkState, order: WorkerOrder): boolean {
+  const { host, executableStarts } = state;
+  return executableStarts.has(attemptKey(order)) ||
+    host.clock.steadyMs() <= host.earlierLeasesExpireAtMs();
+}
+
+function attemptKey({ task, attempt }: WorkerOrder): string {
+  return `${task}/${attempt}`;
+}
+
 /** Sends a pace order without retries; a later change of the pace replaces it. */
 async function pace(
   state: LinkState,
