Limit the ends of an owner's leases by its last answer, not only their start

What bounded the wait: 3 s (3.06 on a slow clock), for which an owner grants leases without an answer of the store or most workers, or 14 s since its confirmation by the store if the successor can't reach most workers; then 5.5 s of the last lease; then 1.5 s for grants of relays; 2 % and 0.4 s for clocks. The sum takes each at its longest, although they can't be: a lease granted 3 s after the last answer need not last as long as one granted just after it, and a relay's grant ends with its owner's.

Now a lease ends at the latest 6.5 s after the last answer was asked for, and, if it rests on answers of workers alone, 12 s after the last confirmation by the store. With recent answers it lasts 5.5 s as before: polls are answered after a second. The owner's record names both limits, so a successor waits 7.0 s from when most workers refuse the earlier owner, and never more than 12.7 s from the takeover. Relays get the limit with their grants, and say that they keep it; one of an earlier version gets shorter grants, whose full leases end in time.

In an outage of the store in which the owner reaches its workers, tasks go on for 12 s after its last confirmation (up to 19.5 s before). Near the end leases get short, so polls wait for less, and workers are renewed soon after it.

The tests of relays fail if a relay ignores the limit, or if its owner does not shorten the grants of one that does.

Ruled out: a larger majority (an owner would give up its tasks in an outage of the store if a third of the workers is lost); other instances as witnesses (they forget their promise with a restart, and their set changes).

--- a/src/domain/owner_entry.ts
+++ b/src/domain/owner_entry.ts
@@ -11,6 +11,15 @@
    * that do not need such answers.
    */
   unwitnessedGrantMs: v.optional(v.number()),
+  /**
+   * How long after the last such answer its leases end at the latest, and how
+   * long after the last confirmation of its ownership by the store, in
+   * milliseconds; not in the records of owners without these limits.
+   */
+  leaseLimits: v.optional(v.object({
+    witnessedMs: v.number(),
+    confirmedMs: v.number(),
+  })),
 });
 
 /** An owner that may still renew leases of the domain's workers. */
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -280,6 +280,7 @@
         ...batch,
         session,
         isLeaving: context.stopping.signal.aborted,
+        keepsLeaseLimit: true,
       }),
     signal: context.ending.signal,
   });
--- a/src/entry/peer_call.ts
+++ b/src/entry/peer_call.ts
@@ -57,6 +57,7 @@
     kind: v.literal("relayed"),
     session: v.string(),
     isLeaving: v.boolean(),
+    keepsLeaseLimit: v.optional(v.boolean()),
     first: v.number(),
     messages: v.array(relayEventSchema),
   }),
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -41,6 +41,7 @@
 } from "./owner_calls.ts";
 import { maxLeaseDurationMs } from "./lease_time.ts";
 import {
+  leaseLimitMs,
   reconcileLinks,
   remainingGrantMs,
   reopenLinks,
@@ -177,6 +178,7 @@
       peers: host.relayPeers,
       post: host.postToRelay,
       grantMs: () => remainingGrantMs(state),
+      leaseLimitMs: () => leaseLimitMs(state),
       earlierLeasesRemainingMs: () =>
         Math.max(0, state.earlierLeasesExpireAtMs - host.clock.steadyMs()),
       emit: (event) => emit(state, event),
--- a/src/ownership/earlier_grants_model_test.ts
+++ b/src/ownership/earlier_grants_model_test.ts
@@ -3,8 +3,14 @@
 import { createRandomness } from "../clients/mod.ts";
 import type { StartPermit } from "../domain/mod.ts";
 import type { Randomness } from "../hosts/mod.ts";
-import { MIN_CLOCK_RATE, UNWITNESSED_GRANT_MS } from "./lease_time.ts";
-import { remainingGrantMs } from "./owner_links.ts";
+import {
+  CONFIRMED_LEASE_MS,
+  maxLeaseDurationMs,
+  MIN_CLOCK_RATE,
+  UNWITNESSED_GRANT_MS,
+  WITNESSED_LEASE_MS,
+} from "./lease_time.ts";
+import { leaseLimitMs, remainingGrantMs } from "./owner_links.ts";
 import type { OwnerState } from "./owner_state.ts";
 import { createWorkerContact } from "./worker_contact.ts";
 
@@ -13,6 +19,7 @@
 const MAX_STEP_MS = 60;
 const POLL_INTERVAL_MS = 1_000;
 const MAX_DELAY_MS = 400;
+const LEASE_MS = 5_500;
 const EARLIER_EPOCH = 1;
 const LATER_EPOCH = 2;
 
@@ -25,8 +32,18 @@
   /** Whether it has answered the later owner, or has ended. */
   isSettled: boolean;
   nextPollAtMs: number;
+  /** How fast its clock runs. */
+  clockRate: number;
+  /** When its last lease of the earlier owner expires. */
+  leaseEndsAtMs: number;
 };
 
+/**
+ * The time, and the readings of the earlier owner's clocks. Its steady clock
+ * stands still while it is suspended.
+ */
+type Time = { nowMs: number; steadyMs: number; wallMs: number; rate: number };
+
 /** An answer to the earlier owner that is under way. */
 type Answer = {
   worker: string;
@@ -39,12 +56,12 @@
  * Simulates an owner that is cut off from its successor, the store and some
  * workers, and may be suspended, while the successor polls the workers.
  *
- * @returns when the earlier owner granted leases although most workers had
- *   refused it for longer than it may; undefined if never
+ * @returns what its successor relies on and does not hold; undefined if it holds
  */
-function findLateGrant(seed: number): number | undefined {
+function findLateGrant(seed: number): string | undefined {
   const random = createRandomness(seed);
-  const time = { steadyMs: 0, wallMs: 0 };
+  const rate = drawClockRate(random);
+  const time: Time = { nowMs: 0, steadyMs: 0, wallMs: 0, rate };
   const clock = {
     steadyMs: () => time.steadyMs,
     nowMs: () => time.wallMs,
@@ -52,10 +69,11 @@
   };
   const workers = createWorkers(random);
   const contact = createWorkerContact(clock);
-  let confirmedAt = { steadyMs: 0, wallMs: 0 };
+  let memberSince = { steadyMs: 0, wallMs: 0 };
+  let appendedAt = { steadyMs: 0, wallMs: 0 };
   const state = {
-    host: { clock, ownershipValidMs: 14_000, confirmedAt: () => confirmedAt },
-    writer: { confirmedAt: () => confirmedAt },
+    host: { clock, ownershipValidMs: 14_000, confirmedAt: () => memberSince },
+    writer: { confirmedAt: () => appendedAt },
     domain: { startPermits: permitsFor(workers) },
     contact,
   } as unknown as OwnerState;
@@ -65,15 +83,19 @@
   for (let step = 0; step < STEPS; step += 1) {
     passTime(random, time);
     changeConnections(random, workers);
-    const hasTakenOver = time.wallMs >= takeoverAtMs;
+    const hasTakenOver = time.nowMs >= takeoverAtMs;
     // The store is reached now and then until the epoch is raised.
-    if (!hasTakenOver && random.integer(0, 9) === 0) confirmedAt = { ...time };
+    if (!hasTakenOver && random.integer(0, 9) === 0) memberSince = { ...time };
+    if (!hasTakenOver && random.integer(0, 19) === 0) appendedAt = { ...time };
     for (const [id, worker] of workers) {
       if (hasTakenOver && worker.answersLater) {
         worker.highestEpoch = LATER_EPOCH;
         worker.isSettled = true;
       }
-      const answer = pollByEarlierOwner(random, time.steadyMs, id, worker);
+      if (time.steadyMs < worker.nextPollAtMs) continue;
+      worker.nextPollAtMs = time.steadyMs + POLL_INTERVAL_MS;
+      renewLease(state, time, worker);
+      const answer = answerEarlierOwner(random, time.steadyMs, id, worker);
       if (answer !== undefined) answers.push(answer);
     }
     const arrived = answers.filter((answer) =>
@@ -87,14 +109,42 @@
       !worker.isSettled
     );
     if (hasTakenOver && 2 * unsettled.length <= workers.size) {
-      refusedFromMs = Math.min(refusedFromMs, time.wallMs);
+      refusedFromMs = Math.min(refusedFromMs, time.nowMs);
     }
     const endsAtMs = refusedFromMs + UNWITNESSED_GRANT_MS / MIN_CLOCK_RATE;
-    if (time.wallMs > endsAtMs && remainingGrantMs(state) > 0) {
-      return time.wallMs;
+    if (time.nowMs > endsAtMs && remainingGrantMs(state) > 0) {
+      return `grants leases at ${time.nowMs}`;
     }
   }
-  return undefined;
+  const latestEndMs = Math.min(
+    refusedFromMs + maxLeaseDurationMs(WITNESSED_LEASE_MS),
+    takeoverAtMs + maxLeaseDurationMs(CONFIRMED_LEASE_MS),
+  );
+  const late = [...workers.values()].find(({ leaseEndsAtMs }) =>
+    leaseEndsAtMs > latestEndMs
+  );
+  return late && `a lease ends at ${late.leaseEndsAtMs}, not ${latestEndMs}`;
+}
+
+function drawClockRate(random: Randomness): number {
+  return random.integer(0, 1) === 0 ? 1 : MIN_CLOCK_RATE;
+}
+
+/** Has the earlier owner renew the lease of a worker, which may not answer. */
+function renewLease(
+  state: OwnerState,
+  { nowMs }: Time,
+  worker: SimulatedWorker,
+): void {
+  if (worker.highestEpoch > EARLIER_EPOCH || remainingGrantMs(state) <= 0) {
+    return;
+  }
+  const leaseMs = Math.min(LEASE_MS, leaseLimitMs(state));
+  if (leaseMs <= 0) return;
+  worker.leaseEndsAtMs = Math.max(
+    worker.leaseEndsAtMs,
+    nowMs + leaseMs / worker.clockRate,
+  );
 }
 
 function createWorkers(random: Randomness): Map<string, SimulatedWorker> {
@@ -107,6 +157,8 @@
       answersLater: random.integer(0, 1) === 0,
       isSettled: false,
       nextPollAtMs: 0,
+      clockRate: drawClockRate(random),
+      leaseEndsAtMs: 0,
     }]),
   );
 }
@@ -123,15 +175,16 @@
   );
 }
 
-/** Advances both clocks; the steady one stops during a suspension. */
-function passTime(
-  random: Randomness,
-  time: { steadyMs: number; wallMs: number },
-): void {
+/** Advances all clocks; the steady one stops during a suspension. */
+function passTime(random: Randomness, time: Time): void {
   const stepMs = random.integer(1, MAX_STEP_MS);
-  time.steadyMs += stepMs;
-  time.wallMs += stepMs;
-  if (random.integer(0, 149) === 0) time.wallMs += random.integer(300, 9_000);
+  time.nowMs += stepMs;
+  time.steadyMs += stepMs * time.rate;
+  time.wallMs += stepMs * time.rate;
+  if (random.integer(0, 149) > 0) return;
+  const suspendedMs = random.integer(300, 9_000);
+  time.nowMs += suspendedMs;
+  time.wallMs += suspendedMs * time.rate;
 }
 
 function changeConnections(
@@ -149,14 +202,12 @@
   }
 }
 
-function pollByEarlierOwner(
+function answerEarlierOwner(
   random: Randomness,
   nowMs: number,
   id: string,
   worker: SimulatedWorker,
 ): Answer | undefined {
-  if (nowMs < worker.nextPollAtMs) return undefined;
-  worker.nextPollAtMs = nowMs + POLL_INTERVAL_MS;
   if (!worker.answersEarlier || worker.highestEpoch > EARLIER_EPOCH) {
     return undefined;
   }
--- a/src/ownership/earlier_owners.ts
+++ b/src/ownership/earlier_owners.ts
@@ -15,9 +15,10 @@
 const EARLIER_OWNER_POLL_INTERVAL_MS = 400;
 
 /**
- * Waits until the earlier owners have ended, and records their end. Their leases
- * then expire earlier: an owner that may still run may have renewed a lease just
- * now, but one that has ended leaves only the leases that it granted before.
+ * Waits until it is known when the leases of the earlier owners end, and records
+ * that these owners need not be waited for any more: an owner that may still run
+ * may have renewed a lease just now, but one that has ended leaves only the
+ * leases that it granted before.
  */
 export async function awaitEarlierOwners(
   state: OwnerState,
@@ -25,10 +26,20 @@
 ): Promise<void> {
   const { host } = state;
   const { signal, clock } = host;
-  await Promise.all(earlierOwners.map(async (owner) => {
-    const startedAtMs = clock.steadyMs();
+  const startedAtMs = clock.steadyMs();
+  if (earlierOwners.length === 0) {
+    return lowerExpiry(
+      state,
+      startedAtMs + maxLeaseDurationMs(host.leaseMs + RELAY_GRANT_MS),
+    );
+  }
+  const latestExpiries = earlierOwners.map((owner) =>
+    startedAtMs + maxLeaseAfterTakeoverMs(state, owner)
+  );
+  lowerExpiry(state, Math.max(...latestExpiries));
+  const expiries = await Promise.all(earlierOwners.map(async (owner) => {
     const cause = await awaitEarlierOwner(state, owner);
-    if (signal.aborted) return;
+    if (signal.aborted) return Infinity;
     host.logger.info("An earlier owner grants no more leases.", {
       instance: owner.instance,
       epoch: owner.epoch,
@@ -37,22 +48,50 @@
       waitedMs: Math.round(clock.steadyMs() - startedAtMs),
     });
     emit(state, { kind: "ownerEnded", owner });
+    return clock.steadyMs() + maxLeaseAfterEndMs(state, owner);
   }));
-  // Relays of an owner may grant leases for RELAY_GRANT_MS after it has ended.
-  const earlierLeasesExpireAtMs = clock.steadyMs() +
-    maxLeaseDurationMs(host.leaseMs + RELAY_GRANT_MS);
+  lowerExpiry(state, Math.max(...expiries));
+}
+
+/** Lowers the time at which all leases of earlier owners have expired. */
+function lowerExpiry(state: OwnerState, expiresAtMs: number): void {
   state.earlierLeasesExpireAtMs = Math.min(
     state.earlierLeasesExpireAtMs,
-    earlierLeasesExpireAtMs,
+    expiresAtMs,
   );
   state.relayedLinks.sendLeaseFloor();
 }
 
+/** Longest time from a takeover to the end of an earlier owner's leases, in ms. */
+function maxLeaseAfterTakeoverMs(
+  { host }: OwnerState,
+  { leaseLimits }: OwnerEntry,
+): number {
+  return maxLeaseDurationMs(
+    leaseLimits?.confirmedMs ??
+      host.ownershipValidMs + host.leaseMs + RELAY_GRANT_MS,
+  );
+}
+
+/**
+ * Longest time until the leases of an earlier owner end, from when it has had
+ * its last answer of the store or of most workers, in milliseconds. Relays of an
+ * owner may grant leases for RELAY_GRANT_MS after it has ended.
+ */
+function maxLeaseAfterEndMs(
+  { host }: OwnerState,
+  { leaseLimits }: OwnerEntry,
+): number {
+  return maxLeaseDurationMs(
+    leaseLimits?.witnessedMs ?? host.leaseMs + RELAY_GRANT_MS,
+  );
+}
+
 /** How an owner knows that an earlier one grants no more leases. */
 type EarlierOwnerEnd =
   /** Its instance has said so. */
   | "confirmed"
-  /** Most workers with a start permit refuse it since long enough. */
+  /** Most workers with a start permit refuse it, for long enough. */
   | "refused"
   /** It has not been confirmed by the store for too long. */
   | "expired";
@@ -108,10 +147,13 @@
   return 2 * domain.unsettledWorkers.size <= restoredPermits;
 }
 
-/** For how long an owner may grant leases once most workers refuse it, in ms. */
+/**
+ * For how long an owner may grant leases once most workers refuse it, in ms. If
+ * the ends of its leases are limited, it is not waited for.
+ */
 function maxGrantAfterRefusalMs(
   { host }: OwnerState,
-  { unwitnessedGrantMs = host.ownershipValidMs }: OwnerEntry,
+  { unwitnessedGrantMs = host.ownershipValidMs, leaseLimits }: OwnerEntry,
 ): number {
-  return unwitnessedGrantMs / MIN_CLOCK_RATE;
+  return leaseLimits === undefined ? unwitnessedGrantMs / MIN_CLOCK_RATE : 0;
 }
--- a/src/ownership/owner_links.ts
+++ b/src/ownership/owner_links.ts
@@ -11,7 +11,12 @@
   WorkerOrder,
 } from "../domain/mod.ts";
 import { elapsedMs } from "./instant.ts";
-import { maxLeaseDurationMs, UNWITNESSED_GRANT_MS } from "./lease_time.ts";
+import {
+  CONFIRMED_LEASE_MS,
+  maxLeaseDurationMs,
+  UNWITNESSED_GRANT_MS,
+  WITNESSED_LEASE_MS,
+} from "./lease_time.ts";
 import { emit, type OwnerState } from "./owner_state.ts";
 import { RELAY_GRANT_MS } from "./relay/mod.ts";
 import { openWorkerLink } from "./worker_link.ts";
@@ -161,6 +166,7 @@
     earlierLeasesExpireAtMs: () =>
       Math.max(state.earlierLeasesExpireAtMs, previousLeaseExpiresAtMs),
     mayGrantLeases: () => remainingGrantMs(state) > 0,
+    leaseLimitMs: () => leaseLimitMs(state),
     emit: (event) => emit(state, event),
     isCurrent: (order) => isCurrent(domain, order),
     signal: controller.signal,
@@ -192,6 +198,27 @@
   return Math.max(afterAppendMs, afterAnswersMs);
 }
 
+/**
+ * How far from now a lease may end at the latest, in milliseconds. A successor
+ * that knows when the last answer can have been given knows when all leases have
+ * expired.
+ */
+export function leaseLimitMs(state: OwnerState): number {
+  const { host, writer, contact, domain } = state;
+  const appendAgeMs = elapsedMs(host.clock, writer.confirmedAt());
+  const afterAppendMs = WITNESSED_LEASE_MS - appendAgeMs;
+  if (afterAppendMs >= host.leaseMs) return afterAppendMs;
+  const confirmedAgoMs = Math.min(
+    elapsedMs(host.clock, host.confirmedAt()),
+    appendAgeMs,
+  );
+  const afterAnswersMs = Math.min(
+    CONFIRMED_LEASE_MS - confirmedAgoMs,
+    WITNESSED_LEASE_MS - contact.majorityAgeMs(domain.startPermits),
+  );
+  return Math.max(afterAppendMs, afterAnswersMs);
+}
+
 /** Whether an order to a worker still applies. */
 function isCurrent(domain: Domain, order: WorkerOrder): boolean {
   const ref = domain.workers.get(order.worker)?.placed.get(order.task);
--- a/src/ownership/owner_links_test.ts
+++ b/src/ownership/owner_links_test.ts
@@ -2,12 +2,15 @@
 import { it } from "node:test";
 import { currentInstant } from "./instant.ts";
 import { UNWITNESSED_GRANT_MS } from "./lease_time.ts";
-import { remainingGrantMs } from "./owner_links.ts";
+import { leaseLimitMs, remainingGrantMs } from "./owner_links.ts";
 import { confirmOwnership } from "./owner_passes.ts";
 import type { OwnerState } from "./owner_state.ts";
 import { createWorkerContact } from "./worker_contact.ts";
 
 const VALID_MS = 14_000;
+const FULL_LEASE_MS = 5_500;
+/** The longest time until a worker has got its next lease, in ms. */
+const MIN_LEASE_MS = 1_700;
 
 /** An owner of one worker, which was confirmed by the store just now. */
 function createFixture() {
@@ -55,6 +58,23 @@
   assert.ok(remainingGrantMs(state) <= 0);
 });
 
+// Guards against tasks that lose their leases in an outage of the store, since
+// the ends of these are limited.
+it("an owner that gets answers keeps leases in an outage of 10 s", () => {
+  const { state, advance, answer } = createFixture();
+  for (let elapsedMs = 1_000; elapsedMs <= 10_000; elapsedMs += 1_000) {
+    answer();
+    advance(1_000);
+    assert.ok(leaseLimitMs(state) >= MIN_LEASE_MS, `after ${elapsedMs} ms`);
+  }
+});
+
+it("an owner grants leases of full length while the store answers", () => {
+  const { state, advance } = createFixture();
+  advance(1_000);
+  assert.ok(leaseLimitMs(state) >= FULL_LEASE_MS);
+});
+
 it("an owner grants no leases without answers of the store and workers", () => {
   const { state, advance, answer } = createFixture();
   answer();
--- a/src/ownership/relay/relay_grant.ts
+++ b/src/ownership/relay/relay_grant.ts
@@ -8,6 +8,8 @@
 export type RelayGrant = {
   /** Whether the grant has not expired. */
   isValid(): boolean;
+  /** Time until it expires, in milliseconds; 0 or less if it has. */
+  remainingMs(): number;
   /** Extends the grant to `durationMs` after `from`; never shortens it. */
   extend(from: Instant, durationMs: number): void;
 };
@@ -27,6 +29,7 @@
   const remainingMs = () => validForMs - elapsedMs(clock, startedAt);
   return {
     isValid: () => remainingMs() > 0,
+    remainingMs,
     extend(from, durationMs) {
       if (durationMs - elapsedMs(clock, from) <= remainingMs()) return;
       startedAt = from;
--- a/src/ownership/relay/relay_message.ts
+++ b/src/ownership/relay/relay_message.ts
@@ -89,6 +89,11 @@
     kind: v.literal("granted"),
     /** How long the relay may grant leases, measured from its call, in ms. */
     grantMs: v.number(),
+    /**
+     * How far from its call a lease may end at the latest, in milliseconds;
+     * missing in answers of earlier versions.
+     */
+    leaseLimitMs: v.optional(v.number()),
     /** The owner's clock when it answered, in milliseconds. */
     ownerMs: v.number(),
   }),
--- a/src/ownership/relay/relay_report_router.ts
+++ b/src/ownership/relay/relay_report_router.ts
@@ -6,6 +6,11 @@
   session: string;
   /** Whether the relay is shutting down. */
   isLeaving: boolean;
+  /**
+   * Whether it keeps the limit to the end of leases that the owner answers;
+   * missing in reports of earlier versions.
+   */
+  keepsLeaseLimit?: boolean | undefined;
 };
 
 /** Routes relay reports to the owners in this process, by session. */
--- a/src/ownership/relay/relay_session.ts
+++ b/src/ownership/relay/relay_session.ts
@@ -80,6 +80,7 @@
   const links = new Map<string, OpenLink>();
   const pendingStarts = createPendingStarts();
   const grant = createRelayGrant(clock);
+  const leaseLimit = createRelayGrant(clock);
   const ownerClock = createOwnerClockEstimate(clock);
   let earlierLeasesExpireAtMs = Infinity;
   const receiver: BatchReceiver<RelayMessage> = createBatchReceiver(
@@ -94,6 +95,7 @@
       if (answer === undefined) return "failed";
       if (answer.kind === "closed") return "closed";
       grant.extend(sentAt, answer.grantMs);
+      leaseLimit.extend(sentAt, answer.leaseLimitMs ?? Infinity);
       ownerClock.addSample(answer.ownerMs);
       return "taken";
     },
@@ -159,6 +161,7 @@
         Math.max(earlierLeasesExpireAtMs, earlierLinkLeasesExpireAtMs),
       unacknowledgedPollDelayMs: UNACKNOWLEDGED_POLL_DELAY_MS,
       mayGrantLeases: grant.isValid,
+      leaseLimitMs: leaseLimit.remainingMs,
       ownerClockMs: ownerClock.lowerBoundMs,
       emit: (event) => {
         pendingStarts.recordEvent(event);
--- a/src/ownership/relay/relay_test.ts
+++ b/src/ownership/relay/relay_test.ts
@@ -21,7 +21,14 @@
 const CONDITION_CHECK_INTERVAL_MS = 5;
 const PEER = { address: "relay", zone: "a", cores: 1 };
 
-type Connection = { isDisconnected: boolean; isGrantRefused: boolean };
+type Connection = {
+  isDisconnected: boolean;
+  isGrantRefused: boolean;
+  /** How far from now the owner lets leases end at the latest. */
+  leaseLimitMs: number;
+  /** Whether the relay says that it keeps this limit. */
+  keepsLeaseLimit: boolean;
+};
 
 function createFixture() {
   const clock = createSystemClock();
@@ -34,6 +41,8 @@
   const connection: Connection = {
     isDisconnected: false,
     isGrantRefused: false,
+    leaseLimitMs: 2 * LEASE_MS,
+    keepsLeaseLimit: true,
   };
   const polls: PollCall[] = [];
   const started: string[] = [];
@@ -63,7 +72,8 @@
     leaseMs: LEASE_MS,
     report: (_owner, session, batch) => {
       if (connection.isDisconnected) return Promise.resolve(undefined);
-      const report = { ...batch, session, isLeaving: false };
+      const { keepsLeaseLimit } = connection;
+      const report = { ...batch, session, isLeaving: false, keepsLeaseLimit };
       return Promise.resolve(reportRouter.dispatch(report));
     },
   });
@@ -75,6 +85,8 @@
     ...common,
     clock: ownerClock,
     self: "owner",
+    leaseMs: LEASE_MS,
+    leaseLimitMs: () => connection.leaseLimitMs,
     newSession: () => `session-${lost.length}`,
     epoch: 3,
     partition: { topic: "domains", number: 0 },
@@ -119,6 +131,11 @@
   };
 }
 
+/** The ends of the leases that polls have granted. */
+function leasesIn(polls: PollCall[]): number[] {
+  return polls.flatMap(({ leaseUntilMs }) => leaseUntilMs ?? []);
+}
+
 async function waitUntil(condition: () => boolean): Promise<void> {
   while (!condition()) await delay(CONDITION_CHECK_INTERVAL_MS);
 }
@@ -180,6 +197,28 @@
     );
   });
 
+  // Guards against leases that last for longer than the successor of their owner
+  // knows, so that a task could run in two places.
+  it("grants leases that end when the owner lets them end", async () => {
+    const { connection, polls, controller, open } = createFixture();
+    connection.leaseLimitMs = 500;
+    open();
+    await waitUntil(() => leasesIn(polls).length > 1);
+    controller.abort();
+    const limitMs = performance.now() + connection.leaseLimitMs;
+    assert.ok(leasesIn(polls).every((untilMs) => untilMs <= limitMs));
+  });
+
+  it("grants no lease if it does not keep the limit to their ends", async () => {
+    const { connection, polls, controller, open } = createFixture();
+    connection.leaseLimitMs = LEASE_MS - 1;
+    connection.keepsLeaseLimit = false;
+    open();
+    await waitUntil(() => polls.length > 5);
+    controller.abort();
+    assert.deepEqual(leasesIn(polls), []);
+  });
+
   it("does not start a task that was stopped before the start was sent", async () => {
     const { connection, events, started, controller, open } = createFixture();
     connection.isGrantRefused = true;
--- a/src/ownership/relay/relayed_links.ts
+++ b/src/ownership/relay/relayed_links.ts
@@ -52,8 +52,12 @@
   peers(): RelayPeer[];
   /** Sends a batch to a relay; undefined if no answer arrived. */
   post(relay: string, call: RelayCall): Promise<"taken" | "closed" | undefined>;
+  /** Duration of the leases that workers get, in milliseconds. */
+  leaseMs: number;
   /** How long this owner may still grant leases, in milliseconds. */
   grantMs(): number;
+  /** How far from now a lease may end at the latest, in milliseconds. */
+  leaseLimitMs(): number;
   /** Time until leases of earlier owners have certainly expired, in ms. */
   earlierLeasesRemainingMs(): number;
   emit(event: DomainEvent): void;
@@ -199,8 +203,19 @@
     accept(report);
     if (report.isLeaving) dropRelay(relay, "relay is shutting down");
     if (relay.controller.signal.aborted) return { kind: "closed" };
-    const grantMs = Math.min(RELAY_GRANT_MS, Math.max(0, host.grantMs()));
-    return { kind: "granted", grantMs, ownerMs: relayClockMs() };
+    const leaseLimitMs = host.leaseLimitMs();
+    const grantMs = Math.min(
+      RELAY_GRANT_MS,
+      host.grantMs(),
+      // A relay of an earlier version grants leases of full length.
+      report.keepsLeaseLimit === true ? Infinity : leaseLimitMs - host.leaseMs,
+    );
+    return {
+      kind: "granted",
+      grantMs: Math.max(0, grantMs),
+      leaseLimitMs,
+      ownerMs: relayClockMs(),
+    };
   }
 
   function dropRelay(relay: Relay, reason: string): void {
--- a/src/ownership/take_over.ts
+++ b/src/ownership/take_over.ts
@@ -9,7 +9,11 @@
 import type { Clock, Partition, StoreFault, StoreHost } from "../hosts/mod.ts";
 import type { PartLogger } from "../telemetry/mod.ts";
 import { currentInstant, type Instant } from "./instant.ts";
-import { UNWITNESSED_GRANT_MS } from "./lease_time.ts";
+import {
+  CONFIRMED_LEASE_MS,
+  UNWITNESSED_GRANT_MS,
+  WITNESSED_LEASE_MS,
+} from "./lease_time.ts";
 
 /** Delay before a failed store call is retried, in milliseconds. */
 const RETRY_DELAY_MS = 60;
@@ -62,6 +66,10 @@
     instance: host.self,
     epoch,
     unwitnessedGrantMs: UNWITNESSED_GRANT_MS,
+    leaseLimits: {
+      witnessedMs: WITNESSED_LEASE_MS,
+      confirmedMs: CONFIRMED_LEASE_MS,
+    },
   });
   const fence = { epoch, sequence: FIRST_SEQUENCE };
   const ownerAppend = await retryUntilFinal(
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -8,6 +8,7 @@
 import type { WorkerOrder } from "../domain/mod.ts";
 import { grantLease, recordReading } from "./worker_clock.ts";
 import {
+  grantableLeaseMs,
   handleFault,
   type LinkState,
   RETRY_DELAY_MS,
@@ -15,8 +16,12 @@
 } from "./worker_link_state.ts";
 import { executeOrder } from "./worker_orders.ts";
 
-/** How long a worker may delay the answer to a long poll, in milliseconds. */
+/** The longest time that a worker may delay the answer to a poll, in ms. */
 const POLL_WAIT_MS = 1_000;
+/** A worker delays polls less if its lease is short, at least by this, in ms. */
+const MIN_POLL_WAIT_MS = 100;
+/** How many long polls a short lease lasts. */
+const POLLS_PER_LEASE = 4;
 /**
  * The longest time between two polls while listed run ends are not stored yet,
  * in milliseconds. The worker answers such polls at once.
@@ -107,17 +112,22 @@
   state.onAcknowledged = () => {};
 }
 
+/** How long a worker may delay the answer to a poll with a lease, in ms. */
+function pollWaitMs(leaseMs: number): number {
+  const waitMs = Math.floor(leaseMs / POLLS_PER_LEASE);
+  return Math.min(POLL_WAIT_MS, Math.max(MIN_POLL_WAIT_MS, waitMs));
+}
+
 /** Polls the worker once; false if the next poll has to be delayed. */
 async function pollOnce(state: LinkState): Promise<boolean> {
   const { host } = state;
   const sentAtMs = host.clock.steadyMs();
   const ownerSentAtMs = host.ownerClockMs();
-  // Leases granted to a silent worker, which may or may not receive them, would
-  // postpone its expiry forever.
-  const leaseUntilMs = host.mayGrantLeases() && !state.isSilent
-    ? grantLease(state.clock, host.leaseMs, sentAtMs)
+  const leaseMs = grantableLeaseMs(state);
+  const leaseUntilMs = leaseMs > 0
+    ? grantLease(state.clock, leaseMs, sentAtMs)
     : undefined;
-  const waitMs = leaseUntilMs === undefined ? 0 : POLL_WAIT_MS;
+  const waitMs = leaseUntilMs === undefined ? 0 : pollWaitMs(leaseMs);
   const result = await host.tasks.poll(host.target, {
     acknowledged: state.acknowledged,
     leaseUntilMs,
@@ -161,5 +171,5 @@
     },
   });
   // Without a lease, the worker answers immediately.
-  return host.mayGrantLeases();
+  return grantableLeaseMs(state) > 0;
 }
--- a/src/ownership/worker_link_state.ts
+++ b/src/ownership/worker_link_state.ts
@@ -30,6 +30,8 @@
   unacknowledgedPollDelayMs: number;
   /** Whether the owner may still grant leases. */
   mayGrantLeases(): boolean;
+  /** How far from now a lease may end at the latest, in milliseconds. */
+  leaseLimitMs(): number;
   /** The last run end that an earlier link acknowledged, and its incarnation. */
   resumeFrom: { bornMs: number; acknowledged: number };
   /** The current time on the owner's clock, sent with poll results. */
@@ -65,6 +67,16 @@
   isFenced: boolean;
 };
 
+/**
+ * For how long a lease may be granted to the worker now, in milliseconds; 0 for
+ * not at all. Leases granted to a silent worker, which may or may not receive
+ * them, would postpone its expiry forever.
+ */
+export function grantableLeaseMs({ host, isSilent }: LinkState): number {
+  if (isSilent || !host.mayGrantLeases()) return 0;
+  return Math.max(0, Math.min(host.leaseMs, host.leaseLimitMs()));
+}
+
 /** Records that a call to the worker has failed. */
 export function handleFault(state: LinkState, fault: TaskFault): void {
   const { host } = state;
--- a/src/ownership/worker_link_test.ts
+++ b/src/ownership/worker_link_test.ts
@@ -33,6 +33,7 @@
     earlierLeasesExpireAtMs: () => 0,
     unacknowledgedPollDelayMs: 80,
     mayGrantLeases: () => true,
+    leaseLimitMs: () => Infinity,
     resumeFrom: { bornMs: 0, acknowledged: 0 },
     ownerClockMs: clock.steadyMs,
     emit() {},
--- a/src/ownership/worker_orders.ts
+++ b/src/ownership/worker_orders.ts
@@ -8,6 +8,7 @@
 import type { StartOutcome } from "../hosts/mod.ts";
 import { grantLease } from "./worker_clock.ts";
 import {
+  grantableLeaseMs,
   handleFault,
   type LinkState,
   RETRY_DELAY_MS,
@@ -50,8 +51,9 @@
     // The start may have crashed the worker; its owner decides what follows.
     if (earlierUnknown && state.bornMs !== sentToBornMs) return;
     const nowMs = host.clock.steadyMs();
-    const leaseUntilMs = host.mayGrantLeases() && !state.isSilent
-      ? grantLease(state.clock, host.leaseMs, nowMs)
+    const leaseMs = grantableLeaseMs(state);
+    const leaseUntilMs = leaseMs > 0
+      ? grantLease(state.clock, leaseMs, nowMs)
       : undefined;
     if (leaseUntilMs === undefined) {
       await host.clock.sleep(RETRY_DELAY_MS, host.signal);
