Ask about free workers for a gang whose allowed ones are taken

Callers would see a gang that could run and does not, with most of the workers' room free (LOST). Found by reading; no run has shown it.

Cause: if the workers that the policy had allowed were taken before the gang could start, it found slots on them that become free later, and waited for these: for as long as the tasks there are expected to last. It asked about further workers only if it found no slots at all, now or later.

Now, if its slots are only free later and there are enough free ones on workers that the policy has not refused, it asks about these.

--- a/src/domain/place_gang.ts
+++ b/src/domain/place_gang.ts
@@ -62,6 +62,13 @@
       reserveSlot(pass, slot, demand);
     }
   }
+  if (freeAtMs > nowMs && isAdvised) {
+    // Workers that the policy has not decided on may be free now.
+    const freeSlots = findFreeSlots(pass, run, workers.all, isFull);
+    if (freeSlots !== undefined) {
+      return queueAdviceRequest(pass, run, freeSlots);
+    }
+  }
   const isSoon = freeAtMs - nowMs <= requestLeadTimeMs(run, slots.length);
   if (!hasTickets && (isSoon || !isAdvised)) {
     queueAdviceRequest(pass, run, slots);
