Ask about other workers if all allowed ones are full

Callers would see a task that could run and does not, with room free (LOST), if the policy takes longer for a worker than for a decision.

Cause: a request named workers that the policy had not decided on for the tasks beyond the number of allowed workers, full ones included, and besides as many as cost no more than a decision. Where that is none, a step with as many allowed workers as waiting tasks named only these, though all of them were full.

Now allowed workers count only if one of them has free capacity, and undecided workers on which slots were found are always named.

Evidence: the new test, and the one of the gang with such a policy, failed before with requests that name no further worker.

--- a/src/domain/advice_requests.ts
+++ b/src/domain/advice_requests.ts
@@ -215,10 +215,14 @@
     if (advice.allowed.has(worker.id)) allowed.push(worker);
     else undecided.push(worker);
   }
+  const isPreferred = ({ id }: DomainWorker) => advice.preferred.has(id);
+  const isAnyFree = allowed.some((worker) =>
+    hasCapacityForTask(worker, run, nowMs)
+  );
   const inPreferenceOrder = (workers: DomainWorker[]) =>
     workers.map((worker) => ({
       worker,
-      preferenceRank: advice.preferred.has(worker.id) ? 0 : 1,
+      preferenceRank: isPreferred(worker) ? 0 : 1,
       capacityRank: hasCapacityForTask(worker, run, nowMs) ? 0 : 1,
       score: scoreWorker(worker, run),
     })).sort((left, right) =>
@@ -232,23 +236,35 @@
     ),
     ...inPreferenceOrder(undecided).slice(
       0,
-      countUndecidedToName(domain, run, allowed.length),
+      countUndecidedToName(domain, run, {
+        allowed: isAnyFree ? allowed.length : 0,
+        preferred: undecided.filter(isPreferred).length,
+      }),
     ),
   ].slice(0, MAX_WORKERS_PER_REQUEST);
 }
 
-/** How many workers that the policy has not decided on a request names. */
+/**
+ * How many workers that the policy has not decided on a request names.
+ *
+ * @param counts the number of `allowed` workers, 0 if none of them has free
+ *   capacity, and of undecided workers that are `preferred`
+ */
 function countUndecidedToName(
   domain: Domain,
   run: StepRun,
-  allowedCount: number,
+  { allowed, preferred }: { allowed: number; preferred: number },
 ): number {
   const { policy } = run.jobRun.job;
-  const missing = Math.max(0, run.waitingCount - allowedCount);
+  const missing = Math.max(0, run.waitingCount - allowed);
   const share = domain.allowedShareByQueue.get(policy.queue) ??
     INITIAL_ALLOWED_SHARE;
   const wanted = Math.ceil(missing / share * SURPLUS_FACTOR) + SURPLUS_WORKERS;
-  return Math.max(missing === 0 ? 0 : wanted, cheapWorkerCount(run));
+  return Math.max(
+    missing === 0 ? 0 : wanted,
+    preferred,
+    cheapWorkerCount(run),
+  );
 }
 
 /**
--- a/src/domain/further_advice_test.ts
+++ b/src/domain/further_advice_test.ts
@@ -18,7 +18,8 @@
 
 const WORKERS = ["w1", "w2", "w3", "w4"];
 const WHOLE_WORKER = { cpuMillis: 8_000, memoryMb: 1_000, accelerators: 0 };
-const ADVICE = { decideMs: 100, perWorkerMs: 1, validMs: 2_000 };
+/** A worker costs more than a decision, so that requests name few of them. */
+const ADVICE = { decideMs: 10, perWorkerMs: 20, validMs: 2_000 };
 
 function takeRequest(bench: DomainBench): string[] {
   const moment = { steadyMs: bench.nowMs, wallMs: bench.nowMs };
@@ -70,3 +71,12 @@
   assert.deepEqual(named.filter((id) => further.includes(id)), further);
   assert.equal(startsIn(allow(bench, named, further)).length, 2);
 });
+
+// Guards against LOST: a step whose allowed workers were all full never asked
+// about others, if the policy takes longer for a worker than for a decision.
+it("a step asks about free workers if its allowed ones are taken", () => {
+  const { bench, allowed, named } = requestAfterLosing({});
+  const further = named.filter((id) => !allowed.includes(id));
+  assert.notEqual(further.length, 0);
+  assert.equal(startsIn(allow(bench, named, further)).length, 1);
+});
