Keep starts without an answer apart by attempt

A start of one attempt that is answered removed the task's name from those without an answer, although an earlier attempt of the task may still have none. If its worker then crashed, the crash was not counted.

--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -12,6 +12,7 @@
   handleFault,
   type LinkState,
   RETRY_DELAY_MS,
+  unansweredTasks,
   type WorkerLinkHost,
 } from "./worker_link_state.ts";
 import { executeOrder } from "./worker_orders.ts";
@@ -142,7 +143,7 @@
   recordReading(state.clock, clockMs, host.clock.steadyMs());
   let unansweredStarts: string[] | undefined;
   if (bornMs !== state.bornMs) {
-    if (state.bornMs !== 0) unansweredStarts = [...state.unansweredStarts];
+    if (state.bornMs !== 0) unansweredStarts = unansweredTasks(state);
     state.unansweredStarts.clear();
     state.bornMs = bornMs;
     // A new incarnation restarts the numbers of run ends; none is stored yet.
--- a/src/ownership/worker_link_state.ts
+++ b/src/ownership/worker_link_state.ts
@@ -43,6 +43,9 @@
   signal: AbortSignal;
 };
 
+/** An order to start a task. */
+export type StartOrder = Extract<WorkerOrder, { kind: "start" }>;
+
 /** The state of a link. */
 export type LinkState = {
   host: WorkerLinkHost;
@@ -51,8 +54,8 @@
   /** The highest number of a run end that a poll listed. */
   highestListedEnd: number;
   acknowledged: number;
-  /** Tasks whose start was sent to this incarnation and not answered. */
-  unansweredStarts: Set<string>;
+  /** Starts that were sent to this incarnation and not answered. */
+  unansweredStarts: Set<StartOrder>;
   /** Called after each acknowledgement. */
   onAcknowledged: () => void;
   /** Attempts whose start was sent and may still be executed. */
@@ -136,8 +139,11 @@
     worker: host.target.id,
     isReplaced,
     // An earlier link may have sent starts to a worker that has not reported.
-    ...(state.bornMs === 0
-      ? {}
-      : { unansweredStarts: [...state.unansweredStarts] }),
+    ...(state.bornMs === 0 ? {} : { unansweredStarts: unansweredTasks(state) }),
   });
 }
+
+/** The tasks whose start was sent to the worker and not answered. */
+export function unansweredTasks({ unansweredStarts }: LinkState): string[] {
+  return [...unansweredStarts].map(({ task }) => task);
+}
--- a/src/ownership/worker_orders.ts
+++ b/src/ownership/worker_orders.ts
@@ -12,6 +12,7 @@
   handleFault,
   type LinkState,
   RETRY_DELAY_MS,
+  type StartOrder,
 } from "./worker_link_state.ts";
 
 /**
@@ -20,7 +21,6 @@
  */
 const START_TIMEOUT_MS = 2_000;
 
-type StartOrder = Extract<WorkerOrder, { kind: "start" }>;
 type StopOrder = Extract<WorkerOrder, { kind: "stop" }>;
 
 /** Sends an order, and retries a start or stop while it still applies. */
@@ -60,7 +60,7 @@
       continue;
     }
     if (!earlierUnknown) sentToBornMs = state.bornMs;
-    state.unansweredStarts.add(task);
+    state.unansweredStarts.add(order);
     firstSentAtMs ??= nowMs;
     expiresAtMs = state.clock.leasesExpireAtMs;
     executableStarts.add(attemptKey(order));
@@ -74,7 +74,7 @@
     }, host.signal);
     if (host.signal.aborted) return;
     const isAnswered = result.isOk() || result.error.kind !== "unknown";
-    if (isAnswered && !earlierUnknown) state.unansweredStarts.delete(task);
+    if (isAnswered && !earlierUnknown) state.unansweredStarts.delete(order);
     if (result.isOk()) {
       host.counters.observe("start_ms", host.clock.steadyMs() - nowMs);
       reportStartOutcome(state, order, result.value, earlierUnknown);
