Log owners that do not answer the search for a job

A submission that ends undecided for this reason left no line in the log, since it reached no owner.

--- a/src/entry/call_router.ts
+++ b/src/entry/call_router.ts
@@ -16,7 +16,7 @@
   JobState,
   QueuePolicy,
 } from "../domain/mod.ts";
-import type { Counters, PartLogger } from "../telemetry/mod.ts";
+import type { Counters } from "../telemetry/mod.ts";
 import { executeDomainCall } from "./execute_domain_call.ts";
 import { findJobElsewhere, type JobSearchHost } from "./job_search.ts";
 import { retryAfterOutageMs } from "./outage_retry.ts";
@@ -35,7 +35,6 @@
 
 /** Dependencies of a call router. */
 export type CallRouterHost = JobSearchHost & {
-  logger: PartLogger;
   counters: Counters;
   partitionCount: number;
   /** Calls another instance. */
--- a/src/entry/job_search.ts
+++ b/src/entry/job_search.ts
@@ -1,6 +1,7 @@
 import { NO_LONGER_NEEDED } from "../base/mod.ts";
 import type { Clock } from "../hosts/mod.ts";
 import type { Directory, OwnedDomains } from "../ownership/mod.ts";
+import type { PartLogger } from "../telemetry/mod.ts";
 
 /** How long the domains of this instance may take to be searched, in ms. */
 const LOCAL_SEARCH_TIMEOUT_MS = 400;
@@ -21,6 +22,7 @@
 /** Dependencies of a search. */
 export type JobSearchHost = {
   clock: Clock;
+  logger: PartLogger;
   directory: Directory;
   ownedDomains: OwnedDomains;
   /** Address of this instance as listed in the directory. */
@@ -46,9 +48,9 @@
   job: string,
   excludedPartition: number,
 ): Promise<JobSearch> {
-  const owners = new Set(Object.values(host.directory.knownOwners()));
+  const owners = [...new Set(Object.values(host.directory.knownOwners()))];
   const answers = await Promise.all(
-    [...owners].map((owner) =>
+    owners.map((owner) =>
       owner === host.self ? findHere(host, job) : host.findJobAt(owner, job)
     ),
   );
@@ -58,6 +60,10 @@
     return { kind: "found", partition };
   }
   if (!answers.includes(undefined)) return { kind: "notFound" };
+  host.logger.info("An owner did not answer the search for a job.", {
+    job,
+    owners: owners.filter((_, index) => answers[index] === undefined).join(","),
+  });
   // An entry of an owner that is gone would hold up later searches, too.
   host.directory.refresh();
   return { kind: "unanswered" };
