Reject jobs that are too large for an owner or the store

What callers saw: one submission that ends the instance that owns its domain, and as its client repeats it after the broken connection, one instance after the other.

Cause: the number of tasks and of occurrences was not limited. A step of 1e9 tasks ends the process when it is created, and so do 1e9 occurrences that are due. A step of a few thousand tasks, or a body of thousands of steps, makes a record that the store refuses for its size; its append is repeated without end, and nothing else of the domain is stored any more.

The records that are too large were not played.

A job is rejected with 400 if a step has more tasks than fit in a record, or if all occurrences together have more than an owner can hold.

--- a/src/domain/mod.ts
+++ b/src/domain/mod.ts
@@ -26,6 +26,7 @@
 } from "./domain_view.ts";
 export * from "./explain_wait.ts";
 export * from "./job.ts";
+export { findSizeProblem } from "./job_limits.ts";
 export * from "./job_state.ts";
 export * from "./owner_entry.ts";
 export * from "./records.ts";
