Give up starts whose calls are never sent, too

What callers would see: a task that could run and does not, for as long as its worker answers polls while connections for starts are refused (LOST).

The new test failed before: no answer was reported.

Such a start is now given up after the same time, as one that was not executed.

--- a/src/ownership/worker_link_test.ts
+++ b/src/ownership/worker_link_test.ts
@@ -361,4 +361,46 @@
     assert.ok(expired!.atMs >= lastSent.atMs + leaseMs / 0.98);
     assert.ok(expired!.atMs < 12_000);
   });
+
+  // Guards against LOST: a task that waits for as long as its worker answers
+  // polls, but accepts no further connection.
+  it("is given up as not executed if no copy of it was sent", async () => {
+    const clock = createSimulatedClock();
+    const controller = new AbortController();
+    setMaxListeners(0, controller.signal);
+    const answers: unknown[] = [];
+    const tasks = {
+      async poll() {
+        await clock.sleep(1_000, controller.signal);
+        const clockMs = clock.steadyMs();
+        return ok({ clockMs, bornMs: 1, running: [], ended: [] });
+      },
+      start() {
+        const fault = { step: "worker.start", peer: "w", message: "refused" };
+        return Promise.resolve(err({ kind: "unsent", ...fault }));
+      },
+    } as unknown as TaskHost;
+    const link = openWorkerLink({
+      ...hostOf(tasks, clock, controller.signal),
+      isCurrent: () => answers.length === 0,
+      emit(event) {
+        if (event.kind === "startAnswered") answers.push(event.answer);
+      },
+    });
+    await clock.advance(1_500);
+    link.order({
+      kind: "start",
+      worker: "w",
+      task: "a.0.0.0",
+      attempt: 1,
+      specification: "",
+      ticket: undefined,
+      checkpoint: undefined,
+    });
+    await clock.advance(6_000);
+    controller.abort();
+    assert.deepEqual(answers, [
+      { kind: "rejected", cause: "unanswered", earlierUnknown: false },
+    ]);
+  });
 });
--- a/src/ownership/worker_orders.ts
+++ b/src/ownership/worker_orders.ts
@@ -44,6 +44,7 @@
   const { host, executableStarts } = state;
   const { task, attempt } = order;
   let earlierUnknown = false;
+  let tries = 0;
   let firstSentAtMs: number | undefined;
   let sentToBornMs: number | undefined;
   let expiresAtMs = 0;
@@ -62,6 +63,7 @@
     if (!earlierUnknown) sentToBornMs = state.bornMs;
     state.unansweredStarts.add(order);
     firstSentAtMs ??= nowMs;
+    tries += 1;
     expiresAtMs = state.clock.leasesExpireAtMs;
     executableStarts.add(attemptKey(order));
     const result = await host.tasks.start(host.target, {
@@ -97,12 +99,12 @@
     }
     // It is sent again only after the worker has answered a poll.
     const unansweredMs = host.clock.steadyMs() - firstSentAtMs;
-    if (earlierUnknown && unansweredMs >= START_TIMEOUT_MS) {
+    if (fault.kind === "unknown") earlierUnknown = true;
+    if (tries > 1 && unansweredMs >= START_TIMEOUT_MS) {
       const outcome = { kind: "rejected", cause: "unanswered" } as const;
       reportStartOutcome(state, order, outcome, earlierUnknown);
       break;
     }
-    if (fault.kind === "unknown") earlierUnknown = true;
     await host.clock.sleep(RETRY_DELAY_MS, host.signal);
   }
   if (earlierUnknown) {
