Find an owner that is stopping and has no successor yet

What callers saw: for 1 to 2 s, submissions and reads are refused with 503 ('the domain has no owner'), or wait until their timeout, although the domain has an owner that serves it.

Cause: an owner that stops leaves the group and serves its domains until a successor has taken over. The directory of an instance knows it from its announcement, but the next read of the group, which any failed call causes, lists no owner and removed it. If no successor is found at once, as when several instances are stopped in turn while the store is slow, all calls fail meanwhile.

The new test failed without the fallback: no owner instead of the stopping one.

An owner that has announced itself is now called as long as the group lists none for the domain, until it refuses a call. The owners that are probed and evicted are those of the group, as before.

--- a/src/entry/call_router.ts
+++ b/src/entry/call_router.ts
@@ -314,6 +314,7 @@
           return { ...attempt, kind: "unavailable" };
         case "notExecuted":
           cause = attempt.cause;
+          directory.forgetOwner(call.partition, owner);
           break;
         case "unknown":
           undecidedCause = attempt.cause;
--- a/src/entry/call_router_test.ts
+++ b/src/entry/call_router_test.ts
@@ -42,6 +42,7 @@
       readStore: () => Promise.resolve(undefined),
       knownOwners: () => ({ 9: "peer" }),
       recordOwner() {},
+      forgetOwner() {},
       waitForOwnerChange: () => new Promise(() => {}),
     },
     ownedDomains: {
@@ -103,6 +104,7 @@
         readStore: () => Promise.resolve(undefined),
         knownOwners: () => ({ 0: owner, 1: owner, 2: owner, 3: owner }),
         recordOwner() {},
+        forgetOwner() {},
         waitForOwnerChange: (_partition, called) =>
           new Promise((resolve) => {
             if (called !== owner) resolve();
--- a/src/ownership/directory.ts
+++ b/src/ownership/directory.ts
@@ -32,6 +32,8 @@
   knownOwners(): Record<string, string>;
   /** Records an owner that has announced itself; ignores older epochs. */
   recordOwner(partition: number, owner: string, epoch: number): void;
+  /** Records that an instance has refused a call as it is not the owner. */
+  forgetOwner(partition: number, owner: string): void;
   /** Resolves once a domain has an owner other than the given one. */
   waitForOwnerChange(
     partition: number,
@@ -53,6 +55,11 @@
   let owners = new Map<number, string>();
   let readAtMs = -Infinity;
   let reading: Promise<void> | undefined;
+  /**
+   * The owners that have announced themselves. One that has left the group
+   * serves its domains until its successor has taken them over.
+   */
+  const announced = new Map<number, string>();
   /** The highest epoch that an owner of each domain has announced. */
   const highestEpochs = new Map<number, number>();
   const ownerWaiters = new Set<() => void>();
@@ -104,7 +111,7 @@
     async ownerOf(partition) {
       const ageMs = host.clock.steadyMs() - readAtMs;
       if (ageMs > MAX_ENTRY_AGE_MS || !owners.has(partition)) await refresh();
-      return owners.get(partition);
+      return owners.get(partition) ?? announced.get(partition);
     },
     refresh,
     readStore,
@@ -113,8 +120,12 @@
       if (epoch < (highestEpochs.get(partition) ?? 0)) return;
       highestEpochs.set(partition, epoch);
       readAtMs = host.clock.steadyMs();
+      announced.set(partition, owner);
       setOwners(new Map(owners).set(partition, owner));
     },
+    forgetOwner(partition, owner) {
+      if (announced.get(partition) === owner) announced.delete(partition);
+    },
     waitForOwnerChange(partition, owner, signal) {
       return new Promise((resolve) => {
         const end = () => {
--- a/src/ownership/directory_test.ts
+++ b/src/ownership/directory_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { err } from "neverthrow";
+import { err, ok } from "neverthrow";
 import {
   createManualClock,
   silentLogger,
@@ -52,4 +52,16 @@
     directory.recordOwner(3, "former", 4);
     assert.equal(directory.knownOwners()[3], "next");
   });
+
+  // Guards against calls that find no owner while one serves the domain: it has
+  // left the group, since it is stopping, and has no successor yet.
+  it("is called after it has left the group, until it refuses", async () => {
+    const directory = directoryOver(() => Promise.resolve(ok([])));
+    directory.recordOwner(3, "stopping", 4);
+    await directory.refresh();
+    assert.deepEqual(directory.knownOwners(), {});
+    assert.equal(await directory.ownerOf(3), "stopping");
+    directory.forgetOwner(3, "stopping");
+    assert.equal(await directory.ownerOf(3), undefined);
+  });
 });
