--- a/src/domain/testing/owner_model_state.ts
+++ b/src/domain/testing/owner_model_state.ts
@@ -83,6 +83,8 @@
   calls: Map<number, string>;
   /** Jobs whose submission was answered. */
   acceptedJobs: Set<string>;
+  /** Jobs that were seen in a final state after the faults. */
+  endedJobs: Set<string>;
   /** Tasks of which a worker has completed a run. */
   doneTasks: Set<string>;
   /** The worker on which each attempt started. */
