Bound the quarantine and probation of a worker together

Cause: a worker with six failures in a row or more is in quarantine for 8 s, and on probation for 8 s more, during which it takes single tasks, but no gang. A run that succeeds ends that, but if nothing else is submitted there is none.

Now both end 12 s after the last failure.

--- a/src/domain/domain_worker.ts
+++ b/src/domain/domain_worker.ts
@@ -65,6 +65,8 @@
   consecutiveFailures: number;
   /** Nothing is placed before this time, on the steady clock. */
   avoidUntilMs: number;
+  /** End of its probation after a quarantine, on the steady clock. */
+  probationUntilMs: number;
   /** Moving average of task duration over the queue's mean; 1 is average. */
   slowdown: number;
 };
--- a/src/domain/task_placement.ts
+++ b/src/domain/task_placement.ts
@@ -41,7 +41,12 @@
     placed: new Map(),
     suspects: new Set(),
     lapsedStarts: [],
-    health: { consecutiveFailures: 0, avoidUntilMs: 0, slowdown: 1 },
+    health: {
+      consecutiveFailures: 0,
+      avoidUntilMs: 0,
+      probationUntilMs: 0,
+      slowdown: 1,
+    },
     demandPressure: 0,
   };
 }
--- a/src/domain/worker_health.ts
+++ b/src/domain/worker_health.ts
@@ -8,6 +8,11 @@
 const MAX_QUARANTINE_MS = 8_000;
 /** How long a worker stays on probation without a run, in milliseconds. */
 const MAX_PROBATION_MS = 8_000;
+/**
+ * The longest quarantine and probation together, in milliseconds: accepted work
+ * is to run within 14 s while there is room.
+ */
+const MAX_AVOIDANCE_MS = 12_000;
 /** Quarantine of a worker that reports itself unhealthy, in milliseconds. */
 const UNHEALTHY_QUARANTINE_MS = 500;
 
@@ -25,6 +30,8 @@
     MAX_QUARANTINE_MS,
   );
   health.avoidUntilMs = Math.max(health.avoidUntilMs, nowMs + quarantineMs);
+  health.probationUntilMs = nowMs +
+    Math.min(quarantineMs + MAX_PROBATION_MS, MAX_AVOIDANCE_MS);
 }
 
 /** Resets the count of consecutive failures after a successful run. */
@@ -48,9 +55,9 @@
  * forever if nothing else were submitted.
  */
 export function maxRunningTasks(worker: DomainWorker, nowMs: number): number {
-  const { consecutiveFailures, avoidUntilMs } = worker.health;
+  const { consecutiveFailures, avoidUntilMs, probationUntilMs } = worker.health;
   if (nowMs < avoidUntilMs) return 0;
   const isOnProbation = consecutiveFailures >= QUARANTINE_FAILURES &&
-    nowMs < avoidUntilMs + MAX_PROBATION_MS;
+    nowMs < probationUntilMs;
   return isOnProbation ? 1 : Infinity;
 }
