Say in the model of owners which starts a link has sent

Now they keep it until the worker answers, and report unanswered starts as a link does, unless they have not heard from the worker before.

The check of jobs that fail without cause stays as lenient as it was: a crash counts for what is placed on the worker.

--- a/src/domain/testing/owner_model.ts
+++ b/src/domain/testing/owner_model.ts
@@ -54,8 +54,10 @@
   checkDeadlyTasks,
   createSimulatedWorker,
   drawDeadlyTask,
-  noticeRestart,
+  noticeIncarnation,
+  openLink,
   restartWorker,
+  unansweredStartsOf,
 } from "./owner_model_crashes.ts";
 import { advanceGangs } from "./owner_model_gangs.ts";
 import { toggleOrderAnswers } from "./owner_model_unanswered.ts";
@@ -165,6 +167,8 @@
       capacity: createCapacity(),
       ignoresOrders: false,
       crashedTasks: undefined,
+      hasReported: false,
+      unansweredStarts: new Set(),
       acknowledged: 0,
       leaseUntilMs: 0,
       endsBeforeExpiry: new Set(),
@@ -270,6 +274,7 @@
   simulateTakeover(model.bench);
   for (const simulated of model.workers.values()) {
     simulated.acknowledged = 0;
+    openLink(simulated);
     // The former owner may have granted a lease just before it ended.
     simulated.leaseUntilMs = Math.max(
       simulated.leaseUntilMs,
@@ -309,6 +314,7 @@
     pending.isLinkLost = true;
     pending.dueAtMs += random.integer(0, 4_000);
   }
+  openLink(simulated);
   // A relay may have granted a lease just before the owner replaced the link.
   simulated.leaseUntilMs = Math.max(
     simulated.leaseUntilMs,
@@ -344,7 +350,11 @@
   if (!simulated.isPartitioned || bench.nowMs <= simulated.leaseUntilMs) return;
   simulated.leaseUntilMs = Infinity;
   model.execute(
-    feedEvent(bench, { kind: "workerLapsed", worker: simulated.worker.id }),
+    feedEvent(bench, {
+      kind: "workerLapsed",
+      worker: simulated.worker.id,
+      unansweredStarts: unansweredStartsOf(simulated),
+    }),
   );
 }
 
@@ -365,7 +375,7 @@
     bench.nowMs,
   );
   if (answer.status !== 200) return;
-  noticeRestart(model, simulated);
+  const unansweredStarts = noticeIncarnation(model, simulated);
   const running = [...worker.running].map(([task, { attempt }]) => ({
     task,
     attempt,
@@ -386,7 +396,13 @@
     feedEvent(bench, {
       kind: "looked",
       worker: worker.id,
-      look: { bornMs: worker.bornMs, running, ended, sentAtMs: bench.nowMs },
+      look: {
+        bornMs: worker.bornMs,
+        running,
+        ended,
+        sentAtMs: bench.nowMs,
+        unansweredStarts,
+      },
     }),
   );
 }
--- a/src/domain/testing/owner_model_crashes.ts
+++ b/src/domain/testing/owner_model_crashes.ts
@@ -59,14 +59,38 @@
   simulated.endsBeforeExpiry.clear();
 }
 
+/** Replaces the link to a worker by one that has sent nothing. */
+export function openLink(simulated: SimulatedWorker): void {
+  simulated.hasReported = false;
+  simulated.unansweredStarts = new Set();
+}
+
+/** What the link to a worker says of the starts that it may have got. */
+export function unansweredStartsOf(
+  { hasReported, unansweredStarts }: SimulatedWorker,
+): string[] | undefined {
+  if (!hasReported) return undefined;
+  return [...unansweredStarts].map(({ task }) => task);
+}
+
 /**
- * Counts the last restart of a worker for the tasks that were placed on it
- * since: the owner can't know that they did not start before it.
+ * Records that a worker answers over its link. At a new incarnation, counts the
+ * restart for the tasks that were placed on it since: the owner can't know that
+ * they did not start before it.
+ *
+ * @returns what the link says of the starts that the earlier incarnation got
  */
-export function noticeRestart(model: Model, simulated: SimulatedWorker): void {
-  if (simulated.crashedTasks === undefined) return;
+export function noticeIncarnation(
+  model: Model,
+  simulated: SimulatedWorker,
+): string[] | undefined {
+  const unansweredStarts = unansweredStartsOf(simulated);
+  simulated.hasReported = true;
+  if (simulated.crashedTasks === undefined) return undefined;
   recordCrash(model, simulated, placedOn(model, simulated.worker.id));
   simulated.crashedTasks = undefined;
+  simulated.unansweredStarts = new Set();
+  return unansweredStarts;
 }
 
 function recordCrash(
--- a/src/domain/testing/owner_model_orders.ts
+++ b/src/domain/testing/owner_model_orders.ts
@@ -82,12 +82,14 @@
   const bornMs = model.workers.get(order.worker)?.worker.bornMs ?? 0;
   const dueAtMs = bench.nowMs + lateMs;
   const deadlineMs = grantLease(model, order);
+  const isSent = recordSending(model, order);
   const pending = {
     order,
     epoch,
     bornMs,
     dueAtMs,
     deadlineMs,
+    isSent,
     isDuplicate: false,
     isLinkLost: false,
     isExecutedUnanswered: false,
@@ -95,7 +97,7 @@
     tries: 1,
   };
   model.orders.push(pending);
-  if (random.integer(0, 5) > 0) return;
+  if (!isSent || random.integer(0, 5) > 0) return;
   model.orders.push({
     ...pending,
     isDuplicate: true,
@@ -120,10 +122,10 @@
   const simulated = model.workers.get(order.worker);
   if (simulated === undefined) return;
   const { bornMs } = simulated.worker;
-  const isForEarlierIncarnation = bornMs !== pending.bornMs;
+  const isForEarlierIncarnation = pending.isSent && bornMs !== pending.bornMs;
   // A link does not repeat a start at another incarnation.
   if (isForEarlierIncarnation && order.kind === "start") return;
-  if (isForEarlierIncarnation || simulated.isPartitioned) {
+  if (isForEarlierIncarnation || simulated.isPartitioned || !pending.isSent) {
     resendOrder(model, { ...pending, bornMs });
     return;
   }
@@ -164,6 +166,7 @@
     );
     return;
   }
+  if (!pending.isDuplicate) simulated.unansweredStarts.delete(order);
   model.execute(feedEvent(bench, {
     ...order,
     kind: "startAnswered",
@@ -176,8 +179,10 @@
   const { order } = pending;
   if (!isAwaited(model, pending)) return;
   if (!isStillValid(model, order) || giveUpStart(model, pending)) return;
+  const isSent = recordSending(model, order);
   model.orders.push({
     ...pending,
+    isSent: pending.isSent || isSent,
     tries: pending.tries + 1,
     dueAtMs: model.bench.nowMs + MAX_TIME_STEP_MS,
     deadlineMs: grantLease(model, order),
@@ -191,6 +196,14 @@
     !isExecutedUnanswered;
 }
 
+/** Records that an order leaves; false if its worker does not answer. */
+function recordSending(model: Model, order: WorkerOrder): boolean {
+  const simulated = model.workers.get(order.worker);
+  if (simulated === undefined || simulated.isPartitioned) return false;
+  if (order.kind === "start") simulated.unansweredStarts.add(order);
+  return true;
+}
+
 /** Whether an order still applies, as an owner checks before it sends it. */
 function isStillValid(model: Model, order: WorkerOrder): boolean {
   const found = findTask(model.bench.domain, order.task);
--- a/src/domain/testing/owner_model_state.ts
+++ b/src/domain/testing/owner_model_state.ts
@@ -16,6 +16,10 @@
   /** Tasks under which it has crashed since its last poll. */
   crashedTasks: Set<string> | undefined;
   capacity: SimulatedCapacity;
+  /** Whether it has reported over its present link. */
+  hasReported: boolean;
+  /** Starts that were sent over that link and have no answer. */
+  unansweredStarts: Set<WorkerOrder>;
   /** Number of the last end that the owner has acknowledged. */
   acknowledged: number;
   /** Expiry of the last lease granted to it. */
@@ -33,6 +37,8 @@
   deadlineMs: number;
   /** The worker's incarnation that it was sent to; no other one accepts it. */
   bornMs: number;
+  /** Whether it has left the link, which keeps it while the worker is silent. */
+  isSent: boolean;
   /** A second delivery, which the owner does not know of. */
   isDuplicate: boolean;
   /** Its link was replaced, so that the answer is lost. */
