--- a/src/domain/testing/owner_model.ts
+++ b/src/domain/testing/owner_model.ts
@@ -89,7 +89,10 @@
   // The others may go on to ignore orders.
   model.isRecovering = true;
   pickWorker(model).ignoresOrders = false;
-  for (let index = 0; index < MAX_RECOVERY_STEPS; index += 1) {
+  const maxSteps = [...model.workers.values()].some((one) => one.ignoresOrders)
+    ? MAX_RECOVERY_STEPS
+    : RECOVERY_STEPS;
+  for (let index = 0; index < maxSteps; index += 1) {
     if (index >= RECOVERY_STEPS && findOpenJobs(model).length === 0) break;
     stepWithoutFaults(model);
   }
