Open few connections to an instance that is behind

What callers saw: after a takeover, submissions were held for 1.2 s and longer and ended undecided ("did not answer within 1200 ms"), while the owner answered others within tens of milliseconds; new relay sessions were dropped for missing reports, and probes of the owner were not answered, so it was evicted.

Cause: a call that times out retires the whole pool of connections to its origin, because a silent connection looks like a slow peer. Each instance then opens up to 16 new ones, which wait behind those of all other instances in the queue of connections that the owner has to accept, and the calls on them time out again.

Pools of peers now keep their connections after a timeout if another call has been answered since; the connection of the call itself is closed as before. If none has, the next pool starts with two requests at a time and allows one more with each response. Calls that this holds back are known not to have been sent, so they are refused instead of left undecided. Connections to the store and to workers are replaced as before.

Tests: src/clients/slow_start_test.ts; without the limit, 8 requests at once instead of 1; without the second rule, a third connection instead of two.

--- a/src/clients/http_client.ts
+++ b/src/clients/http_client.ts
@@ -9,8 +9,11 @@
 import { exchangeHttp, type FinishedExchange } from "./http_exchange.ts";
 import type { HttpRequest } from "./http_request.ts";
 import { parseErrorResponse } from "./error_response.ts";
+import { createSlowStartPool, type SlowStartPool } from "./slow_start_pool.ts";
 
 const DEFAULT_KEEP_ALIVE_MS = 10_000;
+/** No attempt is made in less time, in milliseconds. */
+const MIN_ATTEMPT_MS = 1;
 const FIRST_SUCCESS_STATUS = 200;
 const FIRST_REDIRECT_STATUS = 300;
 
@@ -22,6 +25,12 @@
   connectTimeoutMs: number;
   /** How long an idle connection stays open, in milliseconds; default 10 s. */
   keepAliveMs?: number;
+  /**
+   * For origins that may be overloaded: requests that may be in flight at once
+   * after a timeout, where each response allows one more. A timeout then
+   * replaces the connections only if none had a response in the meantime.
+   */
+  requestsAfterTimeout?: number;
 };
 
 /** Calls other processes over HTTP and classifies failures as faults. */
@@ -49,6 +58,8 @@
 
 type Origin = {
   pool: Pool;
+  /** The pool with a limit on requests, if the origin had a timeout before. */
+  slowStart?: SlowStartPool;
   /** Aborts when the pool is retired. */
   retired: AbortController;
   /** When the last response arrived, in milliseconds of `performance.now()`. */
@@ -59,6 +70,8 @@
   options: HttpClientOptions;
   /** Origins by the base URL given in requests. */
   origins: Map<string, Origin>;
+  /** URLs of origins whose latest pool was retired. */
+  retiredUrls: Set<string>;
   isClosed: boolean;
 };
 
@@ -77,7 +90,12 @@
  * ```
  */
 export function createHttpClient(options: HttpClientOptions): HttpClient {
-  const state: State = { options, origins: new Map(), isClosed: false };
+  const state: State = {
+    options,
+    origins: new Map(),
+    retiredUrls: new Set(),
+    isClosed: false,
+  };
   return {
     call: async (request, signal) =>
       toResult(request, await exchange(state, request, signal)),
@@ -120,25 +138,43 @@
   request: HttpRequest,
   signal: AbortSignal,
 ): Promise<FinishedExchange> {
-  const deadlineMs = performance.now() + request.timeoutMs;
+  const startedAtMs = performance.now();
+  const deadlineMs = startedAtMs + request.timeoutMs;
   const { url } = request;
   while (true) {
     const origin = getOrCreateOrigin(state, url);
     const exchange = await exchangeHttp(
-      origin.pool,
+      origin.slowStart ?? origin.pool,
       request,
-      Math.max(1, deadlineMs - performance.now()),
+      Math.max(MIN_ATTEMPT_MS, deadlineMs - performance.now()),
       signal,
       origin.retired.signal,
     );
     if (exchange.kind === "answered") {
       origin.lastResponseAtMs = performance.now();
     }
-    if (exchange.kind === "timedOut") retire(state, url, origin);
+    const isUnresponsive = exchange.kind === "timedOut" &&
+      !isOverloaded(state, origin, exchange.sent, startedAtMs);
+    if (isUnresponsive) retire(state, url, origin);
     if (exchange.kind !== "moved") return exchange;
+    if (deadlineMs - performance.now() < MIN_ATTEMPT_MS) {
+      return { kind: "timedOut", sent: false };
+    }
   }
 }
 
+/** Whether a timeout shows an overloaded origin and no broken connections. */
+function isOverloaded(
+  { options }: State,
+  { slowStart, lastResponseAtMs }: Origin,
+  wasSent: boolean,
+  startedAtMs: number,
+): boolean {
+  if (options.requestsAfterTimeout === undefined) return false;
+  const wasHeldBack = !wasSent && slowStart !== undefined;
+  return wasHeldBack || lastResponseAtMs > startedAtMs;
+}
+
 function toResult(
   request: HttpRequest,
   exchange: FinishedExchange,
@@ -222,7 +258,12 @@
 function getOrCreateOrigin(state: State, url: string): Origin {
   const existing = state.origins.get(url);
   if (existing !== undefined) return existing;
-  const { connectionsPerOrigin, connectTimeoutMs, keepAliveMs } = state.options;
+  const {
+    connectionsPerOrigin,
+    connectTimeoutMs,
+    keepAliveMs,
+    requestsAfterTimeout = connectionsPerOrigin,
+  } = state.options;
   const keepAliveTimeout = keepAliveMs ?? DEFAULT_KEEP_ALIVE_MS;
   const pool = new Pool(new URL(url).origin, {
     connections: connectionsPerOrigin,
@@ -234,8 +275,17 @@
   const retired = new AbortController();
   // Each call in flight adds a listener.
   setMaxListeners(0, retired.signal);
+  const isLimited = state.retiredUrls.has(url) &&
+    requestsAfterTimeout < connectionsPerOrigin;
+  const slowStart = isLimited
+    ? createSlowStartPool(pool, {
+      initialRequests: requestsAfterTimeout,
+      maxRequests: connectionsPerOrigin,
+    })
+    : undefined;
   const origin = {
     pool,
+    ...(slowStart === undefined ? {} : { slowStart }),
     retired,
     lastResponseAtMs: performance.now(),
   };
@@ -259,6 +309,8 @@
 function retire(state: State, url: string, origin: Origin): void {
   if (state.origins.get(url) !== origin) return;
   state.origins.delete(url);
+  state.retiredUrls.add(url);
+  origin.slowStart?.close();
   origin.pool.close().catch(() => {});
   origin.retired.abort();
 }
@@ -267,5 +319,8 @@
   state.isClosed = true;
   const origins = [...state.origins.values()];
   state.origins.clear();
-  await Promise.all(origins.map((origin) => origin.pool.destroy()));
+  await Promise.all(origins.map(({ pool, slowStart }) => {
+    slowStart?.close();
+    return pool.destroy();
+  }));
 }
--- a/src/clients/http_exchange.ts
+++ b/src/clients/http_exchange.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import type { Dispatcher } from "undici";
 import type { HttpRequest } from "./http_request.ts";
+import type { RequestPool } from "./slow_start_pool.ts";
 import { timerDelayMs } from "./timer_delay.ts";
 
 /** The outcome of one attempt to send a request and read its response. */
@@ -30,7 +31,7 @@
  * @param retired aborts when the pool is retired
  */
 export function exchangeHttp(
-  pool: Dispatcher,
+  pool: RequestPool,
   request: HttpRequest,
   timeoutMs: number,
   signal: AbortSignal,
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -10,6 +10,7 @@
   createPeerClient,
   createSystemClock,
   type HttpClient,
+  type HttpClientOptions,
 } from "../clients/mod.ts";
 import type { Clock, GroupMember } from "../hosts/mod.ts";
 import {
@@ -61,7 +62,10 @@
 export const DOMAINS_TOPIC = "domains";
 /** Number of timeline events that are kept. */
 const MAX_TIME_LINE_EVENTS = 2_000;
+const CONNECTIONS_PER_SERVICE = 16;
 const CONNECTIONS_PER_PEER = 16;
+/** A peer that is behind would get too many new connections otherwise. */
+const PEER_REQUESTS_AFTER_TIMEOUT = 2;
 const CONNECTIONS_PER_WORKER = 5;
 /** Opening a connection to the farthest region takes 26 ms. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -119,8 +123,16 @@
   settings: Settings,
   connect: (host: PlatformHost) => EntryPlatform,
 ): EntryContext {
-  const httpClient = createEntryHttpClient(CONNECTIONS_PER_PEER);
-  const workerHttpClient = createEntryHttpClient(CONNECTIONS_PER_WORKER);
+  const httpClient = createEntryHttpClient({
+    connectionsPerOrigin: CONNECTIONS_PER_SERVICE,
+  });
+  const peerHttpClient = createEntryHttpClient({
+    connectionsPerOrigin: CONNECTIONS_PER_PEER,
+    requestsAfterTimeout: PEER_REQUESTS_AFTER_TIMEOUT,
+  });
+  const workerHttpClient = createEntryHttpClient({
+    connectionsPerOrigin: CONNECTIONS_PER_WORKER,
+  });
   const clock = createSystemClock();
   const connectedPlatform = connect({ settings, httpClient, workerHttpClient });
   const store = trackStore(connectedPlatform.store, clock);
@@ -152,7 +164,7 @@
   const parts: EntryContextParts = {
     settings,
     platform,
-    httpClients: [httpClient, workerHttpClient],
+    httpClients: [httpClient, peerHttpClient, workerHttpClient],
     clock,
     logger,
     counters: createCounters(),
@@ -177,7 +189,7 @@
     instances: createInstanceList(self),
     relaySessions: createRelayReportRouter(),
     rpc: createPeerRpc(
-      createPeerClient(httpClient, { secret: settings.peers.secret }),
+      createPeerClient(peerHttpClient, { secret: settings.peers.secret }),
       timeLine,
       signal,
     ),
@@ -290,9 +302,14 @@
   return Math.min(settings.lease.maxMs, MAX_LEASE_MS);
 }
 
-function createEntryHttpClient(connectionsPerOrigin: number): HttpClient {
+function createEntryHttpClient(
+  options: Pick<
+    HttpClientOptions,
+    "connectionsPerOrigin" | "requestsAfterTimeout"
+  >,
+): HttpClient {
   return createHttpClient({
-    connectionsPerOrigin,
+    ...options,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     keepAliveMs: KEEP_ALIVE_MS,
   });
