Take an owner that answers on open connections for alive

What callers saw: an owner that was behind was evicted, and its successor began with the same work, unsettled workers and a longer backlog.

Cause: the only evidence of life was that a connection can be opened within 120 ms. While the queue of connections to accept is full, the system drops further ones, although the owner keeps sending to relays and answering calls on the connections that it has.

An instance that has heard the owner in the last 200 ms, by a batch for a relay or by the answer to any call, takes it for alive if a probe has no answer. A refused connection still counts as the end of its process at once. An owner that is dead, frozen or cut off sends nothing, and two unanswered probes take 340 ms, so it is evicted no later than before.

--- a/src/clients/probe_address_test.ts
+++ b/src/clients/probe_address_test.ts
@@ -8,14 +8,14 @@
 const TIMEOUT_MS = 60_000;
 
 describe("probeAddress", () => {
-  it("returns true only while a process listens, even if it never responds", async () => {
+  it("finds a process only while it listens, even if it never responds", async () => {
     const server = createServer();
     server.listen(0, HOST);
     await once(server, "listening");
     const { port } = server.address() as AddressInfo;
-    assert.equal(await probeAddress(HOST, port, TIMEOUT_MS), true);
+    assert.equal(await probeAddress(HOST, port, TIMEOUT_MS), "listening");
     server.close();
     await once(server, "close");
-    assert.equal(await probeAddress(HOST, port, TIMEOUT_MS), false);
+    assert.equal(await probeAddress(HOST, port, TIMEOUT_MS), "refused");
   });
 });
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -48,6 +48,7 @@
 import { createInstanceList, type InstanceList } from "./instance_list.ts";
 import { createManifestState, type ManifestState } from "./manifest_state.ts";
 import type { OwnerDiscovery } from "./owner_discovery.ts";
+import { createPeerContact, type PeerContact } from "./peer_contact.ts";
 import { createPeerRpc, type PeerRpc } from "./peer_rpc.ts";
 import { createReachability, type Reachability } from "./reachability.ts";
 import { createRecordingLogger } from "./recording_logger.ts";
@@ -99,6 +100,7 @@
   relaySessions: RelayReportRouter;
   instances: InstanceList;
   rpc: PeerRpc;
+  peerContact: PeerContact;
   reachability: Reachability;
   /** Address at which other instances call this one. */
   self: string;
@@ -160,6 +162,7 @@
   const logger = settings.listen.api === undefined
     ? stdoutLogger
     : createRecordingLogger(stdoutLogger, timeLine, clock);
+  const peerContact = createPeerContact(clock);
   const self = `${settings.listen.internalHost}:${settings.listen.peerPort}`;
   const parts: EntryContextParts = {
     settings,
@@ -191,8 +194,10 @@
     rpc: createPeerRpc(
       createPeerClient(peerHttpClient, { secret: settings.peers.secret }),
       timeLine,
+      peerContact,
       signal,
     ),
+    peerContact,
     reachability: createReachability(clock),
     self,
     member: {
--- a/src/entry/monitor_owners.ts
+++ b/src/entry/monitor_owners.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import { evictMember } from "./evict_member.ts";
-import { probeInstance } from "./probe_instance.ts";
+import { isAlive, probeInstance } from "./probe_instance.ts";
 import type { EntryContext } from "./entry_context.ts";
 import { createFailureDetector } from "./failure_detector.ts";
 
@@ -35,9 +35,12 @@
       continue;
     }
     for (const owner of owners) {
-      failureDetector.recordProbe(owner, await probeInstance(owner));
+      const outcome = await probeInstance(owner);
+      failureDetector.recordProbe(owner, outcome === "listening");
       if (!failureDetector.isSuspected(owner, rank)) continue;
-      const isConfirmed = await isUnreachableForOthers(context, owner);
+      const isConfirmed =
+        !isAlive(outcome, context.peerContact.silentMs(owner)) &&
+        await isUnreachableForOthers(context, owner);
       failureDetector.recordProbe(owner, true);
       if (!isConfirmed) continue;
       await evictOwner(context, owner);
--- /dev/null
+++ b/src/entry/peer_contact.ts
@@ -0,0 +1,31 @@
+import type { Clock } from "../hosts/mod.ts";
+
+/** When other instances were last heard. */
+export type PeerContact = {
+  /** Records a message or an answer from an instance. */
+  record(instance: string): void;
+  /** Time since an instance was heard, in milliseconds; Infinity if never. */
+  silentMs(instance: string): number;
+};
+
+/**
+ * Creates a record without any contact.
+ *
+ * @example
+ * ```ts
+ * const contact = createPeerContact(clock);
+ * contact.record("10.1.0.30:7380");
+ * ```
+ */
+export function createPeerContact(
+  clock: Pick<Clock, "steadyMs">,
+): PeerContact {
+  const heardAtMs = new Map<string, number>();
+  return {
+    record(instance) {
+      heardAtMs.set(instance, clock.steadyMs());
+    },
+    silentMs: (instance) =>
+      clock.steadyMs() - (heardAtMs.get(instance) ?? -Infinity),
+  };
+}
--- a/src/entry/peer_rpc.ts
+++ b/src/entry/peer_rpc.ts
@@ -23,6 +23,7 @@
 } from "../ownership/mod.ts";
 import type { PeerCallOutcome } from "./call_router.ts";
 import type { JobSearchAnswer } from "./job_search.ts";
+import type { PeerContact } from "./peer_contact.ts";
 import {
   acknowledgementSchema,
   adviceAnswerSchema,
@@ -135,24 +136,27 @@
  *
  * @example
  * ```ts
- * const rpc = createPeerRpc(peers, timeLine, signal);
+ * const rpc = createPeerRpc(peers, timeLine, contact, signal);
  * const outcome = await rpc.callOwner("10.1.0.30:7380", call, 3_000);
  * ```
  */
 export function createPeerRpc(
   peers: PeerClient,
   timeLine: TimeLine,
+  contact: PeerContact,
   signal: AbortSignal,
 ): PeerRpc {
-  const send = (instance: string, call: PeerCall, timeoutMs: number) => {
+  const send = async (instance: string, call: PeerCall, timeoutMs: number) => {
     const message = { lamport: timeLine.lamport, call };
-    return peers.call(
+    const result = await peers.call(
       `http://${instance}`,
       METHOD,
       message,
       timeoutMs,
       signal,
     );
+    if (result.isOk()) contact.record(instance);
+    return result;
   };
   /** Returns undefined if no valid answer arrives in time. */
   const request = async <Schema extends v.GenericSchema>(
--- a/src/entry/probe_instance.ts
+++ b/src/entry/probe_instance.ts
@@ -1,11 +1,42 @@
-import { probeAddress } from "../clients/mod.ts";
+import { assertNever } from "../base/mod.ts";
+import { probeAddress, type ProbeOutcome } from "../clients/mod.ts";
 
 /** Timeout for opening a connection, in milliseconds. */
 const PROBE_TIMEOUT_MS = 120;
+/**
+ * An instance that was heard within this time is alive, in milliseconds. Two
+ * probes that are not answered take longer, so that the contact does not delay
+ * the detection of an instance that has failed.
+ */
+const MAX_CONTACT_AGE_MS = 200;
 
-/** Whether an entry instance listens at its address, `IP:port`. */
-export async function probeInstance(address: string): Promise<boolean> {
+/** Probes an entry instance, given as `IP:port`. */
+export async function probeInstance(address: string): Promise<ProbeOutcome> {
   const colon = address.lastIndexOf(":");
   const port = Number(address.slice(colon + 1));
   return await probeAddress(address.slice(0, colon), port, PROBE_TIMEOUT_MS);
 }
+
+/**
+ * Whether an instance is alive after a probe. The queue of connections to
+ * accept may be full at one that is busy but still answers on open connections.
+ *
+ * @param silentMs time since the instance was heard, in milliseconds
+ *
+ * @example
+ * ```ts
+ * isAlive("silent", 30); // true
+ * ```
+ */
+export function isAlive(outcome: ProbeOutcome, silentMs: number): boolean {
+  switch (outcome) {
+    case "listening":
+      return true;
+    case "refused":
+      return false;
+    case "silent":
+      return silentMs <= MAX_CONTACT_AGE_MS;
+    default:
+      return assertNever(outcome);
+  }
+}
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -17,7 +17,7 @@
 import { createPeerRpcRoute } from "./peer_rpc.ts";
 import { evictMember } from "./evict_member.ts";
 import { isReady } from "./readiness.ts";
-import { probeInstance } from "./probe_instance.ts";
+import { isAlive, probeInstance } from "./probe_instance.ts";
 import type { EntryContext } from "./entry_context.ts";
 
 const OK = 200;
@@ -101,13 +101,17 @@
     case "owners":
       return await context.directory.readStore() ?? {};
     case "relay":
+      context.peerContact.record(call.owner);
       return { kind: acceptRelay(context, call) ? "taken" : "closed" };
     case "relayed":
       return context.relaySessions.dispatch(call);
     case "find":
       return { partition: await context.ownedDomains.find(call.job) };
-    case "reach":
-      return { reached: await probeInstance(call.instance) };
+    case "reach": {
+      const outcome = await probeInstance(call.instance);
+      const silentMs = context.peerContact.silentMs(call.instance);
+      return { reached: isAlive(outcome, silentMs) };
+    }
     case "confirm":
       if (context.stopping.signal.aborted) return REFUSED_STOPPING;
       context.membership?.confirm();
