Let the event loop turn between the calls of other instances

Cause: libuv, as Node.js 20 has it, accepts one connection of a server each time the event loop turns.

A server now handles calls in slices of 2 ms, after which the loop turns. The body is parsed in the slice. A call whose caller has closed the connection by then is dropped unread: its caller has given up, and has noted the outcome as unknown or called again. That holds for the own API as well, where such an answer could not be delivered either; a submission that is dropped has not run and can be repeated.

Tests: work_queue_test.ts (10 pieces of work took 1 turn instead of 10) and http_server_test.ts (the call of a caller that had left was handled); both failed with the calls handled at once.

--- a/src/server/http_server.ts
+++ b/src/server/http_server.ts
@@ -9,9 +9,10 @@
 import { diagnostics } from "../diagnostics/mod.ts";
 import { type HttpResponse, sendResponse } from "./http_response.ts";
 import { problemDocument, refusal } from "./problem_document.ts";
-import { type BodyLimits, readBody } from "./read_body.ts";
+import { type BodyLimits, parseBody, readBody } from "./read_body.ts";
 import { RefusedCall } from "./refused_call.ts";
 import type { Route, RouteCall } from "./route.ts";
+import { createWorkQueue, type WorkQueue } from "./work_queue.ts";
 
 const NOT_FOUND = 404;
 const INTERNAL_SERVER_ERROR = 500;
@@ -22,6 +23,7 @@
 /** How long an idle connection stays open, in milliseconds. */
 const KEEP_ALIVE_MS = 30_000;
 const MAX_HEADER_BYTES = 8_192;
+const CALLER_LEFT: HttpResponse = { status: 408 };
 
 /** Limits on the requests and connections that the server accepts. */
 export type ServerLimits = BodyLimits & { maxConnections: number };
@@ -39,13 +41,14 @@
   routes: Route[],
   limits: ServerLimits,
 ): Server {
+  const queue = createWorkQueue();
   const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
     headersTimeout: HEADERS_TIMEOUT_MS,
     requestTimeout: HEADERS_TIMEOUT_MS + limits.timeoutMs,
     keepAliveTimeout: KEEP_ALIVE_MS,
   }, async (request, response) => {
-    const result = await handleRequest(routes, limits, request);
+    const result = await handleRequest(routes, limits, queue, request);
     sendResponse(response, result);
   });
   server.maxConnections = limits.maxConnections;
@@ -56,10 +59,11 @@
 async function handleRequest(
   routes: Route[],
   limits: BodyLimits,
+  queue: WorkQueue,
   request: IncomingMessage,
 ): Promise<HttpResponse> {
   try {
-    const call = createRouteCall(request, limits);
+    const call = createRouteCall(request, limits, queue);
     for (const route of routes) {
       const response = await route(call);
       if (response !== undefined) return response;
@@ -79,6 +83,7 @@
 function createRouteCall(
   request: IncomingMessage,
   limits: BodyLimits,
+  queue: WorkQueue,
 ): RouteCall {
   const url = parseUrl(request.url ?? "/");
   return {
@@ -87,13 +92,22 @@
     query: url.searchParams,
     headers: request.headers,
     async body() {
-      const result = await readBody(request, limits);
-      if (result.isErr()) throw new RefusedCall(result.error);
-      return result.value;
+      const text = await readBody(request, limits);
+      if (text.isErr()) throw new RefusedCall(text.error);
+      await queue.turn();
+      // Nobody would receive the response.
+      if (hasCallerLeft(request)) throw new RefusedCall(CALLER_LEFT);
+      const value = parseBody(text.value);
+      if (value.isErr()) throw new RefusedCall(value.error);
+      return value.value;
     },
   };
 }
 
+function hasCallerLeft({ socket }: IncomingMessage): boolean {
+  return socket.destroyed || socket.readableEnded;
+}
+
 function parseUrl(text: string): URL {
   try {
     const url = new URL(text, "http://127.0.0.1");
--- a/src/server/read_body.ts
+++ b/src/server/read_body.ts
@@ -17,14 +17,14 @@
 const BAD_REQUEST = 400;
 
 /**
- * Reads the body of a request as JSON.
+ * Reads the body of a request.
  *
- * @returns the value, undefined for an empty body, or the error response
+ * @returns the text, or the error response
  */
 export async function readBody(
   request: IncomingMessage,
   limits: BodyLimits,
-): Promise<Result<unknown, HttpResponse>> {
+): Promise<Result<string, HttpResponse>> {
   const { maxBytes, timeoutMs } = limits;
   const declaredBytes = Number(request.headers["content-length"] ?? 0);
   if (declaredBytes > maxBytes) return err(tooLarge(maxBytes));
@@ -42,10 +42,15 @@
   } finally {
     clearTimeout(timer);
   }
-  return parseJson(Buffer.concat(chunks).toString("utf8"));
+  return ok(Buffer.concat(chunks).toString("utf8"));
 }
 
-function parseJson(text: string): Result<unknown, HttpResponse> {
+/**
+ * Parses the body of a request as JSON.
+ *
+ * @returns the value, undefined for an empty body, or the error response
+ */
+export function parseBody(text: string): Result<unknown, HttpResponse> {
   if (text === "") return ok(undefined);
   try {
     return ok(JSON.parse(text));
