Keep a connection to a busy instance for a response that comes late

Cause: a call that timed out closed its connection, and the next call opened another, which joined the end of the queue of connections that a busy owner has to accept. So calls gave up their place each time, and none was answered in time.

For a peer that has answered another call since, or that has not answered on a new connection yet, the connection of a call that timed out is kept for 2 s. A response within that time is discarded, and the connection is used for further calls. If nothing has been answered since, the connections are replaced as before, since they may be silent.

Test: 'a response after the timeout frees its connection for further calls' had three connections instead of two before.

--- a/src/clients/http_client.ts
+++ b/src/clients/http_client.ts
@@ -62,6 +62,8 @@
   slowStart?: SlowStartPool;
   /** Aborts when the pool is retired. */
   retired: AbortController;
+  /** Whether a response has arrived over this pool. */
+  hasAnswered: boolean;
   /** When the last response arrived, in milliseconds of `performance.now()`. */
   lastResponseAtMs: number;
 };
@@ -149,8 +151,10 @@
       Math.max(MIN_ATTEMPT_MS, deadlineMs - performance.now()),
       signal,
       origin.retired.signal,
+      () => isOverloaded(state, origin, true, startedAtMs),
     );
     if (exchange.kind === "answered") {
+      origin.hasAnswered = true;
       origin.lastResponseAtMs = performance.now();
     }
     const isUnresponsive = exchange.kind === "timedOut" &&
@@ -166,13 +170,14 @@
 /** Whether a timeout shows an overloaded origin and no broken connections. */
 function isOverloaded(
   { options }: State,
-  { slowStart, lastResponseAtMs }: Origin,
+  { slowStart, hasAnswered, lastResponseAtMs }: Origin,
   wasSent: boolean,
   startedAtMs: number,
 ): boolean {
   if (options.requestsAfterTimeout === undefined) return false;
-  const wasHeldBack = !wasSent && slowStart !== undefined;
-  return wasHeldBack || lastResponseAtMs > startedAtMs;
+  // New connections may still wait to be accepted.
+  const isWaiting = slowStart !== undefined && (!wasSent || !hasAnswered);
+  return isWaiting || lastResponseAtMs > startedAtMs;
 }
 
 function toResult(
@@ -287,6 +292,7 @@
     pool,
     ...(slowStart === undefined ? {} : { slowStart }),
     retired,
+    hasAnswered: false,
     lastResponseAtMs: performance.now(),
   };
   state.origins.set(url, origin);
--- a/src/clients/http_exchange.ts
+++ b/src/clients/http_exchange.ts
@@ -20,6 +20,8 @@
 export type FinishedExchange = Exclude<HttpExchange, { kind: "moved" }>;
 
 const SCHEME_END = "://";
+/** How long a connection is kept for a late response, in milliseconds. */
+const LATE_RESPONSE_MS = 2_000;
 
 /**
  * Sends a request over a connection pool and reads the response. If a blocked
@@ -29,6 +31,8 @@
  * @param timeoutMs timeout of the attempt, in milliseconds
  * @param signal aborts the attempt
  * @param retired aborts when the pool is retired
+ * @param mayAnswerLate whether the connection of a request that timed out is
+ * kept for a while; a late response frees it for other requests
  */
 export function exchangeHttp(
   pool: RequestPool,
@@ -36,6 +40,7 @@
   timeoutMs: number,
   signal: AbortSignal,
   retired: AbortSignal,
+  mayAnswerLate: () => boolean = () => false,
 ): Promise<HttpExchange> {
   return new Promise((resolve) => {
     const attempt = createAttempt(request, resolve);
@@ -50,7 +55,10 @@
         timer = setTimeout(expire, lateMs);
         return;
       }
-      attempt.end({ kind: "timedOut", sent: attempt.isSent() });
+      const abortAfterMs = attempt.isSent() && mayAnswerLate()
+        ? LATE_RESPONSE_MS
+        : 0;
+      attempt.end({ kind: "timedOut", sent: attempt.isSent() }, abortAfterMs);
     };
     let timer = setTimeout(expire, timeoutMs);
     const endAborted = () => {
@@ -78,8 +86,13 @@
 type Attempt = {
   handler: Dispatcher.DispatchHandler;
   isSent(): boolean;
-  /** Ends the attempt; has no effect after the first call. */
-  end(exchange: HttpExchange): void;
+  /**
+   * Ends the attempt; has no effect after the first call.
+   *
+   * @param abortAfterMs how long a response is still accepted and discarded, so
+   * that its connection can be used again
+   */
+  end(exchange: HttpExchange, abortAfterMs?: number): void;
   /** Sets the function that is called when the attempt ends. */
   onEnd(callback: () => void): void;
 };
@@ -93,15 +106,21 @@
   let cleanUp = () => {};
   let isSent = false;
   let isEnded = false;
+  let lateTimer: NodeJS.Timeout | undefined;
   let status = 0;
   let receivedBytes = 0;
 
-  function end(exchange: HttpExchange): void {
-    if (isEnded) return;
+  function end(exchange: HttpExchange, abortAfterMs = 0): void {
+    if (isEnded) {
+      clearTimeout(lateTimer);
+      return;
+    }
     isEnded = true;
     cleanUp();
     if (exchange.kind !== "answered" && exchange.kind !== "broken") {
-      controller?.abort(new Error(exchange.kind));
+      const abort = () => controller?.abort(new Error(exchange.kind));
+      if (abortAfterMs === 0) abort();
+      else lateTimer = setTimeout(abort, abortAfterMs).unref();
     }
     resolve(exchange);
   }
@@ -122,6 +141,7 @@
       status = statusCode;
     },
     onResponseData(_controller, chunk) {
+      if (isEnded) return;
       receivedBytes += chunk.length;
       if (receivedBytes > request.maxResponseBytes) end({ kind: "oversized" });
       else chunks.push(chunk);
--- a/src/clients/slow_start_test.ts
+++ b/src/clients/slow_start_test.ts
@@ -62,6 +62,25 @@
   });
 });
 
+it("http client: a response after the timeout frees its connection for further calls", async () => {
+  await withPeer(async ({ held, connections, call }) => {
+    const timedOut = call(2 * SETTLE_MS);
+    await waitUntil(() => held.length === 1);
+    const answered = call(NO_TIMEOUT_MS);
+    await waitUntil(() => held.length === 2);
+    held[1]?.end("{}");
+    assert.equal(await answered, "answered");
+    assert.equal(await timedOut, "timedOut");
+    held[0]?.end("{}");
+    await settle();
+    const next = [call(NO_TIMEOUT_MS), call(NO_TIMEOUT_MS)];
+    await waitUntil(() => held.length === 4);
+    for (const response of held) response.end("{}");
+    assert.deepEqual(await Promise.all(next), ["answered", "answered"]);
+    assert.equal(connections.size, 2);
+  });
+});
+
 async function withPeer(body: (peer: Peer) => Promise<void>): Promise<void> {
   const held: ServerResponse[] = [];
   const connections = new Set<Socket>();
