Leave time for a slow lookup before a call's timeout

What callers saw: no answer within their deadline while a domain has no owner and the store is slow.

Cause: a call that may have been executed looks the owner up again until its timeout, which ends 0.1 s before the client's. A lookup that begins just before that takes 0.2 s and more in a slow store, and the answer is late.

The new test failed before: the call ended after 3,200 of 3,000 ms.

The last lookup begins 0.4 s before the timeout now, or a fifth of it if that is less. A successor that announces itself is called until the timeout, as before.

--- a/src/entry/call_router.ts
+++ b/src/entry/call_router.ts
@@ -31,6 +31,10 @@
 const EXPECTED_TAKEOVER_MS = 1_000;
 /** Pause between two lookups of the owner, in milliseconds. */
 const OWNER_LOOKUP_INTERVAL_MS = 100;
+/** Time reserved for a lookup while the store is slow, in milliseconds. */
+const SLOW_OWNER_LOOKUP_MS = 400;
+/** The largest share of a call's timeout that is reserved for that. */
+const LOOKUP_SHARE = 0.2;
 const SEARCH_UNANSWERED = "an owner that may have the job does not answer";
 
 /** Dependencies of a call router. */
@@ -289,6 +293,8 @@
   const deadlineAtMs = startedAtMs + timeoutMs;
   const lookupUntilMs = startedAtMs +
     Math.min(OWNER_LOOKUP_TIMEOUT_MS, timeoutMs / 2);
+  const retryUntilMs = deadlineAtMs -
+    Math.min(SLOW_OWNER_LOOKUP_MS, timeoutMs * LOOKUP_SHARE);
   let undecidedCause: string | undefined;
   let cause = "the domain has no owner";
   while (!host.signal.aborted) {
@@ -325,7 +331,7 @@
     }
     // A successor that has announced itself is called without a lookup.
     if (remainingMs > 0 && hasSuccessor(host, call.partition, owner)) continue;
-    const untilMs = undecidedCause === undefined ? lookupUntilMs : deadlineAtMs;
+    const untilMs = undecidedCause === undefined ? lookupUntilMs : retryUntilMs;
     if (clock.steadyMs() + OWNER_LOOKUP_INTERVAL_MS > untilMs) break;
     await clock.sleep(OWNER_LOOKUP_INTERVAL_MS, host.signal);
     await directory.refresh();
--- a/src/entry/call_router_test.ts
+++ b/src/entry/call_router_test.ts
@@ -134,6 +134,32 @@
     assert.equal(outcome.kind, "undecided");
   });
 
+  // Guards against an answer that comes after the client has given up, since the
+  // owners were read once more just before.
+  it("ends in time although the owners are read slowly", async () => {
+    const clock = createManualClock();
+    const { signal } = new AbortController();
+    const { router } = routerWithJobAt(undefined, [], {
+      clock,
+      directory: {
+        ownerOf: () => Promise.resolve("frozen"),
+        refresh: () => clock.sleep(300, signal),
+        readStore: () => Promise.resolve(undefined),
+        knownOwners: () => ({}),
+        recordOwner() {},
+        forgetOwner() {},
+        waitForOwnerChange: () => new Promise(() => {}),
+      },
+      async callPeer(_instance, _call, timeoutMs) {
+        await clock.sleep(timeoutMs, signal);
+        return { kind: "unknown", cause: "no answer" };
+      },
+    });
+    const outcome = await router.submit(REQUEST, policy(), 3_000);
+    assert.equal(outcome.kind, "undecided");
+    assert.ok(clock.steadyMs() <= 3_000, `${clock.steadyMs()}`);
+  });
+
   it("is refused without retries while the store is down", async () => {
     const { router, calls } = routerAnsweredBy(
       { kind: "answered", answer: { kind: "storeDown", silentMs: 3_000 } },
