Let relays report to an owner on a port of their own

Beside it the logs say "Lost a relay that held worker links." once or more a second, with healthy relays.

Cause: Node.js (libuv 1.46) accepts one new connection of a listening socket in an iteration of the event loop. All instances connect to a new owner at once. It is busy then, and its iterations take 10 to 20 ms: in a trial with probes it made 44 to 91 iterations a second and accepted 65 to 186 connections a second, while its timers were only 11 ms late. A relay's first report waited in the queue of new connections for longer than its timeout of 500 ms, was sent again over another new connection, to the end of the queue, and so on. The owner had processed no report of the relay ("reports: 0" in the trial) when it dropped it after 1 s, opened its 41 links elsewhere, and so on again. Until a worker's first report over a new link nothing is placed on it, so most of the workers were out of use most of the time, at an owner that had the more work because of it.

An owner now names another of its ports to relays for their reports. Their connections do not wait behind those of other calls. `[listen] peer_port_count` says how many ports from `peer_port` on serve peers; with one, the default, nothing changes. Owners and relays of earlier versions work with it: a relay reports where the owner tells it to.

The test of relays fails without the change ("owner" instead of "owner-reports").

Ruled out: a slow owner (its timers were on time, and its own calls to relays took 54 to 75 ms), slow relays, and large reports (those with three entries failed as well).

--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -49,6 +49,7 @@
 import { createManifestState, type ManifestState } from "./manifest_state.ts";
 import type { OwnerDiscovery } from "./owner_discovery.ts";
 import { createPeerContact, type PeerContact } from "./peer_contact.ts";
+import { reportAddress } from "./peer_ports.ts";
 import { createPeerRpc, type PeerRpc } from "./peer_rpc.ts";
 import { createReachability, type Reachability } from "./reachability.ts";
 import { createRecordingLogger } from "./recording_logger.ts";
@@ -256,6 +257,7 @@
       partitionOf(service, settings.store.partitions) === partition,
     instances: () => context.instances.addresses(),
     relayPeers: () => context.instances.relayPeers(),
+    reportAddress: reportAddress(settings.listen),
     relaySessions: context.relaySessions,
     newSession: () => `${context.self}/${randomUUID()}`,
     postToRelay: (relay, call) => context.rpc.relay(relay, call),
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -14,6 +14,7 @@
 import { createCallRouter } from "./call_router.ts";
 import type { RelayCall } from "../ownership/mod.ts";
 import type { PeerCall } from "./peer_call.ts";
+import { peerPorts } from "./peer_ports.ts";
 import { createPeerRpcRoute } from "./peer_rpc.ts";
 import { evictMember } from "./evict_member.ts";
 import { isReady } from "./readiness.ts";
@@ -65,14 +66,15 @@
     settings.peers.secret,
     (call) => handlePeerCall(context, call),
   );
-  const peers = createHttpServer([rpcRoute], limits);
   const readiness = createHttpServer([createReadinessRoute(context)], limits);
   const metrics = createHttpServer([createMetricsRoute(context)], limits);
   callers.listen(listen.callers.port, listen.callers.host);
   readiness.listen(listen.readiness.port, listen.readiness.host);
-  peers.listen(listen.peerPort, listen.internalHost);
+  const peers = peerPorts(listen).map((port) =>
+    createHttpServer([rpcRoute], limits).listen(port, listen.internalHost)
+  );
   metrics.listen(listen.metricsPort, listen.internalHost);
-  const internal = [peers, readiness, metrics];
+  const internal = [...peers, readiness, metrics];
   if (listen.api !== undefined) {
     const api = createApiHost(context, router);
     const routes = [createCallerRoute(api), createOperatorRoute(api)];
--- a/src/ownership/domain_owner_host.ts
+++ b/src/ownership/domain_owner_host.ts
@@ -45,6 +45,8 @@
   instances(): string[];
   /** The instances that may act as relays. */
   relayPeers(): RelayPeer[];
+  /** Address of this instance that relays report to. */
+  reportAddress: string;
   relaySessions: RelayReportRouter;
   /** Creates a unique name for a relay session. */
   newSession(): string;
--- a/src/ownership/owned_domains_test.ts
+++ b/src/ownership/owned_domains_test.ts
@@ -74,6 +74,7 @@
     leaseMs: 5_000,
     ownershipValidMs: 10_000,
     self: "self",
+    reportAddress: "self",
     hasStoppedGranting: () => Promise.resolve(true),
     confirmedAt: () => currentInstant(clock),
     relayPeers: () => [],
--- a/src/ownership/relay/relay_server.ts
+++ b/src/ownership/relay/relay_server.ts
@@ -34,7 +34,7 @@
 /** A batch of messages from an owner for one of its sessions. */
 export type RelayCall = {
   session: string;
-  /** Address of the owner. */
+  /** Address that the relay reports to. */
   owner: string;
   epoch: number;
   /** The owner's clock when it sent the batch, in milliseconds. */
--- a/src/ownership/relay/relay_test.ts
+++ b/src/ownership/relay/relay_test.ts
@@ -46,6 +46,7 @@
   };
   const polls: PollCall[] = [];
   const started: string[] = [];
+  const reportedTo = new Set<string>();
   const tasks = {
     async poll(_target, call) {
       polls.push(call);
@@ -70,7 +71,8 @@
     ...common,
     tasks,
     leaseMs: LEASE_MS,
-    report: (_owner, session, batch) => {
+    report: (address, session, batch) => {
+      reportedTo.add(address);
       if (connection.isDisconnected) return Promise.resolve(undefined);
       const { keepsLeaseLimit } = connection;
       const report = { ...batch, session, isLeaving: false, keepsLeaseLimit };
@@ -87,6 +89,7 @@
     self: "owner",
     leaseMs: LEASE_MS,
     leaseLimitMs: () => connection.leaseLimitMs,
+    reportAddress: "owner-reports",
     newSession: () => `session-${lost.length}`,
     epoch: 3,
     partition: { topic: "domains", number: 0 },
@@ -126,6 +129,7 @@
     events,
     reportAgesMs,
     lost,
+    reportedTo,
     controller,
     open,
   };
@@ -157,6 +161,16 @@
     assert.deepEqual(started, ["j.0.0.0/1"]);
   });
 
+  // Guards against SHORT: the reports of relays waited behind the connections of
+  // all instances to a new owner, which then took its relays for lost.
+  it("reports to the address that the owner has for reports", async () => {
+    const { events, reportedTo, controller, open } = createFixture();
+    open();
+    await waitUntil(() => events.some(({ kind }) => kind === "looked"));
+    controller.abort();
+    assert.deepEqual([...reportedTo], ["owner-reports"]);
+  });
+
   it("is lost when the relay stops reporting, and then grants no lease", async () => {
     const { connection, polls, lost, controller, open } = createFixture();
     open();
--- a/src/ownership/relay/relayed_links.ts
+++ b/src/ownership/relay/relayed_links.ts
@@ -42,6 +42,8 @@
   counters: Counters;
   /** Address of this instance. */
   self: string;
+  /** Address of this instance that relays report to. */
+  reportAddress: string;
   /** Returns a unique session id. */
   newSession(): string;
   epoch: number;
@@ -160,7 +162,7 @@
         await host.post(address, {
           ...batch,
           session: sessionId,
-          owner: host.self,
+          owner: host.reportAddress,
           epoch: host.epoch,
           ownerMs: relayClockMs(),
         }) ?? "failed",
--- a/src/settings/read_settings_test.ts
+++ b/src/settings/read_settings_test.ts
@@ -54,6 +54,7 @@
       readiness: { host: "127.0.0.1", port: 8002 },
       internalHost: "127.0.0.1",
       peerPort: 8003,
+      peerPortCount: 1,
       metricsPort: 8004,
     },
     peers: { secret: "" },
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -33,6 +33,8 @@
     /** IP address for the other instances and for metrics. */
     internal_host: textSchema,
     peer_port: portSchema,
+    /** Number of consecutive ports for peers, the first of them `peer_port`. */
+    peer_port_count: v.optional(wholeNumber(1, 16), "1"),
     metrics_port: portSchema,
     /** Address of the product's own API; empty to disable it. */
     api: v.optional(optionalSocketAddressSchema, ""),
