Choose no relay that is an owner that may be lost

What callers saw: after a change of owner, nothing starts for a second on the workers of one availability zone.

Cause: owners are chosen from the largest instances, and so are relays.

Earlier owners of a domain that have not confirmed their end are not chosen any more. They are on record, since their leases have to be waited for.

Test: fails before, as the function does not exist; in effect it chose the largest instance.

--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -46,7 +46,11 @@
   remainingGrantMs,
   reopenLinks,
 } from "./owner_links.ts";
-import { createRelayedLinks, RELAY_GRANT_MS } from "./relay/mod.ts";
+import {
+  createRelayedLinks,
+  RELAY_GRANT_MS,
+  withoutEarlierOwners,
+} from "./relay/mod.ts";
 import {
   executeCommitted,
   failOwnership,
@@ -175,7 +179,7 @@
     relayedLinks: createRelayedLinks({
       ...host,
       sessions: host.relaySessions,
-      peers: host.relayPeers,
+      peers: () => withoutEarlierOwners(host.relayPeers(), domain.owners),
       post: host.postToRelay,
       grantMs: () => remainingGrantMs(state),
       leaseLimitMs: () => leaseLimitMs(state),
--- a/src/ownership/relay/mod.ts
+++ b/src/ownership/relay/mod.ts
@@ -1,6 +1,6 @@
 /** Worker links that an owner delegates to other instances, called relays. */
 export type { Batch } from "./batch_sender.ts";
-export type { RelayPeer } from "./relay_choice.ts";
+export { type RelayPeer, withoutEarlierOwners } from "./relay_choice.ts";
 export {
   createRelayServer,
   type RelayCall,
--- a/src/ownership/relay/relay_choice.ts
+++ b/src/ownership/relay/relay_choice.ts
@@ -43,3 +43,21 @@
   const load = ({ address, cores }: RelayPeer) => linkCountOf(address) / cores;
   return candidates.sort((left, right) => load(left) - load(right))[0];
 }
+
+/**
+ * Returns the instances without those that may be lost: earlier owners of the
+ * domain that have not confirmed their end. A relay that is lost holds up the
+ * workers whose links it is given until it is noticed.
+ *
+ * @example
+ * ```ts
+ * withoutEarlierOwners(peers, [{ instance: "10.1.0.30:7380" }]);
+ * ```
+ */
+export function withoutEarlierOwners(
+  peers: RelayPeer[],
+  owners: { instance: string }[],
+): RelayPeer[] {
+  const earlier = new Set(owners.map(({ instance }) => instance));
+  return peers.filter(({ address }) => !earlier.has(address));
+}
--- a/src/ownership/relay/relay_choice_test.ts
+++ b/src/ownership/relay/relay_choice_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { chooseRelay } from "./relay_choice.ts";
+import { chooseRelay, withoutEarlierOwners } from "./relay_choice.ts";
 
 const PEERS = [
   { address: "small", zone: "a", cores: 0.324 },
@@ -40,6 +40,13 @@
     assert.ok(new Set(chosen).size > 1);
   });
 
+  // Guards against SHORT: the owner that was lost is the largest instance of its
+  // zone, so that its successor gave it links, and waited a second for them.
+  it("is not an earlier owner that has not confirmed its end", () => {
+    const peers = withoutEarlierOwners(PEERS, [{ instance: "larger" }]);
+    assert.equal(chooseRelay(peers, "a", () => 0, 1)?.address, "large");
+  });
+
   it("is undefined when the zone has no instance with enough cores", () => {
     assert.equal(choose("b", {}), undefined);
     assert.equal(choose("c", {}), undefined);
