--- a/src/ownership/relay/relay_choice.ts
+++ b/src/ownership/relay/relay_choice.ts
@@ -15,26 +15,25 @@
  * number of links, or else the one with the fewest links per core.
  *
  * @param linkCountOf number of links that an instance already holds
- * @param domainNumber number of the domain, which breaks ties between equal
- * instances differently for each domain
+ * @param tieBreakerOf orders equal instances
  *
  * @example
  * ```ts
- * const relay = chooseRelay(peers, "kigali-a", (address) => 0, 3);
+ * const tieBreakerOf = createTieBreaker(3);
+ * const relay = chooseRelay(peers, "kigali-a", (address) => 0, tieBreakerOf);
  * ```
  */
 export function chooseRelay(
   peers: RelayPeer[],
   zone: string,
   linkCountOf: (address: string) => number,
-  domainNumber: number,
+  tieBreakerOf: (address: string) => number,
 ): RelayPeer | undefined {
-  const tieBreaker = ({ address }: RelayPeer) =>
-    hash32(`${domainNumber}/${address}`);
   const candidates = peers
     .filter((peer) => peer.zone === zone && peer.cores >= MIN_RELAY_CORES)
     .sort((left, right) =>
-      right.cores - left.cores || tieBreaker(left) - tieBreaker(right)
+      right.cores - left.cores ||
+      tieBreakerOf(left.address) - tieBreakerOf(right.address)
     );
   const belowLimit = candidates.find(({ address }) =>
     linkCountOf(address) < PREFERRED_LINKS_PER_RELAY
@@ -44,6 +43,32 @@
   return candidates.sort((left, right) => load(left) - load(right))[0];
 }
 
+/**
+ * Creates an order of instances that differs between domains. The hash of each
+ * instance is computed once, as a new owner chooses a relay for each worker.
+ *
+ * @param domainNumber number of the domain
+ *
+ * @example
+ * ```ts
+ * const tieBreakerOf = createTieBreaker(3);
+ * tieBreakerOf("10.1.0.30:7380");
+ * ```
+ */
+export function createTieBreaker(
+  domainNumber: number,
+  hash: (text: string) => number = hash32,
+): (address: string) => number {
+  const hashes = new Map<string, number>();
+  return (address) => {
+    const known = hashes.get(address);
+    if (known !== undefined) return known;
+    const computed = hash(`${domainNumber}/${address}`);
+    hashes.set(address, computed);
+    return computed;
+  };
+}
+
 /**
  * Returns the instances without those that may be lost: earlier owners of the
  * domain that have not confirmed their end. A relay that is lost holds up the
--- a/src/ownership/relay/relay_choice_test.ts
+++ b/src/ownership/relay/relay_choice_test.ts
@@ -1,6 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { chooseRelay, withoutEarlierOwners } from "./relay_choice.ts";
+import {
+  chooseRelay,
+  createTieBreaker,
+  withoutEarlierOwners,
+} from "./relay_choice.ts";
 
 const PEERS = [
   { address: "small", zone: "a", cores: 0.324 },
@@ -10,7 +14,12 @@
 ];
 
 function choose(zone: string, links: Record<string, number>) {
-  return chooseRelay(PEERS, zone, (address) => links[address] ?? 0, 1)?.address;
+  return chooseRelay(
+    PEERS,
+    zone,
+    (address) => links[address] ?? 0,
+    createTieBreaker(1),
+  )?.address;
 }
 
 describe("the relay of a worker", () => {
@@ -35,16 +44,38 @@
     }));
     const domains = Array.from({ length: 12 }, (_, number) => number);
     const chosen = domains.map((number) =>
-      chooseRelay(equals, "a", () => 0, number)?.address
+      chooseRelay(equals, "a", () => 0, createTieBreaker(number))?.address
     );
     assert.ok(new Set(chosen).size > 1);
   });
 
+  // Guards against SHORT: a new owner hashed the instances of a zone anew for
+  // each worker, several times for each comparison.
+  it("takes one hash of each instance for all workers", () => {
+    const hashed: string[] = [];
+    const tieBreakerOf = createTieBreaker(1, (text) => {
+      hashed.push(text);
+      return hashed.length;
+    });
+    const equals = ["p", "q", "r", "s"].map((address) => ({
+      address,
+      zone: "a",
+      cores: 1,
+    }));
+    for (let worker = 0; worker < 350; worker += 1) {
+      chooseRelay(equals, "a", () => 0, tieBreakerOf);
+    }
+    assert.equal(hashed.length, equals.length);
+  });
+
   // Guards against SHORT: the owner that was lost is the largest instance of its
   // zone, so that its successor gave it links, and waited a second for them.
   it("is not an earlier owner that has not confirmed its end", () => {
     const peers = withoutEarlierOwners(PEERS, [{ instance: "larger" }]);
-    assert.equal(chooseRelay(peers, "a", () => 0, 1)?.address, "large");
+    assert.equal(
+      chooseRelay(peers, "a", () => 0, createTieBreaker(1))?.address,
+      "large",
+    );
   });
 
   it("is undefined when the zone has no instance with enough cores", () => {
--- a/src/ownership/relay/relayed_links.ts
+++ b/src/ownership/relay/relayed_links.ts
@@ -13,7 +13,11 @@
 import { createSuspensionMeter } from "../suspension_meter.ts";
 import { createBatchReceiver } from "./batch_receiver.ts";
 import { type BatchSender, createBatchSender } from "./batch_sender.ts";
-import { chooseRelay, type RelayPeer } from "./relay_choice.ts";
+import {
+  chooseRelay,
+  createTieBreaker,
+  type RelayPeer,
+} from "./relay_choice.ts";
 import type { RelayCall } from "./relay_server.ts";
 import type {
   RelayEvent,
@@ -117,6 +121,7 @@
 export function createRelayedLinks(host: RelayedLinksHost): RelayedLinks {
   const { clock, signal } = host;
   const relays = new Map<string, Relay>();
+  const tieBreakerOf = createTieBreaker(host.partition.number);
   const cooldownUntilMs = new Map<string, number>();
   const suspensions = createSuspensionMeter(clock);
   let isMonitoring = false;
@@ -147,7 +152,7 @@
       usable,
       zone,
       (address) => relays.get(address)?.workers.size ?? 0,
-      host.partition.number,
+      tieBreakerOf,
     );
   }
 
