--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -48,6 +48,7 @@
 import { createInstanceList, type InstanceList } from "./instance_list.ts";
 import { createManifestState, type ManifestState } from "./manifest_state.ts";
 import type { OwnerDiscovery } from "./owner_discovery.ts";
+import { createPartitionLookup } from "./partition_lookup.ts";
 import { createPeerContact, type PeerContact } from "./peer_contact.ts";
 import { reportAddress } from "./peer_ports.ts";
 import { createPeerRpc, type PeerRpc } from "./peer_rpc.ts";
@@ -233,6 +234,9 @@
   const { settings, platform, clock, logger, counters, ending } = context;
   const { signal } = ending;
   const leaseMs = leaseMsOf(settings);
+  const lookUpPartition = createPartitionLookup((service) =>
+    partitionOf(service, settings.store.partitions)
+  );
   return createOwnedDomains({
     store: platform.store,
     tasks: platform.tasks,
@@ -254,7 +258,7 @@
     onTakeover: (partition, epoch) =>
       broadcastOwnership(context, partition, epoch),
     servesDomain: (service, partition) =>
-      partitionOf(service, settings.store.partitions) === partition,
+      lookUpPartition(service) === partition,
     instances: () => context.instances.addresses(),
     relayPeers: () => context.instances.relayPeers(),
     reportAddress: reportAddress(settings.listen),
