Read short calls without iteration and URL parsing

Of the processor time of a call at the receiver, a sixth went into an asynchronous iteration over the body (streams, promises, listeners), and a twentieth into a URL parser for the path /rpc.

The body is received by events now, paths of plain segments are split without the parser, and the length of a response is counted without encoding it. Limits and answers are as before.

--- a/src/server/http_response.ts
+++ b/src/server/http_response.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
 
 /** The response that a route returns. */
@@ -21,7 +22,7 @@
   serverResponse.writeHead(status, {
     ...headers,
     ...(body === undefined ? {} : { "content-type": type }),
-    "content-length": new TextEncoder().encode(text).length,
+    "content-length": Buffer.byteLength(text),
   });
   serverResponse.end(text);
 }
--- a/src/server/http_server.ts
+++ b/src/server/http_server.ts
@@ -28,6 +28,9 @@
 /** Limits on the requests and connections that the server accepts. */
 export type ServerLimits = BodyLimits & { maxConnections: number };
 
+/** A path without a query, dots or anything encoded, which need no parsing. */
+const PLAIN_PATH = /^(?:\/[\w-]+)+$/;
+
 /**
  * Creates an HTTP server for the routes; it does not listen yet.
  *
@@ -85,11 +88,14 @@
   limits: BodyLimits,
   queue: WorkQueue,
 ): RouteCall {
-  const url = parseUrl(request.url ?? "/");
+  const target = request.url ?? "/";
+  const { path, query } = PLAIN_PATH.test(target)
+    ? { path: target.split("/").slice(1), query: new URLSearchParams() }
+    : parseUrl(target);
   return {
     method: request.method ?? "GET",
-    path: url.pathname.split("/").slice(1).map(decodeURIComponent),
-    query: url.searchParams,
+    path,
+    query,
     headers: request.headers,
     async body() {
       const text = await readBody(request, limits);
@@ -108,11 +114,11 @@
   return socket.destroyed || socket.readableEnded;
 }
 
-function parseUrl(text: string): URL {
+function parseUrl(text: string): { path: string[]; query: URLSearchParams } {
   try {
     const url = new URL(text, "http://127.0.0.1");
-    decodeURIComponent(url.pathname);
-    return url;
+    const path = url.pathname.split("/").slice(1).map(decodeURIComponent);
+    return { path, query: url.searchParams };
   } catch {
     const message = diagnostics.pathUnknown;
     throw new RefusedCall(refusal(BAD_REQUEST, message, text));
--- a/src/server/read_body.ts
+++ b/src/server/read_body.ts
@@ -28,21 +28,47 @@
   const { maxBytes, timeoutMs } = limits;
   const declaredBytes = Number(request.headers["content-length"] ?? 0);
   if (declaredBytes > maxBytes) return err(tooLarge(maxBytes));
-  const timer = setTimeout(() => request.destroy(), timeoutMs);
-  const chunks: Buffer[] = [];
-  let receivedBytes = 0;
-  try {
-    for await (const chunk of request) {
-      receivedBytes += chunk.length;
-      if (receivedBytes > maxBytes) return err(tooLarge(maxBytes));
-      chunks.push(chunk);
-    }
-  } catch {
-    return err(refusal(REQUEST_TIMEOUT, diagnostics.timedOut, timeoutMs));
-  } finally {
-    clearTimeout(timer);
+  const bytes = await receiveBytes(request, limits);
+  switch (bytes) {
+    case "tooLarge":
+      return err(tooLarge(maxBytes));
+    case "incomplete":
+      return err(refusal(REQUEST_TIMEOUT, diagnostics.timedOut, timeoutMs));
+    default:
+      return ok(bytes.toString("utf8"));
   }
-  return ok(Buffer.concat(chunks).toString("utf8"));
+}
+
+/**
+ * Receives the body of a request. Listens to its events, since an asynchronous
+ * iteration over a short body costs more than to receive it.
+ */
+function receiveBytes(
+  request: IncomingMessage,
+  { maxBytes, timeoutMs }: BodyLimits,
+): Promise<Buffer | "tooLarge" | "incomplete"> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let receivedBytes = 0;
+    const end = (outcome: Buffer | "tooLarge" | "incomplete") => {
+      clearTimeout(timer);
+      resolve(outcome);
+    };
+    const timer = setTimeout(() => {
+      request.destroy();
+      end("incomplete");
+    }, timeoutMs);
+    // It emits no further events if the caller has disconnected before.
+    if (request.destroyed) end("incomplete");
+    request.on("data", (chunk: Buffer) => {
+      receivedBytes += chunk.length;
+      if (receivedBytes > maxBytes) end("tooLarge");
+      else chunks.push(chunk);
+    });
+    request.on("end", () => end(Buffer.concat(chunks)));
+    request.on("error", () => end("incomplete"));
+    request.on("close", () => end("incomplete"));
+  });
 }
 
 /**
