Name the owner's instance to relays beside the address for reports

What callers would see: an owner that is behind is evicted although relays hear it.

The test of the relays' address failed before (the instance is undefined).

--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -298,13 +298,16 @@
     logger: context.logger.part("domain"),
     counters: context.counters,
     leaseMs: leaseMsOf(context.settings),
-    report: (owner, session, batch) =>
-      context.rpc.relayed(owner, {
+    async report({ owner, instance = owner }, session, batch) {
+      const answer = await context.rpc.relayed(owner, {
         ...batch,
         session,
         isLeaving: context.stopping.signal.aborted,
         keepsLeaseLimit: true,
-      }),
+      });
+      if (answer !== undefined) context.peerContact.record(instance);
+      return answer;
+    },
     signal: context.ending.signal,
   });
 }
--- a/src/entry/peer_call.ts
+++ b/src/entry/peer_call.ts
@@ -47,6 +47,7 @@
     kind: v.literal("relay"),
     session: v.string(),
     owner: v.string(),
+    instance: v.optional(v.string()),
     epoch: v.number(),
     ownerMs: v.number(),
     first: v.number(),
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -103,7 +103,7 @@
     case "owners":
       return await context.directory.readStore() ?? {};
     case "relay":
-      context.peerContact.record(call.owner);
+      context.peerContact.record(call.instance ?? call.owner);
       return { kind: acceptRelay(context, call) ? "taken" : "closed" };
     case "relayed":
       return context.relaySessions.dispatch(call);
--- a/src/ownership/relay/relay_server.ts
+++ b/src/ownership/relay/relay_server.ts
@@ -24,18 +24,27 @@
   leaseMs: number;
   /** Reports events to an owner; undefined if no answer arrived. */
   report(
-    owner: string,
+    owner: RelayOwner,
     session: string,
     batch: Batch<RelayEvent>,
   ): Promise<RelayReportAnswer | undefined>;
   signal: AbortSignal;
 };
 
-/** A batch of messages from an owner for one of its sessions. */
-export type RelayCall = {
-  session: string;
+/** The owner that a relay serves. */
+export type RelayOwner = {
   /** Address that the relay reports to. */
   owner: string;
+  /**
+   * Address of the owner as listed in the directory; missing in calls of earlier
+   * versions, where it is the same.
+   */
+  instance?: string | undefined;
+};
+
+/** A batch of messages from an owner for one of its sessions. */
+export type RelayCall = RelayOwner & {
+  session: string;
   epoch: number;
   /** The owner's clock when it sent the batch, in milliseconds. */
   ownerMs: number;
@@ -67,13 +76,13 @@
   const endedSessions = new Set<string>();
 
   function startSession(
-    { session: id, owner, epoch }: RelayCall,
+    { session: id, owner, instance, epoch }: RelayCall,
   ): RelaySession {
     host.logger.info("Relay session started.", { owner, epoch });
     const session = startRelaySession({
       ...host,
       epoch,
-      report: (batch) => host.report(owner, id, batch),
+      report: (batch) => host.report({ owner, instance }, id, batch),
     });
     sessions.set(id, session);
     session.ended.addEventListener("abort", () => {
--- a/src/ownership/relay/relay_test.ts
+++ b/src/ownership/relay/relay_test.ts
@@ -71,8 +71,8 @@
     ...common,
     tasks,
     leaseMs: LEASE_MS,
-    report: (address, session, batch) => {
-      reportedTo.add(address);
+    report: ({ owner, instance }, session, batch) => {
+      reportedTo.add(`${instance} at ${owner}`);
       if (connection.isDisconnected) return Promise.resolve(undefined);
       const { keepsLeaseLimit } = connection;
       const report = { ...batch, session, isLeaving: false, keepsLeaseLimit };
@@ -168,7 +168,7 @@
     open();
     await waitUntil(() => events.some(({ kind }) => kind === "looked"));
     controller.abort();
-    assert.deepEqual([...reportedTo], ["owner-reports"]);
+    assert.deepEqual([...reportedTo], ["owner at owner-reports"]);
   });
 
   it("is lost when the relay stops reporting, and then grants no lease", async () => {
--- a/src/ownership/relay/relayed_links.ts
+++ b/src/ownership/relay/relayed_links.ts
@@ -168,6 +168,7 @@
           ...batch,
           session: sessionId,
           owner: host.reportAddress,
+          instance: host.self,
           epoch: host.epoch,
           ownerMs: relayClockMs(),
         }) ?? "failed",
