Announce an owner also to instances that are stopping

What callers saw: for up to 3 s, submissions and reads are refused with 503 ('the domain has no owner') or end undecided while all instances are stopped in turn, although one of them still owns and serves the domain.

Cause: a new owner announces itself to the instances that are announced in the store. One that stops withdraws its announcement at once, but serves clients for seconds. If the new owner is stopped as well, the group lists no owner, and the others have no other way to learn it.

The new test stops three instances in turn; it failed before, 503 instead of 200.

An owner now announces itself also to the last 50 instances that have withdrawn their announcement.

--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -286,7 +286,7 @@
   epoch: number,
 ): void {
   directory.recordOwner(partition, self, epoch);
-  for (const instance of instances.addresses()) {
+  for (const instance of [...instances.addresses(), ...instances.stopping()]) {
     if (instance !== self) rpc.owned(instance, self, partition, epoch);
   }
 }
--- a/src/entry/instance_list.ts
+++ b/src/entry/instance_list.ts
@@ -16,6 +16,9 @@
   url: v.optional(v.string()),
 });
 
+/** How many instances are remembered that have withdrawn theirs. */
+const MAX_STOPPING = 50;
+
 /** The announcement of an instance. */
 export type Announcement = v.InferOutput<typeof announcementSchema>;
 
@@ -30,6 +33,11 @@
   rank(excluded: string[]): number | undefined;
   /** Returns the other instances as possible relays to workers. */
   relayPeers(): RelayPeer[];
+  /**
+   * Returns the addresses of the last instances that have withdrawn their
+   * announcement, which may still serve clients while they stop.
+   */
+  stopping(): string[];
   /** Returns the other instances with the URLs of their APIs. */
   members(): { address: string; url?: string }[];
   /** Applies announcements; a record without a value removes its instance. */
@@ -46,6 +54,7 @@
  */
 export function createInstanceList(self: string): InstanceList {
   const others = new Map<string, Announcement>();
+  const stopping = new Set<string>();
   let ownWaitMs: number | undefined;
   let orderedAddresses: string[] = [self];
   return {
@@ -64,6 +73,7 @@
         zone,
         cores,
       })),
+    stopping: () => [...stopping],
     members: () =>
       [...others].map(([address, { url }]) => ({
         address,
@@ -77,8 +87,17 @@
           }
           continue;
         }
-        if (value === undefined) others.delete(key);
-        else others.set(key, parseAnnouncement(value));
+        if (value === undefined) {
+          others.delete(key);
+          stopping.add(key);
+        } else {
+          others.set(key, parseAnnouncement(value));
+          stopping.delete(key);
+        }
+      }
+      for (const address of stopping) {
+        if (stopping.size <= MAX_STOPPING) break;
+        stopping.delete(address);
       }
       const byWait = [...others].sort(([, left], [, right]) =>
         left.candidateWaitMs - right.candidateWaitMs
