--- a/src/domain/worker_crash_test.ts
+++ b/src/domain/worker_crash_test.ts
@@ -364,14 +364,23 @@
 
 describe("a worker that was cut off until its lease expired", () => {
   // Guards against jobs that fail for a crash long after the start of a task.
-  it("has survived its last starts if the same incarnation answers", () => {
-    const bench = createBench();
-    listWorkers(bench, listing("w1"), listing("w2"));
-    const [start] = startsIn(submit(bench, "a", [step()]));
-    const cutOff = start!.worker;
-    feedEvent(bench, { kind: "workerLapsed", worker: cutOff });
-    reportFrom(bench, cutOff, {});
-    reportFrom(bench, cutOff, { bornMs: 2 });
-    assert.deepEqual(bench.domain.steps.get("a.0.0")?.crashCounts, new Map());
-  });
+  for (const place of ["still on", "back on"]) {
+    it(`has survived its last starts if it answers, ${place} the list`, () => {
+      const bench = createBench();
+      const listings = [listing("w1"), listing("w2")];
+      listWorkers(bench, ...listings);
+      const [start] = startsIn(submit(bench, "a", [step()]));
+      const cutOff = start!.worker;
+      feedEvent(bench, { kind: "workerLapsed", worker: cutOff });
+      if (place === "back on") {
+        const workers = listings.filter(({ id }) => id !== cutOff);
+        feedEvent(bench, { kind: "workersListed", workers });
+        feedEvent(bench, { kind: "workersListed", workers: listings });
+      }
+      reportFrom(bench, cutOff, {});
+      reportFrom(bench, cutOff, { bornMs: 2 });
+      const { crashCounts } = bench.domain.steps.get("a.0.0")!;
+      assert.deepEqual(crashCounts, new Map());
+    });
+  }
 });
