--- a/src/domain/unanswered_start_test.ts
+++ b/src/domain/unanswered_start_test.ts
@@ -49,7 +49,7 @@
 });
 
 // Guards against LOST: a gang was placed on the same workers again and again,
-// of which one did not answer its start, so that the others waited in vain.
+// of which one did not answer its start, so that none of them could work.
 it("a gang avoids the worker whose member its others have waited for", () => {
   const bench = benchOfWorkers("w1", "w2", "w3");
   const gang = step({ taskCount: 2, gang: true, demand: WHOLE_WORKER });
--- /dev/null
+++ b/src/ownership/worker_orders_test.ts
@@ -0,0 +1,221 @@
+import assert from "node:assert/strict";
+import { setMaxListeners } from "node:events";
+import { describe, it } from "node:test";
+import { err, ok } from "neverthrow";
+import type { DomainEvent } from "../domain/mod.ts";
+import { createManualClock } from "../entry/testing/manual_clock.ts";
+import type { StartCall, TaskHost } from "../hosts/mod.ts";
+import { hostOf } from "./testing/link_host.ts";
+import { createSimulatedClock } from "./testing/simulated_clock.ts";
+import { openWorkerLink } from "./worker_link.ts";
+
+// Guards against BUDGET: an order that has crashed its worker is sent again to
+// the next incarnation, which crashes in its turn.
+describe("a start without an answer, to a worker that restarts", () => {
+  it("is not sent again to its new incarnation", async () => {
+    const clock = createManualClock();
+    const controller = new AbortController();
+    let starts = 0;
+    let polls = 0;
+    const unknown = err({
+      kind: "unknown",
+      step: "worker.start",
+      peer: "w",
+      message: "reset",
+    });
+    const tasks = {
+      async poll() {
+        await clock.sleep(100, controller.signal);
+        polls += 1;
+        if (polls === 30) controller.abort();
+        const bornMs = starts === 0 ? 1 : 2;
+        const clockMs = clock.steadyMs();
+        return ok({ clockMs, bornMs, running: [], ended: [] });
+      },
+      start() {
+        starts += 1;
+        return Promise.resolve(unknown);
+      },
+    } as unknown as TaskHost;
+    await new Promise<void>((resolve) => {
+      controller.signal.addEventListener("abort", () => resolve());
+      let isOrdered = false;
+      const link = openWorkerLink({
+        ...hostOf(tasks, clock, controller.signal),
+        emit(event) {
+          if (event.kind !== "looked" || isOrdered) return;
+          isOrdered = true;
+          link.order({
+            kind: "start",
+            worker: "w",
+            task: "a.0.0.0",
+            attempt: 1,
+            specification: "",
+            ticket: undefined,
+            checkpoint: undefined,
+          });
+        },
+      });
+    });
+    assert.equal(starts, 1);
+  });
+});
+
+// Guards against LOST: jobs that fail for crashes of workers on which none of
+// their tasks has been started.
+describe("a worker that restarts", () => {
+  const cases = [
+    ["unsent", "unsent", []],
+    ["without an answer", "unknown", ["a.0.0.0"]],
+  ] as const;
+  for (const [title, kind, unansweredStarts] of cases) {
+    it(`is reported with the starts that it may have got: ${title}`, async () => {
+      const clock = createManualClock();
+      const controller = new AbortController();
+      let starts = 0;
+      let reported: string[] | undefined;
+      const tasks = {
+        async poll() {
+          await clock.sleep(100, controller.signal);
+          const bornMs = starts === 0 ? 1 : 2;
+          const clockMs = clock.steadyMs();
+          return ok({ clockMs, bornMs, running: [], ended: [] });
+        },
+        start() {
+          starts += 1;
+          const fault = { step: "worker.start", peer: "w", message: "reset" };
+          return Promise.resolve(err({ ...fault, kind }));
+        },
+      } as unknown as TaskHost;
+      await new Promise<void>((resolve) => {
+        controller.signal.addEventListener("abort", () => resolve());
+        const link = openWorkerLink({
+          ...hostOf(tasks, clock, controller.signal),
+          emit(event) {
+            if (event.kind !== "looked") return;
+            if (event.look.bornMs === 2) {
+              reported = event.look.unansweredStarts;
+              return controller.abort();
+            }
+            link.order({
+              kind: "start",
+              worker: "w",
+              task: "a.0.0.0",
+              attempt: 1,
+              specification: "",
+              ticket: undefined,
+              checkpoint: undefined,
+            });
+          },
+        });
+      });
+      assert.deepEqual(reported, unansweredStarts);
+    });
+  }
+});
+
+// Guards against LOST: a start that its worker never answers, while it answers
+// polls, was repeated without end, so that the task never started elsewhere.
+describe("a start that a worker that answers polls does not answer", () => {
+  it("is given up, and can no longer be executed some time later", async () => {
+    const clock = createSimulatedClock();
+    const controller = new AbortController();
+    setMaxListeners(0, controller.signal);
+    const reported: { kind: DomainEvent["kind"]; atMs: number }[] = [];
+    const lastSent = { atMs: 0, leaseUntilMs: 0 };
+    const tasks = {
+      async poll() {
+        await clock.sleep(1_000, controller.signal);
+        const clockMs = clock.steadyMs();
+        return ok({ clockMs, bornMs: 1, running: [], ended: [] });
+      },
+      async start(_target: unknown, { leaseUntilMs }: StartCall) {
+        lastSent.atMs = clock.steadyMs();
+        lastSent.leaseUntilMs = leaseUntilMs;
+        return await timeOut();
+      },
+      stop: timeOut,
+    } as unknown as TaskHost;
+    async function timeOut() {
+      await clock.sleep(450, controller.signal);
+      const fault = { step: "worker.order", peer: "w", message: "no answer" };
+      return err({ kind: "unknown", ...fault });
+    }
+    const attempt = { worker: "w", task: "a.0.0.0", attempt: 1 };
+    let isStopped = false;
+    const link = openWorkerLink({
+      ...hostOf(tasks, clock, controller.signal),
+      isCurrent: ({ kind }) => (kind === "stop") === isStopped,
+      emit(event) {
+        if (event.kind === "looked" || event.kind === "workerSilent") return;
+        reported.push({ kind: event.kind, atMs: clock.steadyMs() });
+        if (event.kind === "startAnswered") {
+          isStopped = true;
+          link.order({ kind: "stop", ...attempt });
+          assert.deepEqual(event.answer, {
+            kind: "rejected",
+            cause: "unanswered",
+            earlierUnknown: true,
+          });
+        }
+      },
+    });
+    await clock.advance(1_500);
+    link.order({ kind: "start", ...attempt, specification: "" });
+    await clock.advance(30_000);
+    controller.abort();
+    assert.deepEqual(reported.map(({ kind }) => kind), [
+      "startAnswered",
+      "stopConfirmed",
+    ]);
+    const [givenUp, expired] = reported;
+    assert.ok(givenUp!.atMs < 6_000);
+    assert.ok(givenUp!.atMs > lastSent.atMs);
+    // A worker's clock may be 2 % slow.
+    const leaseMs = lastSent.leaseUntilMs - lastSent.atMs;
+    assert.ok(expired!.atMs >= lastSent.atMs + leaseMs / 0.98);
+    assert.ok(expired!.atMs < 12_000);
+  });
+
+  // Guards against LOST: a task that waits for as long as its worker answers
+  // polls, but accepts no further connection.
+  it("is given up as not executed if no copy of it was sent", async () => {
+    const clock = createSimulatedClock();
+    const controller = new AbortController();
+    setMaxListeners(0, controller.signal);
+    const answers: unknown[] = [];
+    const tasks = {
+      async poll() {
+        await clock.sleep(1_000, controller.signal);
+        const clockMs = clock.steadyMs();
+        return ok({ clockMs, bornMs: 1, running: [], ended: [] });
+      },
+      start() {
+        const fault = { step: "worker.start", peer: "w", message: "refused" };
+        return Promise.resolve(err({ kind: "unsent", ...fault }));
+      },
+    } as unknown as TaskHost;
+    const link = openWorkerLink({
+      ...hostOf(tasks, clock, controller.signal),
+      isCurrent: () => answers.length === 0,
+      emit(event) {
+        if (event.kind === "startAnswered") answers.push(event.answer);
+      },
+    });
+    await clock.advance(1_500);
+    link.order({
+      kind: "start",
+      worker: "w",
+      task: "a.0.0.0",
+      attempt: 1,
+      specification: "",
+      ticket: undefined,
+      checkpoint: undefined,
+    });
+    await clock.advance(6_000);
+    controller.abort();
+    assert.deepEqual(answers, [
+      { kind: "rejected", cause: "unanswered", earlierUnknown: false },
+    ]);
+  });
+});
