--- a/src/entry/peer_contact.ts
+++ b/src/entry/peer_contact.ts
@@ -1,10 +1,10 @@
 import type { Clock } from "../hosts/mod.ts";
 
-/** When other instances were last heard. */
+/** When messages of other instances last arrived. */
 export type PeerContact = {
   /** Records a message or an answer from an instance. */
   record(instance: string): void;
-  /** Time since an instance was heard, in milliseconds; Infinity if never. */
+  /** Time since its last message arrived, in milliseconds; Infinity if none did. */
   silentMs(instance: string): number;
 };
 
--- a/src/entry/probe_instance.ts
+++ b/src/entry/probe_instance.ts
@@ -4,7 +4,7 @@
 /** Timeout for opening a connection, in milliseconds. */
 const PROBE_TIMEOUT_MS = 120;
 /**
- * An instance that was heard within this time is alive, in milliseconds. Two
+ * An instance of which a message arrived within this time is alive, in ms. Two
  * probes that are not answered take longer, so that the contact does not delay
  * the detection of an instance that has failed.
  */
@@ -21,7 +21,7 @@
  * Whether an instance is alive after a probe. The queue of connections to
  * accept may be full at one that is busy but still answers on open connections.
  *
- * @param silentMs time since the instance was heard, in milliseconds
+ * @param silentMs time since its last message arrived, in milliseconds
  *
  * @example
  * ```ts
