--- a/src/domain/further_advice_test.ts
+++ b/src/domain/further_advice_test.ts
@@ -60,7 +60,7 @@
   return { bench, allowed, named: takeRequest(bench) };
 }
 
-// Guards against LOST: a gang waited until its allowed workers were free, although
+// Guards against LOST: a gang waited until its allowed workers were free, while
 // others were free that the policy had not decided on.
 it("a gang asks about free workers if its allowed ones are taken", () => {
   const { bench, allowed, named } = requestAfterLosing({
--- a/src/domain/place_gang.ts
+++ b/src/domain/place_gang.ts
@@ -220,7 +220,8 @@
 /**
  * Returns the slots that are free earliest, or undefined if there are fewer
  * than tasks. Ties are broken by how long ago the worker has left a start of the
- * step without an answer, by a valid ticket, then by low demand pressure. Then slots that are free now are taken from the workers with the fewest free
+ * step without an answer, by a valid ticket, then by low demand pressure. Then
+ * slots that are free now are taken from the workers with the fewest free
  * accelerators, and later ones from the workers with the most.
  */
 function earliestSlots(
