Compute values of a key once in one place

The partitions of services and the hashes that order relays each had a map of their own for it. The test of the partitions has the same assertions and tests the shared function. No behaviour changes.

--- a/src/entry/partition_lookup_test.ts
+++ b/src/base/memoize_test.ts
@@ -1,12 +1,12 @@
 import assert from "node:assert/strict";
 import { it } from "node:test";
-import { createPartitionLookup } from "./partition_lookup.ts";
+import { memoize } from "./mod.ts";
 
 // Guards against SHORT: each change of the list of workers hashed the service of
 // each worker once for each domain, also at a new owner that was behind.
 it("the partition of a service is computed once for all its workers", () => {
   const computed: string[] = [];
-  const lookUp = createPartitionLookup((service) => {
+  const lookUp = memoize((service) => {
     computed.push(service);
     return service.length;
   });
--- a/src/base/mod.ts
+++ b/src/base/mod.ts
@@ -9,5 +9,6 @@
 export * from "./compare.ts";
 export * from "./day.ts";
 export * from "./hash.ts";
+export * from "./memoize.ts";
 export * from "./parse_as.ts";
 export * from "./until_aborted.ts";
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -5,6 +5,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
+import { memoize } from "../base/mod.ts";
 import {
   createHttpClient,
   createPeerClient,
@@ -48,7 +49,6 @@
 import { createInstanceList, type InstanceList } from "./instance_list.ts";
 import { createManifestState, type ManifestState } from "./manifest_state.ts";
 import type { OwnerDiscovery } from "./owner_discovery.ts";
-import { createPartitionLookup } from "./partition_lookup.ts";
 import { createPeerContact, type PeerContact } from "./peer_contact.ts";
 import { reportAddress } from "./peer_ports.ts";
 import { createPeerRpc, type PeerRpc } from "./peer_rpc.ts";
@@ -234,7 +234,8 @@
   const { settings, platform, clock, logger, counters, ending } = context;
   const { signal } = ending;
   const leaseMs = leaseMsOf(settings);
-  const lookUpPartition = createPartitionLookup((service) =>
+  // Each domain asks for each worker whenever the list of workers changes.
+  const lookUpPartition = memoize((service) =>
     partitionOf(service, settings.store.partitions)
   );
   return createOwnedDomains({
--- a/src/ownership/relay/relay_choice.ts
+++ b/src/ownership/relay/relay_choice.ts
@@ -1,4 +1,4 @@
-import { hash32 } from "../../base/mod.ts";
+import { hash32, memoize } from "../../base/mod.ts";
 
 /** An instance that can serve as a relay. */
 export type RelayPeer = { address: string; zone: string; cores: number };
@@ -59,14 +59,7 @@
   domainNumber: number,
   hash: (text: string) => number = hash32,
 ): (address: string) => number {
-  const hashes = new Map<string, number>();
-  return (address) => {
-    const known = hashes.get(address);
-    if (known !== undefined) return known;
-    const computed = hash(`${domainNumber}/${address}`);
-    hashes.set(address, computed);
-    return computed;
-  };
+  return memoize((address) => hash(`${domainNumber}/${address}`));
 }
 
 /**
