--- a/src/entry/call_router.ts
+++ b/src/entry/call_router.ts
@@ -22,6 +22,7 @@
 import { retryAfterOutageMs } from "./outage_retry.ts";
 import type { DomainAnswer, DomainCall } from "./peer_call.ts";
 import type { Reachability } from "./reachability.ts";
+import { untilTimeout } from "./until_timeout.ts";
 
 /** How long a call may search for the owner of its domain, in milliseconds. */
 const OWNER_LOOKUP_TIMEOUT_MS = 1_500;
@@ -418,12 +419,11 @@
   timeoutMs: number,
 ): Promise<PeerCallOutcome> {
   if (owner !== host.self) return await host.callPeer(owner, call, timeoutMs);
-  const timeout = new AbortController();
-  const answer = await Promise.race([
+  const answer = await untilTimeout(
+    host.clock,
     executeDomainCall(host.ownedDomains, call),
-    host.clock.sleep(timeoutMs, timeout.signal),
-  ]);
-  timeout.abort(NO_LONGER_NEEDED);
+    timeoutMs,
+  );
   if (answer !== undefined) return { kind: "answered", answer };
   return { kind: "unknown", cause: "the owner did not answer in time" };
 }
--- a/src/entry/job_search.ts
+++ b/src/entry/job_search.ts
@@ -1,7 +1,7 @@
-import { NO_LONGER_NEEDED } from "../base/mod.ts";
 import type { Clock } from "../hosts/mod.ts";
 import type { Directory, OwnedDomains } from "../ownership/mod.ts";
 import type { PartLogger } from "../telemetry/mod.ts";
+import { untilTimeout } from "./until_timeout.ts";
 
 /** How long the domains of this instance may take to be searched, in ms. */
 const LOCAL_SEARCH_TIMEOUT_MS = 400;
@@ -73,11 +73,6 @@
   { ownedDomains, clock }: JobSearchHost,
   job: string,
 ): Promise<JobSearchAnswer | undefined> {
-  const timeout = new AbortController();
-  const answer = await Promise.race([
-    ownedDomains.find(job).then((partition) => ({ partition })),
-    clock.sleep(LOCAL_SEARCH_TIMEOUT_MS, timeout.signal),
-  ]);
-  timeout.abort(NO_LONGER_NEEDED);
-  return answer ?? undefined;
+  const search = ownedDomains.find(job).then((partition) => ({ partition }));
+  return await untilTimeout(clock, search, LOCAL_SEARCH_TIMEOUT_MS);
 }
