Look for free workers of a gang once if all of them are allowed

A gang whose queue needs no advice searched the same workers twice in a pass. The second search could only find nothing again. No behaviour changes.

--- a/src/domain/place_gang.ts
+++ b/src/domain/place_gang.ts
@@ -62,7 +62,7 @@
       reserveSlot(pass, slot, demand);
     }
   }
-  if (freeAtMs > nowMs && isAdvised) {
+  if (freeAtMs > nowMs && candidates !== workers.all) {
     // Workers that the policy has not decided on may be free now.
     const freeSlots = findFreeSlots(pass, run, workers.all, isFull);
     if (freeSlots !== undefined) {
