--- a/stand_ins/owner_bench/owner_bench.ts
+++ b/stand_ins/owner_bench/owner_bench.ts
@@ -15,6 +15,7 @@
   PORTS_PER_DAEMON,
   startDaemon,
 } from "../platform/daemon.ts";
+import { findOwner } from "../platform/deployment.ts";
 import { type Platform, startPlatform } from "../platform/platform.ts";
 import {
   buildConfiguration,
@@ -321,15 +322,6 @@
   }
 }
 
-function findOwner(
-  platform: Platform,
-  instances: Daemon[],
-): Daemon | undefined {
-  const [group] = platform.store.groups.values();
-  const ownerAddress = group?.owners.find((one) => one !== undefined);
-  return instances.find(({ peerAddress }) => peerAddress === ownerAddress);
-}
-
 async function requestStatus({ url }: Daemon): Promise<number> {
   try {
     const kind = JOB_KINDS[0]!;
--- /dev/null
+++ b/stand_ins/platform/deployment.ts
@@ -0,0 +1,100 @@
+import { once } from "node:events";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { findFreePorts } from "../local_cluster/free_ports.ts";
+import { type Daemon, PORTS_PER_DAEMON, startDaemon } from "./daemon.ts";
+import { type Platform, startPlatform } from "./platform.ts";
+
+const PARTITIONS = 2;
+const CAPACITY = { cpuMillis: 8_000, memoryMb: 8_000, accelerators: 0 };
+
+/** Options for `startDeployment`. */
+export type DeploymentOptions = {
+  /** Path of the daemon's JavaScript file. */
+  program: string;
+  instanceCount: number;
+  workerCount: number;
+  /** How long each task runs, in milliseconds. */
+  taskDurationMs: number;
+  /** The configuration, in the format of the platform. */
+  configuration: object;
+};
+
+/** Daemons as separate processes, on stand-ins of the platform. */
+export type Deployment = {
+  platform: Platform;
+  instances: Daemon[];
+  folder: string;
+};
+
+/**
+ * Starts daemons against a store, and workers of the service `desk`.
+ *
+ * @example
+ * ```ts
+ * const deployment = await startDeployment(options);
+ * await stopDeployment(deployment);
+ * ```
+ */
+export async function startDeployment(
+  options: DeploymentOptions,
+): Promise<Deployment> {
+  const { program, instanceCount, workerCount, taskDurationMs } = options;
+  const folder = mkdtempSync(join(tmpdir(), "samphirestage-"));
+  const platform = await startPlatform({
+    partitions: PARTITIONS,
+    workers: Array.from({ length: workerCount }, (_, index) => ({
+      id: `w${index}`,
+      service: "desk",
+      zone: "a",
+      rack: "r1",
+      capacity: CAPACITY,
+    })),
+    durationMs: () => taskDurationMs,
+    configuration: options.configuration,
+  });
+  // Ports are chosen together: a daemon holds none until it listens, so a later
+  // search could return the same port.
+  const ports = await findFreePorts(instanceCount * PORTS_PER_DAEMON);
+  const instances = Array.from(
+    { length: instanceCount },
+    (_, index) =>
+      startDaemon({
+        program,
+        folder,
+        number: index,
+        ports: ports.slice(index * PORTS_PER_DAEMON),
+        store: platform.address,
+        partitions: PARTITIONS,
+        advice: "",
+      }),
+  );
+  return { platform, instances, folder };
+}
+
+/** Kills the daemons, and stops the stand-ins once they have ended. */
+export async function stopDeployment(
+  { platform, instances, folder }: Deployment,
+): Promise<void> {
+  await Promise.all(instances.map(endProcess));
+  platform.close();
+  rmSync(folder, { recursive: true, force: true });
+}
+
+/** Returns the instance that owns the domains, if the group has a member. */
+export function findOwner(
+  platform: Platform,
+  instances: Daemon[],
+): Daemon | undefined {
+  const [group] = platform.store.groups.values();
+  const owner = group?.owners.find((member) => member !== undefined);
+  return instances.find(({ peerAddress }) => peerAddress === owner);
+}
+
+async function endProcess({ child }: Daemon): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) return;
+  const ended = once(child, "close");
+  child.kill("SIGKILL");
+  await ended;
+}
