Remove the announcements of instances that have gone

Cause: an instance announces itself in the store and withdraws that only while it stops. One that is killed or removed for good stayed in the list of each other instance for ever. Besides the advisor's lanes, each entry - adds 0.2 or 1.2 s to the wait of candidates ranked behind it, and four of them leave an owner without anybody who probes it; - takes one of the three places asked for owners or for a successor, and one of the five that confirm that an owner is unreachable; - is a relay that can be chosen for a worker's links. The list was not bounded: it grew with each replaced instance.

An owner now checks the others, one a second in turn, and those that did not answer each second. One that is silent for 10 s and that no other instance reaches is removed from the store. An instance that finds its announcement removed announces itself again, so a mistake mends itself.

Ruled out: a periodic renewal with an expiry. Each renewal wakes the long polls of all instances, so its cost grows with their square.

--- a/src/entry/follow_store_topics.ts
+++ b/src/entry/follow_store_topics.ts
@@ -86,8 +86,14 @@
     waitMs: INSTANCES_LONG_POLL_WAIT_MS,
     pauseMs: () => INSTANCES_POLL_INTERVAL_MS,
     partition: INSTANCES_PARTITION,
-    onSnapshot: (records) => instances.apply(records),
-    onRecords: (records) => instances.apply(records),
+    onSnapshot: (records) => {
+      instances.replace(records);
+      announceAgainIfRemoved(context);
+    },
+    onRecords: (records) => {
+      instances.apply(records);
+      announceAgainIfRemoved(context);
+    },
   });
 }
 
@@ -136,6 +142,17 @@
   });
 }
 
+/** Announces this instance again if another one has taken it for gone. */
+function announceAgainIfRemoved(context: EntryContext): void {
+  const { instances, logger, stopping } = context;
+  const announcement = instances.removedAnnouncement();
+  if (announcement === undefined || stopping.signal.aborted) return;
+  logger.part("entry").warn("Announcing this instance again.", {
+    cause: "another instance removed the announcement",
+  });
+  announceInstance(context, announcement);
+}
+
 /** Publishes this instance's announcement; retries until stored or stopping. */
 export async function announceInstance(
   context: EntryContext,
--- a/src/entry/instance_list.ts
+++ b/src/entry/instance_list.ts
@@ -40,8 +40,15 @@
   stopping(): string[];
   /** Returns the other instances with the URLs of their APIs. */
   members(): { address: string; url?: string }[];
+  /**
+   * Returns this instance's announcement if another instance has removed it;
+   * undefined otherwise.
+   */
+  removedAnnouncement(): Announcement | undefined;
   /** Applies announcements; a record without a value removes its instance. */
   apply(records: KeyedRecord[]): void;
+  /** Applies all announcements; instances without one are removed. */
+  replace(records: KeyedRecord[]): void;
 };
 
 /**
@@ -55,16 +62,44 @@
 export function createInstanceList(self: string): InstanceList {
   const others = new Map<string, Announcement>();
   const stopping = new Set<string>();
-  let ownWaitMs: number | undefined;
+  let own: Announcement | undefined;
+  let isOwnRemoved = false;
   let orderedAddresses: string[] = [self];
+
+  function apply(records: KeyedRecord[]): void {
+    for (const { key, value } of records) {
+      if (key === self) {
+        isOwnRemoved = value === undefined;
+        if (value !== undefined) own = parseAnnouncement(value);
+        continue;
+      }
+      if (value === undefined) {
+        others.delete(key);
+        stopping.add(key);
+      } else {
+        others.set(key, parseAnnouncement(value));
+        stopping.delete(key);
+      }
+    }
+    for (const address of stopping) {
+      if (stopping.size <= MAX_STOPPING) break;
+      stopping.delete(address);
+    }
+    const byWait = [...others].sort(([, left], [, right]) =>
+      left.candidateWaitMs - right.candidateWaitMs
+    );
+    orderedAddresses = [self, ...byWait.map(([address]) => address)];
+  }
+
   return {
     addresses: () => orderedAddresses,
     rank(excluded) {
-      const own = ownWaitMs;
       if (own === undefined) return undefined;
+      const ownWaitMs = own.candidateWaitMs;
       return [...others].filter(([address, { candidateWaitMs }]) =>
         !excluded.includes(address) &&
-        (candidateWaitMs < own || candidateWaitMs === own && address < self)
+        (candidateWaitMs < ownWaitMs ||
+          candidateWaitMs === ownWaitMs && address < self)
       ).length;
     },
     relayPeers: () =>
@@ -79,30 +114,14 @@
         address,
         ...(url === undefined ? {} : { url }),
       })),
-    apply(records) {
-      for (const { key, value } of records) {
-        if (key === self) {
-          if (value !== undefined) {
-            ownWaitMs = parseAnnouncement(value).candidateWaitMs;
-          }
-          continue;
-        }
-        if (value === undefined) {
-          others.delete(key);
-          stopping.add(key);
-        } else {
-          others.set(key, parseAnnouncement(value));
-          stopping.delete(key);
-        }
-      }
-      for (const address of stopping) {
-        if (stopping.size <= MAX_STOPPING) break;
-        stopping.delete(address);
-      }
-      const byWait = [...others].sort(([, left], [, right]) =>
-        left.candidateWaitMs - right.candidateWaitMs
-      );
-      orderedAddresses = [self, ...byWait.map(([address]) => address)];
+    removedAnnouncement: () => isOwnRemoved ? own : undefined,
+    apply,
+    replace(records) {
+      const present = new Set(records.map(({ key }) => key));
+      const known = [...others.keys(), ...(own === undefined ? [] : [self])];
+      const removals = known.filter((key) => !present.has(key))
+        .map((key) => ({ key, value: undefined }));
+      apply([...removals, ...records]);
     },
   };
 }
--- a/src/entry/monitor_owners.ts
+++ b/src/entry/monitor_owners.ts
@@ -10,6 +10,7 @@
 import { isAlive, probeInstance } from "./probe_instance.ts";
 import type { EntryContext } from "./entry_context.ts";
 import { createFailureDetector } from "./failure_detector.ts";
+import { isUnreachableFor } from "./unreachable_instance.ts";
 
 /** Pause between two rounds of probes, in milliseconds. */
 const PROBE_INTERVAL_MS = 100;
@@ -24,7 +25,7 @@
 
 /** Probes the owners and evicts failed ones until this instance stops. */
 export async function monitorOwners(context: EntryContext): Promise<void> {
-  const { clock, directory, stopping, instances, self } = context;
+  const { clock, directory, stopping, instances, rpc, self } = context;
   const { signal } = stopping;
   const failureDetector = createFailureDetector();
   while (!signal.aborted) {
@@ -40,7 +41,7 @@
       if (!failureDetector.isSuspected(owner, rank)) continue;
       const isConfirmed =
         !isAlive(outcome, context.peerContact.silentMs(owner)) &&
-        await isUnreachableForOthers(context, owner);
+        await isUnreachableFor(rpc, confirmingInstances(context, owner), owner);
       failureDetector.recordProbe(owner, true);
       if (!isConfirmed) continue;
       await evictOwner(context, owner);
@@ -50,26 +51,13 @@
   }
 }
 
-/**
- * Whether other instances cannot reach an owner either; true if no other
- * instance is known. If none of them answers, this instance itself is assumed
- * to be partitioned.
- */
-async function isUnreachableForOthers(
-  context: EntryContext,
+function confirmingInstances(
+  { instances, self }: EntryContext,
   owner: string,
-): Promise<boolean> {
-  const { instances, rpc, self } = context;
-  const others = instances.addresses().filter((address) =>
-    address !== self && address !== owner
-  );
-  if (others.length === 0) return true;
-  const answers = await Promise.all(
-    others.slice(0, MAX_CONFIRMING_INSTANCES).map((other) =>
-      rpc.reach(other, owner)
-    ),
-  );
-  return answers.includes(false) && !answers.includes(true);
+): string[] {
+  return instances.addresses()
+    .filter((address) => address !== self && address !== owner)
+    .slice(0, MAX_CONFIRMING_INSTANCES);
 }
 
 /** Evicts an owner if it still is one, and joins the group in its place. */
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -21,6 +21,7 @@
 import { stopEntry } from "./stop_entry.ts";
 import { logUncaughtErrors } from "./log_uncaught_errors.ts";
 import { monitorOwners } from "./monitor_owners.ts";
+import { removeGoneInstances } from "./remove_gone_instances.ts";
 import { discoverOwners } from "./owner_discovery.ts";
 import { recheckReachability, watchMembership } from "./connectivity_watch.ts";
 
@@ -84,6 +85,7 @@
   watchMembership(context);
   recheckReachability(context);
   monitorOwners(context);
+  removeGoneInstances(context);
   if (!stopping.signal.aborted) await once(stopping.signal, "abort");
   await stopEntry(context, servers);
   ending.abort();
