Tell crashes under a task from crashes before its start arrived

Cause: each start without an answer counted as a crash under its task when the worker came back as a new incarnation. A worker that is silently down answers no start either, so two starts sent to workers that were already down gave the job up.

The link now reports which of the unanswered starts reached the worker: it closed the connection, not sooner than an answer takes and soon after the sending, or the start was sent right after an answer. Only these, and runs that were accepted or listed, count towards giving up.

Ruled out: the birth of the new incarnation as evidence. The start was sent before it in both cases.

--- a/src/domain/domain_command.ts
+++ b/src/domain/domain_command.ts
@@ -10,6 +10,11 @@
     specification: v.string(),
     ticket: v.optional(v.string()),
     checkpoint: v.optional(v.string()),
+    /**
+     * Whether workers may have crashed under the task: the start is sent only
+     * right after its worker has answered. Earlier versions omit it.
+     */
+    isSuspect: v.optional(v.boolean()),
   }),
   v.object({
     kind: v.literal("stop"),
--- a/src/domain/domain_event.ts
+++ b/src/domain/domain_event.ts
@@ -34,6 +34,8 @@
      * earlier versions.
      */
     unansweredStarts?: string[] | undefined;
+    /** Those of them that certainly reached it. */
+    reachedStarts?: string[] | undefined;
   }
   | {
     kind: "startAnswered";
--- a/src/domain/domain_worker.ts
+++ b/src/domain/domain_worker.ts
@@ -45,6 +45,8 @@
 export type UnsettledTask = TaskRef & {
   /** The incarnation that was to start it; 0 if it is unknown. */
   bornMs: number;
+  /** Whether that one had perhaps ended before the start reached it. */
+  isDoubtful: boolean;
 };
 
 /** Reference to a placed task, with its allocation on the worker. */
--- a/src/domain/job_lifecycle.ts
+++ b/src/domain/job_lifecycle.ts
@@ -89,6 +89,7 @@
     unansweredAtMs: new Map(),
     crashCounts: new Map(),
     inferredCrashCounts: new Map(),
+    doubtfulCrashCounts: new Map(),
     advice: createStepAdvice(),
     ...startDeadlines(domain, run.job, occurrence, index),
     readyAtMs: nowMs,
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -89,11 +89,12 @@
 function applyWorkerCrash(
   domain: Domain,
   worker: DomainWorker,
-  { bornMs, running, ended, unansweredStarts }: WorkerReport,
+  report: WorkerReport,
   moment: Moment,
 ): void {
+  const { bornMs, running, ended } = report;
   const listed = new Set([...running, ...ended].map(({ task }) => task));
-  const unsettled = findUnsettledTasks(worker, unansweredStarts).filter((
+  const unsettled = findUnsettledTasks(worker, report).filter((
     { run, index },
   ) => !listed.has(taskNameOf(run, index)));
   const suspects = [...worker.lapsedStarts, ...unsettled].filter((suspect) =>
@@ -130,10 +131,11 @@
 export function applyWorkerLapse(
   domain: Domain,
   worker: DomainWorker,
-  { isReplaced, unansweredStarts }: WorkerLapse,
+  lapse: WorkerLapse,
   moment: Moment,
 ): void {
-  worker.lapsedStarts.push(...findUnsettledTasks(worker, unansweredStarts));
+  const { isReplaced } = lapse;
+  worker.lapsedStarts.push(...findUnsettledTasks(worker, lapse));
   markTasksLost(domain, worker, moment);
   if (isReplaced !== true) return;
   // The address of a worker that was drained passes to another one.
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -77,6 +77,8 @@
   crashCounts: v.optional(v.array(v.tuple([v.number(), v.number()]))),
   /** The same for crashes that only records tell of. */
   inferredCrashCounts: v.optional(v.array(v.tuple([v.number(), v.number()]))),
+  /** The same for crashes that may have come before the start. */
+  doubtfulCrashCounts: v.optional(v.array(v.tuple([v.number(), v.number()]))),
 });
 
 /**
@@ -193,6 +195,9 @@
     ...(run.inferredCrashCounts.size === 0
       ? {}
       : { inferredCrashCounts: [...run.inferredCrashCounts] }),
+    ...(run.doubtfulCrashCounts.size === 0
+      ? {}
+      : { doubtfulCrashCounts: [...run.doubtfulCrashCounts] }),
   };
 }
 
@@ -360,6 +365,7 @@
   step.gangFailedAttempt = stored.value.gangFailedAttempt;
   step.crashCounts = new Map(stored.value.crashCounts);
   step.inferredCrashCounts = new Map(stored.value.inferredCrashCounts);
+  step.doubtfulCrashCounts = new Map(stored.value.doubtfulCrashCounts);
   stored.value.tasks.forEach((task, position) => {
     restoreTask(domain, step, position, task, nowMs);
   });
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -237,6 +237,7 @@
       specification: run.jobRun.job.specification,
       ticket: run.advice.allowed.get(worker.id)?.text,
       checkpoint: task?.kind === "placed" ? task.checkpoint : undefined,
+      isSuspect: crashCountOf(run, index) > 0,
     },
   });
   return `${index}#${attempt}@${worker.id}`;
--- a/src/domain/step_run.ts
+++ b/src/domain/step_run.ts
@@ -36,6 +36,8 @@
   crashCounts: Map<number, number>;
   /** How many of them only records tell of; see `recordWorkerCrash`. */
   inferredCrashCounts: Map<number, number>;
+  /** How many of them may have come before the start reached the worker. */
+  doubtfulCrashCounts: Map<number, number>;
   advice: StepAdvice;
   /** The latest start that still meets the objective (wall clock). */
   latestStartMs: number;
@@ -59,12 +61,28 @@
   return Math.max(0, ...run.crashCounts.values());
 }
 
-/** The same without the crashes that only records tell of. */
+/** The same without the crashes that may have come before the start. */
+export function certainCrashCountOf(run: StepRun, index: number): number {
+  return countCrashes(run, index, [run.doubtfulCrashCounts]);
+}
+
+/** The same also without the crashes that only records tell of. */
 export function seenCrashCountOf(run: StepRun, index: number): number {
+  const excluded = [run.doubtfulCrashCounts, run.inferredCrashCounts];
+  return countCrashes(run, index, excluded);
+}
+
+function countCrashes(
+  run: StepRun,
+  index: number,
+  excluded: Map<number, number>[],
+): number {
   const indexes = run.step.gang ? run.crashCounts.keys() : [index];
   const counts = [...indexes].map((member) =>
-    (run.crashCounts.get(member) ?? 0) -
-    (run.inferredCrashCounts.get(member) ?? 0)
+    excluded.reduce(
+      (count, counts) => count - (counts.get(member) ?? 0),
+      run.crashCounts.get(member) ?? 0,
+    )
   );
   return Math.max(0, ...counts);
 }
--- a/src/domain/testing/domain_bench.ts
+++ b/src/domain/testing/domain_bench.ts
@@ -6,7 +6,7 @@
 import { createDomain, type Domain } from "../domain.ts";
 import type { DomainCommand, WorkerOrder } from "../domain_command.ts";
 import type { DomainEvent } from "../domain_event.ts";
-import type { EndedRun, ListedRun } from "../worker_report.ts";
+import type { EndedRun, ListedRun, WorkerReport } from "../worker_report.ts";
 import type { JobRequest, QueuePolicy, Step } from "../job.ts";
 import {
   type DomainRecord,
@@ -187,16 +187,17 @@
 export function reportFrom(
   bench: DomainBench,
   worker: string,
-  listed: { running?: ListedRun[]; ended?: EndedRun[]; bornMs?: number },
+  listed: Partial<WorkerReport>,
 ): DomainCommand[] {
   return feedEvent(bench, {
     kind: "looked",
     worker,
     look: {
-      bornMs: listed.bornMs ?? 1,
-      running: listed.running ?? [],
-      ended: listed.ended ?? [],
+      bornMs: 1,
+      running: [],
+      ended: [],
       sentAtMs: bench.nowMs,
+      ...listed,
     },
   });
 }
--- a/src/domain/testing/owner_model.ts
+++ b/src/domain/testing/owner_model.ts
@@ -172,6 +172,7 @@
       crashedTasks: undefined,
       hasReported: false,
       unansweredStarts: new Set(),
+      reachedStarts: new Set(),
       acknowledged: 0,
       leaseUntilMs: 0,
       endsBeforeExpiry: new Set(),
@@ -356,7 +357,7 @@
     feedEvent(bench, {
       kind: "workerLapsed",
       worker: simulated.worker.id,
-      unansweredStarts: unansweredStartsOf(simulated),
+      ...unansweredStartsOf(simulated),
     }),
   );
 }
@@ -378,7 +379,7 @@
     bench.nowMs,
   );
   if (answer.status !== 200) return;
-  const unansweredStarts = noticeIncarnation(model, simulated);
+  const unanswered = noticeIncarnation(model, simulated);
   const running = [...worker.running].map(([task, { attempt }]) => ({
     task,
     attempt,
@@ -404,7 +405,7 @@
         running,
         ended,
         sentAtMs: bench.nowMs,
-        unansweredStarts,
+        ...unanswered,
       },
     }),
   );
--- a/src/domain/testing/owner_model_orders.ts
+++ b/src/domain/testing/owner_model_orders.ts
@@ -20,7 +20,7 @@
   recordRestart,
 } from "./owner_model_failures.ts";
 import { checkCapacity } from "./owner_model_capacity.ts";
-import { crashUnder } from "./owner_model_crashes.ts";
+import { crashUnder, noticeCrash } from "./owner_model_crashes.ts";
 import {
   attemptKey,
   confirmExpiredStart,
@@ -154,6 +154,7 @@
     model.violations.push(...checkCapacity(model, simulated));
   }
   if (simulated.worker.hasCrashed) {
+    noticeCrash(model, simulated, order);
     crashUnder(model, simulated, order.task);
     return;
   }
--- a/src/domain/worker_crash.ts
+++ b/src/domain/worker_crash.ts
@@ -15,6 +15,7 @@
 import { endJob } from "./job_lifecycle.ts";
 import { stepRecordKey } from "./record_keys.ts";
 import {
+  certainCrashCountOf,
   crashCountOf,
   seenCrashCountOf,
   type StepRun,
@@ -24,7 +25,7 @@
 /** A task that has run for this long has not crashed its worker, in ms. */
 const SETTLE_MS = 1_000;
 
-/** Number of crashes after which a task is given up in any case. */
+/** Number of certain crashes after which a task is given up in any case. */
 const MAX_CRASHES = 3;
 /**
  * The number of crashes that owners have seen after which it is given up if
@@ -48,32 +49,43 @@
   worker.suspects.delete(taskNameOf(ref.run, ref.index));
 }
 
+/** What a link knows of the starts that its worker has not answered. */
+export type UnansweredStarts = {
+  /** The tasks whose start has left; undefined if this is unknown. */
+  unansweredStarts?: string[] | undefined;
+  /** Those of them that certainly reached the worker. */
+  reachedStarts?: string[] | undefined;
+};
+
 /**
- * Finds the tasks placed on a worker whose start it may not have survived.
- *
- * @param unansweredStarts the tasks whose start has left without an answer;
- *   undefined if this is unknown
+ * Finds the tasks placed on a worker whose start it may not have survived. A
+ * start without an answer may have been sent to a worker that was already down.
  */
 export function findUnsettledTasks(
   worker: DomainWorker,
-  unansweredStarts?: string[],
+  { unansweredStarts, reachedStarts }: UnansweredStarts = {},
 ): UnsettledTask[] {
   const unanswered = unansweredStarts && new Set(unansweredStarts);
+  const reached = new Set(reachedStarts);
   return [...worker.placed.values()].flatMap((ref) => {
     const { run, index, isSettled } = ref;
     const task = run.tasks[index];
     if (isSettled || task?.kind !== "placed") return [];
     if (task.worker !== worker.id) return [];
-    const mayHaveStarted = task.phase.kind === "recorded" ||
-      ref.runningSinceMs !== undefined ||
-      unanswered?.has(taskNameOf(run, index)) !== false;
-    return mayHaveStarted ? [{ run, index, bornMs: task.bornMs }] : [];
+    const name = taskNameOf(run, index);
+    const isKnown = task.phase.kind === "recorded" ||
+      ref.runningSinceMs !== undefined;
+    if (!isKnown && unanswered?.has(name) === false) return [];
+    const isDoubtful = !isKnown && !reached.has(name);
+    return [{ run, index, bornMs: task.bornMs, isDoubtful }];
   });
 }
 
 /**
  * Counts the crash of a worker against each task whose start it may not have
- * survived, and gives up the jobs of those that have probably caused it.
+ * survived, and gives up the jobs of those that have probably caused it. A crash
+ * that is doubtful for a task only makes it a suspect, whose next start is sent
+ * to a worker that has just answered.
  *
  * @param isInferred whether only records tell what was started there: a run
  *   may have ended before the crash
@@ -81,16 +93,17 @@
 export function recordWorkerCrash(
   domain: Domain,
   worker: string,
-  unsettled: TaskRef[],
+  unsettled: UnsettledTask[],
   { moment, isInferred }: { moment: Moment; isInferred: boolean },
 ): void {
   const suspects = unsettled.filter(({ run, index }) =>
     run.jobRun.job.outcome === "open" && run.tasks[index]?.kind !== "done"
   );
   const isOnlyOne = !isInferred && new Set(suspects.map(suspectKey)).size === 1;
-  for (const { run, index } of suspects) {
+  for (const { run, index, isDoubtful } of suspects) {
     increment(run.crashCounts, index);
-    if (isInferred) increment(run.inferredCrashCounts, index);
+    if (isDoubtful) increment(run.doubtfulCrashCounts, index);
+    else if (isInferred) increment(run.inferredCrashCounts, index);
     domain.dirtyKeys.add(stepRecordKey(run.key));
   }
   domain.commands.push({
@@ -112,9 +125,10 @@
   return run.step.gang ? run.key : taskNameOf(run, index);
 }
 
-/** The task as logged: `NAME:CRASHES`. */
-function describeSuspect({ run, index }: TaskRef): string {
-  return `${taskNameOf(run, index)}:${crashCountOf(run, index)}`;
+/** The task as logged: `NAME:CRASHES`, with a `?` if this one is doubtful. */
+function describeSuspect({ run, index, isDoubtful }: UnsettledTask): string {
+  const doubt = isDoubtful ? "?" : "";
+  return `${taskNameOf(run, index)}:${crashCountOf(run, index)}${doubt}`;
 }
 
 function isGivenUp(
@@ -122,7 +136,7 @@
   index: number,
   isOnlySuspect: boolean,
 ): boolean {
-  return crashCountOf(run, index) >= MAX_CRASHES ||
+  return certainCrashCountOf(run, index) >= MAX_CRASHES ||
     isOnlySuspect &&
       seenCrashCountOf(run, index) >= MAX_CRASHES_AS_ONLY_SUSPECT;
 }
--- a/src/domain/worker_report.ts
+++ b/src/domain/worker_report.ts
@@ -61,6 +61,8 @@
    * missing in those of earlier versions.
    */
   unansweredStarts: v.optional(v.array(v.string())),
+  /** Those of them that certainly reached it before it ended. */
+  reachedStarts: v.optional(v.array(v.string())),
 });
 
 /** A worker's answer to a poll: its running tasks and its ended ones. */
--- a/src/hosts/task_host.ts
+++ b/src/hosts/task_host.ts
@@ -19,6 +19,8 @@
   /** The worker's id. */
   peer: string;
   message: string;
+  /** Whether the connection was closed after the call had been sent. */
+  isClosed?: boolean;
 };
 
 /** The address of a worker, and the owner's epoch that calls carry. */
--- a/src/ownership/relay/relay_message.ts
+++ b/src/ownership/relay/relay_message.ts
@@ -56,6 +56,8 @@
     isReplaced: v.optional(v.boolean()),
     /** Missing in events of earlier versions. */
     unansweredStarts: v.optional(v.array(v.string())),
+    /** Missing in events of earlier versions. */
+    reachedStarts: v.optional(v.array(v.string())),
   }),
   v.object({
     kind: v.literal("startAnswered"),
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -54,7 +54,8 @@
     bornMs: 0,
     highestListedEnd: 0,
     acknowledged: 0,
-    unansweredStarts: new Set(),
+    unansweredStarts: new Map(),
+    fastestAnswerMs: Infinity,
     onAcknowledged: () => {},
     executableStarts: new Set(),
     activeStops: new Set(),
@@ -141,9 +142,11 @@
   }
   const { clockMs, bornMs, running, ended } = result.value;
   recordReading(state.clock, clockMs, host.clock.steadyMs());
-  let unansweredStarts: string[] | undefined;
-  if (bornMs !== state.bornMs) {
-    if (state.bornMs !== 0) unansweredStarts = unansweredTasks(state);
+  let unanswered: Partial<ReturnType<typeof unansweredTasks>> = {};
+  if (bornMs === state.bornMs) {
+    doubtEarlierStarts(state, sentAtMs);
+  } else {
+    if (state.bornMs !== 0) unanswered = unansweredTasks(state);
     state.unansweredStarts.clear();
     state.bornMs = bornMs;
     // A new incarnation restarts the numbers of run ends; none is stored yet.
@@ -168,9 +171,23 @@
       running,
       ended,
       sentAtMs: ownerSentAtMs,
-      ...(unansweredStarts === undefined ? {} : { unansweredStarts }),
+      ...unanswered,
     },
   });
   // Without a lease, the worker answers immediately.
   return grantableLeaseMs(state) > 0;
 }
+
+/**
+ * Records that a worker has answered a poll sent at a time: a start that reached
+ * it before and has no answer did not crash it at once, so it may be late.
+ */
+function doubtEarlierStarts(
+  { unansweredStarts }: LinkState,
+  sentAtMs: number,
+): void {
+  for (const [order, reachedAtMs] of unansweredStarts) {
+    if (reachedAtMs === undefined || reachedAtMs >= sentAtMs) continue;
+    unansweredStarts.set(order, undefined);
+  }
+}
--- a/src/ownership/worker_link_state.ts
+++ b/src/ownership/worker_link_state.ts
@@ -54,8 +54,14 @@
   /** The highest number of a run end that a poll listed. */
   highestListedEnd: number;
   acknowledged: number;
-  /** Starts that were sent to this incarnation and not answered. */
-  unansweredStarts: Set<StartOrder>;
+  /**
+   * Starts that were sent to this incarnation and not answered, with the time at
+   * which each certainly reached it, on the steady clock; undefined if it may
+   * have been down already.
+   */
+  unansweredStarts: Map<StartOrder, number | undefined>;
+  /** The shortest time in which it has answered an order, in milliseconds. */
+  fastestAnswerMs: number;
   /** Called after each acknowledgement. */
   onAcknowledged: () => void;
   /** Attempts whose start was sent and may still be executed. */
@@ -139,11 +145,21 @@
     worker: host.target.id,
     isReplaced,
     // An earlier link may have sent starts to a worker that has not reported.
-    ...(state.bornMs === 0 ? {} : { unansweredStarts: unansweredTasks(state) }),
+    ...(state.bornMs === 0 ? {} : unansweredTasks(state)),
   });
 }
 
-/** The tasks whose start was sent to the worker and not answered. */
-export function unansweredTasks({ unansweredStarts }: LinkState): string[] {
-  return [...unansweredStarts].map(({ task }) => task);
+/**
+ * The tasks whose start was sent to the worker and not answered, and those of
+ * them whose start certainly reached it.
+ */
+export function unansweredTasks(
+  { unansweredStarts }: LinkState,
+): { unansweredStarts: string[]; reachedStarts: string[] } {
+  const starts = [...unansweredStarts];
+  return {
+    unansweredStarts: starts.map(([{ task }]) => task),
+    reachedStarts: starts.filter(([, reachedAtMs]) => reachedAtMs !== undefined)
+      .map(([{ task }]) => task),
+  };
 }
--- a/src/ownership/worker_orders.ts
+++ b/src/ownership/worker_orders.ts
@@ -5,7 +5,7 @@
  */
 import { assertNever } from "../base/mod.ts";
 import type { WorkerOrder } from "../domain/mod.ts";
-import type { StartOutcome } from "../hosts/mod.ts";
+import type { StartOutcome, TaskFault } from "../hosts/mod.ts";
 import { grantLease } from "./worker_clock.ts";
 import {
   grantableLeaseMs,
@@ -21,6 +21,12 @@
  */
 const START_TIMEOUT_MS = 2_000;
 
+/**
+ * A worker that closes the connection of a start within this time, in ms, had
+ * received it. Later, its next incarnation may have refused the connection.
+ */
+const MAX_CRASH_DELAY_MS = 150;
+
 type StopOrder = Extract<WorkerOrder, { kind: "stop" }>;
 
 /** Sends an order, and retries a start or stop while it still applies. */
@@ -61,7 +67,14 @@
       continue;
     }
     if (!earlierUnknown) sentToBornMs = state.bornMs;
-    state.unansweredStarts.add(order);
+    if (order.isSuspect === true && !await isAnswering(state)) {
+      if (host.signal.aborted) return;
+      await host.clock.sleep(RETRY_DELAY_MS, host.signal);
+      continue;
+    }
+    if (!host.isCurrent(order)) continue;
+    state.unansweredStarts.set(order, undefined);
+    const sentAtMs = host.clock.steadyMs();
     firstSentAtMs ??= nowMs;
     tries += 1;
     expiresAtMs = state.clock.leasesExpireAtMs;
@@ -77,12 +90,17 @@
     if (host.signal.aborted) return;
     const isAnswered = result.isOk() || result.error.kind !== "unknown";
     if (isAnswered && !earlierUnknown) state.unansweredStarts.delete(order);
+    const elapsedMs = host.clock.steadyMs() - sentAtMs;
     if (result.isOk()) {
+      state.fastestAnswerMs = Math.min(state.fastestAnswerMs, elapsedMs);
       host.counters.observe("start_ms", host.clock.steadyMs() - nowMs);
       reportStartOutcome(state, order, result.value, earlierUnknown);
       break;
     }
     const fault = result.error;
+    if (!isAnswered && hasReachedWorker(state, order, fault, elapsedMs)) {
+      state.unansweredStarts.set(order, host.clock.steadyMs());
+    }
     host.logger.warn("Failed to start a task.", {
       task,
       attempt,
@@ -115,6 +133,38 @@
   executableStarts.delete(attemptKey(order));
 }
 
+/** Whether the worker answers a poll at once, in the same incarnation. */
+async function isAnswering(state: LinkState): Promise<boolean> {
+  const { host, acknowledged } = state;
+  const poll = { acknowledged, leaseUntilMs: undefined, waitMs: 0 };
+  const sentAtMs = host.clock.steadyMs();
+  const result = await host.tasks.poll(host.target, poll, host.signal);
+  if (host.signal.aborted) return false;
+  if (result.isOk()) {
+    const elapsedMs = host.clock.steadyMs() - sentAtMs;
+    state.fastestAnswerMs = Math.min(state.fastestAnswerMs, elapsedMs);
+    return result.value.bornMs === state.bornMs;
+  }
+  handleFault(state, result.error);
+  return false;
+}
+
+/**
+ * Whether a start without an answer certainly reached a worker that was still
+ * up: the worker had just answered, or it closed the connection soon afterwards,
+ * but not so soon that this may have been on its way when the start was sent.
+ */
+function hasReachedWorker(
+  { fastestAnswerMs }: LinkState,
+  { isSuspect }: StartOrder,
+  { isClosed }: TaskFault,
+  elapsedMs: number,
+): boolean {
+  if (isSuspect === true) return true;
+  return isClosed === true && elapsedMs >= fastestAnswerMs &&
+    elapsedMs <= MAX_CRASH_DELAY_MS;
+}
+
 function reportStartOutcome(
   state: LinkState,
   order: StartOrder,
