Conclude nothing for unlisted tasks from a full list of ends

Cause: a worker lists its first 500 unacknowledged ends. A task that was on neither list was taken for lost, although its end followed the listed ones. The same inference stood in the first report after a takeover, in confirmed stops and in the detection of stalled tasks.

A report now says whether there may be more ends. Until the list is not full, unlisted tasks stay as they are and the worker counts as unsettled after a takeover. Every answer is under the present epoch, so a task that is only on record is over once a full report does not list it, be it the first report or a later one.

Ruled out: a lost acknowledgement. The ends were kept and listed again; only the ends with numbers above 500 ran twice.

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -254,7 +254,8 @@
   if (!wasReachable) resendStops(domain, worker);
   grantPermit(domain, worker);
   adjustPace(domain, worker);
-  stopStalledTasks(domain, worker, moment);
+  // Tasks may have ended that are not listed yet.
+  if (event.look.hasMoreEnds !== true) stopStalledTasks(domain, worker, moment);
   if (worker.lastEnd === previousLastEnd && worker.bornMs === previousBornMs) {
     return;
   }
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -34,8 +34,8 @@
 type WorkerLapse = Extract<DomainEvent, { kind: "workerLapsed" }>;
 
 /**
- * Applies a worker's report: its ended runs, its running tasks, and the placed
- * tasks that it does not list.
+ * Applies a worker's report: its ended runs, its running tasks, and, if it has no
+ * more ends, the placed tasks that it does not list.
  */
 export function applyWorkerReport(
   domain: Domain,
@@ -48,7 +48,6 @@
     applyWorkerRestart(domain, worker, report);
   }
   worker.lapsedStarts = [];
-  const isFirstReport = !worker.isReachable;
   worker.isReachable = true;
   for (const ended of report.ended) applyRunEnd(domain, worker, ended, moment);
   const running = new Set<string>();
@@ -56,13 +55,11 @@
     running.add(run.task);
     applyListedRun(domain, worker, run, { report, moment });
   }
+  // The ends of runs that are not listed may follow the listed ones.
+  if (report.hasMoreEnds === true) return;
   for (const [name, ref] of worker.placed) {
     if (running.has(name)) continue;
-    reconcileUnlistedTask(domain, worker, name, ref, {
-      report,
-      isFirstReport,
-      moment,
-    });
+    reconcileUnlistedTask(domain, worker, name, ref, { report, moment });
   }
   settleWorker(domain, worker.id, report.bornMs);
 }
@@ -94,9 +91,12 @@
 ): void {
   const { bornMs, running, ended } = report;
   const listed = new Set([...running, ...ended].map(({ task }) => task));
-  const unsettled = findUnsettledTasks(worker, report).filter((
-    { run, index },
-  ) => !listed.has(taskNameOf(run, index)));
+  const unsettled = findUnsettledTasks(worker, report)
+    .filter(({ run, index }) => !listed.has(taskNameOf(run, index)))
+    .map((task) =>
+      // A task whose end is not listed yet was started after the crash.
+      report.hasMoreEnds === true ? { ...task, isDoubtful: true } : task
+    );
   const suspects = [...worker.lapsedStarts, ...unsettled].filter((suspect) =>
     suspect.bornMs !== UNKNOWN_BORN_MS && suspect.bornMs !== bornMs
   );
@@ -305,22 +305,17 @@
   orderStop(domain, worker.id, listed.task, listed.attempt);
 }
 
-type UnlistedContext = {
-  report: WorkerReport;
-  isFirstReport: boolean;
-  moment: Moment;
-};
-
 /**
- * Ends the attempt of a task that the worker lists neither as running nor as
- * ended, if it certainly does not run and can't start any more.
+ * Ends the attempt of a task that the worker, in a report with all its ends,
+ * lists neither as running nor as ended, if it certainly does not run and can't
+ * start any more.
  */
 function reconcileUnlistedTask(
   domain: Domain,
   worker: DomainWorker,
   name: string,
   ref: PlacedTaskRef,
-  { report, isFirstReport, moment }: UnlistedContext,
+  { report, moment }: { report: WorkerReport; moment: Moment },
 ): void {
   const task = ref.run.tasks[ref.index];
   if (task?.kind !== "placed" || task.worker !== worker.id) {
@@ -329,7 +324,7 @@
   }
   const { phase } = task;
   // The worker has seen this epoch and rejects starts of earlier owners.
-  const isOver = isFirstReport && phase.kind === "recorded";
+  const isOver = phase.kind === "recorded";
   // A later incarnation does not list what ran in the recorded one.
   const neverStarted = isOver && task.bornMs === report.bornMs;
   // It ran before the worker restarted; otherwise its end would be listed.
--- a/src/domain/testing/owner_model.ts
+++ b/src/domain/testing/owner_model.ts
@@ -64,6 +64,8 @@
 import type { Model, SimulatedWorker } from "./owner_model_state.ts";
 
 const WORKERS = 3;
+/** Number of ends that a worker lists at a time. */
+const MAX_LISTED_ENDS = 3;
 const FINAL_STATES = new Set(["completed", "failed", "cancelled"]);
 const FAULT_STEPS = 160;
 const RECOVERY_STEPS = 400;
@@ -387,7 +389,7 @@
     percent: bench.nowMs % 100,
     reading: 0,
   }));
-  const ended = worker.endedRuns.map((
+  const ended = worker.endedRuns.slice(0, MAX_LISTED_ENDS).map((
     [number, task, attempt, end, checkpoint],
   ): EndedRun => ({
     number,
@@ -404,6 +406,7 @@
         bornMs: worker.bornMs,
         running,
         ended,
+        hasMoreEnds: ended.length === MAX_LISTED_ENDS,
         sentAtMs: bench.nowMs,
         ...unanswered,
       },
--- a/src/domain/worker_report.ts
+++ b/src/domain/worker_report.ts
@@ -53,6 +53,11 @@
   bornMs: v.number(),
   running: v.array(listedRunSchema),
   ended: v.array(endedRunSchema),
+  /**
+   * Whether the worker may have more ends than it lists, so that a run which is
+   * not listed may have ended; missing in reports of earlier versions.
+   */
+  hasMoreEnds: v.optional(v.boolean()),
   /** At or before the sending of the poll, on the owner's steady clock. */
   sentAtMs: v.number(),
   /**
--- a/src/hosts/task_host.ts
+++ b/src/hosts/task_host.ts
@@ -48,8 +48,10 @@
   /** Start of the worker's process, in milliseconds since the epoch. */
   bornMs: number;
   running: ListedRun[];
-  /** The ends that have not been acknowledged. */
+  /** The first ends that have not been acknowledged. */
   ended: EndedRun[];
+  /** Whether there may be more of them than are listed. */
+  hasMoreEnds?: boolean;
 };
 
 /** Parameters of the start of one attempt of a task. */
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -140,7 +140,7 @@
     handleFault(state, result.error);
     return false;
   }
-  const { clockMs, bornMs, running, ended } = result.value;
+  const { clockMs, bornMs, running, ended, hasMoreEnds } = result.value;
   recordReading(state.clock, clockMs, host.clock.steadyMs());
   let unanswered: Partial<ReturnType<typeof unansweredTasks>> = {};
   if (bornMs === state.bornMs) {
@@ -170,6 +170,7 @@
       bornMs,
       running,
       ended,
+      ...(hasMoreEnds === true ? { hasMoreEnds } : {}),
       sentAtMs: ownerSentAtMs,
       ...unanswered,
     },
--- a/stand_ins/platform/worker.ts
+++ b/stand_ins/platform/worker.ts
@@ -6,6 +6,8 @@
 import type { StandInResponse } from "./store.ts";
 
 const FULL_PERCENT = 100;
+/** Number of ends that a worker lists at a time. */
+const MAX_LISTED_ENDS = 500;
 
 type ActiveRun = { attempt: number; endsAtMs: number; record: RunRecord };
 
@@ -240,7 +242,7 @@
     clock_ms: nowMs,
     born: worker.bornMs,
     running,
-    finished: worker.endedRuns,
+    finished: worker.endedRuns.slice(0, MAX_LISTED_ENDS),
   };
 }
 
