Keep the cancellation of a job that has not arrived yet

Cause: cancelling an unknown job left nothing behind. A submission held up at a frozen instance was accepted when the instance went on.

The owner now stores the id before it answers, for as long as it keeps ended jobs, and ends a submission under that id at once. The job stays unknown until it arrives. Takeovers restore the record, and a move of the queue finds it in the other domains of the process.

The test of the answer to an unknown job expects this record in place of that of the owner: the commit that verifies the ownership writes it now, and the test names the only key it may write.

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -5,6 +5,7 @@
   forgetDepartedWorkers,
   removeWorker,
 } from "./departed_worker.ts";
+import { purgeCancelledIds, recordCancelledId } from "./cancelled_ids.ts";
 import type { Domain } from "./domain.ts";
 import type { DomainCommand } from "./domain_command.ts";
 import type { DomainEvent, Moment } from "./domain_event.ts";
@@ -134,6 +135,7 @@
       recordUsage(domain, moment);
       revokeUnusedPermits(domain);
       expireUnstartedJobs(domain, moment);
+      purgeCancelledIds(domain, moment);
       return purgeEndedJobs(domain, moment);
     default:
       return assertNever(event);
@@ -176,6 +178,9 @@
     } else {
       domain.scheduledJobs.add(run);
     }
+    if (domain.cancelledIds.has(job.id)) {
+      endJob(domain, run, "cancelled", moment);
+    }
   }
   domain.commands.push({
     kind: "answer",
@@ -191,7 +196,7 @@
 ): void {
   const run = domain.jobs.get(event.job);
   if (run !== undefined) endJob(domain, run, "cancelled", moment);
-  else verifyOwnershipOnCommit(domain);
+  else recordCancelledId(domain, event.job, moment);
   domain.commands.push({
     kind: "answer",
     call: event.call,
--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -19,6 +19,11 @@
   /** The current owner, and earlier ones that may still renew leases. */
   owners: OwnerEntry[];
   jobs: Map<string, JobRun>;
+  /**
+   * When jobs that the domain did not have were cancelled, by id, in
+   * milliseconds since the epoch.
+   */
+  cancelledIds: Map<string, number>;
   /** Steps with all predecessors done, by key, until their job is compacted. */
   steps: Map<string, StepRun>;
   /** Steps with waiting tasks. */
@@ -74,6 +79,7 @@
     options,
     owners: [],
     jobs: new Map(),
+    cancelledIds: new Map(),
     steps: new Map(),
     waitingSteps: new Set(),
     adviceQueue: [],
--- a/src/domain/job_lifecycle.ts
+++ b/src/domain/job_lifecycle.ts
@@ -311,18 +311,21 @@
 /** How far the clocks of two owners may be apart, in milliseconds. */
 const MAX_CLOCK_DIFFERENCE_MS = 10_000;
 
+/** Until when a job that ended at a time is known, by any owner's wall clock. */
+export function keepsUntilMs(domain: Domain, endedAtMs: number): number {
+  return endedAtMs + domain.options.endedJobKeepMs + MAX_CLOCK_DIFFERENCE_MS;
+}
+
 /**
  * Compacts ended jobs without placed tasks, and removes those that ended more
  * than `endedJobKeepMs` ago by any clock.
  */
 export function purgeEndedJobs(domain: Domain, moment: Moment): void {
-  const keepMs = domain.options.endedJobKeepMs + MAX_CLOCK_DIFFERENCE_MS;
-  const cutoffMs = moment.wallMs - keepMs;
   for (const [id, run] of domain.jobs) {
     const { endedAtMs } = run.job;
     if (endedAtMs === undefined || mayHavePlacedTasks(domain, run)) continue;
     if (canCompact(domain, run)) compactJob(domain, run);
-    if (endedAtMs > cutoffMs) continue;
+    if (moment.wallMs < keepsUntilMs(domain, endedAtMs)) continue;
     compactJob(domain, run);
     domain.jobs.delete(id);
   }
--- a/src/domain/record_keys.ts
+++ b/src/domain/record_keys.ts
@@ -3,6 +3,7 @@
 export const JOB_PREFIX = "job/";
 export const STEP_PREFIX = "step/";
 export const PERMIT_PREFIX = "permit/";
+export const CANCELLED_PREFIX = "cancelled/";
 
 /** Key of the record of an owner that may still renew leases of workers. */
 export function ownerKey(epoch: number): string {
@@ -19,6 +20,11 @@
   return PERMIT_PREFIX + worker;
 }
 
+/** Key of the record of a job that was cancelled before it arrived. */
+export function cancelledIdKey(id: string): string {
+  return CANCELLED_PREFIX + id;
+}
+
 /** Key of a job's record. */
 export function jobKey(id: string): string {
   return JOB_PREFIX + id;
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -9,6 +9,7 @@
  */
 import * as v from "valibot";
 import { assertNever, parseAs } from "../base/mod.ts";
+import { cancelledIdSchema } from "./cancelled_ids.ts";
 import type { Domain } from "./domain.ts";
 import type { DomainWorker } from "./domain_worker.ts";
 import { type Job, jobSchema } from "./job.ts";
@@ -19,6 +20,7 @@
   getOrCreateOccurrence,
 } from "./job_lifecycle.ts";
 import {
+  CANCELLED_PREFIX,
   JOB_PREFIX,
   OWNER_PREFIX,
   ownerKey,
@@ -171,6 +173,13 @@
     const usage = domain.usage.get(key.slice(USAGE_PREFIX.length));
     return usage === undefined ? undefined : JSON.stringify(usage);
   }
+  if (key.startsWith(CANCELLED_PREFIX)) {
+    const id = key.slice(CANCELLED_PREFIX.length);
+    const cancelledAtMs = domain.cancelledIds.get(id);
+    return cancelledAtMs === undefined
+      ? undefined
+      : JSON.stringify({ cancelledAtMs });
+  }
   if (key.startsWith(PERMIT_PREFIX)) {
     const permit = domain.startPermits.get(key.slice(PERMIT_PREFIX.length));
     if (permit === undefined || permit.phase === "revoking") return undefined;
@@ -248,6 +257,13 @@
       else domain.usage.set(key.slice(USAGE_PREFIX.length), usage.value);
       continue;
     }
+    if (key.startsWith(CANCELLED_PREFIX)) {
+      const id = key.slice(CANCELLED_PREFIX.length);
+      const cancelled = parseAs(cancelledIdSchema, value);
+      if (cancelled.isErr()) unreadable.push({ key, reason: cancelled.error });
+      else domain.cancelledIds.set(id, cancelled.value.cancelledAtMs);
+      continue;
+    }
     if (key.startsWith(OWNER_PREFIX)) {
       const owner = parseAs(ownerEntrySchema, value);
       if (owner.isErr()) unreadable.push({ key, reason: owner.error });
--- a/src/domain/takeover_test.ts
+++ b/src/domain/takeover_test.ts
@@ -32,7 +32,7 @@
       call: 1,
       answer: { kind: "unknownJob" },
     });
-    assert.ok(bench.store.has(key));
+    assert.deepEqual([...bench.store.keys()], ["cancelled/unknown"]);
   });
 });
 
--- a/src/entry/execute_domain_call.ts
+++ b/src/entry/execute_domain_call.ts
@@ -18,9 +18,12 @@
   if (owner === undefined) return { kind: "notOwner" };
   switch (call.kind) {
     case "submit": {
-      // Its queue may have belonged to another service when it was accepted.
-      const holder = [owner, ...ownedDomains.loadedOwners()]
-        .find((candidate) => candidate.hasJob(call.request.id));
+      // Its queue may have belonged to another service when it was accepted, or
+      // cancelled before it arrived.
+      const { id } = call.request;
+      const candidates = [owner, ...ownedDomains.loadedOwners()];
+      const holder = candidates.find((candidate) => candidate.hasJob(id)) ??
+        candidates.find((candidate) => candidate.hasCancelled(id));
       return await (holder ?? owner).submit(call.request, call.policy);
     }
     case "cancel":
--- a/src/entry/execute_domain_call_test.ts
+++ b/src/entry/execute_domain_call_test.ts
@@ -6,13 +6,14 @@
 
 const REQUEST = { id: "a", specification: "text", steps: [step()] };
 
-function createOwner(jobs: string[]): {
-  owner: DomainOwner;
-  submitted: string[];
-} {
+function createOwner(
+  jobs: string[],
+  cancelled: string[] = [],
+): { owner: DomainOwner; submitted: string[] } {
   const submitted: string[] = [];
   const owner = {
     hasJob: (id: string) => jobs.includes(id),
+    hasCancelled: (id: string) => cancelled.includes(id),
     submit: ({ id }: { id: string }) => {
       submitted.push(id);
       return Promise.resolve({ kind: "accepted" });
@@ -40,3 +41,18 @@
   assert.deepEqual(former.submitted, ["a"]);
   assert.deepEqual(present.submitted, []);
 });
+
+// Guards against UNASKED: a queue moved to another service between a cancellation
+// and the submission that it was meant for, which was held up on its way.
+it("a submission cancelled at another domain of an instance ends there", async () => {
+  const former = createOwner([], ["a"]);
+  const present = createOwner([]);
+  const ownedDomains = {
+    ownerOf: () => Promise.resolve(present.owner),
+    loadedOwners: () => [present.owner, former.owner],
+  } as unknown as OwnedDomains;
+  const call = { partition: 1, request: REQUEST, policy: policy() };
+  await executeDomainCall(ownedDomains, { kind: "submit", ...call });
+  assert.deepEqual(former.submitted, ["a"]);
+  assert.deepEqual(present.submitted, []);
+});
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -81,6 +81,8 @@
   /** The state of the domain for operators. */
   view(): DomainView;
   hasJob(job: string): boolean;
+  /** Whether a job was cancelled before it arrived. */
+  hasCancelled(job: string): boolean;
   /** Resolves once every change has been committed to the store. */
   flush(): Promise<void>;
 };
@@ -162,6 +164,7 @@
       tasks: [...viewTasks(domain, currentMoment(state))],
     }),
     hasJob: (job) => domain.jobs.has(job),
+    hasCancelled: (job) => domain.cancelledIds.has(job),
     async flush() {
       await waitForCommit(state);
     },
