Leave out entries whose address or id cannot be called

What other operators saw: an entry with a port out of range in a list of the platform ended the machines that read it, or they stopped following it.

Cause here: opening a connection to a port out of range throws at once, and so does a pool for an address with a path, or a header with an id that is not printable. The exception ended the loop in which it occurred without being noticed by it: the probes of owners (no owner is evicted any more), the polls of a worker, or the removal of instances that have gone. The process itself stays, as uncaught errors are logged.

An announcement that cannot be read used to be listed as the worst candidate; it is left out, and a log line names it and the reason.

--- a/src/base/mod.ts
+++ b/src/base/mod.ts
@@ -1,3 +1,4 @@
+export { isAddress } from "./address.ts";
 /**
  * Small stateless helpers that all other folders may use.
  *
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -191,7 +191,7 @@
       clock,
       settings.workers.heartbeatMs,
     ),
-    instances: createInstanceList(self),
+    instances: createInstanceList(self, logger.part("entry")),
     relaySessions: createRelayReportRouter(),
     rpc: createPeerRpc(
       createPeerClient(peerHttpClient, { secret: settings.peers.secret }),
--- a/src/entry/instance_list.ts
+++ b/src/entry/instance_list.ts
@@ -1,6 +1,9 @@
+import { err } from "neverthrow";
 import * as v from "valibot";
+import { isAddress, parseAs } from "../base/mod.ts";
 import type { KeyedRecord } from "../hosts/mod.ts";
 import type { RelayPeer } from "../ownership/mod.ts";
+import type { PartLogger } from "../telemetry/mod.ts";
 
 /** Schema of the announcement of an instance. */
 const announcementSchema = v.object({
@@ -8,10 +11,10 @@
    * Ranks it as a candidate for ownership, in milliseconds: the shortest wait
    * ranks first.
    */
-  candidateWaitMs: v.number(),
+  candidateWaitMs: v.pipe(v.number(), v.finite()),
   zone: v.optional(v.string(), ""),
   /** Its processor share, in cores. */
-  cores: v.optional(v.number(), 0),
+  cores: v.optional(v.pipe(v.number(), v.finite()), 0),
   /** Base URL of its API for callers and operators. */
   url: v.optional(v.string()),
 });
@@ -52,35 +55,49 @@
 };
 
 /**
- * Creates a list that contains only this instance.
+ * Creates a list that contains only this instance. Records that are no
+ * announcements are left out of it, each with a log entry.
  *
  * @example
  * ```ts
- * const list = createInstanceList("10.1.0.30:7380");
+ * const list = createInstanceList("10.1.0.30:7380", logger);
  * ```
  */
-export function createInstanceList(self: string): InstanceList {
+export function createInstanceList(
+  self: string,
+  logger: PartLogger,
+): InstanceList {
   const others = new Map<string, Announcement>();
   const stopping = new Set<string>();
   let own: Announcement | undefined;
   let isOwnRemoved = false;
   let orderedAddresses: string[] = [self];
 
-  function apply(records: KeyedRecord[]): void {
-    for (const { key, value } of records) {
-      if (key === self) {
-        isOwnRemoved = value === undefined;
-        if (value !== undefined) own = parseAnnouncement(value);
-        continue;
-      }
-      if (value === undefined) {
-        others.delete(key);
-        stopping.add(key);
-      } else {
-        others.set(key, parseAnnouncement(value));
-        stopping.delete(key);
-      }
+  function applyRecord({ key, value }: KeyedRecord): void {
+    if (value === undefined) {
+      if (key === self) isOwnRemoved = true;
+      else if (others.delete(key)) stopping.add(key);
+      return;
+    }
+    const announcement = isAddress(key)
+      ? parseAs(announcementSchema, value)
+      : err("its key is no address");
+    if (announcement.isErr()) {
+      const reason = announcement.error;
+      logger.warn("Skipped the announcement of an instance.", { key, reason });
+      return;
+    }
+    if (key === self) {
+      own = announcement.value;
+      isOwnRemoved = false;
+      return;
     }
+    others.set(key, announcement.value);
+    stopping.delete(key);
+  }
+
+  function apply(records: KeyedRecord[]): void {
+    for (const record of records) applyRecord(record);
     for (const address of stopping) {
       if (stopping.size <= MAX_STOPPING) break;
       stopping.delete(address);
@@ -125,14 +142,3 @@
     },
   };
 }
-
-/** Parses an announcement; an unreadable one ranks its instance last. */
-function parseAnnouncement(text: string): Announcement {
-  const worstCandidate = { candidateWaitMs: Infinity, zone: "", cores: 0 };
-  try {
-    const parsed = v.safeParse(announcementSchema, JSON.parse(text));
-    return parsed.success ? parsed.output : worstCandidate;
-  } catch {
-    return worstCandidate;
-  }
-}
--- a/src/entry/probe_instance.ts
+++ b/src/entry/probe_instance.ts
@@ -1,4 +1,4 @@
-import { assertNever } from "../base/mod.ts";
+import { assertNever, isAddress } from "../base/mod.ts";
 import { probeAddress, type ProbeOutcome } from "../clients/mod.ts";
 
 /** Timeout for opening a connection, in milliseconds. */
@@ -10,8 +10,9 @@
  */
 const MAX_CONTACT_AGE_MS = 200;
 
-/** Probes an entry instance, given as `IP:port`. */
+/** Probes an entry instance, given as `IP:port`; no other text is one. */
 export async function probeInstance(address: string): Promise<ProbeOutcome> {
+  if (!isAddress(address)) return "refused";
   const colon = address.lastIndexOf(":");
   const port = Number(address.slice(colon + 1));
   return await probeAddress(address.slice(0, colon), port, PROBE_TIMEOUT_MS);
--- a/src/entry/probe_instance_test.ts
+++ b/src/entry/probe_instance_test.ts
@@ -66,3 +66,10 @@
   child.kill("SIGKILL");
   await once(child, "exit");
 }
+
+// Guards against a loop of probes that ends at the first odd address.
+it("owner probe: a text that is no address is nobody's", async () => {
+  for (const text of ["", "10.0.0.1", "10.0.0.1:73800", "10.0.0.1:-1"]) {
+    assert.equal(await probeInstance(text), "refused");
+  }
+});
--- a/src/entry/remove_gone_instances_test.ts
+++ b/src/entry/remove_gone_instances_test.ts
@@ -20,7 +20,7 @@
 ): Promise<string[]> {
   const clock = createManualClock();
   const stopping = new AbortController();
-  const instances = createInstanceList(SELF);
+  const instances = createInstanceList(SELF, silentLogger);
   const value = JSON.stringify({ candidateWaitMs: 10 });
   instances.apply([{ key: SELF, value }, { key: GONE, value }]);
   const removed: string[] = [];
