Follow a topic further after an error while applying its records

What other operators saw: machines stopped following a list after one odd entry in it.

Cause here: an exception in whatever uses the records of a topic (the list of workers calls each owner) ended the loop that follows the topic. It was logged as an uncaught error, and the instance kept its last list for ever.

The error is logged with the topic, and the next records are read. An odd entry that its writer repeats is logged once, not at each heartbeat.

Both new tests failed before.

--- a/src/ownership/follow_topic.ts
+++ b/src/ownership/follow_topic.ts
@@ -76,12 +76,29 @@
     if (hasReadFailed) logRecovery(options);
     hasReadFailed = false;
     offset = page.value.nextOffset;
-    if (isFirst) options.onSnapshot(page.value.records);
-    else options.onRecords(page.value.records);
+    applyRecords(options, isFirst, page.value.records);
     await clock.sleep(options.pauseMs(), signal);
   }
 }
 
+/** Passes records on; the topic is followed further if that fails. */
+function applyRecords(
+  { onSnapshot, onRecords, logger, partition }: FollowTopicOptions,
+  isSnapshot: boolean,
+  records: KeyedRecord[],
+): void {
+  try {
+    if (isSnapshot) onSnapshot(records);
+    else onRecords(records);
+  } catch (error) {
+    logger.error("Failed to apply records of a store topic.", {
+      topic: partition.topic,
+      records: records.length,
+      cause: error instanceof Error ? error.stack ?? error.message : `${error}`,
+    });
+  }
+}
+
 function logReadFailure(options: FollowTopicOptions, fault: StoreFault): void {
   options.logger.warn("Cannot read a store topic.", {
     topic: options.partition.topic,
--- a/src/ownership/follow_topic_test.ts
+++ b/src/ownership/follow_topic_test.ts
@@ -49,3 +49,40 @@
   // Records that are no longer kept up to date are replaced by an empty list.
   assert.deepEqual(snapshots, [[ENTRY], [], [ENTRY], []]);
 });
+
+// Guards against an instance that stops following a list, because its use of one
+// record failed.
+it("a topic is followed further after records could not be applied", async () => {
+  const controller = new AbortController();
+  const errors: unknown[] = [];
+  const applied: string[] = [];
+  let offset = 0;
+  const answer = () => {
+    offset += 1;
+    const record = { key: `${offset}`, value: "ready" };
+    return Promise.resolve(ok({ records: [record], nextOffset: offset }));
+  };
+  const apply = ([record]: KeyedRecord[]) => {
+    if (offset === 4) controller.abort();
+    if (offset < 3) throw new Error(`odd record ${record?.key}`);
+    applied.push(record?.key ?? "");
+  };
+  await followTopic({
+    store: { newest: answer, read: answer } as unknown as StoreHost,
+    clock: createManualClock(),
+    logger: {
+      ...silentLogger,
+      error(message: string) {
+        errors.push(message);
+      },
+    },
+    partition: { topic: "workers", number: 0 },
+    waitMs: 0,
+    pauseMs: () => 10,
+    onSnapshot: apply,
+    onRecords: apply,
+    signal: controller.signal,
+  });
+  assert.deepEqual(applied, ["3", "4"]);
+  assert.equal(errors.length, 2);
+});
--- a/src/ownership/worker_list.ts
+++ b/src/ownership/worker_list.ts
@@ -15,6 +15,9 @@
  */
 const RECOVERY_HEARTBEATS = 6;
 
+/** How many entries that were left out are remembered. */
+const MAX_SKIPPED = 1_000;
+
 /** The platform's list of workers, as this instance last read it. */
 export type WorkerList = {
   workers(): WorkerListing[];
@@ -64,6 +67,8 @@
   const lastWrittenAfterMs = new Map<string, number>();
   let lastReadAtMs = -Infinity;
   const shutDown = new Set<string>();
+  /** Why entries were left out, by id, so that repeats are not logged. */
+  const skipped = new Map<string, string>();
   const subscribers = new Set<() => void>();
   let lastReadFailureAtMs = -Infinity;
   let hasBeenRead = false;
@@ -102,6 +107,7 @@
   ): boolean {
     const known = workers.get(id);
     if (value === undefined) {
+      skipped.delete(id);
       if (known === undefined) return false;
       workers.delete(id);
       if (indicatesShutdown(known)) shutDown.add(id);
@@ -115,12 +121,17 @@
     }
     const decoded = decode(id, value);
     if ("reason" in decoded) {
-      logger.warn("Skipped an entry of the worker list.", {
-        worker: id,
-        reason: decoded.reason,
-      });
+      const { reason } = decoded;
+      if (skipped.get(id) !== reason) {
+        logger.warn("Skipped an entry of the worker list.", {
+          worker: id,
+          reason,
+        });
+      }
+      if (skipped.size < MAX_SKIPPED) skipped.set(id, reason);
       return false;
     }
+    skipped.delete(id);
     const { listing } = decoded;
     workers.set(id, listing);
     lastWrittenAfterMs.set(id, writtenAfterMs);
--- a/src/ownership/worker_list_test.ts
+++ b/src/ownership/worker_list_test.ts
@@ -122,3 +122,23 @@
     assert.ok(!list.hasLeft("w"));
   });
 });
+
+describe("an odd entry of the worker list", () => {
+  it("is logged once, while the other entries hold", () => {
+    const skipped: unknown[] = [];
+    const logger = {
+      ...silentLogger,
+      warn(_message: string, fields?: Record<string, unknown>) {
+        skipped.push(fields?.["worker"]);
+      },
+    };
+    const decode = (id: string, text: string) =>
+      text === "odd" ? { reason: "odd" } : { listing: listing(id) };
+    const { clock } = createTestSetup();
+    const list = createWorkerList(decode, logger, clock, HEARTBEAT_MS);
+    list.replace([{ key: "x", value: "odd" }, { key: "w", value: "ready" }]);
+    list.apply([{ key: "x", value: "odd" }, { key: "v", value: "ready" }]);
+    assert.deepEqual(list.workers().map(({ id }) => id), ["w", "v"]);
+    assert.deepEqual(skipped, ["x"]);
+  });
+});
