Remove no instances while none of several others answers

An owner that is cut off from all others, but not from the store, would have removed the announcements of all of them, and they would have announced themselves again, every ten seconds. The new test removed both before.

--- a/src/entry/remove_gone_instances.ts
+++ b/src/entry/remove_gone_instances.ts
@@ -59,6 +59,8 @@
     );
     const confirming = others.filter((other) => !silent.isSilent(other))
       .slice(0, MAX_CONFIRMING_INSTANCES);
+    // If none of several others answers, this instance itself is partitioned.
+    if (confirming.length === 0 && others.length > 1) continue;
     for (const instance of silent.gone()) {
       if (!await isUnreachableFor(rpc, confirming, instance)) continue;
       await removeAnnouncement(host, instance);
--- a/src/entry/remove_gone_instances_test.ts
+++ b/src/entry/remove_gone_instances_test.ts
@@ -16,13 +16,13 @@
 
 /** Checks for a minute, and returns the keys whose records were removed. */
 async function runChecks(
-  { ownedDomains }: { ownedDomains: number },
+  { ownedDomains, gone = [GONE] }: { ownedDomains: number; gone?: string[] },
 ): Promise<string[]> {
   const clock = createManualClock();
   const stopping = new AbortController();
   const instances = createInstanceList(SELF, silentLogger);
   const value = JSON.stringify({ candidateWaitMs: 10 });
-  instances.apply([{ key: SELF, value }, { key: GONE, value }]);
+  instances.apply([SELF, ...gone].map((key) => ({ key, value })));
   const removed: string[] = [];
   const host = {
     clock: {
@@ -60,6 +60,11 @@
     assert.deepEqual(await runChecks({ ownedDomains: 1 }), [GONE]);
   });
 
+  it("does not happen at an instance that reaches no other one", async () => {
+    const gone = [GONE, "127.0.0.1:2"];
+    assert.deepEqual(await runChecks({ ownedDomains: 1, gone }), []);
+  });
+
   it("is left to instances that own domains", async () => {
     assert.deepEqual(await runChecks({ ownedDomains: 0 }), []);
   });
