--- a/src/ownership/advisor.ts
+++ b/src/ownership/advisor.ts
@@ -149,6 +149,7 @@
     lane.isBusy = false;
     const nowMs = host.clock.steadyMs();
     const elapsedMs = nowMs - sentAtMs;
+    host.counters.observe("advice_ms", elapsedMs);
     lane.hasFailed = advice === undefined;
     if (lane.hasFailed) {
       lane.pausedUntilMs = nowMs + FAILED_LANE_PAUSE_MS;
--- a/src/ownership/advisor_test.ts
+++ b/src/ownership/advisor_test.ts
@@ -25,10 +25,11 @@
   const waiting: AdviceRequest[] = [];
   const sent: Sent[] = [];
   const controller = new AbortController();
+  const counters = createCounters();
   const advisor = createAdvisor({
     clock,
     logger: silentLogger,
-    counters: createCounters(),
+    counters,
     instances: () => LANES,
     requestAdvice: (instance, request) =>
       new Promise((resolve) => {
@@ -41,7 +42,7 @@
     onAnswer: () => {},
     signal: controller.signal,
   });
-  return { clock, waiting, sent, advisor };
+  return { clock, counters, waiting, sent, advisor };
 }
 
 function request(stepKey: string, costMs: number): AdviceRequest {
@@ -150,6 +151,14 @@
     assert.match(next!.instance, /^near/);
   });
 
+  it("measures how long each request took", async () => {
+    const setup = createTestSetup();
+    await exchange(setup, request("answered", 30), []);
+    await exchange(setup, request("lost", 30), LANES);
+    const metrics = await setup.counters.render();
+    assert.match(metrics, /advice_ms_count 2/);
+  });
+
   it("uses failed lanes while no lane works", async () => {
     const setup = createTestSetup();
     for (const lane of LANES) {
