--- a/src/base/mod.ts
+++ b/src/base/mod.ts
@@ -1,10 +1,10 @@
-export { isAddress } from "./address.ts";
 /**
  * Small stateless helpers that all other folders may use.
  *
  * @module
  */
 export * from "./abort_reason.ts";
+export * from "./address.ts";
 export * from "./assert_never.ts";
 export * from "./child_controller.ts";
 export * from "./compare.ts";
