--- a/review/stand-ins-2.mjs
+++ b/review/stand-ins-2.mjs
@@ -49,17 +49,32 @@
   return server.address().port;
 }
 
-/** Ports that are free on all addresses of 127.0.0.0/8 that are used. */
+/**
+ * Ports that are free on all addresses: some single ones, and the first of two
+ * consecutive ones.
+ */
 async function findFreePorts(count) {
   const servers = [];
-  const ports = [];
-  for (let index = 0; index < count; index += 1) {
+  const hold = async (port) => {
     const server = createTcpServer();
-    ports.push(await listen(server, "0.0.0.0"));
+    server.listen(port, "0.0.0.0");
+    try {
+      await once(server, "listening");
+    } catch {
+      return undefined;
+    }
     servers.push(server);
+    return server.address().port;
+  };
+  const single = [];
+  while (single.length < count) single.push(await hold(0));
+  let pair;
+  while (pair === undefined) {
+    const first = await hold(0);
+    if (await hold(first + 1) !== undefined) pair = first;
   }
   for (const server of servers) server.close();
-  return ports;
+  return { single, pair };
 }
 
 async function readBody(message) {
@@ -511,7 +526,7 @@
 export async function startDaemons({ count, store, note, hint = "", zones = ["a"] }) {
   const folder = mkdtempSync(join(tmpdir(), "samphirestage-review-"));
   const template = readFileSync(join(root, "deploy", "entry.ini"), "utf8");
-  const [frontend, ready, internal, second, last] = await findFreePorts(5);
+  const { single: [frontend, ready, metrics], pair: internal } = await findFreePorts(3);
   const base = 11 + (process.pid % 200);
   const daemons = Array.from({ length: count }, (_, index) => {
     const ip = `127.77.${base}.${index + 1}`;
@@ -526,7 +541,7 @@
       "listen.ready_addr": `${ip}:${ready}`,
       ip,
       "internal_ports.0": internal,
-      "internal_ports.1": last,
+      "internal_ports.1": metrics,
       "platform.addr": store.address,
       "platform.parts": BOUNDS.partitions,
       hint,
@@ -537,7 +552,6 @@
     }));
     return { name, ip, frontend, ready, peers: [`${ip}:${internal}`, `${ip}:${internal + 1}`], settings, child: undefined, log: "" };
   });
-  void second;
 
   function start(daemon) {
     daemon.child = spawn("node", ["--max-old-space-size=180", "--max-semi-space-size=4", "target/samphirestaged.mjs"], {
@@ -562,6 +576,11 @@
     await ended;
   }
 
+  // The time limit of a script ends it with this signal.
+  process.once("SIGTERM", () => {
+    for (const { child } of daemons) child?.kill("SIGKILL");
+    process.exit(2);
+  });
   for (const daemon of daemons) start(daemon);
   return {
     daemons,
