--- a/src/ownership/worker_clock.ts
+++ b/src/ownership/worker_clock.ts
@@ -9,8 +9,23 @@
   sample: { clockMs: number; atMs: number } | undefined;
   /** When all leases that the worker may have received have expired. */
   leasesExpireAtMs: number;
+  /** The last lease: its end on the worker's clock, and when it was granted. */
+  lastGrant: { untilMs: number; atMs: number } | undefined;
 };
 
+/** The clock of a worker that has not answered yet. */
+export function createWorkerClock(): WorkerClock {
+  return { sample: undefined, leasesExpireAtMs: 0, lastGrant: undefined };
+}
+
+/** What the worker's clock shows now if it has not restarted. */
+export function expectedReading(
+  { sample }: WorkerClock,
+  nowMs: number,
+): number | undefined {
+  return sample && sample.clockMs + (nowMs - sample.atMs);
+}
+
 /** Records a clock reading that arrived with an answer. */
 export function recordReading(
   clock: WorkerClock,
@@ -35,6 +50,7 @@
   const { sample } = clock;
   if (sample === undefined) return undefined;
   const untilMs = sample.clockMs + (nowMs - sample.atMs) + leaseMs;
+  clock.lastGrant = { untilMs, atMs: nowMs };
   const expiresAtMs = sample.atMs +
     (untilMs - sample.clockMs) / MIN_CLOCK_RATE + EXPIRY_MARGIN_MS;
   clock.leasesExpireAtMs = Math.max(clock.leasesExpireAtMs, expiresAtMs);
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -6,7 +6,12 @@
  */
 import { NO_LONGER_NEEDED } from "../base/mod.ts";
 import type { WorkerOrder } from "../domain/mod.ts";
-import { grantLease, recordReading } from "./worker_clock.ts";
+import {
+  createWorkerClock,
+  expectedReading,
+  grantLease,
+  recordReading,
+} from "./worker_clock.ts";
 import {
   grantableLeaseMs,
   handleFault,
@@ -50,7 +55,7 @@
 export function openWorkerLink(host: WorkerLinkHost): WorkerLink {
   const state: LinkState = {
     host,
-    clock: { sample: undefined, leasesExpireAtMs: 0 },
+    clock: createWorkerClock(),
     bornMs: 0,
     highestListedEnd: 0,
     acknowledged: 0,
@@ -141,6 +146,9 @@
     return false;
   }
   const { clockMs, bornMs, running, ended, hasMoreEnds } = result.value;
+  if (state.bornMs !== 0 && bornMs !== state.bornMs) {
+    logRestart(state, { bornMs, clockMs });
+  }
   recordReading(state.clock, clockMs, host.clock.steadyMs());
   let unanswered: Partial<ReturnType<typeof unansweredTasks>> = {};
   if (bornMs === state.bornMs) {
@@ -179,6 +187,31 @@
   return grantableLeaseMs(state) > 0;
 }
 
+/**
+ * Logs that a worker has restarted. Its clock has started anew, so a call meant
+ * for the incarnation before carries a lease whose end it reads differently.
+ */
+function logRestart(
+  { host, clock, bornMs: earlierBornMs, acknowledged }: LinkState,
+  { bornMs, clockMs }: { bornMs: number; clockMs: number },
+): void {
+  const nowMs = host.clock.steadyMs();
+  const { lastGrant } = clock;
+  host.counters.count("worker_restarts");
+  host.logger.info("A worker has restarted.", {
+    worker: host.target.id,
+    bornMs,
+    earlierBornMs,
+    clockMs,
+    expectedClockMs: Math.round(expectedReading(clock, nowMs) ?? 0),
+    earlierAcknowledged: acknowledged,
+    ...(lastGrant === undefined ? {} : {
+      earlierLeaseUntilMs: Math.round(lastGrant.untilMs),
+      earlierLeaseAgeMs: Math.round(nowMs - lastGrant.atMs),
+    }),
+  });
+}
+
 /**
  * Records that a worker has answered a poll sent at a time: a start that reached
  * it before and has no answer did not crash it at once, so it may be late.
--- a/src/ownership/worker_link_state.ts
+++ b/src/ownership/worker_link_state.ts
@@ -135,10 +135,16 @@
   if (isKnown) return;
   state.hasLeaseExpired = true;
   state.isReplaced = isReplaced;
+  const nowMs = host.clock.steadyMs();
   host.logger.warn("The lease of a worker has expired.", {
     worker: host.target.id,
     cause,
     isReplaced,
+    bornMs: state.bornMs,
+    ownLeasesEndedAgoMs: Math.round(nowMs - state.clock.leasesExpireAtMs),
+    earlierOwnersLeasesEndedAgoMs: Math.round(
+      nowMs - host.earlierLeasesExpireAtMs(),
+    ),
   });
   host.emit({
     kind: "workerLapsed",
