--- a/src/ownership/testing/simulated_clock.ts
+++ b/src/ownership/testing/simulated_clock.ts
@@ -27,6 +27,7 @@
         if (signal?.aborted) return resolve();
         const end = () => {
           sleeps.delete(sleep);
+          signal?.removeEventListener("abort", end);
           resolve();
         };
         const sleep = { untilMs: nowMs + delayMs, end };
--- a/stand_ins/platform/worker.ts
+++ b/stand_ins/platform/worker.ts
@@ -26,8 +26,18 @@
 /** Returns the run time of a task, in milliseconds. */
 export type TaskDuration = (specification: string, task: string) => number;
 
+/** The clock of a worker's incarnation, and the leases that it accepts. */
+export type WorkerTiming = {
+  /** The reading of its clock at its start; leases end at a reading. */
+  clockStartMs: number;
+  /** How fast its clock runs. */
+  clockRate: number;
+  /** A longer lease is shortened to this, in milliseconds. */
+  maxLeaseMs: number;
+};
+
 /** The state of an in-memory worker. */
-export type Worker = {
+export type Worker = WorkerTiming & {
   id: string;
   /** Start time of this incarnation, in milliseconds. */
   bornMs: number;
@@ -39,6 +49,7 @@
   nextEndedRunNumber: number;
   /** Highest attempt that ended or was stopped, by task. */
   highestClosedAttempt: Map<string, number>;
+  /** The end of its lease, on its clock. */
   leaseUntilMs: number;
   /** Every run that was started, in order. */
   started: RunRecord[];
@@ -102,14 +113,19 @@
   pace: "/pace",
 } as const;
 
-/** Creates an idle worker. */
+/** Creates an idle worker, whose clock shows the given time by default. */
 export function createWorker(
   id: string,
   durationMs: TaskDuration,
   nowMs: number,
   isDeadly: (task: string) => boolean = () => false,
+  timing: Partial<WorkerTiming> = {},
 ): Worker {
   return {
+    clockStartMs: nowMs,
+    clockRate: 1,
+    maxLeaseMs: Infinity,
+    ...timing,
     id,
     bornMs: nowMs,
     fence: 0,
@@ -126,6 +142,12 @@
   };
 }
 
+/** The reading of a worker's clock. */
+export function readClock(worker: Worker, nowMs: number): number {
+  const elapsedMs = (nowMs - worker.bornMs) * worker.clockRate;
+  return Math.floor(worker.clockStartMs + elapsedMs);
+}
+
 /**
  * Applies a command to a worker and returns the response. A command with an
  * outdated fencing token is refused.
@@ -143,7 +165,11 @@
   }
   worker.fence = command.fencing_token;
   if (command.deadline_ms !== undefined) {
-    worker.leaseUntilMs = Math.max(worker.leaseUntilMs, command.deadline_ms);
+    const longestMs = readClock(worker, nowMs) + worker.maxLeaseMs;
+    worker.leaseUntilMs = Math.max(
+      worker.leaseUntilMs,
+      Math.min(command.deadline_ms, longestMs),
+    );
   }
   switch (path) {
     case COMMAND_PATHS.heartbeat:
@@ -174,7 +200,7 @@
   if (attempt <= (worker.highestClosedAttempt.get(task) ?? 0)) {
     return conflictResponse(worker, "old", nowMs);
   }
-  if ((command.deadline_ms ?? 0) < nowMs) {
+  if ((command.deadline_ms ?? 0) < readClock(worker, nowMs)) {
     return conflictResponse(worker, "late", nowMs);
   }
   const specification = command.spec ?? "";
@@ -195,8 +221,9 @@
 
 /** Ends every run that has completed, or all runs if the lease has expired. */
 export function endDueRuns(worker: Worker, nowMs: number): void {
+  const clockMs = readClock(worker, nowMs);
   for (const [task, run] of worker.running) {
-    if (worker.leaseUntilMs < nowMs) endRun(worker, task, "lapsed", nowMs);
+    if (worker.leaseUntilMs < clockMs) endRun(worker, task, "lapsed", nowMs);
     else if (run.endsAtMs <= nowMs) endRun(worker, task, "done", nowMs);
   }
 }
@@ -239,7 +266,7 @@
     0,
   ]);
   return {
-    clock_ms: nowMs,
+    clock_ms: readClock(worker, nowMs),
     born: worker.bornMs,
     running,
     finished: worker.endedRuns.slice(0, MAX_LISTED_ENDS),
@@ -256,7 +283,10 @@
 }
 
 function okResponse(worker: Worker, nowMs: number): StandInResponse {
-  return { status: 200, body: { clock_ms: nowMs, born: worker.bornMs } };
+  return {
+    status: 200,
+    body: { clock_ms: readClock(worker, nowMs), born: worker.bornMs },
+  };
 }
 
 function conflictResponse(
@@ -264,6 +294,10 @@
   reason: string,
   nowMs: number,
 ): StandInResponse {
-  const body = { clock_ms: nowMs, born: worker.bornMs, reason };
+  const body = {
+    clock_ms: readClock(worker, nowMs),
+    born: worker.bornMs,
+    reason,
+  };
   return { status: 409, body };
 }
