Don't send a poll or start again over new connections to its worker

A poll that was in flight when its worker crashed was sent again over new connections each time that another call to the worker had no answer, so the next incarnation got it, with a lease that ends at a time on the former one's clock, and with an acknowledgement of the former one's run ends.

The test failed before: the poll was answered over the new connection.

This removes the usual way in which a lease reaches a later incarnation, not the cause: any call may.

--- a/src/clients/http_client_test.ts
+++ b/src/clients/http_client_test.ts
@@ -189,6 +189,30 @@
   }, 2);
 });
 
+// Guards against TWICE: a poll that was in flight when its worker restarted was
+// sent again to the next incarnation, with a lease for the former one.
+test("http client: a call that expires with its pool is not sent again", async () => {
+  const control = createConnectionControl();
+  control.holdsResponses = false;
+  let received = 0;
+  const script: Script = (request, response, body) => {
+    received += 1;
+    return control.script(request, response, body);
+  };
+  await withServer(script, async ({ call }) => {
+    assert.equal(resultKind(await call()), "ok");
+    control.ignoreOpenConnections();
+    const expiring = { timeoutMs: LONG_TIMEOUT_MS, expiresWithPool: true };
+    const poll = call({ ...expiring, repeatable: true });
+    const queued = call(expiring);
+    const command = call({ timeoutMs: SHORT_TIMEOUT_MS });
+    assert.equal(resultKind(await command), "unsent");
+    assert.equal(resultKind(await poll), "unknown");
+    assert.equal(resultKind(await queued), "unsent");
+    assert.equal(received, 2);
+  });
+});
+
 function respond(body: string, status = 200): Script {
   return (_request, response) => response.writeHead(status).end(body);
 }
--- a/src/clients/http_exchange.ts
+++ b/src/clients/http_exchange.ts
@@ -66,7 +66,9 @@
     };
     const moveIfAllowed = () => {
       const mayMove = request.repeatable || !attempt.isSent();
-      if (mayMove) attempt.end({ kind: "moved" });
+      if (!mayMove) return;
+      if (request.expiresWithPool === true) return endAborted();
+      attempt.end({ kind: "moved" });
     };
     attempt.onEnd(() => {
       clearTimeout(timer);
--- a/src/clients/http_request.ts
+++ b/src/clients/http_request.ts
@@ -27,4 +27,10 @@
    * connection when the pool is retired, even if it was already sent.
    */
   repeatable: boolean;
+  /**
+   * Whether the content may be outdated by the time at which it would be sent
+   * over a new connection: the call then fails when the pool is retired, where it
+   * would be sent over the new one, so that its caller can build it anew.
+   */
+  expiresWithPool?: boolean;
 };
