Acknowledge no run ends in a poll that a later incarnation may get

A worker that had restarted, and had run a start that was meant for the former incarnation, forgot its ends unread; the task was neither running nor ended, and was started again.

Polls of a silent worker, of one that has left a start without an answer, and the look before a suspect start now acknowledge nothing. The worker lists the same ends once more, which the domain ignores.

--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -60,6 +60,7 @@
     highestListedEnd: 0,
     acknowledged: 0,
     unansweredStarts: new Map(),
+    startsInDoubt: new Set(),
     fastestAnswerMs: Infinity,
     onAcknowledged: () => {},
     executableStarts: new Set(),
@@ -98,6 +99,9 @@
       delayMs = isAcknowledged
         ? unacknowledgedPollDelayMs
         : Math.min(2 * delayMs, MAX_UNACKNOWLEDGED_POLL_DELAY_MS);
+    } else if (acknowledgeableEnd(state) < state.acknowledged) {
+      // The worker lists the same ends again at once.
+      await clock.sleep(unacknowledgedPollDelayMs, signal);
     }
   }
 }
@@ -119,6 +123,16 @@
   state.onAcknowledged = () => {};
 }
 
+/**
+ * The last run end that a poll may acknowledge; 0 if the next incarnation of the
+ * worker may get the poll and have ended a run already. It would forget that end.
+ */
+function acknowledgeableEnd(
+  { isSilent, startsInDoubt, acknowledged }: LinkState,
+): number {
+  return isSilent || startsInDoubt.size > 0 ? 0 : acknowledged;
+}
+
 /** How long a worker may delay the answer to a poll with a lease, in ms. */
 function pollWaitMs(leaseMs: number): number {
   const waitMs = Math.floor(leaseMs / POLLS_PER_LEASE);
@@ -136,7 +150,7 @@
     : undefined;
   const waitMs = leaseUntilMs === undefined ? 0 : pollWaitMs(leaseMs);
   const result = await host.tasks.poll(host.target, {
-    acknowledged: state.acknowledged,
+    acknowledged: acknowledgeableEnd(state),
     leaseUntilMs,
     waitMs,
   }, host.signal);
--- a/src/ownership/worker_link_state.ts
+++ b/src/ownership/worker_link_state.ts
@@ -60,6 +60,8 @@
    * have been down already.
    */
   unansweredStarts: Map<StartOrder, number | undefined>;
+  /** Starts of which a copy has no answer, and that are being sent again. */
+  startsInDoubt: Set<StartOrder>;
   /** The shortest time in which it has answered an order, in milliseconds. */
   fastestAnswerMs: number;
   /** Called after each acknowledgement. */
--- a/src/ownership/worker_link_test.ts
+++ b/src/ownership/worker_link_test.ts
@@ -102,6 +102,39 @@
   });
 });
 
+// Guards against TWICE: a worker that restarts forgets ends that nobody has read,
+// since it gets an acknowledgement that was meant for its former incarnation.
+describe("a poll that the next incarnation of the worker may get", () => {
+  it("acknowledges no run ends", async () => {
+    const clock = createManualClock();
+    const controller = new AbortController();
+    const acknowledged: number[] = [];
+    const end = { task: "a.0.0.0", attempt: 1, end: "done", checkpoint: "" };
+    const tasks = {
+      async poll(_target: unknown, call: PollCall) {
+        acknowledged.push(call.acknowledged);
+        await clock.sleep(10, controller.signal);
+        if (acknowledged.length === 5) controller.abort();
+        if (acknowledged.length === 3) {
+          const step = "worker.look";
+          return err({ kind: "unknown", step, peer: "w", message: "reset" });
+        }
+        const ended = [{ ...end, number: 3 }];
+        const clockMs = clock.steadyMs();
+        return ok({ clockMs, bornMs: 7, running: [], ended });
+      },
+    } as unknown as TaskHost;
+    await new Promise<void>((resolve) => {
+      controller.signal.addEventListener("abort", () => resolve());
+      const link = openWorkerLink({
+        ...hostOf(tasks, clock, controller.signal),
+        emit: () => queueMicrotask(() => link.acknowledge(7, 3)),
+      });
+    });
+    assert.deepEqual(acknowledged, [0, 3, 3, 0, 3]);
+  });
+});
+
 // Guards against SHORT: the relays of an owner that was lost polled each worker
 // of its successor every 150 ms, for the 6 s until they gave the owner up.
 describe("a worker that has accepted an owner with a higher epoch", () => {
--- a/src/ownership/worker_orders.ts
+++ b/src/ownership/worker_orders.ts
@@ -47,6 +47,11 @@
 }
 
 async function start(state: LinkState, order: StartOrder): Promise<void> {
+  await sendStart(state, order);
+  state.startsInDoubt.delete(order);
+}
+
+async function sendStart(state: LinkState, order: StartOrder): Promise<void> {
   const { host, executableStarts } = state;
   const { task, attempt } = order;
   let earlierUnknown = false;
@@ -117,7 +122,10 @@
     }
     // It is sent again only after the worker has answered a poll.
     const unansweredMs = host.clock.steadyMs() - firstSentAtMs;
-    if (fault.kind === "unknown") earlierUnknown = true;
+    if (fault.kind === "unknown") {
+      earlierUnknown = true;
+      state.startsInDoubt.add(order);
+    }
     if (tries > 1 && unansweredMs >= START_TIMEOUT_MS) {
       const outcome = { kind: "rejected", cause: "unanswered" } as const;
       reportStartOutcome(state, order, outcome, earlierUnknown);
@@ -125,6 +133,7 @@
     }
     await host.clock.sleep(RETRY_DELAY_MS, host.signal);
   }
+  state.startsInDoubt.delete(order);
   if (earlierUnknown) {
     await host.clock.sleep(expiresAtMs - host.clock.steadyMs(), host.signal);
     // The clock of a new incarnation starts anew.
@@ -135,8 +144,8 @@
 
 /** Whether the worker answers a poll at once, in the same incarnation. */
 async function isAnswering(state: LinkState): Promise<boolean> {
-  const { host, acknowledged } = state;
-  const poll = { acknowledged, leaseUntilMs: undefined, waitMs: 0 };
+  const { host } = state;
+  const poll = { acknowledged: 0, leaseUntilMs: undefined, waitMs: 0 };
   const sentAtMs = host.clock.steadyMs();
   const result = await host.tasks.poll(host.target, poll, host.signal);
   if (host.signal.aborted) return false;
