Reckon with leases that a restarted worker took from calls for its former life

Cause: the end of a lease is a time on the worker's clock, and an order or a poll does not say which incarnation it is meant for. The owner reckoned with its own leases (about 5 s), gave the worker up and started the task elsewhere. Class of the fault: a fact or an order that holds for one incarnation is applied to another one.

The fix, in the link to a worker, which is the same code in owners and relays: - The fence of calls rises with each incarnation that a link learns of, and with each link that is opened, within the epoch (fence.ts). An incarnation that has accepted a call with its own fence refuses what was meant for former ones, also if that is carried out seconds late. - Until then, the answers of the new incarnation are not reported: calls for the former one could still change them. The link polls again at once. - With that answer begins the longest time for which such a lease may last; the worker is not given up before. One that has not restarted is given up with the owner's leases, as before. - A suspect start gets its lease after the look at its worker, not before: the incarnation might change in between.

A worker that refuses a call for its former incarnation is not taken for one that has accepted a successor.

A worker refuses calls of an instance of an earlier version once an instance of this version has called it: the fences of earlier versions are the plain epochs.

--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -246,6 +246,7 @@
     counters,
     workerList: context.workers,
     leaseMs,
+    maxLeaseMs: settings.lease.maxMs,
     ownershipValidMs: MAX_GRANT_WITHOUT_STORE_MS,
     self: context.self,
     // Only one process can have this address, so an earlier owner with the
@@ -299,6 +300,7 @@
     logger: context.logger.part("domain"),
     counters: context.counters,
     leaseMs: leaseMsOf(context.settings),
+    maxLeaseMs: context.settings.lease.maxMs,
     async report({ owner, instance = owner }, session, batch) {
       const answer = await context.rpc.relayed(owner, {
         ...batch,
--- a/src/hosts/task_host.ts
+++ b/src/hosts/task_host.ts
@@ -4,7 +4,7 @@
 /** Why a call to a worker failed, and what is known about its effect. */
 export type TaskFault = {
   kind:
-    /** The worker has accepted an owner with a higher epoch. */
+    /** The worker has accepted a call with a higher fence. */
     | "fenced"
     /** Another incarnation answers at the address. */
     | "gone"
@@ -23,12 +23,13 @@
   isClosed?: boolean;
 };
 
-/** The address of a worker, and the owner's epoch that calls carry. */
+/** The address of a worker, and the fence that calls to it carry. */
 export type WorkerTarget = {
   id: string;
   /** `IP:port`. */
   address: string;
-  epoch: number;
+  /** The worker refuses calls with a lower fence than it has accepted. */
+  fence: number;
 };
 
 /** Parameters of a poll, which reads a worker's runs and renews its lease. */
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -176,6 +176,7 @@
   const uncommittedJobs = createUncommittedJobs();
   const state: OwnerState = {
     host,
+    startedAtMs: host.clock.steadyMs(),
     domain,
     events: createEventSource(),
     links: new Map(),
--- a/src/ownership/domain_owner_host.ts
+++ b/src/ownership/domain_owner_host.ts
@@ -28,6 +28,8 @@
   epochRaisedAt: Instant;
   /** Duration of the leases that workers get, in milliseconds. */
   leaseMs: number;
+  /** The longest lease that a worker grants, in milliseconds. */
+  maxLeaseMs: number;
   /** Address of this instance. */
   self: string;
   /** Whether an earlier owner is known to grant no more leases. */
--- a/src/ownership/owned_domains_test.ts
+++ b/src/ownership/owned_domains_test.ts
@@ -72,6 +72,7 @@
       1_500,
     ),
     leaseMs: 5_000,
+    maxLeaseMs: 10_000,
     ownershipValidMs: 10_000,
     self: "self",
     reportAddress: "self",
--- a/src/ownership/owner_links.ts
+++ b/src/ownership/owner_links.ts
@@ -10,6 +10,7 @@
   WorkerListing,
   WorkerOrder,
 } from "../domain/mod.ts";
+import { firstFence } from "./fence.ts";
 import { elapsedMs } from "./instant.ts";
 import {
   CONFIRMED_LEASE_MS,
@@ -146,7 +147,9 @@
     bornMs: previous?.bornMs ?? 0,
     acknowledged: previous?.acknowledged ?? 0,
   };
-  const target = { id: worker.id, address: worker.address, epoch: host.epoch };
+  const ownedForMs = host.clock.steadyMs() - state.startedAtMs;
+  const fence = firstFence(host.epoch, ownedForMs);
+  const target = { id: worker.id, address: worker.address, fence };
   // The previous link may have granted a lease just now.
   const floorMs = previous === undefined
     ? 0
--- a/src/ownership/owner_state.ts
+++ b/src/ownership/owner_state.ts
@@ -28,6 +28,8 @@
 /** The state of a domain's owner, apart from the domain itself. */
 export type OwnerState = {
   host: DomainOwnerHost;
+  /** When the ownership began, on the steady clock. */
+  startedAtMs: number;
   domain: Domain;
   events: EventSource<DomainEvent>;
   links: Map<string, OwnerLink>;
--- a/src/ownership/relay/relay_message.ts
+++ b/src/ownership/relay/relay_message.ts
@@ -17,6 +17,8 @@
     kind: v.literal("open"),
     worker: v.string(),
     address: v.string(),
+    /** The fence of the first calls; missing in messages of earlier versions. */
+    fence: v.optional(v.number()),
     /**
      * Start time of the worker incarnation that `acknowledged` refers to, in
      * milliseconds since the epoch; 0 if nothing has been acknowledged.
--- a/src/ownership/relay/relay_server.ts
+++ b/src/ownership/relay/relay_server.ts
@@ -22,6 +22,8 @@
   counters: Counters;
   /** Length of the leases granted to workers, in milliseconds. */
   leaseMs: number;
+  /** The longest lease that a worker grants, in milliseconds. */
+  maxLeaseMs: number;
   /** Reports events to an owner; undefined if no answer arrived. */
   report(
     owner: RelayOwner,
--- a/src/ownership/relay/relay_session.ts
+++ b/src/ownership/relay/relay_session.ts
@@ -45,6 +45,8 @@
   epoch: number;
   /** Length of the leases granted to workers, in milliseconds. */
   leaseMs: number;
+  /** The longest lease that a worker grants, in milliseconds. */
+  maxLeaseMs: number;
   /** Reports events to the owner; undefined if no answer arrived. */
   report(batch: Batch<RelayEvent>): Promise<RelayReportAnswer | undefined>;
   signal: AbortSignal;
@@ -146,13 +148,13 @@
   }
 
   function openLink(message: Extract<RelayMessage, { kind: "open" }>): void {
-    const { worker, address } = message;
+    const { worker, address, fence = host.epoch } = message;
     closeLink(worker);
     const linkController = createChildController(signal);
     const earlierLinkLeasesExpireAtMs = clock.steadyMs() + message.floorMs;
     const link = openWorkerLink({
       ...host,
-      target: { id: worker, address, epoch: host.epoch },
+      target: { id: worker, address, fence },
       resumeFrom: {
         bornMs: message.bornMs,
         acknowledged: message.acknowledged,
--- a/src/ownership/relay/relay_test.ts
+++ b/src/ownership/relay/relay_test.ts
@@ -71,6 +71,7 @@
     ...common,
     tasks,
     leaseMs: LEASE_MS,
+    maxLeaseMs: 2 * LEASE_MS,
     report: ({ owner, instance }, session, batch) => {
       reportedTo.add(`${instance} at ${owner}`);
       if (connection.isDisconnected) return Promise.resolve(undefined);
@@ -115,7 +116,7 @@
   });
   const open = () =>
     relayed.open({
-      target: { id: "w", address: "10.0.0.1:1", epoch: 3 },
+      target: { id: "w", address: "10.0.0.1:1", fence: 3 },
       zone: "a",
       bornMs: 0,
       acknowledged: 0,
--- a/src/ownership/relay/relayed_links.ts
+++ b/src/ownership/relay/relayed_links.ts
@@ -272,7 +272,8 @@
       const worker = target.id;
       const { sender } = relay;
       relay.workers.add(worker);
-      sender.send({ kind: "open", worker, address: target.address, ...known });
+      const { address, fence } = target;
+      sender.send({ kind: "open", worker, address, fence, ...known });
       linkSignal.addEventListener("abort", () => {
         relay.workers.delete(worker);
         sender.send({ kind: "close", worker });
--- a/src/ownership/testing/link_host.ts
+++ b/src/ownership/testing/link_host.ts
@@ -6,6 +6,9 @@
 /** Length of the leases that links of tests grant, in milliseconds. */
 export const LEASE_MS = 5_000;
 
+/** The longest lease that workers of tests grant, in milliseconds. */
+export const MAX_LEASE_MS = 10_000;
+
 /** Dependencies of a link, apart from the calls to its worker. */
 export function hostOf(
   tasks: TaskHost,
@@ -17,8 +20,9 @@
     clock,
     logger: silentLogger,
     counters: createCounters(),
-    target: { id: "w", address: "10.0.0.1:1", epoch: 1 },
+    target: { id: "w", address: "10.0.0.1:1", fence: 1 },
     leaseMs: LEASE_MS,
+    maxLeaseMs: MAX_LEASE_MS,
     earlierLeasesExpireAtMs: () => 0,
     unacknowledgedPollDelayMs: 80,
     mayGrantLeases: () => true,
--- a/src/ownership/testing/restart_model.ts
+++ b/src/ownership/testing/restart_model.ts
@@ -317,6 +317,7 @@
         throw new Error(`fenced: ${cause}`);
       },
     },
+    startedAtMs: clock.steadyMs(),
     writer: { confirmedAt: () => currentInstant(clock) },
     domain: bench.domain,
     links: new Map(),
--- a/src/ownership/testing/simulated_tasks.ts
+++ b/src/ownership/testing/simulated_tasks.ts
@@ -41,7 +41,7 @@
       const command = {
         task: "",
         attempt: 0,
-        fencing_token: target.epoch,
+        fencing_token: target.fence,
         ack_cursor: acknowledged,
         ...(leaseUntilMs === undefined ? {} : { deadline_ms: leaseUntilMs }),
       };
@@ -55,7 +55,7 @@
       const command = {
         task,
         attempt,
-        fencing_token: target.epoch,
+        fencing_token: target.fence,
         deadline_ms: leaseUntilMs,
       };
       const path = COMMAND_PATHS.start;
@@ -65,7 +65,7 @@
       return answer.map(toStartOutcome);
     },
     async stop(target, task, attempt, signal) {
-      const command = { task, attempt, fencing_token: target.epoch };
+      const command = { task, attempt, fencing_token: target.fence };
       const path = COMMAND_PATHS.stop;
       const timeoutMs = COMMAND_TIMEOUT_MS;
       const request = { path, command, waitMs: 0, timeoutMs };
--- a/src/ownership/worker_clock.ts
+++ b/src/ownership/worker_clock.ts
@@ -56,3 +56,18 @@
   clock.leasesExpireAtMs = Math.max(clock.leasesExpireAtMs, expiresAtMs);
   return Math.floor(untilMs);
 }
+
+/**
+ * Records that the worker may hold a lease that was meant for a former
+ * incarnation. It has shortened the lease to the longest that it grants.
+ *
+ * @param maxLeaseMs the longest lease that a worker grants, in milliseconds
+ */
+export function expectForeignLease(
+  clock: WorkerClock,
+  maxLeaseMs: number,
+  nowMs: number,
+): void {
+  const expiresAtMs = nowMs + maxLeaseMs / MIN_CLOCK_RATE + EXPIRY_MARGIN_MS;
+  clock.leasesExpireAtMs = Math.max(clock.leasesExpireAtMs, expiresAtMs);
+}
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -6,9 +6,12 @@
  */
 import { NO_LONGER_NEEDED } from "../base/mod.ts";
 import type { WorkerOrder } from "../domain/mod.ts";
+import type { PollAnswer } from "../hosts/mod.ts";
+import { nextFence } from "./fence.ts";
 import {
   createWorkerClock,
   expectedReading,
+  expectForeignLease,
   grantLease,
   recordReading,
 } from "./worker_clock.ts";
@@ -17,6 +20,7 @@
   handleFault,
   type LinkState,
   RETRY_DELAY_MS,
+  targetOf,
   unansweredTasks,
   type WorkerLinkHost,
 } from "./worker_link_state.ts";
@@ -57,9 +61,13 @@
     host,
     clock: createWorkerClock(),
     bornMs: 0,
+    fence: host.target.fence,
+    hasRestarted: false,
+    refusesEarlierCalls: false,
     highestListedEnd: 0,
     acknowledged: 0,
     unansweredStarts: new Map(),
+    unansweredByEarlier: undefined,
     startsInDoubt: new Set(),
     fastestAnswerMs: Infinity,
     onAcknowledged: () => {},
@@ -148,34 +156,33 @@
   const leaseUntilMs = leaseMs > 0
     ? grantLease(state.clock, leaseMs, sentAtMs)
     : undefined;
-  const waitMs = leaseUntilMs === undefined ? 0 : pollWaitMs(leaseMs);
-  const result = await host.tasks.poll(host.target, {
+  const isHeldUp = leaseUntilMs !== undefined && state.refusesEarlierCalls;
+  const { fence } = state;
+  const result = await host.tasks.poll(targetOf(state), {
     acknowledged: acknowledgeableEnd(state),
     leaseUntilMs,
-    waitMs,
+    waitMs: isHeldUp ? pollWaitMs(leaseMs) : 0,
   }, host.signal);
   if (host.signal.aborted) return false;
   if (result.isErr()) {
-    handleFault(state, result.error);
+    handleFault(state, result.error, fence);
     return false;
   }
   const { clockMs, bornMs, running, ended, hasMoreEnds } = result.value;
-  if (state.bornMs !== 0 && bornMs !== state.bornMs) {
-    logRestart(state, { bornMs, clockMs });
-  }
-  recordReading(state.clock, clockMs, host.clock.steadyMs());
-  let unanswered: Partial<ReturnType<typeof unansweredTasks>> = {};
-  if (bornMs === state.bornMs) {
-    doubtEarlierStarts(state, sentAtMs);
-  } else {
-    if (state.bornMs !== 0) unanswered = unansweredTasks(state);
-    state.unansweredStarts.clear();
-    state.bornMs = bornMs;
-    // A new incarnation restarts the numbers of run ends; none is stored yet.
-    const isSameIncarnation = bornMs === host.resumeFrom.bornMs;
-    state.acknowledged = isSameIncarnation ? host.resumeFrom.acknowledged : 0;
-    state.highestListedEnd = state.acknowledged;
+  const nowMs = host.clock.steadyMs();
+  if (bornMs !== state.bornMs) meetIncarnation(state, result.value);
+  else doubtEarlierStarts(state, sentAtMs);
+  recordReading(state.clock, clockMs, nowMs);
+  if (!state.refusesEarlierCalls) {
+    if (state.hasRestarted) {
+      expectForeignLease(state.clock, host.maxLeaseMs, nowMs);
+    }
+    // Calls meant for the former incarnation could change what it reports now.
+    if (fence !== state.fence) return true;
+    state.refusesEarlierCalls = true;
   }
+  const unanswered = state.unansweredByEarlier;
+  state.unansweredByEarlier = undefined;
   if (state.isSilent) {
     host.logger.info("A worker answers again.", { worker: host.target.id });
   }
@@ -201,6 +208,27 @@
   return grantableLeaseMs(state) > 0;
 }
 
+/** Begins to talk to an incarnation that the link has not known. */
+function meetIncarnation(
+  state: LinkState,
+  { bornMs, clockMs }: PollAnswer,
+): void {
+  const { host } = state;
+  if (state.bornMs !== 0) {
+    logRestart(state, { bornMs, clockMs });
+    state.unansweredByEarlier ??= unansweredTasks(state);
+    state.fence = nextFence(state.fence);
+    state.hasRestarted = true;
+    state.refusesEarlierCalls = false;
+  }
+  state.unansweredStarts.clear();
+  state.bornMs = bornMs;
+  // A new incarnation restarts the numbers of run ends; none is stored yet.
+  const isSameIncarnation = bornMs === host.resumeFrom.bornMs;
+  state.acknowledged = isSameIncarnation ? host.resumeFrom.acknowledged : 0;
+  state.highestListedEnd = state.acknowledged;
+}
+
 /**
  * Logs that a worker has restarted. Its clock has started anew, so a call meant
  * for the incarnation before carries a lease whose end it reads differently.
--- a/src/ownership/worker_link_state.ts
+++ b/src/ownership/worker_link_state.ts
@@ -20,6 +20,8 @@
   target: WorkerTarget;
   /** Duration of the lease that each poll grants, in milliseconds. */
   leaseMs: number;
+  /** The longest lease that a worker grants, in milliseconds. */
+  maxLeaseMs: number;
   /** When all leases of earlier owners have expired, on the steady clock. */
   earlierLeasesExpireAtMs(): number;
   /**
@@ -51,6 +53,12 @@
   host: WorkerLinkHost;
   clock: WorkerClock;
   bornMs: number;
+  /** The fence of calls to this incarnation. */
+  fence: number;
+  /** Whether the link has talked to a former incarnation. */
+  hasRestarted: boolean;
+  /** Whether it certainly refuses calls meant for former incarnations. */
+  refusesEarlierCalls: boolean;
   /** The highest number of a run end that a poll listed. */
   highestListedEnd: number;
   acknowledged: number;
@@ -60,6 +68,8 @@
    * have been down already.
    */
   unansweredStarts: Map<StartOrder, number | undefined>;
+  /** What a former incarnation left unanswered, until this one has reported. */
+  unansweredByEarlier: ReturnType<typeof unansweredTasks> | undefined;
   /** Starts of which a copy has no answer, and that are being sent again. */
   startsInDoubt: Set<StartOrder>;
   /** The shortest time in which it has answered an order, in milliseconds. */
@@ -88,13 +98,36 @@
   return Math.max(0, Math.min(host.leaseMs, host.leaseLimitMs()));
 }
 
-/** Records that a call to the worker has failed. */
-export function handleFault(state: LinkState, fault: TaskFault): void {
+/** The worker, with the fence of calls to its present incarnation. */
+export function targetOf({ host, fence }: LinkState): WorkerTarget {
+  return { ...host.target, fence };
+}
+
+/**
+ * Records that a call to the worker has failed.
+ *
+ * @param fence the fence of the call
+ */
+export function handleFault(
+  state: LinkState,
+  fault: TaskFault,
+  fence: number,
+): void {
   const { host } = state;
   const { id } = host.target;
   host.counters.count("worker_faults", { step: fault.step, kind: fault.kind });
   switch (fault.kind) {
     case "fenced":
+      if (fence < state.fence) {
+        host.logger.info(
+          "A worker refused a call for its former incarnation.",
+          {
+            worker: id,
+            step: fault.step,
+          },
+        );
+        return;
+      }
       state.isFenced = true;
       return host.onFenced(fault.message);
     case "gone":
--- a/src/ownership/worker_link_test.ts
+++ b/src/ownership/worker_link_test.ts
@@ -4,8 +4,9 @@
 import { err, ok } from "neverthrow";
 import type { DomainEvent } from "../domain/mod.ts";
 import { createManualClock } from "../entry/testing/manual_clock.ts";
-import type { PollCall, TaskHost } from "../hosts/mod.ts";
-import { hostOf, LEASE_MS } from "./testing/link_host.ts";
+import type { PollCall, TaskHost, WorkerTarget } from "../hosts/mod.ts";
+import { MIN_CLOCK_RATE } from "./lease_time.ts";
+import { hostOf, LEASE_MS, MAX_LEASE_MS } from "./testing/link_host.ts";
 import { openWorkerLink } from "./worker_link.ts";
 
 const MAX_POLLS = 500;
@@ -135,6 +136,66 @@
   });
 });
 
+/**
+ * Opens a link to a worker that restarts between its third and its fourth answer
+ * and stops answering after its last one.
+ *
+ * @returns the fences of the polls, and when the link gave the worker up after
+ * its last answer, in milliseconds
+ */
+async function followRestart(answers: number) {
+  const clock = createManualClock();
+  const controller = new AbortController();
+  const fences: number[] = [];
+  const lastAnswer = { atMs: 0 };
+  let lapsedAtMs = Infinity;
+  const tasks = {
+    async poll({ fence }: WorkerTarget) {
+      fences.push(fence);
+      await clock.sleep(100, controller.signal);
+      if (fences.length > answers) {
+        const step = "worker.look";
+        return err({ kind: "unknown", step, peer: "w", message: "no answer" });
+      }
+      lastAnswer.atMs = clock.steadyMs();
+      const bornMs = fences.length > 3 ? 2 : 1;
+      const clockMs = clock.steadyMs() - 90_000 * bornMs;
+      return ok({ clockMs, bornMs, running: [], ended: [] });
+    },
+  } as unknown as TaskHost;
+  await new Promise<void>((resolve) => {
+    controller.signal.addEventListener("abort", () => resolve());
+    openWorkerLink({
+      ...hostOf(tasks, clock, controller.signal),
+      emit(event) {
+        if (event.kind !== "workerLapsed") return;
+        lapsedAtMs = clock.steadyMs();
+        controller.abort();
+      },
+    });
+  });
+  return { fences, givenUpAfterMs: lapsedAtMs - lastAnswer.atMs };
+}
+
+// Guards against TWICE: the next incarnation of a worker takes a lease that was
+// meant for the former one, and keeps its runs for longer than the owner expects.
+describe("a worker that has restarted", () => {
+  it("may hold the longest lease that workers grant", async () => {
+    const { givenUpAfterMs } = await followRestart(5);
+    assert.ok(givenUpAfterMs >= MAX_LEASE_MS / MIN_CLOCK_RATE);
+  });
+
+  it("gets calls with a higher fence than its former incarnation", async () => {
+    const { fences } = await followRestart(6);
+    assert.deepEqual(fences.slice(0, 6), [1, 1, 1, 1, 2, 2]);
+  });
+});
+
+it("a worker that has not restarted is given up with its lease", async () => {
+  const { givenUpAfterMs } = await followRestart(3);
+  assert.ok(givenUpAfterMs < LEASE_MS * 1.2);
+});
+
 // Guards against SHORT: the relays of an owner that was lost polled each worker
 // of its successor every 150 ms, for the 6 s until they gave the owner up.
 describe("a worker that has accepted an owner with a higher epoch", () => {
--- a/src/ownership/worker_orders.ts
+++ b/src/ownership/worker_orders.ts
@@ -13,6 +13,7 @@
   type LinkState,
   RETRY_DELAY_MS,
   type StartOrder,
+  targetOf,
 } from "./worker_link_state.ts";
 
 /**
@@ -63,28 +64,27 @@
     // The start may have crashed the worker; its owner decides what follows.
     if (earlierUnknown && state.bornMs !== sentToBornMs) return;
     const nowMs = host.clock.steadyMs();
-    const leaseMs = grantableLeaseMs(state);
-    const leaseUntilMs = leaseMs > 0
-      ? grantLease(state.clock, leaseMs, nowMs)
-      : undefined;
-    if (leaseUntilMs === undefined) {
-      await host.clock.sleep(RETRY_DELAY_MS, host.signal);
-      continue;
-    }
-    if (!earlierUnknown) sentToBornMs = state.bornMs;
     if (order.isSuspect === true && !await isAnswering(state)) {
       if (host.signal.aborted) return;
       await host.clock.sleep(RETRY_DELAY_MS, host.signal);
       continue;
     }
     if (!host.isCurrent(order)) continue;
+    if (earlierUnknown && state.bornMs !== sentToBornMs) return;
+    const leaseUntilMs = grantStartLease(state);
+    if (leaseUntilMs === undefined) {
+      await host.clock.sleep(RETRY_DELAY_MS, host.signal);
+      continue;
+    }
+    if (!earlierUnknown) sentToBornMs = state.bornMs;
+    const { fence } = state;
     state.unansweredStarts.set(order, undefined);
     const sentAtMs = host.clock.steadyMs();
     firstSentAtMs ??= nowMs;
     tries += 1;
     expiresAtMs = state.clock.leasesExpireAtMs;
     executableStarts.add(attemptKey(order));
-    const result = await host.tasks.start(host.target, {
+    const result = await host.tasks.start(targetOf(state), {
       task,
       attempt,
       specification: order.specification,
@@ -113,8 +113,8 @@
       fault: fault.kind,
       cause: fault.message,
     });
-    handleFault(state, fault);
-    if (fault.kind === "fenced" || fault.kind === "gone") return;
+    handleFault(state, fault, fence);
+    if (state.isFenced || fault.kind === "gone") return;
     if (fault.kind === "refused") {
       const outcome = { kind: "rejected", cause: "unhealthy" } as const;
       reportStartOutcome(state, order, outcome, earlierUnknown);
@@ -142,19 +142,31 @@
   executableStarts.delete(attemptKey(order));
 }
 
+/**
+ * Grants the lease that a start carries.
+ *
+ * @returns its end on the worker's clock; undefined if there is none at present
+ */
+function grantStartLease(state: LinkState): number | undefined {
+  const leaseMs = grantableLeaseMs(state);
+  if (leaseMs <= 0) return undefined;
+  return grantLease(state.clock, leaseMs, state.host.clock.steadyMs());
+}
+
 /** Whether the worker answers a poll at once, in the same incarnation. */
 async function isAnswering(state: LinkState): Promise<boolean> {
-  const { host } = state;
+  const { host, fence } = state;
+  if (state.isSilent) return false;
   const poll = { acknowledged: 0, leaseUntilMs: undefined, waitMs: 0 };
   const sentAtMs = host.clock.steadyMs();
-  const result = await host.tasks.poll(host.target, poll, host.signal);
+  const result = await host.tasks.poll(targetOf(state), poll, host.signal);
   if (host.signal.aborted) return false;
   if (result.isOk()) {
     const elapsedMs = host.clock.steadyMs() - sentAtMs;
     state.fastestAnswerMs = Math.min(state.fastestAnswerMs, elapsedMs);
     return result.value.bornMs === state.bornMs;
   }
-  handleFault(state, result.error);
+  handleFault(state, result.error, fence);
   return false;
 }
 
@@ -218,8 +230,9 @@
   const worker = host.target.id;
   let isConfirmed = false;
   while (host.isCurrent(order) && !host.signal.aborted) {
+    const { fence } = state;
     const result = await host.tasks.stop(
-      host.target,
+      targetOf(state),
       task,
       attempt,
       host.signal,
@@ -231,8 +244,8 @@
       host.emit({ kind: "stopConfirmed", worker, task, attempt });
     }
     if (result.isOk()) return;
-    handleFault(state, result.error);
-    if (result.error.kind === "fenced" || result.error.kind === "gone") return;
+    handleFault(state, result.error, fence);
+    if (state.isFenced || result.error.kind === "gone") return;
     await host.clock.sleep(RETRY_DELAY_MS, host.signal);
   }
 }
@@ -259,7 +272,7 @@
   const { host } = state;
   const { task, attempt, percent } = order;
   const result = await host.tasks.pace(
-    host.target,
+    targetOf(state),
     task,
     attempt,
     percent,
--- a/src/ownership/worker_orders_test.ts
+++ b/src/ownership/worker_orders_test.ts
@@ -4,7 +4,7 @@
 import { err, ok } from "neverthrow";
 import type { DomainEvent, WorkerReport } from "../domain/mod.ts";
 import { createManualClock } from "../entry/testing/manual_clock.ts";
-import type { StartCall, TaskHost } from "../hosts/mod.ts";
+import type { PollCall, StartCall, TaskHost } from "../hosts/mod.ts";
 import { hostOf } from "./testing/link_host.ts";
 import { createSimulatedClock } from "./testing/simulated_clock.ts";
 import { openWorkerLink } from "./worker_link.ts";
@@ -260,3 +260,44 @@
     ]);
   });
 });
+
+// Guards against TWICE: a start carries a lease that ends at a time on the clock
+// of a former incarnation, to a worker that is known to have restarted.
+it("a suspect start gets its lease after its worker has answered", async () => {
+  const clock = createSimulatedClock();
+  const controller = new AbortController();
+  setMaxListeners(0, controller.signal);
+  const FORMER_CLOCK_MS = 1_000_000;
+  let hasRestarted = false;
+  const leasesUntilMs: number[] = [];
+  const tasks = {
+    async poll(_target: unknown, { leaseUntilMs }: PollCall) {
+      const isLook = leaseUntilMs === undefined;
+      if (isLook && clock.steadyMs() > 300) hasRestarted = true;
+      const bornMs = hasRestarted ? 2 : 1;
+      await clock.sleep(isLook ? 400 : 100, controller.signal);
+      const clockMs = (bornMs === 1 ? FORMER_CLOCK_MS : 0) + clock.steadyMs();
+      return ok({ clockMs, bornMs, running: [], ended: [] });
+    },
+    start(_target: unknown, { leaseUntilMs }: StartCall) {
+      leasesUntilMs.push(leaseUntilMs);
+      return Promise.resolve(ok({ kind: "accepted" as const }));
+    },
+  } as unknown as TaskHost;
+  const link = openWorkerLink(hostOf(tasks, clock, controller.signal));
+  await clock.advance(600);
+  link.order({
+    kind: "start",
+    worker: "w",
+    task: "a.0.0.0",
+    attempt: 1,
+    specification: "",
+    ticket: undefined,
+    checkpoint: undefined,
+    isSuspect: true,
+  });
+  await clock.advance(3_000);
+  controller.abort();
+  assert.equal(leasesUntilMs.length, 1);
+  assert.ok(leasesUntilMs[0]! < FORMER_CLOCK_MS);
+});
