Notice a restarted worker by the clock in its answers to starts

The owner took the start for one of the former incarnation, with its lease.

Each answer to a start shows the worker's clock. Where that can't be the clock that was read before, the link now sends nothing more until a poll shows which incarnation answers, ends the poll in flight, which nobody will answer, and reckons with the longest lease.

--- a/src/hosts/task_host.ts
+++ b/src/hosts/task_host.ts
@@ -70,10 +70,16 @@
 
 /** A worker's answer to a start. */
 export type StartOutcome =
-  | { kind: "accepted" }
-  /** This attempt, or a later one, has already ended or been stopped there. */
-  | { kind: "superseded" }
-  | { kind: "rejected"; cause: StartRejection };
+  & (
+    | { kind: "accepted" }
+    /** This attempt, or a later one, has already ended or been stopped there. */
+    | { kind: "superseded" }
+    | { kind: "rejected"; cause: StartRejection }
+  )
+  & {
+    /** The worker's own clock, in milliseconds, if the answer shows it. */
+    clockMs?: number;
+  };
 
 /** Calls to workers, which run tasks under a lease and an owner's epoch. */
 export type TaskHost = {
--- a/src/ownership/testing/simulated_tasks.ts
+++ b/src/ownership/testing/simulated_tasks.ts
@@ -200,7 +200,8 @@
 }
 
 function toStartOutcome({ status, body }: Answer): StartOutcome {
-  if (status === 200) return { kind: "accepted" };
-  if (body.reason === "old") return { kind: "superseded" };
-  return { kind: "rejected", cause: "late" };
+  const clockMs = body.clock_ms as number;
+  if (status === 200) return { kind: "accepted", clockMs };
+  if (body.reason === "old") return { kind: "superseded", clockMs };
+  return { kind: "rejected", cause: "late", clockMs };
 }
--- a/src/ownership/worker_clock.ts
+++ b/src/ownership/worker_clock.ts
@@ -3,6 +3,13 @@
 /** Time for a worker to end its tasks after the expiry, in milliseconds. */
 const EXPIRY_MARGIN_MS = 300;
 
+/**
+ * The most by which a reading differs from what is expected, apart from the rate
+ * of the clock, in milliseconds: answers are delayed by the network, and by a
+ * process that is busy.
+ */
+const MAX_READING_ERROR_MS = 2_000;
+
 /** The last reading of a worker's clock, and the expiry of its leases. */
 export type WorkerClock = {
   /** A reading of the worker's clock, and its arrival on the local clock. */
@@ -26,6 +33,22 @@
   return sample && sample.clockMs + (nowMs - sample.atMs);
 }
 
+/**
+ * Whether a reading can come from the clock that was read before. If not, the
+ * worker has restarted.
+ */
+export function isSameClock(
+  clock: WorkerClock,
+  clockMs: number,
+  nowMs: number,
+): boolean {
+  const { sample } = clock;
+  if (sample === undefined) return true;
+  const expectedMs = sample.clockMs + (nowMs - sample.atMs);
+  const driftMs = (nowMs - sample.atMs) * (1 - MIN_CLOCK_RATE);
+  return Math.abs(clockMs - expectedMs) <= MAX_READING_ERROR_MS + driftMs;
+}
+
 /** Records a clock reading that arrived with an answer. */
 export function recordReading(
   clock: WorkerClock,
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { NO_LONGER_NEEDED } from "../base/mod.ts";
+import { createChildController, NO_LONGER_NEEDED } from "../base/mod.ts";
 import type { WorkerOrder } from "../domain/mod.ts";
 import type { PollAnswer } from "../hosts/mod.ts";
 import { nextFence } from "./fence.ts";
@@ -70,6 +70,7 @@
     unansweredByEarlier: undefined,
     startsInDoubt: new Set(),
     fastestAnswerMs: Infinity,
+    endPoll: () => {},
     onAcknowledged: () => {},
     executableStarts: new Set(),
     activeStops: new Set(),
@@ -158,12 +159,15 @@
     : undefined;
   const isHeldUp = leaseUntilMs !== undefined && state.refusesEarlierCalls;
   const { fence } = state;
+  const pollController = createChildController(host.signal);
+  state.endPoll = () => pollController.abort(NO_LONGER_NEEDED);
   const result = await host.tasks.poll(targetOf(state), {
     acknowledged: acknowledgeableEnd(state),
     leaseUntilMs,
     waitMs: isHeldUp ? pollWaitMs(leaseMs) : 0,
-  }, host.signal);
-  if (host.signal.aborted) return false;
+  }, pollController.signal);
+  if (pollController.signal.aborted) return false;
+  pollController.abort(NO_LONGER_NEEDED);
   if (result.isErr()) {
     handleFault(state, result.error, fence);
     return false;
--- a/src/ownership/worker_link_state.ts
+++ b/src/ownership/worker_link_state.ts
@@ -6,7 +6,12 @@
 import type { DomainEvent, WorkerOrder } from "../domain/mod.ts";
 import type { Clock, TaskFault, TaskHost, WorkerTarget } from "../hosts/mod.ts";
 import type { Counters, PartLogger } from "../telemetry/mod.ts";
-import type { WorkerClock } from "./worker_clock.ts";
+import {
+  expectedReading,
+  expectForeignLease,
+  isSameClock,
+  type WorkerClock,
+} from "./worker_clock.ts";
 
 /** Delay after a failed poll or order, in milliseconds. */
 export const RETRY_DELAY_MS = 150;
@@ -74,6 +79,8 @@
   startsInDoubt: Set<StartOrder>;
   /** The shortest time in which it has answered an order, in milliseconds. */
   fastestAnswerMs: number;
+  /** Ends the poll in flight, so that the worker is polled again. */
+  endPoll: () => void;
   /** Called after each acknowledgement. */
   onAcknowledged: () => void;
   /** Attempts whose start was sent and may still be executed. */
@@ -136,7 +143,6 @@
     case "unsent":
     case "unknown":
       if (!state.isSilent) {
-        state.isSilent = true;
         host.logger.warn("A worker does not answer.", {
           worker: id,
           step: fault.step,
@@ -145,7 +151,7 @@
             leasesExpireAtMs(state) - host.clock.steadyMs(),
           ),
         });
-        host.emit({ kind: "workerSilent", worker: id });
+        markSilent(state);
       }
       if (host.clock.steadyMs() > leasesExpireAtMs(state)) {
         expireLease(state, fault.message, false);
@@ -153,6 +159,37 @@
   }
 }
 
+function markSilent(state: LinkState): void {
+  state.isSilent = true;
+  state.host.emit({ kind: "workerSilent", worker: state.host.target.id });
+}
+
+/**
+ * Checks whether the answer to an order can come from the incarnation that was
+ * polled last. If not, the next one has taken the order and the lease with it;
+ * nothing more is sent to the worker until a poll shows which incarnation it is.
+ *
+ * @param fence the fence of the order
+ */
+export function checkReading(
+  state: LinkState,
+  clockMs: number,
+  fence: number,
+): void {
+  const { host, clock } = state;
+  const nowMs = host.clock.steadyMs();
+  if (fence !== state.fence || isSameClock(clock, clockMs, nowMs)) return;
+  expectForeignLease(clock, host.maxLeaseMs, nowMs);
+  if (state.isSilent) return;
+  host.logger.warn("A worker has taken an order for its former incarnation.", {
+    worker: host.target.id,
+    clockMs,
+    expectedClockMs: Math.round(expectedReading(clock, nowMs) ?? 0),
+  });
+  markSilent(state);
+  state.endPoll();
+}
+
 /** When the leases of all owners have expired at the worker. */
 function leasesExpireAtMs(state: LinkState): number {
   const { clock, host } = state;
--- a/src/ownership/worker_orders.ts
+++ b/src/ownership/worker_orders.ts
@@ -8,6 +8,7 @@
 import type { StartOutcome, TaskFault } from "../hosts/mod.ts";
 import { grantLease } from "./worker_clock.ts";
 import {
+  checkReading,
   grantableLeaseMs,
   handleFault,
   type LinkState,
@@ -99,6 +100,8 @@
     if (result.isOk()) {
       state.fastestAnswerMs = Math.min(state.fastestAnswerMs, elapsedMs);
       host.counters.observe("start_ms", host.clock.steadyMs() - nowMs);
+      const { clockMs } = result.value;
+      if (clockMs !== undefined) checkReading(state, clockMs, fence);
       reportStartOutcome(state, order, result.value, earlierUnknown);
       break;
     }
@@ -189,7 +192,7 @@
 function reportStartOutcome(
   state: LinkState,
   order: StartOrder,
-  outcome: StartOutcome,
+  { clockMs: _, ...outcome }: StartOutcome,
   earlierUnknown: boolean,
 ): void {
   const { host } = state;
--- a/src/ownership/worker_orders_test.ts
+++ b/src/ownership/worker_orders_test.ts
@@ -5,7 +5,8 @@
 import type { DomainEvent, WorkerReport } from "../domain/mod.ts";
 import { createManualClock } from "../entry/testing/manual_clock.ts";
 import type { PollCall, StartCall, TaskHost } from "../hosts/mod.ts";
-import { hostOf } from "./testing/link_host.ts";
+import { MIN_CLOCK_RATE } from "./lease_time.ts";
+import { hostOf, MAX_LEASE_MS } from "./testing/link_host.ts";
 import { createSimulatedClock } from "./testing/simulated_clock.ts";
 import { openWorkerLink } from "./worker_link.ts";
 
@@ -301,3 +302,50 @@
   assert.equal(leasesUntilMs.length, 1);
   assert.ok(leasesUntilMs[0]! < FORMER_CLOCK_MS);
 });
+
+// Guards against TWICE: a worker restarts unnoticed, runs a start that was meant
+// for its former incarnation, and is cut off before it has answered a poll.
+it("a start that a later incarnation answers may hold the longest lease", async () => {
+  const clock = createSimulatedClock();
+  const controller = new AbortController();
+  setMaxListeners(0, controller.signal);
+  const start = { atMs: Infinity };
+  let lapsedAtMs = Infinity;
+  const tasks = {
+    async poll() {
+      const hasRestarted = clock.steadyMs() >= start.atMs;
+      await clock.sleep(hasRestarted ? 600 : 100, controller.signal);
+      if (clock.steadyMs() >= start.atMs) {
+        const step = "worker.look";
+        return err({ kind: "unknown", step, peer: "w", message: "no answer" });
+      }
+      const clockMs = 1_000_000 + clock.steadyMs();
+      return ok({ clockMs, bornMs: 1, running: [], ended: [] });
+    },
+    start() {
+      start.atMs = clock.steadyMs();
+      const clockMs = clock.steadyMs();
+      return Promise.resolve(ok({ kind: "accepted" as const, clockMs }));
+    },
+  } as unknown as TaskHost;
+  const link = openWorkerLink({
+    ...hostOf(tasks, clock, controller.signal),
+    emit(event) {
+      if (event.kind === "workerLapsed") lapsedAtMs = clock.steadyMs();
+    },
+  });
+  await clock.advance(600);
+  link.order({
+    kind: "start",
+    worker: "w",
+    task: "a.0.0.0",
+    attempt: 1,
+    specification: "",
+    ticket: undefined,
+    checkpoint: undefined,
+  });
+  await clock.advance(20_000);
+  controller.abort();
+  assert.ok(lapsedAtMs < Infinity);
+  assert.ok(lapsedAtMs - start.atMs >= MAX_LEASE_MS / MIN_CLOCK_RATE);
+});
