Hold starts without an answer for as long as an unknown incarnation may run them

The owner gave the start up with its own leases; that incarnation may keep the run for the longest lease that a worker grants.

Of a worker that does not answer, the starts without an answer now lapse only after that time; all others lapse with the owner's leases as before, since they were answered or listed by an incarnation whose leases are known. The fence rises with each silence, so that the first poll which the next incarnation answers already shuts out what was meant for the former one.

Evidence: the tests of the link and of the domain failed without their parts of the fix.

--- a/src/domain/domain_event.ts
+++ b/src/domain/domain_event.ts
@@ -36,6 +36,11 @@
     unansweredStarts?: string[] | undefined;
     /** Those of them that certainly reached it. */
     reachedStarts?: string[] | undefined;
+    /**
+     * Tasks that an incarnation of the worker which has not reported may still
+     * run, if no report has listed them; they lapse with a later event.
+     */
+    heldStarts?: string[] | undefined;
   }
   | {
     kind: "startAnswered";
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -135,8 +135,13 @@
   moment: Moment,
 ): void {
   const { isReplaced } = lapse;
-  worker.lapsedStarts.push(...findUnsettledTasks(worker, lapse));
-  markTasksLost(domain, worker, moment);
+  const held = findHeldTasks(worker, lapse);
+  worker.lapsedStarts.push(
+    ...findUnsettledTasks(worker, lapse).filter(({ run, index }) =>
+      !held.has(taskNameOf(run, index))
+    ),
+  );
+  markTasksLost(domain, worker, held, moment);
   if (isReplaced !== true) return;
   // The address of a worker that was drained passes to another one.
   if (worker.lastListing?.draining !== true) {
@@ -148,13 +153,34 @@
   worker.lapsedStarts = [];
 }
 
-/** Ends the attempts placed on a worker that certainly runs none of them. */
+/**
+ * The tasks that a worker may still run after its leases have expired. A task
+ * that was reported ran in an incarnation whose leases are known.
+ */
+function findHeldTasks(
+  worker: DomainWorker,
+  { heldStarts = [] }: WorkerLapse,
+): Set<string> {
+  return new Set(
+    heldStarts.filter((name) =>
+      worker.placed.get(name)?.runningSinceMs === undefined
+    ),
+  );
+}
+
+/**
+ * Ends the attempts placed on a worker that certainly runs none of them.
+ *
+ * @param held the names of tasks that it may still run
+ */
 function markTasksLost(
   domain: Domain,
   worker: DomainWorker,
+  held: Set<string>,
   moment: Moment,
 ): void {
   for (const [name, ref] of worker.placed) {
+    if (held.has(name)) continue;
     const task = ref.run.tasks[ref.index];
     if (task?.kind === "placed" && task.worker === worker.id) {
       endAttempt(domain, ref.run, ref.index, "lost", moment);
--- a/src/ownership/relay/relay_message.ts
+++ b/src/ownership/relay/relay_message.ts
@@ -60,6 +60,8 @@
     unansweredStarts: v.optional(v.array(v.string())),
     /** Missing in events of earlier versions. */
     reachedStarts: v.optional(v.array(v.string())),
+    /** Missing in events of earlier versions. */
+    heldStarts: v.optional(v.array(v.string())),
   }),
   v.object({
     kind: v.literal("startAnswered"),
--- a/src/ownership/testing/restart_model.ts
+++ b/src/ownership/testing/restart_model.ts
@@ -19,6 +19,7 @@
 import {
   createWorker,
   endDueRuns,
+  readClock,
   type RunRecord,
   type Worker,
 } from "../../../stand_ins/platform/worker.ts";
@@ -79,6 +80,8 @@
   worker: Worker;
   isDown: boolean;
   isCut: boolean;
+  /** When it last had no lease. */
+  lapsedAtMs: number;
   /** When it next crashes, returns, is cut off or can be reached again. */
   nextChangeAtMs: number;
   /** What happens then. */
@@ -167,6 +170,7 @@
       worker,
       isDown: false,
       isCut: false,
+      lapsedAtMs: 0,
       nextChangeAtMs: random.integer(1_000, 6_000),
       nextChange: "crash",
       listedBornMs: worker.bornMs,
@@ -209,7 +213,11 @@
 function changeWorkers(model: RestartModel): void {
   const nowMs = model.clock.steadyMs();
   for (const simulated of model.workers.values()) {
-    endDueRuns(simulated.worker, nowMs);
+    const { worker } = simulated;
+    endDueRuns(worker, nowMs);
+    if (worker.leaseUntilMs < readClock(worker, nowMs)) {
+      simulated.lapsedAtMs = nowMs;
+    }
     if (nowMs >= simulated.listedAtMs) {
       simulated.listedBornMs = simulated.worker.bornMs;
     }
--- a/src/ownership/testing/simulated_tasks.ts
+++ b/src/ownership/testing/simulated_tasks.ts
@@ -133,28 +133,40 @@
   return ok(answer);
 }
 
-/** Carries a call out later, by the incarnation that is up then. */
+/**
+ * Carries a call out later, by the incarnation that is up then. Left out is a
+ * later incarnation that no other call has reached: it would carry out a start
+ * whose task has ended elsewhere, and no owner can prevent that.
+ */
 async function carryOutLate(
   model: RestartModel,
   simulated: SimulatedWorker,
   request: Request,
 ): Promise<void> {
   const { clock, random } = model;
+  const { bornMs } = simulated.worker;
   await clock.sleep(random.integer(LATE_MS.least, LATE_MS.most), UNENDING);
-  if (!simulated.isDown) carryOut(model, simulated, request);
+  const { worker, isDown } = simulated;
+  const isUntouched = worker.bornMs !== bornMs && worker.fence === 0;
+  if (!isDown && !isUntouched) carryOut(model, simulated, request);
 }
 
 function carryOut(
   model: RestartModel,
-  { worker }: SimulatedWorker,
+  { worker, lapsedAtMs }: SimulatedWorker,
   { path, command }: Request,
 ): Answer {
   const nowMs = model.clock.steadyMs();
   const before = new Map(worker.endedRuns.map((end) => [end[0], end]));
   const answer = handleCommand(worker, path, command, nowMs);
   for (const [number] of worker.endedRuns) before.delete(number);
-  for (const [, task, , end] of before.values()) {
+  for (const [, task, attempt, end] of before.values()) {
     if (end !== "done" || model.acknowledgedTasks.has(task)) continue;
+    const run = worker.started.findLast((record) =>
+      record.task === task && record.attempt === attempt
+    );
+    // The task may have been started elsewhere before the end was known.
+    if (lapsedAtMs >= (run?.endedAtMs ?? 0)) continue;
     model.acknowledgedTasks.set(task, nowMs);
   }
   return answer as Answer;
--- a/src/ownership/worker_clock.ts
+++ b/src/ownership/worker_clock.ts
@@ -81,16 +81,25 @@
 }
 
 /**
- * Records that the worker may hold a lease that was meant for a former
- * incarnation. It has shortened the lease to the longest that it grants.
+ * When the longest lease that a worker can have granted by now has expired.
  *
  * @param maxLeaseMs the longest lease that a worker grants, in milliseconds
  */
+export function longestLeaseEndMs(maxLeaseMs: number, nowMs: number): number {
+  return nowMs + maxLeaseMs / MIN_CLOCK_RATE + EXPIRY_MARGIN_MS;
+}
+
+/**
+ * Records that the worker may hold a lease that was meant for a former
+ * incarnation. It has shortened the lease to the longest that it grants.
+ */
 export function expectForeignLease(
   clock: WorkerClock,
   maxLeaseMs: number,
   nowMs: number,
 ): void {
-  const expiresAtMs = nowMs + maxLeaseMs / MIN_CLOCK_RATE + EXPIRY_MARGIN_MS;
-  clock.leasesExpireAtMs = Math.max(clock.leasesExpireAtMs, expiresAtMs);
+  clock.leasesExpireAtMs = Math.max(
+    clock.leasesExpireAtMs,
+    longestLeaseEndMs(maxLeaseMs, nowMs),
+  );
 }
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -71,11 +71,13 @@
     startsInDoubt: new Set(),
     fastestAnswerMs: Infinity,
     endPoll: () => {},
+    heldStarts: new Map(),
     onAcknowledged: () => {},
     executableStarts: new Set(),
     activeStops: new Set(),
     isSilent: false,
     hasLeaseExpired: false,
+    hadHeldStarts: false,
     isReplaced: false,
     isFenced: false,
   };
@@ -158,7 +160,7 @@
     ? grantLease(state.clock, leaseMs, sentAtMs)
     : undefined;
   const isHeldUp = leaseUntilMs !== undefined && state.refusesEarlierCalls;
-  const { fence } = state;
+  const { fence, isSilent } = state;
   const pollController = createChildController(host.signal);
   state.endPoll = () => pollController.abort(NO_LONGER_NEEDED);
   const result = await host.tasks.poll(targetOf(state), {
@@ -174,7 +176,7 @@
   }
   const { clockMs, bornMs, running, ended, hasMoreEnds } = result.value;
   const nowMs = host.clock.steadyMs();
-  if (bornMs !== state.bornMs) meetIncarnation(state, result.value);
+  if (bornMs !== state.bornMs) meetIncarnation(state, result.value, isSilent);
   else doubtEarlierStarts(state, sentAtMs);
   recordReading(state.clock, clockMs, nowMs);
   if (!state.refusesEarlierCalls) {
@@ -192,6 +194,7 @@
   }
   state.isSilent = false;
   state.hasLeaseExpired = false;
+  state.hadHeldStarts = false;
   state.isReplaced = false;
   for (const { number } of ended) {
     state.highestListedEnd = Math.max(state.highestListedEnd, number);
@@ -212,16 +215,22 @@
   return grantableLeaseMs(state) > 0;
 }
 
-/** Begins to talk to an incarnation that the link has not known. */
+/**
+ * Begins to talk to an incarnation that the link has not known.
+ *
+ * @param wasSilent whether it was found by a poll of a silent worker, which has a
+ * higher fence than the calls meant for the former incarnation
+ */
 function meetIncarnation(
   state: LinkState,
   { bornMs, clockMs }: PollAnswer,
+  wasSilent: boolean,
 ): void {
   const { host } = state;
   if (state.bornMs !== 0) {
     logRestart(state, { bornMs, clockMs });
     state.unansweredByEarlier ??= unansweredTasks(state);
-    state.fence = nextFence(state.fence);
+    if (!wasSilent) state.fence = nextFence(state.fence);
     state.hasRestarted = true;
     state.refusesEarlierCalls = false;
   }
--- a/src/ownership/worker_link_state.ts
+++ b/src/ownership/worker_link_state.ts
@@ -6,6 +6,7 @@
 import type { DomainEvent, WorkerOrder } from "../domain/mod.ts";
 import type { Clock, TaskFault, TaskHost, WorkerTarget } from "../hosts/mod.ts";
 import type { Counters, PartLogger } from "../telemetry/mod.ts";
+import { nextFence } from "./fence.ts";
 import {
   expectedReading,
   expectForeignLease,
@@ -81,6 +82,11 @@
   fastestAnswerMs: number;
   /** Ends the poll in flight, so that the worker is polled again. */
   endPoll: () => void;
+  /**
+   * Starts without an answer, with the time until which an incarnation that has
+   * not been polled may run them, on the steady clock.
+   */
+  heldStarts: Map<StartOrder, number>;
   /** Called after each acknowledgement. */
   onAcknowledged: () => void;
   /** Attempts whose start was sent and may still be executed. */
@@ -89,6 +95,8 @@
   activeStops: Set<string>;
   isSilent: boolean;
   hasLeaseExpired: boolean;
+  /** Whether starts were still held when the lease was found to be expired. */
+  hadHeldStarts: boolean;
   /** Whether a new incarnation was found at the worker's address. */
   isReplaced: boolean;
   /** Whether the worker has accepted an owner with a higher epoch. */
@@ -159,8 +167,14 @@
   }
 }
 
+/**
+ * Records that the worker may have restarted. Calls from now on have a higher
+ * fence; they neither start anything nor carry leases or acknowledgements until
+ * a poll has been answered.
+ */
 function markSilent(state: LinkState): void {
   state.isSilent = true;
+  state.fence = nextFence(state.fence);
   state.host.emit({ kind: "workerSilent", worker: state.host.target.id });
 }
 
@@ -204,8 +218,11 @@
   const { host } = state;
   // A worker may be found to be replaced long after its lease has expired.
   const isKnown = state.hasLeaseExpired && (state.isReplaced || !isReplaced);
-  if (isKnown) return;
+  const heldStarts = isReplaced ? [] : takeHeldStarts(state);
+  const hasReleased = state.hadHeldStarts && heldStarts.length === 0;
+  if (isKnown && !hasReleased) return;
   state.hasLeaseExpired = true;
+  state.hadHeldStarts = heldStarts.length > 0;
   state.isReplaced = isReplaced;
   const nowMs = host.clock.steadyMs();
   host.logger.warn("The lease of a worker has expired.", {
@@ -217,16 +234,30 @@
     earlierOwnersLeasesEndedAgoMs: Math.round(
       nowMs - host.earlierLeasesExpireAtMs(),
     ),
+    heldStarts: heldStarts.join(" "),
   });
   host.emit({
     kind: "workerLapsed",
     worker: host.target.id,
     isReplaced,
+    ...(heldStarts.length === 0 ? {} : { heldStarts }),
     // An earlier link may have sent starts to a worker that has not reported.
     ...(state.bornMs === 0 ? {} : unansweredTasks(state)),
   });
 }
 
+/**
+ * The tasks that an incarnation of the worker which has not been polled may still
+ * run; forgets the others.
+ */
+function takeHeldStarts({ host, heldStarts }: LinkState): string[] {
+  const nowMs = host.clock.steadyMs();
+  for (const [order, untilMs] of heldStarts) {
+    if (untilMs < nowMs) heldStarts.delete(order);
+  }
+  return [...heldStarts.keys()].map(({ task }) => task);
+}
+
 /**
  * The tasks whose start was sent to the worker and not answered, and those of
  * them whose start certainly reached it.
--- a/src/ownership/worker_orders.ts
+++ b/src/ownership/worker_orders.ts
@@ -6,7 +6,7 @@
 import { assertNever } from "../base/mod.ts";
 import type { WorkerOrder } from "../domain/mod.ts";
 import type { StartOutcome, TaskFault } from "../hosts/mod.ts";
-import { grantLease } from "./worker_clock.ts";
+import { grantLease, longestLeaseEndMs } from "./worker_clock.ts";
 import {
   checkReading,
   grantableLeaseMs,
@@ -99,6 +99,7 @@
     const elapsedMs = host.clock.steadyMs() - sentAtMs;
     if (result.isOk()) {
       state.fastestAnswerMs = Math.min(state.fastestAnswerMs, elapsedMs);
+      state.heldStarts.delete(order);
       host.counters.observe("start_ms", host.clock.steadyMs() - nowMs);
       const { clockMs } = result.value;
       if (clockMs !== undefined) checkReading(state, clockMs, fence);
@@ -128,6 +129,11 @@
     if (fault.kind === "unknown") {
       earlierUnknown = true;
       state.startsInDoubt.add(order);
+      const untilMs = longestLeaseEndMs(
+        host.maxLeaseMs,
+        host.clock.steadyMs(),
+      );
+      state.heldStarts.set(order, untilMs);
     }
     if (tries > 1 && unansweredMs >= START_TIMEOUT_MS) {
       const outcome = { kind: "rejected", cause: "unanswered" } as const;
--- a/src/ownership/worker_orders_test.ts
+++ b/src/ownership/worker_orders_test.ts
@@ -6,7 +6,7 @@
 import { createManualClock } from "../entry/testing/manual_clock.ts";
 import type { PollCall, StartCall, TaskHost } from "../hosts/mod.ts";
 import { MIN_CLOCK_RATE } from "./lease_time.ts";
-import { hostOf, MAX_LEASE_MS } from "./testing/link_host.ts";
+import { hostOf, LEASE_MS, MAX_LEASE_MS } from "./testing/link_host.ts";
 import { createSimulatedClock } from "./testing/simulated_clock.ts";
 import { openWorkerLink } from "./worker_link.ts";
 
@@ -349,3 +349,55 @@
   assert.ok(lapsedAtMs < Infinity);
   assert.ok(lapsedAtMs - start.atMs >= MAX_LEASE_MS / MIN_CLOCK_RATE);
 });
+
+// Guards against TWICE: a start without an answer runs in an incarnation that is
+// cut off before it has been polled, for longer than the owner's leases last.
+it("a start without an answer lapses later than the owner's leases", async () => {
+  const clock = createSimulatedClock();
+  const controller = new AbortController();
+  setMaxListeners(0, controller.signal);
+  const start = { atMs: Infinity };
+  const lapses: { atMs: number; heldStarts: string[] }[] = [];
+  const noAnswer = async (step: string, delayMs: number) => {
+    await clock.sleep(delayMs, controller.signal);
+    return err({ kind: "unknown", step, peer: "w", message: "no answer" });
+  };
+  const tasks = {
+    async poll() {
+      if (clock.steadyMs() >= start.atMs) return noAnswer("worker.look", 600);
+      await clock.sleep(100, controller.signal);
+      const clockMs = clock.steadyMs();
+      return ok({ clockMs, bornMs: 1, running: [], ended: [] });
+    },
+    start() {
+      start.atMs = clock.steadyMs();
+      return noAnswer("worker.start", 450);
+    },
+  } as unknown as TaskHost;
+  const link = openWorkerLink({
+    ...hostOf(tasks, clock, controller.signal),
+    emit(event) {
+      if (event.kind !== "workerLapsed") return;
+      const { heldStarts = [] } = event;
+      lapses.push({ atMs: clock.steadyMs() - start.atMs, heldStarts });
+    },
+  });
+  await clock.advance(600);
+  link.order({
+    kind: "start",
+    worker: "w",
+    task: "a.0.0.0",
+    attempt: 1,
+    specification: "",
+    ticket: undefined,
+    checkpoint: undefined,
+  });
+  await clock.advance(20_000);
+  controller.abort();
+  assert.deepEqual(lapses.map(({ heldStarts }) => heldStarts), [
+    ["a.0.0.0"],
+    [],
+  ]);
+  assert.ok(lapses[0]!.atMs < LEASE_MS * 1.2 + 600);
+  assert.ok(lapses[1]!.atMs >= MAX_LEASE_MS / MIN_CLOCK_RATE);
+});
