Reckon with leases for former incarnations after a takeover

A new owner reckoned with the leases that earlier owners grant (7 s after their end), not with one that a worker had taken from a call for its former incarnation before.

A new owner knows from the start permits which incarnations have run for long: their former ones are no matter any more. Any other may hold such a lease: for the longest time after the takeover if it does not answer, and after its first answer otherwise, which shuts the calls of earlier owners out. Relays get to know the same with the link. Closed and opened links take the time over.

--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -39,6 +39,7 @@
   waitForCommit,
   waitUntilReportable,
 } from "./owner_calls.ts";
+import { createIncarnations } from "./incarnations.ts";
 import { maxLeaseDurationMs } from "./lease_time.ts";
 import {
   leaseLimitMs,
@@ -193,6 +194,11 @@
       onLinksLost: (workers) => reopenLinks(state, workers),
     }),
     contact: createWorkerContact(host.clock),
+    incarnations: createIncarnations({
+      ...host,
+      hasEarlierOwners: domain.owners.some(({ epoch }) => epoch !== host.epoch),
+      startPermits: domain.startPermits,
+    }),
     restoredPermits: domain.startPermits.size,
     pendingCommands,
     writer: createDomainWriter({
--- a/src/ownership/owner_links.ts
+++ b/src/ownership/owner_links.ts
@@ -11,6 +11,7 @@
   WorkerOrder,
 } from "../domain/mod.ts";
 import { firstFence } from "./fence.ts";
+import { mayHoldEarlierLease } from "./incarnations.ts";
 import { elapsedMs } from "./instant.ts";
 import {
   CONFIRMED_LEASE_MS,
@@ -155,8 +156,19 @@
     ? 0
     : maxLeaseDurationMs(host.leaseMs + RELAY_GRANT_MS);
   const previousLeaseExpiresAtMs = host.clock.steadyMs() + floorMs;
+  const { incarnations } = state;
+  const knownBornMs = incarnations.knownBornMs(worker.id);
   const controller = createChildController(host.signal);
-  const linkOptions = { target, zone: worker.zone, floorMs, ...resumeFrom };
+  const linkOptions = {
+    target,
+    zone: worker.zone,
+    floorMs: Math.max(
+      floorMs,
+      incarnations.earlierLeasesExpireAtMs(worker.id) - host.clock.steadyMs(),
+    ),
+    ...resumeFrom,
+    ...(knownBornMs === undefined ? {} : { knownBornMs }),
+  };
   const relayedLink = exceedsDirectLinks(state)
     ? relayedLinks.open(linkOptions, controller.signal)
     : undefined;
@@ -167,7 +179,11 @@
     ownerClockMs: host.clock.steadyMs,
     unacknowledgedPollDelayMs: UNACKNOWLEDGED_POLL_DELAY_MS,
     earlierLeasesExpireAtMs: () =>
-      Math.max(state.earlierLeasesExpireAtMs, previousLeaseExpiresAtMs),
+      Math.max(
+        earlierLeasesExpireAtMs(state, worker.id),
+        previousLeaseExpiresAtMs,
+      ),
+    mayHoldEarlierLease: (bornMs) => mayHoldEarlierLease(bornMs, knownBornMs),
     mayGrantLeases: () => remainingGrantMs(state) > 0,
     leaseLimitMs: () => leaseLimitMs(state),
     emit: (event) => emit(state, event),
@@ -222,6 +238,17 @@
   return Math.max(afterAppendMs, afterAnswersMs);
 }
 
+/**
+ * When all leases of earlier owners, and those meant for former incarnations of
+ * a worker, have expired there, on the steady clock.
+ */
+function earlierLeasesExpireAtMs(state: OwnerState, worker: string): number {
+  return Math.max(
+    state.earlierLeasesExpireAtMs,
+    state.incarnations.earlierLeasesExpireAtMs(worker),
+  );
+}
+
 /** Whether an order to a worker still applies. */
 function isCurrent(domain: Domain, order: WorkerOrder): boolean {
   const ref = domain.workers.get(order.worker)?.placed.get(order.task);
@@ -245,9 +272,11 @@
  */
 export function expireUnlistedWorkers(state: OwnerState): void {
   const { host, domain, links } = state;
-  if (host.clock.steadyMs() < state.earlierLeasesExpireAtMs) return;
+  const nowMs = host.clock.steadyMs();
+  if (nowMs < state.earlierLeasesExpireAtMs) return;
   for (const [id, worker] of domain.workers) {
     if (links.has(id) || !mayHoldTasks(domain, worker)) continue;
+    if (nowMs < earlierLeasesExpireAtMs(state, id)) continue;
     emit(state, { kind: "workerLapsed", worker: id });
   }
 }
--- a/src/ownership/owner_state.ts
+++ b/src/ownership/owner_state.ts
@@ -8,6 +8,7 @@
 import type { DomainOwnerHost } from "./domain_owner_host.ts";
 import type { DomainWriter } from "./domain_writer.ts";
 import type { EventSource } from "./event_source.ts";
+import type { Incarnations } from "./incarnations.ts";
 import type { OwnerAnswer } from "./owner_answer.ts";
 import type { RelayedLinks } from "./relay/mod.ts";
 import type { UncommittedJobs } from "./uncommitted_jobs.ts";
@@ -36,6 +37,7 @@
   /** Links that relays hold. */
   relayedLinks: RelayedLinks;
   contact: WorkerContact;
+  incarnations: Incarnations;
   /** Number of start permits in the records that the domain was restored from. */
   restoredPermits: number;
   /** Orders, answers and acknowledgements that wait for the next commit. */
@@ -67,6 +69,7 @@
   if (event.kind === "looked") {
     const { bornMs, sentAtMs } = event.look;
     state.contact.record(event.worker, bornMs, sentAtMs);
+    state.incarnations.record(event.worker, bornMs);
   }
   state.events.emit(event);
 }
--- a/src/ownership/relay/relay_message.ts
+++ b/src/ownership/relay/relay_message.ts
@@ -25,6 +25,12 @@
      */
     bornMs: v.number(),
     acknowledged: v.number(),
+    /**
+     * The incarnation of the worker that the owner knows; 0 if an earlier owner
+     * may have called another one, missing if nobody has called the worker, and
+     * in messages of earlier versions.
+     */
+    knownBornMs: v.optional(v.number()),
     /** Time until leases of an earlier link have certainly expired, in ms. */
     floorMs: v.number(),
   }),
--- a/src/ownership/relay/relay_session.ts
+++ b/src/ownership/relay/relay_session.ts
@@ -15,6 +15,7 @@
 import { type Batch, createBatchSender } from "./batch_sender.ts";
 import { createPendingStarts } from "./pending_starts.ts";
 import { createOwnerClockEstimate } from "./owner_clock_estimate.ts";
+import { mayHoldEarlierLease } from "../incarnations.ts";
 import { currentInstant } from "../instant.ts";
 import { createRelayGrant } from "./relay_grant.ts";
 import type {
@@ -161,6 +162,8 @@
       },
       earlierLeasesExpireAtMs: () =>
         Math.max(earlierLeasesExpireAtMs, earlierLinkLeasesExpireAtMs),
+      mayHoldEarlierLease: (bornMs) =>
+        mayHoldEarlierLease(bornMs, message.knownBornMs),
       unacknowledgedPollDelayMs: UNACKNOWLEDGED_POLL_DELAY_MS,
       mayGrantLeases: grant.isValid,
       leaseLimitMs: leaseLimit.remainingMs,
--- a/src/ownership/relay/relayed_links.ts
+++ b/src/ownership/relay/relayed_links.ts
@@ -84,6 +84,8 @@
   bornMs: number;
   /** The highest acknowledged end of that incarnation. */
   acknowledged: number;
+  /** The known incarnation, see `Incarnations`. */
+  knownBornMs?: number;
   /** Time until leases of an earlier link have certainly expired, in ms. */
   floorMs: number;
 };
--- a/src/ownership/reopened_links_test.ts
+++ b/src/ownership/reopened_links_test.ts
@@ -5,6 +5,7 @@
   createManualClock,
   silentLogger,
 } from "../entry/testing/manual_clock.ts";
+import { createIncarnations } from "./incarnations.ts";
 import { currentInstant } from "./instant.ts";
 import { reconcileLinks } from "./owner_links.ts";
 import type { OwnerState } from "./owner_state.ts";
@@ -35,6 +36,12 @@
     writer: { confirmedAt: () => confirmedAt },
     domain: createDomain({ endedJobKeepMs: 1_000 }),
     links: new Map(),
+    incarnations: createIncarnations({
+      clock,
+      maxLeaseMs: 10_000,
+      hasEarlierOwners: false,
+      startPermits: new Map(),
+    }),
     events: { emit: ({ kind }: DomainEvent) => events.push(kind) },
   } as unknown as OwnerState;
   reconcileLinks(state);
--- a/src/ownership/testing/link_host.ts
+++ b/src/ownership/testing/link_host.ts
@@ -24,6 +24,7 @@
     leaseMs: LEASE_MS,
     maxLeaseMs: MAX_LEASE_MS,
     earlierLeasesExpireAtMs: () => 0,
+    mayHoldEarlierLease: () => false,
     unacknowledgedPollDelayMs: 80,
     mayGrantLeases: () => true,
     leaseLimitMs: () => Infinity,
--- a/src/ownership/testing/restart_model.ts
+++ b/src/ownership/testing/restart_model.ts
@@ -29,6 +29,7 @@
 import type { Randomness } from "../../hosts/mod.ts";
 import { createCounters } from "../../telemetry/mod.ts";
 import { awaitEarlierOwners } from "../earlier_owners.ts";
+import { createIncarnations } from "../incarnations.ts";
 import { currentInstant } from "../instant.ts";
 import {
   CONFIRMED_LEASE_MS,
@@ -330,6 +331,12 @@
     domain: bench.domain,
     links: new Map(),
     contact: createWorkerContact(clock),
+    incarnations: createIncarnations({
+      clock,
+      maxLeaseMs: MAX_LEASE_MS,
+      hasEarlierOwners: earlier.length > 0,
+      startPermits: bench.domain.startPermits,
+    }),
     relayedLinks: { sendLeaseFloor() {} },
     restoredPermits: bench.domain.startPermits.size,
     earlierLeasesExpireAtMs: earlier.length === 0
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -180,7 +180,7 @@
   else doubtEarlierStarts(state, sentAtMs);
   recordReading(state.clock, clockMs, nowMs);
   if (!state.refusesEarlierCalls) {
-    if (state.hasRestarted) {
+    if (state.hasRestarted || host.mayHoldEarlierLease(bornMs)) {
       expectForeignLease(state.clock, host.maxLeaseMs, nowMs);
     }
     // Calls meant for the former incarnation could change what it reports now.
--- a/src/ownership/worker_link_state.ts
+++ b/src/ownership/worker_link_state.ts
@@ -28,8 +28,16 @@
   leaseMs: number;
   /** The longest lease that a worker grants, in milliseconds. */
   maxLeaseMs: number;
-  /** When all leases of earlier owners have expired, on the steady clock. */
+  /**
+   * When all leases of earlier owners and links have expired, on the steady
+   * clock.
+   */
   earlierLeasesExpireAtMs(): number;
+  /**
+   * Whether the incarnation that first answers over the link may hold a lease
+   * that was meant for a former one.
+   */
+  mayHoldEarlierLease(bornMs: number): boolean;
   /**
    * Time until the worker is polled again although the run ends that it listed
    * are not stored yet, in milliseconds; doubled each time. While the store is
