Visit each step and predecessor of a job a few times at a takeover

What callers saw: nothing yet. With a job of many steps and predecessors, an owner that restores it, or applies a list of ends of it, holds up all calls for a time that grows faster than the job's size.

Cause: the creation of a step computed the critical paths of the whole job, and the completion of a step visited all steps with their predecessors to find those that had become ready, and all steps to see whether the job was complete. A takeover does both for each restored step and each listed end.

An occurrence now counts the open predecessors of each step and its done steps; a completed step visits those that follow it. Critical paths are kept for the job and computed again when the queue's mean duration has changed, at most once in an event. Before, each end in a list changed the mean for the steps after it; now they all get the deadlines of the first.

Still one computation of the critical paths for each event that makes steps of a job ready, so reports of many workers on one job add up.

--- a/src/domain/adopt_run.ts
+++ b/src/domain/adopt_run.ts
@@ -86,12 +86,12 @@
   while (run.nextOccurrence <= parsed.occurrence) {
     const occurrence = getOrCreateOccurrence(run, run.nextOccurrence);
     run.nextOccurrence += 1;
-    createReadySteps(domain, run, occurrence, moment);
+    createReadySteps(domain, run, occurrence, run.job.steps.keys(), moment);
   }
   const occurrence = run.occurrences.get(parsed.occurrence);
   if (occurrence === undefined) return;
   completePredecessors(domain, run, occurrence, parsed.index, moment);
-  createReadySteps(domain, run, occurrence, moment);
+  createReadySteps(domain, run, occurrence, [parsed.index], moment);
   if (run.job.outcome === "open") return;
   for (const step of occurrence.steps.values()) {
     domain.waitingSteps.delete(step);
--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -174,7 +174,8 @@
     });
     if (job.schedule === undefined) {
       run.nextOccurrence = 1;
-      createReadySteps(domain, run, getOrCreateOccurrence(run, 0), moment);
+      const occurrence = getOrCreateOccurrence(run, 0);
+      createReadySteps(domain, run, occurrence, job.steps.keys(), moment);
     } else {
       domain.scheduledJobs.add(run);
     }
--- a/src/domain/job_lifecycle.ts
+++ b/src/domain/job_lifecycle.ts
@@ -7,7 +7,7 @@
 import type { Domain } from "./domain.ts";
 import type { Moment } from "./domain_event.ts";
 import type { Job } from "./job.ts";
-import type { JobRun, Occurrence } from "./job_run.ts";
+import type { CriticalPaths, JobRun, Occurrence } from "./job_run.ts";
 import { jobKey, stepRecordKey } from "./record_keys.ts";
 import { createStepAdvice } from "./step_advice.ts";
 import type { StepRun } from "./step_run.ts";
@@ -26,6 +26,8 @@
     isStored: false,
     isOutcomeStored: false,
     isRestored: false,
+    successors: undefined,
+    criticalPaths: undefined,
   };
 }
 
@@ -37,6 +39,8 @@
     number,
     dueAtMs: dueAtMs(run.job, number),
     steps: new Map(),
+    openPredecessorCounts: run.job.steps.map(({ after }) => after.length),
+    doneStepCount: 0,
     completed: false,
   };
   run.occurrences.set(number, occurrence);
@@ -66,12 +70,7 @@
   if (known !== undefined) return known;
   const step = run.job.steps[index];
   if (step === undefined) return undefined;
-  const isDone = (predecessor: number) => {
-    const earlier = occurrence.steps.get(predecessor);
-    return earlier !== undefined &&
-      earlier.doneCount === earlier.step.taskCount;
-  };
-  if (!step.after.every(isDone)) return undefined;
+  if (occurrence.openPredecessorCounts[index] !== 0) return undefined;
   const created: StepRun = {
     key: `${run.job.id}.${occurrence.number}.${index}`,
     jobRun: run,
@@ -91,7 +90,7 @@
     inferredCrashCounts: new Map(),
     doubtfulCrashCounts: new Map(),
     advice: createStepAdvice(),
-    ...startDeadlines(domain, run.job, occurrence, index),
+    ...startDeadlines(domain, run, occurrence, index, nowMs),
     readyAtMs: nowMs,
   };
   occurrence.steps.set(index, created);
@@ -113,13 +112,14 @@
  */
 function startDeadlines(
   domain: Domain,
-  job: Job,
+  run: JobRun,
   occurrence: Occurrence,
   index: number,
+  nowMs: number,
 ): Pick<StepRun, "latestStartMs" | "uselessAfterMs"> {
-  const criticalPaths = criticalPathsMs(job, domain.meanDurationMsByQueue);
-  const objectiveMs = completionObjectiveMs(job, criticalPaths);
-  const ownPathMs = criticalPaths[index] ?? 0;
+  const { fromStepMs, longestMs } = criticalPathsOf(domain, run, nowMs);
+  const objectiveMs = completionObjectiveMs(run.job, longestMs);
+  const ownPathMs = fromStepMs[index] ?? 0;
   return {
     latestStartMs: occurrence.dueAtMs + objectiveMs - ownPathMs,
     uselessAfterMs: occurrence.dueAtMs + USEFUL_OBJECTIVE_FACTOR * objectiveMs -
@@ -128,9 +128,34 @@
 }
 
 /** Returns the time from due to completed that the queue's policy aims at. */
-function completionObjectiveMs(job: Job, criticalPaths: number[]): number {
+function completionObjectiveMs(job: Job, longestPathMs: number): number {
   const { slackFactor, targetCompletionMs } = job.policy;
-  return slackFactor * Math.max(...criticalPaths) + targetCompletionMs;
+  return slackFactor * longestPathMs + targetCompletionMs;
+}
+
+/**
+ * Returns the critical paths of a job. They are computed at most once in an
+ * event: a report may list many ends, each of which changes the queue's mean.
+ */
+function criticalPathsOf(
+  domain: Domain,
+  run: JobRun,
+  nowMs: number,
+): CriticalPaths {
+  const known = run.criticalPaths;
+  const queueMeanMs = domain.meanDurationMsByQueue.get(run.job.policy.queue);
+  const isCurrent = known !== undefined &&
+    (known.queueMeanMs === queueMeanMs || known.computedAtMs === nowMs);
+  if (isCurrent) return known;
+  const fromStepMs = criticalPathsMs(run.job, queueMeanMs);
+  const longestMs = Math.max(...fromStepMs);
+  run.criticalPaths = {
+    fromStepMs,
+    longestMs,
+    queueMeanMs,
+    computedAtMs: nowMs,
+  };
+  return run.criticalPaths;
 }
 
 /**
@@ -139,9 +164,8 @@
  */
 function criticalPathsMs(
   job: Job,
-  meanDurations: Map<string, number>,
+  queueMeanMs: number | undefined,
 ): number[] {
-  const queueMeanMs = meanDurations.get(job.policy.queue);
   const expectedMs = job.steps.map((step) =>
     expectedDurationMs(step.estimateMs, queueMeanMs)
   );
@@ -182,21 +206,22 @@
     ) {
       const occurrence = getOrCreateOccurrence(run, run.nextOccurrence);
       run.nextOccurrence += 1;
-      createReadySteps(domain, run, occurrence, moment);
+      createReadySteps(domain, run, occurrence, run.job.steps.keys(), moment);
     }
     if (run.nextOccurrence >= total) domain.scheduledJobs.delete(run);
   }
 }
 
-/** Creates the missing steps of an occurrence whose predecessors are done. */
+/** Creates those of the given steps that are missing and ready. */
 export function createReadySteps(
   domain: Domain,
   run: JobRun,
   occurrence: Occurrence,
+  indexes: Iterable<number>,
   moment: Moment,
 ): void {
-  run.job.steps.forEach((_, index) => {
-    if (occurrence.steps.has(index)) return;
+  for (const index of indexes) {
+    if (occurrence.steps.has(index)) continue;
     const step = createStepIfReady(
       domain,
       run,
@@ -205,7 +230,34 @@
       moment.steadyMs,
     );
     if (step !== undefined) domain.dirtyKeys.add(stepRecordKey(step.key));
+  }
+}
+
+/**
+ * Counts a step as done in its occurrence.
+ *
+ * @returns the indexes of the steps that follow it
+ */
+export function countDoneStep(
+  run: JobRun,
+  occurrence: Occurrence,
+  index: number,
+): number[] {
+  run.successors ??= successorsByStep(run.job);
+  const successors = run.successors[index] ?? [];
+  occurrence.doneStepCount += 1;
+  for (const successor of successors) {
+    occurrence.openPredecessorCounts[successor]! -= 1;
+  }
+  return successors;
+}
+
+function successorsByStep({ steps }: Job): number[][] {
+  const successors: number[][] = steps.map(() => []);
+  steps.forEach(({ after }, index) => {
+    for (const predecessor of after) successors[predecessor]?.push(index);
   });
+  return successors;
 }
 
 /**
@@ -220,13 +272,11 @@
   const { jobRun } = run;
   const occurrence = jobRun.occurrences.get(run.occurrence);
   if (occurrence === undefined) return;
+  const successors = countDoneStep(jobRun, occurrence, run.index);
   domain.waitingSteps.delete(run);
   if (jobRun.job.outcome !== "open") return;
-  createReadySteps(domain, jobRun, occurrence, moment);
-  const isComplete = jobRun.job.steps.every((step, index) =>
-    occurrence.steps.get(index)?.doneCount === step.taskCount
-  );
-  if (!isComplete || occurrence.completed) return;
+  createReadySteps(domain, jobRun, occurrence, successors, moment);
+  if (occurrence.doneStepCount < jobRun.job.steps.length) return;
   occurrence.completed = true;
   jobRun.completedOccurrences += 1;
   const total = jobRun.job.schedule?.occurrences ?? 1;
@@ -287,14 +337,17 @@
   run.occurrences.clear();
   run.job.steps = [];
   run.job.specification = "";
+  run.successors = undefined;
+  run.criticalPaths = undefined;
   domain.dirtyKeys.add(jobKey(run.job.id));
 }
 
 /** Returns the latest on-time completion of a job, in ms since the epoch. */
 function completionDeadlineMs(domain: Domain, job: Job): number {
-  const criticalPaths = criticalPathsMs(job, domain.meanDurationMsByQueue);
+  const queueMeanMs = domain.meanDurationMsByQueue.get(job.policy.queue);
+  const longestPathMs = Math.max(...criticalPathsMs(job, queueMeanMs));
   return dueAtMs(job, (job.schedule?.occurrences ?? 1) - 1) +
-    completionObjectiveMs(job, criticalPaths);
+    completionObjectiveMs(job, longestPathMs);
 }
 
 /** Cancels jobs that have not started within their `startWithinMs`. */
--- a/src/domain/job_run.ts
+++ b/src/domain/job_run.ts
@@ -18,6 +18,21 @@
   isOutcomeStored: boolean;
   /** Whether an earlier owner accepted it. */
   isRestored: boolean;
+  /** By index of a step, those that follow it; from its first completion. */
+  successors: number[][] | undefined;
+  /** From the creation of its first step. */
+  criticalPaths: CriticalPaths | undefined;
+};
+
+/** The longest chains of expected work in a job, in milliseconds. */
+export type CriticalPaths = {
+  /** By index of a step, from its start to the end of the job. */
+  fromStepMs: number[];
+  longestMs: number;
+  /** The mean duration of the queue's tasks on which they are based. */
+  queueMeanMs: number | undefined;
+  /** When they were computed, on the steady clock. */
+  computedAtMs: number;
 };
 
 /** One repetition of a job; a job without a schedule has only number 0. */
@@ -26,5 +41,8 @@
   dueAtMs: number;
   /** By index of the step, from when its predecessors are done. */
   steps: Map<number, StepRun>;
+  /** By index of the step, the number of its predecessors that are not done. */
+  openPredecessorCounts: number[];
+  doneStepCount: number;
   completed: boolean;
 };
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -15,6 +15,7 @@
 import { type Job, jobSchema } from "./job.ts";
 import type { JobRun } from "./job_run.ts";
 import {
+  countDoneStep,
   createJobRun,
   createStepIfReady,
   getOrCreateOccurrence,
@@ -369,13 +370,8 @@
   if (run === undefined) return "its job is unknown";
   const stored = parseAs(storedStepSchema, value);
   if (stored.isErr()) return stored.error;
-  const step = createStepIfReady(
-    domain,
-    run,
-    getOrCreateOccurrence(run, occurrence),
-    index,
-    nowMs,
-  );
+  const restored = getOrCreateOccurrence(run, occurrence);
+  const step = createStepIfReady(domain, run, restored, index, nowMs);
   if (step === undefined) return "its job has no such step";
   step.gangFailures = stored.value.gangFailures;
   step.gangFailedAttempt = stored.value.gangFailedAttempt;
@@ -386,6 +382,9 @@
     restoreTask(domain, step, position, task, nowMs);
   });
   if (step.waitingCount === 0) domain.waitingSteps.delete(step);
+  if (step.doneCount === step.step.taskCount) {
+    countDoneStep(run, restored, index);
+  }
   return undefined;
 }
 
@@ -457,10 +456,7 @@
     job.steps.forEach((_, index) => {
       createStepIfReady(domain, run, occurrence, index, nowMs);
     });
-    occurrence.completed = job.steps.every((_, index) => {
-      const step = occurrence.steps.get(index);
-      return step !== undefined && step.doneCount === step.step.taskCount;
-    });
+    occurrence.completed = occurrence.doneStepCount === job.steps.length;
     if (occurrence.completed) run.completedOccurrences += 1;
   }
   const total = job.schedule?.occurrences ?? 1;
