Adopt the runs of a cancelled job whose predecessors have no record

What callers saw: nothing yet; found in a review of what takeovers do. A worker could get starts beyond its capacity.

Cause: a new owner that finds a run of a step whose predecessors are not recorded as done marks these as done, which makes their successors ready. For a job that has ended, nothing becomes ready, so a predecessor without a record stayed missing, and the run was stopped without a share of its worker until its end.

Each predecessor is now created before it is marked as done. Steps of ended jobs are never added to the waiting steps, so they need not be removed from them any more.

The new test failed before: a task was started beside the run. That needs starts that left before their records, and a cancellation that is stored before them; it was not tried with processes.

--- a/src/domain/adopt_run.ts
+++ b/src/domain/adopt_run.ts
@@ -8,7 +8,11 @@
 import type { DomainWorker } from "./domain_worker.ts";
 import type { Moment } from "./domain_event.ts";
 import { completeTask, endAttempt } from "./end_attempt.ts";
-import { createReadySteps, getOrCreateOccurrence } from "./job_lifecycle.ts";
+import {
+  createReadySteps,
+  createStepIfReady,
+  getOrCreateOccurrence,
+} from "./job_lifecycle.ts";
 import type { JobRun, Occurrence } from "./job_run.ts";
 import { stepRecordKey } from "./record_keys.ts";
 import { findTask, parseStepKey, parseTaskName } from "./step_run.ts";
@@ -92,10 +96,6 @@
   if (occurrence === undefined) return;
   completePredecessors(domain, run, occurrence, parsed.index, moment);
   createReadySteps(domain, run, occurrence, [parsed.index], moment);
-  if (run.job.outcome === "open") return;
-  for (const step of occurrence.steps.values()) {
-    domain.waitingSteps.delete(step);
-  }
 }
 
 function completePredecessors(
@@ -107,7 +107,13 @@
 ): void {
   for (const predecessor of run.job.steps[index]?.after ?? []) {
     completePredecessors(domain, run, occurrence, predecessor, moment);
-    const step = occurrence.steps.get(predecessor);
+    const step = createStepIfReady(
+      domain,
+      run,
+      occurrence,
+      predecessor,
+      moment.steadyMs,
+    );
     step?.tasks.forEach((_, position) => {
       const task = step.tasks[position]!;
       if (task.kind === "placed") {
--- a/src/domain/job_lifecycle.ts
+++ b/src/domain/job_lifecycle.ts
@@ -95,7 +95,7 @@
   };
   occurrence.steps.set(index, created);
   domain.steps.set(created.key, created);
-  domain.waitingSteps.add(created);
+  if (run.job.outcome === "open") domain.waitingSteps.add(created);
   return created;
 }
 
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -291,9 +291,6 @@
   for (const run of domain.jobs.values()) {
     if (run.job.outcome === "open") restoreOccurrences(domain, run, nowMs);
   }
-  for (const step of domain.waitingSteps) {
-    if (step.jobRun.job.outcome !== "open") domain.waitingSteps.delete(step);
-  }
   domain.dirtyKeys.clear();
   domain.commands.length = 0;
   return unreadable;
--- a/src/domain/takeover_test.ts
+++ b/src/domain/takeover_test.ts
@@ -145,3 +145,22 @@
     assert.equal(jobStateOf(bench.domain, "a"), "completed");
   });
 });
+
+// Guards against a worker over its capacity: a run of a cancelled job took no
+// share of its worker if a step before it had no record.
+it("a run of a cancelled job keeps its capacity after a takeover", () => {
+  const demand = { cpuMillis: 8_000, memoryMb: 1_000, accelerators: 0 };
+  const bench = createBench();
+  listWorkers(bench, listing("w1"));
+  submit(bench, "a", [
+    step(),
+    step({ after: [0] }),
+    step({ after: [1] }),
+    step({ after: [2], demand }),
+  ]);
+  simulateTakeover(bench);
+  feedEvent(bench, { kind: "workersListed", workers: [listing("w1")] });
+  cancel(bench, "a");
+  reportFrom(bench, "w1", { running: [running("a.0.3.0", 1)] });
+  assert.deepEqual(startsIn(submit(bench, "b", [step({ demand })])), []);
+});
