Visit each open predecessor of an adopted run once

Cause: a worker lists a run of a step whose predecessors are not recorded as done. The new owner marked them as done by a recursion along each path of predecessors, also through steps that were done or visited: 4^N calls for a step of stage N. Its event loop was blocked, and that of each owner after it, as all read the same records and lists. The depth of the recursion was the length of the submission's longest chain, too: a chain of 20,000 steps overflowed the stack.

The open predecessors are now collected by a loop that visits each missing step once, and completed in ascending order, which puts predecessors first. A step that exists has no open predecessors, so it is not followed further, and each missing step is visited once for all listed runs of its job.

Evidence: four new tests, on a job of 64 stages and on a chain of 20,000 steps.

--- a/src/domain/adopt_run.ts
+++ b/src/domain/adopt_run.ts
@@ -94,33 +94,52 @@
   }
   const occurrence = run.occurrences.get(parsed.occurrence);
   if (occurrence === undefined) return;
-  completePredecessors(domain, run, occurrence, parsed.index, moment);
+  for (const index of findOpenPredecessors(run, occurrence, parsed.index)) {
+    completePredecessor(domain, run, occurrence, index, moment);
+  }
   createReadySteps(domain, run, occurrence, [parsed.index], moment);
 }
 
-function completePredecessors(
+/**
+ * Finds the direct and indirect predecessors of a step that are not done, in
+ * ascending order. A step that has been created has no open predecessors.
+ */
+function findOpenPredecessors(
+  run: JobRun,
+  occurrence: Occurrence,
+  index: number,
+): number[] {
+  const open = new Set<number>();
+  const missing = [index];
+  for (const step of missing) {
+    for (const predecessor of run.job.steps[step]?.after ?? []) {
+      const known = occurrence.steps.get(predecessor);
+      const isDone = known !== undefined &&
+        known.doneCount === known.step.taskCount;
+      if (isDone || open.has(predecessor)) continue;
+      open.add(predecessor);
+      if (known === undefined) missing.push(predecessor);
+    }
+  }
+  return [...open].sort((left, right) => left - right);
+}
+
+/** Creates a step if it is missing, and marks its tasks as done. */
+function completePredecessor(
   domain: Domain,
   run: JobRun,
   occurrence: Occurrence,
   index: number,
   moment: Moment,
 ): void {
-  for (const predecessor of run.job.steps[index]?.after ?? []) {
-    completePredecessors(domain, run, occurrence, predecessor, moment);
-    const step = createStepIfReady(
-      domain,
-      run,
-      occurrence,
-      predecessor,
-      moment.steadyMs,
-    );
-    step?.tasks.forEach((_, position) => {
-      const task = step.tasks[position]!;
-      if (task.kind === "placed") {
-        endAttempt(domain, step, position, "done", moment);
-      } else if (task.kind === "waiting") {
-        completeTask(domain, step, position, moment);
-      }
-    });
-  }
+  const { steadyMs } = moment;
+  const step = createStepIfReady(domain, run, occurrence, index, steadyMs);
+  step?.tasks.forEach((_, position) => {
+    const task = step.tasks[position]!;
+    if (task.kind === "placed") {
+      endAttempt(domain, step, position, "done", moment);
+    } else if (task.kind === "waiting") {
+      completeTask(domain, step, position, moment);
+    }
+  });
 }
--- a/src/domain/takeover_cost_test.ts
+++ b/src/domain/takeover_cost_test.ts
@@ -1,9 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { createDomain, type Domain } from "./domain.ts";
+import { describeJob } from "./describe_job.ts";
 import type { Step } from "./job.ts";
+import { jobStateOf } from "./job_state.ts";
 import { restoreDomain } from "./records.ts";
 import {
+  cancel,
   createBench,
   type DomainBench,
   ended,
@@ -11,6 +14,8 @@
   listing,
   listWorkers,
   reportFrom,
+  running,
+  startsIn,
   step,
   submit,
 } from "./testing/domain_bench.ts";
@@ -98,3 +103,90 @@
     assert.equal(bench.domain.steps.size, DONE + 1);
   });
 });
+
+const STAGE_STEPS = 4;
+
+/** Creates stages of four steps, each of which follows those of the one before. */
+function createStages(count: number): Step[] {
+  return Array.from({ length: count * STAGE_STEPS }, (_, index) => {
+    const first = (Math.floor(index / STAGE_STEPS) - 1) * STAGE_STEPS;
+    const before = Array.from({ length: STAGE_STEPS }, (_, i) => first + i);
+    return step({ after: first < 0 ? [] : before });
+  });
+}
+
+/** Takes over after the first steps of job `a` were placed on worker `w1`. */
+function takeOverJob(steps: Step[]): DomainBench {
+  const bench = createBench();
+  listWorkers(bench, listing("w1"));
+  submit(bench, "a", steps);
+  takeOverWithLimit(bench);
+  feedEvent(bench, { kind: "workersListed", workers: [listing("w1")] });
+  return bench;
+}
+
+function countStepsInState(bench: DomainBench, state: string): number {
+  const moment = { steadyMs: bench.nowMs, wallMs: 0 };
+  const { tasks } = describeJob(bench.domain, "a", moment)!;
+  return tasks.filter((task) => task.state === state).length;
+}
+
+// Guards against owners that hang one after the other: a listed run of a step
+// whose predecessors are not recorded as done visited each chain of
+// predecessors by itself, 4^63 of them here.
+describe("a takeover of a job of 64 stages with four steps each", () => {
+  const STAGES = 64;
+  const LAST = STAGES * STAGE_STEPS - 1;
+
+  it("adopts a run of the last stage", () => {
+    const bench = takeOverJob(createStages(STAGES));
+    reportFrom(bench, "w1", { running: [running(`a.0.${LAST}.0`, 1)] });
+    assert.equal(countStepsInState(bench, "done"), LAST + 1 - STAGE_STEPS);
+    assert.equal(countStepsInState(bench, "running"), 1);
+    const last = Array.from(
+      { length: STAGE_STEPS },
+      (_, index) => ended(index + 1, `a.0.${LAST - index}.0`, 1, "done"),
+    );
+    reportFrom(bench, "w1", { ended: last });
+    assert.equal(jobStateOf(bench.domain, "a"), "completed");
+  });
+
+  it("adopts runs of all steps, listed in any order", () => {
+    const names = Array.from(
+      { length: LAST + 1 },
+      (_, index) => `a.0.${index}.0`,
+    );
+    for (const listed of [names, names.toReversed()]) {
+      const bench = takeOverJob(createStages(STAGES));
+      reportFrom(bench, "w1", {
+        ended: listed.map((name, index) => ended(index + 1, name, 1, "done")),
+      });
+      assert.equal(jobStateOf(bench.domain, "a"), "completed");
+    }
+  });
+
+  it("adopts runs of a cancelled job, listed in any order", () => {
+    const names = Array.from({ length: LAST }, (_, index) => `a.0.${index}.0`);
+    for (const listed of [names, names.toReversed()]) {
+      const bench = takeOverJob(createStages(STAGES));
+      cancel(bench, "a");
+      const runs = listed.map((name) => running(name, 1));
+      const commands = reportFrom(bench, "w1", { running: runs });
+      assert.deepEqual(startsIn(commands), []);
+      assert.equal(jobStateOf(bench.domain, "a"), "cancelled");
+    }
+  });
+});
+
+// Guards against a stack overflow at a takeover: the depth of the calls was the
+// length of the chain of predecessors.
+it("a takeover adopts a run of the last step of a long chain", () => {
+  const STEPS = 20_000;
+  const chain = Array.from(
+    { length: STEPS },
+    (_, index) => step({ after: index === 0 ? [] : [index - 1] }),
+  );
+  const bench = takeOverJob(chain);
+  reportFrom(bench, "w1", { running: [running(`a.0.${STEPS - 1}.0`, 1)] });
+  assert.equal(countStepsInState(bench, "done"), STEPS - 1);
+});
