Find possible holders of unrecorded tasks by service and label

What callers saw: nothing yet; found in a review of what takeovers do. Passes of a new owner could take tens of milliseconds each until all workers had reported.

Cause: for each waiting step of a restored job, a pass searched the workers that have not reported for one that may hold tasks of it: steps times workers where a step requires a label that few of them have.

A pass now indexes these workers once, by service and by label. What a worker could run before depends on nothing else, as before: draining and capacity do not count. Workers that the policy has refused for a step are still skipped.

The new test counts reads of labels in a pass.

--- a/src/domain/explain_wait.ts
+++ b/src/domain/explain_wait.ts
@@ -4,7 +4,7 @@
 import { findEligibleWorkers, hasCapacityForTask } from "./choose_worker.ts";
 import type { Domain } from "./domain.ts";
 import type { Moment } from "./domain_event.ts";
-import { findPossibleHolders } from "./start_permit.ts";
+import { findPossibleHolders, indexUnsettledWorkers } from "./start_permit.ts";
 import type { StepRun } from "./step_run.ts";
 
 /**
@@ -81,6 +81,7 @@
   const ticketed = withCapacity.filter((worker) =>
     hasValidTicket(run, worker.id, nowMs)
   );
+  const unsettled = indexUnsettledWorkers(domain);
   return {
     step: run.key,
     queue: run.jobRun.job.policy.queue,
@@ -98,7 +99,7 @@
     withRoom: withCapacity.length,
     ticketed: ticketed.length,
     asking: run.advice.requestInFlight ? 1 : 0,
-    unsettled: [...findPossibleHolders(domain, run)].length,
+    unsettled: [...findPossibleHolders(domain, run, unsettled)].length,
   };
 }
 
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -30,7 +30,11 @@
   type SchedulingPass,
 } from "./scheduling_pass.ts";
 import { allocationOf, placeTask } from "./task_placement.ts";
-import { mayRunUnrecorded, nextAttempt } from "./start_permit.ts";
+import {
+  indexUnsettledWorkers,
+  mayRunUnrecorded,
+  nextAttempt,
+} from "./start_permit.ts";
 import { updateDemandPressure } from "./demand_pressure.ts";
 import { sortByRank } from "./step_rank.ts";
 import {
@@ -46,6 +50,7 @@
  */
 export function schedule(domain: Domain, moment: Moment): void {
   const pass = createSchedulingPass(domain, moment);
+  const unsettled = indexUnsettledWorkers(domain);
   domain.adviceQueue = [];
   updateDemandPressure(domain);
   for (
@@ -55,7 +60,7 @@
       domain.allocatedByAgreement,
     )
   ) {
-    if (mayRunUnrecorded(domain, run)) continue;
+    if (mayRunUnrecorded(domain, run, unsettled)) continue;
     if (run.step.gang) placeGang(pass, run);
     else placeTasks(pass, run);
   }
--- a/src/domain/start_permit.ts
+++ b/src/domain/start_permit.ts
@@ -7,7 +7,6 @@
  * @module
  */
 import * as v from "valibot";
-import { isEligible } from "./choose_worker.ts";
 import { mayBeAllowed } from "./advice_requests.ts";
 import type { Domain } from "./domain.ts";
 import type { WorkerOrder } from "./domain_command.ts";
@@ -128,12 +127,57 @@
     permit.bornMs === domain.workers.get(worker)?.bornMs;
 }
 
+/**
+ * The workers that have not reported since the takeover, by the steps that may
+ * have been started there. One that is draining now, or has less capacity, is
+ * included: it could run them before.
+ */
+export type UnsettledIndex = {
+  /** Those of which nothing is known. */
+  unlisted: string[];
+  byService: Map<string, string[]>;
+  /** By service, then by label. */
+  byLabel: Map<string, Map<string, string[]>>;
+};
+
+/** Indexes the workers that have not reported since the takeover. */
+export function indexUnsettledWorkers(domain: Domain): UnsettledIndex {
+  const index: UnsettledIndex = {
+    unlisted: [],
+    byService: new Map(),
+    byLabel: new Map(),
+  };
+  for (const id of domain.unsettledWorkers) {
+    const listing = domain.workers.get(id)?.listing;
+    if (listing === undefined) {
+      index.unlisted.push(id);
+      continue;
+    }
+    const { service, labels } = listing;
+    append(index.byService, service, id);
+    const byLabel = index.byLabel.get(service) ?? new Map<string, string[]>();
+    index.byLabel.set(service, byLabel);
+    for (const label of new Set(labels)) append(byLabel, label, id);
+  }
+  return index;
+}
+
+function append(map: Map<string, string[]>, key: string, id: string): void {
+  const known = map.get(key);
+  if (known === undefined) map.set(key, [id]);
+  else known.push(id);
+}
+
 /**
  * Whether an earlier owner may have started tasks of a step at a worker that
  * has not reported since the takeover.
  */
-export function mayRunUnrecorded(domain: Domain, run: StepRun): boolean {
-  return findPossibleHolders(domain, run).next().done === false;
+export function mayRunUnrecorded(
+  domain: Domain,
+  run: StepRun,
+  index: UnsettledIndex,
+): boolean {
+  return findPossibleHolders(domain, run, index).next().done === false;
 }
 
 /**
@@ -143,23 +187,20 @@
 export function* findPossibleHolders(
   domain: Domain,
   run: StepRun,
+  { unlisted, byService, byLabel }: UnsettledIndex,
 ): Generator<string> {
   if (!mayHaveUnlistedRuns(domain, run.jobRun)) return;
-  for (const id of domain.unsettledWorkers) {
-    if (!mayBeAllowed(run, id)) continue;
-    if (canEverRun(domain.workers.get(id), run)) yield id;
+  const { service } = run.jobRun.job.policy;
+  const { requiredLabel } = run.step;
+  const listed = requiredLabel === undefined
+    ? byService.get(service)
+    : byLabel.get(service)?.get(requiredLabel);
+  for (const id of unlisted) {
+    if (mayBeAllowed(run, id)) yield id;
+  }
+  for (const id of listed ?? []) {
+    if (mayBeAllowed(run, id)) yield id;
   }
-}
-
-/**
- * Whether a worker could run a step when it was not draining yet and had more
- * capacity; true if nothing is known about the worker.
- */
-function canEverRun(worker: DomainWorker | undefined, run: StepRun): boolean {
-  if (worker?.listing === undefined) return true;
-  const capacity = run.step.demand;
-  const listing = { ...worker.listing, draining: false, capacity };
-  return isEligible({ ...worker, listing }, run);
 }
 
 /**
--- a/src/domain/takeover_cost_test.ts
+++ b/src/domain/takeover_cost_test.ts
@@ -5,6 +5,7 @@
 import type { Step } from "./job.ts";
 import { jobStateOf } from "./job_state.ts";
 import { restoreDomain } from "./records.ts";
+import type { WorkerListing } from "./worker_listing.ts";
 import {
   cancel,
   createBench,
@@ -18,6 +19,7 @@
   startsIn,
   step,
   submit,
+  tick,
 } from "./testing/domain_bench.ts";
 
 /** How often a takeover may read each step, and each predecessor that it names. */
@@ -190,3 +192,39 @@
   reportFrom(bench, "w1", { running: [running(`a.0.${STEPS - 1}.0`, 1)] });
   assert.equal(countStepsInState(bench, "done"), STEPS - 1);
 });
+
+/** Makes a read of the labels of workers beyond a number of reads throw. */
+function limitLabelReads(listings: WorkerListing[], limit: number): void {
+  let reads = 0;
+  for (const listing of listings) {
+    const { labels } = listing;
+    Object.defineProperty(listing, "labels", {
+      get() {
+        reads += 1;
+        if (reads > limit) throw new Error(`more than ${limit} reads`);
+        return labels;
+      },
+    });
+  }
+}
+
+// Guards against passes that take seconds after a takeover: for each waiting
+// step, all workers were searched for one that may hold unrecorded tasks of it.
+it("a pass before workers have reported visits each worker a few times", () => {
+  const SIZE = 200;
+  const bench = createBench();
+  const ids = Array.from({ length: SIZE }, (_, index) => `w${index}`);
+  listWorkers(bench, ...ids.map((id) => listing(id)));
+  for (let index = 0; index < SIZE; index += 1) {
+    submit(bench, `a${index}`, [step({ requiredLabel: "rare" })]);
+  }
+  takeOverWithLimit(bench);
+  const rare = ids.at(-1)!;
+  const listings = ids.map((id) =>
+    listing(id, id === rare ? { labels: ["rare"] } : {})
+  );
+  limitLabelReads(listings, MAX_READS * (SIZE + SIZE));
+  feedEvent(bench, { kind: "workersListed", workers: listings });
+  assert.equal(bench.domain.unsettledWorkers.size, SIZE);
+  assert.deepEqual(startsIn(tick(bench, 1)), []);
+});
