Count the crashes under a gang once for all of its members

What callers saw: nothing yet; found in a review of what takeovers do. A new owner that restores a large gang under which workers have crashed held up all calls for half a second.

Cause: whether a task is a suspect was derived from the highest crash count of its gang, which reads the counts of all members, for each member: members times counts, at a restore, at a crash and at each start.

A member is now a suspect as soon as any member has a count. At a crash, the counts of a gang are read once for the log and once for the decision to give it up, which is the same for all members. No decision changes.

The new test counts reads of crash counts.

--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -42,7 +42,7 @@
   reserveForLargeStep,
   respectsReservation,
 } from "./reservations.ts";
-import { crashCountOf, type StepRun, taskNameOf } from "./step_run.ts";
+import { isSuspect, type StepRun, taskNameOf } from "./step_run.ts";
 
 /**
  * Runs one scheduling pass: places the tasks that can start now, and collects
@@ -75,9 +75,7 @@
   for (let index = 0; index < run.tasks.length; index += 1) {
     const task = run.tasks[index];
     if (task?.kind !== "waiting") continue;
-    const score = crashCountOf(run, index) > 0
-      ? scoreWorkerForSuspect
-      : scoreWorker;
+    const score = isSuspect(run, index) ? scoreWorkerForSuspect : scoreWorker;
     const worker = takeBestWorker(pass, candidates, run, score);
     if (worker === undefined) break;
     const attempt = nextAttempt(domain, run, task);
@@ -242,7 +240,7 @@
       specification: run.jobRun.job.specification,
       ticket: run.advice.allowed.get(worker.id)?.text,
       checkpoint: task?.kind === "placed" ? task.checkpoint : undefined,
-      isSuspect: crashCountOf(run, index) > 0,
+      isSuspect: isSuspect(run, index),
     },
   });
   return `${index}#${attempt}@${worker.id}`;
--- a/src/domain/start_permit.ts
+++ b/src/domain/start_permit.ts
@@ -13,7 +13,7 @@
 import type { DomainWorker } from "./domain_worker.ts";
 import { mayHaveUnlistedRuns } from "./job_lifecycle.ts";
 import { permitKey, stepRecordKey } from "./record_keys.ts";
-import { crashCountOf, parseTaskName, type StepRun } from "./step_run.ts";
+import { isSuspect, parseTaskName, type StepRun } from "./step_run.ts";
 import type { TaskState } from "./task_state.ts";
 
 /** Schema of the record of a permit. */
@@ -114,7 +114,7 @@
   if (order.kind === "stop") return true;
   // A later owner has to know on which worker a suspect was started.
   const { index = 0 } = parseTaskName(order.task) ?? {};
-  if (crashCountOf(run, index) > 0) return false;
+  if (isSuspect(run, index)) return false;
   // A later owner that does not know of a failure would allow one more attempt.
   if (run.storedFailureCount < run.failureCount) return false;
   return hasStoredPermit(domain, order.worker);
--- a/src/domain/step_run.ts
+++ b/src/domain/step_run.ts
@@ -52,6 +52,15 @@
   return `${run.key}.${index}`;
 }
 
+/**
+ * Whether a worker has crashed just after a task, or another member of its
+ * gang, started.
+ */
+export function isSuspect(run: StepRun, index: number): boolean {
+  const { step, crashCounts } = run;
+  return step.gang ? crashCounts.size > 0 : crashCounts.has(index);
+}
+
 /**
  * How many workers have crashed just after a task started. A crash under one
  * member of a gang counts for all of them.
--- a/src/domain/takeover_cost_test.ts
+++ b/src/domain/takeover_cost_test.ts
@@ -228,3 +228,54 @@
   assert.equal(bench.domain.unsettledWorkers.size, SIZE);
   assert.deepEqual(startsIn(tick(bench, 1)), []);
 });
+
+/** Makes reads of crash counts beyond a number of counts throw. */
+function limitCrashReads(domain: Domain, limit: number): void {
+  let reads = 0;
+  const count = (amount: number) => {
+    reads += amount;
+    if (reads > limit) throw new Error(`more than ${limit} reads`);
+  };
+  const set = domain.steps.set.bind(domain.steps);
+  domain.steps.set = (key, run) => {
+    let counts = run.crashCounts;
+    Object.defineProperty(run, "crashCounts", {
+      get() {
+        count(1);
+        return counts;
+      },
+      set(restored: Map<number, number>) {
+        counts = restored;
+        for (const method of ["keys", "values"] as const) {
+          const list = counts[method].bind(counts);
+          counts[method] = () => {
+            count(counts.size);
+            return list();
+          };
+        }
+      },
+    });
+    return set(key, run);
+  };
+}
+
+// Guards against takeovers whose time grows with the square of a gang's size:
+// for each member, the crashes under all members were counted.
+it("a takeover of a gang that crashed workers counts its crashes a few times", () => {
+  const MEMBERS = 400;
+  const demand = { cpuMillis: 1, memoryMb: 1, accelerators: 0 };
+  const bench = createBench();
+  listWorkers(bench, listing("w1"));
+  submit(bench, "a", [step({ taskCount: MEMBERS, gang: true, demand })]);
+  reportFrom(bench, "w1", { bornMs: 2 });
+  tick(bench, 1_000);
+  const domain = createDomain(bench.domain.options);
+  limitCrashReads(domain, MAX_READS * MEMBERS);
+  bench.domain = domain;
+  const records = [...bench.store].map(([key, value]) => ({ key, value }));
+  restoreDomain(domain, records, bench.nowMs);
+  feedEvent(bench, { kind: "workersListed", workers: [listing("w1")] });
+  reportFrom(bench, "w1", { bornMs: 3 });
+  const run = domain.steps.get("a.0.0")!;
+  assert.equal(run.crashCounts.get(0), 2);
+});
--- a/src/domain/task_placement.ts
+++ b/src/domain/task_placement.ts
@@ -11,7 +11,7 @@
 } from "../model/mod.ts";
 import type { DomainWorker, PlacedTaskRef } from "./domain_worker.ts";
 import type { Step } from "./job.ts";
-import { crashCountOf, type StepRun, taskNameOf } from "./step_run.ts";
+import { isSuspect, type StepRun, taskNameOf } from "./step_run.ts";
 import type { PlacedPhase } from "./task_state.ts";
 
 const FULL_SPEED_PERCENT = 100;
@@ -87,7 +87,7 @@
   run.waitingCount -= 1;
   run.jobRun.hasStarted = true;
   allocateTask(run, index, worker);
-  if (crashCountOf(run, index) > 0) {
+  if (isSuspect(run, index)) {
     worker.suspects.add(taskNameOf(run, index));
   }
 }
--- a/src/domain/worker_crash.ts
+++ b/src/domain/worker_crash.ts
@@ -99,22 +99,30 @@
   const suspects = unsettled.filter(({ run, index }) =>
     run.jobRun.job.outcome === "open" && run.tasks[index]?.kind !== "done"
   );
-  const isOnlyOne = !isInferred && new Set(suspects.map(suspectKey)).size === 1;
+  const distinct = new Map(
+    suspects.map((suspect) => [suspectKey(suspect), suspect]),
+  );
+  const isOnlyOne = !isInferred && distinct.size === 1;
   for (const { run, index, isDoubtful } of suspects) {
     increment(run.crashCounts, index);
     if (isDoubtful) increment(run.doubtfulCrashCounts, index);
     else if (isInferred) increment(run.inferredCrashCounts, index);
     domain.dirtyKeys.add(stepRecordKey(run.key));
   }
+  const counts = new Map(
+    [...distinct].map(([key, { run, index }]) => [
+      key,
+      crashCountOf(run, index),
+    ]),
+  );
+  const describe = (suspect: UnsettledTask) =>
+    describeSuspect(suspect, counts.get(suspectKey(suspect)) ?? 0);
   domain.commands.push({
     kind: "report",
     message: "A worker crashed.",
-    fields: {
-      worker,
-      unsettled: suspects.map((suspect) => describeSuspect(suspect)).join(" "),
-    },
+    fields: { worker, unsettled: suspects.map(describe).join(" ") },
   });
-  for (const { run, index } of suspects) {
+  for (const { run, index } of distinct.values()) {
     if (!isGivenUp(run, index, isOnlyOne)) continue;
     endJob(domain, run.jobRun, "failed", moment);
   }
@@ -126,9 +134,12 @@
 }
 
 /** The task as logged: `NAME:CRASHES`, with a `?` if this one is doubtful. */
-function describeSuspect({ run, index, isDoubtful }: UnsettledTask): string {
+function describeSuspect(
+  { run, index, isDoubtful }: UnsettledTask,
+  crashCount: number,
+): string {
   const doubt = isDoubtful ? "?" : "";
-  return `${taskNameOf(run, index)}:${crashCountOf(run, index)}${doubt}`;
+  return `${taskNameOf(run, index)}:${crashCount}${doubt}`;
 }
 
 function isGivenUp(
