Domain: a later entry does not tell what a permitted worker may run

A task could run twice: a new owner starts it again while the worker with the permit, at which the earlier owner started it, has not reported.

Cause: after a takeover, a worker with a permit counts as a possible holder of a task only if its entry has the label and the service that the step requires. The entry may be of a later incarnation than the permit, of another kind, and then tells nothing about what the earlier owner started there.

Why this works: the entry excludes a worker only if it is of the incarnation that the permit names. Otherwise the step waits for the report of the worker or the end of its leases, as it does where nothing is known. A permit for the later incarnation is stored in or after the append that holds the placements of the starts that its owner had sent before.

--- a/src/domain/choose_worker.ts
+++ b/src/domain/choose_worker.ts
@@ -6,6 +6,7 @@
 import type { StepRun } from "./step_run.ts";
 import { findUnsettledTasks } from "./worker_crash.ts";
 import { maxRunningTasks } from "./worker_health.ts";
+import type { WorkerListing } from "./worker_listing.ts";
 
 /** Score penalty for a worker outside the rack of the step's data. */
 const REMOTE_DATA_PENALTY = 2;
@@ -42,12 +43,21 @@
 
 /** Whether a worker may run a step, regardless of its free capacity. */
 export function isEligible({ listing }: DomainWorker, run: StepRun): boolean {
-  if (listing === undefined || listing.draining) return false;
-  if (listing.service !== run.jobRun.job.policy.service) return false;
-  const { requiredLabel, demand } = run.step;
-  const hasLabel = requiredLabel === undefined ||
-    listing.labels.includes(requiredLabel);
-  return hasLabel && fitsInto(demand, listing.capacity);
+  return listing !== undefined && !listing.draining &&
+    isSuitableListing(listing, run) &&
+    fitsInto(run.step.demand, listing.capacity);
+}
+
+/**
+ * Whether the worker of an entry is of the service and has the label that a step
+ * requires.
+ */
+export function isSuitableListing(
+  { service, labels }: WorkerListing,
+  { step: { requiredLabel }, jobRun }: StepRun,
+): boolean {
+  if (service !== jobRun.job.policy.service) return false;
+  return requiredLabel === undefined || labels.includes(requiredLabel);
 }
 
 /**
--- a/src/domain/start_permit.ts
+++ b/src/domain/start_permit.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import * as v from "valibot";
-import { isEligible } from "./choose_worker.ts";
+import { isSuitableListing } from "./choose_worker.ts";
 import { mayBeAllowed } from "./advice_requests.ts";
 import type { Domain } from "./domain.ts";
 import type { WorkerOrder } from "./domain_command.ts";
@@ -147,19 +147,23 @@
   if (!mayHaveUnlistedRuns(domain, run.jobRun)) return;
   for (const id of domain.unsettledWorkers) {
     if (!mayBeAllowed(run, id)) continue;
-    if (canEverRun(domain.workers.get(id), run)) yield id;
+    if (mayHaveBeenStartedOn(domain, id, run)) yield id;
   }
 }
 
 /**
- * Whether a worker could run a step when it was not draining yet and had more
- * capacity; true if nothing is known about the worker.
+ * Whether the permitted incarnation of a worker could run a step when it was not
+ * draining yet and had more capacity; true if nothing is known about it. An entry
+ * of another one does not tell.
  */
-function canEverRun(worker: DomainWorker | undefined, run: StepRun): boolean {
-  if (worker?.listing === undefined) return true;
-  const capacity = run.step.demand;
-  const listing = { ...worker.listing, draining: false, capacity };
-  return isEligible({ ...worker, listing }, run);
+function mayHaveBeenStartedOn(
+  domain: Domain,
+  id: string,
+  run: StepRun,
+): boolean {
+  const listing = domain.workers.get(id)?.listing;
+  if (listing?.bornMs !== domain.startPermits.get(id)?.bornMs) return true;
+  return listing === undefined || isSuitableListing(listing, run);
 }
 
 /**
--- a/src/domain/start_permit_test.ts
+++ b/src/domain/start_permit_test.ts
@@ -353,3 +353,41 @@
     assert.deepEqual(startsAheadOfCommit(bench, commands), []);
   });
 });
+
+// Guards against tasks that run twice: a new owner starts a task again that an
+// earlier owner started at the former incarnation, of another kind.
+describe("a worker with a permit that has started again as another kind", () => {
+  it("may hold tasks of the kind that it was of", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1", { labels: ["a", "r1"] }));
+    submit(bench, "a", [step({ requiredLabel: "a" })]);
+    const stored = [...bench.store].find(([key]) => key.includes("a.0.0"));
+    bench.store.delete(stored![0]);
+    simulateTakeover(bench);
+    bench.commands = [];
+    const workers = [
+      listing("w1", { bornMs: 2, labels: ["b", "r1"] }),
+      listing("w2", { labels: ["a", "r1"] }),
+    ];
+    feedEvent(bench, { kind: "workersListed", workers });
+    reportFrom(bench, "w2", {});
+    assert.deepEqual(startsIn(bench.commands), []);
+    reportFrom(bench, "w1", { bornMs: 2 });
+    assert.equal(startsIn(bench.commands).length, 1);
+  });
+
+  it("holds none that the kind it was of never got", () => {
+    const bench = createBench();
+    listWorkers(bench, listing("w1", { labels: ["a", "r1"] }));
+    submit(bench, "a", [step({ requiredLabel: "b" })]);
+    simulateTakeover(bench);
+    bench.commands = [];
+    const workers = [
+      listing("w1", { labels: ["a", "r1"] }),
+      listing("w2", { labels: ["b", "r1"] }),
+    ];
+    feedEvent(bench, { kind: "workersListed", workers });
+    reportFrom(bench, "w2", {});
+    assert.equal(startsIn(bench.commands).length, 1);
+  });
+});
