Domain: a worker gets starts only by what its present incarnation has said

A worker that crashed and started again under its id, as one of another kind or with less capacity, was told at its first report to start tasks by the label and the capacity of its former incarnation.

Cause: reports name the incarnation of a worker, and its entry in the worker list holds label, capacity, service and state. The domain used the last of each together, whichever incarnation they were of.

The rule now stands in src/domain/worker_incarnation.ts, and eligibility, passes with gangs and reservations, advice requests, permits, the state of a worker that left the list, and explanations of waits use it:

- Between the report of a new incarnation and its first entry, a worker gets no start and is named in no request.
Its former one's draining does not count.
- If the entry comes first, it gets none either before the first report, by the former one's tickets, allocations or permit.
Before, tickets and a permit were used; allocations were kept until the report and then released, as now.
- A start in flight for the former incarnation is stopped as soon as another one shows, unless its entry allows all of them and no ticket is needed.
- An entry of an earlier incarnation does not replace that of a later one.
- Where an entry or the reports name no incarnation, the entry counts for any, as before.

Tests that assumed the fault, each with the same assertions as before, and now with the entry of the new incarnation listed: two in advice_restart_test.ts ("the policy is asked again about a refused worker that has restarted", "an answer about a worker that restarted in the meantime is ignored"), "do not cover starts on a worker that has restarted", and "is no suspect if its start had not left, and starts afterwards". They reported a new incarnation and expected starts by the former one's entry.

The model now draws, as a second environment, workers that start again as another kind or with another capacity, whose entry follows later or comes before the first report, and whose former entry comes late.

--- a/src/domain/advice_restart_test.ts
+++ b/src/domain/advice_restart_test.ts
@@ -35,6 +35,12 @@
   return takeAdviceRequest(bench.domain, moment, Infinity);
 }
 
+/** Lists the entry of the new incarnation. */
+function listRestarted(bench: ReturnType<typeof createBench>) {
+  const workers = [listing("w1", { bornMs: 2 })];
+  feedEvent(bench, { kind: "workersListed", workers });
+}
+
 function allow(bench: ReturnType<typeof createBench>) {
   tick(bench, 1_000);
   assert.deepEqual(takeRequest(bench)?.workers, ["w1"]);
@@ -55,6 +61,7 @@
   tick(bench, 1_000);
   assert.equal(takeRequest(bench), undefined);
   reportFrom(bench, "w1", { bornMs: 2 });
+  listRestarted(bench);
   allow(bench);
 });
 
@@ -80,5 +87,6 @@
     allowed: [],
     validMs: ADVICE.validMs,
   });
+  listRestarted(bench);
   allow(bench);
 });
--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -38,9 +38,11 @@
 import { stopExcessStarts } from "./shrunk_capacity.ts";
 import { stopStalledTasks } from "./stalled_tasks.ts";
 import { stopTask } from "./stop_task.ts";
+import { stopUnsuitableStarts } from "./unsuitable_starts.ts";
 import { withdrawJob } from "./withdraw_job.ts";
 import { accrueUsage, recordUsage } from "./usage.ts";
 import { recordFailure, recordUnhealthy } from "./worker_health.ts";
+import { currentListing, isOutdatedListing } from "./worker_incarnation.ts";
 import type { WorkerListing } from "./worker_listing.ts";
 
 type EventOf<Kind extends DomainEvent["kind"]> = Extract<
@@ -215,7 +217,8 @@
 
 /**
  * Applies a new list of workers. A worker that is missing from it stays known
- * while tasks are placed on it, but gets no new ones.
+ * while tasks are placed on it, but gets no new ones. A worker whose entry is of
+ * another incarnation than its last report gets none before the other follows.
  */
 function applyWorkerList(
   domain: Domain,
@@ -236,9 +239,13 @@
   for (const listing of listings) {
     const known = domain.workers.get(listing.id);
     const worker = known ?? addWorker(domain, listing, moment);
+    if (isOutdatedListing(worker, listing)) continue;
     worker.listing = listing;
     worker.lastListing = listing;
     worker.capacity = listing.capacity;
+    if (currentListing(worker) === undefined) {
+      stopUnsuitableStarts(domain, worker, listing);
+    }
     stopExcessStarts(domain, worker);
     if (listing.draining) revokePermit(domain, listing.id);
   }
--- a/src/domain/choose_worker.ts
+++ b/src/domain/choose_worker.ts
@@ -6,6 +6,7 @@
 import type { StepRun } from "./step_run.ts";
 import { findUnsettledTasks } from "./worker_crash.ts";
 import { maxRunningTasks } from "./worker_health.ts";
+import { currentListing } from "./worker_incarnation.ts";
 import type { WorkerListing } from "./worker_listing.ts";
 
 /** Score penalty for a worker outside the rack of the step's data. */
@@ -42,9 +43,17 @@
 }
 
 /** Whether a worker may run a step, regardless of its free capacity. */
-export function isEligible({ listing }: DomainWorker, run: StepRun): boolean {
-  return listing !== undefined && !listing.draining &&
-    isSuitableListing(listing, run) &&
+export function isEligible(worker: DomainWorker, run: StepRun): boolean {
+  const listing = currentListing(worker);
+  return listing !== undefined && isEligibleListing(listing, run);
+}
+
+/** Whether the worker of an entry may run a step, regardless of what it runs. */
+export function isEligibleListing(
+  listing: WorkerListing,
+  run: StepRun,
+): boolean {
+  return !listing.draining && isSuitableListing(listing, run) &&
     fitsInto(run.step.demand, listing.capacity);
 }
 
--- a/src/domain/departed_worker.ts
+++ b/src/domain/departed_worker.ts
@@ -10,6 +10,7 @@
 import type { DomainWorker, UnsettledTask } from "./domain_worker.ts";
 import { createDomainWorker } from "./task_placement.ts";
 import { recordWorkerCrash } from "./worker_crash.ts";
+import { wasDraining } from "./worker_incarnation.ts";
 import type { WorkerListing } from "./worker_listing.ts";
 
 /** What is kept of a worker that has left the list. */
@@ -25,7 +26,7 @@
   const { id, lastListing, bornMs, lapsedStarts } = worker;
   domain.workers.delete(id);
   domain.departedWorkers.delete(id);
-  if (lastListing === undefined || lastListing.draining) return;
+  if (lastListing === undefined || wasDraining(worker)) return;
   const { address } = lastListing;
   domain.departedWorkers.set(id, { address, bornMs, lapsedStarts });
 }
--- a/src/domain/domain_view.ts
+++ b/src/domain/domain_view.ts
@@ -3,6 +3,7 @@
 import type { DomainWorker } from "./domain_worker.ts";
 import type { Moment } from "./domain_event.ts";
 import { taskNameOf } from "./step_run.ts";
+import { isDraining } from "./worker_incarnation.ts";
 
 /** A worker of a domain, for display to operators. */
 export type WorkerView = {
@@ -68,5 +69,6 @@
 
 function workerStateOf(worker: DomainWorker): WorkerView["state"] {
   if (!worker.isReachable) return "silent";
-  return worker.listing?.draining === false ? "held" : "leaving";
+  const isLeaving = worker.listing === undefined || isDraining(worker);
+  return isLeaving ? "leaving" : "held";
 }
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -19,6 +19,7 @@
 import { findTask, type StepRun, taskNameOf } from "./step_run.ts";
 import { settleWorker } from "./start_permit.ts";
 import { orderStop, stopTask } from "./stop_task.ts";
+import { stopUnsuitableStarts } from "./unsuitable_starts.ts";
 import type { PlacedTask } from "./task_state.ts";
 import { recordTaskDuration } from "./task_durations.ts";
 import {
@@ -27,9 +28,7 @@
   updateSettled,
 } from "./worker_crash.ts";
 import { recordFailure, recordSuccess } from "./worker_health.ts";
-
-/** Of an incarnation that no report or record has named. */
-const UNKNOWN_BORN_MS = 0;
+import { listingOfIncarnation, UNKNOWN_BORN_MS } from "./worker_incarnation.ts";
 
 type WorkerLapse = Extract<DomainEvent, { kind: "workerLapsed" }>;
 
@@ -120,11 +119,12 @@
     ref.runningSinceMs = undefined;
     ref.isSettled = false;
     const task = ref.run.tasks[ref.index];
-    // Its start has not left; it goes to the new incarnation.
+    // Its start has not left; it would go to the new incarnation.
     if (task?.kind === "placed" && task.phase.kind === "starting") {
       task.bornMs = bornMs;
     }
   }
+  stopUnsuitableStarts(domain, worker, listingOfIncarnation(worker, bornMs));
 }
 
 /** Applies that all leases of a worker have expired, or that it was replaced. */
--- a/src/domain/scheduling_pass.ts
+++ b/src/domain/scheduling_pass.ts
@@ -3,6 +3,7 @@
 import type { Moment } from "./domain_event.ts";
 import type { DomainWorker } from "./domain_worker.ts";
 import type { ExpectedRelease, Reservation } from "./reservations.ts";
+import { currentListing } from "./worker_incarnation.ts";
 
 /** The state of one scheduling pass, shared by the steps that it handles. */
 export type SchedulingPass = {
@@ -12,7 +13,10 @@
   reservations: Map<DomainWorker, Reservation>;
   /** Releases expected of the tasks on a worker; deleted when one is placed. */
   releases: Map<DomainWorker, ExpectedRelease[]>;
-  /** Returns the listed workers of a service that are not draining. */
+  /**
+   * Returns the workers of a service whose present incarnation is listed and not
+   * draining.
+   */
   workersOf(service: string): DomainWorker[];
   /** Whether an earlier step has found no capacity for fewer or such tasks. */
   hasNoCapacityFor(service: string, tasks: TaskGroup): boolean;
@@ -39,7 +43,7 @@
 ): SchedulingPass {
   const workersByService = new Map<string, DomainWorker[]>();
   for (const worker of domain.workers.values()) {
-    const { listing } = worker;
+    const listing = currentListing(worker);
     if (listing === undefined || listing.draining) continue;
     const known = workersByService.get(listing.service);
     if (known === undefined) workersByService.set(listing.service, [worker]);
--- a/src/domain/start_permit.ts
+++ b/src/domain/start_permit.ts
@@ -16,6 +16,7 @@
 import { permitKey, stepRecordKey } from "./record_keys.ts";
 import { crashCountOf, parseTaskName, type StepRun } from "./step_run.ts";
 import type { TaskState } from "./task_state.ts";
+import { currentListing, isDraining } from "./worker_incarnation.ts";
 
 /** Schema of the record of a permit. */
 export const startPermitSchema = v.object({
@@ -49,9 +50,10 @@
 /** Begins to grant a permit for a worker that has reported. */
 export function grantPermit(
   domain: Domain,
-  { id, listing, bornMs }: DomainWorker,
+  worker: DomainWorker,
 ): void {
-  if (listing === undefined || listing.draining) return;
+  const { id, listing, bornMs } = worker;
+  if (listing === undefined || isDraining(worker)) return;
   if (arePermitsFixed(domain)) return;
   const known = domain.startPermits.get(id);
   if (known?.bornMs === bornMs && known.phase !== "revoking") return;
@@ -78,7 +80,7 @@
   for (const id of domain.startPermits.keys()) {
     const worker = domain.workers.get(id);
     const isUsable = worker?.isReachable === true &&
-      worker.listing?.draining === false;
+      worker.listing !== undefined && !isDraining(worker);
     if (!isUsable) revokePermit(domain, id);
   }
 }
@@ -121,11 +123,18 @@
   return hasStoredPermit(domain, order.worker);
 }
 
-/** Whether the store holds a permit for the present incarnation of a worker. */
-function hasStoredPermit(domain: Domain, worker: string): boolean {
-  const permit = domain.startPermits.get(worker);
-  return permit?.phase === "granted" &&
-    permit.bornMs === domain.workers.get(worker)?.bornMs;
+/**
+ * Whether the store holds a permit for the present incarnation of a worker. An
+ * entry of another one shows that a start would reach that one.
+ */
+function hasStoredPermit(domain: Domain, id: string): boolean {
+  const permit = domain.startPermits.get(id);
+  const worker = domain.workers.get(id);
+  if (permit?.phase !== "granted" || worker === undefined) return false;
+  if (worker.listing !== undefined && currentListing(worker) === undefined) {
+    return false;
+  }
+  return permit.bornMs === worker.bornMs;
 }
 
 /**
--- a/src/domain/start_permit_test.ts
+++ b/src/domain/start_permit_test.ts
@@ -345,6 +345,10 @@
     const [first] = startsIn(bench.commands);
     feedUncommitted(bench, { kind: "storeObserved", isSilent: true });
     const done = ended(1, first!.task, 1, "done");
+    feedUncommitted(bench, {
+      kind: "workersListed",
+      workers: [listing("w1", { bornMs: 2 })],
+    });
     const commands = reportUncommitted(bench, "w1", {
       bornMs: 2,
       ended: [done],
--- a/src/domain/testing/owner_model_crashes.ts
+++ b/src/domain/testing/owner_model_crashes.ts
@@ -8,7 +8,10 @@
 import { taskNameOf } from "../step_run.ts";
 import type { UnansweredStarts } from "../worker_crash.ts";
 import { createWorker } from "../../../stand_ins/platform/worker.ts";
+import { drawCapacity } from "./owner_model_capacity.ts";
 import { taskDurationMs } from "./owner_model_gangs.ts";
+import { drawKind } from "./owner_model_kinds.ts";
+import { writeFirstEntry } from "./owner_model_listing.ts";
 import type { Model, SimulatedWorker } from "./owner_model_state.ts";
 
 /** One in this many jobs has a task that crashes its workers. */
@@ -62,7 +65,10 @@
   restartWorker(model, simulated);
 }
 
-/** Restarts a worker, which then runs and knows nothing. */
+/**
+ * Restarts a worker, which then runs and knows nothing. It may be of another
+ * kind; its entry in the list follows.
+ */
 export function restartWorker(model: Model, simulated: SimulatedWorker): void {
   const { id, bornMs, running } = simulated.worker;
   const lapsed = model.bench.domain.workers.get(id)?.lapsedStarts ?? [];
@@ -72,6 +78,9 @@
   recordCrash(model, simulated, [...running.keys(), ...names]);
   recordCrash(model, simulated, startedOn(model, id));
   simulated.worker = createSimulatedWorker(model, id, bornMs + 1);
+  simulated.kind = drawKind(model);
+  simulated.capacity = drawCapacity(model, simulated.capacity);
+  writeFirstEntry(model, simulated);
   simulated.acknowledged = 0;
   simulated.endsBeforeExpiry.clear();
 }
--- a/src/domain/testing/owner_model_state.ts
+++ b/src/domain/testing/owner_model_state.ts
@@ -5,6 +5,7 @@
 import type { DomainRecord } from "../records.ts";
 import type { DomainBench } from "./domain_bench.ts";
 import type { SimulatedCapacity } from "./owner_model_capacity.ts";
+import type { SimulatedListing } from "./owner_model_listing.ts";
 
 /** A simulated worker with the owner's state about it. */
 export type SimulatedWorker = {
@@ -15,7 +16,12 @@
   ignoresOrders: boolean;
   /** Tasks under which it has crashed since its last poll. */
   crashedTasks: Set<string> | undefined;
+  /** The kind of its incarnation, which is one of its labels. */
+  kind: string;
   capacity: SimulatedCapacity;
+  listing: SimulatedListing;
+  /** The last incarnation of which an owner has been told. */
+  noticedBornMs: number;
   /** Whether it has reported over its present link. */
   hasReported: boolean;
   /** Starts that were sent over that link and have no answer. */
@@ -39,6 +45,8 @@
   deadlineMs: number;
   /** The worker's incarnation that it was sent to; no other one accepts it. */
   bornMs: number;
+  /** Whether its owner had been told of that incarnation. */
+  isInformed: boolean;
   /** Whether it has left the link, which keeps it while the worker is silent. */
   isSent: boolean;
   /** A second delivery, which the owner does not know of. */
@@ -75,6 +83,11 @@
 export type Model = {
   bench: DomainBench;
   random: Randomness;
+  /**
+   * Whether a worker that starts again may be of another kind and have another
+   * capacity, and entries of the list come late.
+   */
+  hasChangingKinds: boolean;
   epoch: number;
   /** Whether the faults are over, but for workers that ignore orders. */
   isRecovering: boolean;
@@ -115,4 +128,6 @@
   execute(commands: DomainCommand[]): void;
   /** Descriptions of violated invariants. */
   violations: string[];
+  /** Descriptions of starts on a worker that had no room or was of another kind. */
+  unsuitableStarts: string[];
 };
--- a/src/domain/worker_crash_test.ts
+++ b/src/domain/worker_crash_test.ts
@@ -313,6 +313,10 @@
     const { worker, task } = starts[0]!;
     const placed = starts.filter((start) => start.worker === worker);
     assert.equal(placed.length, 2);
+    const workers = WORKERS.map((id) =>
+      listing(id, { address: `${id}:1`, bornMs: id === worker ? 2 : 1 })
+    );
+    feedEvent(bench, { kind: "workersListed", workers });
     bench.commands = [];
     feedEvent(bench, {
       kind: "looked",
