--- a/src/domain/domain_worker.ts
+++ b/src/domain/domain_worker.ts
@@ -15,6 +15,8 @@
   linkReopenedAtMs: number | undefined;
   /** Start of the last reported incarnation; 0 before the first report. */
   bornMs: number;
+  /** Start of the incarnation that had reported before it; 0 if none had. */
+  formerBornMs: number;
   /** Number of the last end that was applied; 0 after a restart. */
   lastEnd: number;
   capacity: Resources;
--- a/src/domain/start_permit.ts
+++ b/src/domain/start_permit.ts
@@ -15,6 +15,7 @@
 import { permitKey, stepRecordKey } from "./record_keys.ts";
 import { isSuspect, parseTaskName, type StepRun } from "./step_run.ts";
 import type { TaskState } from "./task_state.ts";
+import { currentListing, isDraining } from "./worker_incarnation.ts";
 
 /** Schema of the record of a permit. */
 export const startPermitSchema = v.object({
@@ -48,9 +49,10 @@
 /** Begins to grant a permit for a worker that has reported. */
 export function grantPermit(
   domain: Domain,
-  { id, listing, bornMs }: DomainWorker,
+  worker: DomainWorker,
 ): void {
-  if (listing === undefined || listing.draining) return;
+  const { id, listing, bornMs } = worker;
+  if (listing === undefined || isDraining(worker)) return;
   if (arePermitsFixed(domain)) return;
   const known = domain.startPermits.get(id);
   if (known?.bornMs === bornMs && known.phase !== "revoking") return;
@@ -77,7 +79,7 @@
   for (const id of domain.startPermits.keys()) {
     const worker = domain.workers.get(id);
     const isUsable = worker?.isReachable === true &&
-      worker.listing?.draining === false;
+      worker.listing !== undefined && !isDraining(worker);
     if (!isUsable) revokePermit(domain, id);
   }
 }
@@ -120,11 +122,18 @@
   return hasStoredPermit(domain, order.worker);
 }
 
-/** Whether the store holds a permit for the present incarnation of a worker. */
-function hasStoredPermit(domain: Domain, worker: string): boolean {
-  const permit = domain.startPermits.get(worker);
-  return permit?.phase === "granted" &&
-    permit.bornMs === domain.workers.get(worker)?.bornMs;
+/**
+ * Whether the store holds a permit for the present incarnation of a worker. An
+ * entry of another one shows that a start would reach that one.
+ */
+function hasStoredPermit(domain: Domain, id: string): boolean {
+  const permit = domain.startPermits.get(id);
+  const worker = domain.workers.get(id);
+  if (permit?.phase !== "granted" || worker === undefined) return false;
+  if (worker.listing !== undefined && currentListing(worker) === undefined) {
+    return false;
+  }
+  return permit.bornMs === worker.bornMs;
 }
 
 /**
@@ -133,8 +142,8 @@
  * included: it could run them before.
  */
 export type UnsettledIndex = {
-  /** Those of which nothing is known. */
-  unlisted: string[];
+  /** Those whose permitted incarnation is not known. */
+  unknown: string[];
   byService: Map<string, string[]>;
   /** By service, then by label. */
   byLabel: Map<string, Map<string, string[]>>;
@@ -143,14 +152,17 @@
 /** Indexes the workers that have not reported since the takeover. */
 export function indexUnsettledWorkers(domain: Domain): UnsettledIndex {
   const index: UnsettledIndex = {
-    unlisted: [],
+    unknown: [],
     byService: new Map(),
     byLabel: new Map(),
   };
   for (const id of domain.unsettledWorkers) {
     const listing = domain.workers.get(id)?.listing;
-    if (listing === undefined) {
-      index.unlisted.push(id);
+    // An entry of another incarnation than the permitted one does not tell.
+    const isKnown = listing !== undefined &&
+      listing.bornMs === domain.startPermits.get(id)?.bornMs;
+    if (!isKnown) {
+      index.unknown.push(id);
       continue;
     }
     const { service, labels } = listing;
@@ -187,7 +199,7 @@
 export function* findPossibleHolders(
   domain: Domain,
   run: StepRun,
-  { unlisted, byService, byLabel }: UnsettledIndex,
+  { unknown, byService, byLabel }: UnsettledIndex,
 ): Generator<string> {
   if (!mayHaveUnlistedRuns(domain, run.jobRun)) return;
   const { service } = run.jobRun.job.policy;
@@ -195,7 +207,7 @@
   const listed = requiredLabel === undefined
     ? byService.get(service)
     : byLabel.get(service)?.get(requiredLabel);
-  for (const id of unlisted) {
+  for (const id of unknown) {
     if (mayBeAllowed(run, id)) yield id;
   }
   for (const id of listed ?? []) {
--- a/src/domain/task_placement.ts
+++ b/src/domain/task_placement.ts
@@ -34,6 +34,7 @@
     isReachable: false,
     linkReopenedAtMs: undefined,
     bornMs: 0,
+    formerBornMs: 0,
     lastEnd: 0,
     capacity: NO_RESOURCES,
     used: NO_RESOURCES,
