Keep the ownership if a worker refuses a relay that has lost its link

Found by reading the fences of links again: a relay that has not read yet that the link to a worker was closed, and opened elsewhere, is refused by its lower fence, and the owner took that for a successor. The relay now names the worker, and its report counts only while it holds the link. Held starts that have lapsed are forgotten with each answer of the worker.

--- a/src/ownership/relay/relay_message.ts
+++ b/src/ownership/relay/relay_message.ts
@@ -82,8 +82,13 @@
     task: v.string(),
     attempt: v.number(),
   }),
-  /** A worker has accepted an owner with a higher epoch. */
-  v.object({ kind: v.literal("fenced"), cause: v.string() }),
+  /** A worker has accepted a call with a higher fence. */
+  v.object({
+    kind: v.literal("fenced"),
+    cause: v.string(),
+    /** Missing in events of earlier versions. */
+    worker: v.optional(v.string()),
+  }),
 ]);
 
 /** An event that a relay reports to the owner. */
--- a/src/ownership/relay/relay_session.ts
+++ b/src/ownership/relay/relay_session.ts
@@ -173,7 +173,7 @@
         if (isRelayEvent(event)) sender.send(event);
       },
       isCurrent: pendingStarts.isCurrent,
-      onFenced: (cause) => sender.send({ kind: "fenced", cause }),
+      onFenced: (cause) => sender.send({ kind: "fenced", cause, worker }),
       signal: linkController.signal,
     });
     links.set(worker, { link, controller: linkController });
--- a/src/ownership/relay/relayed_links.ts
+++ b/src/ownership/relay/relayed_links.ts
@@ -186,7 +186,7 @@
     };
     const receiver = createBatchReceiver<RelayEvent>((event) =>
       event.kind === "fenced"
-        ? host.onFenced(event.cause)
+        ? handleFenced(relay, event)
         : host.emit(toOwnerEvent(event))
     );
     host.sessions.register(
@@ -204,6 +204,23 @@
     return relay;
   }
 
+  /**
+   * Ends the ownership, unless the relay does not hold the link any more: a link
+   * that was opened elsewhere has a higher fence.
+   */
+  function handleFenced(
+    { peer, workers }: Relay,
+    { cause, worker }: Extract<RelayEvent, { kind: "fenced" }>,
+  ): void {
+    if (worker === undefined || workers.has(worker)) {
+      return host.onFenced(cause);
+    }
+    host.logger.info("A worker refused a relay that has lost its link.", {
+      worker,
+      instance: peer.address,
+    });
+  }
+
   function handleReport(
     relay: Relay,
     accept: (report: RelayReport) => void,
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -16,6 +16,7 @@
   recordReading,
 } from "./worker_clock.ts";
 import {
+  forgetLapsedStarts,
   grantableLeaseMs,
   handleFault,
   type LinkState,
@@ -196,6 +197,7 @@
   state.hasLeaseExpired = false;
   state.hadHeldStarts = false;
   state.isReplaced = false;
+  forgetLapsedStarts(state);
   for (const { number } of ended) {
     state.highestListedEnd = Math.max(state.highestListedEnd, number);
   }
--- a/src/ownership/worker_link_state.ts
+++ b/src/ownership/worker_link_state.ts
@@ -226,7 +226,10 @@
   const { host } = state;
   // A worker may be found to be replaced long after its lease has expired.
   const isKnown = state.hasLeaseExpired && (state.isReplaced || !isReplaced);
-  const heldStarts = isReplaced ? [] : takeHeldStarts(state);
+  forgetLapsedStarts(state);
+  const heldStarts = isReplaced
+    ? []
+    : [...state.heldStarts.keys()].map(({ task }) => task);
   const hasReleased = state.hadHeldStarts && heldStarts.length === 0;
   if (isKnown && !hasReleased) return;
   state.hasLeaseExpired = true;
@@ -254,16 +257,12 @@
   });
 }
 
-/**
- * The tasks that an incarnation of the worker which has not been polled may still
- * run; forgets the others.
- */
-function takeHeldStarts({ host, heldStarts }: LinkState): string[] {
+/** Forgets the starts that no incarnation of the worker may run any more. */
+export function forgetLapsedStarts({ host, heldStarts }: LinkState): void {
   const nowMs = host.clock.steadyMs();
   for (const [order, untilMs] of heldStarts) {
     if (untilMs < nowMs) heldStarts.delete(order);
   }
-  return [...heldStarts.keys()].map(({ task }) => task);
 }
 
 /**
