--- a/src/ownership/relay/moved_link_test.ts
+++ b/src/ownership/relay/moved_link_test.ts
@@ -38,7 +38,7 @@
   const target = { id: "w", address: "10.0.0.1:1", fence: 3 };
   const known = { bornMs: 0, acknowledged: 0, floorMs: 0 };
   links.open({ target, zone: "a", ...known }, linkController.signal);
-  let first = 0;
+  let first = 1;
   const reportFenced = (cause: string) => {
     const messages = [{ kind: "fenced" as const, cause, worker: "w" }];
     const session = "session";
