Keep the capacity of a start in flight whose task an abandoned attempt completes

Cause, by reading: when a worker returns and lists a completion of an attempt that had been given up, the later attempt is stopped, and its capacity stays allocated until its worker lists its end. But if the start of the later attempt is still in flight, the next report of its worker does not list it, as it was made before the start arrived; its capacity was released at once and given to another task.

It is now kept until the stop is confirmed and a later report does not list the attempt, as for other attempts that are stopped. The test failed before.

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -334,6 +334,10 @@
   event: EventOf<"stopConfirmed">,
   moment: Moment,
 ): void {
+  const ref = domain.workers.get(event.worker)?.placed.get(event.task);
+  if (ref?.abandonedStart?.attempt === event.attempt) {
+    ref.abandonedStart.stoppedAtMs ??= moment.steadyMs;
+  }
   const found = findTask(domain, event.task);
   const task = found?.run.tasks[found.index];
   if (task?.kind !== "placed" || task.worker !== event.worker) return;
--- a/src/domain/domain_worker.ts
+++ b/src/domain/domain_worker.ts
@@ -62,6 +62,13 @@
   runningSinceMs: number | undefined;
   /** Whether the worker has survived its start; see `worker_crash.ts`. */
   isSettled: boolean;
+  /**
+   * The attempt whose start may be in flight although the task was completed by
+   * an earlier attempt, and when its stop was confirmed (steady clock).
+   */
+  abandonedStart:
+    | { attempt: number; stoppedAtMs: number | undefined }
+    | undefined;
 };
 
 /** Health of a worker, derived from how its tasks ran. */
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -80,6 +80,7 @@
   worker.formerBornMs = worker.bornMs;
   worker.bornMs = report.bornMs;
   worker.lastEnd = 0;
+  for (const ref of worker.placed.values()) ref.abandonedStart = undefined;
   if (hasReportedBefore) discardAdvice(domain, worker.id);
 }
 
@@ -274,9 +275,24 @@
     },
   });
   stopTask(domain, run, index);
+  abandonStart(domain, run, index);
   completeTask(domain, run, index, moment);
 }
 
+/** Keeps the allocation of a task whose start may still be in flight. */
+function abandonStart(domain: Domain, run: StepRun, index: number): void {
+  const task = run.tasks[index];
+  if (task?.kind !== "placed") return;
+  const worker = domain.workers.get(task.worker);
+  const ref = worker?.placed.get(taskNameOf(run, index));
+  if (ref === undefined || ref.runningSinceMs !== undefined) return;
+  const { phase, attempt } = task;
+  const stoppedAtMs = phase.kind === "stopping"
+    ? phase.confirmedAtMs
+    : undefined;
+  ref.abandonedStart = { attempt, stoppedAtMs };
+}
+
 /** Shares a member's checkpoint with its gang: it is valid for all members. */
 function shareGangCheckpoint(run: StepRun, from: PlacedTask): void {
   if (from.checkpoint === undefined) return;
@@ -294,6 +310,9 @@
 ): void {
   adoptRun(domain, worker, listed, moment);
   const ref = worker.placed.get(listed.task);
+  if (ref?.abandonedStart?.attempt === listed.attempt) {
+    ref.abandonedStart = undefined;
+  }
   const task = ref?.run.tasks[ref.index];
   if (
     ref === undefined || task?.kind !== "placed" ||
@@ -350,7 +369,10 @@
 ): void {
   const task = ref.run.tasks[ref.index];
   if (task?.kind !== "placed" || task.worker !== worker.id) {
-    releaseTask(worker, name);
+    const { abandonedStart } = ref;
+    const mayStart = abandonedStart !== undefined &&
+      (abandonedStart.stoppedAtMs ?? Infinity) >= report.sentAtMs;
+    if (!mayStart) releaseTask(worker, name);
     return;
   }
   const { phase } = task;
--- a/src/domain/task_placement.ts
+++ b/src/domain/task_placement.ts
@@ -117,6 +117,7 @@
     reading: 0,
     runningSinceMs: undefined,
     isSettled: false,
+    abandonedStart: undefined,
   });
 }
 
