--- a/src/ownership/relay/pending_starts.ts
+++ b/src/ownership/relay/pending_starts.ts
@@ -26,6 +26,15 @@
   const byWorker = new Map<string, Set<string>>();
   const resolveStart = (worker: string, task: string, attempt: number) =>
     byWorker.get(worker)?.delete(attemptKey(task, attempt));
+  /** Forgets the starts at a worker, but for those of tasks still held there. */
+  function forgetLapsed(worker: string, held: Set<string>): void {
+    const pending = byWorker.get(worker);
+    for (const key of pending ?? []) {
+      if (!held.has(taskOf(key))) pending?.delete(key);
+    }
+    if (pending?.size === 0) byWorker.delete(worker);
+  }
+
   return {
     recordOrder(order) {
       const { worker, task, attempt } = order;
@@ -48,8 +57,7 @@
           }
           return;
         case "workerLapsed":
-          byWorker.delete(event.worker);
-          return;
+          return forgetLapsed(event.worker, new Set(event.heldStarts));
         default:
           return;
       }
@@ -64,3 +72,7 @@
 function attemptKey(task: string, attempt: number): string {
   return `${task}/${attempt}`;
 }
+
+function taskOf(key: string): string {
+  return key.slice(0, key.lastIndexOf("/"));
+}
