--- a/src/ownership/worker_link_state.ts
+++ b/src/ownership/worker_link_state.ts
@@ -191,16 +191,17 @@
  * polled last. If not, the next one has taken the order and the lease with it;
  * nothing more is sent to the worker until a poll shows which incarnation it is.
  *
- * @param fence the fence of the order
+ * @param sentToBornMs the incarnation that the order was sent to
  */
 export function checkReading(
   state: LinkState,
   clockMs: number,
-  fence: number,
+  sentToBornMs: number,
 ): void {
   const { host, clock } = state;
   const nowMs = host.clock.steadyMs();
-  if (fence !== state.fence || isSameClock(clock, clockMs, nowMs)) return;
+  if (sentToBornMs !== state.bornMs) return;
+  if (isSameClock(clock, clockMs, nowMs)) return;
   expectForeignLease(clock, host.maxLeaseMs, nowMs);
   if (state.isSilent) return;
   host.logger.warn("A worker has taken an order for its former incarnation.", {
--- a/src/ownership/worker_orders.ts
+++ b/src/ownership/worker_orders.ts
@@ -77,8 +77,8 @@
       await host.clock.sleep(RETRY_DELAY_MS, host.signal);
       continue;
     }
-    if (!earlierUnknown) sentToBornMs = state.bornMs;
-    const { fence } = state;
+    const { fence, bornMs } = state;
+    sentToBornMs = bornMs;
     state.unansweredStarts.set(order, undefined);
     const sentAtMs = host.clock.steadyMs();
     firstSentAtMs ??= nowMs;
@@ -102,7 +102,7 @@
       state.heldStarts.delete(order);
       host.counters.observe("start_ms", host.clock.steadyMs() - nowMs);
       const { clockMs } = result.value;
-      if (clockMs !== undefined) checkReading(state, clockMs, fence);
+      if (clockMs !== undefined) checkReading(state, clockMs, bornMs);
       reportStartOutcome(state, order, result.value, earlierUnknown);
       break;
     }
--- a/src/ownership/worker_orders_test.ts
+++ b/src/ownership/worker_orders_test.ts
@@ -401,3 +401,56 @@
   assert.ok(lapses[0]!.atMs < LEASE_MS * 1.2 + 600);
   assert.ok(lapses[1]!.atMs >= MAX_LEASE_MS / MIN_CLOCK_RATE);
 });
+
+// Guards against TWICE: the same, after another start had no answer, so that the
+// fence has risen since the start was sent.
+it("a later incarnation is noticed by its answer although the worker is silent", async () => {
+  const clock = createSimulatedClock();
+  const controller = new AbortController();
+  setMaxListeners(0, controller.signal);
+  let firstAtMs = Infinity;
+  let releasedAtMs = Infinity;
+  const noAnswer = async (step: string, delayMs: number) => {
+    await clock.sleep(delayMs, controller.signal);
+    return err({ kind: "unknown", step, peer: "w", message: "no answer" });
+  };
+  const tasks = {
+    async poll() {
+      if (firstAtMs < Infinity) return noAnswer("worker.look", 600);
+      await clock.sleep(100, controller.signal);
+      const clockMs = 1_000_000 + clock.steadyMs();
+      return ok({ clockMs, bornMs: 1, running: [], ended: [] });
+    },
+    async start(_target: unknown, { task }: StartCall) {
+      firstAtMs = Math.min(firstAtMs, clock.steadyMs());
+      if (task === "a.0.0.0") return noAnswer("worker.start", 450);
+      await clock.sleep(40, controller.signal);
+      return ok({ kind: "accepted" as const, clockMs: clock.steadyMs() });
+    },
+  } as unknown as TaskHost;
+  const link = openWorkerLink({
+    ...hostOf(tasks, clock, controller.signal),
+    emit(event) {
+      if (event.kind !== "workerLapsed") return;
+      if (event.heldStarts?.includes("b.0.0.0")) return;
+      releasedAtMs = Math.min(releasedAtMs, clock.steadyMs());
+    },
+  });
+  const order = {
+    kind: "start" as const,
+    worker: "w",
+    attempt: 1,
+    specification: "",
+    ticket: undefined,
+    checkpoint: undefined,
+  };
+  await clock.advance(600);
+  link.order({ ...order, task: "a.0.0.0" });
+  await clock.advance(430);
+  const secondAtMs = clock.steadyMs();
+  link.order({ ...order, task: "b.0.0.0" });
+  await clock.advance(20_000);
+  controller.abort();
+  assert.ok(releasedAtMs < Infinity);
+  assert.ok(releasedAtMs - secondAtMs >= MAX_LEASE_MS / MIN_CLOCK_RATE);
+});
