--- a/src/ownership/owner_links.ts
+++ b/src/ownership/owner_links.ts
@@ -151,10 +151,11 @@
   const ownedForMs = host.clock.steadyMs() - state.startedAtMs;
   const fence = firstFence(host.epoch, ownedForMs);
   const target = { id: worker.id, address: worker.address, fence };
-  // The previous link may have granted a lease just now.
+  // The previous link may have granted a lease just now, and what it knew of
+  // starts that a later incarnation may run is lost with it.
   const floorMs = previous === undefined
     ? 0
-    : maxLeaseDurationMs(host.leaseMs + RELAY_GRANT_MS);
+    : maxLeaseDurationMs(host.maxLeaseMs + RELAY_GRANT_MS);
   const previousLeaseExpiresAtMs = host.clock.steadyMs() + floorMs;
   const { incarnations } = state;
   const knownBornMs = incarnations.knownBornMs(worker.id);
