--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -307,6 +307,7 @@
         session,
         isLeaving: context.stopping.signal.aborted,
         keepsLeaseLimit: true,
+        keepsFences: true,
       });
       if (answer !== undefined) context.peerContact.record(instance);
       return answer;
--- a/src/entry/peer_call.ts
+++ b/src/entry/peer_call.ts
@@ -59,6 +59,7 @@
     session: v.string(),
     isLeaving: v.boolean(),
     keepsLeaseLimit: v.optional(v.boolean()),
+    keepsFences: v.optional(v.boolean()),
     first: v.number(),
     messages: v.array(relayEventSchema),
   }),
--- a/src/ownership/fence.ts
+++ b/src/ownership/fence.ts
@@ -27,7 +27,9 @@
 }
 
 /**
- * The fence of calls to the next incarnation of a worker.
+ * The fence of calls to the next incarnation of a worker. The plain epoch, which
+ * owners of earlier versions use, does not rise: it would reach that of their
+ * successor.
  *
  * @example
  * ```ts
@@ -35,6 +37,7 @@
  * ```
  */
 export function nextFence(fence: number): number {
+  const isPlainEpoch = fence < FENCES_PER_EPOCH;
   const isLast = fence % FENCES_PER_EPOCH === FENCES_PER_EPOCH - 1;
-  return isLast ? fence : fence + 1;
+  return isPlainEpoch || isLast ? fence : fence + 1;
 }
--- a/src/ownership/relay/relay_report_router.ts
+++ b/src/ownership/relay/relay_report_router.ts
@@ -11,6 +11,11 @@
    * missing in reports of earlier versions.
    */
   keepsLeaseLimit?: boolean | undefined;
+  /**
+   * Whether its calls carry the fence that the owner names; missing in reports
+   * of earlier versions.
+   */
+  keepsFences?: boolean | undefined;
 };
 
 /** Routes relay reports to the owners in this process, by session. */
--- a/src/ownership/relay/relay_test.ts
+++ b/src/ownership/relay/relay_test.ts
@@ -76,7 +76,13 @@
       reportedTo.add(`${instance} at ${owner}`);
       if (connection.isDisconnected) return Promise.resolve(undefined);
       const { keepsLeaseLimit } = connection;
-      const report = { ...batch, session, isLeaving: false, keepsLeaseLimit };
+      const report = {
+        ...batch,
+        session,
+        isLeaving: false,
+        keepsLeaseLimit,
+        keepsFences: true,
+      };
       return Promise.resolve(reportRouter.dispatch(report));
     },
   });
--- a/src/ownership/relay/relayed_links.ts
+++ b/src/ownership/relay/relayed_links.ts
@@ -226,6 +226,10 @@
     accept: (report: RelayReport) => void,
     report: RelayReport,
   ): RelayReportAnswer {
+    if (report.keepsFences !== true) {
+      dropRelay(relay, "relay of an earlier version");
+      return { kind: "closed" };
+    }
     relay.lastReportAtMs = clock.steadyMs();
     accept(report);
     if (report.isLeaving) dropRelay(relay, "relay is shutting down");
--- a/src/ownership/worker_link_test.ts
+++ b/src/ownership/worker_link_test.ts
@@ -6,7 +6,12 @@
 import { createManualClock } from "../entry/testing/manual_clock.ts";
 import type { PollCall, TaskHost, WorkerTarget } from "../hosts/mod.ts";
 import { MIN_CLOCK_RATE } from "./lease_time.ts";
-import { hostOf, LEASE_MS, MAX_LEASE_MS } from "./testing/link_host.ts";
+import {
+  FIRST_FENCE,
+  hostOf,
+  LEASE_MS,
+  MAX_LEASE_MS,
+} from "./testing/link_host.ts";
 import { openWorkerLink } from "./worker_link.ts";
 
 const MAX_POLLS = 500;
@@ -187,7 +192,8 @@
 
   it("gets calls with a higher fence than its former incarnation", async () => {
     const { fences } = await followRestart(6);
-    assert.deepEqual(fences.slice(0, 6), [1, 1, 1, 1, 2, 2]);
+    const rises = fences.slice(0, 6).map((fence) => fence - FIRST_FENCE);
+    assert.deepEqual(rises, [0, 0, 0, 0, 1, 1]);
   });
 });
 
