--- a/src/ownership/restart_model_test.ts
+++ b/src/ownership/restart_model_test.ts
@@ -6,30 +6,32 @@
 } from "./testing/restart_model.ts";
 
 const SEEDS = 60;
-/** Odds of a call that is carried out late, where none is. */
+/** Odds of what does not occur. */
 const NEVER = 1_000_000_000;
 
+const SECONDS_LATER: RestartFaults = {
+  maxUncutMs: 3_000,
+  lateCallOdds: NEVER,
+  hasTakeovers: false,
+  minUptimeMs: 500,
+  reopenedLinkOdds: NEVER,
+  durationMs: 30_000,
+};
+const AT_ONCE = { ...SECONDS_LATER, maxUncutMs: 300 };
+/** Workers live for longer than the longest lease. */
+const LONG_LIVES = { minUptimeMs: 11_000, durationMs: 80_000 };
+
 /** Situations in which calls reach a later incarnation of their worker. */
 const SITUATIONS: Record<string, RestartFaults> = {
-  "are cut off seconds later": {
-    maxUncutMs: 3_000,
-    lateCallOdds: NEVER,
-    hasTakeovers: false,
-  },
-  "are cut off at once": {
-    maxUncutMs: 300,
-    lateCallOdds: NEVER,
-    hasTakeovers: false,
-  },
-  "carry calls out seconds late": {
-    maxUncutMs: 3_000,
-    lateCallOdds: 50,
-    hasTakeovers: false,
-  },
-  "lose their owners": {
-    maxUncutMs: 3_000,
-    lateCallOdds: NEVER,
-    hasTakeovers: true,
+  "are cut off seconds later": SECONDS_LATER,
+  "are cut off at once": AT_ONCE,
+  "carry calls out seconds late": { ...SECONDS_LATER, lateCallOdds: 50 },
+  "lose their owners": { ...SECONDS_LATER, hasTakeovers: true },
+  "live for long before": { ...AT_ONCE, ...LONG_LIVES },
+  "live for long before, and lose their links": {
+    ...AT_ONCE,
+    ...LONG_LIVES,
+    reopenedLinkOdds: 100,
   },
 };
 
--- a/src/ownership/testing/restart_model.ts
+++ b/src/ownership/testing/restart_model.ts
@@ -42,6 +42,7 @@
   acknowledgeEnds,
   expireUnlistedWorkers,
   reconcileLinks,
+  reopenLinks,
   sendOrder,
 } from "../owner_links.ts";
 import type { OwnerState } from "../owner_state.ts";
@@ -54,7 +55,6 @@
 
 const WORKERS = 3;
 const STEP_MS = 20;
-const FAULTS_MS = 30_000;
 const RECOVERY_MS = 30_000;
 const LEASE_MS = 5_500;
 /** The longest time for which a worker keeps its runs without a new lease. */
@@ -74,6 +74,12 @@
   lateCallOdds: number;
   /** Whether owners are lost, too. */
   hasTakeovers: boolean;
+  /** How long a worker can be reached at least before it crashes, in ms. */
+  minUptimeMs: number;
+  /** One in this many steps of 20 ms opens the link to a worker again. */
+  reopenedLinkOdds: number;
+  /** For how long faults occur, in milliseconds. */
+  durationMs: number;
 };
 
 /** A worker, and its connection to the instances. */
@@ -102,8 +108,8 @@
   owner: { state: OwnerState; controller: AbortController } | undefined;
   epoch: number;
   nextJob: number;
-  /** When workers were told to forget the completion of tasks. */
-  acknowledgedTasks: Map<string, number>;
+  /** The completions of tasks that workers were told to forget. */
+  acknowledgedRuns: Map<string, RunRecord>;
   /** Number of runs that were checked. */
   checkedRuns: number;
   /** Whether faults still occur. */
@@ -122,10 +128,12 @@
 ): Promise<string | undefined> {
   const model = createModel(seed, faults);
   startOwner(model, []);
-  for (let nowMs = 0; nowMs < FAULTS_MS + RECOVERY_MS; nowMs += STEP_MS) {
-    model.isDisturbed = nowMs < FAULTS_MS;
+  const endMs = faults.durationMs + RECOVERY_MS;
+  for (let nowMs = 0; nowMs < endMs; nowMs += STEP_MS) {
+    model.isDisturbed = nowMs < faults.durationMs;
     changeWorkers(model);
     changeOwner(model);
+    reopenSomeLink(model);
     submitJobs(model);
     await model.clock.advance(STEP_MS);
     model.bench.nowMs = model.clock.steadyMs();
@@ -160,7 +168,7 @@
     owner: undefined,
     epoch: 1,
     nextJob: 1,
-    acknowledgedTasks: new Map(),
+    acknowledgedRuns: new Map(),
     checkedRuns: 0,
     isDisturbed: true,
   };
@@ -172,7 +180,7 @@
       isDown: false,
       isCut: false,
       lapsedAtMs: 0,
-      nextChangeAtMs: random.integer(1_000, 6_000),
+      nextChangeAtMs: faults.minUptimeMs + random.integer(1_000, 6_000),
       nextChange: "crash",
       listedBornMs: worker.bornMs,
       listedAtMs: 0,
@@ -263,7 +271,7 @@
       return next("heal", 1_000, 12_000);
     case "heal":
       simulated.isCut = false;
-      return next("crash", 500, 5_000);
+      return next("crash", faults.minUptimeMs, faults.minUptimeMs + 4_500);
   }
 }
 
@@ -283,6 +291,13 @@
   }
 }
 
+/** Opens a link again at times, as for a relay that was lost. */
+function reopenSomeLink({ random, faults, owner, isDisturbed }: RestartModel) {
+  if (owner === undefined || !isDisturbed) return;
+  if (random.integer(1, faults.reopenedLinkOdds) > 1) return;
+  reopenLinks(owner.state, [`w${random.integer(0, WORKERS - 1)}`]);
+}
+
 function ownerEntry(epoch: number): OwnerEntry {
   return {
     instance: `i${epoch}`,
@@ -389,8 +404,8 @@
 }
 
 /**
- * Finds a task with two runs at the same time, or one that was started after its
- * completion had been acknowledged.
+ * Finds a task with two runs at the same time, or one that was started after a
+ * completion that has been acknowledged.
  */
 function findDoubleRun(model: RestartModel): string | undefined {
   const active = new Map<string, string>();
@@ -403,8 +418,9 @@
       const other = active.get(task);
       if (other !== undefined) return `runs twice: ${other}, ${run}`;
       active.set(task, run);
-      const acknowledgedAtMs = model.acknowledgedTasks.get(task) ?? Infinity;
-      if (startedAtMs > acknowledgedAtMs) return `runs again: ${run}`;
+      const completion = model.acknowledgedRuns.get(task);
+      const completedAtMs = completion?.endedAtMs ?? Infinity;
+      if (startedAtMs > completedAtMs) return `runs again: ${run}`;
     }
   }
   return undefined;
--- a/src/ownership/testing/simulated_tasks.ts
+++ b/src/ownership/testing/simulated_tasks.ts
@@ -161,13 +161,13 @@
   const answer = handleCommand(worker, path, command, nowMs);
   for (const [number] of worker.endedRuns) before.delete(number);
   for (const [, task, attempt, end] of before.values()) {
-    if (end !== "done" || model.acknowledgedTasks.has(task)) continue;
+    if (end !== "done" || model.acknowledgedRuns.has(task)) continue;
     const run = worker.started.findLast((record) =>
       record.task === task && record.attempt === attempt
     );
     // The task may have been started elsewhere before the end was known.
-    if (lapsedAtMs >= (run?.endedAtMs ?? 0)) continue;
-    model.acknowledgedTasks.set(task, nowMs);
+    if (run === undefined || lapsedAtMs >= (run.endedAtMs ?? 0)) continue;
+    model.acknowledgedRuns.set(task, run);
   }
   return answer as Answer;
 }
