--- a/src/ownership/testing/simulated_clock.ts
+++ b/src/ownership/testing/simulated_clock.ts
@@ -14,9 +14,14 @@
   let nowMs = 0;
   const sleeps = new Set<Sleep>();
 
+  /** The first sleep that ends by a time; of several, the one begun first. */
   function nextDue(untilMs: number): Sleep | undefined {
-    return [...sleeps].filter((sleep) => sleep.untilMs <= untilMs)
-      .sort((left, right) => left.untilMs - right.untilMs)[0];
+    let next: Sleep | undefined;
+    for (const sleep of sleeps) {
+      if (sleep.untilMs > untilMs) continue;
+      if (next === undefined || sleep.untilMs < next.untilMs) next = sleep;
+    }
+    return next;
   }
 
   return {
