--- a/src/ownership/incarnations.ts
+++ b/src/ownership/incarnations.ts
@@ -10,9 +10,9 @@
 import { longestLeaseEndMs } from "./worker_clock.ts";
 
 /**
- * An incarnation that has run for this long has refused calls meant for former
- * ones for longer than their leases last, in milliseconds: calls may be carried
- * out seconds late, and clocks of machines differ.
+ * An incarnation with a permit that has run for this long has refused calls meant
+ * for former ones for longer than their leases last, in milliseconds: calls may be
+ * carried out seconds late, and clocks of machines differ.
  */
 const SETTLED_AGE_MS = 30_000;
 
--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -95,7 +95,7 @@
 }
 
 /**
- * Polls the worker until the link closes, or the worker refuses its epoch: the
+ * Polls the worker until the link closes, or the worker refuses its fence: the
  * owner has a successor then, and may be gone, so that nobody closes the link.
  */
 async function pollWorker(state: LinkState): Promise<void> {
--- a/src/ownership/worker_link_state.ts
+++ b/src/ownership/worker_link_state.ts
@@ -107,7 +107,7 @@
   hadHeldStarts: boolean;
   /** Whether a new incarnation was found at the worker's address. */
   isReplaced: boolean;
-  /** Whether the worker has accepted an owner with a higher epoch. */
+  /** Whether the worker has accepted a call with a higher fence than its own. */
   isFenced: boolean;
 };
 
--- a/src/ownership/worker_orders_test.ts
+++ b/src/ownership/worker_orders_test.ts
@@ -262,6 +262,19 @@
   });
 });
 
+/** An order to start a task on the worker of the link. */
+function startOf(task: string) {
+  return {
+    kind: "start" as const,
+    worker: "w",
+    task,
+    attempt: 1,
+    specification: "",
+    ticket: undefined,
+    checkpoint: undefined,
+  };
+}
+
 // Guards against TWICE: a start carries a lease that ends at a time on the clock
 // of a former incarnation, to a worker that is known to have restarted.
 it("a suspect start gets its lease after its worker has answered", async () => {
@@ -287,16 +300,7 @@
   } as unknown as TaskHost;
   const link = openWorkerLink(hostOf(tasks, clock, controller.signal));
   await clock.advance(600);
-  link.order({
-    kind: "start",
-    worker: "w",
-    task: "a.0.0.0",
-    attempt: 1,
-    specification: "",
-    ticket: undefined,
-    checkpoint: undefined,
-    isSuspect: true,
-  });
+  link.order({ ...startOf("a.0.0.0"), isSuspect: true });
   await clock.advance(3_000);
   controller.abort();
   assert.equal(leasesUntilMs.length, 1);
@@ -335,15 +339,7 @@
     },
   });
   await clock.advance(600);
-  link.order({
-    kind: "start",
-    worker: "w",
-    task: "a.0.0.0",
-    attempt: 1,
-    specification: "",
-    ticket: undefined,
-    checkpoint: undefined,
-  });
+  link.order(startOf("a.0.0.0"));
   await clock.advance(20_000);
   controller.abort();
   assert.ok(lapsedAtMs < Infinity);
@@ -383,15 +379,7 @@
     },
   });
   await clock.advance(600);
-  link.order({
-    kind: "start",
-    worker: "w",
-    task: "a.0.0.0",
-    attempt: 1,
-    specification: "",
-    ticket: undefined,
-    checkpoint: undefined,
-  });
+  link.order(startOf("a.0.0.0"));
   await clock.advance(20_000);
   controller.abort();
   assert.deepEqual(lapses.map(({ heldStarts }) => heldStarts), [
@@ -436,19 +424,11 @@
       releasedAtMs = Math.min(releasedAtMs, clock.steadyMs());
     },
   });
-  const order = {
-    kind: "start" as const,
-    worker: "w",
-    attempt: 1,
-    specification: "",
-    ticket: undefined,
-    checkpoint: undefined,
-  };
   await clock.advance(600);
-  link.order({ ...order, task: "a.0.0.0" });
+  link.order(startOf("a.0.0.0"));
   await clock.advance(430);
   const secondAtMs = clock.steadyMs();
-  link.order({ ...order, task: "b.0.0.0" });
+  link.order(startOf("b.0.0.0"));
   await clock.advance(20_000);
   controller.abort();
   assert.ok(releasedAtMs < Infinity);
