--- a/src/ownership/worker_link.ts
+++ b/src/ownership/worker_link.ts
@@ -71,7 +71,7 @@
     unansweredByEarlier: undefined,
     startsInDoubt: new Set(),
     fastestAnswerMs: Infinity,
-    endPoll: () => {},
+    pollController: createChildController(host.signal),
     heldStarts: new Map(),
     onAcknowledged: () => {},
     executableStarts: new Set(),
@@ -162,15 +162,13 @@
     : undefined;
   const isHeldUp = leaseUntilMs !== undefined && state.refusesEarlierCalls;
   const { fence, isSilent } = state;
-  const pollController = createChildController(host.signal);
-  state.endPoll = () => pollController.abort(NO_LONGER_NEEDED);
+  const { signal } = state.pollController;
   const result = await host.tasks.poll(targetOf(state), {
     acknowledged: acknowledgeableEnd(state),
     leaseUntilMs,
     waitMs: isHeldUp ? pollWaitMs(leaseMs) : 0,
-  }, pollController.signal);
-  if (pollController.signal.aborted) return false;
-  pollController.abort(NO_LONGER_NEEDED);
+  }, signal);
+  if (signal.aborted) return false;
   if (result.isErr()) {
     handleFault(state, result.error, fence);
     return false;
--- a/src/ownership/worker_link_state.ts
+++ b/src/ownership/worker_link_state.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { createChildController, NO_LONGER_NEEDED } from "../base/mod.ts";
 import type { DomainEvent, WorkerOrder } from "../domain/mod.ts";
 import type { Clock, TaskFault, TaskHost, WorkerTarget } from "../hosts/mod.ts";
 import type { Counters, PartLogger } from "../telemetry/mod.ts";
@@ -88,8 +89,8 @@
   startsInDoubt: Set<StartOrder>;
   /** The shortest time in which it has answered an order, in milliseconds. */
   fastestAnswerMs: number;
-  /** Ends the poll in flight, so that the worker is polled again. */
-  endPoll: () => void;
+  /** Ends the poll in flight; replaced when it does. */
+  pollController: AbortController;
   /**
    * Starts without an answer, with the time until which an incarnation that has
    * not been polled may run them, on the steady clock.
@@ -210,7 +211,8 @@
     expectedClockMs: Math.round(expectedReading(clock, nowMs) ?? 0),
   });
   markSilent(state);
-  state.endPoll();
+  state.pollController.abort(NO_LONGER_NEEDED);
+  state.pollController = createChildController(host.signal);
 }
 
 /** When the leases of all owners have expired at the worker. */
