--- a/src/ownership/testing/simulated_tasks.ts
+++ b/src/ownership/testing/simulated_tasks.ts
@@ -10,6 +10,8 @@
 import {
   COMMAND_PATHS,
   handleCommand,
+  heartbeatCommand,
+  startOrStopCommand,
 } from "../../../stand_ins/platform/worker.ts";
 import type {
   PollAnswer,
@@ -38,13 +40,11 @@
 export function createSimulatedTasks(model: RestartModel): TaskHost {
   return {
     async poll(target, { acknowledged, leaseUntilMs, waitMs }, signal) {
-      const command = {
-        task: "",
-        attempt: 0,
-        fencing_token: target.fence,
-        ack_cursor: acknowledged,
-        ...(leaseUntilMs === undefined ? {} : { deadline_ms: leaseUntilMs }),
-      };
+      const command = heartbeatCommand({
+        epoch: target.fence,
+        leaseUntilMs,
+        acknowledged,
+      });
       const path = COMMAND_PATHS.heartbeat;
       const timeoutMs = waitMs + POLL_MARGIN_MS;
       const request = { path, command, waitMs, timeoutMs };
@@ -52,12 +52,12 @@
       return answer.map(({ body }) => toPollAnswer(body));
     },
     async start(target, { task, attempt, leaseUntilMs }, signal) {
-      const command = {
+      const command = startOrStopCommand({
         task,
         attempt,
-        fencing_token: target.fence,
-        deadline_ms: leaseUntilMs,
-      };
+        epoch: target.fence,
+        leaseUntilMs,
+      });
       const path = COMMAND_PATHS.start;
       const timeoutMs = COMMAND_TIMEOUT_MS;
       const request = { path, command, waitMs: 0, timeoutMs };
@@ -65,7 +65,12 @@
       return answer.map(toStartOutcome);
     },
     async stop(target, task, attempt, signal) {
-      const command = { task, attempt, fencing_token: target.fence };
+      const command = startOrStopCommand({
+        task,
+        attempt,
+        epoch: target.fence,
+        leaseUntilMs: undefined,
+      });
       const path = COMMAND_PATHS.stop;
       const timeoutMs = COMMAND_TIMEOUT_MS;
       const request = { path, command, waitMs: 0, timeoutMs };
@@ -115,13 +120,13 @@
   if (simulated.worker !== worker || simulated.isDown) return await noAnswer();
   if (request.waitMs > 0 && first.status === 200) {
     // The lease and the acknowledgement counted from the arrival.
-    const { task, attempt, fencing_token } = request.command;
-    answer = handleCommand(
-      worker,
-      request.path,
-      { task, attempt, fencing_token: Math.max(fencing_token, worker.fence) },
-      clock.steadyMs(),
-    ) as Answer;
+    const look = heartbeatCommand({
+      epoch: worker.fence,
+      leaseUntilMs: undefined,
+      acknowledged: 0,
+    });
+    const nowMs = clock.steadyMs();
+    answer = handleCommand(worker, request.path, look, nowMs) as Answer;
   }
   await clock.sleep(random.integer(1, MAX_DELAY_MS), UNENDING);
   const isLost = simulated.isCut || clock.steadyMs() > expiresAtMs;
--- a/src/ownership/worker_clock.ts
+++ b/src/ownership/worker_clock.ts
@@ -43,8 +43,8 @@
   nowMs: number,
 ): boolean {
   const { sample } = clock;
-  if (sample === undefined) return true;
-  const expectedMs = sample.clockMs + (nowMs - sample.atMs);
+  const expectedMs = expectedReading(clock, nowMs);
+  if (sample === undefined || expectedMs === undefined) return true;
   const driftMs = (nowMs - sample.atMs) * (1 - MIN_CLOCK_RATE);
   return Math.abs(clockMs - expectedMs) <= MAX_READING_ERROR_MS + driftMs;
 }
@@ -71,8 +71,9 @@
   nowMs: number,
 ): number | undefined {
   const { sample } = clock;
-  if (sample === undefined) return undefined;
-  const untilMs = sample.clockMs + (nowMs - sample.atMs) + leaseMs;
+  const readingMs = expectedReading(clock, nowMs);
+  if (sample === undefined || readingMs === undefined) return undefined;
+  const untilMs = readingMs + leaseMs;
   clock.lastGrant = { untilMs, atMs: nowMs };
   const expiresAtMs = sample.atMs +
     (untilMs - sample.clockMs) / MIN_CLOCK_RATE + EXPIRY_MARGIN_MS;
