Record which domains may have jobs of a queue, and search them for repeats

What callers saw: a configuration sent a queue to another service, all processes were killed, and submissions that had been accepted before arrived again.

Cause: whether a submission had to be looked for in other domains followed from the services that this process had seen for its queue since its start. After the kill none had seen the earlier one, and the owner loads the domains of configured services first. Besides, a search took "does not have it" from an instance that did not own the domain.

Fix: an owner writes a record of the queues, with their addresses, before it accepts the first job of each, or keeps the first id that was cancelled before its job arrived. Instances read the records once for each configuration. Submissions are searched for in the other domains of their queue and of their address; reads and cancels of unknown jobs in all recorded ones. A search needs an answer of the owner of each.

In call_router_test.ts the search's stand-ins name the partitions they searched, and the queue's earlier domain comes from a record in place of the list of services that the process had seen; the assertions are the same, with five tests more.

--- a/src/domain/job_state.ts
+++ b/src/domain/job_state.ts
@@ -42,3 +42,10 @@
   }
   return count;
 }
+
+/** Returns the queues of the domain's jobs, also of ended ones. */
+export function heldQueuesOf(domain: Domain): Set<string> {
+  const queues = new Set<string>();
+  for (const { job } of domain.jobs.values()) queues.add(job.policy.queue);
+  return queues;
+}
--- a/src/entry/call_router.ts
+++ b/src/entry/call_router.ts
@@ -18,9 +18,11 @@
 } from "../domain/mod.ts";
 import type { Counters } from "../telemetry/mod.ts";
 import { executeDomainCall } from "./execute_domain_call.ts";
-import { findJobElsewhere, type JobSearchHost } from "./job_search.ts";
+import { earlierPartitions, recordedPartitions } from "./earlier_domains.ts";
+import { findJob, type JobSearchHost } from "./job_search.ts";
 import { retryAfterOutageMs } from "./outage_retry.ts";
 import type { DomainAnswer, DomainCall } from "./peer_call.ts";
+import type { QueueDirectory } from "./queue_directory.ts";
 import type { Reachability } from "./reachability.ts";
 import { untilTimeout } from "./until_timeout.ts";
 
@@ -37,9 +39,12 @@
 /** The largest share of a call's timeout that is reserved for that. */
 const LOOKUP_SHARE = 0.2;
 const SEARCH_UNANSWERED = "an owner that may have the job does not answer";
+const QUEUES_UNKNOWN = "the store does not tell which domains have jobs";
 
 /** Dependencies of a call router. */
 export type CallRouterHost = JobSearchHost & {
+  /** Ends the wait of all calls, whose outcome is then undecided. */
+  signal: AbortSignal;
   counters: Counters;
   partitionCount: number;
   /** Calls another instance. */
@@ -49,10 +54,18 @@
     timeoutMs: number,
   ): Promise<PeerCallOutcome>;
   reachability: Reachability;
-  /** Returns the services to which a queue was assigned before. */
-  previousServices(queue: string): string[];
-  /** Ends the wait of all calls, whose outcome is then undecided. */
-  signal: AbortSignal;
+  /** Tells which domains may have jobs of a queue. */
+  queues: Pick<QueueDirectory, "read">;
+  /** The partitions of the domains to which queues are assigned. */
+  partitionsInUse(): Set<number>;
+};
+
+/** The queue that a call addresses, and the service that it is assigned to. */
+export type QueueTarget = {
+  queue: string;
+  service: string;
+  /** Host and path prefix; absent for queues of the product's own API. */
+  address?: string;
 };
 
 /** How a call to another instance ended. */
@@ -77,15 +90,16 @@
     request: JobRequest,
     policy: QueuePolicy,
     timeoutMs: number,
+    address?: string,
   ): Promise<CallOutcome<undefined>>;
   cancel(
     job: string,
-    service: string,
+    target: QueueTarget,
     timeoutMs: number,
   ): Promise<CallOutcome<undefined>>;
   stateOf(
     job: string,
-    service: string,
+    target: QueueTarget,
     timeoutMs: number,
   ): Promise<CallOutcome<JobState>>;
   /** Returns a job with its tasks, from whichever domain accepted it. */
@@ -118,19 +132,40 @@
   const partitionOfService = (service: string) =>
     partitionOf(service, host.partitionCount);
   return {
-    async submit(request, policy, timeoutMs) {
-      const deadlineAtMs = host.clock.steadyMs() + timeoutMs;
+    async submit(request, policy, timeoutMs, address) {
+      const startedAtMs = host.clock.steadyMs();
+      const deadlineAtMs = startedAtMs + timeoutMs;
       let partition = partitionOfService(policy.service);
-      // A retried submission must not start a second copy of a job that the
-      // domain of a previous service has accepted.
-      if (host.previousServices(policy.queue).length > 0) {
-        const search = await findJobElsewhere(host, request.id, partition);
-        if (search.kind === "found") partition = search.partition;
-        if (search.kind === "unanswered") {
-          return { kind: "undecided", cause: SEARCH_UNANSWERED };
+      const records = await host.queues.read();
+      // The same submission may have been accepted by another domain.
+      if (records === undefined) {
+        return { kind: "undecided", cause: QUEUES_UNKNOWN };
+      }
+      const target = { queue: policy.queue, address };
+      const earlier = earlierPartitions(records, target, partition);
+      if (earlier.length > 0) {
+        const untilMs = startedAtMs + lookupTimeoutMs(timeoutMs);
+        const search = await findJob(host, request.id, earlier, untilMs);
+        switch (search.kind) {
+          case "found":
+          case "cancelled":
+            partition = search.partition;
+            break;
+          case "notFound":
+            break;
+          case "unanswered":
+            return { kind: "undecided", cause: SEARCH_UNANSWERED };
+          default:
+            assertNever(search);
         }
       }
-      const call = { kind: "submit", partition, request, policy } as const;
+      const call = {
+        kind: "submit",
+        partition,
+        request,
+        policy,
+        address,
+      } as const;
       return expectAccepted(
         await forwardToOwner(
           host,
@@ -140,16 +175,18 @@
         ),
       );
     },
-    async cancel(job, service, timeoutMs) {
+    async cancel(job, { queue, service, address }, timeoutMs) {
       const call = {
         kind: "cancel",
         partition: partitionOfService(service),
         job,
+        queue,
+        address,
       } as const;
       const outcome = await forwardToJobDomain(host, call, job, timeoutMs);
       return expectAccepted(outcome);
     },
-    async stateOf(job, service, timeoutMs) {
+    async stateOf(job, { service }, timeoutMs) {
       const partition = partitionOfService(service);
       const call = { kind: "state", partition, job } as const;
       const outcome = await forwardToJobDomain(host, call, job, timeoutMs);
@@ -160,8 +197,15 @@
       return { kind: "done", value: value.state };
     },
     async describe(job, services, timeoutMs) {
-      let lastOutcome: CallOutcome<JobDescription> = { kind: "unknownJob" };
-      for (const partition of new Set(services.map(partitionOfService))) {
+      const records = await host.queues.read();
+      let lastOutcome: CallOutcome<JobDescription> = records === undefined
+        ? unavailableForNow(QUEUES_UNKNOWN)
+        : { kind: "unknownJob" };
+      const partitions = new Set([
+        ...services.map(partitionOfService),
+        ...recordedPartitions(records ?? []),
+      ]);
+      for (const partition of partitions) {
         const call = { kind: "describe", partition, job } as const;
         const outcome = await forwardToOwner(host, call, job, timeoutMs);
         if (outcome.kind !== "done") {
@@ -204,10 +248,19 @@
   outcome: Exclude<CallOutcome<Value>, { kind: "done" }>,
 ): CallOutcome<never> {
   if (outcome.kind !== "undecided") return outcome;
-  const { cause } = outcome;
+  return unavailableForNow(outcome.cause);
+}
+
+/** The outcome of a call without effect that may succeed after a takeover. */
+function unavailableForNow(cause: string): CallOutcome<never> {
   return { kind: "unavailable", cause, retryAfterMs: EXPECTED_TAKEOVER_MS };
 }
 
+/** How long a call may search for an owner, in milliseconds. */
+function lookupTimeoutMs(timeoutMs: number): number {
+  return Math.min(OWNER_LOOKUP_TIMEOUT_MS, timeoutMs / 2);
+}
+
 function unexpectedAnswer(answer: DomainAnswer): CallOutcome<never> {
   return { kind: "undecided", cause: `the owner answered "${answer.kind}"` };
 }
@@ -222,12 +275,21 @@
   job: string,
   timeoutMs: number,
 ): Promise<CallOutcome<DomainAnswer>> {
-  const deadlineAtMs = host.clock.steadyMs() + timeoutMs;
+  const startedAtMs = host.clock.steadyMs();
+  const deadlineAtMs = startedAtMs + timeoutMs;
   const outcome = await forwardToOwner(host, call, job, timeoutMs);
   if (outcome.kind !== "done" || outcome.value.kind !== "unknownJob") {
     return outcome;
   }
-  const search = await findJobElsewhere(host, job, call.partition);
+  const records = await host.queues.read();
+  if (records === undefined) return unavailableForNow(QUEUES_UNKNOWN);
+  const others = new Set([
+    ...host.partitionsInUse(),
+    ...recordedPartitions(records),
+  ]);
+  others.delete(call.partition);
+  const untilMs = startedAtMs + lookupTimeoutMs(timeoutMs);
+  const search = await findJob(host, job, [...others], untilMs);
   switch (search.kind) {
     case "found": {
       const { partition } = search;
@@ -235,14 +297,11 @@
       const moved = { ...call, partition };
       return await forwardToOwner(host, moved, job, remainingMs);
     }
+    case "cancelled":
     case "notFound":
       return outcome;
     case "unanswered":
-      return {
-        kind: "unavailable",
-        cause: SEARCH_UNANSWERED,
-        retryAfterMs: EXPECTED_TAKEOVER_MS,
-      };
+      return unavailableForNow(SEARCH_UNANSWERED);
     default:
       return assertNever(search);
   }
@@ -292,8 +351,7 @@
 ): Promise<CallOutcome<DomainAnswer>> {
   const { clock, directory } = host;
   const deadlineAtMs = startedAtMs + timeoutMs;
-  const lookupUntilMs = startedAtMs +
-    Math.min(OWNER_LOOKUP_TIMEOUT_MS, timeoutMs / 2);
+  const lookupUntilMs = startedAtMs + lookupTimeoutMs(timeoutMs);
   const retryUntilMs = deadlineAtMs -
     Math.min(SLOW_OWNER_LOOKUP_MS, timeoutMs * LOOKUP_SHARE);
   let undecidedCause: string | undefined;
@@ -340,7 +398,7 @@
   if (undecidedCause !== undefined) {
     return { kind: "undecided", cause: undecidedCause };
   }
-  return { kind: "unavailable", cause, retryAfterMs: EXPECTED_TAKEOVER_MS };
+  return unavailableForNow(cause);
 }
 
 /** Whether the directory now has a different owner than the one called. */
--- a/src/entry/call_router_test.ts
+++ b/src/entry/call_router_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { policy, step } from "../domain/testing/domain_bench.ts";
+import type { QueueAddress, QueueRecord } from "../ownership/mod.ts";
 import { createCounters } from "../telemetry/mod.ts";
 import {
   type CallRouter,
@@ -11,6 +12,7 @@
 import { createReachability } from "./reachability.ts";
 import { createManualClock, silentLogger } from "./testing/manual_clock.ts";
 
+const TARGET = { queue: policy().queue, service: "desk" };
 const REQUEST = { id: "a", specification: "text", steps: [step()] };
 
 /** A router whose peer calls end with these outcomes in order; the last repeats. */
@@ -51,7 +53,7 @@
       count: () => 0,
       owners: () => Promise.resolve([]),
       loadedOwners: () => [],
-      find: () => Promise.resolve(undefined),
+      find: () => Promise.resolve({ searched: [] }),
       release() {},
       close: () => Promise.resolve(),
     },
@@ -66,14 +68,29 @@
       return outcome;
     },
     reachability: createReachability(clock),
-    findJobAt: () => Promise.resolve({ partition: jobPartition }),
-    previousServices: () => (jobPartition === undefined ? [] : ["old"]),
+    findJobAt: (_instance, _job, partitions) =>
+      Promise.resolve({ partition: jobPartition, searched: partitions }),
+    partitionsInUse: () => new Set([9]),
+    queues: {
+      read: () =>
+        Promise.resolve(
+          jobPartition === undefined ? [] : [recordOf(jobPartition)],
+        ),
+    },
     signal: new AbortController().signal,
     ...overrides,
   });
   return { router, calls };
 }
 
+/** The record of a domain that may have jobs of a queue. */
+function recordOf(
+  partition: number,
+  queue: QueueAddress = { queue: policy().queue },
+): QueueRecord {
+  return { key: `${partition}/1/1`, partition, epoch: 1, queues: [queue] };
+}
+
 describe("a call whose owner changes", () => {
   it("is retried at the successor after its owner lost the domain", async () => {
     const { router, calls } = routerAnsweredBy(
@@ -200,7 +217,7 @@
       { kind: "answered", answer: { kind: "unknownJob" } },
       { kind: "answered", answer: { kind: "state", state: "running" } },
     ]);
-    const outcome = await router.stateOf("a", "desk", 3_000);
+    const outcome = await router.stateOf("a", TARGET, 3_000);
     assert.deepEqual(outcome, { kind: "done", value: "running" });
   });
 
@@ -227,7 +244,7 @@
     const { router } = routerWithJobAt(undefined, [
       { kind: "answered", answer: { kind: "unknownJob" } },
     ], noAnswer);
-    const outcome = await router.stateOf("a", "desk", 3_000);
+    const outcome = await router.stateOf("a", TARGET, 3_000);
     assert.equal(outcome.kind, "unavailable");
   });
 
@@ -240,6 +257,82 @@
     assert.deepEqual(calls, []);
   });
 
+  // Guards against TWICE: another queue has taken the address of the queue that
+  // the submission arrived at first, and sends it to another domain.
+  it("is not accepted again under a queue that took its address", async () => {
+    const partitions: number[] = [];
+    const earlier = { queue: "former", address: "desk.example/proofs/" };
+    const { router } = routerWithJobAt(9, [], {
+      queues: { read: () => Promise.resolve([recordOf(9, earlier)]) },
+      callPeer(_instance, { partition }) {
+        partitions.push(partition);
+        const answer = { kind: "accepted" } as const;
+        return Promise.resolve({ kind: "answered", answer });
+      },
+    });
+    const { address } = earlier;
+    await router.submit(REQUEST, policy(), 3_000, address);
+    assert.deepEqual(partitions, [9]);
+  });
+
+  // Guards against TWICE: a process that has just started knows only the present
+  // service of the queue, and the store does not tell the earlier ones.
+  it("is not accepted while the earlier domains are unknown", async () => {
+    const { router, calls } = routerWithJobAt(9, [
+      { kind: "answered", answer: { kind: "accepted" } },
+    ], { queues: { read: () => Promise.resolve(undefined) } });
+    const outcome = await router.submit(REQUEST, policy(), 3_000);
+    assert.equal(outcome.kind, "undecided");
+    assert.deepEqual(calls, []);
+  });
+
+  // Guards against a 410 for an accepted job: only a record in the store names
+  // its domain, whose owner answers the search without having the domain.
+  it("is not reported as unknown by an owner that lacks its domain", async () => {
+    const { router } = routerWithJobAt(undefined, [
+      { kind: "answered", answer: { kind: "unknownJob" } },
+    ], {
+      partitionsInUse: () => new Set(),
+      queues: { read: () => Promise.resolve([recordOf(9)]) },
+      findJobAt: () => Promise.resolve({ searched: [] }),
+    });
+    const outcome = await router.stateOf("a", TARGET, 3_000);
+    assert.equal(outcome.kind, "unavailable");
+  });
+
+  // Guards against UNASKED: a domain of a service that the queue had before keeps
+  // that the job was cancelled before it arrived.
+  it("is handed to the domain in which its id was cancelled", async () => {
+    const partitions: number[] = [];
+    const { router } = routerWithJobAt(9, [], {
+      findJobAt: () => Promise.resolve({ cancelledIn: 9, searched: [9] }),
+      callPeer(_instance, { partition }) {
+        partitions.push(partition);
+        const answer = { kind: "accepted" } as const;
+        return Promise.resolve({ kind: "answered", answer });
+      },
+    });
+    await router.submit(REQUEST, policy(), 3_000);
+    assert.deepEqual(partitions, [9]);
+  });
+
+  it("is searched for again if an owner does not answer at first", async () => {
+    let searches = 0;
+    const { router } = routerWithJobAt(9, [
+      { kind: "answered", answer: { kind: "unknownJob" } },
+      { kind: "answered", answer: { kind: "state", state: "running" } },
+    ], {
+      findJobAt: () => {
+        searches += 1;
+        return Promise.resolve(
+          searches === 1 ? undefined : { partition: 9, searched: [9] },
+        );
+      },
+    });
+    const outcome = await router.stateOf("a", TARGET, 3_000);
+    assert.deepEqual(outcome, { kind: "done", value: "running" });
+  });
+
   // Guards against a call that is answered after its client has given up: each
   // of its parts took as long as the whole call may take.
   it("is answered within the timeout of its call", async () => {
@@ -256,10 +349,10 @@
       },
       async findJobAt() {
         await clock.sleep(400, signal);
-        return { partition: 9 };
+        return { partition: 9, searched: [9] };
       },
     });
-    await router.stateOf("a", "desk", 1_500);
+    await router.stateOf("a", TARGET, 1_500);
     assert.equal(timeoutsMs[1], 300);
     await router.submit(REQUEST, policy(), 1_000);
     assert.equal(timeoutsMs.at(-1), 600);
--- a/src/entry/configuration.ts
+++ b/src/entry/configuration.ts
@@ -24,8 +24,6 @@
   applyIfNewer(configuration: Configuration): boolean;
   /** Returns the services to which the queues are assigned. */
   services(): string[];
-  /** Returns earlier services of a queue that this process has seen. */
-  previousServices(queue: string): string[];
 };
 
 /**
@@ -39,37 +37,17 @@
  */
 export function createConfigurationState(): ConfigurationState {
   let current: Configuration | undefined;
-  const servicesByQueue = new Map<string, Set<string>>();
-
-  function recordServices(configuration: Configuration): void {
-    for (const { policy } of configuration.routes) {
-      const services = servicesByQueue.get(policy.queue);
-      if (services === undefined) {
-        servicesByQueue.set(policy.queue, new Set([policy.service]));
-      } else services.add(policy.service);
-    }
-  }
-
-  function currentServiceOf(queue: string): string | undefined {
-    return current?.routes.find(({ policy }) => policy.queue === queue)?.policy
-      .service;
-  }
 
   return {
     current: () => current,
     services: () => [
       ...new Set(current?.routes.map(({ policy }) => policy.service)),
     ],
-    previousServices: (queue) =>
-      [...servicesByQueue.get(queue) ?? []].filter((service) =>
-        service !== currentServiceOf(queue)
-      ),
     applyIfNewer(configuration) {
       if (current !== undefined && configuration.version <= current.version) {
         return false;
       }
       current = configuration;
-      recordServices(configuration);
       return true;
     },
   };
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -52,6 +52,11 @@
 import { createPeerContact, type PeerContact } from "./peer_contact.ts";
 import { reportAddress } from "./peer_ports.ts";
 import { createPeerRpc, type PeerRpc } from "./peer_rpc.ts";
+import { recordedPartitions } from "./earlier_domains.ts";
+import {
+  createQueueDirectory,
+  type QueueDirectory,
+} from "./queue_directory.ts";
 import { createReachability, type Reachability } from "./reachability.ts";
 import { createRecordingLogger } from "./recording_logger.ts";
 import { servicesOf } from "./services.ts";
@@ -90,6 +95,8 @@
   counters: Counters;
   configuration: ConfigurationState;
   manifest: ManifestState;
+  /** Which domains may have jobs of which queue. */
+  queues: QueueDirectory;
   timeLine: TimeLine;
   /** Identifies this run of the instance. */
   incarnation: string;
@@ -175,6 +182,13 @@
     counters: createCounters(),
     configuration: createConfigurationState(),
     manifest: createManifestState(),
+    queues: createQueueDirectory({
+      store,
+      clock,
+      logger: logger.part("store"),
+      revision: () => revisionOf(parts),
+      signal,
+    }),
     timeLine,
     incarnation,
     directory: createDirectory({
@@ -220,14 +234,29 @@
   });
 }
 
-/** Returns the partitions of the domains whose services are in use. */
+/**
+ * Returns the partitions of the domains whose services are in use, and of those
+ * that may still have jobs of queues that moved to other services.
+ */
 export function partitionsInUse(
-  context: Pick<EntryContext, "configuration" | "manifest" | "settings">,
+  context: Pick<
+    EntryContext,
+    "configuration" | "manifest" | "settings" | "queues"
+  >,
 ): Set<number> {
   const { partitions } = context.settings.store;
-  return new Set(
-    servicesOf(context).map((service) => partitionOf(service, partitions)),
-  );
+  return new Set([
+    ...servicesOf(context).map((service) => partitionOf(service, partitions)),
+    ...recordedPartitions(context.queues.known()),
+  ]);
+}
+
+/** Identifies the configuration and the manifest in force. */
+function revisionOf(
+  { configuration, manifest }: Pick<EntryContext, "configuration" | "manifest">,
+): string {
+  const version = configuration.current()?.version ?? "";
+  return `${version}/${manifest.current()?.version ?? ""}`;
 }
 
 function createInstanceDomains(context: EntryContextParts): OwnedDomains {
--- a/src/entry/execute_domain_call.ts
+++ b/src/entry/execute_domain_call.ts
@@ -18,6 +18,12 @@
   if (owner === undefined) return { kind: "notOwner" };
   switch (call.kind) {
     case "submit": {
+      const { address } = call;
+      const unavailable = await owner.recordQueue({
+        queue: call.policy.queue,
+        address,
+      });
+      if (unavailable !== undefined) return unavailable;
       // Its queue may have belonged to another service when it was accepted, or
       // cancelled before it arrived.
       const { id } = call.request;
@@ -26,8 +32,15 @@
         candidates.find((candidate) => candidate.hasCancelled(id));
       return await (holder ?? owner).submit(call.request, call.policy);
     }
-    case "cancel":
-      return await owner.cancel(call.job);
+    case "cancel": {
+      const { job, queue, address } = call;
+      // The cancellation of a job that may still arrive is kept.
+      if (!owner.hasJob(job) && queue !== undefined) {
+        const unavailable = await owner.recordQueue({ queue, address });
+        if (unavailable !== undefined) return unavailable;
+      }
+      return await owner.cancel(job);
+    }
     case "state":
       return await owner.stateOf(call.job);
     case "describe":
--- a/src/entry/execute_domain_call_test.ts
+++ b/src/entry/execute_domain_call_test.ts
@@ -12,6 +12,7 @@
 ): { owner: DomainOwner; submitted: string[] } {
   const submitted: string[] = [];
   const owner = {
+    recordQueue: () => Promise.resolve(undefined),
     hasJob: (id: string) => jobs.includes(id),
     hasCancelled: (id: string) => cancelled.includes(id),
     submit: ({ id }: { id: string }) => {
--- a/src/entry/job_search.ts
+++ b/src/entry/job_search.ts
@@ -1,20 +1,22 @@
 import type { Clock } from "../hosts/mod.ts";
-import type { Directory, OwnedDomains } from "../ownership/mod.ts";
+import type {
+  Directory,
+  DomainSearch,
+  OwnedDomains,
+} from "../ownership/mod.ts";
 import type { PartLogger } from "../telemetry/mod.ts";
 import { untilTimeout } from "./until_timeout.ts";
 
 /** How long the domains of this instance may take to be searched, in ms. */
 const LOCAL_SEARCH_TIMEOUT_MS = 400;
-
-/**
- * The answer of an instance to the search for a job: the partition of its domain
- * that has the job, if one has.
- */
-export type JobSearchAnswer = { partition?: number | undefined };
+/** Pause before a search without an answer is repeated, in milliseconds. */
+const RETRY_INTERVAL_MS = 100;
 
 /** The outcome of the search for a job. */
 export type JobSearch =
   | { kind: "found"; partition: number }
+  /** No domain has the job, and its id was cancelled in this one. */
+  | { kind: "cancelled"; partition: number }
   | { kind: "notFound" }
   /** An owner that may have the job did not answer. */
   | { kind: "unanswered" };
@@ -27,52 +29,95 @@
   ownedDomains: OwnedDomains;
   /** Address of this instance as listed in the directory. */
   self: string;
-  /** Searches the domains of another instance; undefined without an answer. */
+  /** Searches domains of another instance; undefined without an answer. */
   findJobAt(
     instance: string,
     job: string,
-  ): Promise<JobSearchAnswer | undefined>;
+    partitions: number[],
+  ): Promise<DomainSearch | undefined>;
+  signal: AbortSignal;
 };
 
 /**
- * Searches all known owners for a job that the domain of a partition does not
- * have.
+ * Searches domains for a job until the owner of each has answered.
+ *
+ * @param untilMs when a search without an answer ends, on the steady clock
  *
  * @example
  * ```ts
- * const search = await findJobElsewhere(host, "5c0e7a21d94b36f8", 3);
+ * const search = await findJob(host, "5c0e7a21d94b36f8", [3], untilMs);
  * ```
  */
-export async function findJobElsewhere(
+export async function findJob(
+  host: JobSearchHost,
+  job: string,
+  partitions: number[],
+  untilMs: number,
+): Promise<JobSearch> {
+  const { clock, signal, directory } = host;
+  while (true) {
+    const search = await searchOnce(host, job, partitions);
+    if (search.kind !== "unanswered") return search;
+    const isTimeUp = clock.steadyMs() + RETRY_INTERVAL_MS > untilMs;
+    if (isTimeUp || signal.aborted) return search;
+    await clock.sleep(RETRY_INTERVAL_MS, signal);
+    // The entry of an owner that is gone would hold up the search.
+    await directory.refresh();
+  }
+}
+
+async function searchOnce(
   host: JobSearchHost,
   job: string,
-  excludedPartition: number,
+  partitions: number[],
 ): Promise<JobSearch> {
-  const owners = [...new Set(Object.values(host.directory.knownOwners()))];
+  const partitionsByOwner = await groupByOwner(host, partitions);
   const answers = await Promise.all(
-    owners.map((owner) =>
-      owner === host.self ? findHere(host, job) : host.findJobAt(owner, job)
+    [...partitionsByOwner].map(([owner, owned]) =>
+      owner === host.self
+        ? findHere(host, job, owned)
+        : host.findJobAt(owner, job, owned)
     ),
   );
-  for (const answer of answers) {
-    const partition = answer?.partition;
-    if (partition === undefined || partition === excludedPartition) continue;
-    return { kind: "found", partition };
+  const found = answers.find((answer) => answer?.partition !== undefined);
+  if (found?.partition !== undefined) {
+    return { kind: "found", partition: found.partition };
+  }
+  const searched = new Set(answers.flatMap((answer) => answer?.searched ?? []));
+  const missing = partitions.filter((partition) => !searched.has(partition));
+  if (missing.length > 0) {
+    host.logger.info("An owner did not answer the search for a job.", {
+      job,
+      partitions: missing.join(","),
+    });
+    return { kind: "unanswered" };
+  }
+  const cancelled = answers.find((answer) => answer?.cancelledIn !== undefined);
+  if (cancelled?.cancelledIn === undefined) return { kind: "notFound" };
+  return { kind: "cancelled", partition: cancelled.cancelledIn };
+}
+
+/** Groups partitions by owner; leaves out those whose owner is unknown. */
+async function groupByOwner(
+  { directory }: JobSearchHost,
+  partitions: number[],
+): Promise<Map<string, number[]>> {
+  const groups = new Map<string, number[]>();
+  for (const partition of partitions) {
+    const owner = await directory.ownerOf(partition);
+    if (owner === undefined) continue;
+    const group = groups.get(owner);
+    if (group === undefined) groups.set(owner, [partition]);
+    else group.push(partition);
   }
-  if (!answers.includes(undefined)) return { kind: "notFound" };
-  host.logger.info("An owner did not answer the search for a job.", {
-    job,
-    owners: owners.filter((_, index) => answers[index] === undefined).join(","),
-  });
-  // An entry of an owner that is gone would hold up later searches, too.
-  host.directory.refresh();
-  return { kind: "unanswered" };
+  return groups;
 }
 
 async function findHere(
   { ownedDomains, clock }: JobSearchHost,
   job: string,
-): Promise<JobSearchAnswer | undefined> {
-  const search = ownedDomains.find(job).then((partition) => ({ partition }));
+  partitions: number[],
+): Promise<DomainSearch | undefined> {
+  const search = ownedDomains.find(job, partitions);
   return await untilTimeout(clock, search, LOCAL_SEARCH_TIMEOUT_MS);
 }
--- a/src/entry/peer_call.ts
+++ b/src/entry/peer_call.ts
@@ -13,11 +13,16 @@
     partition: v.number(),
     request: jobRequestSchema,
     policy: queuePolicySchema,
+    /** Host and path prefix of the queue. */
+    address: v.optional(v.string()),
   }),
   v.object({
     kind: v.literal("cancel"),
     partition: v.number(),
     job: v.string(),
+    /** The queue that the call addressed, and its address. */
+    queue: v.optional(v.string()),
+    address: v.optional(v.string()),
   }),
   v.object({
     kind: v.literal("state"),
@@ -64,7 +69,12 @@
     messages: v.array(relayEventSchema),
   }),
   /** Looks up which domain of the instance has a job. */
-  v.object({ kind: v.literal("find"), job: v.string() }),
+  v.object({
+    kind: v.literal("find"),
+    job: v.string(),
+    /** The domains to search; all that the instance owns if absent. */
+    partitions: v.optional(v.array(v.number())),
+  }),
   /** Reads from the store which instance owns which domain. */
   v.object({ kind: v.literal("owners") }),
   /** Announces that an instance has taken over a domain. */
@@ -131,6 +141,10 @@
 export const findAnswerSchema = v.object({
   /** The partition of the domain that has the job; absent if none has it. */
   partition: v.optional(v.number()),
+  /** The partition of a domain in which the id was cancelled. */
+  cancelledIn: v.optional(v.number()),
+  /** The partitions that the instance owns and has searched. */
+  searched: v.optional(v.array(v.number()), []),
 });
 
 /** Schema of the answer whether an instance is reachable. */
--- a/src/entry/peer_rpc.ts
+++ b/src/entry/peer_rpc.ts
@@ -15,6 +15,7 @@
 import { hasBearerToken, refusal, type Route } from "../server/mod.ts";
 import { observeLamport, type TimeLine } from "../time_line/mod.ts";
 import {
+  type DomainSearch,
   type RelayCall,
   relayCallAnswerSchema,
   type RelayReport,
@@ -22,7 +23,6 @@
   relayReportAnswerSchema,
 } from "../ownership/mod.ts";
 import type { PeerCallOutcome } from "./call_router.ts";
-import type { JobSearchAnswer } from "./job_search.ts";
 import type { PeerContact } from "./peer_contact.ts";
 import {
   acknowledgementSchema,
@@ -102,8 +102,12 @@
     question: AdviceRequest,
   ): Promise<Advice | undefined>;
   owners(instance: string): Promise<Record<string, string> | undefined>;
-  /** Searches the domains of an instance for a job; undefined if no answer. */
-  find(instance: string, job: string): Promise<JobSearchAnswer | undefined>;
+  /** Searches domains of an instance for a job; undefined if no answer. */
+  find(
+    instance: string,
+    job: string,
+    partitions: number[],
+  ): Promise<DomainSearch | undefined>;
   /** Whether one instance reaches another; undefined without an answer. */
   reach(via: string, instance: string): Promise<boolean | undefined>;
   /** Invites another instance to join now; returns whether it acknowledged. */
@@ -191,8 +195,8 @@
     },
     owners: (instance) =>
       request(instance, { kind: "owners" }, ownersAnswerSchema),
-    find: (instance, job) =>
-      request(instance, { kind: "find", job }, findAnswerSchema),
+    find: (instance, job, partitions) =>
+      request(instance, { kind: "find", job, partitions }, findAnswerSchema),
     async reach(via, instance) {
       const call = { kind: "reach", instance } as const;
       return (await request(via, call, reachAnswerSchema))?.reached;
--- /dev/null
+++ b/src/entry/replace_queue_records.ts
@@ -0,0 +1,30 @@
+import { parseQueueRecords, QUEUES_PARTITION } from "../ownership/mod.ts";
+import type { EntryContext } from "./entry_context.ts";
+
+/** How often obsolete records are replaced, in milliseconds. */
+const REPLACE_INTERVAL_MS = 60_000;
+
+/**
+ * Replaces the queue records that the domains of this instance no longer need,
+ * until the instance stops.
+ */
+export async function replaceQueueRecords(
+  { platform, clock, ownedDomains, stopping }: Pick<
+    EntryContext,
+    "platform" | "clock" | "ownedDomains" | "stopping"
+  >,
+): Promise<void> {
+  const { signal } = stopping;
+  while (!signal.aborted) {
+    await clock.sleep(REPLACE_INTERVAL_MS, signal);
+    const owners = ownedDomains.loadedOwners();
+    if (owners.length === 0 || signal.aborted) continue;
+    const page = await platform.store.newest(QUEUES_PARTITION, signal);
+    // The records are replaced the next time if they cannot be read now.
+    if (page.isErr()) continue;
+    const { records } = parseQueueRecords(page.value.records);
+    for (const owner of owners) {
+      await owner.replaceObsoleteQueueRecords(records);
+    }
+  }
+}
--- a/src/entry/requests_api.ts
+++ b/src/entry/requests_api.ts
@@ -143,7 +143,7 @@
       ? findPlacementProblem(stored)
       : undefined;
     if (placementProblem !== undefined) {
-      await router.cancel(id, policy.service, CALL_TIMEOUT_MS);
+      await router.cancel(id, policy, CALL_TIMEOUT_MS);
       const response = await readRequest(customer, id, 0);
       const didNotRun = response.kind === "view" &&
         response.view.outcome.kind === "didNotRun";
@@ -160,7 +160,7 @@
     async cancel(customer, id) {
       const found = await describe(id);
       if ("service" in found && found.customer === customer) {
-        await router.cancel(id, found.service, CALL_TIMEOUT_MS);
+        await router.cancel(id, found, CALL_TIMEOUT_MS);
       }
       return await readRequest(customer, id, 0);
     },
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -22,6 +22,7 @@
 import { logUncaughtErrors } from "./log_uncaught_errors.ts";
 import { monitorOwners } from "./monitor_owners.ts";
 import { removeGoneInstances } from "./remove_gone_instances.ts";
+import { replaceQueueRecords } from "./replace_queue_records.ts";
 import { discoverOwners } from "./owner_discovery.ts";
 import { recheckReachability, watchMembership } from "./connectivity_watch.ts";
 
@@ -86,6 +87,7 @@
   recheckReachability(context);
   monitorOwners(context);
   removeGoneInstances(context);
+  replaceQueueRecords(context);
   if (!stopping.signal.aborted) await once(stopping.signal, "abort");
   await stopEntry(context, servers);
   ending.abort();
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -19,7 +19,7 @@
 import { evictMember } from "./evict_member.ts";
 import { isReady } from "./readiness.ts";
 import { isAlive, probeInstance } from "./probe_instance.ts";
-import type { EntryContext } from "./entry_context.ts";
+import { type EntryContext, partitionsInUse } from "./entry_context.ts";
 
 const OK = 200;
 const UNAVAILABLE = 503;
@@ -51,7 +51,7 @@
     partitionCount: settings.store.partitions,
     callPeer: context.rpc.callOwner,
     findJobAt: context.rpc.find,
-    previousServices: (queue) => configuration.previousServices(queue),
+    partitionsInUse: () => partitionsInUse(context),
     signal: context.closing.signal,
   });
   const callers = platform.createCallerServer({
@@ -108,7 +108,7 @@
     case "relayed":
       return context.relaySessions.dispatch(call);
     case "find":
-      return { partition: await context.ownedDomains.find(call.job) };
+      return await context.ownedDomains.find(call.job, call.partitions);
     case "reach": {
       const outcome = await probeInstance(call.instance);
       const silentMs = context.peerContact.silentMs(call.instance);
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -12,6 +12,7 @@
   type Domain,
   type DomainCommand,
   drainDirtyRecords,
+  heldQueuesOf,
   type JobDescription,
   type JobRequest,
   jobStateOf,
@@ -30,12 +31,14 @@
 import type {
   DescriptionAnswer,
   OwnerAnswer,
+  OwnerUnavailable,
   StateAnswer,
 } from "./owner_answer.ts";
 import {
   answerOutcomeReads,
   applyCall,
   failPendingCalls,
+  STORE_DOWN_AFTER_MS,
   waitForCommit,
   waitUntilReportable,
 } from "./owner_calls.ts";
@@ -47,6 +50,8 @@
   remainingGrantMs,
   reopenLinks,
 } from "./owner_links.ts";
+import { createQueueRecorder } from "./queue_recorder.ts";
+import type { QueueAddress, QueueRecord } from "./queue_records.ts";
 import {
   createRelayedLinks,
   RELAY_GRANT_MS,
@@ -82,6 +87,14 @@
   /** The state of the domain for operators. */
   view(): DomainView;
   hasJob(job: string): boolean;
+  /**
+   * Waits until the store has a record that the domain may have jobs of a queue.
+   *
+   * @returns why it has none; undefined if it has one
+   */
+  recordQueue(queue: QueueAddress): Promise<OwnerUnavailable | undefined>;
+  /** Replaces queue records that are no longer needed. */
+  replaceObsoleteQueueRecords(stored: QueueRecord[]): Promise<void>;
   /** Whether a job was cancelled before it arrived. */
   hasCancelled(job: string): boolean;
   /** Resolves once every change has been committed to the store. */
@@ -104,6 +117,7 @@
   domain: Domain,
 ): DomainOwner {
   const state = createOwnerState(host, domain);
+  const queueRecorder = createQueueRecorder(host);
   state.events.stream
     .loop((seed: Domain, event) => ({
       seed,
@@ -166,6 +180,16 @@
     }),
     hasJob: (job) => domain.jobs.has(job),
     hasCancelled: (job) => domain.cancelledIds.has(job),
+    async recordQueue(queue) {
+      if (await queueRecorder.record(queue)) return undefined;
+      if (host.signal.aborted) return { kind: "lost" };
+      return { kind: "storeDown", silentMs: STORE_DOWN_AFTER_MS };
+    },
+    async replaceObsoleteQueueRecords(stored) {
+      // The record of a cancelled id does not name its queue.
+      if (domain.cancelledIds.size > 0) return;
+      await queueRecorder.replaceObsolete(stored, heldQueuesOf(domain));
+    },
     async flush() {
       await waitForCommit(state);
     },
--- a/src/ownership/mod.ts
+++ b/src/ownership/mod.ts
@@ -12,6 +12,7 @@
 export * from "./follow_topic.ts";
 export * from "./group_membership.ts";
 export * from "./worker_list.ts";
+export * from "./queue_records.ts";
 export { type TrackedStore, trackStore } from "./tracked_store.ts";
 export { DISTANT_PAST, elapsedMs } from "./instant.ts";
 export * from "./relay/mod.ts";
--- a/src/ownership/owned_domains.ts
+++ b/src/ownership/owned_domains.ts
@@ -42,15 +42,27 @@
     onTakeover(partition: number, epoch: number): void;
   };
 
+/** The result of a search for a job in owned domains. */
+export type DomainSearch = {
+  /** The partition of the domain that has the job. */
+  partition?: number | undefined;
+  /** The partition of a domain in which the id of the job was cancelled. */
+  cancelledIn?: number | undefined;
+  /** The partitions that were searched, since this instance owns them. */
+  searched: number[];
+};
+
 /** The domains that this instance owns. */
 export type OwnedDomains = {
   /** The owner of a domain; undefined if this instance does not own it. */
   ownerOf(partition: number): Promise<DomainOwner | undefined>;
   /**
-   * The partition of the owned domain that contains a job. Waits for takeovers,
-   * also of domains that are not in use.
+   * Searches domains for a job. Waits for takeovers, also of domains that are
+   * not in use.
+   *
+   * @param partitions the domains to search; all owned ones if absent
    */
-  find(job: string): Promise<number | undefined>;
+  find(job: string, partitions?: number[]): Promise<DomainSearch>;
   /** The number of owned domains. */
   count(): number;
   /** The owners of all owned domains. */
@@ -238,17 +250,26 @@
 
   return {
     ownerOf: ownerOrTakeOver,
-    async find(job) {
-      const numbers = new Set([
-        ...domains.keys(),
-        ...assigned.partitions.map(({ number }) => number),
-      ]);
-      const found = await Promise.all(
-        [...numbers].map(async (number) =>
-          (await ownerOrTakeOver(number))?.hasJob(job) ? [number] : []
-        ),
+    async find(job, partitions) {
+      const numbers = new Set(
+        partitions ?? [
+          ...domains.keys(),
+          ...assigned.partitions.map(({ number }) => number),
+        ],
+      );
+      const candidates = await Promise.all(
+        [...numbers].map(async (number) => ({
+          number,
+          owner: await ownerOrTakeOver(number),
+        })),
       );
-      return found.flat()[0];
+      return {
+        partition: candidates.find(({ owner }) => owner?.hasJob(job))?.number,
+        cancelledIn: candidates.find(({ owner }) => owner?.hasCancelled(job))
+          ?.number,
+        searched: candidates.filter(({ owner }) => owner !== undefined)
+          .map(({ number }) => number),
+      };
     },
     count: () => domains.size,
     async owners() {
--- a/src/ownership/owned_domains_test.ts
+++ b/src/ownership/owned_domains_test.ts
@@ -120,7 +120,11 @@
   it("are searched for a job before they have all been taken over", async () => {
     const { domains, controller } = createTestSetup(0);
     domains.assign({ generation: 5, partitions: PARTITIONS });
-    assert.equal(await domains.find("a"), IDLE);
+    assert.deepEqual(await domains.find("a", [IDLE, IN_USE]), {
+      partition: IDLE,
+      cancelledIn: undefined,
+      searched: [IDLE, IN_USE],
+    });
     assert.ok(domains.loadedOwners().some((owner) => owner.hasJob("a")));
     controller.abort();
   });
--- /dev/null
+++ b/src/ownership/queue_recorder_test.ts
@@ -0,0 +1,147 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { err, ok } from "neverthrow";
+import {
+  createManualClock,
+  silentLogger,
+} from "../entry/testing/manual_clock.ts";
+import type { KeyedRecord, StoreFault, StoreHost } from "../hosts/mod.ts";
+import { createQueueRecorder } from "./queue_recorder.ts";
+import { createQueueRecord, parseQueueRecords } from "./queue_records.ts";
+
+const FAULT: StoreFault = {
+  kind: "unknown",
+  step: "store.append",
+  message: "no answer",
+};
+const PROOFS = { queue: "proofs", address: "desk.example/proofs/" };
+
+/** A recorder on a store that keeps the newest record of each key. */
+function createTestSetup(epoch = 5, stored = new Map<string, string>()) {
+  const clock = createManualClock();
+  const { signal } = new AbortController();
+  const state = { appends: 0, failures: 0 };
+  const unused = () => Promise.reject(new Error("not used here"));
+  const apply = (records: KeyedRecord[]) => {
+    for (const { key, value } of records) {
+      if (value === undefined) stored.delete(key);
+      else stored.set(key, value);
+    }
+  };
+  const store: StoreHost = {
+    append(_partition, records) {
+      state.appends += 1;
+      if (state.failures > 0) {
+        state.failures -= 1;
+        return Promise.resolve(err(FAULT));
+      }
+      apply(records);
+      return Promise.resolve(ok(undefined));
+    },
+    newest: unused,
+    read: unused,
+    join: unused,
+    leave: unused,
+    owners: unused,
+  };
+  const recorder = createQueueRecorder({
+    store,
+    clock,
+    logger: silentLogger,
+    partition: { topic: "domains", number: 3 },
+    epoch,
+    signal,
+  });
+  const records = () =>
+    parseQueueRecords(
+      [...stored].map(([key, value]) => ({ key, value })),
+    ).records;
+  const queues = () =>
+    records().flatMap((record) => record.queues.map(({ queue }) => queue));
+  const sleep = (ms: number) => clock.sleep(ms, signal);
+  return { recorder, state, stored, records, queues, sleep };
+}
+
+describe("the recorder of a domain's queues", () => {
+  it("writes once for each queue", async () => {
+    const { recorder, state, queues } = createTestSetup();
+    assert.equal(await recorder.record(PROOFS), true);
+    assert.equal(await recorder.record(PROOFS), true);
+    assert.equal(state.appends, 1);
+    await recorder.record({ queue: "ads" });
+    assert.deepEqual(queues(), ["proofs", "ads"]);
+  });
+
+  it("joins the records of queues that are used at the same time", async () => {
+    const { recorder, state, queues } = createTestSetup();
+    await Promise.all(
+      ["a", "b", "c", "d"].map((queue) => recorder.record({ queue })),
+    );
+    assert.equal(state.appends, 2);
+    assert.deepEqual(queues(), ["a", "b", "c", "d"]);
+  });
+
+  // Guards against TWICE: a job is accepted although no record tells a later
+  // configuration that its domain has jobs.
+  it("does not confirm a record that the store has not confirmed", async () => {
+    const { recorder, state } = createTestSetup();
+    state.failures = 100;
+    assert.equal(await recorder.record(PROOFS), false);
+    state.failures = 1;
+    assert.equal(await recorder.record(PROOFS), true);
+  });
+
+  it("replaces the record of an earlier owner by what is left", async () => {
+    const earlier = createQueueRecord(3, 4, 2, [PROOFS, { queue: "ads" }]);
+    const other = createQueueRecord(2, 4, 1, [{ queue: "ads" }]);
+    const stored = new Map([earlier, other].map(({ key, value }) => [
+      key,
+      value!,
+    ]));
+    const { recorder, records } = createTestSetup(5, stored);
+    await recorder.replaceObsolete(records(), new Set(["proofs"]));
+    assert.deepEqual(
+      records().map(({ partition, epoch, queues }) => [
+        partition,
+        epoch,
+        queues,
+      ]),
+      [[2, 4, [{ queue: "ads" }]], [3, 5, [PROOFS]]],
+    );
+  });
+
+  // Guards against TWICE: an owner that has lost its domain removes what its
+  // successor relies on.
+  it("leaves the records of later owners", async () => {
+    const later = createQueueRecord(3, 6, 1, [PROOFS]);
+    const stored = new Map([[later.key, later.value!]]);
+    const { recorder, records } = createTestSetup(5, stored);
+    await recorder.replaceObsolete(records(), new Set());
+    assert.equal(records().length, 1);
+  });
+
+  it("drops a queue only once it has long been unused and is not held", async () => {
+    const { recorder, records, queues, sleep } = createTestSetup();
+    await recorder.record(PROOFS);
+    await recorder.record({ queue: "ads" });
+    await recorder.replaceObsolete(records(), new Set());
+    assert.deepEqual(queues(), ["proofs", "ads"]);
+    await sleep(60_001);
+    await recorder.replaceObsolete(records(), new Set(["ads"]));
+    assert.deepEqual(queues(), ["ads"]);
+    assert.equal(await recorder.record(PROOFS), true);
+    assert.deepEqual(queues(), ["ads", "proofs"]);
+  });
+
+  it("records jobs of owners that wrote no record", async () => {
+    const { recorder, records, queues } = createTestSetup();
+    await recorder.replaceObsolete(records(), new Set(["proofs"]));
+    assert.deepEqual(queues(), ["proofs"]);
+  });
+
+  it("writes nothing if nothing is obsolete", async () => {
+    const { recorder, state, records } = createTestSetup();
+    await recorder.replaceObsolete(records(), new Set());
+    assert.equal(state.appends, 0);
+  });
+});
--- a/stand_ins/platform/deployment.ts
+++ b/stand_ins/platform/deployment.ts
@@ -6,7 +6,7 @@
 import { type Daemon, PORTS_PER_DAEMON, startDaemon } from "./daemon.ts";
 import { type Platform, startPlatform } from "./platform.ts";
 
-const PARTITIONS = 2;
+const DEFAULT_PARTITIONS = 2;
 const CAPACITY = { cpuMillis: 8_000, memoryMb: 8_000, accelerators: 0 };
 
 /** Options for `startDeployment`. */
@@ -15,6 +15,12 @@
   program: string;
   instanceCount: number;
   workerCount: number;
+  /** How long the store takes for each call, in milliseconds; 0 if absent. */
+  storeDelayMs?: number;
+  /** Number of domains. */
+  partitions?: number;
+  /** The services that the workers belong to in turn; `desk` if absent. */
+  services?: string[];
   /** How long each task runs, in milliseconds. */
   taskDurationMs: number;
   /** The configuration, in the format of the platform. */
@@ -26,10 +32,12 @@
   platform: Platform;
   instances: Daemon[];
   folder: string;
+  /** Starts a daemon at each of the addresses. */
+  startInstances(): Daemon[];
 };
 
 /**
- * Starts daemons against a store, and workers of the service `desk`.
+ * Starts daemons against a store, and workers.
  *
  * @example
  * ```ts
@@ -41,36 +49,54 @@
   options: DeploymentOptions,
 ): Promise<Deployment> {
   const { program, instanceCount, workerCount, taskDurationMs } = options;
+  const { services = ["desk"], partitions = DEFAULT_PARTITIONS } = options;
+  const { storeDelayMs = 0 } = options;
   const folder = mkdtempSync(join(tmpdir(), "samphirestage-"));
   const platform = await startPlatform({
-    partitions: PARTITIONS,
+    partitions,
     workers: Array.from({ length: workerCount }, (_, index) => ({
       id: `w${index}`,
-      service: "desk",
+      service: services[index % services.length]!,
       zone: "a",
       rack: "r1",
       capacity: CAPACITY,
     })),
     durationMs: () => taskDurationMs,
+    storeDelayMs,
     configuration: options.configuration,
   });
   // Ports are chosen together: a daemon holds none until it listens, so a later
   // search could return the same port.
   const ports = await findFreePorts(instanceCount * PORTS_PER_DAEMON);
-  const instances = Array.from(
-    { length: instanceCount },
-    (_, index) =>
-      startDaemon({
-        program,
-        folder,
-        number: index,
-        ports: ports.slice(index * PORTS_PER_DAEMON),
-        store: platform.address,
-        partitions: PARTITIONS,
-        advice: "",
-      }),
-  );
-  return { platform, instances, folder };
+  const startInstances = () =>
+    Array.from(
+      { length: instanceCount },
+      (_, index) =>
+        startDaemon({
+          program,
+          folder,
+          number: index,
+          ports: ports.slice(index * PORTS_PER_DAEMON),
+          store: platform.address,
+          partitions,
+          advice: "",
+        }),
+    );
+  return { platform, instances: startInstances(), folder, startInstances };
+}
+
+/**
+ * Kills all daemons at once and starts them again.
+ *
+ * @param whileDown called while no daemon runs
+ */
+export async function restartInstances(
+  deployment: Deployment,
+  whileDown: () => void = () => {},
+): Promise<void> {
+  await Promise.all(deployment.instances.map(endProcess));
+  whileDown();
+  deployment.instances = deployment.startInstances();
 }
 
 /** Kills the daemons, and stops the stand-ins once they have ended. */
--- a/stand_ins/platform/platform.ts
+++ b/stand_ins/platform/platform.ts
@@ -13,6 +13,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
 import { encodeRecords } from "../../platform/record_format.ts";
 import { type AdviceOptions, handleAdviceRequest } from "./advice.ts";
 import {
@@ -73,6 +74,8 @@
   resolveWorkerAddress?: (worker: string, address: string) => Promise<string>;
   /** The operators' configuration, in the platform's format. */
   configuration: object;
+  /** How long the store takes for each call, in milliseconds; 0 if absent. */
+  storeDelayMs?: number;
   /** Behavior of the placement policy; none is started if absent. */
   advice?: AdviceOptions;
 };
@@ -89,7 +92,7 @@
   options: PlatformOptions,
 ): Promise<Platform> {
   const store = createStore(options.partitions);
-  putRecord(store, "keyed.op", "config", options.configuration);
+  putConfiguration(store, options.configuration);
   const platform: Platform = {
     address: "",
     adviceAddress: "",
@@ -104,11 +107,12 @@
       }
     },
   };
-  const storeServer = await startServer((request, body) =>
-    platform.isStoreUnresponsive
-      ? undefined
-      : handleStoreRequest(store, request, body)
-  );
+  const { storeDelayMs = 0 } = options;
+  const storeServer = await startServer(async (request, body) => {
+    if (storeDelayMs > 0) await delay(storeDelayMs);
+    if (platform.isStoreUnresponsive) return undefined;
+    return handleStoreRequest(store, request, body);
+  });
   platform.address = addressOf(storeServer);
   const servers = [storeServer];
   const { advice } = options;
@@ -134,6 +138,11 @@
   return platform;
 }
 
+/** Puts the operators' configuration, in the platform's format, in force. */
+export function putConfiguration(store: Store, configuration: object): void {
+  putRecord(store, "keyed.op", "config", configuration);
+}
+
 /** Adds a worker to the platform's worker list in the store. */
 function registerWorker(
   store: Store,
@@ -242,7 +251,7 @@
   handle: (
     request: IncomingMessage,
     body: Buffer,
-  ) => StandInResponse | undefined | Promise<StandInResponse>,
+  ) => StandInResponse | Promise<StandInResponse | undefined>,
 ): Promise<Server> {
   const server = createServer(async (request, response) => {
     const chunks: Buffer[] = [];
