--- a/soak/check_tracked_requests.ts
+++ b/soak/check_tracked_requests.ts
@@ -37,9 +37,14 @@
   }
   if (result.kind !== "ran") return;
   for (const task of result.tasks) {
-    const ends = runsOf(task.index).map(({ end }) => end);
+    const runs = runsOf(task.index);
+    const ends = runs.map(({ end }) => end);
     const hasCompletedRun = ends.includes("done");
-    if (hasCompletedRun !== (task.kind === "finished")) {
+    const isExpected = hasCompletedRun === (task.kind === "finished");
+    // Whether the end was read before the worker crashed is not known.
+    const isUnknown = hasCompletedRun &&
+      runs.every(({ end, mayBeUnread }) => end !== "done" || mayBeUnread);
+    if (!isExpected && !isUnknown) {
       yield `${name}: task ${task.index} was reported as ${task.kind}, ` +
         `its runs ended as ${ends.join(", ") || "none"}`;
     }
--- a/soak/fault.ts
+++ b/soak/fault.ts
@@ -8,6 +8,8 @@
   | { kind: "paused"; instance: number }
   /** The process is shut down with SIGTERM and restarted later. */
   | { kind: "stopped"; instance: number }
+  /** The process that owns the domains is killed and restarted later. */
+  | { kind: "ownerKilled" }
   /** All processes are killed at once and restarted later. */
   | { kind: "allKilled" }
   /** Affects the connections of one instance to the store. */
@@ -15,7 +17,15 @@
   /** Affects the connections of all instances to the store. */
   | { kind: "wholeStore"; proxyMode: ProxyMode }
   /** Affects the connections of all instances to one worker. */
-  | { kind: "worker"; worker: number; proxyMode: ProxyMode };
+  | { kind: "worker"; worker: number; proxyMode: ProxyMode }
+  /**
+   * A worker crashes without a sign and starts again under its id; it may be cut
+   * off some time after its return.
+   */
+  | { kind: "workerRestarted"; worker: number; cut: PlannedCut | undefined };
+
+/** For how long a worker is cut off, and when after its return, in ms. */
+export type PlannedCut = { afterMs: number; durationMs: number };
 
 /** A fault with its time and duration. */
 export type PlannedFault = {
@@ -33,6 +43,8 @@
     case "paused":
     case "stopped":
       return `instance ${fault.instance} ${fault.kind}`;
+    case "ownerKilled":
+      return "the owner killed";
     case "allKilled":
       return "all instances killed";
     case "store":
@@ -41,5 +53,8 @@
       return `store ${fault.proxyMode.kind}`;
     case "worker":
       return `worker ${fault.worker} ${fault.proxyMode.kind}`;
+    case "workerRestarted":
+      return `worker ${fault.worker} restarted` +
+        (fault.cut === undefined ? "" : " and cut off");
   }
 }
--- a/soak/inject_faults.ts
+++ b/soak/inject_faults.ts
@@ -5,6 +5,7 @@
   restartInstance,
   waitUntilReady,
 } from "../stand_ins/local_cluster/mod.ts";
+import { restartWorker } from "../stand_ins/platform/restart_worker.ts";
 import type { InjectedFault, PlannedFault } from "./fault.ts";
 import type { FaultProxy, ProxyMode } from "./fault_proxy.ts";
 
@@ -50,6 +51,11 @@
   switch (fault.kind) {
     case "killed":
       return await killAndRestart([instances[fault.instance]!], durationMs);
+    case "ownerKilled": {
+      const owner = findOwner(targets.cluster);
+      if (owner === undefined) return;
+      return await killAndRestart([owner], durationMs);
+    }
     case "allKilled":
       return await killAndRestart(instances, durationMs);
     case "paused": {
@@ -84,9 +90,37 @@
         fault.proxyMode,
         durationMs,
       );
+    case "workerRestarted":
+      return await restartAndCut(targets, fault, durationMs);
   }
 }
 
+/** Restarts a worker, and cuts it off afterwards if that is planned. */
+async function restartAndCut(
+  { cluster, workerProxies }: FaultTargets,
+  fault: Extract<InjectedFault, { kind: "workerRestarted" }>,
+  downMs: number,
+): Promise<void> {
+  const { worker, cut } = fault;
+  await restartWorker(cluster.platform.workerProcesses[worker]!, downMs);
+  if (cut === undefined) return;
+  await delay(cut.afterMs);
+  await setModeFor(
+    [workerProxies[worker]!],
+    { kind: "silent" },
+    cut.durationMs,
+  );
+}
+
+/** Returns the instance that owns the domains, if the group has a member. */
+function findOwner(
+  { platform, instances }: LocalCluster,
+): LocalInstance | undefined {
+  const [group] = platform.store.groups.values();
+  const owner = group?.owners.find((member) => member !== undefined);
+  return instances.find(({ ports }) => owner?.endsWith(`:${ports.peers}`));
+}
+
 async function killAndRestart(
   instances: LocalInstance[],
   durationMs: number,
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -9,7 +9,12 @@
 import { defineCommand, runMain } from "citty";
 import { regressions } from "./regressions.ts";
 import { renderReport } from "./render_report.ts";
-import { describeRun, runSoak, type SoakResult } from "./run_soak.ts";
+import {
+  describeRun,
+  runSoak,
+  type SoakOptions,
+  type SoakResult,
+} from "./run_soak.ts";
 
 const MS_PER_S = 1_000;
 
@@ -27,6 +32,16 @@
       default: "16",
       description: "Number of concurrent callers",
     },
+    "restarting-workers": {
+      type: "string",
+      default: "0",
+      description: "Workers that restart, in place of the other faults",
+    },
+    "owner-kill-seconds": {
+      type: "string",
+      default: "0",
+      description: "Time between two losses of the owner beside restarts",
+    },
     regressions: {
       type: "boolean",
       default: false,
@@ -42,9 +57,15 @@
     mkdirSync(args.out, { recursive: true });
     const results: SoakResult[] = [];
     const runs = args.regressions ? [...regressions] : [...seedRuns(args)];
+    const restarts = restartsOf(args);
     for (const { seed, seconds, callers } of runs) {
       const durationMs = seconds * MS_PER_S;
-      const result = await runSoak({ seed, durationMs, callers });
+      const result = await runSoak({
+        seed,
+        durationMs,
+        callers,
+        ...(restarts === undefined ? {} : { restarts }),
+      });
       results.push(result);
       console.log(describeRun(result));
       for (const line of result.violations) console.log(`  ${line}`);
@@ -59,6 +80,17 @@
 
 await runMain(command);
 
+/** Reads how workers restart; undefined if they do not. */
+function restartsOf(
+  args: { "restarting-workers": string; "owner-kill-seconds": string },
+): SoakOptions["restarts"] {
+  const workers = Number(args["restarting-workers"]);
+  if (workers === 0) return undefined;
+  const intervalMs = Number(args["owner-kill-seconds"]) * MS_PER_S;
+  const ownerKillIntervalMs = intervalMs === 0 ? undefined : intervalMs;
+  return { workers, ownerKillIntervalMs };
+}
+
 /** Yields the run parameters of each requested seed. */
 function* seedRuns(
   args: { seed: string; seeds: string; seconds: string; callers: string },
--- a/soak/plan_faults.ts
+++ b/soak/plan_faults.ts
@@ -7,6 +7,15 @@
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 5_000;
 const MAX_DELAY_MS = 400;
+/** How long a worker is up between two restarts, in milliseconds. */
+const MIN_UPTIME_MS = 3_000;
+const MAX_UPTIME_MS = 8_000;
+const MIN_DOWN_MS = 100;
+const MAX_DOWN_MS = 700;
+/** How long a restarted worker can be reached at most before it is cut off. */
+const MAX_UNCUT_MS = 2_000;
+const MIN_CUT_MS = 2_000;
+const MAX_CUT_MS = 8_500;
 /** Percentage of the faults that occur a second time. */
 const REPEATED_FAULT_PERCENT = 25;
 
@@ -64,6 +73,50 @@
   }
 }
 
+/** Options for `planRestarts`. */
+export type RestartPlanOptions = {
+  /** Number of workers that restart. */
+  workers: number;
+  /** Time between two losses of the owner, in ms; none is lost if undefined. */
+  ownerKillIntervalMs: number | undefined;
+  durationMs: number;
+};
+
+/**
+ * Draws restarts of workers, half of which are cut off soon after, and losses of
+ * the owner.
+ */
+export function* planRestarts(
+  randomness: Randomness,
+  { workers, ownerKillIntervalMs, durationMs }: RestartPlanOptions,
+): Generator<PlannedFault> {
+  const drawUptimeMs = () => randomness.integer(MIN_UPTIME_MS, MAX_UPTIME_MS);
+  for (let worker = 0; worker < workers; worker += 1) {
+    for (let atMs = drawUptimeMs(); atMs < durationMs;) {
+      const downMs = randomness.integer(MIN_DOWN_MS, MAX_DOWN_MS);
+      const isCut = randomness.integer(0, 1) === 0;
+      const cut = isCut
+        ? {
+          afterMs: randomness.integer(0, MAX_UNCUT_MS),
+          durationMs: randomness.integer(MIN_CUT_MS, MAX_CUT_MS),
+        }
+        : undefined;
+      const fault = { kind: "workerRestarted", worker, cut } as const;
+      yield { atMs, durationMs: downMs, fault };
+      const cutMs = cut === undefined ? 0 : cut.afterMs + cut.durationMs;
+      atMs += downMs + cutMs + drawUptimeMs();
+    }
+  }
+  if (ownerKillIntervalMs === undefined) return;
+  for (
+    let atMs = ownerKillIntervalMs;
+    atMs < durationMs;
+    atMs += ownerKillIntervalMs
+  ) {
+    yield { atMs, durationMs: MIN_FAULT_MS, fault: { kind: "ownerKilled" } };
+  }
+}
+
 function drawFault(
   randomness: Randomness,
   options: FaultPlanOptions,
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -6,6 +6,7 @@
  */
 import { setTimeout as delay } from "node:timers/promises";
 import { createRandomness } from "../src/clients/mod.ts";
+import type { Randomness } from "../src/hosts/mod.ts";
 import {
   checkExecution,
   startLocalCluster,
@@ -25,7 +26,11 @@
   type FaultTargets,
   injectFaults,
 } from "./inject_faults.ts";
-import { planFaults } from "./plan_faults.ts";
+import {
+  planFaults,
+  planRestarts,
+  type RestartPlanOptions,
+} from "./plan_faults.ts";
 import { watchManifestVersions } from "./watch_manifest_versions.ts";
 
 const ZONES = ["hobart", "launceston", "burnie"];
@@ -33,6 +38,9 @@
 /** Time limit for final outcomes after the planned length of the run. */
 const RESOLUTION_TIMEOUT_MS = 45_000;
 const MAX_RUN_MS = 800;
+const MIN_LONG_RUN_MS = 3_000;
+const MAX_LONG_RUN_MS = 9_000;
+const LONG_PERCENT = 10;
 const MAX_CANCEL_DELAY_MS = 600;
 const GANG_SIZE = 3;
 
@@ -43,6 +51,8 @@
   durationMs: number;
   /** Number of concurrent callers. */
   callers: number;
+  /** Workers restart under their ids in place of the other faults. */
+  restarts?: Omit<RestartPlanOptions, "durationMs">;
 };
 
 /** Result of a run. */
@@ -81,11 +91,14 @@
     );
   let plan: PlannedFault[] = [];
   try {
-    plan = [...planFaults(createRandomness(seed), {
-      instances: cluster.instances.length,
-      workers: workerProxies.length,
-      durationMs,
-    })];
+    const randomness = createRandomness(seed);
+    plan = options.restarts === undefined
+      ? [...planFaults(randomness, {
+        instances: cluster.instances.length,
+        workers: workerProxies.length,
+        durationMs,
+      })]
+      : [...planRestarts(randomness, { ...options.restarts, durationMs })];
     const versionViolations: string[] = [];
     const watches = [
       watchExecution(targets, violations, watchController.signal),
@@ -164,7 +177,7 @@
 /** Submits random work items from concurrent callers until the time is over. */
 async function runLoad(
   { cluster }: FaultTargets,
-  { seed, durationMs, callers }: SoakOptions,
+  { seed, durationMs, callers, restarts }: SoakOptions,
 ): Promise<LoadResult> {
   const result: LoadResult = {
     workItemResults: [],
@@ -179,7 +192,7 @@
     for (let turn = 0; performance.now() < startMs + durationMs; turn += 1) {
       const atMs = performance.now() - startMs;
       const key = `${caller}-${turn}`;
-      const runMs = randomness.integer(10, MAX_RUN_MS);
+      const runMs = drawRunMs(randomness, restarts !== undefined);
       const firstInstance = randomness.integer(0, urls.length - 1);
       if (randomness.integer(0, 3) < 2) {
         const isGang = randomness.integer(0, 3) === 0;
@@ -214,6 +227,14 @@
   return result;
 }
 
+/** Some tasks are long if workers restart, so that they are cut off at work. */
+function drawRunMs(randomness: Randomness, hasLongTasks: boolean): number {
+  const isLong = hasLongTasks && randomness.integer(1, 100) <= LONG_PERCENT;
+  return isLong
+    ? randomness.integer(MIN_LONG_RUN_MS, MAX_LONG_RUN_MS)
+    : randomness.integer(10, MAX_RUN_MS);
+}
+
 function buildWorkItem(
   work: TestWork,
   key: string,
--- a/stand_ins/local_cluster/check_execution.ts
+++ b/stand_ins/local_cluster/check_execution.ts
@@ -53,6 +53,7 @@
   });
   const twice = [
     ...findDuplicateRuns(runs, manifest),
+    ...findRunsAfterAcknowledgement(runs),
     ...findRunsOfTasksReportedNotRun(runs, results),
   ];
   for (const violation of twice) violations.push(`twice ${violation}`);
@@ -156,6 +157,25 @@
   return twice;
 }
 
+/** Finds tasks that were started again after an acknowledged completion. */
+function findRunsAfterAcknowledgement(
+  runs: Map<string, RunRecord[]>,
+): string[] {
+  return [...runs].flatMap(([taskId, taskRuns]) => {
+    const completedAtMs = Math.min(
+      ...taskRuns
+        .filter(({ end, isAcknowledged }) => end === "done" && isAcknowledged)
+        .map(({ endedAtMs }) => endedAtMs ?? Infinity),
+    );
+    const isRepeated = taskRuns.some(({ startedAtMs }) =>
+      startedAtMs > completedAtMs
+    );
+    return isRepeated
+      ? [`${taskId} started again after its acknowledged completion`]
+      : [];
+  });
+}
+
 /** Finds runs of tasks that were reported as not run. */
 function findRunsOfTasksReportedNotRun(
   runs: Map<string, RunRecord[]>,
--- a/stand_ins/local_cluster/local_cluster.ts
+++ b/stand_ins/local_cluster/local_cluster.ts
@@ -16,6 +16,7 @@
   apiUrl,
   formatInstanceSettings,
   type InstanceConfig,
+  MAX_LEASE_MS,
   readinessUrl,
 } from "./instance_settings.ts";
 import { endProgram, type Program, startProgram } from "./program.ts";
@@ -84,6 +85,7 @@
     workers: options.workers,
     durationMs: taskDurationMs,
     configuration: { version: 1, routes: [] },
+    maxLeaseMs: MAX_LEASE_MS,
     ...(options.resolveWorkerAddress === undefined
       ? {}
       : { resolveWorkerAddress: options.resolveWorkerAddress }),
