--- a/soak/main.ts
+++ b/soak/main.ts
@@ -37,6 +37,16 @@
       default: "0",
       description: "Workers that restart, in place of the other faults",
     },
+    "uptime-seconds": {
+      type: "string",
+      default: "5.5",
+      description: "Mean time for which a worker that restarts is up",
+    },
+    "deadly-percent": {
+      type: "string",
+      default: "0",
+      description: "Share of jobs that crash each worker that starts them",
+    },
     "owner-kill-seconds": {
       type: "string",
       default: "0",
@@ -80,15 +90,23 @@
 
 await runMain(command);
 
-/** Reads how workers restart; undefined if they do not. */
-function restartsOf(
-  args: { "restarting-workers": string; "owner-kill-seconds": string },
-): SoakOptions["restarts"] {
+/** Reads how workers restart; undefined for the usual faults. */
+function restartsOf(args: {
+  "restarting-workers": string;
+  "uptime-seconds": string;
+  "deadly-percent": string;
+  "owner-kill-seconds": string;
+}): SoakOptions["restarts"] {
   const workers = Number(args["restarting-workers"]);
-  if (workers === 0) return undefined;
+  const deadlyPercent = Number(args["deadly-percent"]);
+  if (workers === 0 && deadlyPercent === 0) return undefined;
   const intervalMs = Number(args["owner-kill-seconds"]) * MS_PER_S;
-  const ownerKillIntervalMs = intervalMs === 0 ? undefined : intervalMs;
-  return { workers, ownerKillIntervalMs };
+  return {
+    workers,
+    meanUptimeMs: Number(args["uptime-seconds"]) * MS_PER_S,
+    deadlyPercent,
+    ownerKillIntervalMs: intervalMs === 0 ? undefined : intervalMs,
+  };
 }
 
 /** Yields the run parameters of each requested seed. */
--- a/soak/plan_faults.ts
+++ b/soak/plan_faults.ts
@@ -7,9 +7,8 @@
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 5_000;
 const MAX_DELAY_MS = 400;
-/** How long a worker is up between two restarts, in milliseconds. */
-const MIN_UPTIME_MS = 3_000;
-const MAX_UPTIME_MS = 8_000;
+/** How far the times between two restarts differ from their mean. */
+const UPTIME_SPREAD = 0.45;
 const MIN_DOWN_MS = 100;
 const MAX_DOWN_MS = 700;
 /** How long a restarted worker can be reached at most before it is cut off. */
@@ -77,6 +76,8 @@
 export type RestartPlanOptions = {
   /** Number of workers that restart. */
   workers: number;
+  /** Mean time for which such a worker is up, in milliseconds. */
+  meanUptimeMs: number;
   /** Time between two losses of the owner, in ms; none is lost if undefined. */
   ownerKillIntervalMs: number | undefined;
   durationMs: number;
@@ -88,9 +89,14 @@
  */
 export function* planRestarts(
   randomness: Randomness,
-  { workers, ownerKillIntervalMs, durationMs }: RestartPlanOptions,
+  { workers, meanUptimeMs, ownerKillIntervalMs, durationMs }:
+    RestartPlanOptions,
 ): Generator<PlannedFault> {
-  const drawUptimeMs = () => randomness.integer(MIN_UPTIME_MS, MAX_UPTIME_MS);
+  const drawUptimeMs = () =>
+    randomness.integer(
+      Math.round(meanUptimeMs * (1 - UPTIME_SPREAD)),
+      Math.round(meanUptimeMs * (1 + UPTIME_SPREAD)),
+    );
   for (let worker = 0; worker < workers; worker += 1) {
     for (let atMs = drawUptimeMs(); atMs < durationMs;) {
       const downMs = randomness.integer(MIN_DOWN_MS, MAX_DOWN_MS);
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -15,8 +15,10 @@
   type TestWork,
   testWorkItems,
   workerHistories,
+  type WorkItem,
   type WorkItemResult,
 } from "../stand_ins/local_cluster/mod.ts";
+import { checkDeadlyRequests } from "./check_deadly_requests.ts";
 import { checkTrackedRequests } from "./check_tracked_requests.ts";
 import type { PlannedFault } from "./fault.ts";
 import { type FaultProxy, startFaultProxy } from "./fault_proxy.ts";
@@ -52,7 +54,13 @@
   /** Number of concurrent callers. */
   callers: number;
   /** Workers restart under their ids in place of the other faults. */
-  restarts?: Omit<RestartPlanOptions, "durationMs">;
+  restarts?: RestartOptions;
+};
+
+/** Options for workers that restart. */
+export type RestartOptions = Omit<RestartPlanOptions, "durationMs"> & {
+  /** Percentage of the jobs that crash each worker that starts them. */
+  deadlyPercent: number;
 };
 
 /** Result of a run. */
@@ -107,7 +115,8 @@
     const load = runLoad(targets, options);
     await injectFaults(targets, plan);
     await clearFaults(targets);
-    const { workItemResults, trackedRequests, workItems } = await load;
+    const { workItemResults, trackedRequests, deadlyRequests, workItems } =
+      await load;
     watchController.abort();
     await Promise.all(watches);
     const workers = workerHistories(cluster);
@@ -118,6 +127,9 @@
     for (const violation of checkTrackedRequests(trackedRequests, runs)) {
       violations.add(violation);
     }
+    for (const violation of checkDeadlyRequests(deadlyRequests, runs)) {
+      violations.add(violation);
+    }
     const logs = collectLogs();
     return { seed, plan, violations: [...violations], workItems, logs };
   } catch (error) {
@@ -171,6 +183,7 @@
 type LoadResult = {
   workItemResults: WorkItemResult[];
   trackedRequests: TrackedRequest[];
+  deadlyRequests: TrackedRequest[];
   workItems: SoakResult["workItems"];
 };
 
@@ -182,6 +195,7 @@
   const result: LoadResult = {
     workItemResults: [],
     trackedRequests: [],
+    deadlyRequests: [],
     workItems: [],
   };
   const startMs = performance.now();
@@ -194,7 +208,21 @@
       const key = `${caller}-${turn}`;
       const runMs = drawRunMs(randomness, restarts !== undefined);
       const firstInstance = randomness.integer(0, urls.length - 1);
-      if (randomness.integer(0, 3) < 2) {
+      const isDeadly = restarts !== undefined &&
+        randomness.integer(1, 100) <= restarts.deadlyPercent;
+      if (isDeadly) {
+        const { api } = cluster;
+        const trackOptions = {
+          api,
+          urls,
+          cancelAfterMs: undefined,
+          deadlineMs,
+        };
+        const workItem = buildWorkItem("scan", `${key}-deadly`, runMs, 1);
+        result.deadlyRequests.push(
+          await trackRequest(trackOptions, markDeadly(workItem), firstInstance),
+        );
+      } else if (randomness.integer(0, 3) < 2) {
         const isGang = randomness.integer(0, 3) === 0;
         const workItem = isGang
           ? buildWorkItem("audit", key, runMs, GANG_SIZE)
@@ -235,6 +263,16 @@
     : randomness.integer(10, MAX_RUN_MS);
 }
 
+/** Makes the tasks of a work item crash each worker that starts them. */
+function markDeadly(workItem: WorkItem): WorkItem {
+  const { submission } = workItem;
+  const tasks = submission.tasks.map((task) => ({
+    ...task,
+    payload: { ...Object(task.payload), isDeadly: true },
+  }));
+  return { ...workItem, submission: { ...submission, tasks } };
+}
+
 function buildWorkItem(
   work: TestWork,
   key: string,
--- a/soak/soak_process_test.ts
+++ b/soak/soak_process_test.ts
@@ -28,7 +28,12 @@
 });
 
 describe("the soak of workers that restart", () => {
-  const restarts = { workers: 4, ownerKillIntervalMs: undefined };
+  const restarts = {
+    workers: 4,
+    meanUptimeMs: 5_500,
+    deadlyPercent: 0,
+    ownerKillIntervalMs: undefined,
+  };
   const durationMs = 14_000;
   let violations: string[] = [];
   const isDoubleRun = (line: string) => line.startsWith("twice ");
--- a/stand_ins/local_cluster/local_cluster.ts
+++ b/stand_ins/local_cluster/local_cluster.ts
@@ -20,7 +20,7 @@
   readinessUrl,
 } from "./instance_settings.ts";
 import { endProgram, type Program, startProgram } from "./program.ts";
-import { taskDurationMs } from "./task_payload.ts";
+import { isDeadlyTask, taskDurationMs } from "./task_payload.ts";
 
 const POLL_INTERVAL_MS = 50;
 const START_TIMEOUT_MS = 60_000;
@@ -84,6 +84,7 @@
     partitions: PARTITIONS,
     workers: options.workers,
     durationMs: taskDurationMs,
+    isDeadly: (task, specification) => isDeadlyTask(specification, task),
     configuration: { version: 1, routes: [] },
     maxLeaseMs: MAX_LEASE_MS,
     ...(options.resolveWorkerAddress === undefined
--- a/stand_ins/platform/platform.ts
+++ b/stand_ins/platform/platform.ts
@@ -80,6 +80,8 @@
   resolveWorkerAddress?: (worker: string, address: string) => Promise<string>;
   /** The operators' configuration, in the platform's format. */
   configuration: object;
+  /** Whether a task crashes each worker that starts it; none if absent. */
+  isDeadly?: Worker["isDeadly"];
   /** The longest lease that a worker grants, in milliseconds. */
   maxLeaseMs?: number;
   /** How long the store takes for each call, in milliseconds; 0 if absent. */
@@ -137,7 +139,7 @@
       config.id,
       options.durationMs,
       Date.now(),
-      undefined,
+      options.isDeadly,
       { maxLeaseMs: options.maxLeaseMs ?? Infinity },
     );
     const workerProcess: WorkerProcess = {
--- a/stand_ins/platform/restart_worker.ts
+++ b/stand_ins/platform/restart_worker.ts
@@ -12,6 +12,9 @@
 /** The largest clock reading of a restarted worker at its start, in ms. */
 const MAX_CLOCK_START_MS = 10_000_000;
 
+/** How long a worker is down that a task has crashed, in milliseconds. */
+const DOWN_AFTER_DEADLY_START_MS = 300;
+
 /** The process of a worker, which may be restarted. */
 export type WorkerProcess = {
   /** The present incarnation; the former one while it is down. */
@@ -32,10 +35,11 @@
   if (workerProcess.restart !== undefined) return;
   crash(workerProcess.worker, Date.now());
   workerProcess.restart = delay(downMs).then(() => {
-    const { id, durationMs, maxLeaseMs, started } = workerProcess.worker;
+    const { id, durationMs, isDeadly, maxLeaseMs, started } =
+      workerProcess.worker;
     const clockStartMs = Math.floor(Math.random() * MAX_CLOCK_START_MS);
     const timing = { clockStartMs, maxLeaseMs };
-    const next = createWorker(id, durationMs, Date.now(), undefined, timing);
+    const next = createWorker(id, durationMs, Date.now(), isDeadly, timing);
     next.started = started;
     workerProcess.worker = next;
     workerProcess.restart = undefined;
@@ -77,6 +81,11 @@
   await workerProcess.restart;
   const { worker } = workerProcess;
   const response = await handle(worker);
+  if (worker.hasCrashed && workerProcess.worker === worker) {
+    restartWorker(workerProcess, DOWN_AFTER_DEADLY_START_MS);
+    socket.destroy();
+    return undefined;
+  }
   if (isHeldUp || connections.get(socket) !== worker) {
     socket.destroy();
     return undefined;
--- a/stand_ins/platform/worker.ts
+++ b/stand_ins/platform/worker.ts
@@ -66,7 +66,7 @@
   started: RunRecord[];
   durationMs: TaskDuration;
   /** Whether a task crashes each worker that starts it. */
-  isDeadly: (task: string) => boolean;
+  isDeadly: (task: string, specification: string) => boolean;
   /** Whether a task has crashed this incarnation; it then does nothing more. */
   hasCrashed: boolean;
   /** Number of commands that were refused because of their fencing token. */
@@ -126,7 +126,7 @@
   id: string,
   durationMs: TaskDuration,
   nowMs: number,
-  isDeadly: (task: string) => boolean = () => false,
+  isDeadly: Worker["isDeadly"] = () => false,
   timing: Partial<WorkerTiming> = {},
 ): Worker {
   return {
@@ -237,7 +237,7 @@
   const endsAtMs = nowMs + worker.durationMs(specification, task);
   worker.running.set(task, { attempt, endsAtMs, record });
   worker.started.push(record);
-  worker.hasCrashed = worker.isDeadly(task);
+  worker.hasCrashed = worker.isDeadly(task, specification);
   return okResponse(worker, nowMs);
 }
 
