--- a/src/entry/replace_queue_records.ts
+++ b/src/entry/replace_queue_records.ts
@@ -9,9 +9,9 @@
  * until the instance stops.
  */
 export async function replaceQueueRecords(
-  { platform, clock, ownedDomains, stopping }: Pick<
+  { platform, clock, logger, ownedDomains, stopping }: Pick<
     EntryContext,
-    "platform" | "clock" | "ownedDomains" | "stopping"
+    "platform" | "clock" | "logger" | "ownedDomains" | "stopping"
   >,
 ): Promise<void> {
   const { signal } = stopping;
@@ -20,8 +20,13 @@
     const owners = ownedDomains.loadedOwners();
     if (owners.length === 0 || signal.aborted) continue;
     const page = await platform.store.newest(QUEUES_PARTITION, signal);
-    // The records are replaced the next time if they cannot be read now.
-    if (page.isErr()) continue;
+    if (page.isErr()) {
+      logger.part("store").warn(
+        "Cannot read the queue records; they are replaced the next time.",
+        { fault: page.error.kind, cause: page.error.message },
+      );
+      continue;
+    }
     const { records } = parseQueueRecords(page.value.records);
     for (const owner of owners) {
       await owner.replaceObsoleteQueueRecords(records);
