--- a/src/entry/call_router.ts
+++ b/src/entry/call_router.ts
@@ -144,7 +144,7 @@
       const startedAtMs = host.clock.steadyMs();
       const deadlineAtMs = startedAtMs + timeoutMs;
       let partition = partitionOfService(policy.service);
-      const records = await host.queues.read();
+      const records = await host.queues.read(lookupTimeoutMs(timeoutMs));
       // The same submission may have been accepted by another domain.
       if (records === undefined) {
         return { kind: "undecided", cause: QUEUES_UNKNOWN };
@@ -205,7 +205,7 @@
       return { kind: "done", value: value.state };
     },
     async describe(job, services, timeoutMs) {
-      const records = await host.queues.read();
+      const records = await host.queues.read(lookupTimeoutMs(timeoutMs));
       let lastOutcome: CallOutcome<JobDescription> = records === undefined
         ? unavailableForNow(QUEUES_UNKNOWN)
         : { kind: "unknownJob" };
@@ -229,7 +229,7 @@
       return lastOutcome;
     },
     async pendingJobs(target, timeoutMs) {
-      const records = await host.queues.read();
+      const records = await host.queues.read(lookupTimeoutMs(timeoutMs));
       if (records === undefined) return unavailableForNow(QUEUES_UNKNOWN);
       const partition = partitionOfService(target.service);
       const { isAssigned } = host;
@@ -309,7 +309,7 @@
   if (outcome.kind !== "done" || outcome.value.kind !== "unknownJob") {
     return outcome;
   }
-  const records = await host.queues.read();
+  const records = await host.queues.read(lookupTimeoutMs(timeoutMs));
   if (records === undefined) return unavailableForNow(QUEUES_UNKNOWN);
   const others = new Set([
     ...host.partitionsInUse(),
--- a/src/entry/follow_store_topics.ts
+++ b/src/entry/follow_store_topics.ts
@@ -55,7 +55,7 @@
       }
       const { configuration } = decoded;
       if (!context.configuration.applyIfNewer(configuration)) continue;
-      context.queues.read();
+      context.queues.read(LONG_POLL_WAIT_MS);
       logger.part("entry").info("Applied a new configuration.", {
         version: configuration.version,
         routes: configuration.routes.length,
--- a/src/entry/queue_directory.ts
+++ b/src/entry/queue_directory.ts
@@ -7,8 +7,6 @@
 import type { PartLogger } from "../telemetry/mod.ts";
 import { untilTimeout } from "./until_timeout.ts";
 
-/** How long a call waits for the records, in milliseconds. */
-const READ_TIMEOUT_MS = 800;
 /** The shortest time between a failed read and the next one, in ms. */
 const RETRY_DELAY_MS = 250;
 /**
@@ -34,8 +32,10 @@
    * if the store does not answer. They name every domain in which an instance
    * under an earlier configuration may have accepted a job, since a queue is
    * recorded before its first job.
+   *
+   * @param timeoutMs how long to wait for a store that is slow
    */
-  read(): Promise<QueueRecord[] | undefined>;
+  read(timeoutMs: number): Promise<QueueRecord[] | undefined>;
   /** The records read last, also under an earlier configuration. */
   known(): QueueRecord[];
 };
@@ -54,7 +54,7 @@
  * @example
  * ```ts
  * const directory = createQueueDirectory(host);
- * const records = await directory.read();
+ * const records = await directory.read(1_500);
  * ```
  */
 export function createQueueDirectory(host: QueueDirectoryHost): QueueDirectory {
@@ -97,7 +97,7 @@
 
   return {
     known: () => snapshot?.records ?? [],
-    async read() {
+    async read(timeoutMs) {
       const revision = host.revision();
       if (snapshot?.revision === revision) {
         const ageMs = clock.steadyMs() - snapshot.readAtMs;
@@ -105,7 +105,7 @@
         if (isOutdated) startRead(revision, true);
         return snapshot.records;
       }
-      await untilTimeout(clock, startRead(revision, false), READ_TIMEOUT_MS);
+      await untilTimeout(clock, startRead(revision, false), timeoutMs);
       return snapshot?.revision === revision ? snapshot.records : undefined;
     },
   };
--- a/src/entry/queue_directory_test.ts
+++ b/src/entry/queue_directory_test.ts
@@ -35,12 +35,12 @@
 describe("the directory of queues", () => {
   it("reads the store once for each configuration", async () => {
     const { directory, state } = createTestSetup();
-    const records = await directory.read();
+    const records = await directory.read(1_500);
     assert.deepEqual(records?.map(({ partition }) => partition), [3]);
-    await directory.read();
+    await directory.read(1_500);
     assert.equal(state.reads, 1);
     state.revision = "2";
-    await directory.read();
+    await directory.read(1_500);
     assert.equal(state.reads, 2);
   });
 
@@ -48,12 +48,12 @@
   // an instance that had not applied the configuration yet, stays unknown.
   it("reads again once every instance has the configuration", async () => {
     const { directory, state, sleep } = createTestSetup();
-    await directory.read();
+    await directory.read(1_500);
     await sleep(10_001);
-    await directory.read();
+    await directory.read(1_500);
     assert.equal(state.reads, 2);
     await sleep(60_000);
-    await directory.read();
+    await directory.read(1_500);
     assert.equal(state.reads, 2);
   });
 
@@ -61,21 +61,21 @@
   // that accepted jobs since.
   it("does not answer from records of an earlier configuration", async () => {
     const { directory, state } = createTestSetup();
-    await directory.read();
+    await directory.read(1_500);
     state.revision = "2";
     state.isDown = true;
-    assert.equal(await directory.read(), undefined);
+    assert.equal(await directory.read(1_500), undefined);
     assert.equal(directory.known().length, 1);
   });
 
   it("pauses before it repeats a read that failed", async () => {
     const { directory, state, sleep } = createTestSetup();
     state.isDown = true;
-    await directory.read();
-    await directory.read();
+    await directory.read(1_500);
+    await directory.read(1_500);
     assert.equal(state.reads, 1);
     await sleep(250);
     state.isDown = false;
-    assert.equal((await directory.read())?.length, 1);
+    assert.equal((await directory.read(1_500))?.length, 1);
   });
 });
