Soak: watch the manifest version of each process, not of each start time

The check kept the latest version by incarnation, which is the start time in milliseconds, so instances that start in the same one shared an entry, and one that had not read the newest manifest yet counted as another one's step back. The check is as strict for each process.

--- a/soak/watch_manifest_versions.ts
+++ b/soak/watch_manifest_versions.ts
@@ -34,11 +34,13 @@
       const parsed = v.safeParse(statusSchema, status);
       if (parsed.success) {
         const { incarnation, version } = parsed.output;
-        const previous = latestVersions.get(incarnation) ?? -1;
+        // Instances that start in the same millisecond have equal incarnations.
+        const processName = `${id}/${incarnation}`;
+        const previous = latestVersions.get(processName) ?? -1;
         if (version < previous) {
           violations.push(`${id} went back to version ${version}`);
         }
-        latestVersions.set(incarnation, version);
+        latestVersions.set(processName, version);
         baseVersion = Math.max(baseVersion, version);
       }
       if (index > 1) return;
