Answer from earlier queue records for queues that have not moved since

Cause: each configuration made an instance read the records before it forwarded anything. Records read since a queue has had its service at its address without interruption tell all of its earlier domains, so only queues that moved have to wait. An instance that has not read each version in between takes its queues for moved.

--- a/src/entry/call_router.ts
+++ b/src/entry/call_router.ts
@@ -61,6 +61,12 @@
   reachability: Reachability;
   /** Tells which domains may have jobs of a queue. */
   queues: Pick<QueueDirectory, "read">;
+  /** The version of the configuration since which a queue has not moved. */
+  assignedSince(
+    queue: string,
+    service: string,
+    address: string | undefined,
+  ): number | undefined;
   /** Whether the configuration has a queue of a name. */
   isAssigned(queue: string): boolean;
   /** The partitions of the domains to which queues are assigned. */
@@ -144,7 +150,10 @@
       const startedAtMs = host.clock.steadyMs();
       const deadlineAtMs = startedAtMs + timeoutMs;
       let partition = partitionOfService(policy.service);
-      const records = await host.queues.read(lookupTimeoutMs(timeoutMs));
+      const records = await host.queues.read(
+        lookupTimeoutMs(timeoutMs),
+        host.assignedSince(policy.queue, policy.service, address),
+      );
       // The same submission may have been accepted by another domain.
       if (records === undefined) {
         return { kind: "undecided", cause: QUEUES_UNKNOWN };
@@ -229,9 +238,13 @@
       return lastOutcome;
     },
     async pendingJobs(target, timeoutMs) {
-      const records = await host.queues.read(lookupTimeoutMs(timeoutMs));
+      const { queue, service, address } = target;
+      const records = await host.queues.read(
+        lookupTimeoutMs(timeoutMs),
+        host.assignedSince(queue, service, address),
+      );
       if (records === undefined) return unavailableForNow(QUEUES_UNKNOWN);
-      const partition = partitionOfService(target.service);
+      const partition = partitionOfService(service);
       const { isAssigned } = host;
       const domains = queueDomains(records, target, partition, isAssigned);
       const counts = await Promise.all(
--- a/src/entry/call_router_test.ts
+++ b/src/entry/call_router_test.ts
@@ -72,6 +72,7 @@
     findJobAt: (_instance, _job, partitions) =>
       Promise.resolve({ partition: jobPartition, searched: partitions }),
     partitionsInUse: () => new Set([9]),
+    assignedSince: () => undefined,
     isAssigned: (queue) => queue === TARGET.queue,
     queues: {
       read: () =>
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -187,6 +187,7 @@
       clock,
       logger: logger.part("store"),
       revision: () => revisionOf(parts),
+      version: () => parts.configuration.current()?.version,
       signal,
     }),
     timeLine,
--- a/src/entry/follow_store_topics.ts
+++ b/src/entry/follow_store_topics.ts
@@ -42,6 +42,7 @@
   };
   const applyConfiguration = (
     records: KeyedRecord[],
+    isNext: boolean,
   ) => {
     for (const record of records) {
       const decoded = platform.decodeConfiguration(record);
@@ -54,7 +55,7 @@
         continue;
       }
       const { configuration } = decoded;
-      if (!context.configuration.applyIfNewer(configuration)) continue;
+      if (!context.configuration.applyIfNewer(configuration, isNext)) continue;
       context.queues.read(LONG_POLL_WAIT_MS);
       logger.part("entry").info("Applied a new configuration.", {
         version: configuration.version,
@@ -65,8 +66,8 @@
   followTopic({
     ...followerOptions,
     partition: platform.configurationTopic,
-    onSnapshot: applyConfiguration,
-    onRecords: applyConfiguration,
+    onSnapshot: (records) => applyConfiguration(records, false),
+    onRecords: (records) => applyConfiguration(records, true),
   });
   followTopic({
     ...followerOptions,
--- a/src/entry/queue_directory.ts
+++ b/src/entry/queue_directory.ts
@@ -22,6 +22,8 @@
   logger: PartLogger;
   /** Identifies the configuration and the manifest in force. */
   revision(): string;
+  /** Version of the configuration in force. */
+  version(): number | undefined;
   signal: AbortSignal;
 };
 
@@ -34,14 +36,18 @@
    * recorded before its first job.
    *
    * @param timeoutMs how long to wait for a store that is slow
+   * @param since version of the configuration since which the queue in question
+   * has not moved; records read since then tell all of its earlier domains
    */
-  read(timeoutMs: number): Promise<QueueRecord[] | undefined>;
+  read(timeoutMs: number, since?: number): Promise<QueueRecord[] | undefined>;
   /** The records read last, also under an earlier configuration. */
   known(): QueueRecord[];
 };
 
 type Snapshot = {
   revision: string;
+  /** Version of the configuration that was in force when the read began. */
+  version: number | undefined;
   readAtMs: number;
   /** Whether it was read once all instances had applied the configuration. */
   isFinal: boolean;
@@ -64,6 +70,7 @@
   let failedAtMs = -Infinity;
 
   async function readStore(revision: string, isFinal: boolean): Promise<void> {
+    const version = host.version();
     const page = await store.newest(QUEUES_PARTITION, signal);
     if (page.isErr()) {
       failedAtMs = clock.steadyMs();
@@ -78,7 +85,8 @@
     for (const key of unreadable) {
       logger.error("Skipped an unreadable queue record.", { key });
     }
-    snapshot = { revision, readAtMs: clock.steadyMs(), isFinal, records };
+    const readAtMs = clock.steadyMs();
+    snapshot = { revision, version, readAtMs, isFinal, records };
   }
 
   /** Joins a read of the same revision that is under way. */
@@ -97,7 +105,7 @@
 
   return {
     known: () => snapshot?.records ?? [],
-    async read(timeoutMs) {
+    async read(timeoutMs, since) {
       const revision = host.revision();
       if (snapshot?.revision === revision) {
         const ageMs = clock.steadyMs() - snapshot.readAtMs;
@@ -105,6 +113,12 @@
         if (isOutdated) startRead(revision, true);
         return snapshot.records;
       }
+      const isRecent = since !== undefined && snapshot?.version !== undefined &&
+        snapshot.version >= since;
+      if (isRecent) {
+        startRead(revision, false);
+        return snapshot?.records;
+      }
       await untilTimeout(clock, startRead(revision, false), timeoutMs);
       return snapshot?.revision === revision ? snapshot.records : undefined;
     },
--- a/src/entry/queue_directory_test.ts
+++ b/src/entry/queue_directory_test.ts
@@ -18,6 +18,7 @@
     logger: silentLogger,
     signal,
     revision: () => state.revision,
+    version: () => Number(state.revision),
     store: {
       newest: () => {
         state.reads += 1;
@@ -68,6 +69,17 @@
     assert.equal(directory.known().length, 1);
   });
 
+  // Guards against calls that fail for a slow store after a configuration that
+  // does not concern their queue.
+  it("answers at once for a queue that has not moved since the read", async () => {
+    const { directory, state } = createTestSetup();
+    await directory.read(1_500, 1);
+    state.revision = "3";
+    state.isDown = true;
+    assert.equal((await directory.read(1_500, 1))?.length, 1);
+    assert.equal(await directory.read(1_500, 2), undefined);
+  });
+
   it("pauses before it repeats a read that failed", async () => {
     const { directory, state, sleep } = createTestSetup();
     state.isDown = true;
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -52,6 +52,7 @@
     callPeer: context.rpc.callOwner,
     findJobAt: context.rpc.find,
     partitionsInUse: () => partitionsInUse(context),
+    assignedSince: configuration.assignedSince,
     isAssigned: (queue) => configuration.hasQueue(queue),
     signal: context.closing.signal,
   });
