--- a/soak/inject_faults.ts
+++ b/soak/inject_faults.ts
@@ -5,6 +5,7 @@
   restartInstance,
   waitUntilReady,
 } from "../stand_ins/local_cluster/mod.ts";
+import { findOwnerAddress } from "../stand_ins/platform/store.ts";
 import { restartWorker } from "../stand_ins/platform/restart_worker.ts";
 import type { InjectedFault, PlannedFault } from "./fault.ts";
 import type { FaultProxy, ProxyMode } from "./fault_proxy.ts";
@@ -116,8 +117,7 @@
 function findOwner(
   { platform, instances }: LocalCluster,
 ): LocalInstance | undefined {
-  const [group] = platform.store.groups.values();
-  const owner = group?.owners.find((member) => member !== undefined);
+  const owner = findOwnerAddress(platform.store);
   return instances.find(({ ports }) => owner?.endsWith(`:${ports.peers}`));
 }
 
--- a/src/entry/call_router.ts
+++ b/src/entry/call_router.ts
@@ -16,6 +16,7 @@
   JobState,
   QueuePolicy,
 } from "../domain/mod.ts";
+import type { QueueRecord } from "../ownership/mod.ts";
 import type { Counters } from "../telemetry/mod.ts";
 import { executeDomainCall } from "./execute_domain_call.ts";
 import {
@@ -78,7 +79,7 @@
   queue: string;
   service: string;
   /** Host and path prefix; absent for queues of the product's own API. */
-  address?: string;
+  address?: string | undefined;
 };
 
 /** How a call to another instance ended. */
@@ -150,15 +151,13 @@
       const startedAtMs = host.clock.steadyMs();
       const deadlineAtMs = startedAtMs + timeoutMs;
       let partition = partitionOfService(policy.service);
-      const records = await host.queues.read(
-        lookupTimeoutMs(timeoutMs),
-        host.assignedSince(policy.queue, policy.service, address),
-      );
+      const { queue, service } = policy;
+      const target = { queue, service, address };
+      const records = await readRecordsOf(host, target, timeoutMs);
       // The same submission may have been accepted by another domain.
       if (records === undefined) {
         return { kind: "undecided", cause: QUEUES_UNKNOWN };
       }
-      const target = { queue: policy.queue, address };
       const earlier = earlierPartitions(records, target, partition);
       if (earlier.length > 0) {
         const untilMs = startedAtMs + lookupTimeoutMs(timeoutMs);
@@ -238,13 +237,9 @@
       return lastOutcome;
     },
     async pendingJobs(target, timeoutMs) {
-      const { queue, service, address } = target;
-      const records = await host.queues.read(
-        lookupTimeoutMs(timeoutMs),
-        host.assignedSince(queue, service, address),
-      );
+      const records = await readRecordsOf(host, target, timeoutMs);
       if (records === undefined) return unavailableForNow(QUEUES_UNKNOWN);
-      const partition = partitionOfService(service);
+      const partition = partitionOfService(target.service);
       const { isAssigned } = host;
       const domains = queueDomains(records, target, partition, isAssigned);
       const counts = await Promise.all(
@@ -260,6 +255,16 @@
   };
 }
 
+/** Reads the records that tell all earlier domains of a queue. */
+async function readRecordsOf(
+  { queues, assignedSince }: CallRouterHost,
+  { queue, service, address }: QueueTarget,
+  timeoutMs: number,
+): Promise<QueueRecord[] | undefined> {
+  const since = assignedSince(queue, service, address);
+  return await queues.read(lookupTimeoutMs(timeoutMs), since);
+}
+
 /** Counts the waiting jobs of a queue in one domain. */
 async function countPendingJobs(
   host: CallRouterHost,
--- a/src/ownership/testing/simulated_tasks.ts
+++ b/src/ownership/testing/simulated_tasks.ts
@@ -9,6 +9,7 @@
 import { err, ok, type Result } from "neverthrow";
 import {
   COMMAND_PATHS,
+  findRunRecord,
   handleCommand,
   heartbeatCommand,
   startOrStopCommand,
@@ -167,9 +168,7 @@
   for (const [number] of worker.endedRuns) before.delete(number);
   for (const [, task, attempt, end] of before.values()) {
     if (end !== "done" || model.acknowledgedRuns.has(task)) continue;
-    const run = worker.started.findLast((record) =>
-      record.task === task && record.attempt === attempt
-    );
+    const run = findRunRecord(worker, task, attempt);
     // The task may have been started elsewhere before the end was known.
     if (run === undefined || lapsedAtMs >= (run.endedAtMs ?? 0)) continue;
     model.acknowledgedRuns.set(task, run);
--- a/stand_ins/platform/deployment.ts
+++ b/stand_ins/platform/deployment.ts
@@ -5,6 +5,7 @@
 import { findFreePorts } from "../local_cluster/free_ports.ts";
 import { type Daemon, PORTS_PER_DAEMON, startDaemon } from "./daemon.ts";
 import { type Platform, startPlatform } from "./platform.ts";
+import { findOwnerAddress } from "./store.ts";
 
 const DEFAULT_PARTITIONS = 2;
 const CAPACITY = { cpuMillis: 8_000, memoryMb: 8_000, accelerators: 0 };
@@ -113,8 +114,7 @@
   platform: Platform,
   instances: Daemon[],
 ): Daemon | undefined {
-  const [group] = platform.store.groups.values();
-  const owner = group?.owners.find((member) => member !== undefined);
+  const owner = findOwnerAddress(platform.store);
   return instances.find(({ peerAddress }) => peerAddress === owner);
 }
 
--- a/stand_ins/platform/restart_worker.ts
+++ b/stand_ins/platform/restart_worker.ts
@@ -7,7 +7,12 @@
 import type { Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import type { StandInResponse } from "./store.ts";
-import { createWorker, endDueRuns, type Worker } from "./worker.ts";
+import {
+  createWorker,
+  endDueRuns,
+  findRunRecord,
+  type Worker,
+} from "./worker.ts";
 
 /** The largest clock reading of a restarted worker at its start, in ms. */
 const MAX_CLOCK_START_MS = 10_000_000;
@@ -57,9 +62,7 @@
   }
   worker.running.clear();
   for (const [, task, attempt] of worker.endedRuns) {
-    const record = worker.started.findLast((run) =>
-      run.task === task && run.attempt === attempt
-    );
+    const record = findRunRecord(worker, task, attempt);
     if (record !== undefined) record.mayBeUnread = true;
   }
   worker.endedRuns = [];
--- a/stand_ins/platform/store.ts
+++ b/stand_ins/platform/store.ts
@@ -202,6 +202,12 @@
   return { status: 200, body: { parts } };
 }
 
+/** Returns a member that owns a partition, if any group has one. */
+export function findOwnerAddress(store: Store): string | undefined {
+  const [group] = store.groups.values();
+  return group?.owners.find((member) => member !== undefined);
+}
+
 function getOrCreateGroup(store: Store, name: string): Group {
   const existing = store.groups.get(name);
   if (existing !== undefined) return existing;
--- a/stand_ins/platform/worker.ts
+++ b/stand_ins/platform/worker.ts
@@ -195,13 +195,22 @@
   }
 }
 
+/** Returns the latest record of an attempt, also of a former incarnation. */
+export function findRunRecord(
+  { started }: Worker,
+  task: string,
+  attempt: number,
+): RunRecord | undefined {
+  return started.findLast((run) =>
+    run.task === task && run.attempt === attempt
+  );
+}
+
 /** Forgets the ends up to a number. */
 function acknowledgeEnds(worker: Worker, acknowledged: number): void {
   for (const [number, task, attempt] of worker.endedRuns) {
     if (number > acknowledged) break;
-    const record = worker.started.findLast((run) =>
-      run.task === task && run.attempt === attempt
-    );
+    const record = findRunRecord(worker, task, attempt);
     if (record?.endedAtMs === undefined) continue;
     record.isAcknowledged = worker.lapsedAtMs <= record.endedAtMs;
   }
