--- a/src/entry/mod.ts
+++ b/src/entry/mod.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export * from "./build_identity.ts";
 export * from "./configuration.ts";
 export * from "./call_router.ts";
 export * from "./entry_platform.ts";
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -7,6 +7,7 @@
 import process from "node:process";
 import { joinGroup } from "../ownership/mod.ts";
 import { apiUrlOf } from "./api_url.ts";
+import { BUILD_IDENTITY } from "./build_identity.ts";
 import {
   hasWork,
   joinDelayMs,
@@ -47,6 +48,9 @@
   logger.part("daemon").info("Started.", {
     zone: settings.instance.zone,
     address: context.self,
+    build: BUILD_IDENTITY,
+    node: process.version,
+    machine: process.arch,
   });
   process.on("SIGTERM", () => stopping.abort());
   // A second SIGINT ends the process at once.
