Let the owners of domains decide who has a job of a queue that moves

Callers saw jobs of one instance answered with 410 by the others, run twice after the owner was killed, uncounted, or running on after a cancellation (LOST, TWICE, MIXED, UNASKED). The queue had moved, and that instance learned of it later than the others.

Cause: an instance took the queue records that it had read as it applied a configuration for whole until a second read 10 s later. What an instance under an earlier configuration records after that read was unknown to it, and no time of an instance bounds how late another one may be.

Now an owner decides: it records the queue, then reads what other domains have recorded, claims the job, and searches those domains, which search it from then on. Appends are ordered, so of two domains the later one knows of the earlier, and the earlier learns of the later before that accepts anything. Answers of superseded owners do not count, by the epochs in the records. Submissions no longer wait for records after a change of the configuration, so assignedSince and the reads by version are gone.

--- a/src/entry/configuration.ts
+++ b/src/entry/configuration.ts
@@ -20,19 +20,8 @@
   /**
    * Puts a configuration in force if its version is newer than the current one;
    * returns whether it did.
-   *
-   * @param isNext whether this instance has read all versions in between
    */
-  applyIfNewer(configuration: Configuration, isNext?: boolean): boolean;
-  /**
-   * The version since which a queue has had its service at its address without
-   * interruption, as far as this instance has seen; undefined if it has not.
-   */
-  assignedSince(
-    queue: string,
-    service: string,
-    address: string | undefined,
-  ): number | undefined;
+  applyIfNewer(configuration: Configuration): boolean;
   /** Whether there is a queue of a name. */
   hasQueue(queue: string): boolean;
   /** Returns the services to which the queues are assigned. */
@@ -50,7 +39,6 @@
  */
 export function createConfigurationState(): ConfigurationState {
   let current: Configuration | undefined;
-  let sinceByRoute = new Map<string, number>();
 
   return {
     current: () => current,
@@ -59,18 +47,10 @@
     services: () => [
       ...new Set(current?.routes.map(({ policy }) => policy.service)),
     ],
-    assignedSince: (...route) => sinceByRoute.get(JSON.stringify(route)),
-    applyIfNewer(configuration, isNext = false) {
+    applyIfNewer(configuration) {
       if (current !== undefined && configuration.version <= current.version) {
         return false;
       }
-      const { version, routes } = configuration;
-      sinceByRoute = new Map(routes.map(({ host, prefix, policy }) => {
-        const route = [policy.queue, policy.service, host + prefix];
-        const text = JSON.stringify(route);
-        const since = isNext ? sinceByRoute.get(text) : undefined;
-        return [text, since ?? version];
-      }));
       current = configuration;
       return true;
     },
--- a/src/entry/earlier_domains.ts
+++ b/src/entry/earlier_domains.ts
@@ -4,39 +4,18 @@
  *
  * @module
  */
-import type { QueueAddress, QueueRecord } from "../ownership/mod.ts";
-
-/**
- * Returns the partitions of other domains that may have accepted a job at the
- * address of a queue, or under its name.
- *
- * @param partition the domain to which the queue is assigned
- *
- * @example
- * ```ts
- * earlierPartitions(records, { queue: "proofs" }, 3); // [1]
- * ```
- */
-export function earlierPartitions(
-  records: QueueRecord[],
-  target: QueueAddress,
-  partition: number,
-): number[] {
-  const matching = records.filter(({ queues }) =>
-    queues.some((candidate) =>
-      candidate.queue === target.queue || hasAddressOf(candidate, target)
-    )
-  );
-  const partitions = new Set(matching.map((record) => record.partition));
-  partitions.delete(partition);
-  return [...partitions];
-}
+import {
+  type DomainQueues,
+  hasSameAddress,
+  type QueueAddress,
+} from "../ownership/mod.ts";
 
 /** A domain, and a queue of which it may have jobs. */
 export type QueueDomain = { partition: number; queue: string };
 
 /**
- * Returns where jobs of a queue may wait. Jobs of a queue that is not assigned
+ * Returns where else jobs of a queue may wait than under its name in the domain
+ * that it is assigned to. Jobs of a queue that is not assigned
  * any more count for the queue that has its address.
  *
  * @param partition the domain to which the queue is assigned
@@ -45,11 +24,11 @@
  * @example
  * ```ts
  * queueDomains(records, { queue: "proofs" }, 3, () => true);
- * // [{ partition: 3, queue: "proofs" }, { partition: 1, queue: "proofs" }]
+ * // [{ partition: 1, queue: "proofs" }]
  * ```
  */
 export function queueDomains(
-  records: QueueRecord[],
+  records: DomainQueues[],
   target: QueueAddress,
   partition: number,
   isAssigned: (queue: string) => boolean,
@@ -57,12 +36,12 @@
   const domains = new Map<string, QueueDomain>();
   const add = (domain: QueueDomain) =>
     domains.set(JSON.stringify([domain.partition, domain.queue]), domain);
-  add({ partition, queue: target.queue });
   for (const record of records) {
     for (const candidate of record.queues) {
       const { queue } = candidate;
-      const isRemoved = hasAddressOf(candidate, target) && !isAssigned(queue);
+      const isRemoved = hasSameAddress(candidate, target) && !isAssigned(queue);
       if (queue !== target.queue && !isRemoved) continue;
+      if (queue === target.queue && record.partition === partition) continue;
       add({ partition: record.partition, queue });
     }
   }
@@ -70,11 +49,6 @@
 }
 
 /** Returns the partitions of all domains that may have jobs of any queue. */
-export function recordedPartitions(records: QueueRecord[]): number[] {
+export function recordedPartitions(records: DomainQueues[]): number[] {
   return [...new Set(records.map(({ partition }) => partition))];
 }
-
-function hasAddressOf(candidate: QueueAddress, target: QueueAddress): boolean {
-  return candidate.address !== undefined &&
-    candidate.address === target.address;
-}
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -43,7 +43,6 @@
   type ConfigurationState,
   createConfigurationState,
 } from "./configuration.ts";
-import { partitionOf } from "./call_router.ts";
 import type { EntryPlatform, PlatformHost } from "./entry_platform.ts";
 import type { Settings } from "../settings/mod.ts";
 import { createInstanceList, type InstanceList } from "./instance_list.ts";
@@ -51,6 +50,7 @@
 import type { OwnerDiscovery } from "./owner_discovery.ts";
 import { createPeerContact, type PeerContact } from "./peer_contact.ts";
 import { reportAddress } from "./peer_ports.ts";
+import { partitionOf } from "./partition_of.ts";
 import { createPeerRpc, type PeerRpc } from "./peer_rpc.ts";
 import { recordedPartitions } from "./earlier_domains.ts";
 import {
@@ -186,8 +186,6 @@
       store,
       clock,
       logger: logger.part("store"),
-      revision: () => revisionOf(parts),
-      version: () => parts.configuration.current()?.version,
       signal,
     }),
     timeLine,
@@ -252,14 +250,6 @@
   ]);
 }
 
-/** Identifies the configuration and the manifest in force. */
-function revisionOf(
-  { configuration, manifest }: Pick<EntryContext, "configuration" | "manifest">,
-): string {
-  const version = configuration.current()?.version ?? "";
-  return `${version}/${manifest.current()?.version ?? ""}`;
-}
-
 function createInstanceDomains(context: EntryContextParts): OwnedDomains {
   const { settings, platform, clock, logger, counters, ending } = context;
   const { signal } = ending;
--- a/src/entry/follow_store_topics.ts
+++ b/src/entry/follow_store_topics.ts
@@ -40,10 +40,7 @@
     pauseMs: () => 0,
     signal: ending.signal,
   };
-  const applyConfiguration = (
-    records: KeyedRecord[],
-    isNext: boolean,
-  ) => {
+  const applyConfiguration = (records: KeyedRecord[]) => {
     for (const record of records) {
       const decoded = platform.decodeConfiguration(record);
       if (decoded === undefined) continue;
@@ -55,8 +52,8 @@
         continue;
       }
       const { configuration } = decoded;
-      if (!context.configuration.applyIfNewer(configuration, isNext)) continue;
-      context.queues.read(LONG_POLL_WAIT_MS);
+      if (!context.configuration.applyIfNewer(configuration)) continue;
+      context.queues.refresh();
       logger.part("entry").info("Applied a new configuration.", {
         version: configuration.version,
         routes: configuration.routes.length,
@@ -66,8 +63,8 @@
   followTopic({
     ...followerOptions,
     partition: platform.configurationTopic,
-    onSnapshot: (records) => applyConfiguration(records, false),
-    onRecords: (records) => applyConfiguration(records, true),
+    onSnapshot: applyConfiguration,
+    onRecords: applyConfiguration,
   });
   followTopic({
     ...followerOptions,
@@ -126,6 +123,7 @@
       });
     }
     if (!isNewer) return;
+    context.queues.refresh();
     logger.part("manifest").info("Applied a new manifest.", {
       version: manifest.current()?.version ?? 0,
       author: manifest.current()?.author ?? "",
--- a/src/entry/job_search.ts
+++ b/src/entry/job_search.ts
@@ -1,7 +1,9 @@
 import type { Clock } from "../hosts/mod.ts";
 import type {
   Directory,
+  DomainQueues,
   DomainSearch,
+  DomainSearchOptions,
   OwnedDomains,
 } from "../ownership/mod.ts";
 import type { PartLogger } from "../telemetry/mod.ts";
@@ -17,6 +19,8 @@
   | { kind: "found"; partition: number }
   /** No domain has the job, and its id was cancelled in this one. */
   | { kind: "cancelled"; partition: number }
+  /** No domain has the job yet; a call in progress may add it to this one. */
+  | { kind: "claimed"; partition: number }
   | { kind: "notFound" }
   /** An owner that may have the job did not answer. */
   | { kind: "unanswered" };
@@ -34,6 +38,7 @@
     instance: string,
     job: string,
     partitions: number[],
+    options: DomainSearchOptions,
   ): Promise<DomainSearch | undefined>;
   signal: AbortSignal;
 };
@@ -42,6 +47,7 @@
  * Searches domains for a job until the owner of each has answered.
  *
  * @param untilMs when a search without an answer ends, on the steady clock
+ * @param options what the search demands of the owners, and tells them
  *
  * @example
  * ```ts
@@ -53,10 +59,11 @@
   job: string,
   partitions: number[],
   untilMs: number,
+  options: DomainSearchOptions = {},
 ): Promise<JobSearch> {
   const { clock, signal, directory } = host;
   while (true) {
-    const search = await searchOnce(host, job, partitions);
+    const search = await searchOnce(host, job, partitions, options);
     if (search.kind !== "unanswered") return search;
     const isTimeUp = clock.steadyMs() + RETRY_INTERVAL_MS > untilMs;
     if (isTimeUp || signal.aborted) return search;
@@ -70,13 +77,14 @@
   host: JobSearchHost,
   job: string,
   partitions: number[],
+  options: DomainSearchOptions,
 ): Promise<JobSearch> {
   const partitionsByOwner = await groupByOwner(host, partitions);
   const answers = await Promise.all(
     [...partitionsByOwner].map(([owner, owned]) =>
       owner === host.self
-        ? findHere(host, job, owned)
-        : host.findJobAt(owner, job, owned)
+        ? findHere(host, job, owned, options)
+        : host.findJobAt(owner, job, owned, options)
     ),
   );
   const found = answers.find((answer) => answer?.partition !== undefined);
@@ -92,9 +100,29 @@
     });
     return { kind: "unanswered" };
   }
-  const cancelled = answers.find((answer) => answer?.cancelledIn !== undefined);
-  if (cancelled?.cancelledIn === undefined) return { kind: "notFound" };
-  return { kind: "cancelled", partition: cancelled.cancelledIn };
+  const [cancelledIn] = answers.flatMap((answer) => answer?.cancelledIn ?? []);
+  if (cancelledIn !== undefined) {
+    return { kind: "cancelled", partition: cancelledIn };
+  }
+  const claimedIn = answers.flatMap((answer) => answer?.claimedIn ?? []);
+  if (claimedIn.length === 0) return { kind: "notFound" };
+  return { kind: "claimed", partition: Math.min(...claimedIn) };
+}
+
+/**
+ * Returns the highest epoch that is known for each partition.
+ *
+ * @example
+ * ```ts
+ * epochsOf([{ partition: 3, epoch: 7, queues: [] }]); // { 3: 7 }
+ * ```
+ */
+export function epochsOf(domains: DomainQueues[]): Record<number, number> {
+  const epochs: Record<number, number> = {};
+  for (const { partition, epoch } of domains) {
+    epochs[partition] = Math.max(epochs[partition] ?? 0, epoch);
+  }
+  return epochs;
 }
 
 /** Groups partitions by owner; leaves out those whose owner is unknown. */
@@ -117,7 +145,8 @@
   { ownedDomains, clock }: JobSearchHost,
   job: string,
   partitions: number[],
+  options: DomainSearchOptions,
 ): Promise<DomainSearch | undefined> {
-  const search = ownedDomains.find(job, partitions);
+  const search = ownedDomains.find(job, partitions, options);
   return await untilTimeout(clock, search, LOCAL_SEARCH_TIMEOUT_MS);
 }
--- a/src/entry/peer_call.ts
+++ b/src/entry/peer_call.ts
@@ -4,7 +4,11 @@
   jobRequestSchema,
   queuePolicySchema,
 } from "../domain/mod.ts";
-import { relayEventSchema, relayMessageSchema } from "../ownership/mod.ts";
+import {
+  domainQueuesSchema,
+  relayEventSchema,
+  relayMessageSchema,
+} from "../ownership/mod.ts";
 
 /** Schema of a call from one entry instance to another. */
 export const peerCallSchema = v.variant("kind", [
@@ -28,11 +32,20 @@
     kind: v.literal("state"),
     partition: v.number(),
     job: v.string(),
+    /**
+     * The queue that the call addressed, and its address; an owner that does not
+     * have the job then names the other domains that may have it.
+     */
+    queue: v.optional(v.string()),
+    address: v.optional(v.string()),
   }),
   v.object({
     kind: v.literal("pending"),
     partition: v.number(),
     queue: v.string(),
+    address: v.optional(v.string()),
+    /** Whether to name the other domains that may have jobs of the queue. */
+    namesSharers: v.optional(v.boolean()),
   }),
   /** Reads a job with its tasks. */
   v.object({
@@ -74,6 +87,10 @@
     job: v.string(),
     /** The domains to search; all that the instance owns if absent. */
     partitions: v.optional(v.array(v.number())),
+    /** The lowest epoch of an owner that may answer, by partition. */
+    epochs: v.optional(v.record(v.string(), v.number())),
+    /** The domain that searches, which the others search from then on. */
+    sharer: v.optional(domainQueuesSchema),
   }),
   /** Reads from the store which instance owns which domain. */
   v.object({ kind: v.literal("owners") }),
@@ -107,7 +124,18 @@
 /** Schema of the answer to a call about a domain. */
 export const domainAnswerSchema = v.variant("kind", [
   v.object({ kind: v.literal("accepted") }),
-  v.object({ kind: v.literal("unknownJob") }),
+  v.object({
+    kind: v.literal("unknownJob"),
+    /** The other domains that may have jobs of the queue. */
+    sharers: v.optional(v.array(domainQueuesSchema)),
+  }),
+  /** Another domain has the job, or is to decide; the call had no effect. */
+  v.object({ kind: v.literal("elsewhere"), partition: v.number() }),
+  /**
+   * Another domain that may have the job did not answer, or is about to accept
+   * it; the call had no effect.
+   */
+  v.object({ kind: v.literal("unsearched") }),
   /** The instance does not own the domain; the call had no effect. */
   v.object({ kind: v.literal("notOwner") }),
   /** The owner lost the domain; the change may have reached the store. */
@@ -124,7 +152,12 @@
       "cancelled",
     ]),
   }),
-  v.object({ kind: v.literal("pending"), jobs: v.number() }),
+  v.object({
+    kind: v.literal("pending"),
+    jobs: v.number(),
+    /** The other domains that may have jobs of the queue. */
+    sharers: v.optional(v.array(domainQueuesSchema)),
+  }),
   v.object({ kind: v.literal("description"), job: jobDescriptionSchema }),
 ]);
 
@@ -143,6 +176,8 @@
   partition: v.optional(v.number()),
   /** The partition of a domain in which the id was cancelled. */
   cancelledIn: v.optional(v.number()),
+  /** The partition of a domain to which a call in progress may add the job. */
+  claimedIn: v.optional(v.number()),
   /** The partitions that the instance owns and has searched. */
   searched: v.optional(v.array(v.number()), []),
 });
--- a/src/entry/peer_rpc.ts
+++ b/src/entry/peer_rpc.ts
@@ -16,6 +16,7 @@
 import { observeLamport, type TimeLine } from "../time_line/mod.ts";
 import {
   type DomainSearch,
+  type DomainSearchOptions,
   type RelayCall,
   relayCallAnswerSchema,
   type RelayReport,
@@ -107,6 +108,7 @@
     instance: string,
     job: string,
     partitions: number[],
+    options: DomainSearchOptions,
   ): Promise<DomainSearch | undefined>;
   /** Whether one instance reaches another; undefined without an answer. */
   reach(via: string, instance: string): Promise<boolean | undefined>;
@@ -195,8 +197,10 @@
     },
     owners: (instance) =>
       request(instance, { kind: "owners" }, ownersAnswerSchema),
-    find: (instance, job, partitions) =>
-      request(instance, { kind: "find", job, partitions }, findAnswerSchema),
+    find(instance, job, partitions, options) {
+      const call = { kind: "find", job, partitions, ...options } as const;
+      return request(instance, call, findAnswerSchema);
+    },
     async reach(via, instance) {
       const call = { kind: "reach", instance } as const;
       return (await request(via, call, reachAnswerSchema))?.reached;
--- a/src/entry/queue_directory.ts
+++ b/src/entry/queue_directory.ts
@@ -10,8 +10,8 @@
 /** The shortest time between a failed read and the next one, in ms. */
 const RETRY_DELAY_MS = 250;
 /**
- * Time by which other instances apply a configuration as well, in milliseconds.
- * Until then they may accept jobs under an earlier one.
+ * Time by which most other instances apply a configuration as well, in
+ * milliseconds. Until then they may use queues under an earlier one.
  */
 const CONFIGURATION_SPREAD_MS = 10_000;
 
@@ -20,40 +20,30 @@
   store: Pick<StoreHost, "newest">;
   clock: Clock;
   logger: PartLogger;
-  /** Identifies the configuration and the manifest in force. */
-  revision(): string;
-  /** Version of the configuration in force. */
-  version(): number | undefined;
   signal: AbortSignal;
 };
 
-/** A cache of the records of which domain may have jobs of which queue. */
+/**
+ * The records of which domain may have jobs of which queue, as far as this
+ * instance has read them. Only the owners of the domains know of all others that
+ * may have a job (`QueueSharers`).
+ */
 export type QueueDirectory = {
   /**
-   * Returns records that were read under the present configuration; undefined
-   * if the store does not answer. They name every domain in which an instance
-   * under an earlier configuration may have accepted a job, since a queue is
-   * recorded before its first job.
+   * Reads the records, or joins a read that is under way.
    *
-   * @param timeoutMs how long to wait for a store that is slow
-   * @param since version of the configuration since which the queue in question
-   * has not moved; records read since then tell all of its earlier domains
+   * @returns the records; undefined if the store does not answer in time
    */
-  read(timeoutMs: number, since?: number): Promise<QueueRecord[] | undefined>;
-  /** The records read last, also under an earlier configuration. */
+  read(timeoutMs: number): Promise<QueueRecord[] | undefined>;
+  /**
+   * Reads the records after a change of the configuration or of the manifest,
+   * and once more when most other instances have applied it, too.
+   */
+  refresh(): Promise<void>;
+  /** The records read last. */
   known(): QueueRecord[];
 };
 
-type Snapshot = {
-  revision: string;
-  /** Version of the configuration that was in force when the read began. */
-  version: number | undefined;
-  readAtMs: number;
-  /** Whether it was read once all instances had applied the configuration. */
-  isFinal: boolean;
-  records: QueueRecord[];
-};
-
 /**
  * Creates a directory that has not read anything yet.
  *
@@ -65,62 +55,57 @@
  */
 export function createQueueDirectory(host: QueueDirectoryHost): QueueDirectory {
   const { store, clock, logger, signal } = host;
-  let snapshot: Snapshot | undefined;
-  let reading: { revision: string; result: Promise<void> } | undefined;
+  let known: QueueRecord[] = [];
+  let reading: Promise<QueueRecord[] | undefined> | undefined;
   let failedAtMs = -Infinity;
+  let refreshes = 0;
 
-  async function readStore(revision: string, isFinal: boolean): Promise<void> {
-    const version = host.version();
+  async function readStore(): Promise<QueueRecord[] | undefined> {
     const page = await store.newest(QUEUES_PARTITION, signal);
     if (page.isErr()) {
       failedAtMs = clock.steadyMs();
-      if (signal.aborted) return;
+      if (signal.aborted) return undefined;
       logger.warn("Cannot read the queue records.", {
         fault: page.error.kind,
         cause: page.error.message,
       });
-      return;
+      return undefined;
     }
     const { records, unreadable } = parseQueueRecords(page.value.records);
     for (const key of unreadable) {
       logger.error("Skipped an unreadable queue record.", { key });
     }
-    const readAtMs = clock.steadyMs();
-    snapshot = { revision, version, readAtMs, isFinal, records };
+    known = records;
+    return records;
   }
 
-  /** Joins a read of the same revision that is under way. */
-  function startRead(revision: string, isFinal: boolean): Promise<void> {
-    if (reading?.revision === revision) return reading.result;
+  function startRead(): Promise<QueueRecord[] | undefined> {
+    if (reading !== undefined) return reading;
     if (clock.steadyMs() - failedAtMs < RETRY_DELAY_MS) {
-      return Promise.resolve();
+      return Promise.resolve(undefined);
     }
-    const started = { revision, result: readStore(revision, isFinal) };
-    reading = started;
-    started.result = started.result.finally(() => {
-      if (reading === started) reading = undefined;
+    reading = readStore().finally(() => {
+      reading = undefined;
     });
-    return started.result;
+    return reading;
+  }
+
+  async function readUntilAnswered(isWanted: () => boolean): Promise<void> {
+    while (isWanted() && await startRead() === undefined) {
+      await clock.sleep(RETRY_DELAY_MS, signal);
+    }
   }
 
   return {
-    known: () => snapshot?.records ?? [],
-    async read(timeoutMs, since) {
-      const revision = host.revision();
-      if (snapshot?.revision === revision) {
-        const ageMs = clock.steadyMs() - snapshot.readAtMs;
-        const isOutdated = !snapshot.isFinal && ageMs > CONFIGURATION_SPREAD_MS;
-        if (isOutdated) startRead(revision, true);
-        return snapshot.records;
-      }
-      const isRecent = since !== undefined && snapshot?.version !== undefined &&
-        snapshot.version >= since;
-      if (isRecent) {
-        startRead(revision, false);
-        return snapshot?.records;
-      }
-      await untilTimeout(clock, startRead(revision, false), timeoutMs);
-      return snapshot?.revision === revision ? snapshot.records : undefined;
+    known: () => known,
+    read: (timeoutMs) => untilTimeout(clock, startRead(), timeoutMs),
+    async refresh() {
+      refreshes += 1;
+      const refresh = refreshes;
+      const isLatest = () => refresh === refreshes && !signal.aborted;
+      await readUntilAnswered(isLatest);
+      await clock.sleep(CONFIGURATION_SPREAD_MS, signal);
+      await readUntilAnswered(isLatest);
     },
   };
 }
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -8,7 +8,10 @@
 import { assertNever } from "../base/mod.ts";
 import { createCallerRoute, createOperatorRoute } from "../api/mod.ts";
 import { createHttpServer, type Route } from "../server/mod.ts";
-import { executeDomainCall } from "./execute_domain_call.ts";
+import {
+  type DomainCallHost,
+  executeDomainCall,
+} from "./execute_domain_call.ts";
 import { createApiHost } from "./api_host.ts";
 import { requestAdvice } from "./request_advice.ts";
 import { createCallRouter } from "./call_router.ts";
@@ -45,16 +48,19 @@
     timeoutMs: BODY_TIMEOUT_MS,
     maxConnections: MAX_PEER_CONNECTIONS,
   };
-  const router = createCallRouter({
+  const domainCalls: DomainCallHost = {
     ...context,
     logger: logger.part("entry"),
     partitionCount: settings.store.partitions,
-    callPeer: context.rpc.callOwner,
     findJobAt: context.rpc.find,
+    signal: context.closing.signal,
+  };
+  const router = createCallRouter({
+    ...context,
+    ...domainCalls,
+    callPeer: context.rpc.callOwner,
     partitionsInUse: () => partitionsInUse(context),
-    assignedSince: configuration.assignedSince,
     isAssigned: (queue) => configuration.hasQueue(queue),
-    signal: context.closing.signal,
   });
   const callers = platform.createCallerServer({
     router,
@@ -66,7 +72,7 @@
   const rpcRoute = createPeerRpcRoute(
     context.timeLine,
     settings.peers.secret,
-    (call) => handlePeerCall(context, call),
+    (call) => handlePeerCall(context, domainCalls, call),
   );
   const readiness = createHttpServer([createReadinessRoute(context)], limits);
   const metrics = createHttpServer([createMetricsRoute(context)], limits);
@@ -89,6 +95,7 @@
 
 async function handlePeerCall(
   context: EntryContext,
+  domainCalls: DomainCallHost,
   call: PeerCall,
 ): Promise<unknown> {
   switch (call.kind) {
@@ -110,7 +117,7 @@
     case "relayed":
       return context.relaySessions.dispatch(call);
     case "find":
-      return await context.ownedDomains.find(call.job, call.partitions);
+      return await context.ownedDomains.find(call.job, call.partitions, call);
     case "reach": {
       const outcome = await probeInstance(call.instance);
       const silentMs = context.peerContact.silentMs(call.instance);
@@ -133,7 +140,7 @@
     case "state":
     case "describe":
     case "pending":
-      return await executeDomainCall(context.ownedDomains, call);
+      return await executeDomainCall(domainCalls, call);
     default:
       return assertNever(call);
   }
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -51,7 +51,13 @@
   reopenLinks,
 } from "./owner_links.ts";
 import { createQueueRecorder } from "./queue_recorder.ts";
-import type { QueueAddress, QueueRecord } from "./queue_records.ts";
+import { createJobClaims } from "./job_claims.ts";
+import type {
+  DomainQueues,
+  QueueAddress,
+  QueueRecord,
+} from "./queue_records.ts";
+import { createQueueSharers } from "./queue_sharers.ts";
 import {
   createRelayedLinks,
   RELAY_GRANT_MS,
@@ -71,6 +77,8 @@
 
 /** The owner of a domain. */
 export type DomainOwner = {
+  partition: number;
+  epoch: number;
   /**
    * Submits a job; resolves once it is in the store. Answers `lost` where it is
    * unknown whether the job was stored.
@@ -88,13 +96,29 @@
   view(): DomainView;
   hasJob(job: string): boolean;
   /**
-   * Waits until the store has a record that the domain may have jobs of a queue.
+   * Waits until the store has a record that the domain may have jobs of a queue,
+   * and until the owner knows which other domains may have some.
    *
-   * @returns why it has none; undefined if it has one
+   * @returns why that cannot be done; undefined if it is
    */
   recordQueue(queue: QueueAddress): Promise<OwnerUnavailable | undefined>;
-  /** Replaces queue records that are no longer needed. */
-  replaceObsoleteQueueRecords(stored: QueueRecord[]): Promise<void>;
+  /** The other domains that may have jobs of a queue that was recorded. */
+  sharersOf(queue: QueueAddress): DomainQueues[];
+  /** Adds a domain that has recorded a queue. */
+  addSharer(sharer: DomainQueues): void;
+  /** Whether a call in progress may add a job to the domain. */
+  hasClaim(job: string): boolean;
+  /** Claims a job for a call in progress; returns how to end the claim. */
+  claim(job: string): () => void;
+  /**
+   * Replaces queue records that are no longer needed.
+   *
+   * @param readAtMs when the read of the records began, on the steady clock
+   */
+  replaceObsoleteQueueRecords(
+    stored: QueueRecord[],
+    readAtMs: number,
+  ): Promise<void>;
   /** Whether a job was cancelled before it arrived. */
   hasCancelled(job: string): boolean;
   /** Resolves once every change has been committed to the store. */
@@ -117,7 +141,9 @@
   domain: Domain,
 ): DomainOwner {
   const state = createOwnerState(host, domain);
-  const queueRecorder = createQueueRecorder(host);
+  const sharers = createQueueSharers(host.partition.number, host.clock);
+  const queueRecorder = createQueueRecorder({ ...host, sharers });
+  const claims = createJobClaims();
   state.events.stream
     .loop((seed: Domain, event) => ({
       seed,
@@ -137,6 +163,8 @@
   runPeriodicWork(state);
   host.signal.addEventListener("abort", () => failPendingCalls(state));
   return {
+    partition: host.partition.number,
+    epoch: host.epoch,
     submit: (request, policy) =>
       applyCall(state, (number) => {
         const isNew = !domain.jobs.has(request.id);
@@ -185,7 +213,12 @@
       if (host.signal.aborted) return { kind: "lost" };
       return { kind: "storeDown", silentMs: STORE_DOWN_AFTER_MS };
     },
-    async replaceObsoleteQueueRecords(stored) {
+    sharersOf: sharers.of,
+    addSharer: sharers.add,
+    hasClaim: claims.has,
+    claim: claims.add,
+    async replaceObsoleteQueueRecords(stored, readAtMs) {
+      sharers.replace(stored, readAtMs);
       // The record of a cancelled id does not name its queue.
       if (domain.cancelledIds.size > 0) return;
       await queueRecorder.replaceObsolete(stored, heldQueuesOf(domain));
--- a/src/ownership/owned_domains.ts
+++ b/src/ownership/owned_domains.ts
@@ -9,6 +9,7 @@
 import type { Assignment, Partition } from "../hosts/mod.ts";
 import { type DomainOwner, startDomainOwner } from "./domain_owner.ts";
 import type { DomainOwnerHost } from "./domain_owner_host.ts";
+import type { DomainQueues } from "./queue_records.ts";
 import { takeOver } from "./take_over.ts";
 
 /** How long the release of a domain waits for its last commits, in ms. */
@@ -48,10 +49,23 @@
   partition?: number | undefined;
   /** The partition of a domain in which the id of the job was cancelled. */
   cancelledIn?: number | undefined;
+  /** The partition of a domain to which a call in progress may add the job. */
+  claimedIn?: number | undefined;
   /** The partitions that were searched, since this instance owns them. */
   searched: number[];
 };
 
+/** What a search for a job demands of the owners, and tells them. */
+export type DomainSearchOptions = {
+  /**
+   * By partition, the lowest epoch of an owner that may answer. An owner that
+   * has been superseded does not know what its successor has accepted.
+   */
+  epochs?: Record<number, number> | undefined;
+  /** The domain that searches, so that the others search it from then on. */
+  sharer?: DomainQueues | undefined;
+};
+
 /** The domains that this instance owns. */
 export type OwnedDomains = {
   /** The owner of a domain; undefined if this instance does not own it. */
@@ -62,7 +76,11 @@
    *
    * @param partitions the domains to search; all owned ones if absent
    */
-  find(job: string, partitions?: number[]): Promise<DomainSearch>;
+  find(
+    job: string,
+    partitions?: number[],
+    options?: DomainSearchOptions,
+  ): Promise<DomainSearch>;
   /** The number of owned domains. */
   count(): number;
   /** The owners of all owned domains. */
@@ -250,25 +268,28 @@
 
   return {
     ownerOf: ownerOrTakeOver,
-    async find(job, partitions) {
+    async find(job, partitions, { epochs = {}, sharer } = {}) {
       const numbers = new Set(
         partitions ?? [
           ...domains.keys(),
           ...assigned.partitions.map(({ number }) => number),
         ],
       );
-      const candidates = await Promise.all(
-        [...numbers].map(async (number) => ({
-          number,
-          owner: await ownerOrTakeOver(number),
-        })),
-      );
+      const owners = await Promise.all([...numbers].map(ownerOrTakeOver));
+      const searched = owners.filter((owner) => owner !== undefined)
+        .filter(({ partition, epoch }) => epoch >= (epochs[partition] ?? 0));
+      // Without a pause between the two, so that an owner which does not have
+      // the job knows of the other domain before it can accept the job.
+      if (sharer !== undefined) {
+        for (const owner of searched) owner.addSharer(sharer);
+      }
+      const find = (predicate: (owner: DomainOwner) => boolean) =>
+        searched.find(predicate)?.partition;
       return {
-        partition: candidates.find(({ owner }) => owner?.hasJob(job))?.number,
-        cancelledIn: candidates.find(({ owner }) => owner?.hasCancelled(job))
-          ?.number,
-        searched: candidates.filter(({ owner }) => owner !== undefined)
-          .map(({ number }) => number),
+        partition: find((owner) => owner.hasJob(job)),
+        cancelledIn: find((owner) => owner.hasCancelled(job)),
+        claimedIn: find((owner) => owner.hasClaim(job)),
+        searched: searched.map(({ partition }) => partition),
       };
     },
     count: () => domains.size,
--- a/src/ownership/owned_domains_test.ts
+++ b/src/ownership/owned_domains_test.ts
@@ -123,6 +123,7 @@
     assert.deepEqual(await domains.find("a", [IDLE, IN_USE]), {
       partition: IDLE,
       cancelledIn: undefined,
+      claimedIn: undefined,
       searched: [IDLE, IN_USE],
     });
     assert.ok(domains.loadedOwners().some((owner) => owner.hasJob("a")));
--- a/src/ownership/queue_recorder.ts
+++ b/src/ownership/queue_recorder.ts
@@ -2,10 +2,12 @@
 import type { DomainOwnerHost } from "./domain_owner_host.ts";
 import {
   createQueueRecord,
+  parseQueueRecords,
   type QueueAddress,
   type QueueRecord,
   QUEUES_PARTITION,
 } from "./queue_records.ts";
+import type { QueueSharers } from "./queue_sharers.ts";
 
 /** Delay before a failed write is repeated, in milliseconds. */
 const RETRY_DELAY_MS = 100;
@@ -15,17 +17,24 @@
 const UNUSED_ENTRY_KEEP_MS = 60_000;
 
 /** Dependencies of a queue recorder. */
-export type QueueRecorderHost = Pick<
-  DomainOwnerHost,
-  "store" | "clock" | "logger" | "partition" | "epoch" | "signal"
->;
+export type QueueRecorderHost =
+  & Pick<
+    DomainOwnerHost,
+    "store" | "clock" | "logger" | "partition" | "epoch" | "signal"
+  >
+  & {
+    /** Where the records of other domains are kept. */
+    sharers: QueueSharers;
+  };
 
 /** Writes the queue records of a domain's owner. */
 export type QueueRecorder = {
   /**
-   * Waits until the store has a record that names a queue.
+   * Waits until the store has a record that names a queue, and until the records
+   * of other domains have been read after that. Of two domains that record the
+   * same queue, at least the later one then knows of the other one.
    *
-   * @returns whether it has one
+   * @returns whether both are done
    */
   record(queue: QueueAddress): Promise<boolean>;
   /**
@@ -41,7 +50,12 @@
   ): Promise<void>;
 };
 
-type Entry = { address: QueueAddress; usedAtMs: number };
+type Entry = {
+  address: QueueAddress;
+  usedAtMs: number;
+  /** Whether the records of other domains were read after the write. */
+  areOthersKnown: boolean;
+};
 
 /**
  * Creates the recorder of an owner, which has not written anything yet.
@@ -57,7 +71,7 @@
  * ```
  */
 export function createQueueRecorder(host: QueueRecorderHost): QueueRecorder {
-  const { store, clock, logger, partition, epoch, signal } = host;
+  const { store, clock, logger, partition, epoch, signal, sharers } = host;
   /** Entries that a record in the store names, by their text. */
   const recorded = new Map<string, Entry>();
   /** Entries that the next write adds, by their text. */
@@ -65,7 +79,7 @@
   /** Keys of this epoch that may be in the store. */
   let ownKeys: string[] = [];
   let writes = 0;
-  let writing: Promise<boolean> | undefined;
+  let working: Promise<boolean> | undefined;
 
   /** Writes all entries under a new key, and removes other keys. */
   async function write(obsoleteKeys: string[]): Promise<boolean> {
@@ -102,12 +116,40 @@
     return true;
   }
 
-  /** Runs one write at a time; joins a write that is under way. */
-  function startWrite(obsoleteKeys: string[] = []): Promise<boolean> {
-    writing ??= write(obsoleteKeys).finally(() => {
-      writing = undefined;
+  /** Reads the records of other domains. */
+  async function readOthers(): Promise<boolean> {
+    const entries = [...recorded.values()];
+    const readAtMs = clock.steadyMs();
+    const page = await store.newest(QUEUES_PARTITION, signal);
+    if (page.isErr()) {
+      logger.warn("Cannot read the queue records of other domains.", {
+        partition: partition.number,
+        epoch,
+        fault: page.error.kind,
+        cause: page.error.message,
+      });
+      return false;
+    }
+    const { records, unreadable } = parseQueueRecords(page.value.records);
+    for (const key of unreadable) {
+      logger.error("Skipped an unreadable queue record.", { key });
+    }
+    sharers.replace(records, readAtMs);
+    for (const entry of entries) entry.areOthersKnown = true;
+    return true;
+  }
+
+  /** Runs one piece of work at a time; joins one that is under way. */
+  function startWork(work: () => Promise<boolean>): Promise<boolean> {
+    working ??= work().finally(() => {
+      working = undefined;
     });
-    return writing;
+    return working;
+  }
+
+  async function writeAndReadOthers(): Promise<boolean> {
+    if (wanted.size > 0 && !await write([])) return false;
+    return await readOthers();
   }
 
   return {
@@ -115,21 +157,18 @@
       const text = textOf(queue);
       const usedAtMs = clock.steadyMs();
       const known = recorded.get(text);
-      if (known !== undefined) {
-        known.usedAtMs = usedAtMs;
-        return true;
-      }
-      wanted.set(text, { address: queue, usedAtMs });
+      if (known !== undefined) known.usedAtMs = usedAtMs;
+      else wanted.set(text, createEntry(queue, usedAtMs));
       const untilMs = usedAtMs + RECORD_TIMEOUT_MS;
-      while (!recorded.has(text)) {
-        const isWritten = await startWrite();
+      while (!recorded.get(text)?.areOthersKnown) {
+        const isDone = await startWork(writeAndReadOthers);
         if (signal.aborted || clock.steadyMs() >= untilMs) break;
-        if (!isWritten) await clock.sleep(RETRY_DELAY_MS, signal);
+        if (!isDone) await clock.sleep(RETRY_DELAY_MS, signal);
       }
-      return recorded.has(text);
+      return recorded.get(text)?.areOthersKnown ?? false;
     },
     async replaceObsolete(stored, heldQueues) {
-      await writing;
+      await working;
       const nowMs = clock.steadyMs();
       const earlier = stored.filter((record) =>
         record.partition === partition.number && record.epoch < epoch
@@ -151,14 +190,18 @@
       for (const address of [...kept, ...unnamed]) {
         const text = textOf(address);
         if (recorded.has(text)) continue;
-        wanted.set(text, { address, usedAtMs: nowMs });
+        wanted.set(text, createEntry(address, nowMs));
       }
       if (earlier.length + dropped.length + wanted.size === 0) return;
-      await startWrite(earlier.map(({ key }) => key));
+      await startWork(() => write(earlier.map(({ key }) => key)));
     },
   };
 }
 
+function createEntry(address: QueueAddress, usedAtMs: number): Entry {
+  return { address, usedAtMs, areOthersKnown: false };
+}
+
 function textOf({ queue, address }: QueueAddress): string {
   return JSON.stringify([queue, address]);
 }
--- a/src/ownership/queue_records.ts
+++ b/src/ownership/queue_records.ts
@@ -22,16 +22,18 @@
 /** A queue, and the address at which clients reach it. */
 export type QueueAddress = v.InferOutput<typeof queueAddressSchema>;
 
-const queueRecordSchema = v.object({
+/** Schema of the queues whose jobs an owner of a domain may have accepted. */
+export const domainQueuesSchema = v.object({
   partition: v.number(),
   epoch: v.number(),
   queues: v.array(queueAddressSchema),
 });
 
 /** The queues whose jobs an owner of a domain may have accepted. */
-export type QueueRecord = v.InferOutput<typeof queueRecordSchema> & {
-  key: string;
-};
+export type DomainQueues = v.InferOutput<typeof domainQueuesSchema>;
+
+/** The same, as it is in the store. */
+export type QueueRecord = DomainQueues & { key: string };
 
 /** The parsed queue records. */
 export type QueueRecords = {
@@ -70,7 +72,7 @@
   const parsed: QueueRecords = { records: [], unreadable: [] };
   for (const { key, value } of keyedRecords) {
     if (value === undefined) continue;
-    parseAs(queueRecordSchema, value).match(
+    parseAs(domainQueuesSchema, value).match(
       (record) => {
         parsed.records.push({ ...record, key });
       },
@@ -81,3 +83,21 @@
   }
   return parsed;
 }
+
+/**
+ * Whether two queues may have jobs in common: those of one name, and those that
+ * clients reach at one address, which a queue can take over from another one.
+ *
+ * @example
+ * ```ts
+ * isSameQueue({ queue: "proofs" }, { queue: "proofs", address: "a/b/" }); // true
+ * ```
+ */
+export function isSameQueue(a: QueueAddress, b: QueueAddress): boolean {
+  return a.queue === b.queue || hasSameAddress(a, b);
+}
+
+/** Whether clients reach two queues at one address. */
+export function hasSameAddress(a: QueueAddress, b: QueueAddress): boolean {
+  return a.address !== undefined && a.address === b.address;
+}
--- a/stand_ins/platform/deployment.ts
+++ b/stand_ins/platform/deployment.ts
@@ -4,7 +4,7 @@
 import { join } from "node:path";
 import { findFreePorts } from "../local_cluster/free_ports.ts";
 import { type Daemon, PORTS_PER_DAEMON, startDaemon } from "./daemon.ts";
-import { type Platform, startPlatform } from "./platform.ts";
+import { type Platform, startPlatform, type StoreAccess } from "./platform.ts";
 import { findOwnerAddress } from "./store.ts";
 
 const DEFAULT_PARTITIONS = 2;
@@ -32,6 +32,8 @@
 export type Deployment = {
   platform: Platform;
   instances: Daemon[];
+  /** The store's address of each instance. */
+  stores: StoreAccess[];
   folder: string;
   /** Starts a daemon at each of the addresses. */
   startInstances(): Daemon[];
@@ -69,6 +71,9 @@
   // Ports are chosen together: a daemon holds none until it listens, so a later
   // search could return the same port.
   const ports = await findFreePorts(instanceCount * PORTS_PER_DAEMON);
+  const stores = await Promise.all(
+    Array.from({ length: instanceCount }, () => platform.openStore()),
+  );
   const startInstances = () =>
     Array.from(
       { length: instanceCount },
@@ -78,12 +83,13 @@
           folder,
           number: index,
           ports: ports.slice(index * PORTS_PER_DAEMON),
-          store: platform.address,
+          store: stores[index]!.address,
           partitions,
           advice: "",
         }),
     );
-  return { platform, instances: startInstances(), folder, startInstances };
+  const instances = startInstances();
+  return { platform, instances, stores, folder, startInstances };
 }
 
 /**
@@ -102,9 +108,10 @@
 
 /** Kills the daemons, and stops the stand-ins once they have ended. */
 export async function stopDeployment(
-  { platform, instances, folder }: Deployment,
+  { platform, instances, stores, folder }: Deployment,
 ): Promise<void> {
   await Promise.all(instances.map(endProcess));
+  for (const store of stores) store.isConfigurationHeld = false;
   platform.close();
   rmSync(folder, { recursive: true, force: true });
 }
@@ -118,7 +125,8 @@
   return instances.find(({ peerAddress }) => peerAddress === owner);
 }
 
-async function endProcess({ child }: Daemon): Promise<void> {
+/** Kills one daemon. */
+export async function endProcess({ child }: Daemon): Promise<void> {
   if (child.exitCode !== null || child.signalCode !== null) return;
   const ended = once(child, "close");
   child.kill("SIGKILL");
--- a/stand_ins/platform/platform.ts
+++ b/stand_ins/platform/platform.ts
@@ -43,6 +43,9 @@
 /** Maximum interval at which a waiting heartbeat checks for ended runs. */
 const MAX_ENDED_RUN_POLL_MS = 50;
 const MIN_ENDED_RUN_POLL_MS = 1;
+const CONFIGURATION_TOPIC = "keyed.op";
+/** Interval at which an answer that is held back checks if it may leave. */
+const HELD_ANSWER_POLL_MS = 20;
 
 /** The running stand-ins for the platform. */
 export type Platform = {
@@ -59,9 +62,19 @@
   workerConfigs: WorkerConfig[];
   /** While true, the store accepts requests and never responds. */
   isStoreUnresponsive: boolean;
+  /** Opens another address of the store. */
+  openStore(): Promise<StoreAccess>;
   close(): void;
 };
 
+/** An address of the store at which some answers can be held back. */
+export type StoreAccess = {
+  /** `IP:port` of the store. */
+  address: string;
+  /** While true, reads of the operators' configuration are not answered. */
+  isConfigurationHeld: boolean;
+};
+
 /** Configuration of one worker. */
 export type WorkerConfig = {
   id: string;
@@ -111,6 +124,15 @@
     workerProcesses: [],
     workerConfigs: options.workers,
     isStoreUnresponsive: false,
+    async openStore() {
+      const access: StoreAccess = { address: "", isConfigurationHeld: false };
+      const server = await startServer((request, body) =>
+        serveStore(request, body, access)
+      );
+      access.address = addressOf(server);
+      servers.push(server);
+      return access;
+    },
     close() {
       for (const server of servers) {
         server.close();
@@ -119,11 +141,21 @@
     },
   };
   const { storeDelayMs = 0 } = options;
-  const storeServer = await startServer(async (request, body) => {
+  async function serveStore(
+    request: IncomingMessage,
+    body: Buffer,
+    access?: StoreAccess,
+  ): Promise<StandInResponse | undefined> {
     if (storeDelayMs > 0) await delay(storeDelayMs);
+    if (request.url?.includes(`topic=${CONFIGURATION_TOPIC}&`)) {
+      while (access?.isConfigurationHeld) await delay(HELD_ANSWER_POLL_MS);
+    }
     if (platform.isStoreUnresponsive) return undefined;
     return handleStoreRequest(store, request, body);
-  });
+  }
+  const storeServer = await startServer((request, body) =>
+    serveStore(request, body)
+  );
   platform.address = addressOf(storeServer);
   const servers = [storeServer];
   const { advice } = options;
@@ -171,7 +203,7 @@
 
 /** Puts the operators' configuration, in the platform's format, in force. */
 export function putConfiguration(store: Store, configuration: object): void {
-  putRecord(store, "keyed.op", "config", configuration);
+  putRecord(store, CONFIGURATION_TOPIC, "config", configuration);
 }
 
 /** Adds a worker to the platform's worker list in the store. */
