Weigh crashes of workers by how probable they were without the task

Callers saw jobs shown as failed none of whose tasks had failed, where workers restart by themselves: two crashes within a second of a start gave a job up, however often workers crash.

Cause: the rule looked at the task alone. Now each crash adds evidence: the less probable it was without the task, by the rate at which this worker, all workers and many of them at once crash, and by what is known of the other tasks that had just started there, the more. A task that has run for a second is no suspect any more, and a suspect is tried again on a worker that hardly crashes by itself.

Three crashes remain the limit in any case: the users' BUDGET does not allow more starts.

Evidence: the four new cases of worker_crash_test.ts fail before. The other cases are unchanged, but their workers are seen for some minutes first, since an owner that knows no rates waits for the third crash. docs/design/crashes.md.

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -5,6 +5,7 @@
   forgetDepartedWorkers,
   removeWorker,
 } from "./departed_worker.ts";
+import { observeWorkers } from "./crash_rates.ts";
 import { purgeCancelledIds, recordCancelledId } from "./cancelled_ids.ts";
 import type { Domain } from "./domain.ts";
 import type { DomainCommand } from "./domain_command.ts";
@@ -135,6 +136,7 @@
     }
     case "ticked":
       recordUsage(domain, moment);
+      observeWorkers(domain, moment);
       revokeUnusedPermits(domain);
       expireUnstartedJobs(domain, moment);
       purgeCancelledIds(domain, moment);
--- a/src/domain/choose_worker.ts
+++ b/src/domain/choose_worker.ts
@@ -1,4 +1,5 @@
 import { fitsInto, fitsRemaining, type Resources } from "../model/mod.ts";
+import { crashProbability } from "./crash_rates.ts";
 import type { Domain } from "./domain.ts";
 import type { DomainWorker } from "./domain_worker.ts";
 import type { Step } from "./job.ts";
@@ -27,6 +28,10 @@
  * other task that has just started there. A crash can then be attributed.
  */
 const SHARED_SUSPICION_PENALTIES = { suspect: 10, started: 1 };
+/** Score penalty of a suspect for a worker that certainly crashes by itself. */
+const UNSTABLE_WORKER_PENALTY = 10;
+/** The time for which a suspect needs its worker, in milliseconds. */
+const SUSPECT_START_MS = 1_000;
 /** Score penalty for each consecutive failure. */
 const FAILURE_PENALTY = 0.25;
 /** Score penalty for a worker that has not answered a start of the step. */
@@ -132,14 +137,20 @@
     DEMAND_PRESSURE_PENALTY * Math.min(1, worker.demandPressure);
 }
 
-/** Scores a worker for a task that may crash it. */
+/**
+ * Scores a worker for a task that may crash it. A worker that crashes by itself
+ * would speak against the task without a reason.
+ */
 export function scoreWorkerForSuspect(
+  domain: Domain,
   worker: DomainWorker,
   run: StepRun,
 ): number {
   const { suspect, started } = SHARED_SUSPICION_PENALTIES;
+  const probability = crashProbability(domain, worker.id, SUSPECT_START_MS);
   return scoreWorker(worker, run) - suspect * worker.suspects.size -
-    started * findUnsettledTasks(worker).length;
+    started * findUnsettledTasks(worker).length -
+    UNSTABLE_WORKER_PENALTY * probability;
 }
 
 /** Prefers full workers for accelerator tasks, idle ones for the rest. */
--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -1,4 +1,5 @@
 import type { Resources } from "../model/mod.ts";
+import { type CrashRates, createCrashRates } from "./crash_rates.ts";
 import type { DepartedWorker } from "./departed_worker.ts";
 import type { DomainCommand } from "./domain_command.ts";
 import type { DomainOptions } from "./domain_options.ts";
@@ -33,6 +34,8 @@
   workers: Map<string, DomainWorker>;
   /** Workers that left the list and may have crashed, by id. */
   departedWorkers: Map<string, DepartedWorker>;
+  /** How often workers crash without a task that is to blame. */
+  crashRates: CrashRates;
   /** Permits to start tasks before their placement is stored, by worker. */
   startPermits: Map<string, StartPermit>;
   /** Whether the store has not answered for a while. */
@@ -85,6 +88,7 @@
     adviceQueue: [],
     workers: new Map(),
     departedWorkers: new Map(),
+    crashRates: createCrashRates(),
     startPermits: new Map(),
     isStoreSilent: false,
     unsettledWorkers: new Set(),
--- a/src/domain/job_lifecycle.ts
+++ b/src/domain/job_lifecycle.ts
@@ -89,6 +89,7 @@
     crashCounts: new Map(),
     inferredCrashCounts: new Map(),
     doubtfulCrashCounts: new Map(),
+    crashEvidence: new Map(),
     advice: createStepAdvice(),
     ...startDeadlines(domain, run, occurrence, index, nowMs),
     readyAtMs: nowMs,
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -324,7 +324,7 @@
   ref.run.jobRun.hasBegun = true;
   ref.reading = listed.reading;
   ref.runningSinceMs ??= moment.steadyMs;
-  updateSettled(worker, ref, report.sentAtMs);
+  updateSettled(domain, worker, ref, report.sentAtMs);
   if (listed.checkpoint !== "") task.checkpoint = listed.checkpoint;
   const { phase } = task;
   if (phase.kind === "stopping") return;
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -82,6 +82,8 @@
   inferredCrashCounts: v.optional(v.array(v.tuple([v.number(), v.number()]))),
   /** The same for crashes that may have come before the start. */
   doubtfulCrashCounts: v.optional(v.array(v.tuple([v.number(), v.number()]))),
+  /** Pairs of task and evidence; earlier versions omit it. */
+  crashEvidence: v.optional(v.array(v.tuple([v.number(), v.number()]))),
 });
 
 /**
@@ -208,6 +210,9 @@
     ...(run.doubtfulCrashCounts.size === 0
       ? {}
       : { doubtfulCrashCounts: [...run.doubtfulCrashCounts] }),
+    ...(run.crashEvidence.size === 0
+      ? {}
+      : { crashEvidence: [...run.crashEvidence] }),
   };
 }
 
@@ -375,6 +380,7 @@
   step.crashCounts = new Map(stored.value.crashCounts);
   step.inferredCrashCounts = new Map(stored.value.inferredCrashCounts);
   step.doubtfulCrashCounts = new Map(stored.value.doubtfulCrashCounts);
+  step.crashEvidence = new Map(stored.value.crashEvidence);
   stored.value.tasks.forEach((task, position) => {
     restoreTask(domain, step, position, task, nowMs);
   });
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -75,7 +75,9 @@
   for (let index = 0; index < run.tasks.length; index += 1) {
     const task = run.tasks[index];
     if (task?.kind !== "waiting") continue;
-    const score = isSuspect(run, index) ? scoreWorkerForSuspect : scoreWorker;
+    const score = isSuspect(run, index)
+      ? scoreWorkerForSuspect.bind(undefined, domain)
+      : scoreWorker;
     const worker = takeBestWorker(pass, candidates, run, score);
     if (worker === undefined) break;
     const attempt = nextAttempt(domain, run, task);
--- a/src/domain/step_run.ts
+++ b/src/domain/step_run.ts
@@ -38,6 +38,11 @@
   inferredCrashCounts: Map<number, number>;
   /** How many of them may have come before the start reached the worker. */
   doubtfulCrashCounts: Map<number, number>;
+  /**
+   * The evidence that a task crashes its workers, by its index, as a logarithm;
+   * see `crash_evidence.ts`.
+   */
+  crashEvidence: Map<number, number>;
   advice: StepAdvice;
   /** The latest start that still meets the objective (wall clock). */
   latestStartMs: number;
@@ -81,6 +86,15 @@
   return countCrashes(run, index, excluded);
 }
 
+/**
+ * The evidence that a task crashes its workers, as a logarithm. Evidence against
+ * one member of a gang counts for all of them.
+ */
+export function crashEvidenceOf(run: StepRun, index: number): number {
+  if (!run.step.gang) return run.crashEvidence.get(index) ?? 0;
+  return Math.max(0, ...run.crashEvidence.values());
+}
+
 function countCrashes(
   run: StepRun,
   index: number,
--- a/src/domain/worker_crash.ts
+++ b/src/domain/worker_crash.ts
@@ -14,9 +14,13 @@
 import type { Moment } from "./domain_event.ts";
 import { endJob } from "./job_lifecycle.ts";
 import { stepRecordKey } from "./record_keys.ts";
+import { evidenceOfCrash, SUFFICIENT_EVIDENCE } from "./crash_evidence.ts";
+import { countCrash, crashProbability, observeWorkers } from "./crash_rates.ts";
 import {
   certainCrashCountOf,
   crashCountOf,
+  crashEvidenceOf,
+  isSuspect,
   seenCrashCountOf,
   type StepRun,
   taskNameOf,
@@ -25,20 +29,28 @@
 /** A task that has run for this long has not crashed its worker, in ms. */
 const SETTLE_MS = 1_000;
 
+/**
+ * Within this time of a crash that only records tell of, its task may have been
+ * started, in milliseconds.
+ */
+const INFERRED_MS = 10_000;
 /** Number of certain crashes after which a task is given up in any case. */
 const MAX_CRASHES = 3;
 /**
  * The number of crashes that owners have seen after which it is given up if
- * nothing else can have caused the last one.
+ * nothing else can have caused the last one, and if its workers would hardly have
+ * crashed by themselves.
  */
 const MAX_CRASHES_AS_ONLY_SUSPECT = 2;
 
 /**
- * Updates whether a worker has survived the start of a task.
+ * Updates whether a worker has survived the start of a task. A task that has let
+ * one of its workers survive is no suspect any more.
  *
  * @param aliveAtMs a time at which the worker ran the task (steady clock)
  */
 export function updateSettled(
+  domain: Domain,
   worker: DomainWorker,
   ref: PlacedTaskRef,
   aliveAtMs: number,
@@ -46,7 +58,13 @@
   if (ref.isSettled || ref.runningSinceMs === undefined) return;
   if (aliveAtMs - ref.runningSinceMs < SETTLE_MS) return;
   ref.isSettled = true;
-  worker.suspects.delete(taskNameOf(ref.run, ref.index));
+  const { run, index } = ref;
+  worker.suspects.delete(taskNameOf(run, index));
+  if (!run.crashCounts.delete(index)) return;
+  run.inferredCrashCounts.delete(index);
+  run.doubtfulCrashCounts.delete(index);
+  run.crashEvidence.delete(index);
+  domain.dirtyKeys.add(stepRecordKey(run.key));
 }
 
 /** What a link knows of the starts that its worker has not answered. */
@@ -102,46 +120,103 @@
   const distinct = new Map(
     suspects.map((suspect) => [suspectKey(suspect), suspect]),
   );
-  const isOnlyOne = !isInferred && distinct.size === 1;
+  observeWorkers(domain, moment);
+  const windowMs = isInferred ? INFERRED_MS : SETTLE_MS;
+  const probability = crashProbability(domain, worker, windowMs);
+  const hasSuspect = suspects.some(({ run, index }) => isSuspect(run, index));
+  if (!hasSuspect) countCrash(domain, worker, moment);
+  addEvidence(suspects, distinct, probability);
   for (const { run, index, isDoubtful } of suspects) {
     increment(run.crashCounts, index);
     if (isDoubtful) increment(run.doubtfulCrashCounts, index);
     else if (isInferred) increment(run.inferredCrashCounts, index);
     domain.dirtyKeys.add(stepRecordKey(run.key));
   }
-  const counts = new Map(
-    [...distinct].map(([key, { run, index }]) => [
-      key,
-      crashCountOf(run, index),
-    ]),
-  );
-  const describe = (suspect: UnsettledTask) =>
-    describeSuspect(suspect, counts.get(suspectKey(suspect)) ?? 0);
+  const descriptions = describeSuspects(suspects, distinct);
   domain.commands.push({
     kind: "report",
     message: "A worker crashed.",
-    fields: { worker, unsettled: suspects.map(describe).join(" ") },
+    fields: {
+      worker,
+      unsettled: descriptions.join(" "),
+      expectedPercent: toPercent(probability),
+    },
   });
+  const isOnlyOne = !isInferred && distinct.size === 1;
   for (const { run, index } of distinct.values()) {
     if (!isGivenUp(run, index, isOnlyOne)) continue;
+    domain.commands.push({
+      kind: "report",
+      message: "Gave up a job whose task crashes its workers.",
+      fields: {
+        job: run.jobRun.job.id,
+        task: taskNameOf(run, index),
+        crashes: certainCrashCountOf(run, index),
+        evidence: toPowerOfTen(crashEvidenceOf(run, index)),
+      },
+    });
     endJob(domain, run.jobRun, "failed", moment);
   }
 }
 
+/**
+ * Adds the evidence of a crash to each task for which it is certain.
+ *
+ * @param probability the probability of the crash without any of them
+ */
+function addEvidence(
+  suspects: UnsettledTask[],
+  distinct: Map<string, UnsettledTask>,
+  probability: number,
+): void {
+  const earlier = new Map(
+    [...distinct].map(([key, { run, index }]) => [
+      key,
+      crashEvidenceOf(run, index),
+    ]),
+  );
+  const added = new Map(
+    [...earlier.keys()].map((key) => {
+      const others = [...earlier].filter(([other]) => other !== key);
+      const evidences = others.map(([, evidence]) => evidence);
+      return [key, evidenceOfCrash(probability, evidences)];
+    }),
+  );
+  for (const suspect of suspects) {
+    if (suspect.isDoubtful) continue;
+    const { crashEvidence } = suspect.run;
+    const before = crashEvidence.get(suspect.index) ?? 0;
+    const evidence = before + (added.get(suspectKey(suspect)) ?? 0);
+    crashEvidence.set(suspect.index, roundEvidence(evidence));
+  }
+}
+
+/**
+ * The tasks as logged: `NAME:CRASHES/EVIDENCE`, the evidence in powers of ten,
+ * with a `?` if this crash is doubtful.
+ */
+function describeSuspects(
+  suspects: UnsettledTask[],
+  distinct: Map<string, UnsettledTask>,
+): string[] {
+  const findings = new Map(
+    [...distinct].map(([key, { run, index }]) => {
+      const evidence = toPowerOfTen(crashEvidenceOf(run, index));
+      return [key, `${crashCountOf(run, index)}/${evidence}`];
+    }),
+  );
+  return suspects.map((suspect) => {
+    const { run, index, isDoubtful } = suspect;
+    const finding = findings.get(suspectKey(suspect));
+    return `${taskNameOf(run, index)}:${finding}${isDoubtful ? "?" : ""}`;
+  });
+}
+
 /** Members of a gang are one suspect. */
 function suspectKey({ run, index }: TaskRef): string {
   return run.step.gang ? run.key : taskNameOf(run, index);
 }
 
-/** The task as logged: `NAME:CRASHES`, with a `?` if this one is doubtful. */
-function describeSuspect(
-  { run, index, isDoubtful }: UnsettledTask,
-  crashCount: number,
-): string {
-  const doubt = isDoubtful ? "?" : "";
-  return `${taskNameOf(run, index)}:${crashCount}${doubt}`;
-}
-
 function isGivenUp(
   run: StepRun,
   index: number,
@@ -149,7 +224,22 @@
 ): boolean {
   return certainCrashCountOf(run, index) >= MAX_CRASHES ||
     isOnlySuspect &&
-      seenCrashCountOf(run, index) >= MAX_CRASHES_AS_ONLY_SUSPECT;
+      seenCrashCountOf(run, index) >= MAX_CRASHES_AS_ONLY_SUSPECT &&
+      crashEvidenceOf(run, index) >= SUFFICIENT_EVIDENCE;
+}
+
+/** Rounds evidence so that its record stays short. */
+function roundEvidence(evidence: number): number {
+  return Math.round(evidence * 100) / 100;
+}
+
+/** Converts evidence, a natural logarithm, to a power of ten. */
+function toPowerOfTen(evidence: number): number {
+  return Math.round(evidence / Math.LN10 * 10) / 10;
+}
+
+function toPercent(probability: number): number {
+  return Math.round(probability * 1_000) / 10;
 }
 
 function increment(counts: Map<number, number>, index: number): void {
--- a/src/domain/worker_crash_test.ts
+++ b/src/domain/worker_crash_test.ts
@@ -20,6 +20,8 @@
 import type { UnansweredStarts } from "./worker_crash.ts";
 
 const TASK = "deadly.0.0.0";
+/** For how long the owner has seen its workers before, in seconds. */
+const CALM_S = 180;
 const WORKERS = ["w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"];
 /** The most starts of a task that crashes its workers: three, and two more. */
 const MAX_STARTS = 5;
@@ -118,10 +120,12 @@
   reportFrom(bench, id, { bornMs });
 }
 
+/** A bench whose workers have not crashed for some minutes. */
 function createBenchWithWorkers(): DomainBench {
   const bench = createBench();
   const listings = WORKERS.map((id) => listing(id, { address: `${id}:1` }));
   listWorkers(bench, ...listings);
+  for (let seconds = 0; seconds < CALM_S; seconds += 1) tick(bench, 1_000);
   return bench;
 }
 
@@ -454,3 +458,84 @@
     });
   }
 });
+
+// Guards against LOST: workers restart by themselves, and a job is given up for
+// having been there twice.
+describe("a task on workers that crash by themselves", () => {
+  /** Has workers crash without a task for some minutes. */
+  function crashWithoutTasks(bench: DomainBench, workers: string[]): void {
+    for (let bornMs = 100; bornMs < 120; bornMs += 1) {
+      for (const worker of workers) {
+        tick(bench, 1_000);
+        reportFrom(bench, worker, { bornMs });
+      }
+    }
+    const listings = WORKERS.map((id) => {
+      const { bornMs } = bench.domain.workers.get(id)!;
+      return listing(id, { address: `${id}:1`, bornMs });
+    });
+    feedEvent(bench, { kind: "workersListed", workers: listings });
+  }
+
+  /** Crashes the worker that was told to start the task. */
+  function crashUnder(bench: DomainBench, bornMs: number): void {
+    const [start] = startsIn(bench.commands.splice(0));
+    crash(bench, start!.worker, "new id", bornMs);
+    tick(bench, 100);
+  }
+
+  it("is not given up after two crashes", () => {
+    const bench = createBenchWithWorkers();
+    crashWithoutTasks(bench, WORKERS);
+    submit(bench, "a", [step()]);
+    crashUnder(bench, 200);
+    crashUnder(bench, 201);
+    const run = bench.domain.steps.get("a.0.0");
+    assert.deepEqual(run?.crashCounts, new Map([[0, 2]]));
+    assert.equal(jobStateOf(bench.domain, "a"), "running");
+  });
+
+  it("is tried again on a worker that does not", () => {
+    const bench = createBenchWithWorkers();
+    const [calm, ...others] = WORKERS;
+    crashWithoutTasks(bench, others);
+    submit(bench, "a", [step()]);
+    const [first] = startsIn(bench.commands);
+    crashUnder(bench, 200);
+    const [next] = startsIn(bench.commands);
+    assert.ok(first!.worker === calm || next!.worker === calm);
+  });
+
+  it("is not given up for crashes of many workers at once", () => {
+    const bench = createBenchWithWorkers();
+    submit(bench, "a", [step()]);
+    crashUnder(bench, 200);
+    const { worker } = startsIn(bench.commands)[0]!;
+    for (const other of bench.domain.workers.keys()) {
+      if (other !== worker) reportFrom(bench, other, { bornMs: 300 });
+    }
+    const unanswered = startsReaching(bench, worker);
+    const lapse = { kind: "workerLapsed", worker, isReplaced: true } as const;
+    feedEvent(bench, { ...lapse, ...unanswered });
+    const run = bench.domain.steps.get("a.0.0");
+    assert.deepEqual(run?.crashCounts, new Map([[0, 2]]));
+    assert.equal(jobStateOf(bench.domain, "a"), "running");
+  });
+
+  it("is no suspect any more once a worker has survived it", () => {
+    const bench = createBenchWithWorkers();
+    submit(bench, "a", [step()]);
+    crashUnder(bench, 200);
+    const [{ task, attempt, worker }] = startsIn(bench.commands) as [never];
+    const { bornMs } = bench.domain.workers.get(worker)!;
+    for (const percent of [1, 2, 3, 4]) {
+      bench.nowMs += 500;
+      const run = running(task, attempt, { percent });
+      reportFrom(bench, worker, { bornMs, running: [run] });
+    }
+    const run = bench.domain.steps.get("a.0.0")!;
+    assert.deepEqual([run.crashCounts.size, run.crashEvidence.size], [0, 0]);
+    simulateTakeover(bench);
+    assert.equal(bench.domain.steps.get("a.0.0")?.crashCounts.size, 0);
+  });
+});
