Answer 504, not 503, once another domain is known to have the job

A submission that was accepted before is forwarded to the domain that has it. If its owner then could not answer, the client got a 503, which says that the job never runs (REFUSED, if it was told nothing else). Found by reading.

Test: "is not refused if the domain that has it cannot answer" (fails before: unavailable).

--- a/src/entry/call_router.ts
+++ b/src/entry/call_router.ts
@@ -273,6 +273,10 @@
     const remainingMs = deadlineAtMs - clock.steadyMs();
     const moved = { ...call, partition };
     const outcome = await forwardToOwner(host, moved, subject, remainingMs);
+    if (outcome.kind === "unavailable" && hops > 0) {
+      // The other domain had the job, so it may run.
+      return { kind: "undecided", cause: outcome.cause };
+    }
     if (outcome.kind !== "done" || outcome.value.kind !== "elsewhere") {
       return outcome;
     }
--- a/src/entry/call_router_test.ts
+++ b/src/entry/call_router_test.ts
@@ -244,6 +244,22 @@
     assert.deepEqual(partitions, [present, 9]);
   });
 
+  // Guards against REFUSED: a client is told that its job never runs, while it
+  // runs in another domain, whose owner cannot reach the store.
+  it("is not refused if the domain that has it cannot answer", async () => {
+    const { router } = routerWithJobAt(9, [], {
+      callPeer: (_instance, { partition }) =>
+        Promise.resolve({
+          kind: "answered",
+          answer: partition === 9
+            ? { kind: "storeDown", silentMs: 900 }
+            : { kind: "elsewhere", partition: 9 },
+        }),
+    });
+    const outcome = await router.submit(REQUEST, policy(), 3_000);
+    assert.equal(outcome.kind, "undecided");
+  });
+
   it("ends undecided while its domains refer to each other", async () => {
     const { router } = routerWithJobAt(9, [], {
       callPeer: (_instance, { partition }) =>
--- a/src/entry/execute_domain_call.ts
+++ b/src/entry/execute_domain_call.ts
@@ -62,19 +62,16 @@
   { request, policy, address }: SubmitCall,
 ): Promise<DomainAnswer> {
   const { id } = request;
-  const isHome =
-    partitionOf(policy.service, host.partitionCount) === owner.partition;
   const accept = (holder: DomainOwner) => holder.submit(request, policy);
   const holder = findLocalHolder(host, owner, id);
   if (holder !== undefined) return await accept(holder);
-  if (!isHome) {
-    // It had the job when another domain searched for it.
-    const partition = partitionOf(policy.service, host.partitionCount);
-    return { kind: "elsewhere", partition };
-  }
+  const home = partitionOf(policy.service, host.partitionCount);
+  // Only the workers of the home can run it. This domain had the job when
+  // another one searched for it.
+  if (home !== owner.partition) return { kind: "elsewhere", partition: home };
   const queue = { queue: policy.queue, address };
-  return await decideAlone(host, owner, id, queue, async () => {
-    return await accept(findLocalHolder(host, owner, id) ?? owner);
+  return await decideAlone(host, owner, id, queue, () => {
+    return accept(findLocalHolder(host, owner, id) ?? owner);
   });
 }
 
