Weigh the suspects of a crash in linear time

The evidence against each of n tasks that had just started on a crashed worker was computed from all others, n * n, and each worker's score for a suspect from all crashes that were seen. Both are now kept as one product and one sum. Found in the reading of the diff; a worker can have some thousand small tasks.

--- a/src/domain/crash_evidence.ts
+++ b/src/domain/crash_evidence.ts
@@ -16,27 +16,27 @@
  * Returns the logarithm of the evidence that a crash adds against a task.
  *
  * @param outsideProbability the probability of a crash without any task
- * @param otherEvidences the evidence against each other task that may have caused
- * this crash, as logarithms
+ * @param otherSurvival the product of `survivalProbability` of the other tasks that
+ * may have caused it
  *
  * @example
  * ```ts
- * evidenceOfCrash(0.001, []); // 6.9
+ * evidenceOfCrash(0.001, 1); // 6.9
  * ```
  */
 export function evidenceOfCrash(
   outsideProbability: number,
-  otherEvidences: number[],
+  otherSurvival: number,
 ): number {
-  let survival = 1 - outsideProbability;
-  for (const evidence of otherEvidences) {
-    survival *= 1 - guiltProbability(evidence);
-  }
-  return -Math.log(1 - survival);
+  return -Math.log(1 - (1 - outsideProbability) * otherSurvival);
 }
 
-/** The probability that a task crashes its workers, given the evidence. */
-function guiltProbability(evidence: number): number {
+/**
+ * Returns the probability that a worker survives the start of a task.
+ *
+ * @param evidence the evidence against the task, as a logarithm
+ */
+export function survivalProbability(evidence: number): number {
   const odds = PRIOR_SHARE / (1 - PRIOR_SHARE) * Math.exp(evidence);
-  return odds / (1 + odds);
+  return 1 / (1 + odds);
 }
--- a/src/domain/crash_evidence_test.ts
+++ b/src/domain/crash_evidence_test.ts
@@ -1,6 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { evidenceOfCrash, SUFFICIENT_EVIDENCE } from "./crash_evidence.ts";
+import {
+  evidenceOfCrash,
+  SUFFICIENT_EVIDENCE,
+  survivalProbability,
+} from "./crash_evidence.ts";
 import {
   countCrash,
   crashProbability,
@@ -12,19 +16,19 @@
 
 describe("the evidence that a task crashes its workers", () => {
   it("is the larger, the less probable the crash was without it", () => {
-    assert.equal(evidenceOfCrash(1, []), -0);
-    assert.ok(evidenceOfCrash(0.001, []) > evidenceOfCrash(0.1, []));
+    assert.equal(evidenceOfCrash(1, 1), -0);
+    assert.ok(evidenceOfCrash(0.001, 1) > evidenceOfCrash(0.1, 1));
     const [calm, ...crashing] = [0.001, 0.2, 0.3].map((probability) =>
-      2 * evidenceOfCrash(probability, [])
+      2 * evidenceOfCrash(probability, 1)
     );
     assert.ok(calm! >= SUFFICIENT_EVIDENCE);
     for (const sum of crashing) assert.ok(sum < SUFFICIENT_EVIDENCE);
   });
 
   it("is small if another task has probably caused the crash", () => {
-    const alone = evidenceOfCrash(0.001, []);
-    const besideOthers = evidenceOfCrash(0.001, [0, 0]);
-    const besideSuspect = evidenceOfCrash(0.001, [alone]);
+    const alone = evidenceOfCrash(0.001, 1);
+    const besideOthers = evidenceOfCrash(0.001, survivalProbability(0) ** 2);
+    const besideSuspect = evidenceOfCrash(0.001, survivalProbability(alone));
     assert.ok(alone > besideOthers && besideOthers > besideSuspect);
     assert.ok(besideSuspect < 0.5);
   });
--- a/src/domain/crash_rates.ts
+++ b/src/domain/crash_rates.ts
@@ -1,5 +1,5 @@
 /**
- * How often workers crash without a task that is to blame, as far as this owner
+ * How often workers crash without a task that causes it, as far as this owner
  * has seen. A new owner starts without knowledge.
  *
  * @module
@@ -23,8 +23,10 @@
   observedAtMs: number | undefined;
   /** For how long they were observed, added up over all of them, in seconds. */
   observedS: number;
-  /** Crashes without a task that is to blame, by worker. */
+  /** Crashes that no task has caused, by worker. */
   crashes: Map<string, number>;
+  /** Their sum. */
+  crashCount: number;
   /** When workers crashed of late, on the steady clock. */
   recentCrashesMs: number[];
 };
@@ -35,6 +37,7 @@
     observedAtMs: undefined,
     observedS: 0,
     crashes: new Map(),
+    crashCount: 0,
     recentCrashesMs: [],
   };
 }
@@ -51,16 +54,19 @@
   crashRates.observedAtMs = steadyMs;
   crashRates.observedS = crashRates.observedS * weight +
     elapsedS * workers.size;
+  crashRates.crashCount = 0;
   for (const [worker, count] of crashes) {
-    if (count * weight < MIN_WEIGHT) crashes.delete(worker);
-    else crashes.set(worker, count * weight);
+    const weighted = count * weight;
+    if (weighted < MIN_WEIGHT) crashes.delete(worker);
+    else crashes.set(worker, weighted);
+    crashRates.crashCount += weighted;
   }
   crashRates.recentCrashesMs = crashRates.recentCrashesMs.filter((atMs) =>
     steadyMs - atMs <= BURST_S * MS_PER_S
   );
 }
 
-/** Counts a crash of a worker that no task is to blame for. */
+/** Counts a crash of a worker that no task has caused. */
 export function countCrash(
   { crashRates }: Domain,
   worker: string,
@@ -68,6 +74,7 @@
 ): void {
   const { crashes, recentCrashesMs } = crashRates;
   crashes.set(worker, (crashes.get(worker) ?? 0) + 1);
+  crashRates.crashCount += 1;
   recentCrashesMs.push(steadyMs);
 }
 
@@ -82,12 +89,10 @@
   { crashRates, workers }: Domain,
   worker: string,
 ): number {
-  const { observedS, crashes, recentCrashesMs } = crashRates;
+  const { observedS, crashes, crashCount, recentCrashesMs } = crashRates;
   if (observedS === 0 || workers.size === 0) return Infinity;
-  let total = 0;
-  for (const count of crashes.values()) total += count;
   // One crash more than was seen, since a rate of 0 can't be known.
-  const commonPerS = (total + 1) / observedS;
+  const commonPerS = (crashCount + 1) / observedS;
   const ownObservedS = observedS / workers.size;
   const ownPerS = ((crashes.get(worker) ?? 0) + 1) /
     (ownObservedS + 1 / commonPerS);
--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -34,7 +34,7 @@
   workers: Map<string, DomainWorker>;
   /** Workers that left the list and may have crashed, by id. */
   departedWorkers: Map<string, DepartedWorker>;
-  /** How often workers crash without a task that is to blame. */
+  /** How often workers crash without a task that causes it. */
   crashRates: CrashRates;
   /** Permits to start tasks before their placement is stored, by worker. */
   startPermits: Map<string, StartPermit>;
--- a/src/domain/worker_crash.ts
+++ b/src/domain/worker_crash.ts
@@ -14,7 +14,11 @@
 import type { Moment } from "./domain_event.ts";
 import { endJob } from "./job_lifecycle.ts";
 import { stepRecordKey } from "./record_keys.ts";
-import { evidenceOfCrash, SUFFICIENT_EVIDENCE } from "./crash_evidence.ts";
+import {
+  evidenceOfCrash,
+  SUFFICIENT_EVIDENCE,
+  survivalProbability,
+} from "./crash_evidence.ts";
 import { countCrash, crashProbability, observeWorkers } from "./crash_rates.ts";
 import {
   certainCrashCountOf,
@@ -169,25 +173,21 @@
   distinct: Map<string, UnsettledTask>,
   probability: number,
 ): void {
-  const earlier = new Map(
+  const survivals = new Map(
     [...distinct].map(([key, { run, index }]) => [
       key,
-      crashEvidenceOf(run, index),
+      survivalProbability(crashEvidenceOf(run, index)),
     ]),
   );
-  const added = new Map(
-    [...earlier.keys()].map((key) => {
-      const others = [...earlier].filter(([other]) => other !== key);
-      const evidences = others.map(([, evidence]) => evidence);
-      return [key, evidenceOfCrash(probability, evidences)];
-    }),
-  );
+  let survival = 1;
+  for (const single of survivals.values()) survival *= single;
   for (const suspect of suspects) {
     if (suspect.isDoubtful) continue;
-    const { crashEvidence } = suspect.run;
-    const before = crashEvidence.get(suspect.index) ?? 0;
-    const evidence = before + (added.get(suspectKey(suspect)) ?? 0);
-    crashEvidence.set(suspect.index, roundEvidence(evidence));
+    const otherSurvival = survival / (survivals.get(suspectKey(suspect)) ?? 1);
+    const added = evidenceOfCrash(probability, otherSurvival);
+    const { run: { crashEvidence }, index } = suspect;
+    const evidence = (crashEvidence.get(index) ?? 0) + added;
+    crashEvidence.set(index, roundEvidence(evidence));
   }
 }
 
