--- a/src/entry/testing/moving_queue_model.ts
+++ b/src/entry/testing/moving_queue_model.ts
@@ -111,8 +111,6 @@
   /** Jobs whose cancellation was answered. */
   cancelled: Set<string>;
   broken: string[];
-  /** The number of jobs that were accepted. */
-  accepted: number;
 };
 
 /** How a simulation ended. */
@@ -123,55 +121,68 @@
   accepted: number;
 };
 
+/** What happens at a time of a simulation, in milliseconds. */
+type PlannedEvent = { atMs: number; run: () => void };
+
 /** Runs a simulation. */
 export async function simulateMovingQueue(
   seed: number,
   faults: MovingQueueFaults,
 ): Promise<MovingQueueResult> {
   const model = createModel(seed, faults);
-  const { clock, random, controller } = model;
-  const { movesAtMs, takeovers, jobs, quietMs } = faults;
-  const endMs = quietMs + Math.max(...movesAtMs, 0) + faults.maxLateMs +
-    SETTLE_MS;
+  const { clock, controller } = model;
+  const endMs = faults.quietMs + Math.max(...faults.movesAtMs, 0) +
+    faults.maxLateMs + SETTLE_MS;
   assignAll(model);
-  const schedule: { atMs: number; run: () => void }[] = [];
-  const add = (atMs: number, run: () => void) => schedule.push({ atMs, run });
-  for (const instance of model.instances) {
-    add(
-      0,
-      () => instance.router.pendingJobs(targetOf(instance), CALL_TIMEOUT_MS),
-    );
-  }
-  for (const [index, atMs] of movesAtMs.entries()) {
-    const service = SERVICES[(index + 1) % SERVICES.length]!;
-    for (const instance of model.instances) {
-      // Most instances are punctual.
-      const isLate = random.integer(0, 2) === 0;
-      const lateMs = random.integer(0, isLate ? faults.maxLateMs : 100);
-      add(quietMs + atMs + lateMs, () => {
-        instance.service = service;
-        instance.queues.refresh();
-      });
+  const events = [...planEvents(model, endMs)]
+    .sort((a, b) => a.atMs - b.atMs);
+  for (let nowMs = 0; nowMs < endMs + SETTLE_MS; nowMs += STEP_MS) {
+    while (events[0] !== undefined && events[0].atMs <= nowMs) {
+      events.shift()!.run();
     }
+    await clock.advance(STEP_MS);
   }
+  checkDomains(model);
+  controller.abort();
+  await clock.advance(STEP_MS);
+  return { broken: model.broken, accepted: model.acceptedAtMs.size };
+}
+
+/** Plans the first use of the queue, its moves, the takeovers and the calls. */
+function* planEvents(model: Model, endMs: number): Generator<PlannedEvent> {
+  const { random, faults, instances } = model;
+  const { takeovers, jobs, quietMs } = faults;
+  for (const instance of instances) {
+    const target = targetOf(instance);
+    const run = () => instance.router.pendingJobs(target, CALL_TIMEOUT_MS);
+    yield { atMs: 0, run };
+  }
+  yield* planMoves(model);
   for (let count = 0; count < takeovers; count += 1) {
-    add(random.integer(quietMs, endMs), () => changeOwner(model));
+    const atMs = random.integer(quietMs, endMs);
+    yield { atMs, run: () => changeOwner(model) };
   }
   for (let index = 0; index < jobs; index += 1) {
     const atMs = random.integer(quietMs + 100, endMs - SETTLE_MS);
-    planCalls(model, index.toString(16).padStart(16, "0"), atMs, add);
+    yield* planCalls(model, index.toString(16).padStart(16, "0"), atMs);
   }
-  schedule.sort((a, b) => a.atMs - b.atMs);
-  for (let nowMs = 0; nowMs < endMs + SETTLE_MS; nowMs += STEP_MS) {
-    while (schedule[0] !== undefined && schedule[0].atMs <= nowMs) {
-      schedule.shift()!.run();
+}
+
+/** Plans when each instance applies each move; a third of them may be late. */
+function* planMoves(model: Model): Generator<PlannedEvent> {
+  const { random, faults, instances } = model;
+  for (const [index, moveAtMs] of faults.movesAtMs.entries()) {
+    const service = SERVICES[(index + 1) % SERVICES.length]!;
+    for (const instance of instances) {
+      const isLate = random.integer(0, 2) === 0;
+      const lateMs = random.integer(0, isLate ? faults.maxLateMs : 100);
+      const run = () => {
+        instance.service = service;
+        instance.queues.refresh();
+      };
+      yield { atMs: faults.quietMs + moveAtMs + lateMs, run };
     }
-    await clock.advance(STEP_MS);
   }
-  checkDomains(model);
-  controller.abort();
-  await clock.advance(STEP_MS);
-  return { broken: model.broken, accepted: model.acceptedAtMs.size };
 }
 
 function createModel(seed: number, faults: MovingQueueFaults): Model {
@@ -192,7 +203,6 @@
     acceptedAtMs: new Map(),
     cancelled: new Set(),
     broken: [],
-    accepted: 0,
   };
   for (const name of ["a", "b", "c"]) {
     model.instances.push(createInstance(model, name));
@@ -322,21 +332,20 @@
 }
 
 /** Plans the calls of clients about one job. */
-function planCalls(
+function* planCalls(
   model: Model,
   job: string,
   firstAtMs: number,
-  add: (atMs: number, run: () => void) => void,
-): void {
+): Generator<PlannedEvent> {
   const { random, faults } = model;
   const isCancelled = faults.hasCancels && random.integer(0, 3) === 0;
   for (let count = 0; count < faults.callsPerJob; count += 1) {
     const atMs = firstAtMs + random.integer(0, JOB_SPREAD_MS);
     const instance = model.instances[random.integer(0, 2)]!;
     const isSubmission = count === 0 || random.integer(0, 2) > 0;
-    if (isSubmission) add(atMs, () => submit(model, instance, job));
-    else if (isCancelled) add(atMs, () => cancel(model, instance, job));
-    else add(atMs, () => read(model, instance, job));
+    const change = isCancelled ? cancel : read;
+    const call = isSubmission ? submit : change;
+    yield { atMs, run: () => call(model, instance, job) };
   }
 }
 
