--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -126,6 +126,14 @@
       return applyStopConfirmation(domain, event, moment);
     case "advised":
       return applyAdvice(domain, event, moment);
+    case "accountsConfigured":
+      domain.clientAccounts = new Map(
+        event.accounts.map((account) => [account.name, account]),
+      );
+      return;
+    case "accountLimitsSet":
+      domain.accountLimits = new Map(event.limits);
+      return;
     case "ownerEnded": {
       const { instance, epoch } = event.owner;
       domain.owners = domain.owners.filter((owner) =>
--- a/src/domain/departed_worker.ts
+++ b/src/domain/departed_worker.ts
@@ -40,7 +40,7 @@
   { id, address }: WorkerListing,
   moment: Moment,
 ): DomainWorker {
-  const worker = createDomainWorker(id, domain.allocatedByAgreement);
+  const worker = createDomainWorker(id, domain);
   const returned = domain.departedWorkers.get(id);
   if (returned !== undefined) {
     worker.bornMs = returned.bornMs;
--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -1,4 +1,4 @@
-import type { Resources } from "../model/mod.ts";
+import type { ClientAccount, Resources } from "../model/mod.ts";
 import { type CrashRates, createCrashRates } from "./crash_rates.ts";
 import type { DepartedWorker } from "./departed_worker.ts";
 import type { DomainCommand } from "./domain_command.ts";
@@ -63,6 +63,15 @@
   usageRecordedAtMs: number | undefined;
   /** Resources allocated to the placed tasks of each agreement. */
   allocatedByAgreement: Map<string, Resources>;
+  /** The client accounts of the configuration in force, by name. */
+  clientAccounts: Map<string, ClientAccount>;
+  /** Resources allocated to the placed tasks of each client account. */
+  allocatedByAccount: Map<string, Resources>;
+  /**
+   * What the tasks of a client account may allocate in this domain; accounts
+   * without an entry have no limit.
+   */
+  accountLimits: Map<string, Resources>;
   /** Usage since the last record, by agreement. */
   unrecordedUsage: Map<string, ResourceTime>;
   /** When `unrecordedUsage` was last updated, on the steady clock. */
@@ -101,6 +110,9 @@
     usage: new Map(),
     usageRecordedAtMs: undefined,
     allocatedByAgreement: new Map(),
+    clientAccounts: new Map(),
+    allocatedByAccount: new Map(),
+    accountLimits: new Map(),
     unrecordedUsage: new Map(),
     usageAccruedAtMs: undefined,
   };
--- a/src/domain/domain_event.ts
+++ b/src/domain/domain_event.ts
@@ -1,3 +1,4 @@
+import type { ClientAccount, Resources } from "../model/mod.ts";
 import type { JobRequest, QueuePolicy } from "./job.ts";
 import type { OwnerEntry } from "./owner_entry.ts";
 import type { StartAnswer, WorkerReport } from "./worker_report.ts";
@@ -60,6 +61,13 @@
     allowed: [string, string][] | undefined;
     validMs: number;
   }
+  /** The client accounts of the configuration in force. */
+  | { kind: "accountsConfigured"; accounts: ClientAccount[] }
+  /**
+   * What the tasks of client accounts may allocate in this domain from now on;
+   * accounts that are not named have no limit.
+   */
+  | { kind: "accountLimitsSet"; limits: [account: string, Resources][] }
   /** An earlier owner certainly grants no more leases. */
   | { kind: "ownerEnded"; owner: OwnerEntry }
   | { kind: "ticked" };
--- a/src/domain/domain_worker.ts
+++ b/src/domain/domain_worker.ts
@@ -2,6 +2,12 @@
 import type { StepRun } from "./step_run.ts";
 import type { WorkerListing } from "./worker_listing.ts";
 
+/** Allocations on all workers of a domain. */
+export type AllocationTotals = {
+  allocatedByAgreement: Map<string, Resources>;
+  allocatedByAccount: Map<string, Resources>;
+};
+
 /** A worker of the domain with its placed tasks and their allocations. */
 export type DomainWorker = {
   id: string;
@@ -23,8 +29,8 @@
   used: Resources;
   /** Processor demand of its opportunistic tasks, in millicores. */
   opportunisticCpuMillis: number;
-  /** The domain's allocations by agreement, shared by all its workers. */
-  allocatedByAgreement: Map<string, Resources>;
+  /** The domain's totals of allocations, shared by all its workers. */
+  totals: AllocationTotals;
   /** Placed tasks by name. */
   placed: Map<string, PlacedTaskRef>;
   /** Names of its unsettled tasks that have crashed a worker before. */
--- a/src/domain/job.ts
+++ b/src/domain/job.ts
@@ -63,6 +63,8 @@
   customer: v.optional(v.string()),
   /** The agreement that the job's usage is charged to. */
   agreement: v.optional(v.string()),
+  /** Name of the client account that the job belongs to, if there are any. */
+  clientAccount: v.optional(v.string()),
   /** The agreed capacity; work beyond it is scheduled after other work. */
   share: v.optional(resourcesSchema),
 });
@@ -98,6 +100,8 @@
   /** Empty once the job has ended and been reduced to its outcome. */
   steps: v.array(stepSchema),
   policy: queuePolicySchema,
+  /** Whether its client account had exceeded its rate when it was accepted. */
+  isBeyondRate: v.optional(v.boolean()),
   /** When the job was accepted, in milliseconds since the epoch. */
   acceptedAtMs: v.number(),
   outcome: v.picklist(["open", "completed", "failed", "cancelled"]),
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -339,7 +339,7 @@
 function getOrCreateWorker(domain: Domain, id: string): DomainWorker {
   const known = domain.workers.get(id);
   if (known !== undefined) return known;
-  const worker = createDomainWorker(id, domain.allocatedByAgreement);
+  const worker = createDomainWorker(id, domain);
   domain.workers.set(id, worker);
   return worker;
 }
--- a/src/domain/task_placement.ts
+++ b/src/domain/task_placement.ts
@@ -9,7 +9,11 @@
   type Resources,
   subtractResources,
 } from "../model/mod.ts";
-import type { DomainWorker, PlacedTaskRef } from "./domain_worker.ts";
+import type {
+  AllocationTotals,
+  DomainWorker,
+  PlacedTaskRef,
+} from "./domain_worker.ts";
 import type { Step } from "./job.ts";
 import { isSuspect, type StepRun, taskNameOf } from "./step_run.ts";
 import type { PlacedPhase } from "./task_state.ts";
@@ -19,16 +23,16 @@
 /**
  * Creates the state of a worker of which only the id is known.
  *
- * @param allocatedByAgreement the domain's totals of allocated capacity by
- *   agreement, which placing and releasing tasks updates
+ * @param totals the domain's totals of allocated capacity, which placing and
+ *   releasing tasks updates
  */
 export function createDomainWorker(
   id: string,
-  allocatedByAgreement: Map<string, Resources>,
+  totals: AllocationTotals,
 ): DomainWorker {
   return {
     id,
-    allocatedByAgreement,
+    totals,
     listing: undefined,
     lastListing: undefined,
     isReachable: false,
@@ -105,7 +109,7 @@
   releaseTask(worker, taskNameOf(run, index));
   const allocated = allocationOf(run.step);
   worker.used = addResources(worker.used, allocated);
-  updateAgreementAllocation(worker, run, allocated, addResources);
+  updateTotals(worker, run, allocated, addResources);
   if (run.step.opportunistic) {
     worker.opportunisticCpuMillis += run.step.demand.cpuMillis;
   }
@@ -128,24 +132,36 @@
   worker.placed.delete(name);
   worker.suspects.delete(name);
   worker.used = subtractResources(worker.used, ref.allocated);
-  updateAgreementAllocation(worker, ref.run, ref.allocated, subtractResources);
+  updateTotals(worker, ref.run, ref.allocated, subtractResources);
   if (ref.run.step.opportunistic) {
     worker.opportunisticCpuMillis -= ref.run.step.demand.cpuMillis;
   }
 }
 
-function updateAgreementAllocation(
-  { allocatedByAgreement }: DomainWorker,
+type AllocationChange = (total: Resources, change: Resources) => Resources;
+
+function updateTotals(
+  { totals }: DomainWorker,
   run: StepRun,
   allocation: Resources,
-  combine: (total: Resources, change: Resources) => Resources,
+  combine: AllocationChange,
+): void {
+  const { agreement, clientAccount } = run.jobRun.job.policy;
+  const { allocatedByAgreement, allocatedByAccount } = totals;
+  updateTotal(allocatedByAgreement, agreement, allocation, combine);
+  updateTotal(allocatedByAccount, clientAccount, allocation, combine);
+}
+
+function updateTotal(
+  totals: Map<string, Resources>,
+  name: string | undefined,
+  allocation: Resources,
+  combine: AllocationChange,
 ): void {
-  const { agreement } = run.jobRun.job.policy;
-  if (agreement === undefined) return;
-  const known = allocatedByAgreement.get(agreement) ?? NO_RESOURCES;
-  const total = combine(known, allocation);
-  if (isZero(total)) allocatedByAgreement.delete(agreement);
-  else allocatedByAgreement.set(agreement, total);
+  if (name === undefined) return;
+  const total = combine(totals.get(name) ?? NO_RESOURCES, allocation);
+  if (isZero(total)) totals.delete(name);
+  else totals.set(name, total);
 }
 
 function isZero({ cpuMillis, memoryMb, accelerators }: Resources): boolean {
--- a/src/entry/configuration.ts
+++ b/src/entry/configuration.ts
@@ -1,10 +1,13 @@
 import type { QueuePolicy } from "../domain/mod.ts";
+import type { ClientAccount } from "../model/mod.ts";
 
 /** A queue that clients reach by host and path. */
 export type QueueRoute = {
   host: string;
   prefix: string;
   policy: QueuePolicy;
+  /** Whether calls need no key of a client account. */
+  isPublic: boolean;
 };
 
 /** The operators' configuration of queues. */
@@ -12,6 +15,8 @@
   version: number;
   routes: QueueRoute[];
   maxBodyBytes: number;
+  /** The client accounts; empty if calls need no keys. */
+  clientAccounts: ClientAccount[];
 };
 
 /** Holds the configuration in force at this instance. */
--- a/src/model/mod.ts
+++ b/src/model/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./agreement_key.ts";
+export * from "./client_account.ts";
 export * from "./manifest.ts";
 export * from "./outcome.ts";
 export * from "./policy.ts";
