Authenticate calls by the keys of client accounts

Every call ran, whatever key it had. Where the configuration has client accounts, a call to a queue that is not public needs a key of one. A key is accepted only while the configuration is known to be fresh: the read of its topic that was answered last, or the answer of another instance, was sent less than the revocation bound ago, with suspensions counted. A call without a known key is refused with 401 only within the shorter bound for additions; otherwise it gets 503. Jobs of another account are not shown or cancelled, and a submission with the id of one is refused with 409. Configurations without accounts are handled as before.

Tests of settings: the list of sections and the defaults have the new section.

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -160,6 +160,14 @@
   moment: Moment,
 ): void {
   const { request, policy, call } = event;
+  if (isOfOtherAccount(domain, request.id, policy.clientAccount)) {
+    domain.commands.push({
+      kind: "answer",
+      call,
+      answer: { kind: "conflict" },
+    });
+    return;
+  }
   if (!domain.jobs.has(request.id)) {
     const job: Job = {
       ...request,
@@ -217,6 +225,20 @@
   });
 }
 
+/**
+ * Whether a job belongs to another client account than a caller's. It does not
+ * if one of the two has no account.
+ */
+export function isOfOtherAccount(
+  domain: Domain,
+  job: string,
+  clientAccount: string | undefined,
+): boolean {
+  const holder = domain.jobs.get(job)?.job.policy.clientAccount;
+  return holder !== undefined && clientAccount !== undefined &&
+    holder !== clientAccount;
+}
+
 /**
  * Makes the next commit write a record, which fails if the owner has a
  * successor. An answer that waits for this commit is therefore not outdated.
--- a/src/domain/domain_command.ts
+++ b/src/domain/domain_command.ts
@@ -51,4 +51,6 @@
 /** The answer to a call that changes a job. */
 export type CallAnswer =
   | { kind: "accepted" }
-  | { kind: "unknownJob" };
+  | { kind: "unknownJob" }
+  /** Another client account has a job with the id; the call had no effect. */
+  | { kind: "conflict" };
--- a/src/entry/call_router.ts
+++ b/src/entry/call_router.ts
@@ -63,7 +63,11 @@
 };
 
 /** The queue that a call addresses, and the service that it is assigned to. */
-export type QueueTarget = QueueAddress & { service: string };
+export type QueueTarget = QueueAddress & {
+  service: string;
+  /** The caller's client account, if it is known. */
+  clientAccount?: string | undefined;
+};
 
 /** How a call to another instance ended. */
 export type PeerCallOutcome =
@@ -76,6 +80,8 @@
 export type CallOutcome<Value> =
   | { kind: "done"; value: Value }
   | { kind: "unknownJob" }
+  /** Another client account has a job with the id; the call had no effect. */
+  | { kind: "conflict" }
   /** The call is certain to have had no effect; the client may retry. */
   | { kind: "unavailable"; cause: string; retryAfterMs: number }
   /** The call may have taken effect. */
@@ -132,15 +138,31 @@
       const { id } = request;
       return expectAccepted(await forwardToHolder(host, call, id, timeoutMs));
     },
-    async cancel(job, { queue, service, address }, timeoutMs) {
+    async cancel(job, { service, ...target }, timeoutMs) {
       const partition = partitionOfService(service);
-      const call = { kind: "cancel", partition, job, queue, address } as const;
+      const { queue, address, clientAccount } = target;
+      const call = {
+        kind: "cancel",
+        partition,
+        job,
+        queue,
+        address,
+        clientAccount,
+      } as const;
       const outcome = await forwardToJobDomain(host, call, job, timeoutMs);
       return expectAccepted(outcome);
     },
-    async stateOf(job, { queue, service, address }, timeoutMs) {
+    async stateOf(job, { service, ...target }, timeoutMs) {
       const partition = partitionOfService(service);
-      const call = { kind: "state", partition, job, queue, address } as const;
+      const { queue, address, clientAccount } = target;
+      const call = {
+        kind: "state",
+        partition,
+        job,
+        queue,
+        address,
+        clientAccount,
+      } as const;
       const outcome = await forwardToJobDomain(host, call, job, timeoutMs);
       if (outcome.kind !== "done") return readOnlyOutcome(outcome);
       const { value } = outcome;
@@ -229,6 +251,7 @@
 ): CallOutcome<undefined> {
   if (outcome.kind !== "done") return outcome;
   if (outcome.value.kind === "unknownJob") return { kind: "unknownJob" };
+  if (outcome.value.kind === "conflict") return { kind: "conflict" };
   if (outcome.value.kind !== "accepted") return unexpectedAnswer(outcome.value);
   return { kind: "done", value: undefined };
 }
--- a/src/entry/configuration.ts
+++ b/src/entry/configuration.ts
@@ -1,5 +1,6 @@
 import type { QueuePolicy } from "../domain/mod.ts";
 import type { ClientAccount } from "../model/mod.ts";
+import { DISTANT_PAST, type Instant } from "../ownership/mod.ts";
 
 /** A queue that clients reach by host and path. */
 export type QueueRoute = {
@@ -19,6 +20,14 @@
   clientAccounts: ClientAccount[];
 };
 
+/** When the configuration in force was known to be the newest. */
+export type Confirmation = {
+  /** When the question was sent that was answered. */
+  sentAt: Instant;
+  /** How old the confirmation was that the answer passed on, in ms. */
+  ageMs: number;
+};
+
 /** Holds the configuration in force at this instance. */
 export type ConfigurationState = {
   current(): Configuration | undefined;
@@ -27,6 +36,21 @@
    * returns whether it did.
    */
   applyIfNewer(configuration: Configuration): boolean;
+  /**
+   * Records that every version acknowledged by an instant is in force here.
+   *
+   * @param sentAt when the question was sent that was answered
+   * @param ageMs how long before that the answer held, in milliseconds; 0 for an
+   * answer of the store
+   */
+  confirm(sentAt: Instant, ageMs?: number): void;
+  /** The latest confirmation; undefined before the first. */
+  confirmation(): Confirmation | undefined;
+  /**
+   * The instant by which every acknowledged version is in force here; the distant
+   * past before the first confirmation.
+   */
+  confirmedAt(): Instant;
   /** Whether there is a queue of a name. */
   hasQueue(queue: string): boolean;
   /** Returns the services to which the queues are assigned. */
@@ -44,9 +68,18 @@
  */
 export function createConfigurationState(): ConfigurationState {
   let current: Configuration | undefined;
+  let confirmation: Confirmation | undefined;
 
   return {
     current: () => current,
+    confirm(sentAt, ageMs = 0) {
+      const next = { sentAt, ageMs };
+      if (confirmation !== undefined && isEarlier(next, confirmation)) return;
+      confirmation = next;
+    },
+    confirmation: () => confirmation,
+    confirmedAt: () =>
+      confirmation === undefined ? DISTANT_PAST : startOf(confirmation),
     hasQueue: (queue) =>
       current?.routes.some(({ policy }) => policy.queue === queue) ?? false,
     services: () => [
@@ -62,6 +95,19 @@
   };
 }
 
+/** The instant by which all versions are covered by a confirmation. */
+function startOf({ sentAt, ageMs }: Confirmation): Instant {
+  return { steadyMs: sentAt.steadyMs - ageMs, wallMs: sentAt.wallMs - ageMs };
+}
+
+/** Whether a confirmation is older than another one by both clocks. */
+function isEarlier(left: Confirmation, right: Confirmation): boolean {
+  const leftStart = startOf(left);
+  const rightStart = startOf(right);
+  return leftStart.steadyMs < rightStart.steadyMs &&
+    leftStart.wallMs < rightStart.wallMs;
+}
+
 /**
  * Finds the queue of a call by its host and the longest matching path prefix.
  *
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -15,6 +15,7 @@
 } from "../clients/mod.ts";
 import type { Clock, GroupMember } from "../hosts/mod.ts";
 import {
+  createClockHistory,
   createDirectory,
   createOwnedDomains,
   createRelayReportRouter,
@@ -43,6 +44,10 @@
   type ConfigurationState,
   createConfigurationState,
 } from "./configuration.ts";
+import {
+  type ConfigurationIntake,
+  createConfigurationIntake,
+} from "./configuration_intake.ts";
 import type { EntryPlatform, PlatformHost } from "./entry_platform.ts";
 import type { Settings } from "../settings/mod.ts";
 import { createInstanceList, type InstanceList } from "./instance_list.ts";
@@ -94,6 +99,7 @@
   logger: Logger;
   counters: Counters;
   configuration: ConfigurationState;
+  configurationIntake: ConfigurationIntake;
   manifest: ManifestState;
   /** Which domains may have jobs of which queue. */
   queues: QueueDirectory;
@@ -173,6 +179,7 @@
     : createRecordingLogger(stdoutLogger, timeLine, clock);
   const peerContact = createPeerContact(clock);
   const self = `${settings.listen.internalHost}:${settings.listen.peerPort}`;
+  const configuration = createConfigurationState();
   const parts: EntryContextParts = {
     settings,
     platform,
@@ -180,7 +187,14 @@
     clock,
     logger,
     counters: createCounters(),
-    configuration: createConfigurationState(),
+    configuration,
+    configurationIntake: createConfigurationIntake({
+      configuration,
+      clocks: createClockHistory(clock),
+      logger: logger.part("entry"),
+      decode: platform.decodeConfiguration,
+      onApplied: () => parts.queues.refresh(),
+    }),
     manifest: createManifestState(),
     queues: createQueueDirectory({
       store,
--- a/src/entry/entry_platform.ts
+++ b/src/entry/entry_platform.ts
@@ -12,6 +12,7 @@
 import type { Logger } from "../telemetry/mod.ts";
 import type { Configuration, ConfigurationState } from "./configuration.ts";
 import type { CallRouter } from "./call_router.ts";
+import type { ClientAuthentication } from "./client_authentication.ts";
 import type { Settings } from "../settings/mod.ts";
 
 /** Services that the platform's adapter provides to an entry instance. */
@@ -34,6 +35,8 @@
 export type CallerServerHost = {
   router: CallRouter;
   configuration: ConfigurationState;
+  /** Decides about calls while the configuration has client accounts. */
+  authentication: ClientAuthentication;
   logger: Logger;
   clock: Clock;
   /** Whether the process is stopping, so that connections must be closed. */
--- a/src/entry/explain_job.ts
+++ b/src/entry/explain_job.ts
@@ -10,6 +10,7 @@
     case "done":
       return [...describeJob(found.value)];
     case "unknownJob":
+    case "conflict":
       return [`${id} is not known to any owner`];
     case "unavailable":
     case "undecided":
--- a/src/entry/follow_store_topics.ts
+++ b/src/entry/follow_store_topics.ts
@@ -14,6 +14,11 @@
 export const INSTANCES_PARTITION = { topic: "instances", number: 0 };
 /** How long the store may hold a read open for new records, in ms. */
 const LONG_POLL_WAIT_MS = 2_000;
+/**
+ * The same for the configuration while it has client accounts, in ms: the
+ * confirmation of their keys is as old as two such waits.
+ */
+const KEYS_LONG_POLL_WAIT_MS = 1_000;
 /** Pause between two reads of the worker list, in milliseconds. */
 const WORKER_LIST_POLL_INTERVAL_MS = 400;
 /** The same pause while this instance owns no domain, in milliseconds. */
@@ -40,31 +45,18 @@
     pauseMs: () => 0,
     signal: ending.signal,
   };
-  const applyConfiguration = (records: KeyedRecord[]) => {
-    for (const record of records) {
-      const decoded = platform.decodeConfiguration(record);
-      if (decoded === undefined) continue;
-      if ("reason" in decoded) {
-        logger.part("entry").error("Skipped an unreadable configuration.", {
-          key: record.key,
-          reason: decoded.reason,
-        });
-        continue;
-      }
-      const { configuration } = decoded;
-      if (!context.configuration.applyIfNewer(configuration)) continue;
-      context.queues.refresh();
-      logger.part("entry").info("Applied a new configuration.", {
-        version: configuration.version,
-        routes: configuration.routes.length,
-      });
-    }
-  };
+  const { configuration, configurationIntake } = context;
   followTopic({
     ...followerOptions,
+    waitMs(hasReadFailed) {
+      const { clientAccounts = [] } = configuration.current() ?? {};
+      if (clientAccounts.length === 0) return LONG_POLL_WAIT_MS;
+      return hasReadFailed ? 0 : KEYS_LONG_POLL_WAIT_MS;
+    },
     partition: platform.configurationTopic,
-    onSnapshot: applyConfiguration,
-    onRecords: applyConfiguration,
+    onSnapshot: configurationIntake.apply,
+    onRecords: configurationIntake.apply,
+    onConfirmed: configurationIntake.confirm,
   });
   followTopic({
     ...followerOptions,
--- a/src/entry/mod.ts
+++ b/src/entry/mod.ts
@@ -7,6 +7,7 @@
 export * from "./build_identity.ts";
 export * from "./configuration.ts";
 export * from "./call_router.ts";
+export * from "./client_authentication.ts";
 export * from "./entry_platform.ts";
 export * from "./partition_of.ts";
 export * from "./run_entry.ts";
--- a/src/entry/peer_call.ts
+++ b/src/entry/peer_call.ts
@@ -27,6 +27,8 @@
     /** The queue that the call addressed, and its address. */
     queue: v.optional(v.string()),
     address: v.optional(v.string()),
+    /** The caller's client account; absent if it is not known. */
+    clientAccount: v.optional(v.string()),
   }),
   v.object({
     kind: v.literal("state"),
@@ -38,6 +40,8 @@
      */
     queue: v.optional(v.string()),
     address: v.optional(v.string()),
+    /** The caller's client account; absent if it is not known. */
+    clientAccount: v.optional(v.string()),
   }),
   v.object({
     kind: v.literal("pending"),
@@ -111,6 +115,12 @@
   v.object({ kind: v.literal("succeed"), member: v.string() }),
   /** Checks whether the instance reaches another one. */
   v.object({ kind: v.literal("reach"), instance: v.string() }),
+  /** Asks how old the confirmation of the configuration is. */
+  v.object({
+    kind: v.literal("configuration"),
+    /** The version in force at the calling instance. */
+    version: v.number(),
+  }),
   /** Invites the instance to join now and receive released domains. */
   v.object({ kind: v.literal("confirm") }),
 ]);
@@ -124,6 +134,8 @@
 /** Schema of the answer to a call about a domain. */
 export const domainAnswerSchema = v.variant("kind", [
   v.object({ kind: v.literal("accepted") }),
+  /** Another client account has a job with the id; the call had no effect. */
+  v.object({ kind: v.literal("conflict") }),
   v.object({
     kind: v.literal("unknownJob"),
     /** The other domains that may have jobs of the queue. */
@@ -185,6 +197,21 @@
 /** Schema of the answer whether an instance is reachable. */
 export const reachAnswerSchema = v.object({ reached: v.boolean() });
 
+/** Schema of the answer about the configuration of an instance. */
+export const configurationAnswerSchema = v.object({
+  /** The version in force there. */
+  version: v.number(),
+  /** The age of its confirmation, in milliseconds; absent if it has none. */
+  ageMs: v.optional(v.pipe(v.number(), v.finite(), v.minValue(0))),
+  /** The record of the configuration, if the calling instance lacks it. */
+  record: v.optional(v.object({ key: v.string(), value: v.string() })),
+});
+
+/** The answer about the configuration of an instance. */
+export type ConfigurationAnswer = v.InferOutput<
+  typeof configurationAnswerSchema
+>;
+
 /** Schema of the acknowledgement of a call without a result. */
 export const acknowledgementSchema = v.object({ kind: v.literal("done") });
 
--- a/src/entry/peer_rpc.ts
+++ b/src/entry/peer_rpc.ts
@@ -28,6 +28,8 @@
 import {
   acknowledgementSchema,
   adviceAnswerSchema,
+  type ConfigurationAnswer,
+  configurationAnswerSchema,
   domainAnswerSchema,
   type DomainCall,
   findAnswerSchema,
@@ -103,6 +105,11 @@
     question: AdviceRequest,
   ): Promise<Advice | undefined>;
   owners(instance: string): Promise<Record<string, string> | undefined>;
+  /** Asks how old the confirmation of the configuration is there. */
+  configuration(
+    instance: string,
+    version: number,
+  ): Promise<ConfigurationAnswer | undefined>;
   /** Searches domains of an instance for a job; undefined if no answer. */
   find(
     instance: string,
@@ -197,6 +204,12 @@
     },
     owners: (instance) =>
       request(instance, { kind: "owners" }, ownersAnswerSchema),
+    configuration: (instance, version) =>
+      request(
+        instance,
+        { kind: "configuration", version },
+        configurationAnswerSchema,
+      ),
     find(instance, job, partitions, options) {
       const call = { kind: "find", job, partitions, ...options } as const;
       return request(instance, call, findAnswerSchema);
--- a/src/entry/requests_api.ts
+++ b/src/entry/requests_api.ts
@@ -47,6 +47,7 @@
       case "done":
         return found.value;
       case "unknownJob":
+      case "conflict":
         return outcomeNotKnown("issued", diagnostics.notSubmitted.template);
       case "unavailable":
       case "undecided":
@@ -120,6 +121,7 @@
         return { ...refused, retryAfterMs };
       }
       case "unknownJob":
+      case "conflict":
       case "undecided": {
         const cause = "cause" in outcome ? outcome.cause : "";
         const unreachableOutcome = outcomeNotKnown("unreachable", cause);
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -18,6 +18,7 @@
 import type { Settings } from "../settings/mod.ts";
 import { announceInstance, followStoreTopics } from "./follow_store_topics.ts";
 import { createEntryContext, partitionsInUse } from "./entry_context.ts";
+import { confirmWithPeers } from "./confirm_with_peers.ts";
 import { serve } from "./serve.ts";
 import { stopEntry } from "./stop_entry.ts";
 import { logUncaughtErrors } from "./log_uncaught_errors.ts";
@@ -65,6 +66,16 @@
   followStoreTopics(context);
   const measuredWaitMs = await measureCandidateWait(context);
   const url = apiUrlOf(settings);
+  confirmWithPeers({
+    ...context,
+    ...settings.configuration,
+    logger: logger.part("entry"),
+    intake: context.configurationIntake,
+    peers: () =>
+      context.instances.addresses().filter((other) => other !== context.self),
+    ask: context.rpc.configuration,
+    signal: ending.signal,
+  });
   announceInstance(context, {
     candidateWaitMs: measuredWaitMs,
     zone: settings.instance.zone,
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -15,11 +15,13 @@
 import { createApiHost } from "./api_host.ts";
 import { requestAdvice } from "./request_advice.ts";
 import { createCallRouter } from "./call_router.ts";
+import { createClientAuthentication } from "./client_authentication.ts";
 import type { RelayCall } from "../ownership/mod.ts";
 import type { PeerCall } from "./peer_call.ts";
 import { peerPorts } from "./peer_ports.ts";
 import { createPeerRpcRoute } from "./peer_rpc.ts";
 import { evictMember } from "./evict_member.ts";
+import { createRefusalLog } from "./refusal_log.ts";
 import { isReady } from "./readiness.ts";
 import { isAlive, probeInstance } from "./probe_instance.ts";
 import { type EntryContext, partitionsInUse } from "./entry_context.ts";
@@ -65,6 +67,17 @@
   const callers = platform.createCallerServer({
     router,
     configuration,
+    authentication: createClientAuthentication({
+      configuration,
+      intake: context.configurationIntake,
+      counters: context.counters,
+      refusals: createRefusalLog(
+        clock,
+        logger.part("entry"),
+        "Refused calls because of their keys.",
+      ),
+      ...settings.configuration,
+    }),
     logger,
     clock,
     isStopping: () => stopping.signal.aborted,
@@ -116,6 +129,8 @@
       return { kind: acceptRelay(context, call) ? "taken" : "closed" };
     case "relayed":
       return context.relaySessions.dispatch(call);
+    case "configuration":
+      return context.configurationIntake.answer(call.version);
     case "find":
       return await context.ownedDomains.find(call.job, call.partitions, call);
     case "reach": {
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -13,6 +13,7 @@
   type DomainCommand,
   drainDirtyRecords,
   heldQueuesOf,
+  isOfOtherAccount,
   type JobDescription,
   type JobRequest,
   jobStateOf,
@@ -95,6 +96,8 @@
   /** The state of the domain for operators. */
   view(): DomainView;
   hasJob(job: string): boolean;
+  /** Whether a job belongs to another client account. */
+  isOfOtherAccount(job: string, clientAccount: string): boolean;
   /**
    * Waits until the store has a record that the domain may have jobs of a queue,
    * and until the owner knows which other domains may have some.
@@ -207,6 +210,8 @@
       tasks: [...viewTasks(domain, currentMoment(state))],
     }),
     hasJob: (job) => domain.jobs.has(job),
+    isOfOtherAccount: (job, clientAccount) =>
+      isOfOtherAccount(domain, job, clientAccount),
     hasCancelled: (job) => domain.cancelledIds.has(job),
     async recordQueue(queue) {
       if (await queueRecorder.record(queue)) return undefined;
--- a/src/ownership/follow_topic.ts
+++ b/src/ownership/follow_topic.ts
@@ -8,6 +8,7 @@
 } from "../hosts/mod.ts";
 import type { Result } from "neverthrow";
 import type { PartLogger } from "../telemetry/mod.ts";
+import { currentInstant, type Instant } from "./instant.ts";
 
 /** Delay after a failed read, in milliseconds. */
 const RETRY_DELAY_MS = 250;
@@ -21,8 +22,11 @@
   clock: Clock;
   logger: PartLogger;
   partition: Partition;
-  /** How long the store may delay the answer to a long poll, in ms. */
-  waitMs: number;
+  /**
+   * How long the store may delay the answer to a long poll, in ms; it may depend
+   * on whether the last read has failed.
+   */
+  waitMs: number | ((hasReadFailed: boolean) => number);
   /** Delay between two reads, in milliseconds. */
   pauseMs(): number;
   /**
@@ -30,6 +34,11 @@
    * nothing is read, and an empty snapshot replaces the earlier records.
    */
   isWanted?(): boolean;
+  /**
+   * Called once the records of an answer have been applied, with the instant at
+   * which the read was sent: everything appended before it is applied.
+   */
+  onConfirmed?(sentAt: Instant): void;
   /** Called after a failed read. */
   onFailure?(): void;
   /** Called with the newest record of every key. */
@@ -61,9 +70,15 @@
       continue;
     }
     const isFirst = offset === undefined;
+    const sentAt = currentInstant(clock);
     const page: Result<RecordPage, StoreFault> = offset === undefined
       ? await store.newest(partition, signal)
-      : await store.read(partition, offset, options.waitMs, signal);
+      : await store.read(
+        partition,
+        offset,
+        waitMsOf(options, hasReadFailed),
+        signal,
+      );
     if (signal.aborted) return;
     if (page.isErr()) {
       if (page.error.kind === "trimmed") offset = undefined;
@@ -76,26 +91,40 @@
     if (hasReadFailed) logRecovery(options);
     hasReadFailed = false;
     offset = page.value.nextOffset;
-    applyRecords(options, isFirst, page.value.records);
+    const isApplied = applyRecords(options, isFirst, page.value.records);
+    if (isApplied) options.onConfirmed?.(sentAt);
     await clock.sleep(options.pauseMs(), signal);
   }
 }
 
-/** Passes records on; the topic is followed further if that fails. */
+/** How long the next read may be held open, in ms. */
+function waitMsOf(
+  { waitMs }: FollowTopicOptions,
+  hasReadFailed: boolean,
+): number {
+  return typeof waitMs === "number" ? waitMs : waitMs(hasReadFailed);
+}
+
+/**
+ * Passes records on, and returns whether they were applied; the topic is followed
+ * further if not.
+ */
 function applyRecords(
   { onSnapshot, onRecords, logger, partition }: FollowTopicOptions,
   isSnapshot: boolean,
   records: KeyedRecord[],
-): void {
+): boolean {
   try {
     if (isSnapshot) onSnapshot(records);
     else onRecords(records);
+    return true;
   } catch (error) {
     logger.error("Failed to apply records of a store topic.", {
       topic: partition.topic,
       records: records.length,
       cause: error instanceof Error ? error.stack ?? error.message : `${error}`,
     });
+    return false;
   }
 }
 
--- a/src/ownership/mod.ts
+++ b/src/ownership/mod.ts
@@ -14,5 +14,11 @@
 export * from "./worker_list.ts";
 export * from "./queue_records.ts";
 export { type TrackedStore, trackStore } from "./tracked_store.ts";
-export { DISTANT_PAST, elapsedMs } from "./instant.ts";
+export {
+  currentInstant,
+  DISTANT_PAST,
+  elapsedMs,
+  type Instant,
+} from "./instant.ts";
+export * from "./clock_history.ts";
 export * from "./relay/mod.ts";
--- a/src/settings/read_settings_test.ts
+++ b/src/settings/read_settings_test.ts
@@ -32,7 +32,7 @@
 uwimana = operator-token
 `;
 const SECTION_LIST =
-  "instance, listen, peers, store, advice, workers, lease, jobs, stop, log, customers, operators";
+  "instance, listen, peers, store, configuration, advice, workers, lease, jobs, stop, log, customers, operators";
 
 function readFaults(text: string): string[] {
   const read = readSettings(text);
@@ -59,6 +59,7 @@
     },
     peers: { secret: "" },
     store: { address: "127.0.0.1:9001", partitions: 8, memberTtlMs: 1300 },
+    configuration: { revocationBoundMs: 5000, additionBoundMs: 4000 },
     advice: { address: "" },
     workers: { heartbeatMs: 1500 },
     lease: { maxMs: 6000 },
