--- a/src/entry/client_authentication.ts
+++ b/src/entry/client_authentication.ts
@@ -68,15 +68,16 @@
   let indexed: { version: number; index: KeyIndex } | undefined;
 
   function decide(key: Buffer | undefined): Authentication {
-    const { version, clientAccounts } = configuration.current() ??
-      { version: 0, clientAccounts: [] };
-    if (clientAccounts.length === 0) {
-      return { kind: "accepted", clientAccount: undefined };
-    }
     const unconfirmed = {
       kind: "unconfirmed",
       retryAfterMs: RETRY_AFTER_MS,
     } as const;
+    const current = configuration.current();
+    if (current === undefined) return unconfirmed;
+    const { version, clientAccounts } = current;
+    if (clientAccounts.length === 0) {
+      return { kind: "accepted", clientAccount: undefined };
+    }
     const ageMs = intake.ageMs();
     if (ageMs > acceptWithinMs) return unconfirmed;
     if (indexed?.version !== version) {
--- a/src/entry/mod.ts
+++ b/src/entry/mod.ts
@@ -9,5 +9,6 @@
 export * from "./call_router.ts";
 export * from "./client_authentication.ts";
 export * from "./entry_platform.ts";
+export * from "./key_index.ts";
 export * from "./partition_of.ts";
 export * from "./run_entry.ts";
--- a/stand_ins/platform/daemon.ts
+++ b/stand_ins/platform/daemon.ts
@@ -25,6 +25,8 @@
   partitions: number;
   /** `IP:port` of the placement policy; empty if there is none. */
   advice: string;
+  /** Further sections of its settings, in INI; none if absent. */
+  settings?: string;
   /** Path of the log file; without it, standard output is discarded. */
   log?: string;
 };
@@ -54,6 +56,7 @@
       `member_ttl_ms = 1500\n[advice]\naddress = ${options.advice}`,
       "[workers]\nheartbeat_ms = 1500\n[lease]\nmax_ms = 6000",
       "[jobs]\nkeep_ended_s = 120\n[stop]\ngrace_s = 6",
+      options.settings ?? "",
     ].join("\n"),
   );
   const argumentList = [
--- a/stand_ins/platform/deployment.ts
+++ b/stand_ins/platform/deployment.ts
@@ -24,6 +24,8 @@
   services?: string[];
   /** How long each task runs, in milliseconds. */
   taskDurationMs: number;
+  /** Further sections of the instances' settings, in INI; none if absent. */
+  settings?: string;
   /** The configuration, in the format of the platform. */
   configuration: object;
 };
@@ -86,6 +88,7 @@
           store: stores[index]!.address,
           partitions,
           advice: "",
+          settings: options.settings ?? "",
         }),
     );
   const instances = startInstances();
--- a/stand_ins/platform/platform.ts
+++ b/stand_ins/platform/platform.ts
@@ -40,6 +40,7 @@
 
 const LOOPBACK = "127.0.0.1";
 const OK = 200;
+const UNAVAILABLE = 503;
 /** Maximum interval at which a waiting heartbeat checks for ended runs. */
 const MAX_ENDED_RUN_POLL_MS = 50;
 const MIN_ENDED_RUN_POLL_MS = 1;
@@ -73,6 +74,8 @@
   address: string;
   /** While true, reads of the operators' configuration are not answered. */
   isConfigurationHeld: boolean;
+  /** While true, all requests are refused. */
+  isRefusing: boolean;
 };
 
 /** Configuration of one worker. */
@@ -125,7 +128,11 @@
     workerConfigs: options.workers,
     isStoreUnresponsive: false,
     async openStore() {
-      const access: StoreAccess = { address: "", isConfigurationHeld: false };
+      const access: StoreAccess = {
+        address: "",
+        isConfigurationHeld: false,
+        isRefusing: false,
+      };
       const server = await startServer((request, body) =>
         serveStore(request, body, access)
       );
@@ -150,6 +157,7 @@
     if (request.url?.includes(`topic=${CONFIGURATION_TOPIC}&`)) {
       while (access?.isConfigurationHeld) await delay(HELD_ANSWER_POLL_MS);
     }
+    if (access?.isRefusing) return { status: UNAVAILABLE, body: {} };
     if (platform.isStoreUnresponsive) return undefined;
     return handleStoreRequest(store, request, body);
   }
--- a/stand_ins/platform/queue_calls.ts
+++ b/stand_ins/platform/queue_calls.ts
@@ -45,11 +45,15 @@
   method: "GET" | "POST" | "DELETE",
   path: string,
   submission = SUBMISSION,
+  key = "",
 ): Promise<QueueResponse> {
   try {
     const { statusCode, body } = await request(`${url}${PREFIX}${path}`, {
       method,
-      headers: { host: HOST },
+      headers: {
+        host: HOST,
+        ...(key === "" ? {} : { credential: key }),
+      },
       ...(method === "POST" ? { body: submission } : {}),
     });
     return { status: statusCode, body: JSON.parse(await body.text()) };
