Ask other instances about the configuration less often in an outage

An answer with an old confirmation counted as help, since it was a little younger than the one before, so that in an outage of the store each instance asked twelve times a second for as long as it lasted. Without client accounts the check runs once a second. Tests of the domain, the follower of topics and the owner's calls.

--- a/src/entry/confirm_with_peers.ts
+++ b/src/entry/confirm_with_peers.ts
@@ -13,6 +13,8 @@
 
 /** Interval at which the age of the confirmation is checked, in milliseconds. */
 const CHECK_INTERVAL_MS = 250;
+/** The same while the configuration has no client accounts. */
+const IDLE_INTERVAL_MS = 1_000;
 /** Longest pause after rounds without a confirmation, in milliseconds. */
 const MAX_PAUSE_MS = 1_000;
 /** Number of instances that are asked in a round. */
@@ -56,42 +58,42 @@
 export async function confirmWithPeers(
   host: PeerConfirmationHost,
 ): Promise<void> {
-  const { clock, configuration, intake, signal } = host;
+  const { clock, configuration, signal } = host;
   const candidates = createCandidates();
   let pauseMs = CHECK_INTERVAL_MS;
   while (!signal.aborted) {
     await clock.sleep(pauseMs, signal);
-    pauseMs = CHECK_INTERVAL_MS;
     const { clientAccounts = [] } = configuration.current() ?? {};
-    if (clientAccounts.length === 0) continue;
-    const ageMs = intake.ageMs();
-    if (ageMs <= host.revocationBoundMs * ASK_AFTER_SHARE) continue;
-    const isConfirmed = await askInTurn(host, candidates, ageMs);
-    pauseMs = isConfirmed
-      ? CHECK_INTERVAL_MS
-      : Math.min(pauseMs * 2, MAX_PAUSE_MS);
+    if (clientAccounts.length === 0) {
+      pauseMs = IDLE_INTERVAL_MS;
+      continue;
+    }
+    if (isOld(host)) await askInTurn(host, candidates);
+    pauseMs = isOld(host)
+      ? Math.min(pauseMs * 2, MAX_PAUSE_MS)
+      : CHECK_INTERVAL_MS;
   }
 }
 
-/** Asks a few instances in turn; returns whether one confirmed the version. */
+/** Whether the confirmation is so old that other instances are asked. */
+function isOld({ intake, revocationBoundMs }: PeerConfirmationHost): boolean {
+  return intake.ageMs() > revocationBoundMs * ASK_AFTER_SHARE;
+}
+
+/** Asks a few instances in turn, until one has a young confirmation. */
 async function askInTurn(
   host: PeerConfirmationHost,
   candidates: Candidates,
-  ageMs: number,
-): Promise<boolean> {
+): Promise<void> {
   const { clock, configuration, counters, intake, logger } = host;
-  let isConfirmed = false;
   for (const instance of candidates.next(host.peers())) {
     const sentAt = currentInstant(clock);
     const version = configuration.current()?.version ?? 0;
     const answer = await host.ask(instance, version);
-    if (host.signal.aborted) break;
-    const isCovered = answer !== undefined &&
-      intake.applyAnswer(sentAt, answer);
-    if (!isCovered || intake.ageMs() >= ageMs) continue;
-    if (!isConfirmed) counters.count("configuration_confirmed_by_peer");
-    isConfirmed = true;
+    if (host.signal.aborted) return;
+    if (answer === undefined || !intake.applyAnswer(sentAt, answer)) continue;
     if (intake.ageMs() > host.revocationBoundMs * YOUNG_SHARE) continue;
+    counters.count("configuration_confirmed_by_peer");
     if (candidates.prefer(instance)) {
       logger.info("Confirming the configuration through another instance.", {
         instance,
@@ -99,9 +101,8 @@
         ageMs: Math.round(intake.ageMs()),
       });
     }
-    break;
+    return;
   }
-  return isConfirmed;
 }
 
 type Candidates = {
--- a/src/entry/execute_domain_call_test.ts
+++ b/src/entry/execute_domain_call_test.ts
@@ -131,6 +131,35 @@
   });
 });
 
+describe("a job of another client account", () => {
+  function start(holder: string | undefined) {
+    const { owner, calls } = createOwner({ jobs: ["a"] });
+    const isOfOtherAccount = (_: string, account: string) =>
+      holder !== undefined && holder !== account;
+    return { host: createHost([{ ...owner, isOfOtherAccount }]), calls };
+  }
+
+  // Guards against callers that read or end the jobs of others by their ids.
+  it("is unknown to a call, which has no effect", async () => {
+    const { host, calls } = start("press");
+    const read = { kind: "state", partition: HOME, job: "a" } as const;
+    for (const call of [CANCELLATION, read]) {
+      const foreign = { ...call, clientAccount: "desk" };
+      const answer = await executeDomainCall(host, foreign);
+      assert.deepEqual(answer, { kind: "unknownJob" });
+    }
+    assert.deepEqual(calls, []);
+  });
+
+  it("is cancelled if it or the call has no account", async () => {
+    for (const [holder, clientAccount] of [["press"], [undefined, "desk"]]) {
+      const { host, calls } = start(holder);
+      await executeDomainCall(host, { ...CANCELLATION, clientAccount });
+      assert.deepEqual(calls, ["cancel a"]);
+    }
+  });
+});
+
 describe("a job that a domain of another instance may have", () => {
   // Guards against TWICE: the instances that forward the call know no other
   // domain of the queue, only the owner does.
--- a/src/ownership/follow_topic_test.ts
+++ b/src/ownership/follow_topic_test.ts
@@ -4,7 +4,7 @@
  */
 import assert from "node:assert/strict";
 import { it } from "node:test";
-import { ok } from "neverthrow";
+import { err, ok } from "neverthrow";
 import {
   createManualClock,
   silentLogger,
@@ -50,6 +50,46 @@
   assert.deepEqual(snapshots, [[ENTRY], [], [ENTRY], []]);
 });
 
+// Guards against a configuration that counts as confirmed, although the records
+// of the answer were not applied or the read took long.
+it("an answer confirms its topic from the sending of the read on", async () => {
+  const controller = new AbortController();
+  const clock = createManualClock();
+  const confirmed: number[] = [];
+  const waits: number[] = [];
+  let reads = 0;
+  const read = async (waitMs = 0) => {
+    reads += 1;
+    waits.push(waitMs);
+    await clock.sleep(1_000, controller.signal);
+    if (reads === 5) controller.abort();
+    return reads === 3
+      ? err({ kind: "unavailable", step: "store.read", message: "refused" })
+      : ok({ records: [ENTRY], nextOffset: reads });
+  };
+  const apply = () => {
+    if (reads === 2) throw new Error("odd record");
+  };
+  await followTopic({
+    store: {
+      newest: () => read(),
+      read: (_: unknown, __: number, waitMs: number) => read(waitMs),
+    } as unknown as StoreHost,
+    clock,
+    logger: silentLogger,
+    partition: { topic: "op", number: 0 },
+    waitMs: (hasReadFailed) => hasReadFailed ? 0 : 700,
+    pauseMs: () => 0,
+    onSnapshot: apply,
+    onRecords: apply,
+    onConfirmed: ({ steadyMs }) => confirmed.push(steadyMs),
+    signal: controller.signal,
+  });
+  // The second was not applied, the third failed, and the last was aborted.
+  assert.deepEqual(confirmed, [0, 3_250]);
+  assert.deepEqual(waits, [0, 700, 700, 0, 700]);
+});
+
 // Guards against an instance that stops following a list, because its use of one
 // record failed.
 it("a topic is followed further after records could not be applied", async () => {
