--- a/src/entry/follow_store_topics.ts
+++ b/src/entry/follow_store_topics.ts
@@ -15,10 +15,10 @@
 /** How long the store may hold a read open for new records, in ms. */
 const LONG_POLL_WAIT_MS = 2_000;
 /**
- * The same for the configuration while it has client accounts, in ms: the
- * confirmation of their keys is as old as two such waits.
+ * The same for the configuration while it has client accounts, as a share of the
+ * revocation bound: the confirmation gets as old as two such waits.
  */
-const KEYS_LONG_POLL_WAIT_MS = 1_000;
+const KEYS_LONG_POLL_SHARE = 0.2;
 /** Pause between two reads of the worker list, in milliseconds. */
 const WORKER_LIST_POLL_INTERVAL_MS = 400;
 /** The same pause while this instance owns no domain, in milliseconds. */
@@ -51,7 +51,9 @@
     waitMs(hasReadFailed) {
       const { clientAccounts = [] } = configuration.current() ?? {};
       if (clientAccounts.length === 0) return LONG_POLL_WAIT_MS;
-      return hasReadFailed ? 0 : KEYS_LONG_POLL_WAIT_MS;
+      const { revocationBoundMs } = context.settings.configuration;
+      const waitMs = Math.floor(revocationBoundMs * KEYS_LONG_POLL_SHARE);
+      return hasReadFailed ? 0 : Math.min(waitMs, LONG_POLL_WAIT_MS);
     },
     partition: platform.configurationTopic,
     onSnapshot: configurationIntake.apply,
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -64,8 +64,6 @@
   logUncaughtErrors(logger.part("daemon"), context.counters, ending.signal);
   const servers = serve(context);
   followStoreTopics(context);
-  const measuredWaitMs = await measureCandidateWait(context);
-  const url = apiUrlOf(settings);
   confirmWithPeers({
     ...context,
     ...settings.configuration,
@@ -76,6 +74,8 @@
     ask: context.rpc.configuration,
     signal: ending.signal,
   });
+  const measuredWaitMs = await measureCandidateWait(context);
+  const url = apiUrlOf(settings);
   announceInstance(context, {
     candidateWaitMs: measuredWaitMs,
     zone: settings.instance.zone,
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -52,9 +52,9 @@
   }),
   configuration: v.object({
     /** How long after its revocation a key may be accepted, in ms. */
-    revocation_bound_ms: v.optional(wholeNumber(1_000, HOUR_MS), "5000"),
+    revocation_bound_ms: v.optional(wholeNumber(1, HOUR_MS), "5000"),
     /** Time after which an added key has to be accepted, in ms. */
-    addition_bound_ms: v.optional(wholeNumber(1_000, HOUR_MS), "4000"),
+    addition_bound_ms: v.optional(wholeNumber(1, HOUR_MS), "4000"),
   }),
   advice: v.object({
     /** Address of the placement policy service; empty for none. */
