Keep what client accounts have running under their caps

The cap of an account holds over all domains, and a domain knows only what it runs itself. Each domain has an allotment of the cap in the store now, which is written only by an owner that has read everything before it; work of an account starts only within it. What may run without a record after a takeover counts.

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -126,6 +126,9 @@
       return applyStopConfirmation(domain, event, moment);
     case "advised":
       return applyAdvice(domain, event, moment);
+    case "configurationObserved":
+      domain.isConfigurationStale = event.isStale;
+      return;
     case "accountsConfigured":
       domain.clientAccounts = new Map(
         event.accounts.map((account) => [account.name, account]),
--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -1,4 +1,5 @@
 import type { ClientAccount, Resources } from "../model/mod.ts";
+import type { AccountWait } from "./account_limits.ts";
 import { type CrashRates, createCrashRates } from "./crash_rates.ts";
 import type { DepartedWorker } from "./departed_worker.ts";
 import type { DomainCommand } from "./domain_command.ts";
@@ -72,6 +73,13 @@
    * without an entry have no limit.
    */
   accountLimits: Map<string, Resources>;
+  /**
+   * Whether the configuration may be outdated, so that a cap may be lower than
+   * it is known to be.
+   */
+  isConfigurationStale: boolean;
+  /** What waits because of the limits of accounts, as of the last pass. */
+  accountWaits: Map<string, AccountWait>;
   /** Usage since the last record, by agreement. */
   unrecordedUsage: Map<string, ResourceTime>;
   /** When `unrecordedUsage` was last updated, on the steady clock. */
@@ -113,6 +121,8 @@
     clientAccounts: new Map(),
     allocatedByAccount: new Map(),
     accountLimits: new Map(),
+    isConfigurationStale: false,
+    accountWaits: new Map(),
     unrecordedUsage: new Map(),
     usageAccruedAtMs: undefined,
   };
--- a/src/domain/domain_event.ts
+++ b/src/domain/domain_event.ts
@@ -61,6 +61,8 @@
     allowed: [string, string][] | undefined;
     validMs: number;
   }
+  /** The configuration has become too old to rely on, or is recent again. */
+  | { kind: "configurationObserved"; isStale: boolean }
   /** The client accounts of the configuration in force. */
   | { kind: "accountsConfigured"; accounts: ClientAccount[] }
   /**
--- a/src/domain/explain_wait.ts
+++ b/src/domain/explain_wait.ts
@@ -1,5 +1,6 @@
 import * as v from "valibot";
 import { RESOURCE_NAMES, type Resources } from "../model/mod.ts";
+import { isLimitedByAccount } from "./account_limits.ts";
 import { hasValidTicket, mayBeAllowed } from "./advice_requests.ts";
 import { findEligibleWorkers, hasCapacityForTask } from "./choose_worker.ts";
 import type { Domain } from "./domain.ts";
@@ -39,6 +40,8 @@
    * of the step may be started: an earlier owner may have started some there.
    */
   unsettled: v.optional(v.number(), 0),
+  /** 1 while the cap of the client account keeps the step waiting, else 0. */
+  capped: v.optional(v.number(), 0),
 });
 
 /** Why a step waits, as worker counts that narrow down by condition. */
@@ -100,6 +103,7 @@
     ticketed: ticketed.length,
     asking: run.advice.requestInFlight ? 1 : 0,
     unsettled: [...findPossibleHolders(domain, run, unsettled)].length,
+    capped: isLimitedByAccount(domain, run) ? 1 : 0,
   };
 }
 
--- a/src/domain/mod.ts
+++ b/src/domain/mod.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+export { type AccountWait, sumPossibleAllocations } from "./account_limits.ts";
 export { type AdviceRequest, takeAdviceRequest } from "./advice_requests.ts";
 export { createDomain, type Domain } from "./domain.ts";
 export {
--- a/src/domain/place_gang.ts
+++ b/src/domain/place_gang.ts
@@ -97,7 +97,10 @@
 }
 
 /** Whether the workers of the service have no free capacity for a gang. */
-function lacksCapacityFor(pass: SchedulingPass, run: StepRun): boolean {
+export function lacksCapacityFor(
+  pass: SchedulingPass,
+  run: StepRun,
+): boolean {
   const { service } = run.jobRun.job.policy;
   const { taskCount } = run.step;
   const demand = allocationOf(run.step);
@@ -114,6 +117,12 @@
   return true;
 }
 
+/** Requests advice for a gang that has none, without certain workers. */
+export function requestFirstAdvice(pass: SchedulingPass, run: StepRun): void {
+  if (hasAdvice(run) || !canRequestAdvice(run, pass.moment.steadyMs)) return;
+  queueAdviceRequest(pass, run, []);
+}
+
 /**
  * Requests advice for a gang without enough slots: the policy may allow further
  * workers that it has not decided on yet.
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -24,7 +24,11 @@
 import type { Moment } from "./domain_event.ts";
 import type { DomainWorker } from "./domain_worker.ts";
 import { stepRecordKey } from "./record_keys.ts";
-import { placeGang } from "./place_gang.ts";
+import {
+  lacksCapacityFor,
+  placeGang,
+  requestFirstAdvice,
+} from "./place_gang.ts";
 import {
   createSchedulingPass,
   type SchedulingPass,
@@ -61,11 +65,34 @@
     )
   ) {
     if (mayRunUnrecorded(domain, run, unsettled)) continue;
+    if (isHeldByAccount(pass, run)) continue;
     if (run.step.gang) placeGang(pass, run);
     else placeTasks(pass, run);
   }
 }
 
+/**
+ * Whether the limit of its account keeps a step waiting. Such a step reserves
+ * nothing, and is prepared only if its turn comes soon. It is not recorded as
+ * waiting for the limit if it would find no capacity anyway.
+ */
+function isHeldByAccount(pass: SchedulingPass, run: StepRun): boolean {
+  const { accountLimits } = pass;
+  const { gang, taskCount } = run.step;
+  // A gang in part stops before it starts again.
+  if (gang && run.waitingCount < taskCount) return false;
+  if (accountLimits.admits(run, gang ? taskCount : 1)) return false;
+  const hasCapacity = gang
+    ? !lacksCapacityFor(pass, run)
+    : placeableWorkers(pass, run).next().done !== true;
+  if (!hasCapacity) return true;
+  accountLimits.recordWait(run);
+  if (!accountLimits.isNearLimit(run)) return true;
+  if (gang) requestFirstAdvice(pass, run);
+  else prepareStep(pass, run, false);
+  return true;
+}
+
 function placeTasks(pass: SchedulingPass, run: StepRun): void {
   const { domain } = pass;
   const candidates = findCandidates(pass, run);
@@ -75,6 +102,10 @@
   for (let index = 0; index < run.tasks.length; index += 1) {
     const task = run.tasks[index];
     if (task?.kind !== "waiting") continue;
+    if (!pass.accountLimits.admits(run, 1)) {
+      reportPlacements(pass, run, placements);
+      return pass.accountLimits.recordWait(run);
+    }
     const score = isSuspect(run, index)
       ? scoreWorkerForSuspect.bind(undefined, domain)
       : scoreWorker;
--- a/src/domain/scheduling_pass.ts
+++ b/src/domain/scheduling_pass.ts
@@ -1,4 +1,5 @@
 import { fitsInto, type Resources } from "../model/mod.ts";
+import { type AccountLimits, createAccountLimits } from "./account_limits.ts";
 import type { Domain } from "./domain.ts";
 import type { Moment } from "./domain_event.ts";
 import type { DomainWorker } from "./domain_worker.ts";
@@ -9,6 +10,7 @@
 export type SchedulingPass = {
   domain: Domain;
   moment: Moment;
+  accountLimits: AccountLimits;
   /** Capacity reserved for steps of higher rank. */
   reservations: Map<DomainWorker, Reservation>;
   /** Releases expected of the tasks on a worker; deleted when one is placed. */
@@ -53,6 +55,7 @@
   return {
     domain,
     moment,
+    accountLimits: createAccountLimits(domain, moment),
     reservations: new Map(),
     workersOf: (service) => workersByService.get(service) ?? [],
     releases: new Map(),
--- a/src/domain/task_placement.ts
+++ b/src/domain/task_placement.ts
@@ -149,7 +149,8 @@
   const { agreement, clientAccount } = run.jobRun.job.policy;
   const { allocatedByAgreement, allocatedByAccount } = totals;
   updateTotal(allocatedByAgreement, agreement, allocation, combine);
-  updateTotal(allocatedByAccount, clientAccount, allocation, combine);
+  // The processor time of opportunistic tasks counts for the cap.
+  updateTotal(allocatedByAccount, clientAccount, run.step.demand, combine);
 }
 
 function updateTotal(
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -275,6 +275,10 @@
       owner.instance === context.self ||
       await context.rpc.release(owner.instance, domain, owner.epoch),
     confirmedAt: () => context.membership?.confirmedAt() ?? DISTANT_PAST,
+    clientAccounts: () => context.configuration.current()?.clientAccounts,
+    configurationAgeMs: () => 0,
+    maxConfigurationAgeMs: settings.accounts.maxConfigurationAgeMs,
+    partitionsInUse: () => partitionsInUse(context),
     isInUse: (partition) => partitionsInUse(context).has(partition),
     rejoinGroup: () => context.membership?.rejoin(),
     onTakeover: (partition, epoch) =>
--- a/src/entry/explain_job.ts
+++ b/src/entry/explain_job.ts
@@ -39,6 +39,9 @@
     return `${wait.unsettled} workers may run them since before the ` +
       "last change of the owner";
   }
+  if (wait.capped > 0) {
+    return "the client account has no capacity left under its cap";
+  }
   if (wait.eligible === 0) return "no listed worker fits them";
   if (wait.held === 0) return "the owner reaches none of the workers";
   if (wait.unrefused === 0) return "the placement policy refuses every worker";
--- a/src/entry/testing/simulated_store.ts
+++ b/src/entry/testing/simulated_store.ts
@@ -2,6 +2,7 @@
 import type {
   Assignment,
   Clock,
+  ExpectedEnd,
   Fence,
   KeyedRecord,
   Partition,
@@ -34,6 +35,8 @@
 
 type Log = {
   newest: Map<string, string>;
+  /** All records in order, which reads return. */
+  records: KeyedRecord[];
   epoch: number;
   sequence: number;
 };
@@ -57,7 +60,7 @@
   function logOf({ topic, number }: Partition): Log {
     const name = `${topic}/${number}`;
     const log = logs.get(name) ??
-      { newest: new Map(), epoch: -1, sequence: -1 };
+      { newest: new Map(), records: [], epoch: -1, sequence: -1 };
     logs.set(name, log);
     return log;
   }
@@ -68,10 +71,12 @@
   function append(
     partition: Partition,
     records: KeyedRecord[],
-    fence: Fence | undefined,
+    fence: Fence | ExpectedEnd | undefined,
   ): Result<void, StoreFault> {
     const log = logOf(partition);
-    if (fence !== undefined) {
+    if (fence !== undefined && "atOffset" in fence) {
+      if (fence.atOffset !== log.records.length) return failure("moved");
+    } else if (fence !== undefined) {
       if (fence.epoch < log.epoch) return failure("fenced");
       if (fence.epoch > log.epoch) log.sequence = fence.sequence - 1;
       log.epoch = fence.epoch;
@@ -80,6 +85,7 @@
       if (fence.sequence !== log.sequence + 1) return failure("sequence");
       log.sequence = fence.sequence;
     }
+    log.records.push(...records);
     for (const { key, value } of records) {
       if (value === undefined) log.newest.delete(key);
       else log.newest.set(key, value);
@@ -112,7 +118,11 @@
     append: (partition, records, fence, signal) =>
       call(() => append(partition, records, fence), signal),
     newest: (partition, signal) =>
-      call(() => ok({ records: newestOf(partition), nextOffset: 0 }), signal),
+      call(() =>
+        ok({
+          records: newestOf(partition),
+          nextOffset: logOf(partition).records.length,
+        }), signal),
     read: () => Promise.resolve(failure("unavailable")),
     join: (_member, generation, signal) =>
       call(() => ok<Assignment>({ generation, partitions: [] }), signal),
--- a/src/hosts/store_host.ts
+++ b/src/hosts/store_host.ts
@@ -7,6 +7,8 @@
     | "fenced"
     /** The append's sequence number does not follow the last one. */
     | "sequence"
+    /** The partition does not end at the offset that the append expects. */
+    | "moved"
     /** The requested records are no longer retained. */
     | "trimmed"
     /** The store did not execute the call. */
@@ -26,6 +28,9 @@
 /** Fencing of a writer: the store refuses appends of a lower epoch. */
 export type Fence = { epoch: number; sequence: number };
 
+/** The append is refused unless the partition ends at this offset. */
+export type ExpectedEnd = { atOffset: number };
+
 /** A record of a keyed topic. */
 export type KeyedRecord = {
   key: string;
@@ -51,12 +56,14 @@
 export type StoreHost = {
   /**
    * Appends records to a keyed partition atomically. Appends with a fence are
-   * idempotent: a repeat with the same fence has no further effect.
+   * idempotent: a repeat with the same fence has no further effect. An append
+   * with an expected end has an effect only if its writer has read everything
+   * before it, also if the store executes it late; a repeat is refused.
    */
   append(
     partition: Partition,
     records: KeyedRecord[],
-    fence: Fence | undefined,
+    condition: Fence | ExpectedEnd | undefined,
     signal: AbortSignal,
   ): Promise<Result<void, StoreFault>>;
   /**
--- a/src/manifest/publish_manifest_test.ts
+++ b/src/manifest/publish_manifest_test.ts
@@ -50,7 +50,7 @@
         append(_partition, added, fence) {
           fake.beforeAppend();
           fake.beforeAppend = () => {};
-          assert.ok(fence !== undefined);
+          assert.ok(fence !== undefined && "epoch" in fence);
           if (fence.epoch < epoch) return Promise.resolve(err(FENCED));
           // A repeat has no second effect, even from another writer.
           if (fence.epoch === epoch) return Promise.resolve(ok(undefined));
--- a/src/model/client_account.ts
+++ b/src/model/client_account.ts
@@ -1,5 +1,10 @@
 import * as v from "valibot";
-import { resourcesSchema } from "./resources.ts";
+import {
+  RESOURCE_NAMES,
+  type Resources,
+  resourcesSchema,
+  UNLIMITED_RESOURCES,
+} from "./resources.ts";
 
 /** Schema of a client account: who calls, and what it may use. */
 export const clientAccountSchema = v.object({
@@ -19,3 +24,23 @@
 
 /** A client account: who calls, and what it may use. */
 export type ClientAccount = v.InferOutput<typeof clientAccountSchema>;
+
+/**
+ * The cap of an account as amounts that can be compared: a resource without a
+ * cap is unlimited.
+ *
+ * @returns undefined if no resource has a cap
+ *
+ * @example
+ * ```ts
+ * capOf(account)?.cpuMillis; // Infinity if only the memory has a cap
+ * ```
+ */
+export function capOf({ cap }: ClientAccount): Resources | undefined {
+  if (RESOURCE_NAMES.every((name) => cap[name] === 0)) return undefined;
+  const limits = { ...UNLIMITED_RESOURCES };
+  for (const name of RESOURCE_NAMES) {
+    if (cap[name] > 0) limits[name] = cap[name];
+  }
+  return limits;
+}
--- a/src/model/resources.ts
+++ b/src/model/resources.ts
@@ -25,6 +25,13 @@
 /** The name of one resource. */
 export type ResourceName = typeof RESOURCE_NAMES[number];
 
+/** More than any amount of each resource; only in memory, not in records. */
+export const UNLIMITED_RESOURCES: Resources = Object.freeze({
+  cpuMillis: Infinity,
+  memoryMb: Infinity,
+  accelerators: Infinity,
+});
+
 /** Zero of each resource. */
 export const NO_RESOURCES: Resources = Object.freeze({
   cpuMillis: 0,
@@ -100,3 +107,43 @@
     demand.memoryMb <= capacity.memoryMb - used.memoryMb &&
     demand.accelerators <= capacity.accelerators - used.accelerators;
 }
+
+/**
+ * Combines two amounts resource by resource.
+ *
+ * @example
+ * ```ts
+ * const least = combineResources(left, right, Math.min);
+ * ```
+ */
+export function combineResources(
+  left: Resources,
+  right: Resources,
+  combine: (left: number, right: number) => number,
+): Resources {
+  return {
+    cpuMillis: combine(left.cpuMillis, right.cpuMillis),
+    memoryMb: combine(left.memoryMb, right.memoryMb),
+    accelerators: combine(left.accelerators, right.accelerators),
+  };
+}
+
+/**
+ * Multiplies the amount of each resource; zero stays zero.
+ *
+ * @example
+ * ```ts
+ * const demand = multiplyResources(step.demand, step.taskCount);
+ * ```
+ */
+export function multiplyResources(
+  { cpuMillis, memoryMb, accelerators }: Resources,
+  factor: number,
+): Resources {
+  const multiply = (amount: number) => amount === 0 ? 0 : amount * factor;
+  return {
+    cpuMillis: multiply(cpuMillis),
+    memoryMb: multiply(memoryMb),
+    accelerators: multiply(accelerators),
+  };
+}
--- /dev/null
+++ b/src/ownership/allotments/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * The shares of domains in the caps of client accounts; see docs/design/caps.md.
+ *
+ * @module
+ */
+export * from "./allotment_keeper.ts";
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -23,6 +23,7 @@
   viewWorkers,
 } from "../domain/mod.ts";
 import { createAdvisor } from "./advisor.ts";
+import { createAllotmentKeeper } from "./allotments/mod.ts";
 import type { DomainOwnerHost } from "./domain_owner_host.ts";
 import type { DomainView } from "./domain_view.ts";
 import { createDomainWriter } from "./domain_writer.ts";
@@ -157,6 +158,7 @@
   const earlierOwners = domain.owners.filter(({ epoch }) =>
     epoch !== host.epoch
   );
+  state.allotments.observeConfiguration();
   awaitEarlierOwners(state, earlierOwners);
   host.workerList.subscribe(() => reconcileLinks(state), host.signal);
   reconcileLinks(state);
@@ -291,6 +293,10 @@
           validMs: advice?.validMs ?? 0,
         }),
     }),
+    allotments: createAllotmentKeeper(
+      { ...host, emit: (event) => emit(state, event) },
+      domain,
+    ),
     pendingCalls: new Map(),
     pendingReads: new Set(),
     outcomeReads: new Map(),
--- a/src/ownership/domain_owner_host.ts
+++ b/src/ownership/domain_owner_host.ts
@@ -7,6 +7,7 @@
   StoreHost,
   TaskHost,
 } from "../hosts/mod.ts";
+import type { ClientAccount } from "../model/mod.ts";
 import type { Counters, PartLogger } from "../telemetry/mod.ts";
 import type { Instant } from "./instant.ts";
 import type { RelayCall, RelayPeer, RelayReportRouter } from "./relay/mod.ts";
@@ -41,6 +42,17 @@
   ownershipValidMs: number;
   /** When the latest successful membership confirmation was sent. */
   confirmedAt(): Instant;
+  /** The client accounts in force; undefined before a configuration is known. */
+  clientAccounts(): ClientAccount[] | undefined;
+  /**
+   * How long ago the configuration was certainly the newest one, in
+   * milliseconds.
+   */
+  configurationAgeMs(): number;
+  /** Nothing under a cap is started on an older configuration, in ms. */
+  maxConfigurationAgeMs: number;
+  /** The partitions of the domains that are in use. */
+  partitionsInUse(): Set<number>;
   /** Whether a service belongs to the domain. */
   servesDomain(service: string): boolean;
   /** Addresses of the entry instances that can forward advice requests. */
--- a/src/ownership/owned_domains_test.ts
+++ b/src/ownership/owned_domains_test.ts
@@ -40,7 +40,7 @@
   const unused = () => Promise.reject(new Error("not used here"));
   const store: StoreHost = {
     append(partition, _records, fence) {
-      const epoch = fence?.epoch ?? 0;
+      const epoch = fence !== undefined && "epoch" in fence ? fence.epoch : 0;
       appends.push({ number: partition.number, epoch });
       return Promise.resolve(
         epoch > fencedUpTo ? ok(undefined) : err({
@@ -82,6 +82,10 @@
     relaySessions: createRelayReportRouter(),
     newSession: () => "session",
     postToRelay: () => Promise.resolve(undefined),
+    clientAccounts: () => [],
+    configurationAgeMs: () => 0,
+    maxConfigurationAgeMs: 3_500,
+    partitionsInUse: () => new Set(),
     isInUse: (partition) => partition === IN_USE,
     servesDomain: () => false,
     onTakeover() {},
--- a/src/ownership/owner_passes.ts
+++ b/src/ownership/owner_passes.ts
@@ -120,10 +120,12 @@
   if (host.signal.aborted) return;
   const startedAtMs = host.clock.steadyMs();
   try {
+    state.allotments.observeConfiguration();
     queueCommands(state, scheduleDomain(state.domain, currentMoment(state)));
   } catch (error) {
     return failOwnership(state, error);
   }
+  state.allotments.review();
   state.advisor.dispatch();
   const endedAtMs = host.clock.steadyMs();
   const elapsedMs = endedAtMs - startedAtMs;
--- a/src/ownership/owner_state.ts
+++ b/src/ownership/owner_state.ts
@@ -5,6 +5,7 @@
   Moment,
 } from "../domain/mod.ts";
 import type { Advisor } from "./advisor.ts";
+import type { AllotmentKeeper } from "./allotments/mod.ts";
 import type { DomainOwnerHost } from "./domain_owner_host.ts";
 import type { DomainWriter } from "./domain_writer.ts";
 import type { EventSource } from "./event_source.ts";
@@ -44,6 +45,7 @@
   pendingCommands: DomainCommand[];
   writer: DomainWriter;
   advisor: Advisor;
+  allotments: AllotmentKeeper;
   pendingCalls: Map<number, (answer: OwnerAnswer) => void>;
   /** The numbers of pending calls that change nothing. */
   pendingReads: Set<number>;
--- a/src/settings/read_settings_test.ts
+++ b/src/settings/read_settings_test.ts
@@ -32,7 +32,7 @@
 uwimana = operator-token
 `;
 const SECTION_LIST =
-  "instance, listen, peers, store, advice, workers, lease, jobs, stop, log, customers, operators";
+  "instance, listen, peers, store, advice, workers, lease, jobs, accounts, stop, log, customers, operators";
 
 function readFaults(text: string): string[] {
   const read = readSettings(text);
@@ -63,6 +63,7 @@
     workers: { heartbeatMs: 1500 },
     lease: { maxMs: 6000 },
     jobs: { keepEndedS: 120 },
+    accounts: { maxConfigurationAgeMs: 3500 },
     stop: { graceS: 6 },
     log: { level: "info" },
     customers: { "order-desk": ["order-desk-token", "order-desk-token-2"] },
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -69,6 +69,13 @@
     /** Retention of the records of ended jobs, in seconds. */
     keep_ended_s: wholeNumber(1, 1_000_000),
   }),
+  accounts: v.object({
+    /**
+     * Nothing under the cap of a client account is started on a configuration
+     * that was last known to be the newest one longer ago, in milliseconds.
+     */
+    max_configuration_age_ms: v.optional(wholeNumber(100, HOUR_MS), "3500"),
+  }),
   stop: v.object({
     /** Time from SIGTERM to SIGKILL, in seconds. */
     grace_s: wholeNumber(1, 3_600),
--- a/stand_ins/platform/store.ts
+++ b/stand_ins/platform/store.ts
@@ -63,7 +63,8 @@
 }
 
 /**
- * Appends raw records, subject to fencing if the request names a producer: an
+ * Appends raw records, if the log ends at the offset that the request names, and
+ * subject to fencing if the request names a producer: an
  * earlier epoch or a gap in the sequence is refused, and a repeated sequence
  * number gets the original response.
  */
@@ -77,6 +78,11 @@
     query.get("topic") ?? "",
     query.get("part") ?? "0",
   );
+  const expectedEnd = query.get("at");
+  const end_offset = log.records.length;
+  if (expectedEnd !== null && Number(expectedEnd) !== end_offset) {
+    return { status: 412, body: { end_offset } };
+  }
   if (!query.has("producer")) return writeRecords(log, body);
   const epoch = Number(query.get("epoch"));
   const sequence = Number(query.get("seq"));
