--- a/src/ownership/allotments/allotment_keeper.ts
+++ b/src/ownership/allotments/allotment_keeper.ts
@@ -52,7 +52,7 @@
 /** Delay before a failed call is repeated, in milliseconds. */
 const RETRY_DELAY_MS = 100;
 /** The shortest time between two writes, in milliseconds. */
-const MIN_WRITE_GAP_MS = 10;
+const MIN_WRITE_GAP_MS = 20;
 /**
  * How long a step whose claim was served may take to start, such as for advice
  * of the placement policy, before later claims are served, in milliseconds.
@@ -370,6 +370,7 @@
       if (page.error.kind !== "trimmed") return false;
       const newest = await store.newest(ALLOTMENTS_PARTITION, signal);
       if (newest.isErr()) return false;
+      confirm(sentAtMs);
       reportUnreadable(replaceView(view, newest.value));
       return true;
     }
--- a/src/ownership/allotments/plan_allotment.ts
+++ b/src/ownership/allotments/plan_allotment.ts
@@ -8,6 +8,7 @@
   addResources,
   combineResources,
   fitsInto,
+  multiplyResources,
   NO_RESOURCES,
   RESOURCE_NAMES,
   type Resources,
@@ -42,7 +43,12 @@
 /** Share of a domain's equal part that it keeps for its recent peak. */
 const KEPT_SHARE = 0.5;
 /** A request that asks for up to this many times the need is left as it is. */
-const REQUEST_TOLERANCE = 2;
+const REQUEST_TOLERANCE = 4;
+/**
+ * How many times the need is requested of what other domains do not use, so that
+ * a growing backlog does not change the request each time.
+ */
+const SPARE_FACTOR = 2;
 
 /**
  * Plans the allotment of an account in a domain:
@@ -174,6 +180,11 @@
   const used = usedOf(situation);
   const equal = equalPart(situation);
   const next = addResources(used, atOnce);
+  // Room that only unrecorded starts may need is not claimed.
+  const isUncertain = !fitsInto(used, onlyCapped(situation.placed, cap));
+  if (isUncertain && !fitsInto(next, onlyCapped(cap, cap))) {
+    return { held, request: undefined };
+  }
   const all = min(addResources(used, onlyCapped(wait.total, cap)), cap);
   const mayClaim = fitsInto(next, equal) || !fitsInto(atOnce, equal);
   const goal = mayClaim ? max(min(next, cap), min(all, equal)) : next;
@@ -209,19 +220,28 @@
     claimed: mayClaim ? missing : NO_RESOURCES,
     spare: mayClaim ? spare : addResources(spare, missing),
   };
-  return { held: raised, request: keepOrReplace(open, needed, requests) };
+  const most = lacking(
+    onlyCapped(cap, cap),
+    addResources(raised, needed.claimed),
+  );
+  const request = keepOrReplace(open, needed, { most, others: requests });
+  return { held: raised, request };
 }
 
 /** Keeps a request that asks for enough and not for far more. */
 function keepOrReplace(
   open: AllotmentRequest | undefined,
   needed: Pick<AllotmentRequest, "claimed" | "spare">,
-  others: AllotmentRequest[],
+  { most, others }: { most: Resources; others: AllotmentRequest[] },
 ): AllotmentRequest {
-  if (open === undefined) return { ...newRequest(others), ...needed };
-  const isEnough = isSimilar(open.claimed, needed.claimed) &&
+  const isEnough = open !== undefined &&
+    isSimilar(open.claimed, needed.claimed) &&
     isSimilar(open.spare, needed.spare);
-  return isEnough ? open : { order: open.order, ...needed };
+  if (isEnough) return open;
+  const { order } = open ?? newRequest(others);
+  const { claimed } = needed;
+  const spare = min(multiplyResources(needed.spare, SPARE_FACTOR), most);
+  return { order, claimed, spare: max(spare, needed.spare) };
 }
 
 /** The order of a request that is served after all others. */
--- a/src/ownership/allotments/plan_allotment_test.ts
+++ b/src/ownership/allotments/plan_allotment_test.ts
@@ -162,6 +162,13 @@
     assert.equal(planAllotment(known)?.held.cpuMillis, 45);
   });
 
+  // A worker of which nothing is known may run any number of tasks.
+  it("claims nothing for starts that may not have taken place", () => {
+    const wait = waitOf(5);
+    const known = situation({ wait, possible: cpu(Infinity, 9) }, 10);
+    assert.deepEqual(planAllotment(known), { held: cpu(50) });
+  });
+
   it("ends where its domain is not in use and runs nothing", () => {
     assert.equal(planAllotment(situation({ isInUse: false })), undefined);
     const running = planAllotment(situation({ isInUse: false }, 20));
