--- a/src/ownership/allotments/testing/allotment_model.ts
+++ b/src/ownership/allotments/testing/allotment_model.ts
@@ -266,7 +266,7 @@
   }
 
   function end(owner: Owner): void {
-    owner.controller.abort();
+    owner.controller.abort("ended");
     owners.delete(owner);
   }
 
