--- a/src/domain/account_limits.ts
+++ b/src/domain/account_limits.ts
@@ -172,8 +172,8 @@
   domain.accountWaits = new Map();
   // Does not change in a pass, unlike what is placed.
   const unrecorded = boundUnrecorded(domain);
-  /** The first step of each account that holds others back. */
-  const heads = new Map<string, StepRun>();
+  /** The first step of each account that waits, if it holds others back. */
+  const heads = new Map<string, StepRun | undefined>();
 
   function canEverFit(account: string, demand: Resources): boolean {
     const known = domain.clientAccounts.get(account);
@@ -207,7 +207,9 @@
       if (!canEverFit(account, atOnce)) return;
       const waitedMs = moment.steadyMs - run.readyAtMs;
       const holdsOthers = Math.floor(waitedMs / HOLD_MS) % 2 === 0;
-      if (holdsOthers && !heads.has(account)) heads.set(account, run);
+      if (!heads.has(account)) {
+        heads.set(account, holdsOthers ? run : undefined);
+      }
       const known = domain.accountWaits.get(account);
       domain.accountWaits.set(account, {
         atOnce: known?.atOnce ?? atOnce,
--- a/src/domain/account_limits_test.ts
+++ b/src/domain/account_limits_test.ts
@@ -131,6 +131,17 @@
     assert.equal(startsIn(tick(bench, 2_000)).length, 1);
   });
 
+  // Guards against two wide steps that take turns in holding the others back.
+  it("lets small ones pass while another wide step waits", () => {
+    const bench = createLimitedBench(6);
+    const gang = step({ taskCount: 8, gang: true });
+    submit(bench, "g", [gang], { ...ACCOUNT, priority: 0 });
+    bench.nowMs += 2_000;
+    submit(bench, "h", [gang], { ...ACCOUNT, priority: 0 });
+    const small = submit(bench, "s", [step()], { ...ACCOUNT, priority: 1 });
+    assert.equal(startsIn(small).length, 1);
+  });
+
   it("does not hold others if it exceeds the cap", () => {
     const bench = createLimitedBench(16);
     submit(bench, "g", [step({ taskCount: 17, gang: true })], ACCOUNT);
