Rank and refuse submissions beyond the rate of their client account

A hot account's excess was served before or beside what others may count on, and made all late. The owner counts new submissions by account (a token bucket of the account's weight); what exceeds it is stored as such and ranks after all other useful work. While capacity is short, accounts that use more than their weighted part of what all accounts use go after the others. Excess that could not start in useful time is refused at once, with a Retry-After, to callers that understand it.

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -1,4 +1,6 @@
 import { assertNever } from "../base/mod.ts";
+import { purgeAccountRates } from "./account_rate.ts";
+import { admitJob } from "./admission.ts";
 import { applyAdvice, discardAdvice } from "./advice_requests.ts";
 import {
   addWorker,
@@ -147,6 +149,7 @@
       observeWorkers(domain, moment);
       revokeUnusedPermits(domain);
       expireUnstartedJobs(domain, moment);
+      purgeAccountRates(domain, moment.steadyMs);
       purgeCancelledIds(domain, moment);
       return purgeEndedJobs(domain, moment);
     default:
@@ -161,9 +164,17 @@
 ): void {
   const { request, policy, call } = event;
   if (!domain.jobs.has(request.id)) {
+    const isCancelled = domain.cancelledIds.has(request.id);
+    const admission = isCancelled
+      ? { kind: "accepted", isBeyondRate: false } as const
+      : admitJob(domain, event, moment);
+    if (admission.kind === "refused") {
+      return refuse(domain, call, admission.retryAfterMs);
+    }
     const job: Job = {
       ...request,
       policy,
+      ...(admission.isBeyondRate ? { isBeyondRate: true } : {}),
       acceptedAtMs: moment.wallMs,
       outcome: "open",
     };
@@ -182,6 +193,7 @@
         tasks: job.steps.reduce((sum, step) => sum + step.taskCount, 0),
         gangs: job.steps.filter((step) => step.gang).length,
         opportunistic: job.steps.filter((step) => step.opportunistic).length,
+        ...(admission.isBeyondRate ? { isBeyondRate: 1 } : {}),
       },
     });
     if (job.schedule === undefined) {
@@ -191,7 +203,7 @@
     } else {
       domain.scheduledJobs.add(run);
     }
-    if (domain.cancelledIds.has(job.id)) {
+    if (isCancelled) {
       endJob(domain, run, "cancelled", moment);
     }
   }
@@ -202,6 +214,16 @@
   });
 }
 
+/**
+ * Refuses a job. The refusal tells that the job does not run, which is certain
+ * only while no successor can have accepted it.
+ */
+function refuse(domain: Domain, call: number, retryAfterMs: number): void {
+  verifyOwnershipOnCommit(domain);
+  const answer = { kind: "overloaded", retryAfterMs } as const;
+  domain.commands.push({ kind: "answer", call, answer });
+}
+
 function cancel(
   domain: Domain,
   event: EventOf<"cancelled">,
--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -1,4 +1,6 @@
 import type { ClientAccount, Resources } from "../model/mod.ts";
+import type { AccountRate } from "./account_rate.ts";
+import type { AccountUse } from "./account_share.ts";
 import { type CrashRates, createCrashRates } from "./crash_rates.ts";
 import type { DepartedWorker } from "./departed_worker.ts";
 import type { DomainCommand } from "./domain_command.ts";
@@ -6,10 +8,12 @@
 import type { DomainWorker } from "./domain_worker.ts";
 import type { JobRun } from "./job_run.ts";
 import type { OwnerEntry } from "./owner_entry.ts";
+import type { Shortages } from "./scheduling_pass.ts";
 import type { StartPermit } from "./start_permit.ts";
 import type { StepRun } from "./step_run.ts";
 import type { ResourceTime } from "./resource_time.ts";
 import type { DayUsage } from "./usage.ts";
+import type { WorkInflow } from "./work_backlog.ts";
 
 /**
  * The state of a scheduling domain: the jobs of its services and their
@@ -72,6 +76,13 @@
    * without an entry have no limit.
    */
   accountLimits: Map<string, Resources>;
+  /** The client accounts with recent submissions. */
+  accountRates: Map<string, AccountRate>;
+  accountUse: AccountUse;
+  /** The work that was accepted within the rates of accounts, by service. */
+  workInflows: Map<string, WorkInflow>;
+  /** The tasks for which the last pass found no capacity. */
+  shortages: Shortages;
   /** Usage since the last record, by agreement. */
   unrecordedUsage: Map<string, ResourceTime>;
   /** When `unrecordedUsage` was last updated, on the steady clock. */
@@ -113,6 +124,10 @@
     clientAccounts: new Map(),
     allocatedByAccount: new Map(),
     accountLimits: new Map(),
+    accountRates: new Map(),
+    accountUse: { shares: new Map(), updatedAtMs: undefined },
+    workInflows: new Map(),
+    shortages: new Map(),
     unrecordedUsage: new Map(),
     usageAccruedAtMs: undefined,
   };
--- a/src/domain/domain_command.ts
+++ b/src/domain/domain_command.ts
@@ -46,9 +46,20 @@
     kind: "report";
     message: string;
     fields: Record<string, string | number>;
+  }
+  /** Counts a submission beyond the rate of its client account. */
+  | {
+    kind: "countExcess";
+    account: string;
+    outcome: "accepted" | "refused";
   };
 
 /** The answer to a call that changes a job. */
 export type CallAnswer =
   | { kind: "accepted" }
-  | { kind: "unknownJob" };
+  | { kind: "unknownJob" }
+  /**
+   * The job was not accepted: its client account exceeds its rate while
+   * capacity is short.
+   */
+  | { kind: "overloaded"; retryAfterMs: number };
--- a/src/domain/domain_event.ts
+++ b/src/domain/domain_event.ts
@@ -13,6 +13,8 @@
     call: number;
     request: JobRequest;
     policy: QueuePolicy;
+    /** Whether the caller understands the answer `overloaded`. */
+    mayRefuse?: boolean | undefined;
   }
   | { kind: "cancelled"; call: number; job: string }
   /** The store does not accept the record of a submitted job. */
--- a/src/domain/job_lifecycle.ts
+++ b/src/domain/job_lifecycle.ts
@@ -6,7 +6,7 @@
  */
 import type { Domain } from "./domain.ts";
 import type { Moment } from "./domain_event.ts";
-import type { Job } from "./job.ts";
+import type { Job, JobRequest, QueuePolicy, Step } from "./job.ts";
 import type { CriticalPaths, JobRun, Occurrence } from "./job_run.ts";
 import { jobKey, stepRecordKey } from "./record_keys.ts";
 import { createStepAdvice } from "./step_advice.ts";
@@ -119,7 +119,7 @@
   nowMs: number,
 ): Pick<StepRun, "latestStartMs" | "uselessAfterMs"> {
   const { fromStepMs, longestMs } = criticalPathsOf(domain, run, nowMs);
-  const objectiveMs = completionObjectiveMs(run.job, longestMs);
+  const objectiveMs = completionObjectiveMs(run.job.policy, longestMs);
   const ownPathMs = fromStepMs[index] ?? 0;
   return {
     latestStartMs: occurrence.dueAtMs + objectiveMs - ownPathMs,
@@ -129,11 +129,28 @@
 }
 
 /** Returns the time from due to completed that the queue's policy aims at. */
-function completionObjectiveMs(job: Job, longestPathMs: number): number {
-  const { slackFactor, targetCompletionMs } = job.policy;
+function completionObjectiveMs(
+  { slackFactor, targetCompletionMs }: QueuePolicy,
+  longestPathMs: number,
+): number {
   return slackFactor * longestPathMs + targetCompletionMs;
 }
 
+/**
+ * Returns the time within which a job that is due has to start, for its result
+ * to be useful, in milliseconds.
+ */
+export function usefulStartWithinMs(
+  domain: Domain,
+  { steps }: JobRequest,
+  policy: QueuePolicy,
+): number {
+  const queueMeanMs = domain.meanDurationMsByQueue.get(policy.queue);
+  const longestMs = Math.max(...criticalPathsMs(steps, queueMeanMs));
+  const objectiveMs = completionObjectiveMs(policy, longestMs);
+  return USEFUL_OBJECTIVE_FACTOR * objectiveMs - longestMs;
+}
+
 /**
  * Returns the critical paths of a job. They are computed at most once in an
  * event: a report may list many ends, each of which changes the queue's mean.
@@ -148,7 +165,7 @@
   const isCurrent = known !== undefined &&
     (known.queueMeanMs === queueMeanMs || known.computedAtMs === nowMs);
   if (isCurrent) return known;
-  const fromStepMs = criticalPathsMs(run.job, queueMeanMs);
+  const fromStepMs = criticalPathsMs(run.job.steps, queueMeanMs);
   const longestMs = Math.max(...fromStepMs);
   run.criticalPaths = {
     fromStepMs,
@@ -164,15 +181,15 @@
  * the end of the job, in milliseconds.
  */
 function criticalPathsMs(
-  job: Job,
+  steps: Step[],
   queueMeanMs: number | undefined,
 ): number[] {
-  const expectedMs = job.steps.map((step) =>
+  const expectedMs = steps.map((step) =>
     expectedDurationMs(step.estimateMs, queueMeanMs)
   );
   const criticalPaths = [...expectedMs];
-  for (let index = job.steps.length - 1; index >= 0; index -= 1) {
-    for (const predecessor of job.steps[index]!.after) {
+  for (let index = steps.length - 1; index >= 0; index -= 1) {
+    for (const predecessor of steps[index]!.after) {
       const predecessorMs = expectedMs[predecessor];
       if (predecessorMs === undefined) continue;
       criticalPaths[predecessor] = Math.max(
@@ -188,7 +205,7 @@
  * Returns the geometric mean of the caller's estimate and the queue's measured
  * mean: estimates are rough, so both have equal weight.
  */
-function expectedDurationMs(
+export function expectedDurationMs(
   estimateMs: number,
   queueMeanMs: number | undefined,
 ): number {
@@ -346,9 +363,9 @@
 /** Returns the latest on-time completion of a job, in ms since the epoch. */
 function completionDeadlineMs(domain: Domain, job: Job): number {
   const queueMeanMs = domain.meanDurationMsByQueue.get(job.policy.queue);
-  const longestPathMs = Math.max(...criticalPathsMs(job, queueMeanMs));
+  const longestPathMs = Math.max(...criticalPathsMs(job.steps, queueMeanMs));
   return dueAtMs(job, (job.schedule?.occurrences ?? 1) - 1) +
-    completionObjectiveMs(job, longestPathMs);
+    completionObjectiveMs(job.policy, longestPathMs);
 }
 
 /** Cancels jobs that have not started within their `startWithinMs`. */
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { accountsOverShare, updateAccountUse } from "./account_share.ts";
 import {
   canRequestAdvice,
   hasAdvice,
@@ -53,17 +54,19 @@
   const unsettled = indexUnsettledWorkers(domain);
   domain.adviceQueue = [];
   updateDemandPressure(domain);
-  for (
-    const run of sortByRank(
-      domain.waitingSteps,
-      moment.wallMs,
-      domain.allocatedByAgreement,
-    )
-  ) {
+  updateAccountUse(domain, moment.steadyMs);
+  const ranked = sortByRank(domain.waitingSteps, {
+    wallMs: moment.wallMs,
+    allocatedByAgreement: domain.allocatedByAgreement,
+    accountsOverShare: accountsOverShare(domain),
+    shortServices: domain.shortages,
+  });
+  for (const run of ranked) {
     if (mayRunUnrecorded(domain, run, unsettled)) continue;
     if (run.step.gang) placeGang(pass, run);
     else placeTasks(pass, run);
   }
+  domain.shortages = pass.shortages;
 }
 
 function placeTasks(pass: SchedulingPass, run: StepRun): void {
--- a/src/domain/scheduling_pass.ts
+++ b/src/domain/scheduling_pass.ts
@@ -22,8 +22,13 @@
   hasNoCapacityFor(service: string, tasks: TaskGroup): boolean;
   /** Records that the workers of a service have no capacity for some tasks. */
   recordNoCapacity(service: string, tasks: TaskGroup): void;
+  /** What has been recorded so far. */
+  shortages: Shortages;
 };
 
+/** Tasks for which the workers of a service have no capacity, by service. */
+export type Shortages = Map<string, TaskGroup[]>;
+
 /** Tasks that need capacity at the same time. */
 export type TaskGroup = {
   demand: Resources;
@@ -49,22 +54,31 @@
     if (known === undefined) workersByService.set(listing.service, [worker]);
     else known.push(worker);
   }
-  const unplaceable = new Map<string, TaskGroup[]>();
+  const shortages: Shortages = new Map();
   return {
     domain,
     moment,
     reservations: new Map(),
     workersOf: (service) => workersByService.get(service) ?? [],
     releases: new Map(),
-    hasNoCapacityFor: (service, tasks) =>
-      unplaceable.get(service)?.some((failed) =>
-        failed.count <= tasks.count && fitsInto(failed.demand, tasks.demand) &&
-        (failed.mayBackfill || !tasks.mayBackfill)
-      ) ?? false,
+    hasNoCapacityFor: (service, tasks) => isShortFor(shortages, service, tasks),
     recordNoCapacity(service, tasks) {
-      const known = unplaceable.get(service);
-      if (known === undefined) unplaceable.set(service, [tasks]);
+      const known = shortages.get(service);
+      if (known === undefined) shortages.set(service, [tasks]);
       else known.push(tasks);
     },
+    shortages,
   };
 }
+
+/** Whether a service has no capacity for some tasks, as it had none for fewer. */
+export function isShortFor(
+  shortages: Shortages,
+  service: string,
+  tasks: TaskGroup,
+): boolean {
+  return shortages.get(service)?.some((failed) =>
+    failed.count <= tasks.count && fitsInto(failed.demand, tasks.demand) &&
+    (failed.mayBackfill || !tasks.mayBackfill)
+  ) ?? false;
+}
--- a/src/domain/step_rank.ts
+++ b/src/domain/step_rank.ts
@@ -16,46 +16,63 @@
   /** The result is no longer useful; runs only in leftover capacity. */
   | 2;
 
+/** What the ranks of steps depend on, besides the steps themselves. */
+export type RankContext = {
+  /** The wall clock, in milliseconds since the epoch. */
+  wallMs: number;
+  /** The resources that the placed tasks of each agreement allocate. */
+  allocatedByAgreement: Map<string, Resources>;
+  /** Client accounts that use more than their share while capacity is short. */
+  accountsOverShare: Set<string>;
+  /** The services whose workers are short of capacity. */
+  shortServices: { has(service: string): boolean };
+};
+
 /** A step with the keys that it is sorted by. */
 type RankedStep = {
   run: StepRun;
   deadlineTier: DeadlineTier;
+  isBeyondRate: boolean;
   isOverShare: boolean;
+  isUrgent: boolean;
+  isAccountOverShare: boolean;
 };
 
 /**
  * Sorts steps by rank, the first to be scheduled first:
  *
- * 1. Steps that can still meet their objective come before late ones, so that a
+ * 1. Steps whose results are no longer useful come last.
+ * 2. Steps of jobs that exceeded the rate of their client account come after
+ *    all others, late ones included.
+ * 3. Steps that can still meet their objective come before late ones, so that a
  *    backlog does not make all work late. Steps of priority 0 are exempt while
  *    their results are useful, because they are short, and long-running steps
  *    always are.
- * 2. Steps whose agreement would exceed its share come after the others.
- * 3. The priority of the queue.
- * 4. The least slack.
- *
- * @param allocatedByAgreement the resources that the placed tasks of each
- *   agreement allocate
+ * 4. Steps whose agreement would exceed its share come after the others.
+ * 5. Steps of priority 0 (or above it) come before the others.
+ * 6. While the service is short of capacity, steps of client accounts that use
+ *    more than their share come after the others of either kind.
+ * 7. The priority of the queue.
+ * 8. The least slack.
  *
  * @example
  * ```ts
- * const [first] = sortByRank(domain.waitingSteps, Date.now(), new Map());
+ * const [first] = sortByRank(domain.waitingSteps, context);
  * ```
  */
 export function sortByRank(
   runs: Iterable<StepRun>,
-  wallMs: number,
-  allocatedByAgreement: Map<string, Resources>,
+  context: RankContext,
 ): StepRun[] {
   return [...runs]
-    .map((run): RankedStep => ({
-      run,
-      deadlineTier: deadlineTierOf(run, wallMs),
-      isOverShare: isOverShare(run, allocatedByAgreement),
-    }))
+    .map((run) => rankStep(run, context))
     .sort((left, right) =>
+      Number(left.deadlineTier === 2) - Number(right.deadlineTier === 2) ||
+      Number(left.isBeyondRate) - Number(right.isBeyondRate) ||
       left.deadlineTier - right.deadlineTier ||
       Number(left.isOverShare) - Number(right.isOverShare) ||
+      Number(right.isUrgent) - Number(left.isUrgent) ||
+      Number(left.isAccountOverShare) - Number(right.isAccountOverShare) ||
       left.run.jobRun.job.policy.priority -
         right.run.jobRun.job.policy.priority ||
       left.run.latestStartMs - right.run.latestStartMs
@@ -63,11 +80,26 @@
     .map(({ run }) => run);
 }
 
+function rankStep(run: StepRun, context: RankContext): RankedStep {
+  const { job } = run.jobRun;
+  const { clientAccount, service, priority } = job.policy;
+  return {
+    run,
+    deadlineTier: deadlineTierOf(run, context.wallMs),
+    isBeyondRate: job.isBeyondRate === true,
+    isOverShare: isOverShare(run, context.allocatedByAgreement),
+    isUrgent: priority <= 0,
+    isAccountOverShare: clientAccount !== undefined &&
+      context.accountsOverShare.has(clientAccount) &&
+      context.shortServices.has(service),
+  };
+}
+
 function deadlineTierOf(run: StepRun, wallMs: number): DeadlineTier {
   if (run.step.longRunning) return 0;
   if (wallMs > run.uselessAfterMs) return 2;
-  const isUrgent = run.jobRun.job.policy.priority === 0;
-  return wallMs > run.latestStartMs && !isUrgent ? 1 : 0;
+  const isExempt = run.jobRun.job.policy.priority === 0;
+  return wallMs > run.latestStartMs && !isExempt ? 1 : 0;
 }
 
 /** Whether one more task would make its agreement exceed its share. */
--- /dev/null
+++ b/src/domain/testing/account_load.ts
@@ -0,0 +1,236 @@
+/**
+ * Plays the submissions of client accounts on a domain under test, whose
+ * workers run each task for its estimated duration.
+ *
+ * @module
+ */
+import type { ClientAccount } from "../../model/mod.ts";
+import type { Step } from "../job.ts";
+import {
+  createBench,
+  type DomainBench,
+  ended,
+  feedEvent,
+  listing,
+  listWorkers,
+  policy,
+  reportFrom,
+  running,
+  simulateTakeover,
+  tick,
+} from "./domain_bench.ts";
+
+const STEP_MS = 20;
+
+/** A steady stream of jobs of one account. */
+export type Stream = {
+  account: string | undefined;
+  perSecond: number;
+  fromMs: number;
+  toMs: number;
+  step: Step;
+  priority?: number;
+  mayRefuse?: boolean;
+};
+
+/** How the jobs of an account fared. */
+export type Tally = {
+  /** Jobs within its rate, and those that met their objective. */
+  owed: number;
+  onTime: number;
+  /** Of them, those that were done while their results were useful. */
+  useful: number;
+  /** Accepted jobs beyond its rate, and those done in useful time. */
+  beyond: number;
+  beyondUseful: number;
+  refused: number;
+  retryAfterMs: number[];
+};
+
+/** A domain with its load so far. */
+export type AccountLoad = {
+  bench: DomainBench;
+  workers: string[];
+  /** When each running task ends, by worker and name. */
+  ends: Map<string, Map<string, number>>;
+  endCounts: Map<string, number>;
+  submissions: {
+    id: string;
+    account: string;
+    atMs: number;
+    step: Step;
+    priority: number;
+    call: number;
+  }[];
+};
+
+/** Creates a domain with workers of 8 cores, and accounts with weights. */
+export function createAccountLoad(
+  workerCount: number,
+  weights: Record<string, number>,
+): AccountLoad {
+  const bench = createBench();
+  const workers = Array.from({ length: workerCount }, (_, i) => `w${i}`);
+  listWorkers(bench, ...workers.map((id) => listing(id)));
+  configureAccounts(bench, weights);
+  return {
+    bench,
+    workers,
+    ends: new Map(workers.map((id) => [id, new Map()])),
+    endCounts: new Map(),
+    submissions: [],
+  };
+}
+
+/** Applies the accounts of a configuration. */
+export function configureAccounts(
+  bench: DomainBench,
+  weights: Record<string, number>,
+): void {
+  const cap = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+  const accounts = Object.entries(weights).map(([name, weight]) => (
+    { name, weight, keys: [], priority: 0, cap } satisfies ClientAccount
+  ));
+  if (accounts.length > 0) {
+    feedEvent(bench, { kind: "accountsConfigured", accounts });
+  }
+}
+
+/** Plays streams until a time, in milliseconds from the start. */
+export function play(
+  load: AccountLoad,
+  streams: Stream[],
+  untilMs: number,
+): void {
+  const { bench } = load;
+  while (bench.nowMs < untilMs) {
+    const beforeMs = bench.nowMs;
+    tick(bench, STEP_MS);
+    for (const worker of load.workers) reportWorker(load, worker);
+    streams.forEach((stream) => submitDue(load, stream, beforeMs));
+    trackStarts(load);
+  }
+}
+
+/** Replaces the owner; its workers report what they run. */
+export function takeOver(load: AccountLoad, weights: Record<string, number>) {
+  const { bench, workers } = load;
+  simulateTakeover(bench);
+  configureAccounts(bench, weights);
+  listWorkersAgain(bench, workers);
+  for (const worker of workers) reportWorker(load, worker, true);
+}
+
+function listWorkersAgain(bench: DomainBench, workers: string[]): void {
+  const listings = workers.map((id) => listing(id));
+  feedEvent(bench, { kind: "workersListed", workers: listings });
+}
+
+function submitDue(load: AccountLoad, stream: Stream, beforeMs: number): void {
+  const { bench, submissions } = load;
+  const countUntil = (atMs: number) => {
+    const elapsedMs = Math.min(atMs, stream.toMs) - stream.fromMs;
+    return Math.max(0, Math.ceil(elapsedMs * stream.perSecond / 1_000));
+  };
+  const due = countUntil(bench.nowMs) - countUntil(beforeMs);
+  for (let index = 0; index < due; index += 1) {
+    const id = `j${submissions.length}`;
+    const { account = "", step, priority = 0 } = stream;
+    const call = bench.nextCall;
+    const atMs = bench.nowMs;
+    submissions.push({ id, account, atMs, step, priority, call });
+    submitJob(load, id, stream);
+  }
+}
+
+/** Submits a job of a stream, perhaps again. */
+export function submitJob(
+  { bench }: AccountLoad,
+  id: string,
+  { account, step, priority = 0, mayRefuse = true }: Stream,
+): void {
+  feedEvent(bench, {
+    kind: "submitted",
+    call: bench.nextCall++,
+    request: { id, specification: "", steps: [step] },
+    policy: policy({
+      priority,
+      queue: `queue-${priority}`,
+      ...(account === undefined ? {} : { clientAccount: account }),
+    }),
+    mayRefuse,
+  });
+}
+
+/** Notes when the tasks that the domain has placed will end. */
+function trackStarts({ bench, ends }: AccountLoad): void {
+  for (const [worker, tasks] of ends) {
+    for (const [name, ref] of bench.domain.workers.get(worker)!.placed) {
+      if (tasks.has(name)) continue;
+      tasks.set(name, bench.nowMs + ref.run.step.estimateMs);
+    }
+  }
+}
+
+function reportWorker(load: AccountLoad, worker: string, always = false): void {
+  const { bench, ends, endCounts } = load;
+  const tasks = ends.get(worker)!;
+  const due = [...tasks].filter(([, endMs]) => endMs <= bench.nowMs);
+  if (due.length === 0 && !always) return;
+  let number = endCounts.get(worker) ?? 0;
+  const endedRuns = due.map(([name]) => ended(++number, name, 1, "done"));
+  endCounts.set(worker, number);
+  for (const [name] of due) tasks.delete(name);
+  const runs = [...tasks.keys()].map((name) => running(name, 1));
+  reportFrom(bench, worker, { running: runs, ended: endedRuns });
+  trackStarts(load);
+}
+
+/** Sums up the jobs of an account that came in a period. */
+export function tally(
+  { bench, submissions }: AccountLoad,
+  account: string,
+  fromMs = 0,
+  toMs = Infinity,
+): Tally {
+  const sum: Tally = {
+    owed: 0,
+    onTime: 0,
+    useful: 0,
+    beyond: 0,
+    beyondUseful: 0,
+    refused: 0,
+    retryAfterMs: [],
+  };
+  const retryDelays = new Map(
+    bench.commands.flatMap((command) =>
+      command.kind === "answer" && command.answer.kind === "overloaded"
+        ? [[command.call, command.answer.retryAfterMs] as const]
+        : []
+    ),
+  );
+  for (const { id, account: owner, atMs, step, call } of submissions) {
+    if (owner !== account || atMs < fromMs || atMs >= toMs) continue;
+    const retryAfterMs = retryDelays.get(call);
+    if (retryAfterMs !== undefined) {
+      sum.refused += 1;
+      sum.retryAfterMs.push(retryAfterMs);
+      continue;
+    }
+    const { job } = bench.domain.jobs.get(id)!;
+    const { slackFactor, targetCompletionMs } = job.policy;
+    const objectiveMs = slackFactor * step.estimateMs + targetCompletionMs;
+    const isDone = job.outcome === "completed";
+    const tookMs = isDone ? job.endedAtMs! - job.acceptedAtMs : Infinity;
+    const isUseful = tookMs <= 3 * objectiveMs;
+    if (job.isBeyondRate === true) {
+      sum.beyond += 1;
+      if (isUseful) sum.beyondUseful += 1;
+      continue;
+    }
+    sum.owed += 1;
+    if (tookMs <= objectiveMs) sum.onTime += 1;
+    if (isUseful) sum.useful += 1;
+  }
+  return sum;
+}
--- a/src/entry/call_router.ts
+++ b/src/entry/call_router.ts
@@ -128,7 +128,14 @@
     async submit(request, policy, timeoutMs, address) {
       const partition = partitionOfService(policy.service);
       const kind = "submit";
-      const call = { kind, partition, request, policy, address } as const;
+      const call = {
+        kind,
+        partition,
+        request,
+        policy,
+        address,
+        ...(policy.clientAccount === undefined ? {} : { mayRefuse: true }),
+      } as const;
       const { id } = request;
       return expectAccepted(await forwardToHolder(host, call, id, timeoutMs));
     },
@@ -401,8 +408,12 @@
         case "refused":
           if (undecidedCause !== undefined) break;
           // Another instance may still reach the store and own the domain.
-          directory.refresh();
-          return { ...attempt, kind: "unavailable" };
+          if (attempt.isStoreDown) directory.refresh();
+          return {
+            kind: "unavailable",
+            cause: attempt.cause,
+            retryAfterMs: attempt.retryAfterMs,
+          };
         case "notExecuted":
           cause = attempt.cause;
           directory.forgetOwner(call.partition, owner);
@@ -441,7 +452,12 @@
 type AttemptResult =
   | { kind: "answered"; answer: DomainAnswer }
   /** The call had no effect, and no other instance could execute it. */
-  | { kind: "refused"; cause: string; retryAfterMs: number }
+  | {
+    kind: "refused";
+    cause: string;
+    retryAfterMs: number;
+    isStoreDown: boolean;
+  }
   /** The call had no effect; another instance may execute it. */
   | { kind: "notExecuted"; cause: string }
   | { kind: "unknown"; cause: string };
@@ -459,7 +475,12 @@
         const { silentMs } = outcome.answer;
         const retryAfterMs = retryAfterOutageMs(call, silentMs);
         const cause = "the store does not answer";
-        return { kind: "refused", cause, retryAfterMs };
+        return { kind: "refused", cause, retryAfterMs, isStoreDown: true };
+      }
+      if (outcome.answer.kind === "overloaded") {
+        const { retryAfterMs } = outcome.answer;
+        const cause = "the account exceeds its rate while capacity is short";
+        return { kind: "refused", cause, retryAfterMs, isStoreDown: false };
       }
       if (outcome.answer.kind === "notOwner") {
         return { kind: "notExecuted", cause: "the domain changes its owner" };
--- a/src/entry/execute_domain_call.ts
+++ b/src/entry/execute_domain_call.ts
@@ -59,10 +59,11 @@
 async function submitJob(
   host: DomainCallHost,
   owner: DomainOwner,
-  { request, policy, address }: SubmitCall,
+  { request, policy, address, mayRefuse }: SubmitCall,
 ): Promise<DomainAnswer> {
   const { id } = request;
-  const accept = (holder: DomainOwner) => holder.submit(request, policy);
+  const accept = (holder: DomainOwner) =>
+    holder.submit(request, policy, { mayRefuse });
   const holder = findLocalHolder(host, owner, id);
   if (holder !== undefined) return await accept(holder);
   const home = partitionOf(policy.service, host.partitionCount);
--- a/src/entry/explain_job.ts
+++ b/src/entry/explain_job.ts
@@ -42,7 +42,12 @@
   if (wait.eligible === 0) return "no listed worker fits them";
   if (wait.held === 0) return "the owner reaches none of the workers";
   if (wait.unrefused === 0) return "the placement policy refuses every worker";
-  if (wait.withRoom === 0) return "every worker is full or set aside";
+  if (wait.withRoom === 0) {
+    return wait.beyondRate === 1
+      ? "every worker is full or set aside, and work within the rates of " +
+        "client accounts goes first"
+      : "every worker is full or set aside";
+  }
   if (wait.ticketed === 0) {
     return wait.asking > 0
       ? "a question to the placement policy is on its way"
--- a/src/entry/peer_call.ts
+++ b/src/entry/peer_call.ts
@@ -19,6 +19,11 @@
     policy: queuePolicySchema,
     /** Host and path prefix of the queue. */
     address: v.optional(v.string()),
+    /**
+     * Whether the caller understands the answer `overloaded`; earlier versions
+     * omit it.
+     */
+    mayRefuse: v.optional(v.boolean()),
   }),
   v.object({
     kind: v.literal("cancel"),
@@ -142,6 +147,11 @@
   v.object({ kind: v.literal("lost") }),
   /** The store has not answered for a while; the call had no effect. */
   v.object({ kind: v.literal("storeDown"), silentMs: v.number() }),
+  /**
+   * The client account exceeds its rate while capacity is short; the job was
+   * not accepted.
+   */
+  v.object({ kind: v.literal("overloaded"), retryAfterMs: v.number() }),
   v.object({
     kind: v.literal("state"),
     state: v.picklist([
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -22,6 +22,7 @@
   viewTasks,
   viewWorkers,
 } from "../domain/mod.ts";
+import { createAccountLabels } from "./account_labels.ts";
 import { createAdvisor } from "./advisor.ts";
 import type { DomainOwnerHost } from "./domain_owner_host.ts";
 import type { DomainView } from "./domain_view.ts";
@@ -81,9 +82,14 @@
   epoch: number;
   /**
    * Submits a job; resolves once it is in the store. Answers `lost` where it is
-   * unknown whether the job was stored.
+   * unknown whether the job was stored, and `overloaded` where it was not and
+   * is not to be; the latter only if the caller understands it.
    */
-  submit(request: JobRequest, policy: QueuePolicy): Promise<OwnerAnswer>;
+  submit(
+    request: JobRequest,
+    policy: QueuePolicy,
+    options?: { mayRefuse?: boolean | undefined },
+  ): Promise<OwnerAnswer>;
   cancel(job: string): Promise<OwnerAnswer>;
   /** The state of a job. A final state is returned only once it is stored. */
   stateOf(job: string): Promise<StateAnswer>;
@@ -165,11 +171,11 @@
   return {
     partition: host.partition.number,
     epoch: host.epoch,
-    submit: (request, policy) =>
+    submit: (request, policy, { mayRefuse } = {}) =>
       applyCall(state, (number) => {
         const isNew = !domain.jobs.has(request.id);
         state.uncommittedJobs.add(request.id, number, isNew);
-        return { kind: "submitted", call: number, request, policy };
+        return { kind: "submitted", call: number, request, policy, mayRefuse };
       }),
     cancel: (job) =>
       applyCall(state, (number) => ({ kind: "cancelled", call: number, job })),
@@ -298,6 +304,7 @@
     uncommittedJobs,
     earlierLeasesExpireAtMs: host.clock.steadyMs() +
       maxLeaseDurationMs(host.leaseMs + host.ownershipValidMs + RELAY_GRANT_MS),
+    accountLabels: createAccountLabels(),
     isPassScheduled: false,
     nextPassAtMs: 0,
   };
--- a/src/ownership/owner_passes.ts
+++ b/src/ownership/owner_passes.ts
@@ -51,6 +51,12 @@
       case "report":
         state.host.logger.info(command.message, command.fields);
         break;
+      case "countExcess": {
+        const { account, outcome } = command;
+        const labels = { account: state.accountLabels.of(account), outcome };
+        state.host.counters.count("excess_submissions", labels);
+        break;
+      }
       case "order":
         if (mayPrecedeCommit(state.domain, command.order)) {
           sendOrder(state, command.order);
@@ -98,6 +104,7 @@
         acknowledgeEnds(state, command);
         break;
       case "report":
+      case "countExcess":
         break;
       default:
         assertNever(command);
--- a/src/ownership/owner_state.ts
+++ b/src/ownership/owner_state.ts
@@ -4,6 +4,7 @@
   DomainEvent,
   Moment,
 } from "../domain/mod.ts";
+import type { AccountLabels } from "./account_labels.ts";
 import type { Advisor } from "./advisor.ts";
 import type { DomainOwnerHost } from "./domain_owner_host.ts";
 import type { DomainWriter } from "./domain_writer.ts";
@@ -53,6 +54,8 @@
   uncommittedJobs: UncommittedJobs;
   /** When all leases of earlier owners have expired, on the steady clock. */
   earlierLeasesExpireAtMs: number;
+  /** Labels of client accounts in metrics. */
+  accountLabels: AccountLabels;
   isPassScheduled: boolean;
   nextPassAtMs: number;
 };
