--- a/src/domain/account_load_test.ts
+++ b/src/domain/account_load_test.ts
@@ -283,6 +283,20 @@
     assert.equal(domain.jobs.get(first!.id)?.job.outcome, "open");
   });
 
+  // Guards against REFUSED: an owner that was superseded refuses a job which its
+  // successor has accepted.
+  it("is refused only after a commit of the owner", () => {
+    const load = createAccountLoad(WORKERS, { hot: 2 });
+    const hot = stream("hot", 80, { toMs: 3_000 });
+    play(load, [hot], 3_000);
+    const { bench } = load;
+    bench.domain.owners.push({ instance: "10.0.0.1:1", epoch: 3 });
+    bench.commitsAtOnce = false;
+    submitJob(load, "next", hot);
+    assert.equal(bench.domain.jobs.has("next"), false);
+    assert.deepEqual([...bench.domain.dirtyKeys], ["owner/3"]);
+  });
+
   it("needs a caller that understands it", () => {
     const load = createAccountLoad(WORKERS, { hot: 2 });
     const hot = stream("hot", 80, { toMs: 3_000, mayRefuse: false });
--- a/src/domain/account_rate.ts
+++ b/src/domain/account_rate.ts
@@ -102,7 +102,7 @@
   weight: number,
   nowMs: number,
 ): AccountExcess {
-  const isLogged = countLoggedExcesses(domain) < MAX_LOGGED_EXCESSES;
+  const isLogged = mayLogExcess(domain);
   if (isLogged) {
     domain.commands.push({
       kind: "report",
@@ -120,12 +120,13 @@
   };
 }
 
-function countLoggedExcesses({ accountRates }: Domain): number {
+function mayLogExcess({ accountRates }: Domain): boolean {
   let count = 0;
   for (const { excess } of accountRates.values()) {
     if (excess?.isLogged === true) count += 1;
+    if (count === MAX_LOGGED_EXCESSES) return false;
   }
-  return count;
+  return true;
 }
 
 /**
--- a/src/domain/step_rank.ts
+++ b/src/domain/step_rank.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { addResources, fitsInto, type Resources } from "../model/mod.ts";
+import type { QueuePolicy } from "./job.ts";
 import { allocationOf } from "./task_placement.ts";
 import type { StepRun } from "./step_run.ts";
 
@@ -28,14 +29,25 @@
   shortServices: { has(service: string): boolean };
 };
 
+/**
+ * What puts a step behind others, in powers of two: each outweighs all that
+ * follow it.
+ */
+const RANK_WEIGHTS = {
+  useless: 32,
+  beyondRate: 16,
+  late: 8,
+  overShare: 4,
+  notUrgent: 2,
+  accountOverShare: 1,
+};
+
 /** A step with the keys that it is sorted by. */
 type RankedStep = {
   run: StepRun;
-  deadlineTier: DeadlineTier;
-  isBeyondRate: boolean;
-  isOverShare: boolean;
-  isUrgent: boolean;
-  isAccountOverShare: boolean;
+  rankClass: number;
+  priority: number;
+  latestStartMs: number;
 };
 
 /**
@@ -65,34 +77,44 @@
   context: RankContext,
 ): StepRun[] {
   return [...runs]
-    .map((run) => rankStep(run, context))
+    .map((run): RankedStep => ({
+      run,
+      rankClass: rankClassOf(run, context),
+      priority: run.jobRun.job.policy.priority,
+      latestStartMs: run.latestStartMs,
+    }))
     .sort((left, right) =>
-      Number(left.deadlineTier === 2) - Number(right.deadlineTier === 2) ||
-      Number(left.isBeyondRate) - Number(right.isBeyondRate) ||
-      left.deadlineTier - right.deadlineTier ||
-      Number(left.isOverShare) - Number(right.isOverShare) ||
-      Number(right.isUrgent) - Number(left.isUrgent) ||
-      Number(left.isAccountOverShare) - Number(right.isAccountOverShare) ||
-      left.run.jobRun.job.policy.priority -
-        right.run.jobRun.job.policy.priority ||
-      left.run.latestStartMs - right.run.latestStartMs
+      left.rankClass - right.rankClass ||
+      left.priority - right.priority ||
+      left.latestStartMs - right.latestStartMs
     )
     .map(({ run }) => run);
 }
 
-function rankStep(run: StepRun, context: RankContext): RankedStep {
-  const { job } = run.jobRun;
-  const { clientAccount, service, priority } = job.policy;
-  return {
-    run,
-    deadlineTier: deadlineTierOf(run, context.wallMs),
-    isBeyondRate: job.isBeyondRate === true,
-    isOverShare: isOverShare(run, context.allocatedByAgreement),
-    isUrgent: priority <= 0,
-    isAccountOverShare: clientAccount !== undefined &&
-      context.accountsOverShare.has(clientAccount) &&
-      context.shortServices.has(service),
-  };
+/** Sums the weights of what puts a step behind others. */
+function rankClassOf(run: StepRun, context: RankContext): number {
+  const { isBeyondRate, policy } = run.jobRun.job;
+  const deadlineTier = deadlineTierOf(run, context.wallMs);
+  let rankClass = 0;
+  if (deadlineTier === 2) rankClass += RANK_WEIGHTS.useless;
+  if (isBeyondRate === true) rankClass += RANK_WEIGHTS.beyondRate;
+  if (deadlineTier === 1) rankClass += RANK_WEIGHTS.late;
+  if (isOverShare(run, context.allocatedByAgreement)) {
+    rankClass += RANK_WEIGHTS.overShare;
+  }
+  if (policy.priority > 0) rankClass += RANK_WEIGHTS.notUrgent;
+  if (isAccountOverShare(policy, context)) {
+    rankClass += RANK_WEIGHTS.accountOverShare;
+  }
+  return rankClass;
+}
+
+function isAccountOverShare(
+  { clientAccount, service }: QueuePolicy,
+  { accountsOverShare, shortServices }: RankContext,
+): boolean {
+  return clientAccount !== undefined && accountsOverShare.has(clientAccount) &&
+    shortServices.has(service);
 }
 
 function deadlineTierOf(run: StepRun, wallMs: number): DeadlineTier {
--- a/src/entry/call_router_test.ts
+++ b/src/entry/call_router_test.ts
@@ -205,6 +205,41 @@
     assert.equal(outcome.kind, "undecided");
   });
 
+  it("is refused at once, without a read of the store, by a short owner", async () => {
+    const { router, calls } = routerAnsweredBy(
+      { kind: "answered", answer: { kind: "overloaded", retryAfterMs: 2_400 } },
+    );
+    const outcome = await router.submit(REQUEST, policy(), 3_000);
+    assert.equal(outcome.kind, "unavailable");
+    assert.equal("retryAfterMs" in outcome && outcome.retryAfterMs, 2_400);
+    assert.equal(calls.length, 1);
+  });
+
+  // Guards against REFUSED: the first attempt may still reach its owner.
+  it("ends undecided if it is refused after an attempt of unknown outcome", async () => {
+    const { router } = routerAnsweredBy(
+      { kind: "unknown", cause: "no answer" },
+      { kind: "answered", answer: { kind: "overloaded", retryAfterMs: 2_400 } },
+    );
+    const outcome = await router.submit(REQUEST, policy(), 3_000);
+    assert.equal(outcome.kind, "undecided");
+  });
+
+  // Owners of earlier versions get the messages of before.
+  it("tells that it may be refused only for a client account", async () => {
+    const sent: unknown[] = [];
+    const { router } = routerWithJobAt(undefined, [], {
+      callPeer(_instance, call) {
+        sent.push("mayRefuse" in call ? call.mayRefuse : undefined);
+        const answer = { kind: "accepted" } as const;
+        return Promise.resolve({ kind: "answered", answer });
+      },
+    });
+    await router.submit(REQUEST, policy(), 3_000);
+    await router.submit(REQUEST, policy({ clientAccount: "shop" }), 3_000);
+    assert.deepEqual(sent, [undefined, true]);
+  });
+
   it("is refused well before its deadline when no owner can be reached", async () => {
     const { router, calls } = routerAnsweredBy({
       kind: "unsent",
--- a/src/entry/execute_domain_call_test.ts
+++ b/src/entry/execute_domain_call_test.ts
@@ -60,8 +60,9 @@
       claims.push(id);
       return () => claims.pop();
     },
-    submit({ id }: { id: string }) {
-      calls.push(`submit ${id}`);
+    submit({ id }: { id: string }, _policy: unknown, options = {}) {
+      const isRefusable = "mayRefuse" in options && options.mayRefuse === true;
+      calls.push(isRefusable ? `submit ${id}, or refuse` : `submit ${id}`);
       return Promise.resolve({ kind: "accepted" });
     },
     cancel(id: string) {
@@ -145,6 +146,23 @@
     assert.deepEqual(calls, []);
   });
 
+  // Guards against REFUSED: another domain has the job, and it runs there.
+  it("may be refused only once no other domain has it", async () => {
+    const call = { ...SUBMISSION, mayRefuse: true };
+    const held = createOwner({ sharers: [OTHER] });
+    await executeDomainCall(
+      createHost([held.owner], (partitions) => ({
+        partition: OTHER,
+        searched: partitions,
+      })),
+      call,
+    );
+    assert.deepEqual(held.calls, []);
+    const free = createOwner();
+    await executeDomainCall(createHost([free.owner]), call);
+    assert.deepEqual(free.calls, ["submit a, or refuse"]);
+  });
+
   it("is accepted if no other domain has it", async () => {
     const { owner, calls, claims } = createOwner({ sharers: [OTHER] });
     const searches: unknown[] = [];
