Keep room for work within the rates while the placement policy decides

Excess that held tickets took each place that became free while steps within the rates still waited for theirs.

--- a/src/domain/account_load_test.ts
+++ b/src/domain/account_load_test.ts
@@ -14,7 +14,7 @@
   takeOver,
   tally,
 } from "./testing/account_load.ts";
-import { step } from "./testing/domain_bench.ts";
+import { ended, reportFrom, step, tick } from "./testing/domain_bench.ts";
 
 /** Ten workers run 20 of these a second. */
 const SHORT = step({
@@ -240,6 +240,53 @@
   });
 });
 
+describe("a hot account beside steps that wait for the placement policy", () => {
+  const weights = { hot: 10, rare: 1 };
+  const rare = stream("rare", 0.5, { needsAdvice: true });
+  const hot = { needsAdvice: true, toMs: 8_000 };
+
+  function medianMs({ bench }: AccountLoad): number {
+    const times = [...bench.domain.jobs.values()].flatMap(({ job }) =>
+      job.isBeyondRate === true ? [] : [job.endedAtMs! - job.acceptedAtMs]
+    );
+    times.sort((left, right) => left - right);
+    return times[Math.floor(times.length / 2)]!;
+  }
+
+  // Guards against excess that holds tickets and takes each place that becomes
+  // free while work within the rates still waits for its own.
+  it("does not take their room meanwhile", () => {
+    const calm = playLoad(weights, [stream("hot", 5, hot), rare]);
+    const full = playLoad(weights, [stream("hot", 60, hot), rare]);
+    assert.ok(medianMs(full) <= 1.1 * medianMs(calm), `${medianMs(full)} ms`);
+    assert.deepEqual(outcomesOf(full), new Set(["completed"]));
+    const { beyond, beyondUseful } = tally(full, "hot");
+    assert.ok(beyondUseful >= 0.5 * beyond, `${beyondUseful} of ${beyond}`);
+  });
+
+  it("is not held up by a policy that does not answer", () => {
+    const load = createAccountLoad(1, { hot: 1 });
+    const needsAdvice = { ...SHORT, taskCount: 8 };
+    for (const lane of Array(8).keys()) {
+      const changes = { needsAdvice: true, step: needsAdvice };
+      submitJob(load, `asks-${lane}`, stream(undefined, 1, changes));
+    }
+    submitJob(load, "within", stream("hot", 1));
+    submitJob(load, "beyond", stream("hot", 1));
+    tick(load.bench, 900);
+    const isPlaced = () =>
+      load.bench.domain.steps.get("beyond.0.0")!.waitingCount === 0;
+    reportFrom(load.bench, "w0", {
+      ended: [0, 1, 2, 3].map((index) =>
+        ended(index + 1, `within.0.0.${index}`, 1, "done")
+      ),
+    });
+    assert.equal(isPlaced(), false);
+    tick(load.bench, 200);
+    assert.equal(isPlaced(), true);
+  });
+});
+
 describe("a takeover in a burst", () => {
   const weights = { hot: 2, a: 4 };
 
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -37,6 +37,7 @@
   nextAttempt,
 } from "./start_permit.ts";
 import { updateDemandPressure } from "./demand_pressure.ts";
+import { hasRoomForExcess, takeExcessRoom } from "./excess_room.ts";
 import { sortByRank } from "./step_rank.ts";
 import {
   isLargeStep,
@@ -63,12 +64,31 @@
   });
   for (const run of ranked) {
     if (mayRunUnrecorded(domain, run, unsettled)) continue;
-    if (run.step.gang) placeGang(pass, run);
-    else placeTasks(pass, run);
+    if (run.jobRun.job.isBeyondRate === true) placeExcess(pass, run);
+    else placeStep(pass, run);
   }
   domain.shortages = pass.shortages;
 }
 
+function placeStep(pass: SchedulingPass, run: StepRun): void {
+  if (run.step.gang) placeGang(pass, run);
+  else placeTasks(pass, run);
+}
+
+/** Places a step beyond its account's rate in what others leave. */
+function placeExcess(pass: SchedulingPass, run: StepRun): void {
+  if (!hasRoomForExcess(pass, run)) {
+    if (!run.step.gang) prepareStep(pass, run, isLargeStep(pass, run));
+    const { service } = run.jobRun.job.policy;
+    const demand = allocationOf(run.step);
+    pass.recordNoCapacity(service, { demand, count: 1, mayBackfill: true });
+    return;
+  }
+  const waitingCount = run.waitingCount;
+  placeStep(pass, run);
+  takeExcessRoom(pass, run, waitingCount - run.waitingCount);
+}
+
 function placeTasks(pass: SchedulingPass, run: StepRun): void {
   const { domain } = pass;
   const candidates = findCandidates(pass, run);
--- a/src/domain/scheduling_pass.ts
+++ b/src/domain/scheduling_pass.ts
@@ -24,6 +24,8 @@
   recordNoCapacity(service: string, tasks: TaskGroup): void;
   /** What has been recorded so far. */
   shortages: Shortages;
+  /** Capacity left for work beyond the rates of accounts, by service. */
+  excessRoom: Map<string, Resources>;
 };
 
 /** Tasks for which the workers of a service have no capacity, by service. */
@@ -68,6 +70,7 @@
       else known.push(tasks);
     },
     shortages,
+    excessRoom: new Map(),
   };
 }
 
--- a/src/domain/testing/account_load.ts
+++ b/src/domain/testing/account_load.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { ClientAccount } from "../../model/mod.ts";
+import { type AdviceRequest, takeAdviceRequest } from "../advice_requests.ts";
 import type { Step } from "../job.ts";
 import {
   createBench,
@@ -21,6 +22,9 @@
 } from "./domain_bench.ts";
 
 const STEP_MS = 20;
+/** How the policy answers, if workers require its tickets. */
+const ADVICE = { decideMs: 120, perWorkerMs: 1, validMs: 2_000 };
+const ADVICE_LANES = 8;
 
 /** A steady stream of jobs of one account. */
 export type Stream = {
@@ -31,6 +35,7 @@
   step: Step;
   priority?: number;
   mayRefuse?: boolean;
+  needsAdvice?: boolean;
 };
 
 /** How the jobs of an account fared. */
@@ -54,6 +59,7 @@
   /** When each running task ends, by worker and name. */
   ends: Map<string, Map<string, number>>;
   endCounts: Map<string, number>;
+  adviceInFlight: { request: AdviceRequest; dueAtMs: number }[];
   submissions: {
     id: string;
     account: string;
@@ -78,6 +84,7 @@
     workers,
     ends: new Map(workers.map((id) => [id, new Map()])),
     endCounts: new Map(),
+    adviceInFlight: [],
     submissions: [],
   };
 }
@@ -108,6 +115,7 @@
     tick(bench, STEP_MS);
     for (const worker of load.workers) reportWorker(load, worker);
     streams.forEach((stream) => submitDue(load, stream, beforeMs));
+    answerAdvice(load);
     trackStarts(load);
   }
 }
@@ -147,7 +155,7 @@
 export function submitJob(
   { bench }: AccountLoad,
   id: string,
-  { account, step, priority = 0, mayRefuse = true }: Stream,
+  { account, step, priority = 0, mayRefuse = true, needsAdvice }: Stream,
 ): void {
   feedEvent(bench, {
     kind: "submitted",
@@ -157,11 +165,35 @@
       priority,
       queue: `queue-${priority}`,
       ...(account === undefined ? {} : { clientAccount: account }),
+      ...(needsAdvice === true ? { advice: ADVICE } : {}),
     }),
     mayRefuse,
   });
 }
 
+/** Sends the requests of the domain to a policy that allows every worker. */
+function answerAdvice(load: AccountLoad): void {
+  const { bench } = load;
+  const isDue = ({ dueAtMs }: { dueAtMs: number }) => dueAtMs <= bench.nowMs;
+  for (const { request } of load.adviceInFlight.filter(isDue)) {
+    feedEvent(bench, {
+      kind: "advised",
+      stepKey: request.stepKey,
+      namedWorkers: request.workers,
+      allowed: request.workers.map((id): [string, string] => [id, "ticket"]),
+      validMs: ADVICE.validMs,
+    });
+  }
+  load.adviceInFlight = load.adviceInFlight.filter((each) => !isDue(each));
+  const moment = { steadyMs: bench.nowMs, wallMs: bench.nowMs };
+  while (load.adviceInFlight.length < ADVICE_LANES) {
+    const request = takeAdviceRequest(bench.domain, moment, Infinity);
+    if (request === undefined) return;
+    const dueAtMs = bench.nowMs + request.costMs;
+    load.adviceInFlight.push({ request, dueAtMs });
+  }
+}
+
 /** Notes when the tasks that the domain has placed will end. */
 function trackStarts({ bench, ends }: AccountLoad): void {
   for (const [worker, tasks] of ends) {
--- a/src/domain/work_backlog.ts
+++ b/src/domain/work_backlog.ts
@@ -39,14 +39,15 @@
 export function recordInflow(
   domain: Domain,
   request: JobRequest,
-  { service, queue }: QueuePolicy,
+  policy: QueuePolicy,
   nowMs: number,
 ): void {
+  const { service } = policy;
   const capacity = capacityOf(domain, service);
   let work = decayedInflow(domain, service, nowMs);
   for (const step of request.steps) {
     const count = step.taskCount;
-    work = addResources(work, workOf(domain, step, count, queue, capacity));
+    work = addResources(work, workOf(domain, step, count, policy, capacity));
   }
   domain.workInflows.set(service, { work, updatedAtMs: nowMs });
 }
@@ -112,19 +113,20 @@
   { step, waitingCount, jobRun }: StepRun,
   capacity: Resources,
 ): Work {
-  const { queue } = jobRun.job.policy;
-  return workOf(domain, step, waitingCount, queue, capacity);
+  return workOf(domain, step, waitingCount, jobRun.job.policy, capacity);
 }
 
 function workOf(
   domain: Domain,
   step: Step,
   taskCount: number,
-  queue: string,
+  { queue, advice }: QueuePolicy,
   capacity: Resources,
 ): Work {
   const queueMeanMs = domain.meanDurationMsByQueue.get(queue);
-  const durationMs = expectedDurationMs(step.estimateMs, queueMeanMs);
+  // Room is kept for a step while the placement policy decides.
+  const durationMs = expectedDurationMs(step.estimateMs, queueMeanMs) +
+    (advice?.decideMs ?? 0);
   const demand = allocationOf(step);
   const workFor = (name: ResourceName) =>
     taskCount * durationMs * demand[name] / Math.max(1, capacity[name]);
