Sum the backlog of a service once after each pass

With 2,000 waiting steps a refusal cost 1.2 to 2.5 ms of processor time, as each one summed them; now 0.06 to 0.14 ms (trials on a busy machine). The decisions are the same in the trials.

--- a/src/domain/admission.ts
+++ b/src/domain/admission.ts
@@ -16,7 +16,7 @@
 import { usefulStartWithinMs } from "./job_lifecycle.ts";
 import { isShortFor } from "./scheduling_pass.ts";
 import { allocationOf } from "./task_placement.ts";
-import { estimateExcessWaitMs, recordInflow } from "./work_backlog.ts";
+import { estimateExcessWaitMs, recordAcceptedWork } from "./work_backlog.ts";
 
 /** The shortest delay that a caller is asked for, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 1_000;
@@ -59,7 +59,8 @@
   const { clientAccount } = policy;
   const excess = countSubmission(domain, clientAccount, steadyMs);
   if (clientAccount === undefined || excess === undefined) {
-    recordInflow(domain, request, policy, steadyMs);
+    const accepted = { isBeyondRate: false, nowMs: steadyMs };
+    recordAcceptedWork(domain, request, policy, accepted);
     return { kind: "accepted", isBeyondRate: false };
   }
   const lackMs = mayRefuse && lacksCapacity(domain, request, policy)
@@ -75,6 +76,8 @@
   });
   if (!isRefused) {
     excess.acceptedCount += 1;
+    const accepted = { isBeyondRate: true, nowMs: steadyMs };
+    recordAcceptedWork(domain, request, policy, accepted);
     return { kind: "accepted", isBeyondRate: true };
   }
   excess.refusedCount += 1;
--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -13,7 +13,7 @@
 import type { StepRun } from "./step_run.ts";
 import type { ResourceTime } from "./resource_time.ts";
 import type { DayUsage } from "./usage.ts";
-import type { WorkInflow } from "./work_backlog.ts";
+import type { ServiceBacklog, WorkInflow } from "./work_backlog.ts";
 
 /**
  * The state of a scheduling domain: the jobs of its services and their
@@ -81,6 +81,8 @@
   accountUse: AccountUse;
   /** The work that was accepted within the rates of accounts, by service. */
   workInflows: Map<string, WorkInflow>;
+  /** The work that waits since the last pass, by service. */
+  backlogs: Map<string, ServiceBacklog>;
   /** The tasks for which the last pass found no capacity. */
   shortages: Shortages;
   /** Usage since the last record, by agreement. */
@@ -127,6 +129,7 @@
     accountRates: new Map(),
     accountUse: { shares: new Map(), updatedAtMs: undefined },
     workInflows: new Map(),
+    backlogs: new Map(),
     shortages: new Map(),
     unrecordedUsage: new Map(),
     usageAccruedAtMs: undefined,
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -68,6 +68,7 @@
     else placeStep(pass, run);
   }
   domain.shortages = pass.shortages;
+  domain.backlogs.clear();
 }
 
 function placeStep(pass: SchedulingPass, run: StepRun): void {
--- a/src/domain/work_backlog.ts
+++ b/src/domain/work_backlog.ts
@@ -13,7 +13,6 @@
 import type { Domain } from "./domain.ts";
 import type { JobRequest, QueuePolicy, Step } from "./job.ts";
 import { expectedDurationMs } from "./job_lifecycle.ts";
-import type { StepRun } from "./step_run.ts";
 import { allocationOf } from "./task_placement.ts";
 import { currentListing } from "./worker_incarnation.ts";
 
@@ -35,21 +34,40 @@
   updatedAtMs: number;
 };
 
-/** Adds the work of a job that was accepted within its account's rate. */
-export function recordInflow(
+type ResourceName = typeof RESOURCE_NAMES[number];
+
+/** Work of steps, by the resource of which they take the largest share. */
+type WorkByResource = Map<ResourceName, Work>;
+
+/** The work that waits for the workers of a service. */
+export type ServiceBacklog = {
+  /** The capacity of the workers that take new tasks. */
+  capacity: Resources;
+  /** Work within the rates of accounts, or without one. */
+  owed: WorkByResource;
+  /** Work beyond them, by account. */
+  excess: Map<string, WorkByResource>;
+};
+
+/** Counts the work of an accepted job. */
+export function recordAcceptedWork(
   domain: Domain,
   request: JobRequest,
   policy: QueuePolicy,
-  nowMs: number,
+  { isBeyondRate, nowMs }: { isBeyondRate: boolean; nowMs: number },
 ): void {
-  const { service } = policy;
-  const capacity = capacityOf(domain, service);
-  let work = decayedInflow(domain, service, nowMs);
+  const { service, clientAccount = "" } = policy;
+  const backlog = domain.backlogs.get(service);
+  const capacity = backlog?.capacity ?? capacityOf(domain, service);
+  const account = isBeyondRate ? clientAccount : undefined;
+  let accepted = decayedInflow(domain, service, nowMs);
   for (const step of request.steps) {
-    const count = step.taskCount;
-    work = addResources(work, workOf(domain, step, count, policy, capacity));
+    const work = workOf(domain, step, step.taskCount, policy, capacity);
+    if (backlog !== undefined) addWork(backlog, account, step, work);
+    accepted = addResources(accepted, work);
   }
-  domain.workInflows.set(service, { work, updatedAtMs: nowMs });
+  if (isBeyondRate) return;
+  domain.workInflows.set(service, { work: accepted, updatedAtMs: nowMs });
 }
 
 /**
@@ -64,18 +82,17 @@
   nowMs: number,
 ): number {
   const { service, clientAccount = "" } = policy;
-  const capacity = capacityOf(domain, service);
-  const needed = neededResources(request.steps);
-  const { owed, excess } = sumWaitingWork(domain, service, needed, capacity);
+  const backlog = backlogOf(domain, service);
   const inflow = decayedInflow(domain, service, nowMs);
-  const own = excess.get(clientAccount) ?? NO_RESOURCES;
   const weight = weightOf(domain, clientAccount);
+  const needed = neededResources(request.steps);
   let waitMs = 0;
   for (const name of needed) {
-    let ahead = owed[name];
-    for (const [account, work] of excess) {
-      const fairPart = own[name] * weightOf(domain, account) / weight;
-      ahead += Math.min(work[name], fairPart);
+    const own = sumWork(backlog.excess.get(clientAccount), needed, name);
+    let ahead = sumWork(backlog.owed, needed, name);
+    for (const [account, byResource] of backlog.excess) {
+      const fairPart = own * weightOf(domain, account) / weight;
+      ahead += Math.min(sumWork(byResource, needed, name), fairPart);
     }
     const drainShare = 1 - inflow[name] / INFLOW_AVERAGING_MS;
     waitMs = Math.max(waitMs, ahead / Math.max(MIN_DRAIN_SHARE, drainShare));
@@ -83,37 +100,51 @@
   return waitMs;
 }
 
-type ResourceName = typeof RESOURCE_NAMES[number];
-
-/** Sums the waiting work that competes for any of the given resources. */
-function sumWaitingWork(
-  domain: Domain,
-  service: string,
+/**
+ * Sums the work for a resource of the steps that mainly need one of some
+ * resources; the others wait for something else.
+ */
+function sumWork(
+  byResource: WorkByResource | undefined,
   needed: ResourceName[],
-  capacity: Resources,
-): { owed: Work; excess: Map<string, Work> } {
-  let owed = NO_RESOURCES;
-  const excess = new Map<string, Work>();
-  for (const run of domain.waitingSteps) {
-    const { policy, isBeyondRate } = run.jobRun.job;
+  name: ResourceName,
+): number {
+  let sum = 0;
+  for (const dominant of needed) sum += byResource?.get(dominant)?.[name] ?? 0;
+  return sum;
+}
+
+/** Returns the backlog of a service, which each pass discards. */
+function backlogOf(domain: Domain, service: string): ServiceBacklog {
+  const known = domain.backlogs.get(service);
+  if (known !== undefined) return known;
+  const capacity = capacityOf(domain, service);
+  const backlog = { capacity, owed: new Map(), excess: new Map() };
+  for (const { step, waitingCount, jobRun } of domain.waitingSteps) {
+    const { policy, isBeyondRate } = jobRun.job;
     if (policy.service !== service) continue;
-    if (!needed.includes(dominantResource(run.step, capacity))) continue;
-    const work = waitingWorkOf(domain, run, capacity);
-    if (isBeyondRate === true) {
-      const account = policy.clientAccount ?? "";
-      const known = excess.get(account) ?? NO_RESOURCES;
-      excess.set(account, addResources(known, work));
-    } else owed = addResources(owed, work);
+    const work = workOf(domain, step, waitingCount, policy, capacity);
+    const account = isBeyondRate === true ? policy.clientAccount : undefined;
+    addWork(backlog, account, step, work);
   }
-  return { owed, excess };
+  domain.backlogs.set(service, backlog);
+  return backlog;
 }
 
-function waitingWorkOf(
-  domain: Domain,
-  { step, waitingCount, jobRun }: StepRun,
-  capacity: Resources,
-): Work {
-  return workOf(domain, step, waitingCount, jobRun.job.policy, capacity);
+/** Adds the work of a step, of an account that exceeds its rate if given. */
+function addWork(
+  { capacity, owed, excess }: ServiceBacklog,
+  account: string | undefined,
+  step: Step,
+  work: Work,
+): void {
+  const byResource: WorkByResource = account === undefined
+    ? owed
+    : excess.get(account) ?? new Map();
+  if (account !== undefined) excess.set(account, byResource);
+  const dominant = dominantResource(step, capacity);
+  const known = byResource.get(dominant) ?? NO_RESOURCES;
+  byResource.set(dominant, addResources(known, work));
 }
 
 function workOf(
