Try a step that has failed on workers that have not

A worker that fails what it starts is idle again at once, so it was chosen for the next attempt as the least loaded one, and the job failed although most workers were sound.

--- a/src/domain/choose_worker.ts
+++ b/src/domain/choose_worker.ts
@@ -36,6 +36,10 @@
 const FAILURE_PENALTY = 0.25;
 /** Score penalty for a worker that has not answered a start of the step. */
 const UNANSWERED_PENALTY = 10;
+/** Score penalty of a step that has failed for a worker that fails others. */
+const RETRY_FAILURE_PENALTY = 3;
+/** Score penalty for a worker on which a task of the step has failed. */
+const FAILED_STEP_PENALTY = 10;
 
 /** Finds the workers that may run a step, regardless of free capacity. */
 export function findEligibleWorkers(
@@ -132,11 +136,21 @@
   const { consecutiveFailures, slowdown } = worker.health;
   if (worker.suspects.size > 0) score -= SUSPECT_PENALTY;
   if (run.unansweredAtMs.has(worker.id)) score -= UNANSWERED_PENALTY;
+  if (run.failedOn.size > 0) score -= retryPenalty(worker, run);
   return score - FAILURE_PENALTY * consecutiveFailures -
     SLOWDOWN_PENALTY * (slowdown - 1) -
     DEMAND_PRESSURE_PENALTY * Math.min(1, worker.demandPressure);
 }
 
+/**
+ * Returns how much a step that has failed avoids a worker. It may fail only a
+ * few times, so it does not try out workers that have failed lately.
+ */
+export function retryPenalty(worker: DomainWorker, run: StepRun): number {
+  if (run.failedOn.has(worker.id)) return FAILED_STEP_PENALTY;
+  return worker.health.consecutiveFailures > 0 ? RETRY_FAILURE_PENALTY : 0;
+}
+
 /**
  * Scores a worker for a task that may crash it. A worker that crashes by itself
  * would speak against the task without a reason.
--- a/src/domain/place_gang.ts
+++ b/src/domain/place_gang.ts
@@ -11,7 +11,7 @@
   queueAdviceRequest,
   requestLeadTimeMs,
 } from "./advice_requests.ts";
-import { isEligible } from "./choose_worker.ts";
+import { isEligible, retryPenalty } from "./choose_worker.ts";
 import type { DomainWorker } from "./domain_worker.ts";
 import { allocationOf } from "./task_placement.ts";
 import { findSlotsOn, mayReserveForGang, reserveSlot } from "./reservations.ts";
@@ -220,8 +220,8 @@
 /**
  * Returns the slots that are free earliest, or undefined if there are fewer
  * than tasks. Ties are broken by how long ago the worker has left a start of the
- * step without an answer, by a valid ticket, then by low demand pressure. Then
- * slots that are free now are taken from the workers with the fewest free
+ * step without an answer, by failures if the gang has failed, by a valid ticket,
+ * then by low demand pressure. Then slots that are free now are taken from the workers with the fewest free
  * accelerators, and later ones from the workers with the most.
  */
 function earliestSlots(
@@ -234,6 +234,8 @@
   const nowMs = pass.moment.steadyMs;
   const unansweredRank = ({ worker }: TaskSlot) =>
     run.unansweredAtMs.get(worker.id) ?? 0;
+  const failureRank = ({ worker }: TaskSlot) =>
+    run.failedOn.size === 0 ? 0 : retryPenalty(worker, run);
   const ticketRank = ({ worker }: TaskSlot) =>
     hasValidTicket(run, worker.id, nowMs) ? 0 : 1;
   const spareCapacityRank = ({ worker, freeAtMs }: TaskSlot) => {
@@ -243,6 +245,7 @@
   return [...slots].sort((left, right) =>
     left.freeAtMs - right.freeAtMs ||
     unansweredRank(left) - unansweredRank(right) ||
+    failureRank(left) - failureRank(right) ||
     ticketRank(left) - ticketRank(right) ||
     left.worker.demandPressure - right.worker.demandPressure ||
     spareCapacityRank(left) - spareCapacityRank(right)
--- a/src/domain/testing/account_load.ts
+++ b/src/domain/testing/account_load.ts
@@ -56,8 +56,10 @@
 export type AccountLoad = {
   bench: DomainBench;
   workers: string[];
-  /** When each running task ends, by worker and name. */
-  ends: Map<string, Map<string, number>>;
+  /** The running tasks, by worker and name. */
+  runs: Map<string, Map<string, { attempt: number; endMs: number }>>;
+  /** Workers that fail every n-th task as soon as it starts, with this n. */
+  failingWorkers: Map<string, number>;
   endCounts: Map<string, number>;
   adviceInFlight: { request: AdviceRequest; dueAtMs: number }[];
   submissions: {
@@ -82,7 +84,8 @@
   return {
     bench,
     workers,
-    ends: new Map(workers.map((id) => [id, new Map()])),
+    runs: new Map(workers.map((id) => [id, new Map()])),
+    failingWorkers: new Map(),
     endCounts: new Map(),
     adviceInFlight: [],
     submissions: [],
@@ -195,26 +198,34 @@
 }
 
 /** Notes when the tasks that the domain has placed will end. */
-function trackStarts({ bench, ends }: AccountLoad): void {
-  for (const [worker, tasks] of ends) {
+function trackStarts({ bench, runs }: AccountLoad): void {
+  for (const [worker, tasks] of runs) {
     for (const [name, ref] of bench.domain.workers.get(worker)!.placed) {
-      if (tasks.has(name)) continue;
-      tasks.set(name, bench.nowMs + ref.run.step.estimateMs);
+      const { attempt } = ref.run.tasks[ref.index]!;
+      if (tasks.get(name)?.attempt === attempt) continue;
+      const endMs = bench.nowMs + ref.run.step.estimateMs;
+      tasks.set(name, { attempt, endMs });
     }
   }
 }
 
 function reportWorker(load: AccountLoad, worker: string, always = false): void {
-  const { bench, ends, endCounts } = load;
-  const tasks = ends.get(worker)!;
-  const due = [...tasks].filter(([, endMs]) => endMs <= bench.nowMs);
-  if (due.length === 0 && !always) return;
+  const { bench, runs, endCounts, failingWorkers } = load;
+  const tasks = runs.get(worker)!;
   let number = endCounts.get(worker) ?? 0;
-  const endedRuns = due.map(([name]) => ended(++number, name, 1, "done"));
+  const failEvery = failingWorkers.get(worker);
+  const endedRuns = [...tasks].flatMap(([name, { attempt, endMs }]) => {
+    const fails = failEvery !== undefined && (number + 1) % failEvery === 0;
+    if (!fails && endMs > bench.nowMs) return [];
+    tasks.delete(name);
+    return [ended(++number, name, attempt, fails ? "failed" : "done")];
+  });
+  if (endedRuns.length === 0 && !always) return;
   endCounts.set(worker, number);
-  for (const [name] of due) tasks.delete(name);
-  const runs = [...tasks.keys()].map((name) => running(name, 1));
-  reportFrom(bench, worker, { running: runs, ended: endedRuns });
+  const listed = [...tasks].map(([name, { attempt }]) =>
+    running(name, attempt)
+  );
+  reportFrom(bench, worker, { running: listed, ended: endedRuns });
   trackStarts(load);
 }
 
