--- a/src/domain/account_rate_test.ts
+++ b/src/domain/account_rate_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { explainWaits } from "./explain_wait.ts";
 import { countSubmission, purgeAccountRates } from "./account_rate.ts";
 import { configureAccounts } from "./testing/account_load.ts";
 import {
@@ -73,6 +74,19 @@
     assert.equal(bench.domain.jobs.get("j2")?.job.isBeyondRate, undefined);
   });
 
+  it("explains why a job beyond it waits", () => {
+    const bench = createCounted({ a: 1 });
+    submit(bench, "j1", [step()], { clientAccount: "a" });
+    submit(bench, "j2", [step()], { clientAccount: "a" });
+    const moment = { steadyMs: 0, wallMs: 0 };
+    const reports = explainWaits(bench.domain, moment, 2);
+    assert.deepEqual(
+      reports.map((report) => [report.step, report.beyondRate]),
+      [["j1.0.0", undefined], ["j2.0.0", 1]],
+    );
+    assert.equal("beyondRate" in reports[0]!, false);
+  });
+
   it("is stored with the job that exceeded it", () => {
     const bench = createCounted({ a: 1 });
     submit(bench, "j1", [step()], { clientAccount: "a" });
--- a/src/domain/explain_wait.ts
+++ b/src/domain/explain_wait.ts
@@ -39,8 +39,8 @@
    * of the step may be started: an earlier owner may have started some there.
    */
   unsettled: v.optional(v.number(), 0),
-  /** 1 if the job exceeded the rate of its client account, otherwise 0. */
-  beyondRate: v.optional(v.number(), 0),
+  /** 1 if the job exceeded the rate of its client account; otherwise absent. */
+  beyondRate: v.exactOptional(v.number()),
 });
 
 /** Why a step waits, as worker counts that narrow down by condition. */
@@ -102,7 +102,7 @@
     ticketed: ticketed.length,
     asking: run.advice.requestInFlight ? 1 : 0,
     unsettled: [...findPossibleHolders(domain, run, unsettled)].length,
-    beyondRate: run.jobRun.job.isBeyondRate === true ? 1 : 0,
+    ...(run.jobRun.job.isBeyondRate === true ? { beyondRate: 1 } : {}),
   };
 }
 
