--- a/src/domain/account_load_test.ts
+++ b/src/domain/account_load_test.ts
@@ -14,7 +14,14 @@
   takeOver,
   tally,
 } from "./testing/account_load.ts";
-import { ended, reportFrom, step, tick } from "./testing/domain_bench.ts";
+import {
+  ended,
+  feedEvent,
+  listing,
+  reportFrom,
+  step,
+  tick,
+} from "./testing/domain_bench.ts";
 
 /** Ten workers run 20 of these a second. */
 const SHORT = step({
@@ -308,6 +315,17 @@
   });
 });
 
+describe("a new owner to which no worker has reported yet", () => {
+  it("refuses nothing, since it does not know what is free", () => {
+    const load = createAccountLoad(0, { hot: 1 });
+    const workers = ["w1", "w2"].map((id) => listing(id));
+    feedEvent(load.bench, { kind: "workersListed", workers });
+    const ids = ["j1", "j2", "j3"];
+    for (const id of ids) submitJob(load, id, stream("hot", 1));
+    assert.deepEqual([...load.bench.domain.jobs.keys()], ids);
+  });
+});
+
 describe("a refused submission", () => {
   it("leaves nothing behind, and may be accepted when it comes again", () => {
     const load = createAccountLoad(WORKERS, { hot: 2 });
--- a/src/domain/admission.ts
+++ b/src/domain/admission.ts
@@ -111,7 +111,9 @@
   lackMs: number,
 ): number {
   const delayMs = Math.max(lackMs, nextReturnMs(excess, weight, nowMs));
-  return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, delayMs));
+  return Math.round(
+    Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, delayMs)),
+  );
 }
 
 function spreadMs(id: string): number {
--- a/src/domain/work_backlog.ts
+++ b/src/domain/work_backlog.ts
@@ -41,7 +41,7 @@
 
 /** The work that waits for the workers of a service. */
 export type ServiceBacklog = {
-  /** The capacity of the workers that take new tasks. */
+  /** The capacity of the listed workers. */
   capacity: Resources;
   /** Work within the rates of accounts, or without one. */
   owed: WorkByResource;
@@ -184,13 +184,16 @@
   );
 }
 
-/** The capacity of the workers of a service that take new tasks. */
+/**
+ * The capacity of the listed workers of a service. Those that do not answer at
+ * present are included: after a takeover none has answered yet.
+ */
 function capacityOf(domain: Domain, service: string): Resources {
   let capacity = NO_RESOURCES;
   for (const worker of domain.workers.values()) {
     const listing = currentListing(worker);
     if (listing?.service !== service || listing.draining) continue;
-    if (worker.isReachable) capacity = addResources(capacity, worker.capacity);
+    capacity = addResources(capacity, worker.capacity);
   }
   return capacity;
 }
