--- a/src/domain/domain_command.ts
+++ b/src/domain/domain_command.ts
@@ -46,6 +46,12 @@
     kind: "report";
     message: string;
     fields: Record<string, string | number>;
+  }
+  /** Counts a submission beyond the rate of its client account. */
+  | {
+    kind: "countExcess";
+    account: string;
+    outcome: "accepted" | "refused";
   };
 
 /** The answer to a call that changes a job. */
@@ -53,4 +59,9 @@
   | { kind: "accepted" }
   | { kind: "unknownJob" }
   /** Another client account has a job with the id; the call had no effect. */
-  | { kind: "conflict" };
+  | { kind: "conflict" }
+  /**
+   * The job was not accepted: its client account exceeds its rate while
+   * capacity is short.
+   */
+  | { kind: "overloaded"; retryAfterMs: number };
--- a/src/domain/explain_wait.ts
+++ b/src/domain/explain_wait.ts
@@ -42,6 +42,8 @@
   unsettled: v.optional(v.number(), 0),
   /** 1 while the cap of the client account keeps the step waiting, else 0. */
   capped: v.optional(v.number(), 0),
+  /** 1 if the job exceeded the rate of its client account; otherwise absent. */
+  beyondRate: v.exactOptional(v.number()),
 });
 
 /** Why a step waits, as worker counts that narrow down by condition. */
@@ -104,6 +106,7 @@
     asking: run.advice.requestInFlight ? 1 : 0,
     unsettled: [...findPossibleHolders(domain, run, unsettled)].length,
     capped: isLimitedByAccount(domain, run) ? 1 : 0,
+    ...(run.jobRun.job.isBeyondRate === true ? { beyondRate: 1 } : {}),
   };
 }
 
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { accountsOverShare, updateAccountUse } from "./account_share.ts";
 import {
   canRequestAdvice,
   hasAdvice,
@@ -40,13 +41,14 @@
   nextAttempt,
 } from "./start_permit.ts";
 import { updateDemandPressure } from "./demand_pressure.ts";
+import { hasRoomForExcess, takeExcessRoom } from "./excess_room.ts";
 import { sortByRank } from "./step_rank.ts";
 import {
   isLargeStep,
   reserveForLargeStep,
   respectsReservation,
 } from "./reservations.ts";
-import { isSuspect, type StepRun, taskNameOf } from "./step_run.ts";
+import { isExcess, isSuspect, type StepRun, taskNameOf } from "./step_run.ts";
 
 /**
  * Runs one scheduling pass: places the tasks that can start now, and collects
@@ -57,18 +59,44 @@
   const unsettled = indexUnsettledWorkers(domain);
   domain.adviceQueue = [];
   updateDemandPressure(domain);
-  for (
-    const run of sortByRank(
-      domain.waitingSteps,
-      moment.wallMs,
-      domain.allocatedByAgreement,
-    )
-  ) {
+  updateAccountUse(domain, moment.steadyMs);
+  for (const run of rankWaitingSteps(domain, moment)) {
     if (mayRunUnrecorded(domain, run, unsettled)) continue;
     if (isHeldByAccount(pass, run)) continue;
-    if (run.step.gang) placeGang(pass, run);
-    else placeTasks(pass, run);
+    if (isExcess(run)) placeExcess(pass, run);
+    else placeStep(pass, run);
   }
+  domain.shortages = pass.shortages;
+  domain.backlogs.clear();
+}
+
+/** Sorts the waiting steps in the order in which a pass handles them. */
+export function rankWaitingSteps(domain: Domain, moment: Moment): StepRun[] {
+  return sortByRank(domain.waitingSteps, {
+    wallMs: moment.wallMs,
+    allocatedByAgreement: domain.allocatedByAgreement,
+    accountsOverShare: accountsOverShare(domain),
+    shortServices: domain.shortages,
+  });
+}
+
+function placeStep(pass: SchedulingPass, run: StepRun): void {
+  if (run.step.gang) placeGang(pass, run);
+  else placeTasks(pass, run);
+}
+
+/** Places a step beyond its account's rate in what others leave. */
+function placeExcess(pass: SchedulingPass, run: StepRun): void {
+  if (!hasRoomForExcess(pass, run)) {
+    if (!run.step.gang) prepareStep(pass, run, isLargeStep(pass, run));
+    const { service } = run.jobRun.job.policy;
+    const demand = allocationOf(run.step);
+    pass.recordNoCapacity(service, { demand, count: 1, mayBackfill: true });
+    return;
+  }
+  const waitingCount = run.waitingCount;
+  placeStep(pass, run);
+  takeExcessRoom(pass, run, waitingCount - run.waitingCount);
 }
 
 /**
--- a/src/domain/step_run.ts
+++ b/src/domain/step_run.ts
@@ -57,6 +57,14 @@
   return `${run.key}.${index}`;
 }
 
+/**
+ * Whether a step belongs to the excess of its client account. Steps that run
+ * until their job is cancelled never do, since they must not stand still.
+ */
+export function isExcess({ step, jobRun }: StepRun): boolean {
+  return jobRun.job.isBeyondRate === true && !step.longRunning;
+}
+
 /**
  * Whether a worker has crashed just after a task, or another member of its
  * gang, started.
