Explain where work would go now, without submitting it

Operators could ask why a request waits, but not where one would go. The owner submits the job to a copy of its domain and runs a scheduling pass there, so the answer comes from the code that decides: its place among the waiting steps, the workers with the highest scores and what it would wait for. The placement policy is not asked and nothing is stored or sent to a worker.

--- a/src/api/api_host.ts
+++ b/src/api/api_host.ts
@@ -10,6 +10,7 @@
 import type { TimeLineBatch } from "../time_line/mod.ts";
 import type { ApiResponse } from "./api_response.ts";
 import type { InstanceView } from "./instance_view.ts";
+import type { PlacementQuestion } from "./placement_question.ts";
 import type { WorkerRow } from "./worker_row.ts";
 
 /** The operations of an entry instance that the HTTP API calls. */
@@ -33,6 +34,8 @@
   tasks(): Promise<TaskView[]>;
   /** Explains the state of a request and what it waits for, in short lines. */
   explain(id: string): Promise<string[]>;
+  /** Explains where work would go now, without submitting it. */
+  where(question: PlacementQuestion): Promise<ApiResponse>;
   manifest(): PublishedManifest | undefined;
   /** Lists the published changes; undefined if the store does not respond. */
   history(): Promise<ManifestChange[] | undefined>;
--- a/src/api/api_response.ts
+++ b/src/api/api_response.ts
@@ -4,6 +4,8 @@
 export type ApiResponse =
   | { kind: "view"; view: RequestView }
   | { kind: "published"; version: number }
+  /** An explanation for operators. */
+  | { kind: "lines"; lines: string[] }
   | {
     kind: "problem";
     status: number;
--- a/src/api/caller_route.ts
+++ b/src/api/caller_route.ts
@@ -107,6 +107,8 @@
   switch (response.kind) {
     case "published":
       return { status: OK, body: { version: response.version } };
+    case "lines":
+      return { status: OK, body: { lines: response.lines } };
     case "view":
       return { status: statusOfView(response.view), body: response.view };
     case "problem": {
--- a/src/api/mod.ts
+++ b/src/api/mod.ts
@@ -8,6 +8,7 @@
 export * from "./api_response.ts";
 export { createCallerRoute } from "./caller_route.ts";
 export * from "./instance_view.ts";
+export * from "./placement_question.ts";
 export { createOperatorRoute } from "./operator_route.ts";
 export * from "./problem_response.ts";
 export * from "./request_ids.ts";
--- a/src/api/operator_route.ts
+++ b/src/api/operator_route.ts
@@ -21,6 +21,7 @@
 } from "../server/mod.ts";
 import type { ApiHost } from "./api_host.ts";
 import { toHttpResponse } from "./caller_route.ts";
+import { placementQuestionSchema } from "./placement_question.ts";
 
 const OK = 200;
 const ACCEPTED = 202;
@@ -62,6 +63,8 @@
       const id = path[1] ?? "";
       return { status: OK, body: { id, lines: await host.explain(id) } };
     }
+    case "POST where":
+      return await handlePlacementQuestion(host, call);
     case "GET manifest":
       return path[1] === "history"
         ? await handleHistory(host)
@@ -121,6 +124,20 @@
   );
 }
 
+async function handlePlacementQuestion(
+  host: ApiHost,
+  call: RouteCall,
+): Promise<HttpResponse> {
+  const parsed = v.safeParse(placementQuestionSchema, await call.body());
+  if (!parsed.success) {
+    const [issue] = parsed.issues;
+    const path = v.getDotPath(issue) ?? "the body";
+    const message = diagnostics.submissionInvalid;
+    return refusal(BAD_REQUEST, message, path, issue.message);
+  }
+  return toHttpResponse(await host.where(parsed.output));
+}
+
 async function handleAccount(
   host: ApiHost,
   call: RouteCall,
--- a/src/api/testing/fake_api_host.ts
+++ b/src/api/testing/fake_api_host.ts
@@ -53,6 +53,7 @@
     workers: () => Promise.resolve([]),
     tasks: () => Promise.resolve([]),
     explain: () => Promise.resolve([]),
+    where: () => Promise.resolve({ kind: "lines", lines: [] }),
     manifest: () => undefined,
     history: () => Promise.resolve([]),
     publish: ({ author, baseVersion }) =>
--- a/src/cli/answers/explanation.ts
+++ b/src/cli/answers/explanation.ts
@@ -6,5 +6,11 @@
   lines: v.array(v.string()),
 });
 
+/** Schema of an explanation of where work would go. */
+export const placementAnswerSchema = v.object({ lines: v.array(v.string()) });
+
+/** An explanation of where work would go. */
+export type PlacementAnswer = v.InferOutput<typeof placementAnswerSchema>;
+
 /** An explanation of why a request waits, or where it ran. */
 export type Explanation = v.InferOutput<typeof explanationSchema>;
--- a/src/cli/api_client.ts
+++ b/src/cli/api_client.ts
@@ -1,7 +1,11 @@
 import type { Result } from "neverthrow";
 import * as v from "valibot";
 import { type Account, accountSchema } from "../account/mod.ts";
-import { type InstanceView, instanceViewSchema } from "../api/mod.ts";
+import {
+  type InstanceView,
+  instanceViewSchema,
+  type PlacementQuestion,
+} from "../api/mod.ts";
 import { validateResponse } from "../clients/validate_response.ts";
 import type { HttpRequest } from "../clients/mod.ts";
 import type { Fault } from "../hosts/mod.ts";
@@ -20,6 +24,8 @@
   explanationSchema,
   type ManifestHistory,
   manifestHistorySchema,
+  type PlacementAnswer,
+  placementAnswerSchema,
   type RequestList,
   requestListSchema,
   type TaskList,
@@ -87,6 +93,8 @@
   workers(): ApiResult<WorkerList>;
   tasks(): ApiResult<TaskList>;
   explain(id: string): ApiResult<Explanation>;
+  /** Asks where work would go now; nothing is submitted. */
+  where(question: PlacementQuestion): ApiResult<PlacementAnswer>;
   manifestInForce(): ApiResult<PublishedManifest>;
   manifestHistory(): ApiResult<ManifestHistory>;
   publish(change: ManifestChangeRequest): ApiResult<{ version: number }>;
@@ -174,6 +182,11 @@
     tasks: () => send(taskListSchema, operatorGet("tasks")),
     explain: (id) =>
       send(explanationSchema, operatorGet(`explain/${encodeURIComponent(id)}`)),
+    where: (question) =>
+      send(
+        placementAnswerSchema,
+        post("operator.where", "/v1/operator/where", question),
+      ),
     manifestInForce: () =>
       send(publishedManifestSchema, operatorGet("manifest")),
     manifestHistory: () =>
--- a/src/cli/main_command.ts
+++ b/src/cli/main_command.ts
@@ -11,6 +11,7 @@
 import { createSubmitCommand } from "./commands/submit.ts";
 import { createTasksCommand } from "./commands/tasks.ts";
 import { createTimelineCommand } from "./commands/timeline.ts";
+import { createWhereCommand } from "./commands/where.ts";
 import { createWorkersCommand } from "./commands/workers.ts";
 import type { Terminal } from "./terminal.ts";
 
@@ -41,6 +42,7 @@
       workers: createWorkersCommand(terminal),
       status: createStatusCommand(terminal),
       explain: createExplainCommand(terminal),
+      where: createWhereCommand(terminal),
       manifest: createManifestCommand(terminal),
       account: createAccountCommand(terminal),
       timeline: createTimelineCommand(terminal),
--- a/src/diagnostics/diagnostics.ts
+++ b/src/diagnostics/diagnostics.ts
@@ -53,6 +53,12 @@
     3017,
     "The request was not stored: {0}; this call ran nothing.",
   ),
+  queueUnknown: error(3018, 'No queue is named "{0}".'),
+  clientAccountUnknown: error(3019, 'No client account is named "{0}".'),
+  ownerUnavailable: error(
+    3020,
+    "The owner of the domain cannot be asked: {0}.",
+  ),
   unschedulable: error(
     4001,
     "None of the {0} listed workers can ever hold one of the tasks; nothing was run.",
--- a/src/domain/mod.ts
+++ b/src/domain/mod.ts
@@ -29,6 +29,12 @@
 export { findSizeProblem } from "./job_limits.ts";
 export * from "./job_state.ts";
 export * from "./owner_entry.ts";
+export {
+  type JobPreview,
+  jobPreviewSchema,
+  previewJob,
+  type StepPreview,
+} from "./preview_job.ts";
 export * from "./records.ts";
 export * from "./resource_time.ts";
 export * from "./apply_domain_event.ts";
--- a/src/entry/api_host.ts
+++ b/src/entry/api_host.ts
@@ -1,6 +1,7 @@
 import type { ApiHost } from "../api/mod.ts";
 import type { CallRouter } from "./call_router.ts";
 import { createOperatorsApi } from "./operators_api.ts";
+import { createPreviewApi } from "./preview_api.ts";
 import { createRequestsApi } from "./requests_api.ts";
 import type { EntryContext } from "./entry_context.ts";
 
@@ -14,5 +15,6 @@
     credentials: { customers, operators },
     ...createRequestsApi(context, router),
     ...createOperatorsApi(context, router),
+    ...createPreviewApi(context, router),
   };
 }
--- a/src/entry/call_router.ts
+++ b/src/entry/call_router.ts
@@ -7,6 +7,7 @@
 import { assertNever, NO_LONGER_NEEDED, untilAborted } from "../base/mod.ts";
 import type {
   JobDescription,
+  JobPreview,
   JobRequest,
   JobState,
   QueuePolicy,
@@ -105,6 +106,12 @@
     services: string[],
     timeoutMs: number,
   ): Promise<CallOutcome<JobDescription>>;
+  /** Asks what the owner would do with a job now; nothing is submitted. */
+  preview(
+    request: JobRequest,
+    policy: QueuePolicy,
+    timeoutMs: number,
+  ): Promise<CallOutcome<JobPreview>>;
   /** Counts the jobs of a queue of which no task has started. */
   pendingJobs(
     target: QueueTarget,
@@ -172,6 +179,16 @@
       }
       return lastOutcome;
     },
+    async preview(request, policy, timeoutMs) {
+      const partition = partitionOfService(policy.service);
+      const call = { kind: "preview", partition, request, policy } as const;
+      const { queue } = policy;
+      const outcome = await forwardToOwner(host, call, queue, timeoutMs);
+      if (outcome.kind !== "done") return readOnlyOutcome(outcome);
+      const { value } = outcome;
+      if (value.kind !== "preview") return unexpectedAnswer(value);
+      return { kind: "done", value: value.preview };
+    },
     async pendingJobs(target, timeoutMs) {
       const deadlineAtMs = host.clock.steadyMs() + timeoutMs;
       const { queue, service, address } = target;
@@ -351,7 +368,7 @@
   host.counters.count("calls", { kind: call.kind, outcome: outcome.kind });
   host.counters.observe("call_ms", elapsedMs);
   const isReadOnly = call.kind === "state" || call.kind === "describe" ||
-    call.kind === "pending";
+    call.kind === "pending" || call.kind === "preview";
   if (!isReadOnly || outcome.kind !== "done") {
     host.logger.info("Answered a call.", {
       call: call.kind,
--- a/src/entry/execute_domain_call.ts
+++ b/src/entry/execute_domain_call.ts
@@ -49,6 +49,11 @@
       return await readState(owner, call);
     case "describe":
       return await owner.describe(call.job);
+    case "preview":
+      return {
+        kind: "preview",
+        preview: owner.preview(call.request, call.policy),
+      };
     case "pending":
       return await countPendingJobs(owner, call);
     default:
--- a/src/entry/explain_job.ts
+++ b/src/entry/explain_job.ts
@@ -28,7 +28,7 @@
 }
 
 /** Names the first condition that no worker meets as the reason for a wait. */
-function explainWait(wait: WaitReport): string {
+export function explainWait(wait: WaitReport): string {
   const { step, waiting, waitedMs } = wait;
   return `step ${step} has ${waiting} tasks waiting for ${waitedMs} ms: ` +
     explainWaitReason(wait);
--- a/src/entry/operators_api.ts
+++ b/src/entry/operators_api.ts
@@ -41,7 +41,7 @@
 /** The operations available to operators. */
 export type OperatorsApi = Omit<
   ApiHost,
-  "credentials" | "submit" | "read" | "cancel" | "list"
+  "credentials" | "submit" | "read" | "cancel" | "list" | "where"
 >;
 
 /** Creates the operations for operators. */
--- a/src/entry/peer_call.ts
+++ b/src/entry/peer_call.ts
@@ -1,6 +1,7 @@
 import * as v from "valibot";
 import {
   jobDescriptionSchema,
+  jobPreviewSchema,
   jobRequestSchema,
   queuePolicySchema,
 } from "../domain/mod.ts";
@@ -53,6 +54,13 @@
     partition: v.number(),
     job: v.string(),
   }),
+  /** Asks what the owner would do with a job, which it does not accept. */
+  v.object({
+    kind: v.literal("preview"),
+    partition: v.number(),
+    request: jobRequestSchema,
+    policy: queuePolicySchema,
+  }),
   /** Requests advice from the placement policy for the calling instance. */
   v.object({
     kind: v.literal("advise"),
@@ -159,6 +167,7 @@
     sharers: v.optional(v.array(domainQueuesSchema)),
   }),
   v.object({ kind: v.literal("description"), job: jobDescriptionSchema }),
+  v.object({ kind: v.literal("preview"), preview: jobPreviewSchema }),
 ]);
 
 /** The answer to a call about a domain. */
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -139,6 +139,7 @@
     case "cancel":
     case "state":
     case "describe":
+    case "preview":
     case "pending":
       return await executeDomainCall(domainCalls, call);
     default:
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -14,8 +14,10 @@
   drainDirtyRecords,
   heldQueuesOf,
   type JobDescription,
+  type JobPreview,
   type JobRequest,
   jobStateOf,
+  previewJob,
   type QueuePolicy,
   recordCommitted,
   takeAdviceRequest,
@@ -94,6 +96,8 @@
   list(customer: string): JobDescription[];
   /** The state of the domain for operators. */
   view(): DomainView;
+  /** What would happen to a job that is submitted now; nothing changes. */
+  preview(request: JobRequest, policy: QueuePolicy): JobPreview;
   hasJob(job: string): boolean;
   /**
    * Waits until the store has a record that the domain may have jobs of a queue,
@@ -206,6 +210,8 @@
       workers: viewWorkers(domain),
       tasks: [...viewTasks(domain, currentMoment(state))],
     }),
+    preview: (request, policy) =>
+      previewJob(domain, request, policy, currentMoment(state)),
     hasJob: (job) => domain.jobs.has(job),
     hasCancelled: (job) => domain.cancelledIds.has(job),
     async recordQueue(queue) {
