--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -15,8 +15,10 @@
   heldQueuesOf,
   isOfOtherAccount,
   type JobDescription,
+  type JobPreview,
   type JobRequest,
   jobStateOf,
+  previewJob,
   type QueuePolicy,
   recordCommitted,
   takeAdviceRequest,
@@ -102,6 +104,8 @@
   list(customer: string): JobDescription[];
   /** The state of the domain for operators. */
   view(): DomainView;
+  /** What would happen to a job that is submitted now; nothing changes. */
+  preview(request: JobRequest, policy: QueuePolicy): JobPreview;
   hasJob(job: string): boolean;
   /** Whether a job belongs to another client account. */
   isOfOtherAccount(job: string, clientAccount: string): boolean;
@@ -217,6 +221,8 @@
       workers: viewWorkers(domain),
       tasks: [...viewTasks(domain, currentMoment(state))],
     }),
+    preview: (request, policy) =>
+      previewJob(domain, request, policy, currentMoment(state)),
     hasJob: (job) => domain.jobs.has(job),
     isOfOtherAccount: (job, clientAccount) =>
       isOfOtherAccount(domain, job, clientAccount),
