Confirm a topic only by an answer that reaches its end

A read answers with at most 1 MiB. After an outage in which an operator had published several large configurations, the first answer held only the older ones, and yet confirmed that nothing newer had been acknowledged: if the next read went unanswered, keys that the newer versions had revoked were accepted for the whole revocation bound again, however long ago they were revoked.

--- a/src/hosts/store_host.ts
+++ b/src/hosts/store_host.ts
@@ -43,6 +43,8 @@
   records: KeyedRecord[];
   /** The offset at which to continue reading. */
   nextOffset: number;
+  /** Whether more records had been appended than the answer holds. */
+  hasMore?: boolean;
 };
 
 /** The partitions assigned to a member of a group. */
--- a/src/ownership/follow_topic.ts
+++ b/src/ownership/follow_topic.ts
@@ -35,8 +35,9 @@
    */
   isWanted?(): boolean;
   /**
-   * Called once the records of an answer have been applied, with the instant at
-   * which the read was sent: everything appended before it is applied.
+   * Called once the records of an answer have been applied that reaches the end
+   * of the topic, with the instant at which the read was sent: everything appended
+   * before it was passed on.
    */
   onConfirmed?(sentAt: Instant): void;
   /** Called after a failed read. */
@@ -90,9 +91,10 @@
     }
     if (hasReadFailed) logRecovery(options);
     hasReadFailed = false;
-    offset = page.value.nextOffset;
-    const isApplied = applyRecords(options, isFirst, page.value.records);
-    if (isApplied) options.onConfirmed?.(sentAt);
+    const { records, nextOffset, hasMore = false } = page.value;
+    offset = nextOffset;
+    const isApplied = applyRecords(options, isFirst, records);
+    if (isApplied && !hasMore) options.onConfirmed?.(sentAt);
     await clock.sleep(options.pauseMs(), signal);
   }
 }
--- a/src/ownership/follow_topic_test.ts
+++ b/src/ownership/follow_topic_test.ts
@@ -90,6 +90,35 @@
   assert.deepEqual(waits, [0, 700, 700, 0, 700]);
 });
 
+// Guards against a configuration that counts as the newest, although newer ones
+// did not fit into the answer.
+it("an answer that holds only a part of what was appended confirms nothing", async () => {
+  const controller = new AbortController();
+  const clock = createManualClock();
+  const confirmed: number[] = [];
+  let reads = 0;
+  const read = async () => {
+    reads += 1;
+    await clock.sleep(1_000, controller.signal);
+    if (reads === 5) controller.abort();
+    const page = { records: [ENTRY], nextOffset: reads };
+    return ok(reads === 2 || reads === 3 ? { ...page, hasMore: true } : page);
+  };
+  await followTopic({
+    store: { newest: read, read } as unknown as StoreHost,
+    clock,
+    logger: silentLogger,
+    partition: { topic: "op", number: 0 },
+    waitMs: 700,
+    pauseMs: () => 0,
+    onSnapshot() {},
+    onRecords() {},
+    onConfirmed: ({ steadyMs }) => confirmed.push(steadyMs),
+    signal: controller.signal,
+  });
+  assert.deepEqual(confirmed, [0, 3_000]);
+});
+
 // Guards against an instance that stops following a list, because its use of one
 // record failed.
 it("a topic is followed further after records could not be applied", async () => {
