Confirm no configuration after one whose application failed

If a record of the topic could not be applied because of an unexpected error, the read after it, which finds nothing newer, confirmed the earlier version, so that keys which the record revoked would be accepted for as long as no further version came. The intake now takes the record for unreadable, as it does with one that cannot be decoded. The new test failed before and passes now.

--- a/src/entry/configuration_intake.ts
+++ b/src/entry/configuration_intake.ts
@@ -96,8 +96,13 @@
   return {
     apply(records) {
       for (const record of records) {
+        const wasUnreadable = isNewestUnreadable;
+        // Holds on if the record cannot be applied: it is not read again.
+        isNewestUnreadable = true;
         const isReadable = applyRecord(record);
-        if (isReadable !== undefined) isNewestUnreadable = !isReadable;
+        isNewestUnreadable = isReadable === undefined
+          ? wasUnreadable
+          : !isReadable;
       }
     },
     confirm(sentAt) {
