--- a/src/domain/job.ts
+++ b/src/domain/job.ts
@@ -27,6 +27,11 @@
   maxPerWorker: v.optional(v.number()),
   /** Upper bound on the tail latency of a service, in milliseconds. */
   latencyGoalMs: v.optional(v.number()),
+  /**
+   * What its tasks run: those of one image behave alike. Kept for services with
+   * a goal and for opportunistic steps; their queue stands for it if absent.
+   */
+  image: v.optional(v.string()),
   /** Whether a task that may have run must not be started again. */
   atMostOnce: v.optional(v.boolean()),
 });
