Learn which images raise the tail latency of services, and keep them apart

Cause: placement had one constant penalty for opportunistic work beside services, and pacing slowed all of it alike. An owner now learns from reports what each image does to each image of services beside it, with the variance of the estimate. Placement scores proven pairs by their effect and proven harmless ones without the penalty; the rest as before.

After a takeover, an owner took each filler for one at full speed, so one that was suspended stayed so.

--- a/src/domain/advice_requests.ts
+++ b/src/domain/advice_requests.ts
@@ -224,7 +224,7 @@
       worker,
       preferenceRank: isPreferred(worker) ? 0 : 1,
       capacityRank: hasCapacityForTask(worker, run, nowMs) ? 0 : 1,
-      score: scoreWorker(worker, run),
+      score: scoreWorker(domain, worker, run),
     })).sort((left, right) =>
       left.preferenceRank - right.preferenceRank ||
       left.capacityRank - right.capacityRank || right.score - left.score
--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -11,6 +11,10 @@
 import type { DomainCommand } from "./domain_command.ts";
 import type { DomainEvent, Moment } from "./domain_event.ts";
 import { endAttempt } from "./end_attempt.ts";
+import {
+  forgetUnseenPairs,
+  observeWorkerLatencies,
+} from "./interference/mod.ts";
 import type { Job } from "./job.ts";
 import {
   createJobRun,
@@ -145,6 +149,7 @@
     case "ticked":
       recordUsage(domain, moment);
       observeWorkers(domain, moment);
+      forgetUnseenPairs(domain.interference, moment.steadyMs);
       revokeUnusedPermits(domain);
       expireUnstartedJobs(domain, moment);
       purgeCancelledIds(domain, moment);
@@ -276,6 +281,7 @@
   stopUnconfirmedStarts(domain, worker);
   if (!wasReachable) resendStops(domain, worker);
   grantPermit(domain, worker);
+  observeWorkerLatencies(domain, worker, moment.steadyMs);
   adjustPace(domain, worker);
   // Tasks may have ended that are not listed yet.
   if (event.look.hasMoreEnds !== true) stopStalledTasks(domain, worker, moment);
--- a/src/domain/choose_worker.ts
+++ b/src/domain/choose_worker.ts
@@ -2,6 +2,7 @@
 import { crashProbability } from "./crash_rates.ts";
 import type { Domain } from "./domain.ts";
 import type { DomainWorker } from "./domain_worker.ts";
+import { interferencePenalty } from "./interference/mod.ts";
 import type { Step } from "./job.ts";
 import { allocationOf } from "./task_placement.ts";
 import type { StepRun } from "./step_run.ts";
@@ -12,8 +13,6 @@
 
 /** Score penalty for a worker outside the rack of the step's data. */
 const REMOTE_DATA_PENALTY = 2;
-/** Score penalty for placing opportunistic work and a service together. */
-const SERVICE_INTERFERENCE_PENALTY = 1;
 /**
  * Score penalty for a worker with a demand pressure of 1 or more: waiting steps
  * are expected to need all of it.
@@ -116,19 +115,18 @@
  * Accelerator tasks are packed to keep whole workers free for gangs. Other
  * tasks are spread, because tasks on one worker slow each other down.
  */
-export function scoreWorker(worker: DomainWorker, run: StepRun): number {
+export function scoreWorker(
+  domain: Domain,
+  worker: DomainWorker,
+  run: StepRun,
+): number {
   const { step } = run;
   let score = utilizationScore(worker, step);
   const { dataRack } = step;
   if (dataRack !== undefined && worker.listing?.rack !== dataRack) {
     score -= REMOTE_DATA_PENALTY;
   }
-  if (step.opportunistic && runsService(worker)) {
-    score -= SERVICE_INTERFERENCE_PENALTY;
-  }
-  if (step.latencyGoalMs !== undefined && worker.opportunisticCpuMillis > 0) {
-    score -= SERVICE_INTERFERENCE_PENALTY;
-  }
+  score -= interferencePenalty(domain, worker, run);
   const { consecutiveFailures, slowdown } = worker.health;
   if (worker.suspects.size > 0) score -= SUSPECT_PENALTY;
   if (run.unansweredAtMs.has(worker.id)) score -= UNANSWERED_PENALTY;
@@ -148,7 +146,7 @@
 ): number {
   const { suspect, started } = SHARED_SUSPICION_PENALTIES;
   const probability = crashProbability(domain, worker.id, SUSPECT_START_MS);
-  return scoreWorker(worker, run) - suspect * worker.suspects.size -
+  return scoreWorker(domain, worker, run) - suspect * worker.suspects.size -
     started * findUnsettledTasks(worker).length -
     UNSTABLE_WORKER_PENALTY * probability;
 }
@@ -163,11 +161,3 @@
   return -freeAccelerators / Math.max(1, capacity.accelerators) -
     cpuLoad / 100;
 }
-
-/** Whether a worker runs a service with a latency goal. */
-function runsService(worker: DomainWorker): boolean {
-  for (const ref of worker.placed.values()) {
-    if (ref.run.step.latencyGoalMs !== undefined) return true;
-  }
-  return false;
-}
--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -4,6 +4,7 @@
 import type { DomainCommand } from "./domain_command.ts";
 import type { DomainOptions } from "./domain_options.ts";
 import type { DomainWorker } from "./domain_worker.ts";
+import { createInterference, type Interference } from "./interference/mod.ts";
 import type { JobRun } from "./job_run.ts";
 import type { OwnerEntry } from "./owner_entry.ts";
 import type { StartPermit } from "./start_permit.ts";
@@ -36,6 +37,8 @@
   departedWorkers: Map<string, DepartedWorker>;
   /** How often workers crash without a task that causes it. */
   crashRates: CrashRates;
+  /** Which images raise the tail latency of services beside them. */
+  interference: Interference;
   /** Permits to start tasks before their placement is stored, by worker. */
   startPermits: Map<string, StartPermit>;
   /** Whether the store has not answered for a while. */
@@ -98,6 +101,7 @@
     workers: new Map(),
     departedWorkers: new Map(),
     crashRates: createCrashRates(),
+    interference: createInterference(),
     startPermits: new Map(),
     isStoreSilent: false,
     unsettledWorkers: new Set(),
--- a/src/domain/domain_command.ts
+++ b/src/domain/domain_command.ts
@@ -41,6 +41,8 @@
   | { kind: "answer"; call: number; answer: CallAnswer }
   /** Acknowledges ends to a worker once all earlier changes are committed. */
   | { kind: "acknowledge"; worker: string; bornMs: number; lastEnd: number }
+  /** Increments a counter by one. */
+  | { kind: "count"; name: string; labels: Record<string, string> }
   /** Logs a decision. */
   | {
     kind: "report";
--- a/src/domain/domain_worker.ts
+++ b/src/domain/domain_worker.ts
@@ -31,6 +31,8 @@
   opportunisticCpuMillis: number;
   /** The domain's totals of allocations, shared by all its workers. */
   totals: AllocationTotals;
+  /** Speeds of its opportunistic tasks, while it runs services. */
+  sourceSpeeds: SourceSpeeds;
   /** Placed tasks by name. */
   placed: Map<string, PlacedTaskRef>;
   /** Names of its unsettled tasks that have crashed a worker before. */
@@ -46,6 +48,18 @@
   demandPressure: number;
 };
 
+/**
+ * Speeds of opportunistic tasks by image: the sum over the tasks, 1 for one at
+ * full speed.
+ */
+export type SourceSpeeds = {
+  /** When they were last updated, on the steady clock. */
+  atMs: number;
+  last: Map<string, number>;
+  /** Averages over the time that a latency reading covers. */
+  averages: Map<string, number>;
+};
+
 /** Reference to a task of a step. */
 export type TaskRef = { run: StepRun; index: number };
 
@@ -62,8 +76,15 @@
   allocated: Resources;
   /** Speed that the task was last ordered to run at, in percent. */
   pacedToPercent: number;
+  /** Whether no earlier owner may have ordered another speed. */
+  isPaceKnown: boolean;
   /** Tail latency in ms for a service; processor usage for other tasks. */
   reading: number;
+  /**
+   * When the tail latency of a service was last learned from (steady clock), and
+   * by how much it differed from the expected one, as the logarithm of a factor.
+   */
+  latencySample: { atMs: number; deviation: number } | undefined;
   /** When it was first known to run, on the steady clock. */
   runningSinceMs: number | undefined;
   /** Whether the worker has survived its start; see `worker_crash.ts`. */
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -23,6 +23,7 @@
 import type { Domain } from "./domain.ts";
 import type { Moment } from "./domain_event.ts";
 import type { DomainWorker } from "./domain_worker.ts";
+import { harmfulExcess } from "./interference/mod.ts";
 import { stepRecordKey } from "./record_keys.ts";
 import { placeGang } from "./place_gang.ts";
 import {
@@ -75,9 +76,7 @@
   for (let index = 0; index < run.tasks.length; index += 1) {
     const task = run.tasks[index];
     if (task?.kind !== "waiting") continue;
-    const score = isSuspect(run, index)
-      ? scoreWorkerForSuspect.bind(undefined, domain)
-      : scoreWorker;
+    const score = isSuspect(run, index) ? scoreWorkerForSuspect : scoreWorker;
     const worker = takeBestWorker(pass, candidates, run, score);
     if (worker === undefined) break;
     const attempt = nextAttempt(domain, run, task);
@@ -169,11 +168,14 @@
   pass: SchedulingPass,
   workers: DomainWorker[],
   run: StepRun,
-  scoreFor: (worker: DomainWorker, run: StepRun) => number,
+  scoreFor: typeof scoreWorker,
 ): DomainWorker | undefined {
   const nowMs = pass.moment.steadyMs;
+  const { domain } = pass;
   let best: DomainWorker | undefined;
   let bestScore = -Infinity;
+  let bestWithoutPairs: DomainWorker | undefined;
+  let bestScoreWithoutPairs = -Infinity;
   for (let index = workers.length - 1; index >= 0; index -= 1) {
     const worker = workers[index]!;
     if (
@@ -183,14 +185,36 @@
       workers.splice(index, 1);
       continue;
     }
-    const score = scoreFor(worker, run);
+    const score = scoreFor(domain, worker, run);
+    const scoreWithoutPairs = score + harmfulExcess(domain, worker, run);
+    if (scoreWithoutPairs > bestScoreWithoutPairs) {
+      bestWithoutPairs = worker;
+      bestScoreWithoutPairs = scoreWithoutPairs;
+    }
     if (score <= bestScore) continue;
     best = worker;
     bestScore = score;
   }
+  if (best !== bestWithoutPairs) {
+    countPlacement(domain, "apart");
+  } else if (best !== undefined && harmfulExcess(domain, best, run) > 0) {
+    countPlacement(domain, "together");
+  }
   return best;
 }
 
+/**
+ * Counts a placement that a proven harmful pair has moved to another worker, or
+ * that brings such a pair together because no other worker is better.
+ */
+function countPlacement(domain: Domain, outcome: "apart" | "together"): void {
+  domain.commands.push({
+    kind: "count",
+    name: "harmful_pair_placements",
+    labels: { outcome },
+  });
+}
+
 /** Logs the placements that a pass has made for a step, in one line. */
 export function reportPlacements(
   { domain, moment }: SchedulingPass,
--- a/src/domain/task_placement.ts
+++ b/src/domain/task_placement.ts
@@ -43,6 +43,7 @@
     capacity: NO_RESOURCES,
     used: NO_RESOURCES,
     opportunisticCpuMillis: 0,
+    sourceSpeeds: { atMs: 0, last: new Map(), averages: new Map() },
     placed: new Map(),
     suspects: new Set(),
     lapsedStarts: [],
@@ -91,7 +92,7 @@
   };
   run.waitingCount -= 1;
   run.jobRun.hasStarted = true;
-  allocateTask(run, index, worker);
+  allocateTask(run, index, worker, phase.kind === "starting");
   if (isSuspect(run, index)) {
     worker.suspects.add(taskNameOf(run, index));
   }
@@ -100,11 +101,14 @@
 /**
  * Allocates capacity on a worker to a run that it lists. A worker holds one run
  * of a task at a time, so the allocation of an earlier run is replaced.
+ *
+ * @param isPaceKnown whether no earlier owner may have paced the run
  */
 export function allocateTask(
   run: StepRun,
   index: number,
   worker: DomainWorker,
+  isPaceKnown = false,
 ): void {
   releaseTask(worker, taskNameOf(run, index));
   const allocated = allocationOf(run.step);
@@ -118,7 +122,9 @@
     index,
     allocated,
     pacedToPercent: FULL_SPEED_PERCENT,
+    isPaceKnown,
     reading: 0,
+    latencySample: undefined,
     runningSinceMs: undefined,
     isSettled: false,
     abandonedStart: undefined,
--- a/src/domain/testing/owner_model_commits.ts
+++ b/src/domain/testing/owner_model_commits.ts
@@ -21,7 +21,7 @@
 /** Executes the commands that may leave, and begins to commit the others. */
 export function executeCommands(model: Model, commands: DomainCommand[]): void {
   for (const command of commands) {
-    if (command.kind === "report") continue;
+    if (command.kind === "report" || command.kind === "count") continue;
     if (!sendAheadOfCommit(model, command)) model.pendingCommands.push(command);
   }
   beginCommit(model);
--- a/src/ownership/owner_passes.ts
+++ b/src/ownership/owner_passes.ts
@@ -51,6 +51,9 @@
       case "report":
         state.host.logger.info(command.message, command.fields);
         break;
+      case "count":
+        state.host.counters.count(command.name, command.labels);
+        break;
       case "order":
         if (mayPrecedeCommit(state.domain, command.order)) {
           sendOrder(state, command.order);
@@ -98,6 +101,7 @@
         acknowledgeEnds(state, command);
         break;
       case "report":
+      case "count":
         break;
       default:
         assertNever(command);
