Explain the learned effects of a job's images

Cause: operators could not see why work is kept apart or paced. The description of a job lists at most 8 pairs of its images with their factor and bounds.

--- a/src/domain/describe_job.ts
+++ b/src/domain/describe_job.ts
@@ -2,11 +2,20 @@
 import type { Domain } from "./domain.ts";
 import type { Moment } from "./domain_event.ts";
 import { explainWait, waitReportSchema } from "./explain_wait.ts";
+import {
+  imageOf,
+  type InterferenceRow,
+  interferenceRowSchema,
+  listInterference,
+} from "./interference/mod.ts";
 import { mayHaveUnlistedRuns } from "./job_lifecycle.ts";
 import type { JobRun } from "./job_run.ts";
 import { jobRunState } from "./job_state.ts";
 import type { TaskState } from "./task_state.ts";
 
+/** The most pairs of images that a description lists. */
+const MAX_LISTED_PAIRS = 8;
+
 /** Schema of the status of one task of a job. */
 export const taskDescriptionSchema = v.object({
   /** Index among all tasks of the job, from 0. */
@@ -43,6 +52,11 @@
   tasks: v.array(taskDescriptionSchema),
   /** Why tasks wait, for each step that has waiting tasks. */
   waits: v.array(waitReportSchema),
+  /**
+   * What the owner has learned of its images beside others on one worker, the
+   * largest effect first; absent without any, and in earlier versions.
+   */
+  interference: v.optional(v.array(interferenceRowSchema)),
 });
 
 /** Description of a job by the owner of its domain. */
@@ -101,9 +115,21 @@
     ...(endedAtMs === undefined ? {} : { endedAtMs }),
     tasks: describeTasks(run, mayHaveUnlistedRuns(domain, run)),
     waits: waiting.map((step) => explainWait(domain, step, moment)),
+    ...describeInterference(domain, run),
   };
 }
 
+function describeInterference(
+  domain: Domain,
+  run: JobRun,
+): { interference?: InterferenceRow[] } {
+  const images = new Set(
+    run.job.steps.map((step) => imageOf({ step, jobRun: run })),
+  );
+  const interference = listInterference(domain, images, MAX_LISTED_PAIRS);
+  return interference.length === 0 ? {} : { interference };
+}
+
 function describeTasks(run: JobRun, mayRun: boolean): TaskDescription[] {
   const steps = run.occurrences.get(0)?.steps;
   let firstIndex = 0;
--- a/src/domain/mod.ts
+++ b/src/domain/mod.ts
@@ -25,6 +25,10 @@
   type WorkerView,
 } from "./domain_view.ts";
 export * from "./explain_wait.ts";
+export {
+  type InterferenceRow,
+  interferenceRowSchema,
+} from "./interference/mod.ts";
 export * from "./job.ts";
 export { findSizeProblem } from "./job_limits.ts";
 export * from "./job_state.ts";
--- a/src/entry/explain_job.ts
+++ b/src/entry/explain_job.ts
@@ -1,4 +1,8 @@
-import type { JobDescription, WaitReport } from "../domain/mod.ts";
+import type {
+  InterferenceRow,
+  JobDescription,
+  WaitReport,
+} from "../domain/mod.ts";
 import type { CallOutcome } from "./call_router.ts";
 
 /** Describes the state of a job in short lines, with the reason for its waits. */
@@ -25,6 +29,14 @@
     yield `task ${index} attempt ${attempt} is ${taskState}${workerSuffix}`;
   }
   for (const wait of waits) yield explainWait(wait);
+  for (const row of job.interference ?? []) yield explainInterference(row);
+}
+
+/** Tells by which factor an image raises the tail latency of another one. */
+function explainInterference(row: InterferenceRow): string {
+  const { victim, source, verdict, factor, atLeast, atMost } = row;
+  return `${source} beside ${victim}: tail latency times ${factor} ` +
+    `(${atLeast} to ${atMost}), ${verdict}`;
 }
 
 /** Names the first condition that no worker meets as the reason for a wait. */
