Let the evidence on an effect fade by the time since its source was last seen

Cause: it faded by the time since any reading of the service, so an effect that one of many workers sees was followed the more slowly, the more workers there were. The penalty of a harmful pair stays below that of a worker far from the step's data, so that locality still decides first.

--- a/src/domain/interference/interference_penalty.ts
+++ b/src/domain/interference/interference_penalty.ts
@@ -11,9 +11,9 @@
  */
 const UNPROVEN_PENALTY = 1;
 /** Further penalty for a source that doubles the tail latency of a service. */
-const DOUBLING_PENALTY = 1;
-/** Upper bound on the further penalty: a worker that may crash is worse. */
-const MAX_EXCESS = 1.5;
+const DOUBLING_PENALTY = 0.5;
+/** Upper bound on the further penalty: a worker far from the data is worse. */
+const MAX_EXCESS = 0.9;
 
 /**
  * Returns the score penalty for placing a task of a step on a worker because of
--- a/src/domain/interference/latency_model.ts
+++ b/src/domain/interference/latency_model.ts
@@ -91,8 +91,12 @@
   { logRatio, exposures, lastDeviation }: LatencySample,
   nowMs: number,
 ): number {
-  const input = toInput(model, exposures, nowMs);
-  passTime(model, input, nowMs);
+  for (const image of exposures.keys()) addSource(model, image, nowMs);
+  passTime(model, exposures, nowMs);
+  const input = [
+    1,
+    ...model.sources.map(({ image }) => exposures.get(image) ?? 0),
+  ];
   const { means, covariance } = model;
   const products = covariance.map((row) => dot(row, input));
   const noise = effectiveNoise(model);
@@ -136,26 +140,10 @@
   }
 }
 
-/** Builds the vector that the state is multiplied by; adds new sources. */
-function toInput(
-  model: LatencyModel,
-  exposures: ReadonlyMap<string, number>,
-  nowMs: number,
-): number[] {
-  const { sources } = model;
-  for (const image of exposures.keys()) {
-    const known = sources.find((source) => source.image === image);
-    if (known !== undefined) {
-      known.seenAtMs = nowMs;
-      known.readings += 1;
-    } else addSource(model, image, nowMs);
-  }
-  return [1, ...sources.map(({ image }) => exposures.get(image) ?? 0)];
-}
-
-/** Adds a source in the place of the least recent one if there are too many. */
+/** Adds a new source, in the place of the least recent one if need be. */
 function addSource(model: LatencyModel, image: string, nowMs: number): void {
   const { sources, means, covariance } = model;
+  if (sources.some((source) => source.image === image)) return;
   if (sources.length >= MAX_SOURCES) {
     const oldestMs = Math.min(...sources.map(({ seenAtMs }) => seenAtMs));
     if (oldestMs >= nowMs) return;
@@ -163,30 +151,40 @@
     sources[oldest]!.seenAtMs = -Infinity;
     forgetSources(model, oldestMs);
   }
-  sources.push({ image, seenAtMs: nowMs, readings: 1 });
+  sources.push({ image, seenAtMs: nowMs, readings: 0 });
   means.push(0);
   for (const row of covariance) row.push(0);
   covariance.push(means.map(() => 0));
   covariance.at(-1)![means.length - 1] = EFFECT_VARIANCE;
 }
 
-/** Lets the level drift, and the effects that are observed lose evidence. */
-function passTime(model: LatencyModel, input: number[], nowMs: number): void {
-  const { covariance, means, learnedAtMs } = model;
-  const elapsedMs = Math.min(MAX_ELAPSED_MS, nowMs - learnedAtMs);
-  if (elapsedMs <= 0) return;
-  model.learnedAtMs = nowMs;
-  const kept = Math.exp(-elapsedMs / EFFECT_MEMORY_MS);
-  const keptOf = (index: number) => index > 0 && input[index]! > 0 ? kept : 1;
+/**
+ * Lets the level drift, and the evidence on the effects that are observed fade
+ * by the time since they were last observed.
+ */
+function passTime(
+  model: LatencyModel,
+  exposures: ReadonlyMap<string, number>,
+  nowMs: number,
+): void {
+  const { covariance, means, sources, learnedAtMs } = model;
+  const kept = means.map(() => 1);
+  for (const [index, source] of sources.entries()) {
+    if (!exposures.has(source.image)) continue;
+    const elapsedMs = Math.min(MAX_ELAPSED_MS, nowMs - source.seenAtMs);
+    kept[index + 1] = Math.exp(-Math.max(0, elapsedMs) / EFFECT_MEMORY_MS);
+    source.seenAtMs = nowMs;
+    source.readings += 1;
+  }
   for (let row = 0; row < means.length; row += 1) {
-    means[row]! *= keptOf(row);
+    means[row]! *= kept[row]!;
     for (let column = 0; column < means.length; column += 1) {
-      covariance[row]![column]! *= keptOf(row) * keptOf(column);
-    }
-    if (keptOf(row) < 1) {
-      covariance[row]![row]! += (1 - kept ** 2) * EFFECT_VARIANCE;
+      covariance[row]![column]! *= kept[row]! * kept[column]!;
     }
+    covariance[row]![row]! += (1 - kept[row]! ** 2) * EFFECT_VARIANCE;
   }
+  const elapsedMs = Math.max(0, Math.min(MAX_ELAPSED_MS, nowMs - learnedAtMs));
+  model.learnedAtMs = nowMs;
   const drifted = covariance[0]![0]! + LEVEL_DRIFT * elapsedMs / MS_PER_S;
   covariance[0]![0] = Math.max(
     covariance[0]![0]!,
