--- a/src/domain/preview_job.ts
+++ b/src/domain/preview_job.ts
@@ -135,12 +135,13 @@
 ): StepPreview["candidates"] {
   return findEligibleWorkers(domain, run)
     .filter((worker) => hasCapacityForTask(worker, run, steadyMs))
-    .map((worker) => describeCandidate(worker, run))
+    .map((worker) => describeCandidate(domain, worker, run))
     .sort((left, right) => right.score - left.score)
     .slice(0, MAX_CANDIDATES);
 }
 
 function describeCandidate(
+  domain: Domain,
   worker: DomainWorker,
   run: StepRun,
 ): StepPreview["candidates"][number] {
@@ -149,7 +150,7 @@
   return {
     worker: worker.id,
     rack,
-    score: scoreWorker(worker, run),
+    score: scoreWorker(domain, worker, run),
     freeCpuMillis: worker.capacity.cpuMillis - worker.used.cpuMillis,
     isRemote: dataRack !== undefined && rack !== dataRack,
     consecutiveFailures: worker.health.consecutiveFailures,
--- a/src/ownership/owner_passes.ts
+++ b/src/ownership/owner_passes.ts
@@ -57,6 +57,9 @@
         state.host.counters.count("excess_submissions", labels);
         break;
       }
+      case "count":
+        state.host.counters.count(command.name, command.labels);
+        break;
       case "order":
         if (mayPrecedeCommit(state.domain, command.order)) {
           sendOrder(state, command.order);
@@ -105,6 +108,7 @@
         break;
       case "report":
       case "countExcess":
+      case "count":
         break;
       default:
         assertNever(command);
