--- a/stand_ins/platform/daemon.ts
+++ b/stand_ins/platform/daemon.ts
@@ -8,6 +8,9 @@
 /** Number of ports that a daemon listens on. */
 export const PORTS_PER_DAEMON = 4;
 
+/** Bearer token of the operator of a daemon with the product's own API. */
+export const OPERATOR_TOKEN = "token-of-the-operator";
+
 /** Options for `startDaemon`. */
 export type DaemonOptions = {
   /** Path of the daemon's JavaScript file. */
@@ -18,8 +21,10 @@
   folder: string;
   /** Index of the instance; part of its id and of its settings file name. */
   number: number;
-  /** `PORTS_PER_DAEMON` free ports. */
+  /** `PORTS_PER_DAEMON` free ports, and one more for the product's own API. */
   ports: number[];
+  /** Whether the product's own API is served, to the operator `OPERATOR_TOKEN`. */
+  hasApi?: boolean;
   /** `IP:port` of the store. */
   store: string;
   partitions: number;
@@ -37,11 +42,15 @@
   readinessUrl: string;
   /** `IP:port` that the other instances reach it at. */
   peerAddress: string;
+  metricsUrl: string;
+  /** Base URL of the product's own API, if it is served. */
+  apiUrl: string | undefined;
 };
 
 /** Writes the settings of a daemon and starts it against the stand-ins. */
 export function startDaemon(options: DaemonOptions): Daemon {
-  const [callers, readiness, peers, metrics] = options.ports;
+  const [callers, readiness, peers, metrics, api] = options.ports;
+  const { hasApi = false } = options;
   const settingsPath = join(options.folder, `${options.number}.ini`);
   writeFileSync(
     settingsPath,
@@ -50,10 +59,12 @@
       `[listen]\ncallers = ${LOOPBACK}:${callers}`,
       `readiness = ${LOOPBACK}:${readiness}\ninternal_host = ${LOOPBACK}`,
       `peer_port = ${peers}\nmetrics_port = ${metrics}`,
+      hasApi ? `api = ${LOOPBACK}:${api}` : "",
       `[store]\naddress = ${options.store}\npartitions = ${options.partitions}`,
       `member_ttl_ms = 1500\n[advice]\naddress = ${options.advice}`,
       "[workers]\nheartbeat_ms = 1500\n[lease]\nmax_ms = 6000",
       "[jobs]\nkeep_ended_s = 120\n[stop]\ngrace_s = 6",
+      hasApi ? `[operators]\noperator = ${OPERATOR_TOKEN}` : "",
     ].join("\n"),
   );
   const argumentList = [
@@ -73,5 +84,7 @@
     url: `http://${LOOPBACK}:${callers}`,
     readinessUrl: `http://${LOOPBACK}:${readiness}/readyz`,
     peerAddress: `${LOOPBACK}:${peers}`,
+    metricsUrl: `http://${LOOPBACK}:${metrics}/metrics`,
+    apiUrl: hasApi ? `http://${LOOPBACK}:${api}` : undefined,
   };
 }
--- a/stand_ins/platform/deployment.ts
+++ b/stand_ins/platform/deployment.ts
@@ -18,6 +18,10 @@
   workerCount: number;
   /** How long the store takes for each call, in milliseconds; 0 if absent. */
   storeDelayMs?: number;
+  /** Node.js options of the daemons. */
+  nodeArguments?: string[];
+  /** Whether the daemons serve the product's own API. */
+  hasApi?: boolean;
   /** Number of domains. */
   partitions?: number;
   /** The services that the workers belong to in turn; `desk` if absent. */
@@ -53,7 +57,8 @@
 ): Promise<Deployment> {
   const { program, instanceCount, workerCount, taskDurationMs } = options;
   const { services = ["desk"], partitions = DEFAULT_PARTITIONS } = options;
-  const { storeDelayMs = 0 } = options;
+  const { storeDelayMs = 0, nodeArguments = [], hasApi = false } = options;
+  const portsPerDaemon = hasApi ? PORTS_PER_DAEMON + 1 : PORTS_PER_DAEMON;
   const folder = mkdtempSync(join(tmpdir(), "samphirestage-"));
   const platform = await startPlatform({
     partitions,
@@ -70,7 +75,7 @@
   });
   // Ports are chosen together: a daemon holds none until it listens, so a later
   // search could return the same port.
-  const ports = await findFreePorts(instanceCount * PORTS_PER_DAEMON);
+  const ports = await findFreePorts(instanceCount * portsPerDaemon);
   const stores = await Promise.all(
     Array.from({ length: instanceCount }, () => platform.openStore()),
   );
@@ -82,7 +87,9 @@
           program,
           folder,
           number: index,
-          ports: ports.slice(index * PORTS_PER_DAEMON),
+          ports: ports.slice(index * portsPerDaemon),
+          nodeArguments,
+          hasApi,
           store: stores[index]!.address,
           partitions,
           advice: "",
