Bound what clients take of an instance

Clients ended a process, or took descriptors without end: the parser of Node.js handles all requests of a read at once, each chunk of a body was kept as a buffer of its own, bodies were bounded one by one but not together, and connections hardly at all. One guard makes the servers of all addresses now. It passes requests to the parser one at a time, copies each body into one buffer from a pool, evicts the largest bodies beyond a sixteenth of the memory, and closes connections that are slow, unread or beyond the descriptors.

--- a/src/api/untrusted_input_test.ts
+++ b/src/api/untrusted_input_test.ts
@@ -7,6 +7,7 @@
 import { createOperatorRoute } from "./operator_route.ts";
 import { createFakeApiHost } from "./testing/fake_api_host.ts";
 import { createHttpServer } from "../server/mod.ts";
+import { createTestGuard } from "../server/testing/test_guard.ts";
 
 const MAX_BYTES = 4_096;
 const CREDENTIALS = {
@@ -174,10 +175,14 @@
   use: (url: string, changes: string[]) => Promise<void>,
 ): Promise<void> {
   const host = createFakeApiHost(CREDENTIALS);
-  const server = createHttpServer([
-    createCallerRoute(host),
-    createOperatorRoute(host),
-  ], { maxBytes: MAX_BYTES, timeoutMs: 300, maxConnections: 100 });
+  const server = createHttpServer(
+    [
+      createCallerRoute(host),
+      createOperatorRoute(host),
+    ],
+    { maxBytes: MAX_BYTES, timeoutMs: 300, maxConnections: 100, name: "api" },
+    createTestGuard(),
+  );
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
   try {
--- a/src/diagnostics/diagnostics.ts
+++ b/src/diagnostics/diagnostics.ts
@@ -53,6 +53,14 @@
     3017,
     "The request was not stored: {0}; this call ran nothing.",
   ),
+  bodyTooSlow: error(
+    3018,
+    "The body arrived too slowly; this call ran nothing.",
+  ),
+  bodyMemoryFull: error(
+    3019,
+    "The bodies of all clients take too much memory; this call ran nothing.",
+  ),
   unschedulable: error(
     4001,
     "None of the {0} listed workers can ever hold one of the tasks; nothing was run.",
--- a/src/entry/entry_platform.ts
+++ b/src/entry/entry_platform.ts
@@ -9,6 +9,7 @@
   TaskHost,
 } from "../hosts/mod.ts";
 import type { ListingDecoder } from "../ownership/mod.ts";
+import type { ClientGuard } from "../server/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
 import type { Configuration, ConfigurationState } from "./configuration.ts";
 import type { CallRouter } from "./call_router.ts";
@@ -36,6 +37,8 @@
   configuration: ConfigurationState;
   logger: Logger;
   clock: Clock;
+  /** Bounds what clients take. */
+  clients: ClientGuard;
   /** Whether the process is stopping, so that connections must be closed. */
   isStopping(): boolean;
 };
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -7,7 +7,12 @@
 import type { Server } from "node:http";
 import { assertNever } from "../base/mod.ts";
 import { createCallerRoute, createOperatorRoute } from "../api/mod.ts";
-import { createHttpServer, type Route } from "../server/mod.ts";
+import {
+  createHttpServer,
+  type Route,
+  type ServerName,
+} from "../server/mod.ts";
+import { createInstanceGuard } from "./instance_guard.ts";
 import {
   type DomainCallHost,
   executeDomainCall,
@@ -48,6 +53,7 @@
     timeoutMs: BODY_TIMEOUT_MS,
     maxConnections: MAX_PEER_CONNECTIONS,
   };
+  const clients = createInstanceGuard(context);
   const domainCalls: DomainCallHost = {
     ...context,
     logger: logger.part("entry"),
@@ -67,6 +73,7 @@
     configuration,
     logger,
     clock,
+    clients,
     isStopping: () => stopping.signal.aborted,
   });
   const rpcRoute = createPeerRpcRoute(
@@ -74,19 +81,26 @@
     settings.peers.secret,
     (call) => handlePeerCall(context, domainCalls, call),
   );
-  const readiness = createHttpServer([createReadinessRoute(context)], limits);
-  const metrics = createHttpServer([createMetricsRoute(context)], limits);
+  const createInternalServer = (name: ServerName, routes: Route[]) =>
+    createHttpServer(routes, { ...limits, name }, clients);
+  const readiness = createInternalServer("readiness", [
+    createReadinessRoute(context),
+  ]);
+  const metrics = createInternalServer("metrics", [
+    createMetricsRoute(context),
+  ]);
   callers.listen(listen.callers.port, listen.callers.host);
   readiness.listen(listen.readiness.port, listen.readiness.host);
   const peers = peerPorts(listen).map((port) =>
-    createHttpServer([rpcRoute], limits).listen(port, listen.internalHost)
+    createInternalServer("peers", [rpcRoute])
+      .listen(port, listen.internalHost)
   );
   metrics.listen(listen.metricsPort, listen.internalHost);
   const internal = [...peers, readiness, metrics];
   if (listen.api !== undefined) {
     const api = createApiHost(context, router);
     const routes = [createCallerRoute(api), createOperatorRoute(api)];
-    const server = createHttpServer(routes, limits);
+    const server = createInternalServer("api", routes);
     server.listen(listen.api.port, listen.api.host);
     internal.push(server);
   }
--- a/src/server/http_server.ts
+++ b/src/server/http_server.ts
@@ -4,9 +4,10 @@
  *
  * @module
  */
-import { createServer, type IncomingMessage, type Server } from "node:http";
-import type { Duplex } from "node:stream";
+import type { IncomingMessage, Server } from "node:http";
 import { diagnostics } from "../diagnostics/mod.ts";
+import type { ClientGuard } from "./client_guard.ts";
+import type { ServerName } from "./client_limits.ts";
 import { type HttpResponse, sendResponse } from "./http_response.ts";
 import { problemDocument, refusal } from "./problem_document.ts";
 import { type BodyLimits, parseBody, readBody } from "./read_body.ts";
@@ -18,15 +19,15 @@
 const INTERNAL_SERVER_ERROR = 500;
 const BAD_REQUEST = 400;
 const INTERNAL_ERROR_DIAGNOSTIC_CODE = 3000;
-/** Timeout for receiving the headers of a request, in milliseconds. */
-const HEADERS_TIMEOUT_MS = 5_000;
 /** How long an idle connection stays open, in milliseconds. */
 const KEEP_ALIVE_MS = 30_000;
-const MAX_HEADER_BYTES = 8_192;
 const CALLER_LEFT: HttpResponse = { status: 408 };
 
 /** Limits on the requests and connections that the server accepts. */
-export type ServerLimits = BodyLimits & { maxConnections: number };
+export type ServerLimits = BodyLimits & {
+  name: ServerName;
+  maxConnections: number;
+};
 
 /** A path without a query, dots or anything encoded, which need no parsing. */
 const PLAIN_PATH = /^(?:\/[\w-]+)+$/;
@@ -36,27 +37,25 @@
  *
  * @example
  * ```ts
- * const server = createHttpServer([callerRoute, healthRoute], limits);
+ * const server = createHttpServer([callerRoute, healthRoute], limits, guard);
  * server.listen(8001, "127.0.0.1");
  * ```
  */
 export function createHttpServer(
   routes: Route[],
   limits: ServerLimits,
+  guard: ClientGuard,
 ): Server {
   const queue = createWorkQueue();
-  const server = createServer({
-    maxHeaderSize: MAX_HEADER_BYTES,
-    headersTimeout: HEADERS_TIMEOUT_MS,
-    requestTimeout: HEADERS_TIMEOUT_MS + limits.timeoutMs,
-    keepAliveTimeout: KEEP_ALIVE_MS,
+  return guard.createServer({
+    name: limits.name,
+    keepAliveMs: KEEP_ALIVE_MS,
+    maxBodyBytes: () => limits.maxBytes,
+    maxConnections: limits.maxConnections,
   }, async (request, response) => {
     const result = await handleRequest(routes, limits, queue, request);
     sendResponse(response, result);
   });
-  server.maxConnections = limits.maxConnections;
-  server.on("clientError", rejectMalformedRequest);
-  return server;
 }
 
 async function handleRequest(
@@ -124,11 +123,3 @@
     throw new RefusedCall(refusal(BAD_REQUEST, message, text));
   }
 }
-
-function rejectMalformedRequest(
-  _error: Error,
-  socket: Duplex,
-): void {
-  if (!socket.writable) return;
-  socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n");
-}
--- a/src/server/http_server_test.ts
+++ b/src/server/http_server_test.ts
@@ -7,21 +7,26 @@
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { it } from "node:test";
 import { createHttpServer } from "./http_server.ts";
+import { createTestGuard } from "./testing/test_guard.ts";
 
 const HOST = "127.0.0.1";
 const LONG_WORK_MS = 50;
 
 it("http server: a call whose caller has left is not handled", async () => {
   const handled: string[] = [];
-  const server = createHttpServer([async (call) => {
-    await call.body();
-    const [name = ""] = call.path;
-    if (name === "open") return { status: 200 };
-    handled.push(name);
-    const endMs = performance.now() + LONG_WORK_MS;
-    while (performance.now() < endMs) { /* Busy wait. */ }
-    return { status: 200 };
-  }], { maxBytes: 1_000, timeoutMs: 5_000, maxConnections: 10 });
+  const server = createHttpServer(
+    [async (call) => {
+      await call.body();
+      const [name = ""] = call.path;
+      if (name === "open") return { status: 200 };
+      handled.push(name);
+      const endMs = performance.now() + LONG_WORK_MS;
+      while (performance.now() < endMs) { /* Busy wait. */ }
+      return { status: 200 };
+    }],
+    { maxBytes: 1_000, timeoutMs: 5_000, maxConnections: 10, name: "api" },
+    createTestGuard(),
+  );
   server.listen(0, HOST);
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
--- a/src/server/read_body.ts
+++ b/src/server/read_body.ts
@@ -1,7 +1,19 @@
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { err, ok, type Result } from "neverthrow";
+import { assertNever } from "../base/mod.ts";
 import { diagnostics } from "../diagnostics/mod.ts";
+import {
+  connectionOf,
+  type RefusalCause,
+  refuseClient,
+} from "./client_connection.ts";
+import {
+  appendBytes,
+  createGrowingBuffer,
+  recycleBytes,
+  writtenBytes,
+} from "./growing_buffer.ts";
 import type { HttpResponse } from "./http_response.ts";
 import { refusal } from "./problem_document.ts";
 
@@ -12,9 +24,22 @@
   timeoutMs: number;
 };
 
+/** Why a body was not received. */
+export type BodyFailure =
+  | "tooLarge"
+  /** The client has left, or its time is over. */
+  | "incomplete"
+  /** It arrives too slowly. */
+  | "tooSlow"
+  /** The bodies of all clients take too much memory. */
+  | "overloaded";
+
 const CONTENT_TOO_LARGE = 413;
 const REQUEST_TIMEOUT = 408;
+const SERVICE_UNAVAILABLE = 503;
 const BAD_REQUEST = 400;
+/** Stands for no limit on the time of a body. */
+const NO_TIMEOUT_MS = 0;
 
 /**
  * Reads the body of a request.
@@ -26,51 +51,120 @@
   limits: BodyLimits,
 ): Promise<Result<string, HttpResponse>> {
   const { maxBytes, timeoutMs } = limits;
-  const declaredBytes = Number(request.headers["content-length"] ?? 0);
-  if (declaredBytes > maxBytes) return err(tooLarge(maxBytes));
-  const bytes = await receiveBytes(request, limits);
-  switch (bytes) {
+  const received = await receiveBody(request, maxBytes, timeoutMs);
+  if (received.isOk()) return ok(received.value);
+  switch (received.error) {
     case "tooLarge":
-      return err(tooLarge(maxBytes));
+      return err(
+        closing(refusal(CONTENT_TOO_LARGE, diagnostics.bodyTooLarge, maxBytes)),
+      );
     case "incomplete":
       return err(refusal(REQUEST_TIMEOUT, diagnostics.timedOut, timeoutMs));
+    case "tooSlow":
+      return err(closing(refusal(REQUEST_TIMEOUT, diagnostics.bodyTooSlow)));
+    case "overloaded":
+      return err(
+        closing(refusal(SERVICE_UNAVAILABLE, diagnostics.bodyMemoryFull)),
+      );
     default:
-      return ok(bytes.toString("utf8"));
+      return assertNever(received.error);
   }
 }
 
 /**
- * Receives the body of a request. Listens to its events, since an asynchronous
- * iteration over a short body costs more than to receive it.
+ * Receives the text of a body within the memory for bodies of all clients.
+ * Listens to its events, since an asynchronous iteration over a short body
+ * costs more than to receive it.
+ *
+ * @example
+ * ```ts
+ * const body = await receiveBody(request, 262_144);
+ * if (body.isErr()) return refuse(body.error);
+ * ```
+ *
+ * @param timeoutMs time for the whole body; 0 for no limit on it
  */
-function receiveBytes(
+export function receiveBody(
   request: IncomingMessage,
-  { maxBytes, timeoutMs }: BodyLimits,
-): Promise<Buffer | "tooLarge" | "incomplete"> {
+  maxBytes: number,
+  timeoutMs = NO_TIMEOUT_MS,
+): Promise<Result<string, BodyFailure>> {
+  const declaredBytes = Number(request.headers["content-length"] ?? 0);
+  if (declaredBytes > maxBytes) return Promise.resolve(err("tooLarge"));
+  const connection = connectionOf(request);
+  const exchange = connection?.exchange;
+  if (exchange?.refusal !== undefined) {
+    return Promise.resolve(err(failureOf(exchange.refusal)));
+  }
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const body = createGrowingBuffer();
+    let whole: Buffer | undefined;
     let receivedBytes = 0;
-    const end = (outcome: Buffer | "tooLarge" | "incomplete") => {
+    let isOver = false;
+    const holder = {
+      address: connection?.address ?? "",
+      evict: () => refuseClient(connection!, "bodyMemory"),
+    };
+    const pool = connection?.host.pool;
+    const end = (outcome: Result<string, BodyFailure>) => {
+      if (isOver) return;
+      isOver = true;
       clearTimeout(timer);
+      connection?.host.budget.release(holder);
+      if (pool !== undefined) recycleBytes(body, pool);
+      if (exchange !== undefined) exchange.refuseBody = undefined;
       resolve(outcome);
     };
-    const timer = setTimeout(() => {
+    const timer = timeoutMs === NO_TIMEOUT_MS ? undefined : setTimeout(() => {
       request.destroy();
-      end("incomplete");
+      end(err("incomplete"));
     }, timeoutMs);
     // It emits no further events if the caller has disconnected before.
-    if (request.destroyed) end("incomplete");
+    if (request.destroyed) end(err("incomplete"));
+    if (exchange !== undefined) {
+      exchange.refuseBody = (cause) => end(err(failureOf(cause)));
+    }
     request.on("data", (chunk: Buffer) => {
+      if (isOver) return;
       receivedBytes += chunk.length;
-      if (receivedBytes > maxBytes) end("tooLarge");
-      else chunks.push(chunk);
+      if (receivedBytes > maxBytes) return end(err("tooLarge"));
+      if (chunk.length === declaredBytes) {
+        whole = chunk;
+        return;
+      }
+      const capacity = body.buffer.length;
+      appendBytes(body, chunk, pool);
+      if (body.buffer.length === capacity) return;
+      connection?.host.budget.hold(holder, body.buffer.length);
+    });
+    request.on("end", () => {
+      end(ok((whole ?? writtenBytes(body)).toString("utf8")));
     });
-    request.on("end", () => end(Buffer.concat(chunks)));
-    request.on("error", () => end("incomplete"));
-    request.on("close", () => end("incomplete"));
+    request.on("error", () => end(err("incomplete")));
+    request.on("close", () => end(err("incomplete")));
   });
 }
 
+function failureOf(cause: RefusalCause): BodyFailure {
+  switch (cause) {
+    case "bodyMemory":
+    case "tooManyConnections":
+      return "overloaded";
+    case "bodyTooLarge":
+      return "tooLarge";
+    case "bodyTooSlow":
+      return "tooSlow";
+    case "malformed":
+    case "headTooLarge":
+    case "headTooSlow":
+    case "emptyLines":
+    case "answerUnread":
+      return "incomplete";
+    default:
+      return assertNever(cause);
+  }
+}
+
 /**
  * Parses the body of a request as JSON.
  *
@@ -86,11 +180,7 @@
   }
 }
 
-function tooLarge(maxBytes: number): HttpResponse {
-  const response = refusal(
-    CONTENT_TOO_LARGE,
-    diagnostics.bodyTooLarge,
-    maxBytes,
-  );
-  return { ...response, headers: { connection: "close" } };
+/** Closes the connection, since the rest of the body is not read. */
+function closing(response: HttpResponse): HttpResponse {
+  return { ...response, headers: { ...response.headers, connection: "close" } };
 }
--- a/src/settings/read_settings_test.ts
+++ b/src/settings/read_settings_test.ts
@@ -32,7 +32,7 @@
 uwimana = operator-token
 `;
 const SECTION_LIST =
-  "instance, listen, peers, store, advice, workers, lease, jobs, stop, log, customers, operators";
+  "instance, listen, peers, store, advice, workers, lease, jobs, stop, log, machine, clients, customers, operators";
 
 function readFaults(text: string): string[] {
   const read = readSettings(text);
@@ -65,6 +65,13 @@
     jobs: { keepEndedS: 120 },
     stop: { graceS: 6 },
     log: { level: "info" },
+    machine: { memoryMb: 256, descriptors: 4096 },
+    clients: {
+      headTimeoutMs: 15_000,
+      bodyGraceMs: 15_000,
+      bodyBytesPerS: 4096,
+      unreadAnswerMs: 30_000,
+    },
     customers: { "order-desk": ["order-desk-token", "order-desk-token-2"] },
     operators: { uwimana: "operator-token" },
   });
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -76,4 +76,20 @@
   log: v.object({
     level: v.optional(choice("error", "warn", "info", "debug"), "info"),
   }),
+  machine: v.object({
+    /** Memory that the process may take, in MiB. */
+    memory_mb: v.optional(wholeNumber(64, 1_048_576), "256"),
+    /** Descriptors that the process may open. */
+    descriptors: v.optional(wholeNumber(256, 1_048_576), "4096"),
+  }),
+  clients: v.object({
+    /** Time for the first head of a connection, and for each further one. */
+    head_timeout_ms: v.optional(wholeNumber(100, HOUR_MS), "15000"),
+    /** Time in which a body may arrive at any rate, in milliseconds. */
+    body_grace_ms: v.optional(wholeNumber(100, HOUR_MS), "15000"),
+    /** Bytes of a body that have to arrive in each second beyond the grace. */
+    body_bytes_per_s: v.optional(wholeNumber(1, 1_000_000), "4096"),
+    /** How long an answer may wait to be read, in milliseconds. */
+    unread_answer_ms: v.optional(wholeNumber(100, HOUR_MS), "30000"),
+  }),
 } as const;
--- a/stand_ins/crowd/crowd_trial.ts
+++ b/stand_ins/crowd/crowd_trial.ts
@@ -75,6 +75,7 @@
     configuration: CONFIGURATION,
     nodeArguments: NODE_ARGUMENTS,
     hasApi: true,
+    machine: MACHINE,
   });
   try {
     await endureCrowd(deployment, trial);
--- a/stand_ins/platform/daemon.ts
+++ b/stand_ins/platform/daemon.ts
@@ -30,6 +30,8 @@
   partitions: number;
   /** `IP:port` of the placement policy; empty if there is none. */
   advice: string;
+  /** What the daemon may take; the defaults of the settings if absent. */
+  machine?: { memoryMb: number; descriptors: number };
   /** Path of the log file; without it, standard output is discarded. */
   log?: string;
 };
@@ -50,7 +52,7 @@
 /** Writes the settings of a daemon and starts it against the stand-ins. */
 export function startDaemon(options: DaemonOptions): Daemon {
   const [callers, readiness, peers, metrics, api] = options.ports;
-  const { hasApi = false } = options;
+  const { hasApi = false, machine } = options;
   const settingsPath = join(options.folder, `${options.number}.ini`);
   writeFileSync(
     settingsPath,
@@ -64,6 +66,10 @@
       `member_ttl_ms = 1500\n[advice]\naddress = ${options.advice}`,
       "[workers]\nheartbeat_ms = 1500\n[lease]\nmax_ms = 6000",
       "[jobs]\nkeep_ended_s = 120\n[stop]\ngrace_s = 6",
+      machine === undefined
+        ? ""
+        : `[machine]\nmemory_mb = ${machine.memoryMb}\n` +
+          `descriptors = ${machine.descriptors}`,
       hasApi ? `[operators]\noperator = ${OPERATOR_TOKEN}` : "",
     ].join("\n"),
   );
--- a/stand_ins/platform/deployment.ts
+++ b/stand_ins/platform/deployment.ts
@@ -20,6 +20,8 @@
   storeDelayMs?: number;
   /** Node.js options of the daemons. */
   nodeArguments?: string[];
+  /** What each daemon may take; the defaults of the settings if absent. */
+  machine?: { memoryMb: number; descriptors: number };
   /** Whether the daemons serve the product's own API. */
   hasApi?: boolean;
   /** Number of domains. */
@@ -90,6 +92,9 @@
           ports: ports.slice(index * portsPerDaemon),
           nodeArguments,
           hasApi,
+          ...(options.machine === undefined
+            ? {}
+            : { machine: options.machine }),
           store: stores[index]!.address,
           partitions,
           advice: "",
