--- a/src/server/read_body.ts
+++ b/src/server/read_body.ts
@@ -4,6 +4,7 @@
 import { assertNever } from "../base/mod.ts";
 import { diagnostics } from "../diagnostics/mod.ts";
 import {
+  type ClientConnection,
   connectionOf,
   type RefusalCause,
   refuseClient,
@@ -97,21 +98,15 @@
     return Promise.resolve(err(failureOf(exchange.refusal)));
   }
   return new Promise((resolve) => {
-    const body = createGrowingBuffer();
     let whole: Buffer | undefined;
+    let parts: BodyParts | undefined;
     let receivedBytes = 0;
     let isOver = false;
-    const holder = {
-      address: connection?.address ?? "",
-      evict: () => refuseClient(connection!, "bodyMemory"),
-    };
-    const pool = connection?.host.pool;
     const end = (outcome: Result<string, BodyFailure>) => {
       if (isOver) return;
       isOver = true;
       clearTimeout(timer);
-      connection?.host.budget.release(holder);
-      if (pool !== undefined) recycleBytes(body, pool);
+      parts?.release();
       if (exchange !== undefined) exchange.refuseBody = undefined;
       resolve(outcome);
     };
@@ -128,23 +123,53 @@
       if (isOver) return;
       receivedBytes += chunk.length;
       if (receivedBytes > maxBytes) return end(err("tooLarge"));
-      if (chunk.length === declaredBytes) {
-        whole = chunk;
-        return;
-      }
-      const capacity = body.buffer.length;
-      appendBytes(body, chunk, pool);
-      if (body.buffer.length === capacity) return;
-      connection?.host.budget.hold(holder, body.buffer.length);
+      if (chunk.length === declaredBytes) whole = chunk;
+      else (parts ??= createBodyParts(connection)).append(chunk);
     });
     request.on("end", () => {
-      end(ok((whole ?? writtenBytes(body)).toString("utf8")));
+      end(ok(whole?.toString("utf8") ?? parts?.text() ?? ""));
     });
     request.on("error", () => end(err("incomplete")));
     request.on("close", () => end(err("incomplete")));
   });
 }
 
+/** A body that arrives in parts, within the memory for those of all clients. */
+type BodyParts = {
+  append(chunk: Buffer): void;
+  text(): string;
+  release(): void;
+};
+
+function createBodyParts(connection: ClientConnection | undefined): BodyParts {
+  const body = createGrowingBuffer();
+  if (connection === undefined) {
+    return {
+      append: (chunk) => appendBytes(body, chunk),
+      text: () => writtenBytes(body).toString("utf8"),
+      release: () => {},
+    };
+  }
+  const { address, host: { budget, pool } } = connection;
+  const holder = {
+    address,
+    evict: () => refuseClient(connection, "bodyMemory"),
+  };
+  return {
+    append(chunk) {
+      const capacity = body.buffer.length;
+      appendBytes(body, chunk, pool);
+      if (body.buffer.length === capacity) return;
+      budget.hold(holder, body.buffer.length);
+    },
+    text: () => writtenBytes(body).toString("utf8"),
+    release() {
+      budget.release(holder);
+      recycleBytes(body, pool);
+    },
+  };
+}
+
 function failureOf(cause: RefusalCause): BodyFailure {
   switch (cause) {
     case "bodyMemory":
