Parse long bodies in slices of time

With 400 connections that send chunks of one byte, an ordinary client had no answer in four attempts of 3 s: each turn of the event loop parsed a part of each body.

Refusals of the parser are counted, too.

--- a/src/server/client_connection.ts
+++ b/src/server/client_connection.ts
@@ -18,6 +18,7 @@
   type GrowingBuffer,
   writtenBytes,
 } from "./growing_buffer.ts";
+import type { WorkQueue } from "./work_queue.ts";
 
 const CARRIAGE_RETURN = 0x0d;
 const LINE_FEED = 0x0a;
@@ -110,6 +111,8 @@
   budget: ByteBudget;
   /** Buffers for bodies. */
   pool: BufferPool;
+  /** Long bodies that are parsed part by part. */
+  bodies: WorkQueue;
   /** Limit on a head with its separators, in bytes. */
   maxHeadBytes: number;
   /** Limit on a body with its framing, in bytes. */
@@ -239,6 +242,7 @@
 ): void {
   const connection = connections.get(socket as Socket);
   const cause = malformedCause(error.code);
+  if (isBeyondLimits(error.code)) connection?.host.onRefusal(cause);
   if (connection !== undefined && isCallPending(connection)) {
     // The call was passed on, so it is answered.
     connection.isClosing = true;
@@ -271,10 +275,24 @@
 function yieldToOthers(connection: ClientConnection): void {
   if (connection.isYielding) return;
   connection.isYielding = true;
-  setImmediate(() => {
-    connection.isYielding = false;
-    if (!connection.isClosing) connection.socket.resume();
-  });
+  setImmediate(() => continueReading(connection));
+}
+
+/**
+ * Continues to read the body of a request after those of other clients. They
+ * are parsed in slices of time: short chunks take far more of it than their
+ * bytes suggest.
+ */
+async function waitForTurn(connection: ClientConnection): Promise<void> {
+  if (connection.isYielding) return;
+  connection.isYielding = true;
+  await connection.host.bodies.turn();
+  continueReading(connection);
+}
+
+function continueReading(connection: ClientConnection): void {
+  connection.isYielding = false;
+  if (!connection.isClosing) connection.socket.resume();
 }
 
 /** Leaves what has arrived in the buffer of the socket. */
@@ -387,9 +405,11 @@
   }
   if (restBytes !== undefined) exchange.restBytes = restBytes - length;
   parse(chunk.subarray(0, length));
-  if (exchange.bodyBytes > UNINTERRUPTED_BODY_BYTES) {
+  const isInterrupted = exchange.bodyBytes > UNINTERRUPTED_BODY_BYTES ||
+    restBytes === undefined && length < chunk.length;
+  if (isInterrupted) {
     connection.socket.pause();
-    yieldToOthers(connection);
+    waitForTurn(connection);
   }
   return chunk.subarray(length);
 }
@@ -470,6 +490,12 @@
   }
 }
 
+/** Whether the client sent too much or nonsense, and did not just leave. */
+function isBeyondLimits(code = ""): boolean {
+  return code === "ERR_HTTP_REQUEST_TIMEOUT" ||
+    code.startsWith("HPE_") && code !== "HPE_INVALID_EOF_STATE";
+}
+
 function malformedCause(code: string | undefined): RefusalCause {
   switch (code) {
     case "HPE_HEADER_OVERFLOW":
--- a/src/server/client_guard.ts
+++ b/src/server/client_guard.ts
@@ -30,6 +30,7 @@
   isBodyTooSlow,
   type ServerName,
 } from "./client_limits.ts";
+import { createWorkQueue } from "./work_queue.ts";
 
 /** Limit of Node.js on a head, without separators, in bytes. */
 const MAX_HEADER_BYTES = 16_384;
@@ -96,6 +97,7 @@
   const memory = {
     budget: createByteBudget(limits.bodyBytes),
     pool: createBufferPool(limits.bodyBytes.addressBytes),
+    bodies: createWorkQueue(),
   };
   const servers: GuardedServer[] = [];
   const refusals = new Map<string, number>();
@@ -163,7 +165,7 @@
 
 function accept(
   guarded: GuardedServer,
-  memory: Pick<ConnectionHost, "budget" | "pool">,
+  memory: Pick<ConnectionHost, "budget" | "pool" | "bodies">,
   { name, maxBodyBytes }: GuardedServerOptions,
   recordRefusal: (name: ServerName, cause: RefusalCause) => void,
   socket: Socket,
