--- a/src/diagnostics/diagnostics.ts
+++ b/src/diagnostics/diagnostics.ts
@@ -59,6 +59,14 @@
     3020,
     "The owner of the domain cannot be asked: {0}.",
   ),
+  bodyTooSlow: error(
+    3021,
+    "The body arrived too slowly; this call ran nothing.",
+  ),
+  bodyMemoryFull: error(
+    3022,
+    "The bodies of all clients take too much memory; this call ran nothing.",
+  ),
   unschedulable: error(
     4001,
     "None of the {0} listed workers can ever hold one of the tasks; nothing was run.",
--- a/stand_ins/platform/deployment.ts
+++ b/stand_ins/platform/deployment.ts
@@ -18,6 +18,12 @@
   workerCount: number;
   /** How long the store takes for each call, in milliseconds; 0 if absent. */
   storeDelayMs?: number;
+  /** Node.js options of the daemons. */
+  nodeArguments?: string[];
+  /** What each daemon may take; the defaults of the settings if absent. */
+  machine?: { memoryMb: number; descriptors: number };
+  /** Whether the daemons serve the product's own API. */
+  hasApi?: boolean;
   /** Number of domains. */
   partitions?: number;
   /** The services that the workers belong to in turn; `desk` if absent. */
@@ -55,7 +61,8 @@
 ): Promise<Deployment> {
   const { program, instanceCount, workerCount, taskDurationMs } = options;
   const { services = ["desk"], partitions = DEFAULT_PARTITIONS } = options;
-  const { storeDelayMs = 0 } = options;
+  const { storeDelayMs = 0, nodeArguments = [], hasApi = false } = options;
+  const portsPerDaemon = hasApi ? PORTS_PER_DAEMON + 1 : PORTS_PER_DAEMON;
   const folder = mkdtempSync(join(tmpdir(), "samphirestage-"));
   const platform = await startPlatform({
     partitions,
@@ -72,7 +79,7 @@
   });
   // Ports are chosen together: a daemon holds none until it listens, so a later
   // search could return the same port.
-  const ports = await findFreePorts(instanceCount * PORTS_PER_DAEMON);
+  const ports = await findFreePorts(instanceCount * portsPerDaemon);
   const stores = await Promise.all(
     Array.from({ length: instanceCount }, () => platform.openStore()),
   );
@@ -84,7 +91,12 @@
           program,
           folder,
           number: index,
-          ports: ports.slice(index * PORTS_PER_DAEMON),
+          ports: ports.slice(index * portsPerDaemon),
+          nodeArguments,
+          hasApi,
+          ...(options.machine === undefined
+            ? {}
+            : { machine: options.machine }),
           store: stores[index]!.address,
           partitions,
           advice: "",
