Let the turns of a hold be the account's, and never hold what lasts

A hold began with the readiness of the first waiting step. Where wide steps come faster than a hold lasts, each was the first for less than 2 s, so all others of the account waited for ever.

--- a/src/domain/account_limits.ts
+++ b/src/domain/account_limits.ts
@@ -146,11 +146,16 @@
   isNearLimit(run: StepRun): boolean;
 };
 
+/** When steps of an account began to wait for its limit, and last did. */
+export type AccountHold = { sinceMs: number; latestMs: number };
+
 /**
- * For how long a step that does not fit holds back the steps of its account
- * behind it, and for how long they may then pass it, in milliseconds. Without
- * the one, a wide step would never find its room; without the other, long runs
- * before it could stop the whole account.
+ * For how long the first step that does not fit holds back the steps of its
+ * account behind it, and for how long they may then pass, in milliseconds.
+ * Without the one, a wide step would never find its room; without the other,
+ * long runs before it could stop the whole account. The turns are those of the
+ * account, since the first step may be another one each time. A hold is
+ * forgotten if nothing has waited for as long.
  */
 const HOLD_MS = 2_000;
 /** Share of the limit of an account whose waiting work is prepared. */
@@ -170,6 +175,11 @@
   moment: Moment,
 ): AccountLimits {
   domain.accountWaits = new Map();
+  for (const [account, { latestMs }] of domain.accountHolds) {
+    if (moment.steadyMs - latestMs > HOLD_MS) {
+      domain.accountHolds.delete(account);
+    }
+  }
   // Does not change in a pass, unlike what is placed.
   const unrecorded = boundUnrecorded(domain);
   /** The first step of each account that waits, if it holds others back. */
@@ -181,13 +191,23 @@
     return cap === undefined || fitsInto(demand, cap);
   }
 
+  /** Whether it is the turn of the first step of an account that waits. */
+  function holdsOthers(account: string): boolean {
+    const nowMs = moment.steadyMs;
+    const sinceMs = domain.accountHolds.get(account)?.sinceMs ?? nowMs;
+    domain.accountHolds.set(account, { sinceMs, latestMs: nowMs });
+    return Math.floor((nowMs - sinceMs) / HOLD_MS) % 2 === 0;
+  }
+
   return {
     admits(run, taskCount) {
       const { jobRun, step } = run;
       const account = jobRun.job.policy.clientAccount;
       if (account === undefined) return true;
       const head = heads.get(account);
-      if (head !== undefined && head !== run) return false;
+      // Steps that run until they are cancelled must not stand still.
+      const isHeld = head !== undefined && head !== run && !step.longRunning;
+      if (isHeld) return false;
       const limit = limitOf(domain, account);
       if (limit === UNLIMITED_RESOURCES) return true;
       const placed = domain.allocatedByAccount.get(account) ?? NO_RESOURCES;
@@ -205,10 +225,8 @@
       const total = multiplyResources(step.demand, waitingCount);
       const atOnce = step.gang ? total : step.demand;
       if (!canEverFit(account, atOnce)) return;
-      const waitedMs = moment.steadyMs - run.readyAtMs;
-      const holdsOthers = Math.floor(waitedMs / HOLD_MS) % 2 === 0;
       if (!heads.has(account)) {
-        heads.set(account, holdsOthers ? run : undefined);
+        heads.set(account, holdsOthers(account) ? run : undefined);
       }
       const known = domain.accountWaits.get(account);
       domain.accountWaits.set(account, {
--- a/src/domain/account_limits_test.ts
+++ b/src/domain/account_limits_test.ts
@@ -63,6 +63,19 @@
   return (sums.get("north")?.cpuMillis ?? 0) / 1_000;
 }
 
+/** Ten seconds of gangs that never fit; returns what starts meanwhile. */
+function playWideSteps(bench: DomainBench, submitOther: () => void): string[] {
+  const gang = step({ taskCount: 12, gang: true, estimateMs: 500 });
+  const first = bench.commands.length;
+  for (let count = 0; count < 20; count += 1) {
+    const urgent = { ...ACCOUNT, priority: 1 };
+    submit(bench, `wide-${count}`, [gang], urgent);
+    if (count === 0) submitOther();
+    tick(bench, 500);
+  }
+  return startsIn(bench.commands.slice(first)).map(({ task }) => task);
+}
+
 describe("a burst of an account that is at its limit", () => {
   it("starts only what fits, and does not block other accounts", () => {
     const bench = createLimitedBench(4);
@@ -142,6 +155,30 @@
     assert.equal(startsIn(small).length, 1);
   });
 
+  // Guards against a hold that begins anew with each wide step: while they have
+  // less slack than a hold lasts, the first one is always a fresh one.
+  it("lets small ones pass though new wide steps come all the time", () => {
+    const bench = createLimitedBench(16);
+    submit(bench, "base", [step({ taskCount: 6 })], ACCOUNT);
+    const starts = playWideSteps(bench, () => {
+      submit(bench, "small", [step()], { ...ACCOUNT, priority: 2 });
+    });
+    assert.ok(starts.includes("small.0.0.0"), starts.join(" "));
+  });
+
+  // LOST holds for each task that lasts while its account has under half of its
+  // cap: it may not stand still for the turns of others.
+  it("never holds a step that runs until it is cancelled", () => {
+    const bench = createLimitedBench(6);
+    submit(bench, "g", [step({ taskCount: 8, gang: true })], {
+      ...ACCOUNT,
+      priority: 0,
+    });
+    const lasting = step({ longRunning: true, taskCount: 7 });
+    const starts = submit(bench, "l", [lasting], { ...ACCOUNT, priority: 1 });
+    assert.equal(startsIn(starts).length, 6);
+  });
+
   it("does not hold others if it exceeds the cap", () => {
     const bench = createLimitedBench(16);
     submit(bench, "g", [step({ taskCount: 17, gang: true })], ACCOUNT);
--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -1,5 +1,5 @@
 import type { ClientAccount, Resources } from "../model/mod.ts";
-import type { AccountWait } from "./account_limits.ts";
+import type { AccountHold, AccountWait } from "./account_limits.ts";
 import type { AccountRate } from "./account_rate.ts";
 import type { AccountUse } from "./account_share.ts";
 import { type CrashRates, createCrashRates } from "./crash_rates.ts";
@@ -77,6 +77,8 @@
    * without an entry have no limit.
    */
   accountLimits: Map<string, Resources>;
+  /** Client accounts of which steps wait for the limit, or lately did. */
+  accountHolds: Map<string, AccountHold>;
   /**
    * Whether the configuration may be outdated, so that a cap may be lower than
    * it is known to be.
@@ -134,6 +136,7 @@
     clientAccounts: new Map(),
     allocatedByAccount: new Map(),
     accountLimits: new Map(),
+    accountHolds: new Map(),
     isConfigurationStale: false,
     accountWaits: new Map(),
     accountRates: new Map(),
