Claim room for a wide gang only in its turns

The claim of a gang that is wider than an equal part of the cap keeps all other domains from starting anything of the account. Where tasks that run until they are cancelled hold what it lacks, it is never served: a lasting task that had failed in another domain stood still for ever, with its account at a quarter of its cap (LOST). Now the first step claims for 2 s, and for 2 s the domain asks for what its smallest waiting step needs.

--- a/src/domain/account_limits.ts
+++ b/src/domain/account_limits.ts
@@ -23,8 +23,13 @@
 
 /** What waits because of the limit of an account. */
 export type AccountWait = {
-  /** What the step of the highest rank needs at once. */
+  /**
+   * What a step needs at once: the first one while it holds others back, then
+   * the one that needs the least.
+   */
   atOnce: Resources;
+  /** Whether the first step holds others back. */
+  holdsOthers: boolean;
   /** What all its waiting tasks need together. */
   total: Resources;
 };
@@ -229,8 +234,12 @@
         heads.set(account, holdsOthers(account) ? run : undefined);
       }
       const known = domain.accountWaits.get(account);
+      const isHolding = heads.get(account) !== undefined;
+      const isNext = known === undefined ||
+        !isHolding && fitsInto(atOnce, known.atOnce);
       domain.accountWaits.set(account, {
-        atOnce: known?.atOnce ?? atOnce,
+        atOnce: isNext ? atOnce : known.atOnce,
+        holdsOthers: isHolding,
         total: known === undefined ? total : addResources(known.total, total),
       });
     },
--- a/src/domain/account_limits_test.ts
+++ b/src/domain/account_limits_test.ts
@@ -166,6 +166,19 @@
     assert.ok(starts.includes("small.0.0.0"), starts.join(" "));
   });
 
+  it("asks for less than it needs while it lets others pass", () => {
+    const bench = createLimitedBench(0);
+    submit(bench, "g", [step({ taskCount: 8, gang: true })], ACCOUNT);
+    submit(bench, "s", [step()], { ...ACCOUNT, priority: 1 });
+    const wait = () => bench.domain.accountWaits.get("north");
+    assert.equal(wait()?.atOnce.cpuMillis, 8_000);
+    tick(bench, 2_000);
+    assert.equal(wait()?.atOnce.cpuMillis, 1_000);
+    assert.equal(wait()?.total.cpuMillis, 9_000);
+    tick(bench, 2_000);
+    assert.equal(wait()?.atOnce.cpuMillis, 8_000);
+  });
+
   // LOST holds for each task that lasts while its account has under half of its
   // cap: it may not stand still for the turns of others.
   it("never holds a step that runs until it is cancelled", () => {
--- a/src/ownership/allotments/plan_allotment.ts
+++ b/src/ownership/allotments/plan_allotment.ts
@@ -61,7 +61,8 @@
  *
  * A request claims what the next step needs at once, or enough for an equal
  * part. Claims are served one at a time, in the order of the requests, so that
- * no two domains wait for each other. The rest of a request is served only from
+ * no two domains wait for each other. A step that is wider than an equal part
+ * claims only while it holds others back. The rest of a request is served only from
  * what other domains do not use.
  *
  * @returns undefined if the domain needs no entry
@@ -186,7 +187,9 @@
     return { held, request: undefined };
   }
   const all = min(addResources(used, onlyCapped(wait.total, cap)), cap);
-  const mayClaim = fitsInto(next, equal) || !fitsInto(atOnce, equal);
+  // A wider step than an equal part stops the other domains, so it takes turns.
+  const mayClaim = fitsInto(next, equal) ||
+    wait.holdsOthers && !fitsInto(atOnce, equal);
   const goal = mayClaim ? max(min(next, cap), min(all, equal)) : next;
   const free = freeBeside(situation, held);
   const unclaimed = lacking(free, claimsBefore(requests, undefined));
--- a/src/ownership/allotments/plan_allotment_test.ts
+++ b/src/ownership/allotments/plan_allotment_test.ts
@@ -17,7 +17,8 @@
 }
 
 function waitOf(atOnce: number, total = atOnce): AccountWait {
-  return { atOnce: cpu(atOnce, 5), total: cpu(total, 5) };
+  const holdsOthers = true;
+  return { atOnce: cpu(atOnce, 5), total: cpu(total, 5), holdsOthers };
 }
 
 /** A domain that runs something, and what it plans. */
@@ -150,6 +151,24 @@
     assert.equal(second.wait, undefined);
   });
 
+  // LOST: tasks that run until they are cancelled keep a gang from its room for
+  // ever; one of them that has failed has to start again all the same.
+  it("does not stop other domains for a gang, but by turns", () => {
+    const gang: Party = { runs: 0, wait: waitOf(90) };
+    const lasting: Party = { runs: 25 };
+    settle([gang, lasting]);
+    Object.assign(lasting, { runs: 20, wait: waitOf(5) });
+    settle([gang, lasting]);
+    assert.notEqual(lasting.wait, undefined);
+    gang.wait = { ...waitOf(90), holdsOthers: false };
+    settle([gang, lasting]);
+    assert.equal(lasting.wait, undefined);
+    gang.wait = waitOf(90);
+    lasting.runs = 10;
+    settle([gang, lasting]);
+    assert.equal(gang.wait, undefined);
+  });
+
   it("does not grow for a step that is wider than the cap", () => {
     const planned = planAllotment(situation({ wait: waitOf(120) }, 10));
     assert.deepEqual(planned, { held: cpu(50) });
