Keep room only for steps that could start with the policy's answer

Hopeless steps that need much, and steps at the limit of their account, kept the work beyond the rates from free workers for 1 s each, so for as long as they came; so did a lack of a resource that the work does not use.

--- a/src/domain/account_load_test.ts
+++ b/src/domain/account_load_test.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { digest } from "../base/mod.ts";
+import type { Step } from "./job.ts";
 import {
   type AccountLoad,
   createAccountLoad,
@@ -294,6 +295,62 @@
   });
 });
 
+describe("excess beside steps within the rates that cannot start", () => {
+  const isPlaced = ({ bench }: AccountLoad, id: string) =>
+    bench.domain.steps.get(`${id}.0.0`)?.waitingCount === 0;
+  const asking = (account: string, changes: Partial<Step>): Stream =>
+    stream(account, 1, {
+      needsAdvice: true,
+      step: { ...SHORT, taskCount: 4, ...changes },
+    });
+  /** Uses up the rate of an account. */
+  function createHotLoad(): AccountLoad {
+    const load = createAccountLoad(2, { hot: 1, other: 1 });
+    submitJob(load, "within", stream("hot", 1, { step: step() }));
+    return load;
+  }
+
+  // Hopeless steps that come all the time kept the excess from free workers.
+  it("keeps no room for what no worker can run", () => {
+    for (
+      const hopeless of [
+        { demand: { cpuMillis: 9_000, memoryMb: 1, accelerators: 9 } },
+        { requiredLabel: "none" },
+      ]
+    ) {
+      const load = createHotLoad();
+      submitJob(load, "hopeless", asking("other", hopeless));
+      submitJob(load, "beyond", stream("hot", 1, { step: step() }));
+      assert.ok(isPlaced(load, "beyond"), JSON.stringify(hopeless));
+    }
+  });
+
+  it("does not need what it does not use", () => {
+    const load = createHotLoad();
+    const demand = { cpuMillis: 10, memoryMb: 1, accelerators: 8 };
+    submitJob(load, "asks", asking("other", { demand }));
+    submitJob(load, "beyond", stream("hot", 1, { step: step() }));
+    assert.ok(isPlaced(load, "beyond"));
+  });
+
+  it("keeps no room for what waits for the limit of its account", () => {
+    const load = createHotLoad();
+    const { clientAccounts } = load.bench.domain;
+    const accounts = [...clientAccounts.values()].map((account) => ({
+      ...account,
+      cap: {
+        cpuMillis: account.name === "other" ? 8_000 : 0,
+        memoryMb: 0,
+        accelerators: 0,
+      },
+    }));
+    feedEvent(load.bench, { kind: "accountsConfigured", accounts });
+    submitJob(load, "capped", asking("other", { taskCount: 8 }));
+    submitJob(load, "beyond", stream("hot", 1, { step: step() }));
+    assert.ok(isPlaced(load, "beyond"));
+  });
+});
+
 describe("a takeover in a burst", () => {
   const weights = { hot: 2, a: 4 };
 
--- a/src/domain/excess_room.ts
+++ b/src/domain/excess_room.ts
@@ -7,11 +7,14 @@
  */
 import {
   addResources,
+  combineResources,
   fitsInto,
+  NO_RESOURCES,
   type Resources,
   subtractResources,
 } from "../model/mod.ts";
 import { hasAdvice } from "./advice_requests.ts";
+import { isEligible } from "./choose_worker.ts";
 import type { SchedulingPass } from "./scheduling_pass.ts";
 import { isExcess, type StepRun } from "./step_run.ts";
 import { allocationOf } from "./task_placement.ts";
@@ -27,7 +30,11 @@
   const { service } = run.jobRun.job.policy;
   const room = pass.excessRoom.get(service) ?? findRoom(pass, service);
   pass.excessRoom.set(service, room);
-  return fitsInto(allocationOf(run.step), room);
+  // What it does not need may be short.
+  return fitsInto(
+    allocationOf(run.step),
+    combineResources(room, NO_RESOURCES, Math.max),
+  );
 }
 
 /** Subtracts what a step beyond its account's rate has been given. */
@@ -55,12 +62,21 @@
     if (policy.service !== service || isExcess(run)) continue;
     const waitedMs = pass.moment.steadyMs - run.readyAtMs;
     if (hasAdvice(run) || waitedMs > MAX_ADVICE_WAIT_MS) continue;
+    if (!couldStart(pass, run)) continue;
     const needed = multiply(allocationOf(run.step), run.waitingCount);
     room = subtractResources(room, needed);
   }
   return room;
 }
 
+/** Whether the policy's answer is what keeps a step from its capacity. */
+function couldStart(pass: SchedulingPass, run: StepRun): boolean {
+  const { step, jobRun } = run;
+  const { service } = jobRun.job.policy;
+  return pass.accountLimits.admits(run, step.gang ? step.taskCount : 1) &&
+    pass.workersOf(service).some((worker) => isEligible(worker, run));
+}
+
 function multiply(amount: Resources, factor: number): Resources {
   return {
     cpuMillis: amount.cpuMillis * factor,
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -91,7 +91,10 @@
     if (!run.step.gang) prepareStep(pass, run, isLargeStep(pass, run));
     const { service } = run.jobRun.job.policy;
     const demand = allocationOf(run.step);
-    pass.recordNoCapacity(service, { demand, count: 1, mayBackfill: true });
+    const task = { demand, count: 1, mayBackfill: true };
+    if (!pass.hasNoCapacityFor(service, task)) {
+      pass.recordNoCapacity(service, task);
+    }
     return;
   }
   const waitingCount = run.waitingCount;
