Ask for no more of a cap for excess without room

A step beyond its account's rate that may not start yet, since the room is kept for others, was noted as waiting for the limit of its account: its claim kept other domains from work within the rates. The test failed before; account_load and account_limits: 41 of 41 pass.

--- a/src/domain/account_load_test.ts
+++ b/src/domain/account_load_test.ts
@@ -351,6 +351,26 @@
   });
 });
 
+describe("excess of a capped account without room", () => {
+  // Its claim would keep other domains from work within the rates.
+  it("asks for no more of the cap", () => {
+    const load = createAccountLoad(2, { hot: 1 });
+    const { bench } = load;
+    const asks = { needsAdvice: true, step: { ...SHORT, taskCount: 8 } };
+    const cap = { cpuMillis: 8_000, memoryMb: 0, accelerators: 0 };
+    const accounts = [...bench.domain.clientAccounts.values()];
+    const capped = accounts.map((account) => ({ ...account, cap }));
+    feedEvent(bench, { kind: "accountsConfigured", accounts: capped });
+    submitJob(load, "within", stream("hot", 1));
+    feedEvent(bench, { kind: "cancelled", call: 0, job: "within" });
+    submitJob(load, "asks", stream(undefined, 1, asks));
+    submitJob(load, "beyond", stream("hot", 1));
+    assert.equal(bench.domain.accountWaits.get("hot"), undefined);
+    tick(bench, 1_100);
+    assert.notEqual(bench.domain.accountWaits.get("hot"), undefined);
+  });
+});
+
 describe("a takeover in a burst", () => {
   const weights = { hot: 2, a: 4 };
 
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -113,6 +113,7 @@
   // A gang in part stops before it starts again.
   if (gang && run.waitingCount < taskCount) return false;
   if (accountLimits.admits(run, gang ? taskCount : 1)) return false;
+  if (isExcess(run) && !hasRoomForExcess(pass, run)) return true;
   const hasCapacity = gang
     ? !lacksCapacityFor(pass, run)
     : placeableWorkers(pass, run).next().done !== true;
