Take the room of excess task by task

There had to be room for the first task of a step beyond its account's rate; all its tasks were then placed, in the room of steps within the rates that wait for the placement policy. The test failed before (10 tasks placed, 3 with room); account_load and account_limits: 42 of 42 pass.

--- a/src/domain/account_load_test.ts
+++ b/src/domain/account_load_test.ts
@@ -272,6 +272,20 @@
     assert.ok(beyondUseful >= 0.5 * beyond, `${beyondUseful} of ${beyond}`);
   });
 
+  // Guards against a wide step for whose first task there is room.
+  it("leaves them their room with each of its tasks", () => {
+    const load = createAccountLoad(2, { hot: 1, other: 1 });
+    const twelve = { needsAdvice: true, step: step({ taskCount: 12 }) };
+    submitJob(load, "within", stream("hot", 1, { step: step() }));
+    submitJob(load, "asks", stream("other", 1, twelve));
+    const wide = step({ taskCount: 10 });
+    submitJob(load, "beyond", stream("hot", 1, { step: wide }));
+    const waiting = () => load.bench.domain.steps.get("beyond.0.0")!;
+    assert.equal(waiting().waitingCount, 7);
+    tick(load.bench, 1_100);
+    assert.equal(waiting().waitingCount, 0);
+  });
+
   it("is not held up by a policy that does not answer", () => {
     const load = createAccountLoad(1, { hot: 1 });
     const needsAdvice = { ...SHORT, taskCount: 8 };
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -99,6 +99,8 @@
   }
   const waitingCount = run.waitingCount;
   placeStep(pass, run);
+  // Tasks that are not started together take theirs one by one.
+  if (!run.step.gang) return;
   takeExcessRoom(pass, run, waitingCount - run.waitingCount);
 }
 
@@ -138,6 +140,7 @@
       reportPlacements(pass, run, placements);
       return pass.accountLimits.recordWait(run);
     }
+    if (isExcess(run) && !hasRoomForExcess(pass, run)) break;
     const score = isSuspect(run, index)
       ? scoreWorkerForSuspect.bind(undefined, domain)
       : scoreWorker;
@@ -145,6 +148,7 @@
     if (worker === undefined) break;
     const attempt = nextAttempt(domain, run, task);
     placements.push(startTask(pass, run, index, worker, attempt));
+    if (isExcess(run)) takeExcessRoom(pass, run, 1);
   }
   reportPlacements(pass, run, placements);
   if (run.waitingCount === 0) {
