Ask in the others' turn for the step with the least share of the cap

Of two steps that need different resources neither needs less of each, so the request stayed that of the wide gang.

--- a/src/domain/account_limits.ts
+++ b/src/domain/account_limits.ts
@@ -18,6 +18,7 @@
 import type { Moment } from "./domain_event.ts";
 import { mayHaveUnlistedRuns } from "./job_lifecycle.ts";
 import type { JobRun } from "./job_run.ts";
+import { dominantShare } from "./reservations.ts";
 import type { StepRun } from "./step_run.ts";
 import { allocationOf } from "./task_placement.ts";
 
@@ -25,7 +26,7 @@
 export type AccountWait = {
   /**
    * What a step needs at once: the first one while it holds others back, then
-   * the one that needs the least.
+   * the one that needs the least share of the cap.
    */
   atOnce: Resources;
   /** Whether the first step holds others back. */
@@ -190,10 +191,11 @@
   /** The first step of each account that waits, if it holds others back. */
   const heads = new Map<string, StepRun | undefined>();
 
-  function canEverFit(account: string, demand: Resources): boolean {
+  /** Returns the cap of an account; infinite where it has none. */
+  function knownCapOf(account: string): Resources {
     const known = domain.clientAccounts.get(account);
     const cap = known === undefined ? undefined : capOf(known);
-    return cap === undefined || fitsInto(demand, cap);
+    return cap ?? UNLIMITED_RESOURCES;
   }
 
   /** Whether it is the turn of the first step of an account that waits. */
@@ -229,14 +231,17 @@
       if (account === undefined) return;
       const total = multiplyResources(step.demand, waitingCount);
       const atOnce = step.gang ? total : step.demand;
-      if (!canEverFit(account, atOnce)) return;
+      const cap = knownCapOf(account);
+      // More than the cap can never start at once.
+      if (!fitsInto(atOnce, cap)) return;
       if (!heads.has(account)) {
         heads.set(account, holdsOthers(account) ? run : undefined);
       }
       const known = domain.accountWaits.get(account);
       const isHolding = heads.get(account) !== undefined;
       const isNext = known === undefined ||
-        !isHolding && fitsInto(atOnce, known.atOnce);
+        !isHolding &&
+          dominantShare(atOnce, cap) < dominantShare(known.atOnce, cap);
       domain.accountWaits.set(account, {
         atOnce: isNext ? atOnce : known.atOnce,
         holdsOthers: isHolding,
--- a/src/domain/account_limits_test.ts
+++ b/src/domain/account_limits_test.ts
@@ -179,6 +179,15 @@
     assert.equal(wait()?.atOnce.cpuMillis, 8_000);
   });
 
+  it("then asks for the least share of the cap, of whatever resource", () => {
+    const bench = createLimitedBench(0);
+    submit(bench, "g", [step({ taskCount: 8, gang: true })], ACCOUNT);
+    const demand = { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 1 };
+    submit(bench, "s", [step({ demand })], { ...ACCOUNT, priority: 1 });
+    tick(bench, 2_000);
+    assert.deepEqual(bench.domain.accountWaits.get("north")?.atOnce, demand);
+  });
+
   // LOST holds for each task that lasts while its account has under half of its
   // cap: it may not stand still for the turns of others.
   it("never holds a step that runs until it is cancelled", () => {
