--- a/src/domain/account_limits.ts
+++ b/src/domain/account_limits.ts
@@ -18,13 +18,19 @@
 import type { Moment } from "./domain_event.ts";
 import { mayHaveUnlistedRuns } from "./job_lifecycle.ts";
 import type { JobRun } from "./job_run.ts";
+import { dominantShare } from "./reservations.ts";
 import type { StepRun } from "./step_run.ts";
 import { allocationOf } from "./task_placement.ts";
 
 /** What waits because of the limit of an account. */
 export type AccountWait = {
-  /** What the step of the highest rank needs at once. */
+  /**
+   * What a step needs at once: the first one while it holds others back, then
+   * the one that needs the least share of the cap.
+   */
   atOnce: Resources;
+  /** Whether the first step holds others back. */
+  holdsOthers: boolean;
   /** What all its waiting tasks need together. */
   total: Resources;
 };
@@ -146,11 +152,16 @@
   isNearLimit(run: StepRun): boolean;
 };
 
+/** When steps of an account began to wait for its limit, and last did. */
+export type AccountHold = { sinceMs: number; latestMs: number };
+
 /**
- * For how long a step that does not fit holds back the steps of its account
- * behind it, and for how long they may then pass it, in milliseconds. Without
- * the one, a wide step would never find its room; without the other, long runs
- * before it could stop the whole account.
+ * For how long the first step that does not fit holds back the steps of its
+ * account behind it, and for how long they may then pass, in milliseconds.
+ * Without the one, a wide step would never find its room; without the other,
+ * long runs before it could stop the whole account. The turns are those of the
+ * account, since the first step may be another one each time. A hold is
+ * forgotten if nothing has waited for as long.
  */
 const HOLD_MS = 2_000;
 /** Share of the limit of an account whose waiting work is prepared. */
@@ -170,15 +181,29 @@
   moment: Moment,
 ): AccountLimits {
   domain.accountWaits = new Map();
+  for (const [account, { latestMs }] of domain.accountHolds) {
+    if (moment.steadyMs - latestMs > HOLD_MS) {
+      domain.accountHolds.delete(account);
+    }
+  }
   // Does not change in a pass, unlike what is placed.
   const unrecorded = boundUnrecorded(domain);
   /** The first step of each account that waits, if it holds others back. */
   const heads = new Map<string, StepRun | undefined>();
 
-  function canEverFit(account: string, demand: Resources): boolean {
+  /** Returns the cap of an account; infinite where it has none. */
+  function knownCapOf(account: string): Resources {
     const known = domain.clientAccounts.get(account);
     const cap = known === undefined ? undefined : capOf(known);
-    return cap === undefined || fitsInto(demand, cap);
+    return cap ?? UNLIMITED_RESOURCES;
+  }
+
+  /** Whether it is the turn of the first step of an account that waits. */
+  function holdsOthers(account: string): boolean {
+    const nowMs = moment.steadyMs;
+    const sinceMs = domain.accountHolds.get(account)?.sinceMs ?? nowMs;
+    domain.accountHolds.set(account, { sinceMs, latestMs: nowMs });
+    return Math.floor((nowMs - sinceMs) / HOLD_MS) % 2 === 0;
   }
 
   return {
@@ -187,7 +212,9 @@
       const account = jobRun.job.policy.clientAccount;
       if (account === undefined) return true;
       const head = heads.get(account);
-      if (head !== undefined && head !== run) return false;
+      // Steps that run until they are cancelled must not stand still.
+      const isHeld = head !== undefined && head !== run && !step.longRunning;
+      if (isHeld) return false;
       const limit = limitOf(domain, account);
       if (limit === UNLIMITED_RESOURCES) return true;
       const placed = domain.allocatedByAccount.get(account) ?? NO_RESOURCES;
@@ -204,15 +231,20 @@
       if (account === undefined) return;
       const total = multiplyResources(step.demand, waitingCount);
       const atOnce = step.gang ? total : step.demand;
-      if (!canEverFit(account, atOnce)) return;
-      const waitedMs = moment.steadyMs - run.readyAtMs;
-      const holdsOthers = Math.floor(waitedMs / HOLD_MS) % 2 === 0;
+      const cap = knownCapOf(account);
+      // More than the cap can never start at once.
+      if (!fitsInto(atOnce, cap)) return;
       if (!heads.has(account)) {
-        heads.set(account, holdsOthers ? run : undefined);
+        heads.set(account, holdsOthers(account) ? run : undefined);
       }
       const known = domain.accountWaits.get(account);
+      const isHolding = heads.get(account) !== undefined;
+      const isNext = known === undefined ||
+        !isHolding &&
+          dominantShare(atOnce, cap) < dominantShare(known.atOnce, cap);
       domain.accountWaits.set(account, {
-        atOnce: known?.atOnce ?? atOnce,
+        atOnce: isNext ? atOnce : known.atOnce,
+        holdsOthers: isHolding,
         total: known === undefined ? total : addResources(known.total, total),
       });
     },
--- a/src/domain/account_load_test.ts
+++ b/src/domain/account_load_test.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { digest } from "../base/mod.ts";
+import type { Step } from "./job.ts";
 import {
   type AccountLoad,
   createAccountLoad,
@@ -271,6 +272,20 @@
     assert.ok(beyondUseful >= 0.5 * beyond, `${beyondUseful} of ${beyond}`);
   });
 
+  // Guards against a wide step for whose first task there is room.
+  it("leaves them their room with each of its tasks", () => {
+    const load = createAccountLoad(2, { hot: 1, other: 1 });
+    const twelve = { needsAdvice: true, step: step({ taskCount: 12 }) };
+    submitJob(load, "within", stream("hot", 1, { step: step() }));
+    submitJob(load, "asks", stream("other", 1, twelve));
+    const wide = step({ taskCount: 10 });
+    submitJob(load, "beyond", stream("hot", 1, { step: wide }));
+    const waiting = () => load.bench.domain.steps.get("beyond.0.0")!;
+    assert.equal(waiting().waitingCount, 7);
+    tick(load.bench, 1_100);
+    assert.equal(waiting().waitingCount, 0);
+  });
+
   it("is not held up by a policy that does not answer", () => {
     const load = createAccountLoad(1, { hot: 1 });
     const needsAdvice = { ...SHORT, taskCount: 8 };
@@ -294,6 +309,82 @@
   });
 });
 
+describe("excess beside steps within the rates that cannot start", () => {
+  const isPlaced = ({ bench }: AccountLoad, id: string) =>
+    bench.domain.steps.get(`${id}.0.0`)?.waitingCount === 0;
+  const asking = (account: string, changes: Partial<Step>): Stream =>
+    stream(account, 1, {
+      needsAdvice: true,
+      step: { ...SHORT, taskCount: 4, ...changes },
+    });
+  /** Uses up the rate of an account. */
+  function createHotLoad(): AccountLoad {
+    const load = createAccountLoad(2, { hot: 1, other: 1 });
+    submitJob(load, "within", stream("hot", 1, { step: step() }));
+    return load;
+  }
+
+  // Hopeless steps that come all the time kept the excess from free workers.
+  it("keeps no room for what no worker can run", () => {
+    for (
+      const hopeless of [
+        { demand: { cpuMillis: 9_000, memoryMb: 1, accelerators: 9 } },
+        { requiredLabel: "none" },
+      ]
+    ) {
+      const load = createHotLoad();
+      submitJob(load, "hopeless", asking("other", hopeless));
+      submitJob(load, "beyond", stream("hot", 1, { step: step() }));
+      assert.ok(isPlaced(load, "beyond"), JSON.stringify(hopeless));
+    }
+  });
+
+  it("does not need what it does not use", () => {
+    const load = createHotLoad();
+    const demand = { cpuMillis: 10, memoryMb: 1, accelerators: 8 };
+    submitJob(load, "asks", asking("other", { demand }));
+    submitJob(load, "beyond", stream("hot", 1, { step: step() }));
+    assert.ok(isPlaced(load, "beyond"));
+  });
+
+  it("keeps no room for what waits for the limit of its account", () => {
+    const load = createHotLoad();
+    const { clientAccounts } = load.bench.domain;
+    const accounts = [...clientAccounts.values()].map((account) => ({
+      ...account,
+      cap: {
+        cpuMillis: account.name === "other" ? 8_000 : 0,
+        memoryMb: 0,
+        accelerators: 0,
+      },
+    }));
+    feedEvent(load.bench, { kind: "accountsConfigured", accounts });
+    submitJob(load, "capped", asking("other", { taskCount: 8 }));
+    submitJob(load, "beyond", stream("hot", 1, { step: step() }));
+    assert.ok(isPlaced(load, "beyond"));
+  });
+});
+
+describe("excess of a capped account without room", () => {
+  // Its claim would keep other domains from work within the rates.
+  it("asks for no more of the cap", () => {
+    const load = createAccountLoad(2, { hot: 1 });
+    const { bench } = load;
+    const asks = { needsAdvice: true, step: { ...SHORT, taskCount: 8 } };
+    const cap = { cpuMillis: 8_000, memoryMb: 0, accelerators: 0 };
+    const accounts = [...bench.domain.clientAccounts.values()];
+    const capped = accounts.map((account) => ({ ...account, cap }));
+    feedEvent(bench, { kind: "accountsConfigured", accounts: capped });
+    submitJob(load, "within", stream("hot", 1));
+    feedEvent(bench, { kind: "cancelled", call: 0, job: "within" });
+    submitJob(load, "asks", stream(undefined, 1, asks));
+    submitJob(load, "beyond", stream("hot", 1));
+    assert.equal(bench.domain.accountWaits.get("hot"), undefined);
+    tick(bench, 1_100);
+    assert.notEqual(bench.domain.accountWaits.get("hot"), undefined);
+  });
+});
+
 describe("a takeover in a burst", () => {
   const weights = { hot: 2, a: 4 };
 
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -92,11 +92,16 @@
     if (!run.step.gang) prepareStep(pass, run, isLargeStep(pass, run));
     const { service } = run.jobRun.job.policy;
     const demand = allocationOf(run.step);
-    pass.recordNoCapacity(service, { demand, count: 1, mayBackfill: true });
+    const task = { demand, count: 1, mayBackfill: true };
+    if (!pass.hasNoCapacityFor(service, task)) {
+      pass.recordNoCapacity(service, task);
+    }
     return;
   }
   const waitingCount = run.waitingCount;
   placeStep(pass, run);
+  // Tasks that are not started together take theirs one by one.
+  if (!run.step.gang) return;
   takeExcessRoom(pass, run, waitingCount - run.waitingCount);
 }
 
@@ -111,6 +116,7 @@
   // A gang in part stops before it starts again.
   if (gang && run.waitingCount < taskCount) return false;
   if (accountLimits.admits(run, gang ? taskCount : 1)) return false;
+  if (isExcess(run) && !hasRoomForExcess(pass, run)) return true;
   const hasCapacity = gang
     ? !lacksCapacityFor(pass, run)
     : placeableWorkers(pass, run).next().done !== true;
@@ -135,11 +141,13 @@
       reportPlacements(pass, run, placements);
       return pass.accountLimits.recordWait(run);
     }
+    if (isExcess(run) && !hasRoomForExcess(pass, run)) break;
     const score = isSuspect(run, index) ? scoreWorkerForSuspect : scoreWorker;
     const worker = takeBestWorker(pass, candidates, run, score);
     if (worker === undefined) break;
     const attempt = nextAttempt(domain, run, task);
     placements.push(startTask(pass, run, index, worker, attempt));
+    if (isExcess(run)) takeExcessRoom(pass, run, 1);
   }
   reportPlacements(pass, run, placements);
   if (run.waitingCount === 0) {
