--- a/src/cli/commands/where.ts
+++ b/src/cli/commands/where.ts
@@ -9,7 +9,6 @@
 import type { ApiClient } from "../api_client.ts";
 import {
   type CommandFault,
-  commandFault,
   toCommandFault,
   usageFault,
 } from "../command_fault.ts";
@@ -18,7 +17,11 @@
 import { exitCodes } from "../exit_codes.ts";
 import { readJsonInputFile } from "../input_files.ts";
 import { type CommandResult, runRemote } from "../run_command.ts";
-import { buildSubmission, type SubmissionFlags } from "../submission_flags.ts";
+import {
+  buildSubmission,
+  invalidSubmission,
+  type SubmissionFlags,
+} from "../submission_flags.ts";
 import type { Terminal } from "../terminal.ts";
 
 type WhereFlags = SubmissionFlags & {
@@ -114,12 +117,7 @@
       const question = { kind: "job", queue, clientAccount: account, steps };
       const parsed = v.safeParse(placementQuestionSchema, question);
       if (parsed.success) return ok(parsed.output);
-      const [issue] = parsed.issues;
-      const location = v.getDotPath(issue) ?? "the top level";
-      const cause = issue.message.replace(/\.$/, "");
-      return err(
-        commandFault(exitCodes.usage, submissionInvalid, location, cause),
-      );
+      return err(invalidSubmission(parsed.issues[0]));
     },
   );
 }
--- a/src/cli/submission_flags.ts
+++ b/src/cli/submission_flags.ts
@@ -83,11 +83,14 @@
   return json.andThen((value) => {
     const parsed = v.safeParse(submissionSchema, value);
     if (parsed.success) return ok(parsed.output);
-    const [issue] = parsed.issues;
-    const location = v.getDotPath(issue) ?? "the top level";
-    const cause = issue.message.replace(/\.$/, "");
-    return err(
-      commandFault(exitCodes.usage, submissionInvalid, location, cause),
-    );
+    return err(invalidSubmission(parsed.issues[0]));
   });
 }
+
+/** Builds the fault of a file whose content does not match its schema. */
+export function invalidSubmission(issue: v.BaseIssue<unknown>): CommandFault {
+  const { submissionInvalid } = diagnostics;
+  const location = v.getDotPath(issue) ?? "the top level";
+  const cause = issue.message.replace(/\.$/, "");
+  return commandFault(exitCodes.usage, submissionInvalid, location, cause);
+}
