Need no value in the settings template that earlier releases did not need

What callers saw: nothing was served where the settings template was filled in with the values that the last release had needed; the daemon ended with exit code 2.

Cause: added five placeholders to deploy/entry.ini. A name without a value becomes "undefined" or an empty text, which is invalid for the keys that used them, although these keys have defaults. No test filled in the template.

A setting may also come from an environment variable, which the deploy file sets for what a platform may have; an empty one is absent, and a misspelled variable or value stops the daemon as a misspelled key does.

--- a/src/diagnostics/diagnostics.ts
+++ b/src/diagnostics/diagnostics.ts
@@ -15,6 +15,10 @@
   settingUnknown: error(1003, "[{0}] {1} is not a known key; allowed: {2}."),
   sectionUnknown: error(1004, "[{0}] is not a known section; allowed: {1}."),
   settingsUnreadable: error(1005, "The settings {0} cannot be read: {1}."),
+  variableUnknown: error(
+    1006,
+    "The variable {0} names no setting; allowed: {1}.",
+  ),
   manifestInvalid: error(1101, "The manifest is invalid at {0}: {1}."),
   manifestUnreadable: error(1102, "The manifest {0} cannot be read: {1}."),
   manifestConflict: error(
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -52,6 +52,9 @@
     build: BUILD_IDENTITY,
     node: process.version,
     machine: process.arch,
+    memoryMb: settings.machine.memoryMb,
+    descriptors: settings.machine.descriptors,
+    revocationBoundMs: settings.configuration.revocationBoundMs,
   });
   process.on("SIGTERM", () => stopping.abort());
   // A second SIGINT ends the process at once.
--- /dev/null
+++ b/src/settings/environment_settings.ts
@@ -0,0 +1,61 @@
+import type { IniSection } from "./ini_section.ts";
+import { sections } from "./sections.ts";
+import { type SettingsFault, unknownVariable } from "./settings_fault.ts";
+
+const VARIABLE_PREFIX = "SAMPHIRESTAGE_SETTING_";
+
+/** Environment variables by name, such as `process.env`. */
+export type Environment = Readonly<Record<string, string | undefined>>;
+
+/**
+ * Returns the name of the environment variable that sets a key.
+ *
+ * @example
+ * ```ts
+ * settingVariable("machine", "memory_mb");
+ * // "SAMPHIRESTAGE_SETTING_MACHINE_MEMORY_MB"
+ * ```
+ */
+export function settingVariable(section: string, key: string): string {
+  return VARIABLE_PREFIX + `${section}_${key}`.toUpperCase();
+}
+
+/**
+ * Adds the settings that the environment holds to those of a file, which they
+ * replace. An empty variable counts as absent, because a platform that has no
+ * value for a variable sets it to an empty text. Variables that no key has are
+ * appended to `faults`.
+ *
+ * @example
+ * ```ts
+ * const ini = parseIni(text)._unsafeUnwrap();
+ * addEnvironmentSettings(ini, process.env, faults);
+ * ```
+ */
+export function addEnvironmentSettings(
+  ini: Map<string, IniSection>,
+  environment: Environment,
+  faults: SettingsFault[],
+): void {
+  const keys = keysByVariable();
+  for (const [variable, value = ""] of Object.entries(environment)) {
+    if (!variable.startsWith(VARIABLE_PREFIX)) continue;
+    const found = keys.get(variable);
+    if (found === undefined) {
+      faults.push(unknownVariable(variable, [...keys.keys()]));
+    } else if (value !== "") {
+      const { section, key } = found;
+      ini.set(section, new Map(ini.get(section)).set(key, [value]));
+    }
+  }
+}
+
+function keysByVariable(): Map<string, { section: string; key: string }> {
+  const keys = new Map<string, { section: string; key: string }>();
+  for (const [section, { entries }] of Object.entries(sections)) {
+    for (const key of Object.keys(entries)) {
+      keys.set(settingVariable(section, key), { section, key });
+    }
+  }
+  return keys;
+}
--- a/src/settings/mod.ts
+++ b/src/settings/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./check_settings_file.ts";
+export { type Environment, settingVariable } from "./environment_settings.ts";
 export * from "./read_settings.ts";
 export * from "./settings.ts";
 export { formatSettingsFaults, type SettingsFault } from "./settings_fault.ts";
--- a/src/settings/read_settings.ts
+++ b/src/settings/read_settings.ts
@@ -1,5 +1,9 @@
 import { err, ok, type Result } from "neverthrow";
 import { camelCaseKeys } from "./camel_case.ts";
+import {
+  addEnvironmentSettings,
+  type Environment,
+} from "./environment_settings.ts";
 import { type IniSection, parseIni } from "./ini_section.ts";
 import { readNamedSecrets, readSection } from "./read_section.ts";
 import { sections } from "./sections.ts";
@@ -20,22 +24,27 @@
 ];
 
 /**
- * Reads the settings of an entry instance from INI text.
+ * Reads the settings of an entry instance from INI text and, where a variable
+ * sets a key, from the environment.
  *
  * @example
  * ```ts
- * const settings = readSettings(text);
+ * const settings = readSettings(text, process.env);
  * if (settings.isErr()) console.error(formatSettingsFaults(settings.error));
  * ```
  *
  * @param text the content of the settings file
  * @returns the settings, or all faults of the text
  */
-export function readSettings(text: string): Result<Settings, SettingsFault[]> {
+export function readSettings(
+  text: string,
+  environment: Environment = {},
+): Result<Settings, SettingsFault[]> {
   const parsed = parseIni(text);
   if (parsed.isErr()) return err([unreadableSettings("text", parsed.error)]);
   const ini = parsed.value;
   const faults = [...unknownSections(ini)];
+  addEnvironmentSettings(ini, environment, faults);
   const fixedSections = Object.entries(sections).map(([name, schema]) => [
     name,
     camelCaseKeys(readSection(name, schema, getSection(ini, name), faults)),
--- a/src/settings/settings_fault.ts
+++ b/src/settings/settings_fault.ts
@@ -107,6 +107,30 @@
   return { code: sectionUnknown.code, section, allowed, message };
 }
 
+/**
+ * Creates the fault for an environment variable that no key has.
+ *
+ * @example
+ * ```ts
+ * unknownVariable("SAMPHIRESTAGE_SETTING_LOG_LEVELS", known);
+ * ```
+ */
+export function unknownVariable(
+  variable: string,
+  known: readonly string[],
+): SettingsFault {
+  const { variableUnknown } = diagnostics;
+  const allowed = known.join(", ");
+  const message = formatDiagnostic(variableUnknown, variable, allowed);
+  return {
+    code: variableUnknown.code,
+    section: "",
+    given: variable,
+    allowed,
+    message,
+  };
+}
+
 /**
  * Creates the fault for settings that cannot be read or parsed.
  *
