Leave records that the store rejects out of an append

Cause: the store client reported a 400 as "unknown", and the writer of a domain repeats such an append under its sequence number without an end. Later appends wait for it, so one bad record stopped the domain.

Fix: a rejection is a fault of its own. The writer leaves out the records at fault, which the client names if they are beyond the limits, and uses the number for the others. Orders, answers and acknowledgements that rely on a record which is missing are held until it is stored; those of other jobs are not.

--- a/src/domain/mod.ts
+++ b/src/domain/mod.ts
@@ -40,10 +40,12 @@
   previewJob,
   type StepPreview,
 } from "./preview_job.ts";
+export { jobOfRecord } from "./record_keys.ts";
 export * from "./records.ts";
 export * from "./resource_time.ts";
 export * from "./apply_domain_event.ts";
 export { mayPrecedeCommit, type StartPermit } from "./start_permit.ts";
+export { jobOfTask } from "./step_run.ts";
 export { type DayUsage, dayUsageSchema } from "./usage.ts";
 export * from "./worker_listing.ts";
 export * from "./worker_report.ts";
--- a/src/domain/record_keys.ts
+++ b/src/domain/record_keys.ts
@@ -1,3 +1,5 @@
+import { parseStepKey } from "./step_run.ts";
+
 export const OWNER_PREFIX = "owner/";
 export const USAGE_PREFIX = "usage/";
 export const JOB_PREFIX = "job/";
@@ -30,6 +32,25 @@
   return JOB_PREFIX + id;
 }
 
+/**
+ * Returns the id of the job to which a record belongs; undefined for records of
+ * other things.
+ *
+ * @example
+ * ```ts
+ * jobOfRecord("step/5c0e7a21d94b36f8.0.1"); // "5c0e7a21d94b36f8"
+ * ```
+ */
+export function jobOfRecord(key: string): string | undefined {
+  if (key.startsWith(STEP_PREFIX)) {
+    return parseStepKey(key.slice(STEP_PREFIX.length))?.job;
+  }
+  const prefix = [JOB_PREFIX, CANCELLED_PREFIX].find((candidate) =>
+    key.startsWith(candidate)
+  );
+  return prefix === undefined ? undefined : key.slice(prefix.length);
+}
+
 /** Key of the record of a step in one occurrence of a job. */
 export function stepRecordKey(stepKey: string): string {
   return STEP_PREFIX + stepKey;
--- a/src/domain/step_run.ts
+++ b/src/domain/step_run.ts
@@ -128,6 +128,20 @@
   return { stepKey: name.slice(0, dot), index };
 }
 
+/**
+ * Returns the id of the job to which a task belongs; undefined if its name is
+ * malformed.
+ *
+ * @example
+ * ```ts
+ * jobOfTask("5c0e7a21d94b36f8.0.1.17"); // "5c0e7a21d94b36f8"
+ * ```
+ */
+export function jobOfTask(name: string): string | undefined {
+  const parsed = parseTaskName(name);
+  return parsed === undefined ? undefined : parseStepKey(parsed.stepKey)?.job;
+}
+
 /** Parses the key of a step; returns undefined if it is malformed. */
 export function parseStepKey(
   key: string,
--- a/src/hosts/mod.ts
+++ b/src/hosts/mod.ts
@@ -9,4 +9,5 @@
 export * from "./fault.ts";
 export * from "./randomness.ts";
 export * from "./store_host.ts";
+export * from "./store_limits.ts";
 export * from "./task_host.ts";
--- a/src/hosts/store_host.ts
+++ b/src/hosts/store_host.ts
@@ -11,6 +11,8 @@
     | "moved"
     /** The requested records are no longer retained. */
     | "trimmed"
+    /** The store did not execute the call, and never will. */
+    | "rejected"
     /** The store did not execute the call. */
     | "unavailable"
     /** The call may have taken effect, or may still do so. */
@@ -20,6 +22,8 @@
   message: string;
   /** The sequence number that the store expects of the next append. */
   expectedSequence?: number;
+  /** The keys of the records for which an append was rejected, if known. */
+  rejectedKeys?: string[];
 };
 
 /** One partition of a topic. */
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -12,6 +12,7 @@
   type Domain,
   type DomainCommand,
   drainDirtyRecords,
+  type EndedRun,
   heldQueuesOf,
   isOfOtherAccount,
   type JobDescription,
@@ -78,6 +79,7 @@
 } from "./owner_passes.ts";
 import { currentMoment, emit, type OwnerState } from "./owner_state.ts";
 import { createUncommittedJobs } from "./uncommitted_jobs.ts";
+import { createUnstoredJobs } from "./unstored_jobs.ts";
 import { createWorkerContact } from "./worker_contact.ts";
 
 /** The owner of a domain. */
@@ -181,13 +183,13 @@
     partition: host.partition.number,
     epoch: host.epoch,
     submit: (request, policy, { mayRefuse } = {}) =>
-      applyCall(state, (number) => {
+      applyCall(state, request.id, (number) => {
         const isNew = !domain.jobs.has(request.id);
         state.uncommittedJobs.add(request.id, number, isNew);
         return { kind: "submitted", call: number, request, policy, mayRefuse };
       }),
     cancel: (job) =>
-      applyCall(state, (number) => ({ kind: "cancelled", call: number, job })),
+      applyCall(state, job, (call) => ({ kind: "cancelled", call, job })),
     async stateOf(job) {
       const jobState = jobStateOf(domain, job) ?? "unknownJob";
       const unavailable = await waitUntilReportable(state, job, jobState);
@@ -251,6 +253,13 @@
 function createOwnerState(host: DomainOwnerHost, domain: Domain): OwnerState {
   const pendingCommands: DomainCommand[] = [];
   const uncommittedJobs = createUncommittedJobs();
+  const callJobs = new Map<number, string>();
+  const listedEnds = new Map<string, EndedRun[]>();
+  const unstoredJobs = createUnstoredJobs({
+    jobOfCall: (call) => callJobs.get(call),
+    endsListedBy: (worker) =>
+      (listedEnds.get(worker) ?? []).map(({ task }) => task),
+  });
   const state: OwnerState = {
     host,
     startedAtMs: host.clock.steadyMs(),
@@ -288,10 +297,14 @@
         const records = drainDirtyRecords(domain);
         return {
           records,
-          onCommitted() {
-            recordCommitted(domain, records);
+          onCommitted(rejected) {
+            const stored = records.filter((record) =>
+              !rejected.includes(record)
+            );
+            unstoredJobs.settle(stored, rejected);
+            recordCommitted(domain, stored);
             answerOutcomeReads(state);
-            executeCommitted(state, commands);
+            executeCommitted(state, unstoredJobs.release(commands));
             sendOrdersAheadOfCommit(state);
           },
         };
@@ -315,10 +328,13 @@
       domain,
     ),
     pendingCalls: new Map(),
+    callJobs,
+    listedEnds,
     pendingReads: new Set(),
     outcomeReads: new Map(),
     nextCallNumber: 1,
     uncommittedJobs,
+    unstoredJobs,
     earlierLeasesExpireAtMs: host.clock.steadyMs() +
       maxLeaseDurationMs(host.leaseMs + host.ownershipValidMs + RELAY_GRANT_MS),
     accountLabels: createAccountLabels(),
--- a/src/ownership/domain_writer.ts
+++ b/src/ownership/domain_writer.ts
@@ -1,7 +1,13 @@
-import { Buffer } from "node:buffer";
-import type { Clock, Partition, StoreHost } from "../hosts/mod.ts";
+import {
+  type Clock,
+  type Partition,
+  recordBytes,
+  type StoreFault,
+  type StoreHost,
+} from "../hosts/mod.ts";
 import type { DomainRecord } from "../domain/mod.ts";
 import type { Counters, PartLogger } from "../telemetry/mod.ts";
+import { createAppendContent } from "./append_content.ts";
 import { currentInstant, type Instant } from "./instant.ts";
 
 /** Delay before the first retry of an append, in milliseconds. */
@@ -27,10 +33,14 @@
 /** Size limit of the records of one append; the store's limit is 2 MiB. */
 const MAX_APPEND_BYTES = 1_000_000;
 
+/** At most this many rejected keys are logged at a time. */
+const MAX_LOGGED_KEYS = 5;
+
 /** Changed records, and what to do once they are in the store. */
 export type Commit = {
   records: DomainRecord[];
-  onCommitted(): void;
+  /** @param rejected the records that the store never accepts */
+  onCommitted(rejected: DomainRecord[]): void;
 };
 
 /** Dependencies of a writer. */
@@ -63,11 +73,17 @@
   appendAgeMs(): number;
 };
 
+/** What has become of an append and of all earlier ones. */
+type AppendOutcome =
+  | { kind: "stored"; rejected: DomainRecord[] }
+  /** The writer has ended; what the store has is not known. */
+  | { kind: "abandoned" };
+
 /** An append that the store has not confirmed. */
 type AppendInFlight = {
   sentAtMs: number;
-  /** Resolves to whether it is in the store, after all earlier appends. */
-  done: Promise<boolean>;
+  /** Resolves after all earlier appends. */
+  done: Promise<AppendOutcome>;
 };
 
 /**
@@ -75,7 +91,9 @@
  * the meantime are sent with the next one after a pause, a few at a time. The
  * sequence numbers keep them in order: the store refuses an append that arrives
  * before its predecessor, and it is then sent again. An append without an answer
- * is retried under the same sequence number, which makes it idempotent.
+ * is retried under the same sequence number, which makes it idempotent. An append
+ * that the store rejects for good is sent again without the records at fault, so
+ * that the appends behind it are not held up.
  *
  * @example
  * ```ts
@@ -91,6 +109,8 @@
   let confirmedAt = host.epochRaisedAt;
   let lastAppendMs = 0;
   let nextSequence = host.sequence;
+  /** The keys of the rejected records that were logged last. */
+  let loggedRejection = "";
 
   async function commitChanges(): Promise<void> {
     isRunning = true;
@@ -125,10 +145,11 @@
   /** Sends the records of a commit, and completes it in order. */
   async function sendCommit({ records, onCommitted }: Commit): Promise<void> {
     const previous = lastAppend();
-    const stored = records.length === 0
-      ? previous
-      : sendAppend(records, previous);
-    if (await stored) onCommitted();
+    const outcome = records.length === 0
+      ? await previous
+      : await sendAppend(records, previous);
+    if (outcome.kind === "abandoned") return;
+    onCommitted(records.length === 0 ? [] : outcome.rejected);
   }
 
   /** Sends a commit that takes several appends, with nothing in between. */
@@ -136,25 +157,29 @@
     commit: Commit,
     chunks: DomainRecord[][],
   ): Promise<void> {
+    const rejected: DomainRecord[] = [];
     for (const chunk of chunks) {
-      if (!await sendAppend(chunk, lastAppend())) return;
+      const outcome = await sendAppend(chunk, lastAppend());
+      if (outcome.kind === "abandoned") return;
+      rejected.push(...outcome.rejected);
     }
-    commit.onCommitted();
+    commit.onCommitted(rejected);
   }
 
-  function lastAppend(): Promise<boolean> {
-    return inFlight.at(-1)?.done ?? Promise.resolve(true);
+  function lastAppend(): Promise<AppendOutcome> {
+    const last = inFlight.at(-1)?.done;
+    return last ?? Promise.resolve({ kind: "stored", rejected: [] });
   }
 
   function sendAppend(
     records: DomainRecord[],
-    previous: Promise<boolean>,
-  ): Promise<boolean> {
+    previous: Promise<AppendOutcome>,
+  ): Promise<AppendOutcome> {
     sentAtMs = clock.steadyMs();
     const sequence = nextSequence++;
-    const done = append(records, sequence, previous).then((isStored) => {
+    const done = append(records, sequence, previous).then((outcome) => {
       inFlight.splice(inFlight.indexOf(flight), 1);
-      return isStored;
+      return outcome;
     });
     const flight = { sentAtMs, done };
     inFlight.push(flight);
@@ -165,16 +190,24 @@
   async function append(
     records: DomainRecord[],
     sequence: number,
-    previous: Promise<boolean>,
-  ): Promise<boolean> {
+    previous: Promise<AppendOutcome>,
+  ): Promise<AppendOutcome> {
     const { store, partition, epoch } = host;
     const fence = { epoch, sequence };
+    const content = createAppendContent(records);
+    const finish = async (): Promise<AppendOutcome> => {
+      const { kind } = await previous;
+      return kind === "stored"
+        ? { kind, rejected: content.rejected() }
+        : { kind };
+    };
     let isPredecessorStored = false;
     // The store repeats its first answer to an append that is sent again.
     const firstSentAt = currentInstant(clock);
     for (let tries = 0; !signal.aborted; tries += 1) {
       const sentAtMs = clock.steadyMs();
-      const result = await store.append(partition, records, fence, signal);
+      const sent = content.remaining();
+      const result = await store.append(partition, sent, fence, signal);
       const elapsedMs = clock.steadyMs() - sentAtMs;
       if (result.isOk()) {
         if (firstSentAt.steadyMs > confirmedAt.steadyMs) {
@@ -185,19 +218,23 @@
         if (elapsedMs > SLOW_APPEND_THRESHOLD_MS) {
           logSlowAppend(records.length, sequence, elapsedMs);
         }
-        return await previous;
+        return await finish();
       }
       const fault = result.error;
       const { expectedSequence = sequence } = fault;
       // Only this writer uses the epoch, so an earlier try has succeeded.
-      if (expectedSequence > sequence) return await previous;
+      if (expectedSequence > sequence) return await finish();
       if (expectedSequence < sequence && !isPredecessorStored) {
         host.counters.count("appends_ahead_of_predecessor");
-        if (!await previous) return false;
+        if ((await previous).kind === "abandoned") break;
         isPredecessorStored = true;
         continue;
       }
       host.counters.count("append_faults", { kind: fault.kind });
+      if (fault.kind === "rejected" && content.omit(fault)) {
+        logRejection(content.rejected(), sequence, fault);
+        continue;
+      }
       host.logger.warn("An append failed.", {
         epoch,
         sequence,
@@ -208,11 +245,31 @@
       });
       if (fault.kind === "fenced") {
         host.onFenced(fault.message);
-        return false;
+        break;
       }
       await clock.sleep(retryDelayMs(tries), signal);
     }
-    return false;
+    return { kind: "abandoned" };
+  }
+
+  function logRejection(
+    rejected: DomainRecord[],
+    sequence: number,
+    { message }: StoreFault,
+  ): void {
+    const keys = rejected.map(({ key }) => key).join(", ");
+    if (keys === loggedRejection) return;
+    loggedRejection = keys;
+    host.counters.count("rejected_records");
+    host.logger.error("The store rejects records for good; others go on.", {
+      epoch: host.epoch,
+      sequence,
+      records: rejected.length,
+      largest: rejected.slice(0, MAX_LOGGED_KEYS).map((record) =>
+        `${record.key}: ${recordBytes(record)} bytes`
+      ).join(", "),
+      cause: message,
+    });
   }
 
   function logSlowAppend(
@@ -251,15 +308,14 @@
   let chunk: DomainRecord[] = [];
   let chunkBytes = 0;
   for (const record of records) {
-    const recordBytes = Buffer.byteLength(record.key) +
-      Buffer.byteLength(record.value ?? "");
-    if (chunk.length > 0 && chunkBytes + recordBytes > MAX_APPEND_BYTES) {
+    const bytes = recordBytes(record);
+    if (chunk.length > 0 && chunkBytes + bytes > MAX_APPEND_BYTES) {
       yield chunk;
       chunk = [];
       chunkBytes = 0;
     }
     chunk.push(record);
-    chunkBytes += recordBytes;
+    chunkBytes += bytes;
   }
   if (chunk.length > 0) yield chunk;
 }
--- a/src/ownership/domain_writer_test.ts
+++ b/src/ownership/domain_writer_test.ts
@@ -44,6 +44,7 @@
 function createWriterBench(valueBytes = 1) {
   const appends: Append[] = [];
   const committed: string[] = [];
+  const rejectedKeys: string[] = [];
   const pending: Commit[] = [];
   const controller = new AbortController();
   controllers.push(controller);
@@ -71,12 +72,15 @@
     const value = "x".repeat(valueBytes);
     pending.push({
       records: keys.map((key) => ({ key, value })),
-      onCommitted: () => committed.push(keys.join(" ")),
+      onCommitted: (rejected) => {
+        committed.push(keys.join(" "));
+        for (const { key } of rejected) rejectedKeys.push(key);
+      },
     });
     writer.requestCommit();
     await settle();
   }
-  return { appends, committed, commit, writer };
+  return { appends, committed, rejectedKeys, commit, writer };
 }
 
 async function settle(): Promise<void> {
@@ -164,3 +168,76 @@
   assert.ok(writer.appendAgeMs() > 0);
   assert.equal(writer.isIdle(), false);
 });
+
+// Guards against one record that the store never accepts and that holds up all
+// later appends of its domain.
+describe("a store that rejects a record for good", () => {
+  const rejection = (rejectedKeys?: string[]): Answer =>
+    err({
+      kind: "rejected",
+      step: "store.append",
+      message: "status 400 {}",
+      ...(rejectedKeys === undefined ? {} : { rejectedKeys }),
+    });
+
+  it("stores the other records under the same number, and the next ones", async () => {
+    const { appends, committed, rejectedKeys, commit } = createWriterBench();
+    await commit("a", "long", "b");
+    await commit("c");
+    appends[0]!.answer(rejection(["long"]));
+    await settle();
+    assert.deepEqual(
+      appends.map(({ key, sequence }) => [key, sequence]),
+      [["a long b", 1], ["c", 2], ["a b", 1]],
+    );
+    appends[2]!.answer(ok(undefined));
+    appends[1]!.answer(ok(undefined));
+    await settle();
+    assert.deepEqual(committed, ["a long b", "c"]);
+    assert.deepEqual(rejectedKeys, ["long"]);
+  });
+
+  it("uses up the number if no record is left", async () => {
+    const { appends, committed, rejectedKeys, commit } = createWriterBench();
+    await commit("a");
+    appends[0]!.answer(rejection());
+    await settle();
+    assert.deepEqual(
+      appends.map(({ key, sequence }) => [key, sequence]),
+      [["a", 1], ["rejected", 1]],
+    );
+    appends[1]!.answer(ok(undefined));
+    await settle();
+    assert.deepEqual(committed, ["a"]);
+    assert.deepEqual(rejectedKeys, ["a"]);
+  });
+
+  it("sends everything again if the store rejects any append", async () => {
+    const { appends, committed, rejectedKeys, commit } = createWriterBench();
+    await commit("a");
+    appends[0]!.answer(rejection());
+    await settle();
+    appends[1]!.answer(rejection());
+    await settle();
+    assert.equal(appends[2]?.key, "a");
+    appends[2]!.answer(ok(undefined));
+    await settle();
+    assert.deepEqual(committed, ["a"]);
+    assert.deepEqual(rejectedKeys, []);
+  });
+
+  it("finds a record that the store does not name in few appends", async () => {
+    const keys = Array.from({ length: 64 }, (_, index) => `k${index}`);
+    const { appends, rejectedKeys, commit } = createWriterBench();
+    await commit(...keys);
+    for (let turn = 0; turn < 20; turn += 1) {
+      const last = appends.at(-1)!;
+      const isFine = !last.key.split(" ").includes("k40");
+      last.answer(isFine ? ok(undefined) : rejection());
+      await settle();
+      if (isFine) break;
+    }
+    assert.ok(appends.length <= 8, `${appends.length} appends`);
+    assert.ok(rejectedKeys.includes("k40"));
+  });
+});
--- a/src/ownership/owner_calls.ts
+++ b/src/ownership/owner_calls.ts
@@ -21,6 +21,7 @@
  */
 export function applyCall(
   state: OwnerState,
+  job: string,
   createEvent: (number: number) => DomainEvent,
 ): Promise<OwnerAnswer> {
   return new Promise((resolve) => {
@@ -30,7 +31,11 @@
       return resolve({ kind: "storeDown", silentMs });
     }
     const number = state.nextCallNumber++;
-    state.pendingCalls.set(number, resolve);
+    state.callJobs.set(number, job);
+    state.pendingCalls.set(number, (answer) => {
+      state.callJobs.delete(number);
+      resolve(answer);
+    });
     emit(state, createEvent(number));
   });
 }
--- a/src/ownership/owner_passes.ts
+++ b/src/ownership/owner_passes.ts
@@ -175,11 +175,30 @@
     confirmOwnership(state);
     if (clock.steadyMs() < nextTickAtMs) continue;
     nextTickAtMs = clock.steadyMs() + TICK_INTERVAL_MS;
+    retryRejectedRecords(state);
+    forgetListedEnds(state);
     emit(state, { kind: "ticked" });
     explainLongWaits(state);
   }
 }
 
+/** Stores rejected records again; their content may fit by now. */
+function retryRejectedRecords(
+  { domain, unstoredJobs, writer }: OwnerState,
+): void {
+  const keys = unstoredJobs.keys();
+  if (keys.length === 0) return;
+  for (const key of keys) domain.dirtyKeys.add(key);
+  writer.requestCommit();
+}
+
+/** Forgets what workers listed that have left. */
+function forgetListedEnds({ domain, listedEnds }: OwnerState): void {
+  for (const worker of listedEnds.keys()) {
+    if (!domain.workers.has(worker)) listedEnds.delete(worker);
+  }
+}
+
 function observeStore(state: OwnerState): void {
   const isSilent = state.writer.appendAgeMs() > STORE_DOWN_AFTER_MS;
   if (isSilent === state.domain.isStoreSilent) return;
--- a/src/ownership/owner_state.ts
+++ b/src/ownership/owner_state.ts
@@ -2,6 +2,7 @@
   Domain,
   DomainCommand,
   DomainEvent,
+  EndedRun,
   Moment,
 } from "../domain/mod.ts";
 import type { AccountLabels } from "./account_labels.ts";
@@ -14,6 +15,7 @@
 import type { OwnerAnswer } from "./owner_answer.ts";
 import type { RelayedLinks } from "./relay/mod.ts";
 import type { UncommittedJobs } from "./uncommitted_jobs.ts";
+import type { UnstoredJobs } from "./unstored_jobs.ts";
 import type { WorkerContact } from "./worker_contact.ts";
 import type { WorkerLink } from "./worker_link.ts";
 
@@ -48,12 +50,17 @@
   advisor: Advisor;
   allotments: AllotmentKeeper;
   pendingCalls: Map<number, (answer: OwnerAnswer) => void>;
+  /** The jobs that pending calls change, by the number of the call. */
+  callJobs: Map<number, string>;
+  /** The run ends that each worker listed last. */
+  listedEnds: Map<string, EndedRun[]>;
   /** The numbers of pending calls that change nothing. */
   pendingReads: Set<number>;
   /** The jobs whose end pending reads wait for, by the number of the call. */
   outcomeReads: Map<number, string>;
   nextCallNumber: number;
   uncommittedJobs: UncommittedJobs;
+  unstoredJobs: UnstoredJobs;
   /** When all leases of earlier owners have expired, on the steady clock. */
   earlierLeasesExpireAtMs: number;
   /** Labels of client accounts in metrics. */
@@ -75,6 +82,8 @@
     const { bornMs, sentAtMs } = event.look;
     state.contact.record(event.worker, bornMs, sentAtMs);
     state.incarnations.record(event.worker, bornMs);
+    if (event.look.ended.length === 0) state.listedEnds.delete(event.worker);
+    else state.listedEnds.set(event.worker, event.look.ended);
   }
   state.events.emit(event);
 }
--- a/src/ownership/testing/restart_model.ts
+++ b/src/ownership/testing/restart_model.ts
@@ -345,6 +345,7 @@
     writer: { confirmedAt: () => currentInstant(clock) },
     domain: bench.domain,
     links: new Map(),
+    listedEnds: new Map(),
     contact: createWorkerContact(clock),
     incarnations: createIncarnations({
       clock,
--- a/stand_ins/platform/store.ts
+++ b/stand_ins/platform/store.ts
@@ -8,6 +8,8 @@
 import { decodeRecords } from "../../platform/record_format.ts";
 
 const READ_HEADER_BYTES = 16;
+const MAX_RECORD_BYTES = 262_144;
+const MAX_CALL_BYTES = 2_097_152;
 
 /** HTTP status and body of a stand-in's response. */
 export type StandInResponse = { status: number; body: Buffer | object };
@@ -73,6 +75,7 @@
   query: URLSearchParams,
   body: Buffer,
 ): StandInResponse {
+  if (exceedsLimits(body)) return { status: 400, body: {} };
   const log = getOrCreateLog(
     store,
     query.get("topic") ?? "",
@@ -103,6 +106,17 @@
   return response;
 }
 
+/** Whether an append or one of its records is too large. */
+function exceedsLimits(body: Buffer): boolean {
+  if (body.length > MAX_CALL_BYTES) return true;
+  for (let position = 0; position < body.length;) {
+    const length = body.readUInt32BE(position);
+    if (length > MAX_RECORD_BYTES) return true;
+    position += 4 + length;
+  }
+  return false;
+}
+
 function writeRecords(log: PartitionLog, body: Buffer): StandInResponse {
   const offset = log.records.length;
   let position = 0;
