Bound the record of a step by the size that the store accepts

Cause: the limit on tasks of a step followed from 80 bytes a task, whatever the lengths of checkpoints and workers' ids, and the lists of crashes were not counted.

Fix: attempts and workers of all tasks are always in the record, and tasks are placed only while ids have room for that. Crashes and checkpoints are in it as far as there is room, those that workers list last. In memory the checkpoints of a step and of a domain are bounded, too.

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -41,6 +41,7 @@
   revokePermit,
   revokeUnusedPermits,
 } from "./start_permit.ts";
+import { countCheckpointCharacters } from "./step_limits.ts";
 import { findTask } from "./step_run.ts";
 import { stopExcessStarts } from "./shrunk_capacity.ts";
 import { stopStalledTasks } from "./stalled_tasks.ts";
@@ -153,6 +154,7 @@
     }
     case "ticked":
       recordUsage(domain, moment);
+      countCheckpointCharacters(domain);
       observeWorkers(domain, moment);
       forgetUnseenPairs(domain.interference, moment.steadyMs);
       revokeUnusedPermits(domain);
--- a/src/domain/choose_worker.ts
+++ b/src/domain/choose_worker.ts
@@ -5,6 +5,7 @@
 import { interferencePenalty } from "./interference/mod.ts";
 import type { Step } from "./job.ts";
 import { allocationOf } from "./task_placement.ts";
+import { hasRecordRoom } from "./step_limits.ts";
 import type { StepRun } from "./step_run.ts";
 import { findUnsettledTasks } from "./worker_crash.ts";
 import { maxRunningTasks } from "./worker_health.ts";
@@ -79,7 +80,7 @@
 
 /**
  * Whether a worker has free capacity for one more task of a step, and fewer of
- * its tasks than the step's limit per worker.
+ * its tasks than the step's limit per worker, and the step's record has room.
  */
 export function hasCapacityForTask(
   worker: DomainWorker,
@@ -87,6 +88,7 @@
   nowMs: number,
 ): boolean {
   if (!hasFreeCapacity(worker, allocationOf(run.step), nowMs)) return false;
+  if (!hasRecordRoom(run, worker, 1)) return false;
   const { maxPerWorker } = run.step;
   if (maxPerWorker === undefined) return true;
   return countTasksOfStep(worker, run) < maxPerWorker;
--- a/src/domain/domain.ts
+++ b/src/domain/domain.ts
@@ -102,6 +102,8 @@
   unrecordedUsage: Map<string, ResourceTime>;
   /** When `unrecordedUsage` was last updated, on the steady clock. */
   usageAccruedAtMs: number | undefined;
+  /** Characters of the checkpoints it holds; see `keepCheckpoint`. */
+  checkpointCharacters: number;
 };
 
 /**
@@ -150,5 +152,6 @@
     shortages: new Map(),
     unrecordedUsage: new Map(),
     usageAccruedAtMs: undefined,
+    checkpointCharacters: 0,
   };
 }
--- a/src/domain/domain_worker.ts
+++ b/src/domain/domain_worker.ts
@@ -11,6 +11,8 @@
 /** A worker of the domain with its placed tasks and their allocations. */
 export type DomainWorker = {
   id: string;
+  /** Size of its id in records, in bytes. */
+  idBytes: number;
   /** Its entry in the list of workers; undefined while it is not listed. */
   listing: WorkerListing | undefined;
   /** The same, kept while it is not listed any more. */
--- a/src/domain/end_attempt.ts
+++ b/src/domain/end_attempt.ts
@@ -89,6 +89,9 @@
 function markDone(run: StepRun, index: number): void {
   const task = run.tasks[index]!;
   if (task.kind === "waiting") run.waitingCount -= 1;
+  if (task.kind !== "done") {
+    run.checkpointCharacters -= task.checkpoint?.length ?? 0;
+  }
   const { attempt, failures } = task;
   run.tasks[index] = { kind: "done", attempt, failures };
   run.doneCount += 1;
--- a/src/domain/place_gang.ts
+++ b/src/domain/place_gang.ts
@@ -18,6 +18,7 @@
 import type { SchedulingPass } from "./scheduling_pass.ts";
 import { reportPlacements, startTask } from "./schedule.ts";
 import type { TaskSlot } from "./task_slot.ts";
+import { hasRecordRoom } from "./step_limits.ts";
 import { nextAttempt } from "./start_permit.ts";
 import type { StepRun } from "./step_run.ts";
 import { maxRunningTasks } from "./worker_health.ts";
@@ -87,6 +88,7 @@
   const { advice, service } = run.jobRun.job.policy;
   const all = pass.workersOf(service).filter((worker) =>
     worker.isReachable && isEligible(worker, run) &&
+    hasRecordRoom(run, worker, run.step.taskCount) &&
     mayBeAllowed(run, worker.id) &&
     maxRunningTasks(worker, pass.moment.steadyMs) === Infinity
   );
--- a/src/domain/reconcile_worker.ts
+++ b/src/domain/reconcile_worker.ts
@@ -16,6 +16,7 @@
   endAttempt,
 } from "./end_attempt.ts";
 import { allocateTask, releaseTask } from "./task_placement.ts";
+import { keepCheckpoint, shareGangCheckpoint } from "./step_limits.ts";
 import { findTask, type StepRun, taskNameOf } from "./step_run.ts";
 import { settleWorker } from "./start_permit.ts";
 import { orderStop, stopTask } from "./stop_task.ts";
@@ -217,8 +218,9 @@
     applyStaleRunEnd(domain, worker, ended, { run, index, moment });
     return;
   }
-  if (ended.checkpoint !== "") task.checkpoint = ended.checkpoint;
-  if (run.step.gang) shareGangCheckpoint(run, task);
+  if (run.step.gang) {
+    shareGangCheckpoint(run, ended.checkpoint || (task.checkpoint ?? ""));
+  } else applyCheckpoint(domain, run, task, ended.checkpoint);
   domain.commands.push({
     kind: "report",
     message: "A run ended.",
@@ -293,12 +295,27 @@
   ref.abandonedStart = { attempt, stoppedAtMs };
 }
 
-/** Shares a member's checkpoint with its gang: it is valid for all members. */
-function shareGangCheckpoint(run: StepRun, from: PlacedTask): void {
-  if (from.checkpoint === undefined) return;
-  for (const task of run.tasks) {
-    if (task.kind !== "done") task.checkpoint = from.checkpoint;
+/** Keeps the checkpoint that a worker lists for a task, if there is one. */
+function applyCheckpoint(
+  domain: Domain,
+  run: StepRun,
+  task: PlacedTask,
+  checkpoint: string,
+): void {
+  if (checkpoint === "" || keepCheckpoint(domain, run, task, checkpoint)) {
+    return;
   }
+  if (run.hasReportedCheckpoints) return;
+  run.hasReportedCheckpoints = true;
+  domain.commands.push({
+    kind: "report",
+    message: "The checkpoints of a step are too long to be kept.",
+    fields: {
+      job: run.jobRun.job.id,
+      step: run.key,
+      characters: run.checkpointCharacters + checkpoint.length,
+    },
+  });
 }
 
 /** Updates a task that is listed as running; stops it if it must not run. */
@@ -325,7 +342,7 @@
   ref.reading = listed.reading;
   ref.runningSinceMs ??= moment.steadyMs;
   updateSettled(domain, worker, ref, report.sentAtMs);
-  if (listed.checkpoint !== "") task.checkpoint = listed.checkpoint;
+  applyCheckpoint(domain, ref.run, task, listed.checkpoint);
   const { phase } = task;
   if (phase.kind === "stopping") return;
   if (ref.run.jobRun.job.outcome !== "open") {
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -7,8 +7,8 @@
  *
  * @module
  */
-import * as v from "valibot";
 import { assertNever, parseAs } from "../base/mod.ts";
+import { maxValueBytes } from "../hosts/mod.ts";
 import { cancelledIdSchema } from "./cancelled_ids.ts";
 import type { Domain } from "./domain.ts";
 import type { DomainWorker } from "./domain_worker.ts";
@@ -32,8 +32,14 @@
 } from "./record_keys.ts";
 import { type OwnerEntry, ownerEntrySchema } from "./owner_entry.ts";
 import { createDomainWorker, placeTask } from "./task_placement.ts";
+import {
+  createStepValue,
+  storedStepSchema,
+  type StoredTask,
+  TASK_TAGS,
+} from "./step_record.ts";
+import { shareGangCheckpoint } from "./step_limits.ts";
 import { parseStepKey, type StepRun } from "./step_run.ts";
-import type { TaskState } from "./task_state.ts";
 import { confirmPermit, startPermitSchema } from "./start_permit.ts";
 import { type DayUsage, dayUsageSchema } from "./usage.ts";
 
@@ -48,44 +54,6 @@
   revision?: number;
 };
 
-/** Numeric tag of a task's state in the record of its step. */
-const TASK_TAGS = { waiting: 0, placed: 1, done: 2 } as const;
-
-const storedTaskSchema = v.union([
-  v.tuple([
-    v.literal(TASK_TAGS.waiting),
-    v.number(),
-    v.number(),
-    v.string(),
-  ]),
-  v.tuple([
-    v.literal(TASK_TAGS.placed),
-    v.number(),
-    v.number(),
-    v.string(),
-    v.string(),
-    /** The worker's incarnation; earlier versions omit it. */
-    v.optional(v.number(), 0),
-  ]),
-  v.tuple([v.literal(TASK_TAGS.done), v.number(), v.number()]),
-]);
-
-type StoredTask = v.InferOutput<typeof storedTaskSchema>;
-
-const storedStepSchema = v.object({
-  tasks: v.array(storedTaskSchema),
-  gangFailures: v.number(),
-  gangFailedAttempt: v.number(),
-  /** Pairs of task and number of worker crashes; earlier versions omit it. */
-  crashCounts: v.optional(v.array(v.tuple([v.number(), v.number()]))),
-  /** The same for crashes that only records tell of. */
-  inferredCrashCounts: v.optional(v.array(v.tuple([v.number(), v.number()]))),
-  /** The same for crashes that may have come before the start. */
-  doubtfulCrashCounts: v.optional(v.array(v.tuple([v.number(), v.number()]))),
-  /** Pairs of task and evidence; earlier versions omit it. */
-  crashEvidence: v.optional(v.array(v.tuple([v.number(), v.number()]))),
-});
-
 /**
  * Returns the records that changed since the last call and marks them clean.
  * The caller has to write them to the store, in this order if it needs several
@@ -193,43 +161,30 @@
     return run === undefined ? undefined : JSON.stringify(run.job);
   }
   const run = domain.steps.get(key.slice(STEP_PREFIX.length));
-  return run === undefined ? undefined : JSON.stringify(serializeStep(run));
-}
-
-function serializeStep(run: StepRun): v.InferOutput<typeof storedStepSchema> {
-  return {
-    tasks: run.tasks.map(serializeTask),
-    gangFailures: run.gangFailures,
-    gangFailedAttempt: run.gangFailedAttempt,
-    ...(run.crashCounts.size === 0
-      ? {}
-      : { crashCounts: [...run.crashCounts] }),
-    ...(run.inferredCrashCounts.size === 0
-      ? {}
-      : { inferredCrashCounts: [...run.inferredCrashCounts] }),
-    ...(run.doubtfulCrashCounts.size === 0
-      ? {}
-      : { doubtfulCrashCounts: [...run.doubtfulCrashCounts] }),
-    ...(run.crashEvidence.size === 0
-      ? {}
-      : { crashEvidence: [...run.crashEvidence] }),
-  };
+  return run === undefined ? undefined : serializeStep(domain, run);
 }
 
-function serializeTask(task: TaskState): StoredTask {
-  const { attempt, failures } = task;
-  switch (task.kind) {
-    case "waiting":
-      return [TASK_TAGS.waiting, attempt, failures, task.checkpoint ?? ""];
-    case "placed": {
-      const { checkpoint = "", worker, bornMs } = task;
-      return [TASK_TAGS.placed, attempt, failures, checkpoint, worker, bornMs];
-    }
-    case "done":
-      return [TASK_TAGS.done, attempt, failures];
-    default:
-      return assertNever(task);
+/** Serializes a step, and logs once what its record has no room for. */
+function serializeStep(domain: Domain, run: StepRun): string {
+  const maxBytes = maxValueBytes(stepRecordKey(run.key));
+  const created = createStepValue(run, maxBytes);
+  const { value, omittedCheckpoints, omittedCrashes } = created;
+  const isReduced = omittedCheckpoints + omittedCrashes > 0;
+  if (isReduced && !run.hasReportedCheckpoints) {
+    run.hasReportedCheckpoints = true;
+    domain.commands.push({
+      kind: "report",
+      message: "The record of a step has no room for all of it.",
+      fields: {
+        job: run.jobRun.job.id,
+        step: run.key,
+        tasks: run.step.taskCount,
+        omittedCheckpoints,
+        omittedCrashes,
+      },
+    });
   }
+  return value;
 }
 
 /**
@@ -384,6 +339,7 @@
   stored.value.tasks.forEach((task, position) => {
     restoreTask(domain, step, position, task, nowMs);
   });
+  restoreCheckpoints(step);
   if (step.waitingCount === 0) domain.waitingSteps.delete(step);
   if (step.doneCount === step.step.taskCount) {
     countDoneStep(run, restored, index);
@@ -442,6 +398,22 @@
   }
 }
 
+/**
+ * Counts the checkpoints of a step. A record without room for those of all
+ * members of a gang has that of one, which is valid for all.
+ */
+function restoreCheckpoints(run: StepRun): void {
+  const checkpoints = run.tasks.flatMap((task) =>
+    task.kind === "done" ? [] : [task.checkpoint]
+  );
+  const present = checkpoints.filter((checkpoint) => checkpoint !== undefined);
+  run.checkpointCharacters = present.join("").length;
+  const [first] = present;
+  if (run.step.gang && first !== undefined && present.length === 1) {
+    shareGangCheckpoint(run, first);
+  }
+}
+
 /**
  * Creates the steps of the known occurrences that are ready but have no record,
  * and recomputes which occurrences are completed and which comes next.
--- a/src/domain/step_run.ts
+++ b/src/domain/step_run.ts
@@ -43,6 +43,12 @@
    * see `crash_evidence.ts`.
    */
   crashEvidence: Map<number, number>;
+  /** Number of characters in the checkpoints of its tasks. */
+  checkpointCharacters: number;
+  /** Size of the longest id of a worker that its tasks were placed on. */
+  longestIdBytes: number;
+  /** Whether it was logged that checkpoints of the step are not kept. */
+  hasReportedCheckpoints: boolean;
   advice: StepAdvice;
   /** The latest start that still meets the objective (wall clock). */
   latestStartMs: number;
--- a/src/domain/task_placement.ts
+++ b/src/domain/task_placement.ts
@@ -15,6 +15,7 @@
   PlacedTaskRef,
 } from "./domain_worker.ts";
 import type { Step } from "./job.ts";
+import { workerIdBytes } from "./step_limits.ts";
 import { isSuspect, type StepRun, taskNameOf } from "./step_run.ts";
 import type { PlacedPhase } from "./task_state.ts";
 
@@ -32,6 +33,7 @@
 ): DomainWorker {
   return {
     id,
+    idBytes: workerIdBytes(id),
     totals,
     listing: undefined,
     lastListing: undefined,
@@ -91,6 +93,7 @@
     placedAtMs: nowMs,
   };
   run.waitingCount -= 1;
+  run.longestIdBytes = Math.max(run.longestIdBytes, worker.idBytes);
   run.jobRun.hasStarted = true;
   allocateTask(run, index, worker, phase.kind === "starting");
   if (isSuspect(run, index)) {
