--- a/src/domain/record_sizes_test.ts
+++ b/src/domain/record_sizes_test.ts
@@ -243,6 +243,48 @@
   });
 });
 
+// Guards against a day of usage that stops its domain (issue 57, step 2).
+describe("the usage of many agreements", () => {
+  const nameOf = (index: number) =>
+    `${"c".repeat(63)}/${`${index}`.padStart(63, "a")}`;
+  const COUNT = 6_000;
+
+  function createUsageBench(): DomainBench {
+    const bench = createBench();
+    listWorkers(bench, listing("w1", { capacity: ROOMY }));
+    for (let index = 0; index < COUNT; index += 1) {
+      const key = nameOf(index);
+      const allocated = { cpuMillis: 1e9, memoryMb: 1e9, accelerators: 1e9 };
+      bench.domain.allocatedByAgreement.set(key, allocated);
+    }
+    tick(bench, 0);
+    tick(bench, 10_000);
+    return bench;
+  }
+
+  it("is stored in several records, and restored from them", () => {
+    const bench = createUsageBench();
+    assertStorable(bench);
+    const [before] = bench.domain.usage.values();
+    assert.equal(Object.keys(before!.used).length, COUNT);
+    simulateTakeover(bench);
+    const [after, ...others] = bench.domain.usage.values();
+    assert.deepEqual(after, before);
+    assert.deepEqual(others, []);
+  });
+
+  it("is read from the one record of earlier versions", () => {
+    const bench = createBench();
+    const used = {
+      "press/desk": { cpuMillisMs: 1, memoryMbMs: 2, acceleratorMs: 3 },
+    };
+    const usage = { observedMs: 4, unobservedMs: 5, untilMs: 6, used };
+    bench.store.set("usage/2026-12-04", JSON.stringify(usage));
+    simulateTakeover(bench);
+    assert.deepEqual([...bench.domain.usage], [["2026-12-04", usage]]);
+  });
+});
+
 describe("the record of a small step", () => {
   const RECORD = '{"tasks":[[0,0,0,""],[1,1,0,"","w1",1]],' +
     '"gangFailures":0,"gangFailedAttempt":0}';
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -41,7 +41,8 @@
 import { shareGangCheckpoint } from "./step_limits.ts";
 import { parseStepKey, type StepRun } from "./step_run.ts";
 import { confirmPermit, startPermitSchema } from "./start_permit.ts";
-import { type DayUsage, dayUsageSchema } from "./usage.ts";
+import type { DayUsage } from "./usage.ts";
+import { createUsageRecords, readUsageRecords } from "./usage_records.ts";
 
 /** A key with its new value; undefined deletes the key. */
 export type DomainRecord = {
@@ -73,13 +74,23 @@
     ...dirtyKeys.filter(isJob),
     ...dirtyKeys.filter((key) => !isJob(key)),
   ];
-  return keys.map((key) => {
+  return keys.flatMap((key): DomainRecord[] => {
+    const usage = usageOf(domain, key);
+    if (usage !== undefined) return usage;
     const value = recordValueOf(domain, key);
     const revision = revisionOf(domain, key);
-    return revision === undefined ? { key, value } : { key, value, revision };
+    return [revision === undefined ? { key, value } : { key, value, revision }];
   });
 }
 
+/** The records of a day of usage; undefined if the key is of another kind. */
+function usageOf(domain: Domain, key: string): DomainRecord[] | undefined {
+  if (!key.startsWith(USAGE_PREFIX)) return undefined;
+  const day = key.slice(USAGE_PREFIX.length);
+  const usage = domain.usage.get(day);
+  return usage === undefined ? undefined : createUsageRecords(day, usage);
+}
+
 function revisionOf(domain: Domain, key: string): number | undefined {
   if (key.startsWith(PERMIT_PREFIX)) {
     return domain.startPermits.get(key.slice(PERMIT_PREFIX.length))?.revision;
@@ -140,10 +151,6 @@
     const owner = domain.owners.find(({ epoch }) => ownerKey(epoch) === key);
     return owner === undefined ? undefined : ownerRecord(owner).value;
   }
-  if (key.startsWith(USAGE_PREFIX)) {
-    const usage = domain.usage.get(key.slice(USAGE_PREFIX.length));
-    return usage === undefined ? undefined : JSON.stringify(usage);
-  }
   if (key.startsWith(CANCELLED_PREFIX)) {
     const id = key.slice(CANCELLED_PREFIX.length);
     const cancelledAtMs = domain.cancelledIds.get(id);
@@ -204,7 +211,8 @@
   records: DomainRecord[],
   nowMs: number,
 ): { key: string; reason: string }[] {
-  const unreadable: { key: string; reason: string }[] = [];
+  const { usage, unreadable } = readUsageRecords(records);
+  for (const [day, dayUsage] of usage) domain.usage.set(day, dayUsage);
   const steps = new Map<string, string>();
   for (const { key, value } of records) {
     if (value === undefined) continue;
@@ -212,12 +220,7 @@
       steps.set(key.slice(STEP_PREFIX.length), value);
       continue;
     }
-    if (key.startsWith(USAGE_PREFIX)) {
-      const usage = parseAs(dayUsageSchema, value);
-      if (usage.isErr()) unreadable.push({ key, reason: usage.error });
-      else domain.usage.set(key.slice(USAGE_PREFIX.length), usage.value);
-      continue;
-    }
+    if (key.startsWith(USAGE_PREFIX)) continue;
     if (key.startsWith(CANCELLED_PREFIX)) {
       const id = key.slice(CANCELLED_PREFIX.length);
       const cancelled = parseAs(cancelledIdSchema, value);
@@ -268,11 +271,7 @@
 export function* readUsage(
   records: DomainRecord[],
 ): Generator<[string, DayUsage]> {
-  for (const { key, value } of records) {
-    if (value === undefined || !key.startsWith(USAGE_PREFIX)) continue;
-    const usage = parseAs(dayUsageSchema, value);
-    if (usage.isOk()) yield [key.slice(USAGE_PREFIX.length), usage.value];
-  }
+  yield* readUsageRecords(records).usage;
 }
 
 function restoreJob(domain: Domain, job: Job): void {
