Spread the queues of a domain over several records

A domain writes one record with all queues whose jobs it may have. Beyond the store's limit no write succeeds any more, so each submission to a queue that is not recorded yet gets 503; one queue with a name that has no room by itself did the same to all others.

The queues are spread over as many records as they need, in appends below the limit of a call. Readers took several records of a domain before, too. A queue that has no room by itself is refused alone.

--- a/src/ownership/domain_writer.ts
+++ b/src/ownership/domain_writer.ts
@@ -9,6 +9,7 @@
 import type { Counters, PartLogger } from "../telemetry/mod.ts";
 import { createAppendContent } from "./append_content.ts";
 import { currentInstant, type Instant } from "./instant.ts";
+import { splitIntoAppends } from "./split_into_appends.ts";
 
 /** Delay before the first retry of an append, in milliseconds. */
 const INITIAL_RETRY_DELAY_MS = 40;
@@ -30,8 +31,6 @@
 const MAX_SEND_DELAY_MS = 1_000;
 /** Appends that take longer are logged, in milliseconds. */
 const SLOW_APPEND_THRESHOLD_MS = 200;
-/** Size limit of the records of one append; the store's limit is 2 MiB. */
-const MAX_APPEND_BYTES = 1_000_000;
 
 /** At most this many rejected keys are logged at a time. */
 const MAX_LOGGED_KEYS = 5;
@@ -123,7 +122,7 @@
       }
       const commit = host.takeChanges();
       if (commit === undefined) break;
-      const chunks = [...splitIntoChunks(commit.records)];
+      const chunks = [...splitIntoAppends(commit.records)];
       if (chunks.length <= 1) sendCommit(commit);
       else await sendLargeCommit(commit, chunks);
     }
@@ -302,20 +301,3 @@
 function retryDelayMs(tries: number): number {
   return Math.min(INITIAL_RETRY_DELAY_MS * 2 ** tries, MAX_RETRY_DELAY_MS);
 }
-
-/** Splits records into chunks of at most MAX_APPEND_BYTES. */
-function* splitIntoChunks(records: DomainRecord[]): Generator<DomainRecord[]> {
-  let chunk: DomainRecord[] = [];
-  let chunkBytes = 0;
-  for (const record of records) {
-    const bytes = recordBytes(record);
-    if (chunk.length > 0 && chunkBytes + bytes > MAX_APPEND_BYTES) {
-      yield chunk;
-      chunk = [];
-      chunkBytes = 0;
-    }
-    chunk.push(record);
-    chunkBytes += bytes;
-  }
-  if (chunk.length > 0) yield chunk;
-}
--- a/src/ownership/queue_recorder.ts
+++ b/src/ownership/queue_recorder.ts
@@ -1,7 +1,9 @@
 import type { KeyedRecord } from "../hosts/mod.ts";
+import { splitIntoAppends } from "./split_into_appends.ts";
 import type { DomainOwnerHost } from "./domain_owner_host.ts";
 import {
-  createQueueRecord,
+  createQueueRecords,
+  isRecordable,
   parseQueueRecords,
   type QueueAddress,
   type QueueRecord,
@@ -85,21 +87,28 @@
   async function write(obsoleteKeys: string[]): Promise<boolean> {
     const entries = new Map([...recorded, ...wanted]);
     const queues = [...entries.values()].map(({ address }) => address);
-    const record = createQueueRecord(partition.number, epoch, ++writes, queues);
+    const added = createQueueRecords(
+      partition.number,
+      epoch,
+      writes + 1,
+      queues,
+    );
+    writes += added.length;
     const removals = [...ownKeys, ...obsoleteKeys].map((key): KeyedRecord => ({
       key,
       value: undefined,
     }));
-    const isEmpty = queues.length === 0;
-    const records = isEmpty ? removals : [record, ...removals];
-    ownKeys.push(record.key);
-    const result = await store.append(
-      QUEUES_PARTITION,
-      records,
-      undefined,
-      signal,
-    );
-    if (result.isErr()) {
+    const addedKeys = added.map(({ key }) => key);
+    ownKeys.push(...addedKeys);
+    // The new records come first, so that no queue is ever without one.
+    for (const records of splitIntoAppends([...added, ...removals])) {
+      const result = await store.append(
+        QUEUES_PARTITION,
+        records,
+        undefined,
+        signal,
+      );
+      if (result.isOk()) continue;
       logger.warn("Cannot record the queues of a domain.", {
         partition: partition.number,
         epoch,
@@ -108,7 +117,7 @@
       });
       return false;
     }
-    ownKeys = isEmpty ? [] : [record.key];
+    ownKeys = addedKeys;
     for (const [text, entry] of entries) {
       recorded.set(text, entry);
       wanted.delete(text);
@@ -154,6 +163,13 @@
 
   return {
     async record(queue) {
+      if (!isRecordable(queue)) {
+        logger.error("The name of a queue is too long to be recorded.", {
+          partition: partition.number,
+          epoch,
+        });
+        return false;
+      }
       const text = textOf(queue);
       const usedAtMs = clock.steadyMs();
       const known = recorded.get(text);
--- a/src/ownership/queue_recorder_test.ts
+++ b/src/ownership/queue_recorder_test.ts
@@ -5,7 +5,12 @@
   createManualClock,
   silentLogger,
 } from "../entry/testing/manual_clock.ts";
-import type { KeyedRecord, StoreFault, StoreHost } from "../hosts/mod.ts";
+import {
+  isStorable,
+  type KeyedRecord,
+  type StoreFault,
+  type StoreHost,
+} from "../hosts/mod.ts";
 import { createQueueRecorder } from "./queue_recorder.ts";
 import { createQueueRecord, parseQueueRecords } from "./queue_records.ts";
 import { createQueueSharers } from "./queue_sharers.ts";
@@ -36,6 +41,9 @@
         state.failures -= 1;
         return Promise.resolve(err(FAULT));
       }
+      if (!records.every(isStorable)) {
+        return Promise.resolve(err({ ...FAULT, kind: "rejected" as const }));
+      }
       apply(records);
       return Promise.resolve(ok(undefined));
     },
@@ -195,3 +203,34 @@
     assert.equal(sharers.of(PROOFS).length, 1);
   });
 });
+
+// Guards against queues of which none can be recorded any more, so that each
+// submission to them is refused (issue 57, step 2).
+describe("a domain with more queues than fit into a record", () => {
+  const name = (index: number) => `${index}`.padStart(250, "q");
+  const COUNT = 2_000;
+
+  it("records them in several, and replaces them by an owner's own", async () => {
+    const { recorder, records, stored } = createTestSetup();
+    const queues = Array.from({ length: COUNT }, (_, index) => ({
+      queue: name(index),
+      address: `desk.example/${index}/`,
+    }));
+    const isRecorded = await Promise.all(queues.map(recorder.record));
+    assert.ok(isRecorded.every(Boolean));
+    const found = records().flatMap((record) => record.queues);
+    assert.deepEqual(new Set(found), new Set(queues));
+    assert.equal(found.length, COUNT);
+    const later = createTestSetup(6, stored);
+    await later.recorder.replaceObsolete(records(), new Set([name(7)]));
+    assert.deepEqual(later.queues(), [name(7)]);
+  });
+
+  it("refuses one whose name alone does not fit, and records others", async () => {
+    const { recorder, queues } = createTestSetup();
+    const refused = recorder.record({ queue: "q".repeat(262_144) });
+    assert.equal(await refused, false);
+    assert.equal(await recorder.record(PROOFS), true);
+    assert.deepEqual(queues(), ["proofs"]);
+  });
+});
--- a/src/ownership/queue_records.ts
+++ b/src/ownership/queue_records.ts
@@ -6,13 +6,22 @@
  *
  * @module
  */
+import { Buffer } from "node:buffer";
 import * as v from "valibot";
 import { parseAs } from "../base/mod.ts";
-import type { KeyedRecord, Partition } from "../hosts/mod.ts";
+import {
+  type KeyedRecord,
+  MAX_RECORD_BYTES,
+  type Partition,
+} from "../hosts/mod.ts";
 
 /** The store partition of the queue records. */
 export const QUEUES_PARTITION: Partition = { topic: "queues", number: 0 };
 
+/** Room for what a record holds beside its queues, in bytes. */
+const MARGIN_BYTES = 512;
+const SEPARATOR_BYTES = 1;
+
 const queueAddressSchema = v.object({
   queue: v.string(),
   /** Host and path prefix; absent for queues of the product's own API. */
@@ -43,11 +52,47 @@
 };
 
 /**
- * Creates the record of an owner.
+ * Creates the records of an owner. Each queue is in one of them, and none is
+ * larger than the store accepts if each queue alone has room in a record.
+ *
+ * @param write number of the owner's first record among all that it writes; each
+ * has a key of its own, so that a write that the store executes late replaces no
+ * later one
  *
- * @param write number of the owner's write; each has a key of its own, so that
- * a write that the store executes late replaces no later one
+ * @example
+ * ```ts
+ * const records = createQueueRecords(3, 7, 1, queues);
+ * ```
  */
+export function createQueueRecords(
+  partition: number,
+  epoch: number,
+  write: number,
+  queues: QueueAddress[],
+): KeyedRecord[] {
+  const parts: QueueAddress[][] = [];
+  let freeBytes = 0;
+  for (const queue of queues) {
+    const bytes = Buffer.byteLength(JSON.stringify(queue)) + SEPARATOR_BYTES;
+    if (parts.length === 0 || bytes > freeBytes) {
+      parts.push([]);
+      freeBytes = MAX_RECORD_BYTES - MARGIN_BYTES;
+    }
+    parts.at(-1)!.push(queue);
+    freeBytes -= bytes;
+  }
+  return parts.map((part, index) =>
+    createQueueRecord(partition, epoch, write + index, part)
+  );
+}
+
+/** Whether a queue has room in a record. */
+export function isRecordable(queue: QueueAddress): boolean {
+  return Buffer.byteLength(JSON.stringify(queue)) + MARGIN_BYTES <=
+    MAX_RECORD_BYTES;
+}
+
+/** Creates one record of an owner. */
 export function createQueueRecord(
   partition: number,
   epoch: number,
