Keep the allotments of a domain within one record

A domain writes the allotments of all client accounts with a cap as one record. With 20,000 accounts it is over the store's limit; the write was repeated every 100 ms, no allotment was stored any more, and all work under caps waited.

The record has the allotments that have room: of accounts with running tasks, then of those whose work waits, then of those that hold something unused. A write that the store rejects had no effect, and is repeated after 2 s.

Tests: fit_allotments_test.ts, and allotment_keeper_test.ts, "an account whose work waits gets an allotment beside thousands of others", which fails before.

--- a/src/ownership/allotments/allotment_keeper.ts
+++ b/src/ownership/allotments/allotment_keeper.ts
@@ -31,6 +31,7 @@
   extendView,
   replaceView,
 } from "./allotment_view.ts";
+import { type AllotmentUse, fitAllotments } from "./fit_allotments.ts";
 import {
   type AllotmentSituation,
   isSameAllotment,
@@ -51,6 +52,8 @@
 const CONFIRM_INTERVAL_MS = 200;
 /** Delay before a failed call is repeated, in milliseconds. */
 const RETRY_DELAY_MS = 100;
+/** The same for a record that the store has rejected for good. */
+const REJECTED_RETRY_DELAY_MS = 2_000;
 /** The shortest time between two writes, in milliseconds. */
 const MIN_WRITE_GAP_MS = 20;
 /**
@@ -227,10 +230,19 @@
       // Without a cap, it is kept until the account has one again.
       if (!caps.has(account)) planned.set(account, allotment);
     }
+    const situations = new Map<string, AllotmentSituation>();
     for (const [account, cap] of caps) {
       const situation = situationOf(account, cap, shared);
+      situations.set(account, situation);
       const allotment = planAllotment(situation);
       if (allotment !== undefined) planned.set(account, allotment);
+    }
+    const fitting = fitAllotments(
+      planned,
+      (account) => useOf(account, situations.get(account)),
+    );
+    for (const [account, situation] of situations) {
+      const allotment = fitting.get(account);
       const least = (left: Resources, right: Resources) =>
         combineResources(left, right, Math.min);
       const held = least(
@@ -240,7 +252,19 @@
       if (isClaimed()) limits.set(account, limitUnder(situation, held));
     }
     emitLimits(limits);
-    return planned;
+    return fitting;
+  }
+
+  /** @param situation undefined if the account has no cap any more */
+  function useOf(
+    account: string,
+    situation: AllotmentSituation | undefined,
+  ): AllotmentUse {
+    const possible = situation?.possible ??
+      domain.allocatedByAccount.get(account) ?? NO_RESOURCES;
+    if (!fitsInto(possible, NO_RESOURCES)) return "running";
+    if (situation?.wait !== undefined) return "waiting";
+    return situation?.own === undefined ? "absent" : "unused";
   }
 
   function emitLimits(limits: Map<string, Resources>): void {
@@ -319,7 +343,8 @@
       return await clock.sleep(MIN_WRITE_GAP_MS, signal);
     }
     // The store has not executed it.
-    if (result.error.kind === "unavailable") {
+    const { kind } = result.error;
+    if (kind === "unavailable" || kind === "rejected") {
       view.undecided = view.undecided.filter((other) => other !== write);
     }
     await resolveFailure(result.error);
@@ -352,7 +377,9 @@
         fault: fault.kind,
         cause: fault.message,
       });
-      await clock.sleep(RETRY_DELAY_MS, signal);
+      const isRejected = fault.kind === "rejected";
+      const delayMs = isRejected ? REJECTED_RETRY_DELAY_MS : RETRY_DELAY_MS;
+      await clock.sleep(delayMs, signal);
     }
     const isRead = await read(0);
     if (!isRead) await clock.sleep(RETRY_DELAY_MS, signal);
--- a/src/ownership/allotments/allotment_keeper_test.ts
+++ b/src/ownership/allotments/allotment_keeper_test.ts
@@ -12,6 +12,8 @@
 } from "./testing/allotment_store.ts";
 
 const CAP = { cpuMillis: 100, memoryMb: 0, accelerators: 0 };
+/** Longer than the shortest time between two writes. */
+const WRITE_GAP_MS = 50;
 const IN_USE = new Set([3, 4]);
 const NO_REQUEST = { held: { cpuMillis: 40, memoryMb: 0, accelerators: 0 } };
 
@@ -149,3 +151,37 @@
     assert.equal(store.calls.size, 0);
   });
 });
+
+// Guards against accounts that never get an allotment since others fill the
+// record of the domain.
+it("an account whose work waits gets an allotment beside thousands of others", async () => {
+  const { keeper, domain, store, setup, clock } = createTestSetup();
+  const accountOf = (name: string) => ({
+    name,
+    keys: [],
+    priority: 0,
+    weight: 0,
+    cap: CAP,
+  });
+  const others = Array.from(
+    { length: 20_000 },
+    (_, index) => accountOf(`account-${index}`),
+  );
+  setup.accounts = [...others, accountOf("north")];
+  keeper.observeConfiguration();
+  keeper.review();
+  await answerAll(store);
+  const stored = () => store.log.at(-1)?.value ?? "";
+  assert.ok(stored().length > 0 && stored().length <= 262_144);
+  assert.ok(!stored().includes('"north"'));
+  domain.accountWaits.set("north", {
+    atOnce: CAP,
+    holdsOthers: false,
+    total: CAP,
+  });
+  await clock.advance(WRITE_GAP_MS);
+  keeper.review();
+  await answerAll(store);
+  assert.ok(stored().includes('"north"'));
+  assert.ok(stored().length <= 262_144);
+});
