Refuse a manifest whose records are too large for the store

Such a publication was appended again and again for 5 s and then answered with 504 "may still take effect", each time; the store never takes it. It is refused with 422 and SS1104 now, and nothing is appended.

Test: publish_manifest_test.ts, "a manifest whose record is too large is refused", which fails before.

--- a/src/diagnostics/diagnostics.ts
+++ b/src/diagnostics/diagnostics.ts
@@ -25,6 +25,10 @@
     1103,
     "Change {0} was built on version {1}, but version {2} is in force.",
   ),
+  manifestTooLarge: error(
+    1104,
+    "A record of the manifest takes {0} bytes, more than the {1} that the store accepts.",
+  ),
   peerUnreachable: error(2001, "{0} cannot be reached: {1}."),
   callTimedOut: error(2002, "{0} did not answer within {1} ms."),
   answerInvalid: error(2004, "{0} sent an answer that cannot be read: {1}."),
--- a/src/entry/operators_api.ts
+++ b/src/entry/operators_api.ts
@@ -34,6 +34,7 @@
 import { servicesOf } from "./services.ts";
 
 const CONFLICT = 409;
+const UNPROCESSABLE_CONTENT = 422;
 const GATEWAY_TIMEOUT = 504;
 /** Timeout of a call to the owner of a domain, in milliseconds. */
 const CALL_TIMEOUT_MS = 3_000;
@@ -117,6 +118,13 @@
             baseVersion,
             result.versionInForce,
           );
+        case "tooLarge":
+          return problemResponse(
+            UNPROCESSABLE_CONTENT,
+            diagnostics.manifestTooLarge,
+            result.bytes,
+            result.maxBytes,
+          );
         case "undecided":
           return problemResponse(GATEWAY_TIMEOUT, diagnostics.publishUndecided);
       }
--- a/src/manifest/publish_manifest.ts
+++ b/src/manifest/publish_manifest.ts
@@ -1,4 +1,10 @@
-import type { Clock, StoreHost } from "../hosts/mod.ts";
+import {
+  type Clock,
+  type KeyedRecord,
+  MAX_RECORD_BYTES,
+  recordBytes,
+  type StoreHost,
+} from "../hosts/mod.ts";
 import type { Manifest } from "../model/mod.ts";
 import {
   type AgreedResourceTimes,
@@ -14,6 +20,9 @@
 /** Delay before the retry of a failed call, in milliseconds. */
 const RETRY_DELAY_MS = 100;
 
+/** Difference between the epoch of a publication and its base version. */
+const EPOCH_OFFSET = 2;
+
 /** A manifest change that an operator publishes. */
 export type Publication = {
   changeId: string;
@@ -27,6 +36,8 @@
 export type PublicationOutcome =
   | { kind: "won"; version: number }
   | { kind: "lost"; versionInForce: number }
+  /** A record of it would be larger than the store accepts. */
+  | { kind: "tooLarge"; bytes: number; maxBytes: number }
   /** The store did not respond; the change may still take effect. */
   | { kind: "undecided" };
 
@@ -67,7 +78,19 @@
     const records = parseManifestRecords(read.value.records);
     const outcome = findOutcome(records, publication);
     if (outcome !== undefined) return outcome;
-    await appendManifest(host, records, publication);
+    const created = createRecords(host, records, publication);
+    const largest = Math.max(...created.map(recordBytes));
+    if (largest > MAX_RECORD_BYTES) {
+      return { kind: "tooLarge", bytes: largest, maxBytes: MAX_RECORD_BYTES };
+    }
+    // The result is ignored, because the records are read again.
+    await store.append(
+      MANIFEST_PARTITION,
+      created,
+      // The first epoch must be above that of a partition without records.
+      { epoch: publication.baseVersion + EPOCH_OFFSET, sequence: 0 },
+      signal,
+    );
   }
   return { kind: "undecided" };
 }
@@ -87,27 +110,16 @@
   return { kind: "lost", versionInForce };
 }
 
-/**
- * Appends the records of a publication. The result is ignored, because the
- * caller reads the records again.
- */
-async function appendManifest(
-  host: PublicationHost,
+/** Creates the records of a publication. */
+function createRecords(
+  { clock, agreedTimeByDay }: PublicationHost,
   records: ManifestRecords,
-  publication: Publication,
-): Promise<void> {
-  const { store, clock, signal } = host;
+  { baseVersion, changeId, author, manifest }: Publication,
+): KeyedRecord[] {
   const atMs = clock.nowMs();
-  const version = publication.baseVersion + 1;
-  const { changeId, author, manifest } = publication;
-  await store.append(
-    MANIFEST_PARTITION,
-    createManifestRecords(
-      { version, changeId, author, manifest, atMs },
-      host.agreedTimeByDay(records, atMs),
-    ),
-    // The first epoch must be above that of a partition without records.
-    { epoch: version + 1, sequence: 0 },
-    signal,
+  const version = baseVersion + 1;
+  return createManifestRecords(
+    { version, changeId, author, manifest, atMs },
+    agreedTimeByDay(records, atMs),
   );
 }
--- a/src/manifest/publish_manifest_test.ts
+++ b/src/manifest/publish_manifest_test.ts
@@ -133,3 +133,19 @@
     "agreed/2026-12-01",
   ]);
 });
+
+// Guards against a publication that the store never takes, and that ends as
+// undecided after its time.
+test("publication: a manifest whose record is too large is refused", async () => {
+  const fake = createFakeStore();
+  fake.beforeAppend = () => assert.fail("nothing is appended");
+  const customers = Array.from({ length: 20_000 }, (_, index) => ({
+    name: `customer-${index}`,
+  }));
+  const outcome = await publishManifest(fake.host, {
+    ...publication("wide", -1),
+    manifest: { ...EMPTY_MANIFEST, customers } as Manifest,
+  });
+  assert.equal(outcome.kind, "tooLarge");
+  assert.equal(fake.records.size, 0);
+});
