--- a/src/api/build_job.ts
+++ b/src/api/build_job.ts
@@ -1,7 +1,12 @@
 import { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
 import { diagnostics } from "../diagnostics/mod.ts";
-import type { JobRequest, QueuePolicy, Step } from "../domain/mod.ts";
+import {
+  findSizeProblem,
+  type JobRequest,
+  type QueuePolicy,
+  type Step,
+} from "../domain/mod.ts";
 import {
   formatAgreementKey,
   type Manifest,
@@ -104,13 +109,19 @@
     );
   }
   const { deadlineMs } = submission;
+  const request = {
+    id,
+    specification,
+    steps: groups.map(({ step }) => step),
+    ...(deadlineMs === undefined ? {} : { startWithinMs: deadlineMs }),
+  };
+  const problem = findSizeProblem(request);
+  if (problem !== undefined) {
+    const message = diagnostics.submissionInvalid;
+    return err(problemResponse(BAD_REQUEST, message, "tasks", problem));
+  }
   return ok({
-    request: {
-      id,
-      specification,
-      steps: groups.map(({ step }) => step),
-      ...(deadlineMs === undefined ? {} : { startWithinMs: deadlineMs }),
-    },
+    request,
     policy: {
       queue: `${agreement.name}/${work.name}`,
       service: work.service,
--- a/src/api/build_job_test.ts
+++ b/src/api/build_job_test.ts
@@ -78,3 +78,18 @@
   const payload = "x".repeat(5_000);
   assert.equal(problemCodeOf({ tasks: [{ payload }] }), submissionInvalid.code);
 });
+
+// Guards against a record of a job that the store rejects: payloads are short,
+// but each demand makes a step of its own.
+test("job: steps that do not fit into its record are rejected", () => {
+  const most = 2 ** 52;
+  const demand = { cpuMillis: most, memoryMb: most, accelerators: most };
+  const tasks = Array.from({ length: 970 }, (_, index) => ({
+    payload: 1,
+    demand,
+    durationMs: most + index % 2,
+  }));
+  const { submissionInvalid } = diagnostics;
+  assert.equal(build({ tasks: tasks.slice(0, 900) }).isOk(), true);
+  assert.equal(problemCodeOf({ tasks }), submissionInvalid.code);
+});
--- a/src/domain/job_limits.ts
+++ b/src/domain/job_limits.ts
@@ -1,8 +1,7 @@
 import { Buffer } from "node:buffer";
-import type { JobRequest } from "./job.ts";
+import { MAX_RECORD_BYTES } from "../hosts/mod.ts";
+import type { JobRequest, QueuePolicy } from "./job.ts";
 
-/** The store's limit on the size of a record, in bytes. */
-const MAX_RECORD_BYTES = 262_144;
 /** Room for what a job's record holds in addition to the request, in bytes. */
 const RECORD_MARGIN_BYTES = 16_384;
 /** The most that a placed task adds to the record of its step, in bytes. */
@@ -14,6 +13,23 @@
 /** The most tasks of a job in all its occurrences, which may be due at once. */
 const MAX_TASKS_PER_JOB = 100_000;
 
+/** Room for what is known of a job besides its request and policy, in bytes. */
+const OUTCOME_MARGIN_BYTES = 1_024;
+
+/**
+ * Whether the policy of a queue leaves room in the records of its jobs for the
+ * requests that `findSizeProblem` accepts.
+ *
+ * @example
+ * ```ts
+ * if (!isStorablePolicy(route.policy)) refuse(submission);
+ * ```
+ */
+export function isStorablePolicy(policy: QueuePolicy): boolean {
+  return Buffer.byteLength(JSON.stringify(policy)) <=
+    RECORD_MARGIN_BYTES - OUTCOME_MARGIN_BYTES;
+}
+
 /**
  * Returns why a job is too large to be accepted, if it is: an owner has to hold
  * it in memory, and the store its records.
--- a/src/domain/mod.ts
+++ b/src/domain/mod.ts
@@ -31,7 +31,7 @@
   interferenceRowSchema,
 } from "./interference/mod.ts";
 export * from "./job.ts";
-export { findSizeProblem } from "./job_limits.ts";
+export { findSizeProblem, isStorablePolicy } from "./job_limits.ts";
 export * from "./job_state.ts";
 export * from "./owner_entry.ts";
 export {
@@ -40,7 +40,7 @@
   previewJob,
   type StepPreview,
 } from "./preview_job.ts";
-export { jobOfRecord } from "./record_keys.ts";
+export { jobOfRecord, PERMIT_PREFIX } from "./record_keys.ts";
 export * from "./records.ts";
 export * from "./resource_time.ts";
 export * from "./apply_domain_event.ts";
--- a/src/domain/record_sizes_test.ts
+++ b/src/domain/record_sizes_test.ts
@@ -4,19 +4,24 @@
  */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { Buffer } from "node:buffer";
 import { isStorable } from "../hosts/mod.ts";
+import { findSizeProblem, isStorablePolicy } from "./job_limits.ts";
 import {
+  cancel,
   createBench,
   type DomainBench,
   ended,
   listing,
   listWorkers,
+  policy,
   reportFrom,
   running,
   simulateTakeover,
   startsIn,
   step,
   submit,
+  submitRequest,
   tick,
 } from "./testing/domain_bench.ts";
 import type { Step } from "./job.ts";
@@ -243,6 +248,27 @@
   });
 });
 
+// Guards against a job that is accepted and has no room in a record.
+it("the largest job that is accepted fits into its record, also once it has ended", () => {
+  const request = {
+    id: "5c0e7a21d94b36f8",
+    specification: "",
+    steps: [wideStep(2, { requiredLabel: "é".repeat(122_000) })],
+  };
+  const free = 245_760 - Buffer.byteLength(JSON.stringify(request));
+  request.specification = "x".repeat(free);
+  assert.equal(findSizeProblem(request), undefined);
+  const queue = "q".repeat(15_000);
+  assert.ok(isStorablePolicy(policy({ queue })));
+  const bench = createBench();
+  submitRequest(bench, request, { queue });
+  assertStorable(bench);
+  cancel(bench, request.id);
+  assertStorable(bench);
+  request.specification += "x";
+  assert.notEqual(findSizeProblem(request), undefined);
+});
+
 // Guards against a day of usage that stops its domain (issue 57, step 2).
 describe("the usage of many agreements", () => {
   const nameOf = (index: number) =>
--- a/src/domain/testing/domain_bench.ts
+++ b/src/domain/testing/domain_bench.ts
@@ -136,16 +136,25 @@
   steps: Step[],
   changes?: Partial<QueuePolicy>,
   schedule?: JobRequest["schedule"],
+): DomainCommand[] {
+  return submitRequest(bench, {
+    id,
+    specification: "text",
+    steps,
+    ...(schedule === undefined ? {} : { schedule }),
+  }, changes);
+}
+
+/** Submits a job as its caller writes it. */
+export function submitRequest(
+  bench: DomainBench,
+  request: JobRequest,
+  changes?: Partial<QueuePolicy>,
 ): DomainCommand[] {
   return feedEvent(bench, {
     kind: "submitted",
     call: bench.nextCall++,
-    request: {
-      id,
-      specification: "text",
-      steps,
-      ...(schedule === undefined ? {} : { schedule }),
-    },
+    request,
     policy: policy(changes),
   });
 }
--- a/src/entry/call_router.ts
+++ b/src/entry/call_router.ts
@@ -5,12 +5,13 @@
  * @module
  */
 import { assertNever, NO_LONGER_NEEDED, untilAborted } from "../base/mod.ts";
-import type {
-  JobDescription,
-  JobPreview,
-  JobRequest,
-  JobState,
-  QueuePolicy,
+import {
+  isStorablePolicy,
+  type JobDescription,
+  type JobPreview,
+  type JobRequest,
+  type JobState,
+  type QueuePolicy,
 } from "../domain/mod.ts";
 import type { QueueAddress } from "../ownership/mod.ts";
 import type { Counters } from "../telemetry/mod.ts";
@@ -41,6 +42,7 @@
 const LOOKUP_SHARE = 0.2;
 const SEARCH_UNANSWERED = "an owner that may have the job does not answer";
 const HOLDER_UNSETTLED = "the job moves between domains";
+const NAMES_TOO_LONG = "the names of the queue are too long to be stored";
 const QUEUES_UNKNOWN = "the store does not tell which domains have jobs";
 
 /** Dependencies of a call router. */
@@ -139,6 +141,7 @@
     partitionOf(service, host.partitionCount);
   return {
     async submit(request, policy, timeoutMs, address) {
+      if (!isStorablePolicy(policy)) return unavailableForNow(NAMES_TOO_LONG);
       const partition = partitionOfService(policy.service);
       const kind = "submit";
       const call = {
--- a/src/entry/call_router_test.ts
+++ b/src/entry/call_router_test.ts
@@ -96,6 +96,24 @@
   return { key: `${partition}/1/1`, partition, epoch: 1, queues: [queue] };
 }
 
+// Guards against jobs whose records have no room for the names of their queue.
+describe("a submission to a queue with very long names", () => {
+  it("is refused at once, and the longest names that fit are stored", async () => {
+    const accepted = {
+      kind: "answered",
+      answer: { kind: "accepted" },
+    } as const;
+    const { router, calls } = routerAnsweredBy(accepted);
+    const submitTo = async (queue: string) => {
+      const submitted = await router.submit(REQUEST, policy({ queue }), 3_000);
+      return submitted.kind;
+    };
+    assert.equal(await submitTo("q".repeat(15_000)), "done");
+    assert.equal(await submitTo("q".repeat(16_000)), "unavailable");
+    assert.equal(calls.length, 1);
+  });
+});
+
 describe("a call whose owner changes", () => {
   it("is retried at the successor after its owner lost the domain", async () => {
     const { router, calls } = routerAnsweredBy(
