Try rejected records apart from others, one job at a time

Where the store does not name the record at fault, others that were left out with it were tried again together with it, and so rejected for ever, and each try took in further ones. The end of a job could also be left out, as the larger one, without the deletion of its steps; a later owner would have run its tasks again.

The records of a job are left out together now.

--- a/src/domain/mod.ts
+++ b/src/domain/mod.ts
@@ -40,7 +40,7 @@
   previewJob,
   type StepPreview,
 } from "./preview_job.ts";
-export { jobOfRecord, PERMIT_PREFIX } from "./record_keys.ts";
+export { jobOfRecord, PERMIT_PREFIX, recordGroupOf } from "./record_keys.ts";
 export * from "./records.ts";
 export * from "./resource_time.ts";
 export * from "./apply_domain_event.ts";
--- a/src/domain/record_keys.ts
+++ b/src/domain/record_keys.ts
@@ -51,6 +51,19 @@
   return prefix === undefined ? undefined : key.slice(prefix.length);
 }
 
+/**
+ * Returns what a record is stored together with: the id of its job, or else its
+ * own key. The order of the records of a job matters.
+ *
+ * @example
+ * ```ts
+ * recordGroupOf("usage/2026-12-04"); // "usage/2026-12-04"
+ * ```
+ */
+export function recordGroupOf(key: string): string {
+  return jobOfRecord(key) ?? key;
+}
+
 /** Key of the record of a step in one occurrence of a job. */
 export function stepRecordKey(stepKey: string): string {
   return STEP_PREFIX + stepKey;
--- a/src/domain/records.ts
+++ b/src/domain/records.ts
@@ -56,7 +56,8 @@
 };
 
 /**
- * Returns the records that changed since the last call and marks them clean.
+ * Returns the included records that changed since the last call, and marks them
+ * clean.
  * The caller has to write them to the store, in this order if it needs several
  * appends: the outcome of a job comes before the deletion of its steps, without
  * which its tasks would be restored as waiting.
@@ -66,9 +67,12 @@
  * const records = drainDirtyRecords(domain);
  * ```
  */
-export function drainDirtyRecords(domain: Domain): DomainRecord[] {
-  const dirtyKeys = [...domain.dirtyKeys];
-  domain.dirtyKeys.clear();
+export function drainDirtyRecords(
+  domain: Domain,
+  isIncluded: (key: string) => boolean = () => true,
+): DomainRecord[] {
+  const dirtyKeys = [...domain.dirtyKeys].filter(isIncluded);
+  for (const key of dirtyKeys) domain.dirtyKeys.delete(key);
   const isJob = (key: string) => key.startsWith(JOB_PREFIX);
   const keys = [
     ...dirtyKeys.filter(isJob),
--- a/src/ownership/append_content.ts
+++ b/src/ownership/append_content.ts
@@ -1,5 +1,5 @@
 import { recordBytes, type StoreFault } from "../hosts/mod.ts";
-import type { DomainRecord } from "../domain/mod.ts";
+import { type DomainRecord, recordGroupOf } from "../domain/mod.ts";
 
 /**
  * Sent in place of records that the store rejects, so that the sequence number
@@ -24,7 +24,9 @@
 
 /**
  * Creates the content of an append. Where the store does not name the records at
- * fault, the largest ones are omitted, twice as many each time.
+ * fault, the largest ones are omitted, twice as many each time. With a record go
+ * all others of its job: without the end of a job, the deletion of its steps
+ * would let a later owner run its tasks again.
  *
  * @example
  * ```ts
@@ -46,11 +48,14 @@
         omitCount = 1;
         return false;
       }
-      const keys = new Set(rejectedKeys ?? largestKeys(remaining, omitCount));
-      if (!remaining.some(({ key }) => keys.has(key))) return false;
+      const keys = rejectedKeys ?? largestKeys(remaining, omitCount);
+      const groups = new Set(keys.map(recordGroupOf));
+      const isOmitted = ({ key }: DomainRecord) =>
+        groups.has(recordGroupOf(key));
+      if (!remaining.some(isOmitted)) return false;
       if (rejectedKeys === undefined) omitCount *= 2;
-      rejected = [...rejected, ...remaining.filter(({ key }) => keys.has(key))];
-      remaining = remaining.filter(({ key }) => !keys.has(key));
+      rejected = [...rejected, ...remaining.filter(isOmitted)];
+      remaining = remaining.filter((record) => !isOmitted(record));
       return true;
     },
   };
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -11,6 +11,7 @@
   describeJob,
   type Domain,
   type DomainCommand,
+  type DomainRecord,
   drainDirtyRecords,
   type EndedRun,
   heldQueuesOf,
@@ -22,6 +23,7 @@
   previewJob,
   type QueuePolicy,
   recordCommitted,
+  recordGroupOf,
   takeAdviceRequest,
   viewTasks,
   viewWorkers,
@@ -31,7 +33,7 @@
 import { createAllotmentKeeper } from "./allotments/mod.ts";
 import type { DomainOwnerHost } from "./domain_owner_host.ts";
 import type { DomainView } from "./domain_view.ts";
-import { createDomainWriter } from "./domain_writer.ts";
+import { type Commit, createDomainWriter } from "./domain_writer.ts";
 import { awaitEarlierOwners } from "./earlier_owners.ts";
 import { createEventSource } from "./event_source.ts";
 import type {
@@ -250,6 +252,43 @@
   };
 }
 
+/** Takes the changes of a group of records that the store has rejected. */
+function takeRetriedChanges(
+  state: OwnerState,
+  { group, keys }: { group: string; keys: string[] },
+): Commit {
+  const { domain } = state;
+  for (const key of keys) domain.dirtyKeys.add(key);
+  const records = drainDirtyRecords(
+    domain,
+    (key) => recordGroupOf(key) === group,
+  );
+  return {
+    records,
+    onCommitted: (rejected) =>
+      completeCommit(state, { records, commands: [], rejected }),
+  };
+}
+
+/** Executes what waited for a commit, and what no longer waits after it. */
+function completeCommit(
+  state: OwnerState,
+  { records, commands, rejected }: {
+    records: DomainRecord[];
+    commands: DomainCommand[];
+    rejected: DomainRecord[];
+  },
+): void {
+  const { domain, unstoredJobs, writer } = state;
+  const stored = records.filter((record) => !rejected.includes(record));
+  unstoredJobs.settle(stored, rejected);
+  recordCommitted(domain, stored);
+  answerOutcomeReads(state);
+  executeCommitted(state, unstoredJobs.release(commands));
+  sendOrdersAheadOfCommit(state);
+  if (rejected.length > 0) writer.requestCommit();
+}
+
 function createOwnerState(host: DomainOwnerHost, domain: Domain): OwnerState {
   const pendingCommands: DomainCommand[] = [];
   const uncommittedJobs = createUncommittedJobs();
@@ -289,24 +328,21 @@
     writer: createDomainWriter({
       ...host,
       takeChanges() {
-        if (domain.dirtyKeys.size === 0 && pendingCommands.length === 0) {
+        const retry = unstoredJobs.takeRetry();
+        if (retry !== undefined) return takeRetriedChanges(state, retry);
+        const records = drainDirtyRecords(
+          domain,
+          (key) => !unstoredJobs.isSeparate(key),
+        );
+        if (records.length === 0 && pendingCommands.length === 0) {
           return undefined;
         }
         const commands = pendingCommands.splice(0);
         uncommittedJobs.markAllSent();
-        const records = drainDirtyRecords(domain);
         return {
           records,
-          onCommitted(rejected) {
-            const stored = records.filter((record) =>
-              !rejected.includes(record)
-            );
-            unstoredJobs.settle(stored, rejected);
-            recordCommitted(domain, stored);
-            answerOutcomeReads(state);
-            executeCommitted(state, unstoredJobs.release(commands));
-            sendOrdersAheadOfCommit(state);
-          },
+          onCommitted: (rejected) =>
+            completeCommit(state, { records, commands, rejected }),
         };
       },
     }),
--- a/src/ownership/domain_writer_test.ts
+++ b/src/ownership/domain_writer_test.ts
@@ -240,4 +240,17 @@
     assert.ok(appends.length <= 8, `${appends.length} appends`);
     assert.ok(rejectedKeys.includes("k40"));
   });
+
+  // Guards against a deletion of steps without the end of their job, after which
+  // a later owner would run their tasks again.
+  it("leaves out all records of a job, or none", async () => {
+    const { appends, rejectedKeys, commit } = createWriterBench();
+    await commit("job/a", "step/a.0.0", "job/b", "step/b.0.0");
+    appends[0]!.answer(rejection(["job/a"]));
+    await settle();
+    assert.equal(appends[1]?.key, "job/b step/b.0.0");
+    appends[1]!.answer(ok(undefined));
+    await settle();
+    assert.deepEqual(rejectedKeys, ["job/a", "step/a.0.0"]);
+  });
 });
--- a/src/ownership/owner_passes.ts
+++ b/src/ownership/owner_passes.ts
@@ -184,11 +184,9 @@
 
 /** Stores rejected records again; their content may fit by now. */
 function retryRejectedRecords(
-  { domain, unstoredJobs, writer }: OwnerState,
+  { unstoredJobs, writer }: OwnerState,
 ): void {
-  const keys = unstoredJobs.keys();
-  if (keys.length === 0) return;
-  for (const key of keys) domain.dirtyKeys.add(key);
+  unstoredJobs.scheduleRetries();
   writer.requestCommit();
 }
 
--- a/src/ownership/unstored_jobs.ts
+++ b/src/ownership/unstored_jobs.ts
@@ -2,8 +2,8 @@
 import {
   type DomainCommand,
   type DomainRecord,
-  jobOfRecord,
   jobOfTask,
+  recordGroupOf,
 } from "../domain/mod.ts";
 
 /**
@@ -19,8 +19,15 @@
    * held until a later commit.
    */
   release(commands: DomainCommand[]): DomainCommand[];
-  /** The keys of the records that the store lacks. */
-  keys(): string[];
+  /** Whether a record is stored only by a commit of its own group. */
+  isSeparate(key: string): boolean;
+  /** Schedules another try of all records that the store lacks. */
+  scheduleRetries(): void;
+  /**
+   * Returns the keys that the store lacks of the next group to be tried, and
+   * that group; undefined if none is scheduled.
+   */
+  takeRetry(): { group: string; keys: string[] } | undefined;
 };
 
 /** What an owner knows of the calls and workers that commands concern. */
@@ -48,18 +55,33 @@
  */
 export function createUnstoredJobs(host: UnstoredJobsHost): UnstoredJobs {
   const missing = new Set<string>();
+  const scheduled = new Set<string>();
   let held: DomainCommand[] = [];
   return {
     settle(stored, rejected) {
       for (const { key } of rejected) missing.add(key);
       if (missing.size === 0) return;
       for (const { key } of stored) missing.delete(key);
+      const groups = groupsOf(rejected.map(({ key }) => key));
+      // Of several groups, most may only have been near the one at fault.
+      if (groups.size + stored.length <= 1) return;
+      for (const group of groups) scheduled.add(group);
+    },
+    isSeparate: (key) =>
+      missing.size > 0 && groupsOf(missing).has(recordGroupOf(key)),
+    scheduleRetries() {
+      for (const group of groupsOf(missing)) scheduled.add(group);
+    },
+    takeRetry() {
+      const [group] = scheduled;
+      if (group === undefined) return undefined;
+      scheduled.delete(group);
+      const keys = [...missing].filter((key) => recordGroupOf(key) === group);
+      return { group, keys };
     },
     release(commands) {
       if (held.length + missing.size === 0) return commands;
-      const jobs = new Set(
-        [...missing].flatMap((key) => listIfKnown(jobOfRecord(key))),
-      );
+      const jobs = groupsOf(missing);
       const heldWorkers = new Set<string>();
       const candidates = [...held, ...commands];
       held = [];
@@ -73,7 +95,6 @@
         return false;
       });
     },
-    keys: () => [...missing],
   };
 }
 
@@ -97,6 +118,10 @@
   }
 }
 
+function groupsOf(keys: Iterable<string>): Set<string> {
+  return new Set([...keys].map(recordGroupOf));
+}
+
 function listIfKnown(job: string | undefined): string[] {
   return job === undefined ? [] : [job];
 }
--- a/src/ownership/unstored_jobs_test.ts
+++ b/src/ownership/unstored_jobs_test.ts
@@ -31,7 +31,7 @@
     const commands = [stop("wide"), stop("other")];
     unstored.settle([{ key: STEP, value: "{}" }], []);
     assert.deepEqual(unstored.release(commands), commands);
-    assert.deepEqual(unstored.keys(), []);
+    assert.equal(unstored.isSeparate(STEP), false);
   });
 
   it("holds what relies on a rejected record until it is stored", () => {
@@ -44,7 +44,9 @@
     };
     const released = unstored.release([stop("wide"), stop("other"), answer]);
     assert.deepEqual(released, [stop("other")]);
-    assert.deepEqual(unstored.keys(), [STEP]);
+    assert.equal(unstored.isSeparate(STEP), true);
+    assert.equal(unstored.isSeparate("job/wide"), true);
+    assert.equal(unstored.isSeparate("job/other"), false);
     unstored.settle([{ key: STEP, value: "{}" }], []);
     assert.deepEqual(unstored.release([stop("third")]), [
       stop("wide"),
@@ -70,6 +72,26 @@
     const unstored = createBench();
     unstored.settle([], [{ key: "usage/2026-12-07", value: "{}" }]);
     assert.deepEqual(unstored.release([stop("other")]), [stop("other")]);
-    assert.deepEqual(unstored.keys(), ["usage/2026-12-07"]);
+    assert.equal(unstored.isSeparate("usage/2026-12-07"), true);
+    assert.equal(unstored.isSeparate("usage/2026-12-06"), false);
+  });
+
+  // Guards against records that are never stored since each try is mixed with
+  // one that is rejected.
+  it("tries each of several rejected jobs by itself, and again later", () => {
+    const unstored = createBench();
+    const other = { key: "job/other", value: "{}" };
+    unstored.settle([], [{ key: STEP, value: "{}" }, other]);
+    assert.deepEqual(unstored.takeRetry(), { group: "wide", keys: [STEP] });
+    unstored.settle([], [{ key: STEP, value: "{}" }]);
+    assert.deepEqual(unstored.takeRetry(), {
+      group: "other",
+      keys: ["job/other"],
+    });
+    unstored.settle([other], []);
+    assert.equal(unstored.takeRetry(), undefined);
+    assert.equal(unstored.isSeparate("job/other"), false);
+    unstored.scheduleRetries();
+    assert.deepEqual(unstored.takeRetry(), { group: "wide", keys: [STEP] });
   });
 });
--- a/stand_ins/platform/store.ts
+++ b/stand_ins/platform/store.ts
@@ -6,6 +6,7 @@
  */
 import { Buffer } from "node:buffer";
 import { decodeRecords } from "../../platform/record_format.ts";
+import type { KeyedRecord } from "../../src/hosts/mod.ts";
 
 const READ_HEADER_BYTES = 16;
 const MAX_RECORD_BYTES = 262_144;
@@ -37,11 +38,18 @@
   partitions: number;
   logs: Map<string, PartitionLog>;
   groups: Map<string, Group>;
+  /** Whether a record with a value is rejected for good. */
+  rejects(key: string): boolean;
 };
 
 /** Creates an empty store. */
 export function createStore(partitions: number): Store {
-  return { partitions, logs: new Map(), groups: new Map() };
+  return {
+    partitions,
+    logs: new Map(),
+    groups: new Map(),
+    rejects: () => false,
+  };
 }
 
 /** Returns the log of a topic's partition, creating it if necessary. */
@@ -75,7 +83,7 @@
   query: URLSearchParams,
   body: Buffer,
 ): StandInResponse {
-  if (exceedsLimits(body)) return { status: 400, body: {} };
+  if (isRejected(store, body)) return { status: 400, body: {} };
   const log = getOrCreateLog(
     store,
     query.get("topic") ?? "",
@@ -106,15 +114,22 @@
   return response;
 }
 
-/** Whether an append or one of its records is too large. */
-function exceedsLimits(body: Buffer): boolean {
+/** Whether an append or one of its records is too large, or is rejected. */
+function isRejected({ rejects }: Store, body: Buffer): boolean {
   if (body.length > MAX_CALL_BYTES) return true;
   for (let position = 0; position < body.length;) {
     const length = body.readUInt32BE(position);
     if (length > MAX_RECORD_BYTES) return true;
     position += 4 + length;
   }
-  return false;
+  return decodeAll(body).some(({ key, value }) =>
+    value !== undefined && rejects(key)
+  );
+}
+
+function decodeAll(body: Buffer): KeyedRecord[] {
+  const framed = Buffer.concat([Buffer.alloc(READ_HEADER_BYTES), body]);
+  return decodeRecords(framed, 0).records;
 }
 
 function writeRecords(log: PartitionLog, body: Buffer): StandInResponse {
@@ -123,8 +138,7 @@
   while (position < body.length) {
     const end = position + 4 + body.readUInt32BE(position);
     const bytes = body.subarray(position, end);
-    const framed = Buffer.concat([Buffer.alloc(READ_HEADER_BYTES), bytes]);
-    for (const { key, value } of decodeRecords(framed, 0).records) {
+    for (const { key, value } of decodeAll(bytes)) {
       if (value === undefined) log.latestByKey.delete(key);
       else log.latestByKey.set(key, { value, offset: log.records.length });
     }
