--- a/src/domain/step_record.ts
+++ b/src/domain/step_record.ts
@@ -68,8 +68,9 @@
 
 /**
  * Serializes a step. What does not fit is left out in this order: the
- * checkpoints that workers list, those of tasks that wait or begin, and the crashes under the tasks with the least evidence. Attempts and workers
- * of the tasks are always in it.
+ * checkpoints that workers list, those of tasks that wait or begin, and the
+ * crashes under the tasks with the least evidence. Attempts and workers of the
+ * tasks are always in it.
  *
  * @param maxBytes the size limit of the value, in bytes
  *
