--- a/review/stand-ins-3.mjs
+++ b/review/stand-ins-3.mjs
@@ -312,12 +312,16 @@
     const settings = join(folder, `${index}.ini`);
     // Ports are shared by all instances here, so each has one port for its peers.
     const template = deploy.template.replace("peer_port_count = 2", "peer_port_count = 1");
-    writeFileSync(settings, fillTemplate(template, fields));
+    const writeSettings = (bounds) => {
+      Object.assign(fields.bounds, bounds);
+      writeFileSync(settings, fillTemplate(template, fields));
+    };
+    writeSettings({});
     const env = { PATH: process.env.PATH, HOME: folder, LANG: "C", SAMPHIRESTAGE_NODE_FILE: settings };
     for (const [name, value] of Object.entries(deploy.env)) {
       env[name] = fillTemplate(value, fields);
     }
-    return { index, env, url: `http://${HOST}:${frontend}`, ready: `http://${HOST}:${ready}`, ends: 0 };
+    return { index, env, url: `http://${HOST}:${frontend}`, ready: `http://${HOST}:${ready}`, ends: 0, writeSettings };
   });
   const deployment = { folder, store, workers, instances, isStopping: false };
   for (const instance of instances) startInstance(deployment, instance, deploy.run, record);
