--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -1,85 +1,99 @@
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
-import { call, hasTrouble, idOf, runCase, sleep, waitUntilServing } from "../stand-ins-3.mjs";
+import { call, hasTrouble, idOf, runCase, sleep, startCall, waitUntilServing } from "../stand-ins-3.mjs";
 
-const PREFIX = "/renders/";
-const REVOKE_MS = 5_000;
-const CONFIG_APPLY_MS = 4_000;
-const KEYS = { faculty: "k-6d1f0c2b9a", archive: "k-93be75a410" };
-const NEVER_HELD = "k-never-held-by-any-config";
-const card = JSON.stringify({ spec: "lecture", phases: [{ count: 1, cpu: 500, mem_mb: 10, estimate_ms: 700 }] });
-const lasting = JSON.stringify({ spec: "relay", phases: [{ count: 1, cpu: 500, mem_mb: 10, estimate_ms: 700, long_running: true }] });
+const PREFIX = "/proofs/";
+const STABLE_WINDOW_MS = 4_000;
+const CANCEL_MS = 3_000;
+const STOP_MS = 900;
+const OUTAGE_MS = 1_300;
 
-const configurationOf = (version, names) => ({
-  version,
-  routes: [{
-    name: "renders",
-    host: "desk.example",
-    prefix: PREFIX,
-    kind: "unsafe",
-    timeout_ms: 3_000,
-    target_completion_ms: 400,
-    priority: 0,
-    service: "desk",
-    attempts: 3,
-    slack_factor: 1.5,
-    public: false,
-  }],
-  services: [{ name: "desk", enforces_capacity: false, standby: false }],
-  tenants: names.map((name) => ({ name, api_keys: [KEYS[name]], weight: 10, cap: { cpu: 0, mem_mb: 0, gpu: 0 } })),
-  limits: { max_header_bytes: 16_384, max_body_bytes: 262_144 },
-});
+const submission = (spec) =>
+  JSON.stringify({ spec, phases: [{ count: 1, cpu: 500, mem_mb: 10, estimate_ms: 700 }] });
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (record, start) => {
   const deployment = await start({
     instances: 3,
     workers: 6,
-    durationMs: (spec) => (spec === "relay" ? 600_000 : 700),
-    bounds: { revoke_ms: REVOKE_MS, config_apply_ms: CONFIG_APPLY_MS },
-    configuration: configurationOf(7, ["faculty", "archive"]),
+    durationMs: (spec) => (spec === "cancelled" ? 60_000 : 300),
+    logsStarts: false,
+    configuration: {
+      version: 7,
+      routes: [{
+        name: "proofs",
+        host: "desk.example",
+        prefix: PREFIX,
+        kind: "unsafe",
+        timeout_ms: 3_000,
+        target_completion_ms: 400,
+        priority: 0,
+        service: "desk",
+        attempts: 3,
+        slack_factor: 1.5,
+      }],
+      services: [{ name: "desk", enforces_capacity: false, standby: false }],
+      limits: { max_header_bytes: 16_384, max_body_bytes: 262_144 },
+    },
   });
   const { instances, store, workers } = deployment;
-  await waitUntilServing(deployment, PREFIX, card, { credential: KEYS.faculty });
-  let number = 0x100;
-  const submit = async (instance, key) => {
-    number += 1;
-    const headers = key === undefined ? {} : { credential: key };
-    const { status } = await call(instance, "POST", PREFIX + idOf(number), { body: card, headers });
-    record(`POST ${idOf(number)} at instance ${instance.index} with ${key ?? "no key"} -> ${status}`);
-    return { id: idOf(number), status };
-  };
-  const ownId = idOf(0x99);
-  const own = await call(instances[0], "POST", PREFIX + ownId, { body: lasting, headers: { credential: KEYS.archive } });
-  record(`POST ${ownId} (lasts) of archive -> ${own.status}`);
-  const before = [];
-  for (const instance of instances) {
-    before.push((await submit(instance, NEVER_HELD)).status, (await submit(instance, undefined)).status);
-  }
-  if (before.some((status) => status === 200)) throw new Error("keys are not checked at all");
-  // The operator takes all keys away: of faculty, then of archive as well.
-  store.put("keyed.op", "config", configurationOf(9, ["archive"]));
-  record("config 9 is acknowledged: faculty is gone, with its key");
-  await sleep(REVOKE_MS + 1_000);
-  const revoked = [];
-  for (const instance of instances) revoked.push(await submit(instance, KEYS.faculty));
+  await waitUntilServing(deployment, PREFIX, submission("card"));
+  // Ordinary traffic, a submission each 60 ms at each instance in turn.
+  let number = 0x1000;
+  let isOpen = true;
+  const statuses = new Map();
+  const traffic = (async () => {
+    while (isOpen) {
+      number += 1;
+      call(instances[number % 3], "POST", PREFIX + idOf(number), { body: submission("card") })
+        .then(({ status }) => statuses.set(status, (statuses.get(status) ?? 0) + 1));
+      await sleep(60);
+    }
+  })();
+  await sleep(2_000);
+  const id = idOf(0xca11ced);
   if (hasTrouble) {
-    store.put("keyed.op", "config", configurationOf(12, []));
-    record("config 12 is acknowledged: archive is gone, with its key");
-    await sleep(REVOKE_MS + 1_000);
+    record(`the store answers 503 for ${OUTAGE_MS} ms`);
+    store.setMode("busy");
   }
-  for (const instance of instances) {
-    revoked.push(await submit(instance, KEYS.faculty));
-    if (hasTrouble) revoked.push(await submit(instance, KEYS.archive));
-    revoked.push(await submit(instance, NEVER_HELD));
-    revoked.push(await submit(instance, undefined));
+  const downAtMs = Date.now();
+  const backAtMs = downAtMs + OUTAGE_MS;
+  const back = sleep(OUTAGE_MS).then(() => {
+    store.setMode("up");
+    record("the store is up");
+  });
+  await sleep(400);
+  record(`POST ${id} at instance 0`);
+  const first = startCall(instances[0], "POST", PREFIX + id, { body: submission("cancelled") });
+  await sleep(150);
+  first.abort();
+  record("the client breaks the channel of the POST");
+  await sleep(50);
+  record(`DELETE ${id} at instance 1`);
+  const cancelled = await call(instances[1], "DELETE", PREFIX + id);
+  const cancelledAtMs = Date.now();
+  record(`the DELETE is answered ${cancelled.status}`);
+  await back;
+  await sleep(1_000);
+  record(`POST ${id} arrives again, at instance 2`);
+  const repeated = await call(instances[2], "POST", PREFIX + id, { body: submission("cancelled") });
+  record(`the POST is answered ${repeated.status}`);
+  // By then the cancellation has to be in force, and the core has been stable.
+  const dueAtMs = Math.max(backAtMs, cancelledAtMs) + STABLE_WINDOW_MS + CANCEL_MS + STOP_MS;
+  while (Date.now() < dueAtMs + 3_000) {
+    await sleep(1_000);
   }
-  const foreign = await call(instances[0], "GET", PREFIX + ownId, { headers: { credential: NEVER_HELD } });
-  record(`GET ${ownId} with ${NEVER_HELD} -> ${foreign.status} ${JSON.stringify(foreign.body)}`);
-  await sleep(2_000);
-  const ran = revoked.filter(({ status }) => status === 200);
-  const started = ran.filter(({ id }) =>
-    workers.some(({ model }) => model.started.some(({ task }) => task.startsWith(id)))
+  isOpen = false;
+  await traffic;
+  const runs = workers.flatMap(({ id: worker, model }) =>
+    model.started.filter(({ task }) => task.startsWith(id)).map((run) => ({ worker, ...run }))
   );
-  record(`requests without a key in force: ${revoked.length}, answered with success: ${ran.length}, of which tasks started: ${started.length}`);
-  return ran.length > 0;
+  for (const { worker, task, attempt, startedAtMs, endedAtMs } of runs) {
+    record(`${worker} ran ${task} attempt ${attempt} from ${startedAtMs - cancelledAtMs} ms after the answer to the DELETE ${endedAtMs === undefined ? "on, and runs it now" : `to ${endedAtMs - cancelledAtMs} ms`}`);
+  }
+  const state = await call(instances[0], "GET", PREFIX + id);
+  record(`GET ${id}: ${state.status} ${JSON.stringify(state.body)}`);
+  record(`answers to the other submissions, by status: ${JSON.stringify([...statuses])}`);
+  const isAcknowledged = cancelled.status === 200 || cancelled.status === 410;
+  if (!isAcknowledged) record("the cancellation was not acknowledged");
+  return isAcknowledged && runs.some(({ endedAtMs }) => (endedAtMs ?? Infinity) > dueAtMs);
 });
--- a/review/stand-ins-3.mjs
+++ b/review/stand-ins-3.mjs
@@ -189,6 +189,7 @@
     const answer = workerModel.handleCommand(worker.model, path, command, Date.now());
     for (const run of worker.model.started.slice(before)) {
       if (options.logsStarts !== false) record(`${id} starts ${run.task} attempt ${run.attempt}`);
+      options.onStart?.(worker, run);
     }
     if (path !== "/hold" || answer.status !== 200) return answer;
     await waitForEnd(worker.model, command);
@@ -264,7 +265,7 @@
  * Starts a deployment with the bounds of a small site.
  *
  * @param options `instances`, `workers`, `configuration`, `durationMs(spec, task)`,
- *   `bounds`
+ *   `bounds`, and `onStart(worker, run)`, which is called for each task start
  */
 export async function startDeployment(record, options) {
   const folder = mkdtempSync(join(tmpdir(), "samphirestage-case-"));
@@ -282,6 +283,7 @@
         durationMs: options.durationMs,
         maxLeaseMs: 10_000,
         logsStarts: options.logsStarts,
+        onStart: options.onStart,
       }, record),
     );
   }
