--- a/review/stand-ins-3.mjs
+++ b/review/stand-ins-3.mjs
@@ -434,11 +434,15 @@
     record("the case took too long");
     finish(2);
   }, 115_000);
+  let isFinishing = false;
   const finish = async (result) => {
+    if (isFinishing) return;
+    isFinishing = true;
     clearTimeout(limit);
     if (deployment !== undefined) await stopDeployment(deployment);
     process.exit(result);
   };
+  for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) process.on(signal, () => finish(2));
   try {
     record(hasTrouble ? "with the disruption" : "without the disruption (TROUBLE=0)");
     const isBroken = await play(record, async (options) => {
