--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -61,10 +61,10 @@
     store.setMode("up");
     record("the store is up");
   });
-  await sleep(400);
+  await sleep(250);
   record(`POST ${id} at instance 0`);
   const first = startCall(instances[0], "POST", PREFIX + id, { body: submission("cancelled") });
-  await sleep(150);
+  await sleep(100);
   first.abort();
   record("the client breaks the channel of the POST");
   await sleep(50);
