--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -1,4 +1,3 @@
-import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { call, hasTrouble, idOf, runCase, sleep, startCall, waitUntilServing } from "../stand-ins-3.mjs";
 
@@ -11,7 +10,9 @@
 const submission = (spec) =>
   JSON.stringify({ spec, phases: [{ count: 1, cpu: 500, mem_mb: 10, estimate_ms: 700 }] });
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async (record, start) => {
+const RECORD_FILE = fileURLToPath(new URL("record.txt", import.meta.url));
+
+await runCase(RECORD_FILE, async (record, start) => {
   const deployment = await start({
     instances: 3,
     workers: 6,
--- a/review/15/case.mjs
+++ b/review/15/case.mjs
@@ -1,5 +1,4 @@
 import { once } from "node:events";
-import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { call, hasTrouble, idOf, runCase, sleep, waitUntilServing } from "../stand-ins-3.mjs";
 
@@ -10,7 +9,9 @@
 const card = JSON.stringify({ spec: "card", phases: [task] });
 const lasting = JSON.stringify({ spec: "lasting", phases: [{ ...task, long_running: true }] });
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async (record, start) => {
+const RECORD_FILE = fileURLToPath(new URL("record.txt", import.meta.url));
+
+await runCase(RECORD_FILE, async (record, start) => {
   const deployment = await start({
     instances: 3,
     workers: 6,
@@ -42,13 +43,10 @@
     record(`POST ${idOf(number)} (one task that lasts) -> ${status}`);
     if (status === 200) accepted.push(idOf(number));
   }
-  // The settings change, with a SIGHUP.
+  // The settings change, without a signal.
   const graceS = hasTrouble ? 4.5 : 5;
-  for (const instance of instances) {
-    instance.writeSettings({ grace_s: graceS });
-    instance.child.kill("SIGHUP");
-  }
-  record(`the settings change: grace_s is ${graceS}; each process gets SIGHUP`);
+  for (const instance of instances) instance.writeSettings({ grace_s: graceS });
+  record(`the settings files change: grace_s is ${graceS}`);
   await sleep(3_000);
   // Then the machines are stopped and started in turn.
   for (const instance of instances) {
--- a/review/stand-ins-3.mjs
+++ b/review/stand-ins-3.mjs
@@ -27,9 +27,8 @@
 
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
-/** Writes lines with the time since the start of the script. */
-export function createRecord(folder) {
-  const file = join(folder, "record.txt");
+/** Writes lines to a file, with the time since the start of the script. */
+export function createRecord(file) {
   const startedAtMs = Date.now();
   writeFileSync(file, "");
   return (text) => {
@@ -425,9 +424,13 @@
   }
 }
 
-/** Runs a case and exits with 1 if it broke the rule, 0 if not, 2 if it couldn't run. */
-export async function runCase(folder, play) {
-  const record = createRecord(folder);
+/**
+ * Runs a case and exits with 1 if it broke the rule, 0 if not, 2 if it couldn't run.
+ *
+ * @param recordFile the path of the `record.txt` of the case
+ */
+export async function runCase(recordFile, play) {
+  const record = createRecord(recordFile);
   let deployment;
   let code = 2;
   const limit = setTimeout(() => {
