--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -5,7 +5,7 @@
 const STABLE_WINDOW_MS = 4_000;
 const CANCEL_MS = 3_000;
 const STOP_MS = 900;
-const OUTAGE_MS = 1_300;
+const OUTAGE_MS = 1_200;
 
 const submission = (spec) =>
   JSON.stringify({ spec, phases: [{ count: 1, cpu: 500, mem_mb: 10, estimate_ms: 700 }] });
@@ -53,8 +53,8 @@
   await sleep(2_000);
   const id = idOf(0xca11ced);
   if (hasTrouble) {
-    record(`the store answers 503 for ${OUTAGE_MS} ms`);
-    store.setMode("busy");
+    record(`the store is silent for ${OUTAGE_MS} ms`);
+    store.setMode("silent");
   }
   const downAtMs = Date.now();
   const backAtMs = downAtMs + OUTAGE_MS;
