Keep the deletion of earlier records when a job is withdrawn

What callers could see: after a takeover, an id shows the state of a job that had ended and been forgotten, and a submission under it is taken for a repeat.

Cause: the domain marks the records of a forgotten job as changed, so that the next commit deletes them. A job that is submitted under the same id before that commit and then withdrawn, as the store is silent, removed these marks with its own.

Fix: a job knows if such a deletion was pending when it was submitted, and its withdrawal then leaves the marks.

Evidence: "does not keep the records of an earlier job with its id" fails without the fix (job/a and step/a.0.0 stay in the store) and passes with it.

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -197,6 +197,7 @@
       outcome: "open",
     };
     const run = createJobRun(job);
+    run.hasEarlierRecords = domain.dirtyKeys.has(jobKey(job.id));
     domain.jobs.set(job.id, run);
     domain.dirtyKeys.add(jobKey(job.id));
     domain.commands.push({
--- a/src/domain/job_lifecycle.ts
+++ b/src/domain/job_lifecycle.ts
@@ -26,6 +26,7 @@
     isStored: false,
     isOutcomeStored: false,
     isRestored: false,
+    hasEarlierRecords: false,
     successors: undefined,
     criticalPaths: undefined,
   };
--- a/src/domain/job_run.ts
+++ b/src/domain/job_run.ts
@@ -20,6 +20,11 @@
   isRestored: boolean;
   /** By index of a step, those that follow it; from its first completion. */
   successors: number[][] | undefined;
+  /**
+   * Whether the store may have records of an earlier job with its id, of which
+   * the deletion has not been sent.
+   */
+  hasEarlierRecords: boolean;
   /** From the creation of its first step. */
   criticalPaths: CriticalPaths | undefined;
 };
--- a/src/domain/withdraw_job.ts
+++ b/src/domain/withdraw_job.ts
@@ -19,10 +19,12 @@
       });
       domain.steps.delete(run.key);
       domain.waitingSteps.delete(run);
+      // Records of an earlier job with this id still have to be deleted.
+      if (job.hasEarlierRecords) continue;
       domain.dirtyKeys.delete(stepRecordKey(run.key));
     }
   }
   domain.scheduledJobs.delete(job);
   domain.jobs.delete(id);
-  domain.dirtyKeys.delete(jobKey(id));
+  if (!job.hasEarlierRecords) domain.dirtyKeys.delete(jobKey(id));
 }
--- a/src/domain/withdraw_job_test.ts
+++ b/src/domain/withdraw_job_test.ts
@@ -4,10 +4,14 @@
 import { drainDirtyRecords } from "./records.ts";
 import { applyDomainEvent, scheduleDomain } from "./apply_domain_event.ts";
 import {
+  cancel,
   createBench,
+  feedEvent,
+  feedUncommitted,
   listing,
   listWorkers,
   policy,
+  simulateTakeover,
   startsIn,
   step,
   submit,
@@ -39,4 +43,30 @@
     );
     assert.equal(start?.task, "b.0.0.0");
   });
+
+  // Guards against an earlier job of the same id that a later owner restores,
+  // since its deletion was taken back with the withdrawn job.
+  it("does not keep the records of an earlier job with its id", () => {
+    const bench = createBench();
+    const steps = [step({ taskCount: 2 }), step({ after: [0] })];
+    // The tasks of a job under an agreement are shown after its end.
+    const changes = { agreement: "a1" };
+    submit(bench, "a", steps, changes);
+    cancel(bench, "a");
+    assert.deepEqual([...bench.store.keys()], ["job/a", "step/a.0.0"]);
+    bench.nowMs += 131_000;
+    feedUncommitted(bench, { kind: "ticked" });
+    assert.equal(jobStateOf(bench.domain, "a"), undefined);
+    const request = { id: "a", specification: "", steps };
+    feedUncommitted(bench, {
+      kind: "submitted",
+      call: 9,
+      request,
+      policy: policy(changes),
+    });
+    feedEvent(bench, { kind: "withdrawn", job: "a" });
+    assert.deepEqual([...bench.store.keys()], []);
+    simulateTakeover(bench);
+    assert.equal(jobStateOf(bench.domain, "a"), undefined);
+  });
 });
