Return the token of a withdrawn submission to its account

What callers could see: an account within its rate is treated as beyond it, and may be refused, after an outage of the store.

Cause: a submission takes a token of its account's rate when it is admitted. If the job is withdrawn, since the store is silent, its caller is told to come again, and the repeat took a second token.

Fix: the withdrawal of an open job within the rate returns the token.

Evidence: "does not count a job that was withdrawn" fails without the fix and passes with it.

--- a/src/domain/account_rate.ts
+++ b/src/domain/account_rate.ts
@@ -68,6 +68,21 @@
   return rate.excess;
 }
 
+/**
+ * Reverses the count of a submission within its account's rate, which has been
+ * rejected since: it is to come again.
+ */
+export function uncountSubmission(
+  domain: Domain,
+  account: string | undefined,
+): void {
+  const rate = account === undefined
+    ? undefined
+    : domain.accountRates.get(account);
+  // Tokens beyond the size of the bucket are removed by the next refill.
+  if (rate !== undefined) rate.tokens += 1;
+}
+
 function getOrCreateRate(
   domain: Domain,
   account: string,
--- a/src/domain/account_rate_test.ts
+++ b/src/domain/account_rate_test.ts
@@ -74,6 +74,21 @@
     assert.equal(bench.domain.jobs.get("j2")?.job.isBeyondRate, undefined);
   });
 
+  // Guards against an account within its rate that is refused after an outage of
+  // the store, since its submissions count when they are rejected and repeated.
+  it("does not count a job that was withdrawn", () => {
+    const bench = createCounted({ a: 1 });
+    const clientAccount = "a";
+    for (let attempt = 0; attempt < 3; attempt += 1) {
+      submit(bench, "j1", [step()], { clientAccount });
+      feedEvent(bench, { kind: "withdrawn", job: "j1" });
+    }
+    submit(bench, "j1", [step()], { clientAccount });
+    assert.equal(bench.domain.jobs.get("j1")?.job.isBeyondRate, undefined);
+    submit(bench, "j2", [step()], { clientAccount });
+    assert.equal(bench.domain.jobs.get("j2")?.job.isBeyondRate, true);
+  });
+
   it("explains why a job beyond it waits", () => {
     const bench = createCounted({ a: 1 });
     submit(bench, "j1", [step()], { clientAccount: "a" });
--- a/src/domain/withdraw_job.ts
+++ b/src/domain/withdraw_job.ts
@@ -1,3 +1,4 @@
+import { uncountSubmission } from "./account_rate.ts";
 import type { Domain } from "./domain.ts";
 import { jobKey, stepRecordKey } from "./record_keys.ts";
 import { releaseTask } from "./task_placement.ts";
@@ -24,6 +25,9 @@
       domain.dirtyKeys.delete(stepRecordKey(run.key));
     }
   }
+  if (job.job.isBeyondRate !== true && job.job.outcome === "open") {
+    uncountSubmission(domain, job.job.policy.clientAccount);
+  }
   domain.scheduledJobs.delete(job);
   domain.jobs.delete(id);
   if (!job.hasEarlierRecords) domain.dirtyKeys.delete(jobKey(id));
