Accept every number that a platform may write in the settings

Cause: the schemas of the settings accepted only digits, although bounds may be "whole numbers, fractions, or true or false", and had ranges that only the product knew.

Fix: numbers may have a fraction or an exponent; durations and amounts have a lower bound that makes sense and no upper one. Nothing is rounded where the settings are read: each use rounds to its safe side. What is no number is refused with its key, as before.

--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -233,7 +233,8 @@
       group: OWNER_GROUP,
       member: self,
       topic: DOMAINS_TOPIC,
-      ttlMs: settings.store.memberTtlMs,
+      // The store takes whole milliseconds.
+      ttlMs: Math.ceil(settings.store.memberTtlMs),
     },
     membership: undefined,
     ownerDiscovery: undefined,
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -3,6 +3,7 @@
   choice,
   decimalSchema,
   nameSchema,
+  numberFrom,
   optionalSecretSchema,
   optionalSocketAddressSchema,
   portSchema,
@@ -48,13 +49,13 @@
     /** Number of partitions of each topic. */
     partitions: wholeNumber(1, 10_000),
     /** How long a member without heartbeats keeps its domains, in ms. */
-    member_ttl_ms: wholeNumber(100, HOUR_MS),
+    member_ttl_ms: numberFrom(100),
   }),
   configuration: v.object({
     /** How long after its revocation a key may be accepted, in ms. */
-    revocation_bound_ms: v.optional(wholeNumber(1, HOUR_MS), "5000"),
+    revocation_bound_ms: v.optional(numberFrom(1), "5000"),
     /** Time after which an added key has to be accepted, in ms. */
-    addition_bound_ms: v.optional(wholeNumber(1, HOUR_MS), "4000"),
+    addition_bound_ms: v.optional(numberFrom(1), "4000"),
   }),
   advice: v.object({
     /** Address of the placement policy service; empty for none. */
@@ -65,15 +66,15 @@
   }),
   workers: v.object({
     /** Interval at which a worker renews its entry in the list, in ms. */
-    heartbeat_ms: wholeNumber(1, HOUR_MS),
+    heartbeat_ms: numberFrom(1),
   }),
   lease: v.object({
     /** Longest lease that a worker accepts, in milliseconds. */
-    max_ms: wholeNumber(100, HOUR_MS),
+    max_ms: numberFrom(1),
   }),
   jobs: v.object({
     /** Retention of the records of ended jobs, in seconds. */
-    keep_ended_s: wholeNumber(1, 1_000_000),
+    keep_ended_s: numberFrom(0),
   }),
   accounts: v.object({
     /**
@@ -84,16 +85,16 @@
   }),
   stop: v.object({
     /** Time from SIGTERM to SIGKILL, in seconds. */
-    grace_s: wholeNumber(1, 3_600),
+    grace_s: numberFrom(0),
   }),
   log: v.object({
     level: v.optional(choice("error", "warn", "info", "debug"), "info"),
   }),
   machine: v.object({
     /** Memory that the process may take, in MiB. */
-    memory_mb: v.optional(wholeNumber(64, 1_048_576), "256"),
+    memory_mb: v.optional(numberFrom(1), "256"),
     /** Descriptors that the process may open. */
-    descriptors: v.optional(wholeNumber(256, 1_048_576), "4096"),
+    descriptors: v.optional(numberFrom(1), "4096"),
   }),
   clients: v.object({
     /** Time for the first head of a connection, and for each further one. */
--- a/src/settings/values.ts
+++ b/src/settings/values.ts
@@ -11,6 +11,8 @@
 
 /** Names of instances, zones and customers, as in the manifest. */
 const NAME_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/;
+/** A number as JSON, TOML and common number formatting write it. */
+const NUMBER_PATTERN = /^[0-9]+(\.[0-9]+)?([eE][+-]?[0-9]+)?$/;
 /** The characters of a bearer token, as in RFC 6750. */
 const TOKEN_PATTERN = /^[A-Za-z0-9._~+/-]{8,}=*$/;
 
@@ -81,11 +83,16 @@
   v.description("IP:PORT by IP number, or nothing"),
 );
 
-/** Schema of a decimal number. */
-export const decimalSchema = v.pipe(
+const numericTextSchema = v.pipe(
   v.string(),
-  v.regex(/^[0-9]+(\.[0-9]+)?$/),
+  v.regex(NUMBER_PATTERN),
   v.transform(Number),
+  v.maxValue(Number.MAX_SAFE_INTEGER),
+);
+
+/** Schema of a decimal number. */
+export const decimalSchema = v.pipe(
+  numericTextSchema,
   v.description("a decimal number, such as 0.5"),
 );
 
@@ -93,24 +100,42 @@
 export const portSchema = wholeNumber(1, MAX_PORT);
 
 /**
- * Creates the schema of an integer between two inclusive bounds.
+ * Creates the schema of an integer between two inclusive bounds. `6.0` and `6e3`
+ * are integers, too: a platform may write all its numbers in this way.
  *
  * @example
  * ```ts
- * const heartbeatMs = wholeNumber(10, 60_000);
+ * const partitions = wholeNumber(1, 10_000);
  * ```
  */
 export function wholeNumber(min: number, max: number) {
   return v.pipe(
-    v.string(),
-    v.regex(/^[0-9]{1,15}$/),
-    v.transform(Number),
+    numericTextSchema,
+    v.integer(),
     v.minValue(min),
     v.maxValue(max),
     v.description(`a whole number from ${min} to ${max}`),
   );
 }
 
+/**
+ * Creates the schema of a number with a lower bound, such as a duration or an
+ * amount of memory, which may have a fraction. There is no upper bound, since
+ * the platform decides how much it grants.
+ *
+ * @example
+ * ```ts
+ * const graceS = numberFrom(0);
+ * ```
+ */
+export function numberFrom(min: number) {
+  return v.pipe(
+    numericTextSchema,
+    v.minValue(min),
+    v.description(`a number of at least ${min}`),
+  );
+}
+
 /**
  * Creates the schema of a value out of a fixed set of words.
  *
