Accept the names that a platform gives to machines and zones

What callers could see: no process starts, where the platform calls a machine Edge_1 or a zone kigali.a.

Fix: printable ASCII without blanks, up to 255 characters. The names are used in logs, as labels and as keys of maps.

The names of customers and operators are as before.

--- a/src/settings/read_settings_test.ts
+++ b/src/settings/read_settings_test.ts
@@ -186,6 +186,19 @@
   });
 }
 
+// Guards against LOST: a platform may name its machines as it likes.
+test("settings: names of the platform may have any printable character", () => {
+  const name = "Edge_1.kigali/a:2+b";
+  const text = VALID.replace("id = kigali-1", `id = ${name}`)
+    .replace("zone = kigali", `zone = ${name}`)
+    .replace("region = rwanda", `region = ${"x".repeat(255)}`);
+  const { instance } = readSettings(text)._unsafeUnwrap();
+  assert.equal(instance.id, name);
+  assert.equal(instance.zone, name);
+  assert.equal(instance.region.length, 255);
+  assert.equal(readFaults(VALID.replace("kigali-1", "kigali 1")).length, 1);
+});
+
 const MISTYPED_VALUES: [key: string, text: string][] = [
   ["grace_s = 6", "-1"],
   ["grace_s = 6", "six"],
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -2,10 +2,10 @@
 import {
   choice,
   decimalSchema,
-  nameSchema,
   numberFrom,
   optionalSecretSchema,
   optionalSocketAddressSchema,
+  platformNameSchema,
   portSchema,
   socketAddressSchema,
   textSchema,
@@ -20,9 +20,9 @@
  */
 export const sections = {
   instance: v.object({
-    id: nameSchema,
-    zone: nameSchema,
-    region: nameSchema,
+    id: platformNameSchema,
+    zone: platformNameSchema,
+    region: platformNameSchema,
     /** CPU share of the instance, in cores, such as 0.675. */
     cores: decimalSchema,
   }),
--- a/src/settings/values.ts
+++ b/src/settings/values.ts
@@ -9,7 +9,9 @@
 
 const MAX_PORT = 65_535;
 
-/** Names of instances, zones and customers, as in the manifest. */
+/** What a platform calls a machine or a place: ASCII without blanks. */
+const PLATFORM_NAME_PATTERN = /^[!-~]{1,255}$/;
+/** Names of customers and operators, as in the manifest. */
 const NAME_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/;
 /** A number as JSON, TOML and common number formatting write it. */
 const NUMBER_PATTERN = /^[0-9]+(\.[0-9]+)?([eE][+-]?[0-9]+)?$/;
@@ -26,6 +28,13 @@
   v.description("1 to 63 of a-z, 0-9 and -, starting with a letter or digit"),
 );
 
+/** Schema of a name that the platform has given. */
+export const platformNameSchema = v.pipe(
+  v.string(),
+  v.regex(PLATFORM_NAME_PATTERN),
+  v.description("1 to 255 printable characters of ASCII without blanks"),
+);
+
 /** Schema of a bearer token. */
 export const tokenSchema = v.pipe(
   v.string(),
