Raise the membership of owners to what the store accepts

What callers could see: no domain has an owner, where the store accepts no membership as short as 1.3 s, which the settings template fixes. The platform says what it accepts at least (ttl_min_ms).

Fix: a setting with the default 0, which the deploy file fills in; the longer of the two counts.

Not played against a store that refuses the shorter time.

--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -52,6 +52,7 @@
 import type { Settings } from "../settings/mod.ts";
 import { createInstanceList, type InstanceList } from "./instance_list.ts";
 import { createManifestState, type ManifestState } from "./manifest_state.ts";
+import { memberTtlMs } from "./member_ttl.ts";
 import type { OwnerDiscovery } from "./owner_discovery.ts";
 import { createPeerContact, type PeerContact } from "./peer_contact.ts";
 import { reportAddress } from "./peer_ports.ts";
@@ -233,8 +234,7 @@
       group: OWNER_GROUP,
       member: self,
       topic: DOMAINS_TOPIC,
-      // The store takes whole milliseconds.
-      ttlMs: Math.ceil(settings.store.memberTtlMs),
+      ttlMs: memberTtlMs(settings.store),
     },
     membership: undefined,
     ownerDiscovery: undefined,
