Require keys also once the last client account is gone

Cause: "no client accounts" stood for "calls need no keys" in five places.

Fix: whether calls need keys is a field of its own. An instance that has known a list keeps requiring keys.

--- a/src/entry/client_authentication.ts
+++ b/src/entry/client_authentication.ts
@@ -74,8 +74,8 @@
     } as const;
     const current = configuration.current();
     if (current === undefined) return unconfirmed;
-    const { version, clientAccounts } = current;
-    if (clientAccounts.length === 0) {
+    const { version, clientAccounts, requiresKeys } = current;
+    if (!requiresKeys) {
       return { kind: "accepted", clientAccount: undefined };
     }
     const ageMs = intake.ageMs();
--- a/src/entry/configuration.ts
+++ b/src/entry/configuration.ts
@@ -16,8 +16,12 @@
   version: number;
   routes: QueueRoute[];
   maxBodyBytes: number;
-  /** The client accounts; empty if calls need no keys. */
   clientAccounts: ClientAccount[];
+  /**
+   * Whether calls to queues that are not public need a key, also if no client
+   * account is left.
+   */
+  requiresKeys: boolean;
 };
 
 /** When the configuration in force was known to be the newest. */
@@ -33,7 +37,8 @@
   current(): Configuration | undefined;
   /**
    * Puts a configuration in force if its version is newer than the current one;
-   * returns whether it did.
+   * returns whether it did. Once calls have needed keys, they do under all later
+   * configurations, too.
    */
   applyIfNewer(configuration: Configuration): boolean;
   /**
@@ -89,7 +94,9 @@
       if (current !== undefined && configuration.version <= current.version) {
         return false;
       }
-      current = configuration;
+      const requiresKeys = configuration.requiresKeys ||
+        current?.requiresKeys === true;
+      current = { ...configuration, requiresKeys };
       return true;
     },
   };
--- a/src/entry/configuration_intake.ts
+++ b/src/entry/configuration_intake.ts
@@ -83,6 +83,7 @@
       version,
       routes: routes.length,
       accounts: clientAccounts.length,
+      requiresKeys: configuration.current()?.requiresKeys === true,
     });
     return true;
   }
--- a/src/entry/configuration_intake_test.ts
+++ b/src/entry/configuration_intake_test.ts
@@ -23,6 +23,7 @@
           routes: [],
           maxBodyBytes: 0,
           clientAccounts: [],
+          requiresKeys: false,
         },
       };
     },
--- a/src/entry/confirm_with_peers.ts
+++ b/src/entry/confirm_with_peers.ts
@@ -63,8 +63,7 @@
   let pauseMs = CHECK_INTERVAL_MS;
   while (!signal.aborted) {
     await clock.sleep(pauseMs, signal);
-    const { clientAccounts = [] } = configuration.current() ?? {};
-    if (clientAccounts.length === 0) {
+    if (configuration.current()?.requiresKeys !== true) {
       pauseMs = IDLE_INTERVAL_MS;
       continue;
     }
--- a/src/entry/confirm_with_peers_test.ts
+++ b/src/entry/confirm_with_peers_test.ts
@@ -39,6 +39,7 @@
         version: Number(value),
         routes: [],
         maxBodyBytes: 0,
+        requiresKeys: hasAccounts,
         clientAccounts: !hasAccounts ? [] : [{
           name: "press",
           keys: [`key-${value}`],
--- a/src/entry/follow_store_topics.ts
+++ b/src/entry/follow_store_topics.ts
@@ -49,8 +49,9 @@
   followTopic({
     ...followerOptions,
     waitMs(hasReadFailed) {
-      const { clientAccounts = [] } = configuration.current() ?? {};
-      if (clientAccounts.length === 0) return LONG_POLL_WAIT_MS;
+      if (configuration.current()?.requiresKeys !== true) {
+        return LONG_POLL_WAIT_MS;
+      }
       const { revocationBoundMs } = context.settings.configuration;
       const waitMs = Math.floor(revocationBoundMs * KEYS_LONG_POLL_SHARE);
       return hasReadFailed ? 0 : Math.min(waitMs, LONG_POLL_WAIT_MS);
--- a/src/entry/preview_api_test.ts
+++ b/src/entry/preview_api_test.ts
@@ -32,6 +32,7 @@
       isPublic: false,
     }],
     clientAccounts: [ACCOUNT],
+    requiresKeys: true,
     maxBodyBytes: 1_000,
   });
   const moment = { steadyMs: 0, wallMs: 1_780_000_000_000 };
--- a/src/entry/readiness.ts
+++ b/src/entry/readiness.ts
@@ -15,9 +15,9 @@
 /** Whether the instance can check keys, or has other calls to serve. */
 function canCheckKeys(context: EntryContext): boolean {
   const { configuration, configurationIntake, settings } = context;
-  const { clientAccounts = [], routes = [] } = configuration.current() ?? {};
+  const { requiresKeys = false, routes = [] } = configuration.current() ?? {};
   const { revocationBoundMs } = settings.configuration;
-  return clientAccounts.length === 0 ||
+  return !requiresKeys ||
     configurationIntake.ageMs() <= revocationBoundMs - BOUND_MARGIN_MS ||
     routes.some(({ isPublic }) => isPublic) && !isIsolated(context);
 }
--- a/src/entry/readiness_test.ts
+++ b/src/entry/readiness_test.ts
@@ -25,7 +25,7 @@
     configurationIntake: { ageMs: () => ageMs },
     configuration: {
       current: () => ({
-        clientAccounts: [{ name: "press" }],
+        requiresKeys: true,
         routes: [{ isPublic: false }, { isPublic }],
       }),
     },
--- a/src/entry/testing/key_revocation_model.ts
+++ b/src/entry/testing/key_revocation_model.ts
@@ -188,6 +188,7 @@
       version,
       routes: [],
       maxBodyBytes: 0,
+      requiresKeys: true,
       clientAccounts: [{
         name: "a",
         keys: [keyOf(version), "lasting"],
