Show jobs of client accounts only to their callers

Cause: the owner compared accounts only if the caller had one, and calls at a public queue have none.

Fix: one function in the domain decides who is shown a job, for submissions, reads and cancellations. A call without a key is shown the job of an account only at the job's own queue, which is public then.

The expectation that a submission without an account is accepted as a repeat still holds at the same queue, and a test for another queue (conflict) is added. The stand-in of an owner in execute_domain_call_test.ts now asks the real function.

--- a/src/domain/apply_domain_event.ts
+++ b/src/domain/apply_domain_event.ts
@@ -18,6 +18,7 @@
   observeWorkerLatencies,
 } from "./interference/mod.ts";
 import type { Job } from "./job.ts";
+import { isHiddenFrom } from "./job_access.ts";
 import {
   createJobRun,
   createReadySteps,
@@ -173,7 +174,7 @@
   moment: Moment,
 ): void {
   const { request, policy, call } = event;
-  if (isOfOtherAccount(domain, request.id, policy.clientAccount)) {
+  if (isHiddenFrom(domain, request.id, policy)) {
     domain.commands.push({
       kind: "answer",
       call,
@@ -258,20 +259,6 @@
   });
 }
 
-/**
- * Whether a job belongs to another client account than a caller's. It does not
- * if one of the two has no account.
- */
-export function isOfOtherAccount(
-  domain: Domain,
-  job: string,
-  clientAccount: string | undefined,
-): boolean {
-  const holder = domain.jobs.get(job)?.job.policy.clientAccount;
-  return holder !== undefined && clientAccount !== undefined &&
-    holder !== clientAccount;
-}
-
 /**
  * Makes the next commit write a record, which fails if the owner has a
  * successor. An answer that waits for this commit is therefore not outdated.
--- a/src/domain/job_account_test.ts
+++ b/src/domain/job_account_test.ts
@@ -10,10 +10,10 @@
 it("a job with the id of another account's job is not accepted", () => {
   const { domain } = createBench();
   const request = { id: "a", specification: "", steps: [step()] };
-  const answerTo = (clientAccount: string | undefined) => {
+  const answerTo = (clientAccount: string | undefined, queue = "proofs") => {
     const jobPolicy = clientAccount === undefined
-      ? policy()
-      : { ...policy(), clientAccount };
+      ? policy({ queue })
+      : policy({ queue, clientAccount });
     const commands = applyDomainEvent(
       domain,
       { kind: "submitted", call: 1, request, policy: jobPolicy },
@@ -25,7 +25,8 @@
   assert.equal(answerTo("press"), "accepted");
   assert.equal(answerTo("press"), "accepted");
   assert.equal(answerTo("desk"), "conflict");
-  // A call through a public queue does not tell its account.
+  // Its queue may be public by now; such calls do not tell their account.
   assert.equal(answerTo(undefined), "accepted");
+  assert.equal(answerTo(undefined, "open"), "conflict");
   assert.equal(domain.jobs.get("a")?.job.policy.clientAccount, "press");
 });
--- a/src/domain/mod.ts
+++ b/src/domain/mod.ts
@@ -31,6 +31,7 @@
   interferenceRowSchema,
 } from "./interference/mod.ts";
 export * from "./job.ts";
+export { isHiddenFrom, type JobCaller } from "./job_access.ts";
 export { findSizeProblem, isStorablePolicy } from "./job_limits.ts";
 export * from "./job_state.ts";
 export * from "./owner_entry.ts";
--- a/src/entry/execute_domain_call.ts
+++ b/src/entry/execute_domain_call.ts
@@ -90,7 +90,9 @@
   owner: DomainOwner,
   { job, queue, address, clientAccount }: CancelCall,
 ): Promise<DomainAnswer> {
-  if (isHidden(owner, job, clientAccount)) return { kind: "unknownJob" };
+  if (owner.isHiddenFrom(job, { clientAccount, queue })) {
+    return { kind: "unknownJob" };
+  }
   if (owner.hasJob(job) || queue === undefined) return await owner.cancel(job);
   return await decideAlone(host, owner, job, { queue, address }, () => {
     return owner.cancel(job);
@@ -101,7 +103,9 @@
   owner: DomainOwner,
   { job, queue, address, clientAccount }: StateCall,
 ): Promise<DomainAnswer> {
-  if (isHidden(owner, job, clientAccount)) return { kind: "unknownJob" };
+  if (owner.isHiddenFrom(job, { clientAccount, queue })) {
+    return { kind: "unknownJob" };
+  }
   const answer = await owner.stateOf(job);
   if (answer.kind !== "unknownJob" || queue === undefined) return answer;
   const unavailable = await owner.recordQueue({ queue, address });
@@ -110,16 +114,6 @@
   return { kind: "unknownJob", sharers };
 }
 
-/** Whether a job is not shown to a caller, since another account has it. */
-function isHidden(
-  owner: DomainOwner,
-  job: string,
-  clientAccount: string | undefined,
-): boolean {
-  return clientAccount !== undefined &&
-    owner.isOfOtherAccount(job, clientAccount);
-}
-
 async function countPendingJobs(
   owner: DomainOwner,
   { queue, address, namesSharers = false }: PendingCall,
--- a/src/entry/execute_domain_call_test.ts
+++ b/src/entry/execute_domain_call_test.ts
@@ -1,6 +1,15 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { policy, step } from "../domain/testing/domain_bench.ts";
+import {
+  isHiddenFrom as isJobHiddenFrom,
+  type JobCaller,
+} from "../domain/mod.ts";
+import {
+  createBench,
+  policy,
+  step,
+  submit,
+} from "../domain/testing/domain_bench.ts";
 import type {
   DomainOwner,
   DomainQueues,
@@ -49,6 +58,7 @@
     epoch: 5,
     recordQueue: () => Promise.resolve(undefined),
     hasJob: (id: string) => jobs.includes(id),
+    isHiddenFrom: () => false,
     hasCancelled: (id: string) => cancelled.includes(id),
     sharersOf: () =>
       sharers.map((number): DomainQueues => ({
@@ -135,9 +145,11 @@
 describe("a job of another client account", () => {
   function start(holder: string | undefined) {
     const { owner, calls } = createOwner({ jobs: ["a"] });
-    const isOfOtherAccount = (_: string, account: string) =>
-      holder !== undefined && holder !== account;
-    return { host: createHost([{ ...owner, isOfOtherAccount }]), calls };
+    const bench = createBench();
+    submit(bench, "a", [step()], { clientAccount: holder });
+    const isHiddenFrom = (job: string, caller: JobCaller) =>
+      isJobHiddenFrom(bench.domain, job, caller);
+    return { host: createHost([{ ...owner, isHiddenFrom }]), calls };
   }
 
   // Guards against callers that read or end the jobs of others by their ids.
@@ -152,6 +164,19 @@
     assert.deepEqual(calls, []);
   });
 
+  // Guards against a caller without a key that reads or ends the job of a client
+  // account at the address of a public queue, also of another service.
+  it("is unknown to a call without a key to another queue", async () => {
+    const { host, calls } = start("press");
+    const read = { kind: "state", partition: HOME, job: "a" } as const;
+    for (const call of [CANCELLATION, read]) {
+      const foreign = { ...call, queue: "open" };
+      const answer = await executeDomainCall(host, foreign);
+      assert.deepEqual(answer, { kind: "unknownJob" });
+    }
+    assert.deepEqual(calls, []);
+  });
+
   it("is cancelled if it or the call has no account", async () => {
     for (const [holder, clientAccount] of [["press"], [undefined, "desk"]]) {
       const { host, calls } = start(holder);
--- a/src/ownership/domain_owner.ts
+++ b/src/ownership/domain_owner.ts
@@ -15,7 +15,8 @@
   drainDirtyRecords,
   type EndedRun,
   heldQueuesOf,
-  isOfOtherAccount,
+  isHiddenFrom,
+  type JobCaller,
   type JobDescription,
   type JobPreview,
   type JobRequest,
@@ -111,8 +112,8 @@
   /** What would happen to a job that is submitted now; nothing changes. */
   preview(request: JobRequest, policy: QueuePolicy): JobPreview;
   hasJob(job: string): boolean;
-  /** Whether a job belongs to another client account. */
-  isOfOtherAccount(job: string, clientAccount: string): boolean;
+  /** Whether a job is not shown to a caller. */
+  isHiddenFrom(job: string, caller: JobCaller): boolean;
   /**
    * Waits until the store has a record that the domain may have jobs of a queue,
    * and until the owner knows which other domains may have some.
@@ -228,8 +229,7 @@
     preview: (request, policy) =>
       previewJob(domain, request, policy, currentMoment(state)),
     hasJob: (job) => domain.jobs.has(job),
-    isOfOtherAccount: (job, clientAccount) =>
-      isOfOtherAccount(domain, job, clientAccount),
+    isHiddenFrom: (job, caller) => isHiddenFrom(domain, job, caller),
     hasCancelled: (job) => domain.cancelledIds.has(job),
     async recordQueue(queue) {
       if (await queueRecorder.record(queue)) return undefined;
