Start no task on a worker that lacks the capacity for it

Cause: gangs are planned on slots with the time at which capacity is expected to be free, and a slot whose time had come counted as free. For a task without an estimate that time is now.

Fix: a slot says whether it is free now. All starts pass one function, which looks at the free capacity for all tasks that start together; a start that finds too little is not sent, logged with its figures, counted, and planned anew.

--- a/src/domain/place_gang.ts
+++ b/src/domain/place_gang.ts
@@ -16,7 +16,8 @@
 import { allocationOf } from "./task_placement.ts";
 import { findSlotsOn, mayReserveForGang, reserveSlot } from "./reservations.ts";
 import type { SchedulingPass } from "./scheduling_pass.ts";
-import { reportPlacements, startTask } from "./schedule.ts";
+import { reportPlacements } from "./schedule.ts";
+import { startTasks } from "./start_tasks.ts";
 import type { TaskSlot } from "./task_slot.ts";
 import { hasRecordRoom } from "./step_limits.ts";
 import { nextAttempt } from "./start_permit.ts";
@@ -56,14 +57,15 @@
   }
   const freeAtMs = Math.max(...slots.map((slot) => slot.freeAtMs));
   const hasTickets = haveValidTickets(run, slots, Math.max(nowMs, freeAtMs));
-  if (freeAtMs <= nowMs && hasTickets) return startGang(pass, run, slots);
+  const isFree = slots.every((slot) => slot.isFree);
+  if (isFree && hasTickets) return startGang(pass, run, slots);
   const demand = allocationOf(run.step);
   if (isAdvised) {
     for (const slot of slots) {
       reserveSlot(pass, slot, demand);
     }
   }
-  if (freeAtMs > nowMs && candidates !== workers.all) {
+  if (!isFree && candidates !== workers.all) {
     // Workers that the policy has not decided on may be free now.
     const freeSlots = findFreeSlots(pass, run, workers.all, isFull);
     if (freeSlots !== undefined) {
@@ -249,9 +251,9 @@
     run.failedOn.size === 0 ? 0 : retryPenalty(worker, run);
   const ticketRank = ({ worker }: TaskSlot) =>
     hasValidTicket(run, worker.id, nowMs) ? 0 : 1;
-  const spareCapacityRank = ({ worker, freeAtMs }: TaskSlot) => {
+  const spareCapacityRank = ({ worker, isFree }: TaskSlot) => {
     const free = worker.capacity.accelerators - worker.used.accelerators;
-    return freeAtMs <= nowMs ? free : -free;
+    return isFree ? free : -free;
   };
   return [...slots].sort((left, right) =>
     left.freeAtMs - right.freeAtMs ||
@@ -288,9 +290,12 @@
   const attempt = Math.max(
     ...run.tasks.map((task) => nextAttempt(domain, run, task)),
   );
-  const placements = slots.map(({ worker }, index) =>
-    startTask(pass, run, index, worker, attempt)
+  const placements = startTasks(
+    pass,
+    run,
+    slots.map(({ worker }, index) => ({ index, worker, attempt })),
   );
+  if (placements === undefined) return;
   reportPlacements(pass, run, placements);
   domain.waitingSteps.delete(run);
 }
--- a/src/domain/remaining_time.ts
+++ b/src/domain/remaining_time.ts
@@ -37,6 +37,7 @@
     return Math.max(MIN_REMAINING_MS, totalMs - elapsedMs);
   }
   return Math.max(
+    MIN_REMAINING_MS,
     step.estimateMs - elapsedMs,
     step.estimateMs * MIN_REMAINING_SHARE,
   );
--- a/src/domain/reservations.ts
+++ b/src/domain/reservations.ts
@@ -113,9 +113,10 @@
   let neededInTotal = demand;
   let count = 0;
   let freeAtMs = nowMs;
+  let isFree = true;
   while (count < limit) {
     if (fitsInto(neededInTotal, free)) {
-      yield { worker, freeAtMs };
+      yield { worker, isFree, freeAtMs };
       neededInTotal = addResources(neededInTotal, demand);
       count += 1;
       continue;
@@ -126,6 +127,7 @@
     if (release.done === true) return;
     free = addResources(free, release.value.resources);
     freeAtMs = release.value.freeAtMs;
+    isFree = false;
   }
 }
 
--- a/src/domain/schedule.ts
+++ b/src/domain/schedule.ts
@@ -25,7 +25,6 @@
 import type { Moment } from "./domain_event.ts";
 import type { DomainWorker } from "./domain_worker.ts";
 import { harmfulExcess } from "./interference/mod.ts";
-import { stepRecordKey } from "./record_keys.ts";
 import {
   lacksCapacityFor,
   placeGang,
@@ -35,7 +34,7 @@
   createSchedulingPass,
   type SchedulingPass,
 } from "./scheduling_pass.ts";
-import { allocationOf, placeTask } from "./task_placement.ts";
+import { allocationOf } from "./task_placement.ts";
 import {
   indexUnsettledWorkers,
   mayRunUnrecorded,
@@ -49,7 +48,8 @@
   reserveForLargeStep,
   respectsReservation,
 } from "./reservations.ts";
-import { isExcess, isSuspect, type StepRun, taskNameOf } from "./step_run.ts";
+import { startTasks } from "./start_tasks.ts";
+import { isExcess, isSuspect, type StepRun } from "./step_run.ts";
 
 /**
  * Runs one scheduling pass: places the tasks that can start now, and collects
@@ -146,7 +146,9 @@
     const worker = takeBestWorker(pass, candidates, run, score);
     if (worker === undefined) break;
     const attempt = nextAttempt(domain, run, task);
-    placements.push(startTask(pass, run, index, worker, attempt));
+    const started = startTasks(pass, run, [{ index, worker, attempt }]);
+    if (started === undefined) break;
+    placements.push(...started);
     if (isExcess(run)) takeExcessRoom(pass, run, 1);
   }
   reportPlacements(pass, run, placements);
@@ -301,40 +303,3 @@
     },
   });
 }
-
-/**
- * Places a task on a worker and emits the order to start it.
- *
- * @returns the placement as logged: `INDEX#ATTEMPT@WORKER`
- */
-export function startTask(
-  pass: SchedulingPass,
-  run: StepRun,
-  index: number,
-  worker: DomainWorker,
-  attempt: number,
-): string {
-  const { domain, moment } = pass;
-  placeTask(run, index, worker, {
-    attempt,
-    nowMs: moment.steadyMs,
-    phase: { kind: "starting" },
-  });
-  pass.releases.delete(worker);
-  const task = run.tasks[index];
-  domain.dirtyKeys.add(stepRecordKey(run.key));
-  domain.commands.push({
-    kind: "order",
-    order: {
-      kind: "start",
-      worker: worker.id,
-      task: taskNameOf(run, index),
-      attempt,
-      specification: run.jobRun.job.specification,
-      ticket: run.advice.allowed.get(worker.id)?.text,
-      checkpoint: task?.kind === "placed" ? task.checkpoint : undefined,
-      isSuspect: isSuspect(run, index),
-    },
-  });
-  return `${index}#${attempt}@${worker.id}`;
-}
