--- a/src/ownership/owner_calls_test.ts
+++ b/src/ownership/owner_calls_test.ts
@@ -16,12 +16,12 @@
 import {
   answerOutcomeReads,
   applyCall,
-  rejectUncommitted,
   waitUntilReportable,
 } from "./owner_calls.ts";
 import type { OwnerAnswer } from "./owner_answer.ts";
 import { executeCommitted, queueCommands } from "./owner_passes.ts";
 import type { OwnerState } from "./owner_state.ts";
+import { rejectUncommitted } from "./reject_uncommitted.ts";
 import { createUncommittedJobs } from "./uncommitted_jobs.ts";
 
 const SILENT_MS = 900;
--- a/src/ownership/owner_passes.ts
+++ b/src/ownership/owner_passes.ts
@@ -12,7 +12,7 @@
   scheduleDomain,
   verifyOwnershipOnCommit,
 } from "../domain/mod.ts";
-import { rejectUncommitted, STORE_DOWN_AFTER_MS } from "./owner_calls.ts";
+import { STORE_DOWN_AFTER_MS } from "./owner_calls.ts";
 import {
   acknowledgeEnds,
   expireUnlistedWorkers,
@@ -22,6 +22,7 @@
 } from "./owner_links.ts";
 import { RELAY_GRANT_MS } from "./relay/mod.ts";
 import { currentMoment, emit, type OwnerState } from "./owner_state.ts";
+import { rejectUncommitted } from "./reject_uncommitted.ts";
 
 /** The shortest time between two scheduling passes, in milliseconds. */
 const MIN_PASS_GAP_MS = 4;
