Note the expiry of a silent worker's leases when it comes

Cause: a link noted the expiry only after a poll that had failed, and a poll in flight may wait for its timeout first.

Fix: a silent worker's link sleeps until the expiry and reports it then. It looks again each second, since the expiry is lowered once an earlier owner has ended.

--- a/src/ownership/worker_link_state.ts
+++ b/src/ownership/worker_link_state.ts
@@ -17,6 +17,8 @@
 
 /** Delay after a failed poll or order, in milliseconds. */
 export const RETRY_DELAY_MS = 150;
+/** The longest time between two checks of a silent worker's leases, in ms. */
+const MAX_EXPIRY_CHECK_INTERVAL_MS = 1_000;
 
 /** Dependencies of a link. */
 export type WorkerLinkHost = {
@@ -168,7 +170,7 @@
             leasesExpireAtMs(state) - host.clock.steadyMs(),
           ),
         });
-        markSilent(state);
+        markSilent(state, fault.message);
       }
       if (host.clock.steadyMs() > leasesExpireAtMs(state)) {
         expireLease(state, fault.message, false);
@@ -181,10 +183,11 @@
  * fence; they neither start anything nor carry leases or acknowledgements until
  * a poll has been answered.
  */
-function markSilent(state: LinkState): void {
+function markSilent(state: LinkState, cause: string): void {
   state.isSilent = true;
   state.fence = nextFence(state.fence);
   state.host.emit({ kind: "workerSilent", worker: state.host.target.id });
+  watchExpiry(state, cause);
 }
 
 /**
@@ -210,11 +213,26 @@
     clockMs,
     expectedClockMs: Math.round(expectedReading(clock, nowMs) ?? 0),
   });
-  markSilent(state);
+  markSilent(state, "an order for its former incarnation was taken");
   state.pollController.abort(NO_LONGER_NEEDED);
   state.pollController = createChildController(host.signal);
 }
 
+/**
+ * Reports the expiry of a silent worker's leases when it comes. The poll in
+ * flight then may fail only later, and what waits for the expiry is late already.
+ */
+async function watchExpiry(state: LinkState, cause: string): Promise<void> {
+  const { clock, signal } = state.host;
+  while (state.isSilent && !state.hasLeaseExpired && !signal.aborted) {
+    const remainingMs = leasesExpireAtMs(state) - clock.steadyMs();
+    if (remainingMs < 0) return expireLease(state, cause, false);
+    // The expiry is lowered once an earlier owner is known to have ended.
+    const delayMs = Math.min(remainingMs + 1, MAX_EXPIRY_CHECK_INTERVAL_MS);
+    await clock.sleep(delayMs, signal);
+  }
+}
+
 /** When the leases of all owners have expired at the worker. */
 function leasesExpireAtMs(state: LinkState): number {
   const { clock, host } = state;
--- a/src/ownership/worker_link_test.ts
+++ b/src/ownership/worker_link_test.ts
@@ -5,18 +5,55 @@
 import type { DomainEvent } from "../domain/mod.ts";
 import { createManualClock } from "../entry/testing/manual_clock.ts";
 import type { PollCall, TaskHost, WorkerTarget } from "../hosts/mod.ts";
-import { MIN_CLOCK_RATE } from "./lease_time.ts";
+import { maxLeaseDurationMs, MIN_CLOCK_RATE } from "./lease_time.ts";
 import {
   FIRST_FENCE,
   hostOf,
   LEASE_MS,
   MAX_LEASE_MS,
 } from "./testing/link_host.ts";
+import { createSimulatedClock } from "./testing/simulated_clock.ts";
 import { openWorkerLink } from "./worker_link.ts";
 
 const MAX_POLLS = 500;
+/** When a call to a worker without an answer fails, in milliseconds. */
+const POLL_TIMEOUT_MS = 2_000;
 
 describe("the lease of a worker that stops answering", () => {
+  // Guards against LOST: what waits for the leases of workers that are gone is
+  // started late, as the expiry is noted only once a poll has failed.
+  it("is known to have expired while a poll is in flight", async () => {
+    const clock = createSimulatedClock();
+    const controller = new AbortController();
+    const { signal } = controller;
+    const lapsedAtMs: number[] = [];
+    let polls = 0;
+    const tasks = {
+      async poll() {
+        polls += 1;
+        const clockMs = clock.steadyMs();
+        if (polls === 1) {
+          return ok({ clockMs, bornMs: 1, running: [], ended: [] });
+        }
+        await clock.sleep(POLL_TIMEOUT_MS, signal);
+        const step = "worker.look";
+        return err({ kind: "unknown", step, peer: "w", message: "no answer" });
+      },
+    } as unknown as TaskHost;
+    openWorkerLink({
+      ...hostOf(tasks, clock, signal),
+      emit(event) {
+        if (event.kind === "workerLapsed") lapsedAtMs.push(clock.steadyMs());
+      },
+    });
+    await clock.advance(3 * LEASE_MS);
+    controller.abort();
+    const [firstMs = Infinity, ...others] = lapsedAtMs;
+    assert.deepEqual(others, []);
+    assert.ok(firstMs > LEASE_MS, `after ${firstMs} ms`);
+    assert.ok(firstMs <= maxLeaseDurationMs(LEASE_MS), `after ${firstMs} ms`);
+  });
+
   it("expires although the owner continues to poll", async () => {
     const clock = createManualClock();
     const controller = new AbortController();
