Repeat the announcement of a new owner that is not acknowledged

Suspected cause, not traced: an owner announced itself to each instance once, and an instance that has left the group may not find the owner otherwise.

Change: the announcement is sent up to three times until it is acknowledged. Announcements name the epoch, so a late one changes nothing.

--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -39,6 +39,7 @@
   type Logger,
 } from "../telemetry/mod.ts";
 import { createTimeLine, type TimeLine } from "../time_line/mod.ts";
+import { announceOwnership } from "./announce_ownership.ts";
 import { requestAdvice } from "./request_advice.ts";
 import {
   type ConfigurationState,
@@ -322,14 +323,18 @@
  * wait for the previous owner move to this one immediately.
  */
 function broadcastOwnership(
-  { directory, instances, rpc, self }: EntryContextParts,
+  { clock, directory, ending, instances, rpc, self }: EntryContextParts,
   partition: number,
   epoch: number,
 ): void {
   directory.recordOwner(partition, self, epoch);
-  for (const instance of [...instances.addresses(), ...instances.stopping()]) {
-    if (instance !== self) rpc.owned(instance, self, partition, epoch);
-  }
+  const known = new Set([...instances.addresses(), ...instances.stopping()]);
+  known.delete(self);
+  announceOwnership({
+    clock,
+    announce: (instance) => rpc.owned(instance, self, partition, epoch),
+    signal: ending.signal,
+  }, [...known]);
 }
 
 function createInstanceRelayServer(context: EntryContextParts): RelayServer {
