Lengthen a membership that the store rejects, instead of setting its minimum

What the variable was for, an owner where the store accepts no membership of 1.3 s, comes from the store's own answer: a rejected join is repeated with a membership that is a quarter longer, up to 60 s; one that was accepted is kept. An outage lengthens nothing.

--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -53,7 +53,6 @@
 import type { Settings } from "../settings/mod.ts";
 import { createInstanceList, type InstanceList } from "./instance_list.ts";
 import { createManifestState, type ManifestState } from "./manifest_state.ts";
-import { memberTtlMs } from "./member_ttl.ts";
 import type { OwnerDiscovery } from "./owner_discovery.ts";
 import { createPeerContact, type PeerContact } from "./peer_contact.ts";
 import { reportAddress } from "./peer_ports.ts";
@@ -235,7 +234,8 @@
       group: OWNER_GROUP,
       member: self,
       topic: DOMAINS_TOPIC,
-      ttlMs: memberTtlMs(settings.store),
+      // The store takes whole milliseconds.
+      ttlMs: Math.ceil(settings.store.memberTtlMs),
     },
     membership: undefined,
     ownerDiscovery: undefined,
--- a/src/ownership/group_membership.ts
+++ b/src/ownership/group_membership.ts
@@ -16,6 +16,7 @@
   elapsedMs,
   type Instant,
 } from "./instant.ts";
+import { nextTtlMs } from "./member_ttl.ts";
 
 /** How often a member confirms its membership, in milliseconds. */
 const CONFIRM_INTERVAL_MS = 350;
@@ -77,6 +78,8 @@
   /** When the latest successful confirmation was sent. */
   confirmedAt: Instant;
   generation: number;
+  /** The membership to ask for, in ms: as set, unless the store rejects it. */
+  ttlMs: number;
   hasReadMembers: boolean;
   /** Ends the current delay early. */
   pauseController: AbortController;
@@ -107,6 +110,7 @@
     host,
     confirmedAt: DISTANT_PAST,
     generation: 0,
+    ttlMs: host.member.ttlMs,
     hasReadMembers: false,
     pauseController: new AbortController(),
     isConfirmRequested: false,
@@ -237,9 +241,9 @@
 
 /** Whether the TTL has passed, including time while the process was frozen. */
 function mayHaveExpired(state: MembershipState): boolean {
-  const { clock, member } = state.host;
-  return state.confirmedAt !== DISTANT_PAST &&
-    elapsedMs(clock, state.confirmedAt) > member.ttlMs;
+  const { confirmedAt, ttlMs } = state;
+  return confirmedAt !== DISTANT_PAST &&
+    elapsedMs(state.host.clock, confirmedAt) > ttlMs;
 }
 
 /** Whether this instance is still a member, or may fill a vacancy at once. */
@@ -262,10 +266,11 @@
 /** Confirms the membership, applies the assignment, and waits. */
 async function confirmOnce(state: MembershipState): Promise<void> {
   const { host } = state;
-  const { store, clock, member, signal, logger } = host;
+  const { store, clock, signal, logger } = host;
   state.isConfirmRequested = false;
   if (state.hasResigned) return;
   const sentAt = currentInstant(clock);
+  const member = { ...host.member, ttlMs: state.ttlMs };
   const joinResult = await store.join(member, state.generation, signal);
   if (signal.aborted || state.hasResigned) return;
   if (joinResult.isErr()) {
@@ -275,7 +280,11 @@
       fault: joinResult.error.kind,
       cause: joinResult.error.message,
       confirmedAgoMs: Math.round(elapsedMs(clock, state.confirmedAt)),
+      ttlMs: state.ttlMs,
     });
+    if (joinResult.error.kind === "rejected") {
+      state.ttlMs = nextTtlMs(state.ttlMs, host.member.ttlMs);
+    }
     await pauseFor(state, RETRY_DELAY_MS);
     return;
   }
@@ -286,6 +295,7 @@
       generation: joinResult.value.generation,
       partitions: joinResult.value.partitions.map(({ number }) => number)
         .join(","),
+      ttlMs: state.ttlMs,
     });
   }
   state.generation = joinResult.value.generation;
--- a/src/ownership/group_membership_test.ts
+++ b/src/ownership/group_membership_test.ts
@@ -14,6 +14,10 @@
   members: string[];
   joins: number;
   leaves: string[];
+  /** The shortest membership that the store accepts, in milliseconds. */
+  minTtlMs: number;
+  /** The memberships that were accepted, in milliseconds. */
+  acceptedTtlsMs: number[];
 };
 
 type Script = {
@@ -25,18 +29,33 @@
   requiredMembers: number;
   hasWork: boolean;
   untilMs: number;
+  /** The membership as set, in milliseconds. */
+  ttlMs: number;
 };
 
+function emptyGroup(changes: Partial<Group> = {}): Group {
+  return {
+    isUp: true,
+    members: [],
+    joins: 0,
+    leaves: [],
+    minTtlMs: 0,
+    acceptedTtlsMs: [],
+    ...changes,
+  };
+}
+
 /** Runs a membership until a given time; every sleep advances the clock. */
 async function run(changes: Partial<Script>): Promise<Script> {
   const script: Script = {
-    group: { isUp: true, members: [], joins: 0, leaves: [] },
+    group: emptyGroup(),
     nowMs: 0,
     waitMs: () => 0,
     onTime: () => {},
     requiredMembers: 1,
     hasWork: true,
     untilMs: 10_000,
+    ttlMs: 1_300,
     ...changes,
   };
   const { group } = script;
@@ -57,8 +76,14 @@
           })))
           : unanswered(),
       ),
-    join() {
+    join({ ttlMs }) {
       if (!group.isUp) return Promise.resolve(unanswered());
+      if (ttlMs < group.minTtlMs) {
+        return Promise.resolve(
+          err({ kind: "rejected", step: "store.join", message: "status 400" }),
+        );
+      }
+      group.acceptedTtlsMs.push(ttlMs);
       group.joins += 1;
       if (!group.members.includes(SELF)) group.members.push(SELF);
       const assignment: Assignment = {
@@ -87,7 +112,7 @@
       },
     },
     logger: silentLogger,
-    member: { group: "g", member: SELF, topic: "domains", ttlMs: 1_300 },
+    member: { group: "g", member: SELF, topic: "domains", ttlMs: script.ttlMs },
     requiredMembers: () => script.requiredMembers,
     hasWork: () => script.hasWork,
     candidateWaitMs: () => script.waitMs(),
@@ -119,7 +144,7 @@
     let waitMs: number | undefined;
     const { group } = await run({
       waitMs: () => waitMs,
-      group: { isUp: false, members: [], joins: 0, leaves: [] },
+      group: emptyGroup({ isUp: false }),
       onTime(script) {
         if (script.nowMs >= 5_000) script.group.isUp = true;
         // The list of candidates arrives later, and then the best one joins.
@@ -141,7 +166,6 @@
           group.members.push("other");
         }
       },
-      group: { isUp: true, members: [], joins: 0, leaves: [] },
       requiredMembers: 1,
     });
     // The first call ends the membership of an earlier process.
@@ -155,3 +179,49 @@
     assert.ok(group.members.includes(SELF));
   });
 });
+
+// Guards against domains without an owner: a store that accepts no membership as
+// short as the one that is set rejects each join.
+describe("a membership that the store may find too short", () => {
+  const LENGTHENING = 1.25;
+
+  for (const minTtlMs of [0, 1_000, 1_300]) {
+    it(`is as set where ${minTtlMs} ms are accepted`, async () => {
+      const { group } = await run({ group: emptyGroup({ minTtlMs }) });
+      assert.deepEqual([...new Set(group.acceptedTtlsMs)], [1_300]);
+    });
+  }
+
+  for (const minTtlMs of [1_301, 2_000, 2_000.5, 10_000, 40_000]) {
+    it(`is lengthened to ${minTtlMs} ms and little more`, async () => {
+      const { group } = await run({ group: emptyGroup({ minTtlMs }) });
+      const [ttlMs = 0, ...others] = new Set(group.acceptedTtlsMs);
+      assert.deepEqual(others, [], "an accepted membership is kept");
+      assert.ok(Number.isInteger(ttlMs));
+      assert.ok(ttlMs >= minTtlMs);
+      assert.ok(ttlMs <= Math.ceil(minTtlMs * LENGTHENING));
+      assert.ok(group.members.includes(SELF));
+    });
+  }
+
+  it("is as set again once the store rejects it for another reason", async () => {
+    const { group } = await run({
+      group: emptyGroup({ minTtlMs: Infinity }),
+      onTime({ nowMs, group }) {
+        if (nowMs >= 20_000) group.minTtlMs = 0;
+      },
+      untilMs: 30_000,
+    });
+    assert.ok(group.members.includes(SELF));
+  });
+
+  it("is not lengthened by an outage of the store", async () => {
+    const { group } = await run({
+      group: emptyGroup({ isUp: false }),
+      onTime({ nowMs, group }) {
+        if (nowMs >= 5_000) group.isUp = true;
+      },
+    });
+    assert.deepEqual([...new Set(group.acceptedTtlsMs)], [1_300]);
+  });
+});
--- a/src/settings/read_settings_test.ts
+++ b/src/settings/read_settings_test.ts
@@ -58,12 +58,7 @@
       metricsPort: 8004,
     },
     peers: { secret: "" },
-    store: {
-      address: "127.0.0.1:9001",
-      partitions: 8,
-      memberTtlMs: 1300,
-      memberTtlMinMs: 0,
-    },
+    store: { address: "127.0.0.1:9001", partitions: 8, memberTtlMs: 1300 },
     configuration: { revocationBoundMs: 5000, additionBoundMs: 4000 },
     advice: { address: "" },
     workers: { heartbeatMs: 1500 },
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -50,8 +50,6 @@
     partitions: wholeNumber(1, 10_000),
     /** How long a member without heartbeats keeps its domains, in ms. */
     member_ttl_ms: numberFrom(100),
-    /** The shortest such time that the store accepts, in milliseconds. */
-    member_ttl_min_ms: v.optional(numberFrom(0), "0"),
   }),
   configuration: v.object({
     /** How long after its revocation a key may be accepted, in ms. */
--- a/stand_ins/platform/store.ts
+++ b/stand_ins/platform/store.ts
@@ -40,6 +40,8 @@
   groups: Map<string, Group>;
   /** Whether a record with a value is rejected for good. */
   rejects(key: string): boolean;
+  /** The shortest membership of a group that is accepted, in milliseconds. */
+  minMemberTtlMs: number;
 };
 
 /** Creates an empty store. */
@@ -49,6 +51,7 @@
     logs: new Map(),
     groups: new Map(),
     rejects: () => false,
+    minMemberTtlMs: 0,
   };
 }
 
@@ -194,6 +197,10 @@
   },
   nowMs: number,
 ): StandInResponse {
+  const { minMemberTtlMs } = store;
+  if (request.ttl_ms < minMemberTtlMs) {
+    return { status: 400, body: { error: `ttl_ms below ${minMemberTtlMs}` } };
+  }
   const group = getOrCreateGroup(store, request.group);
   removeExpiredMembers(group, nowMs);
   if (!group.members.has(request.member)) group.generation += 1;
