--- a/src/entry/mod.ts
+++ b/src/entry/mod.ts
@@ -11,4 +11,5 @@
 export * from "./entry_platform.ts";
 export * from "./key_index.ts";
 export * from "./partition_of.ts";
+export * from "./read_start_settings.ts";
 export * from "./run_entry.ts";
--- a/src/settings/check_settings_file.ts
+++ b/src/settings/check_settings_file.ts
@@ -7,6 +7,7 @@
 
 /**
  * Reads and validates a settings file, and the settings in the environment.
+ * Names that this build does not know are faults, unless `unknown` receives them.
  *
  * @example
  * ```ts
@@ -17,9 +18,10 @@
  */
 export function checkSettingsFile(
   path: string,
-  environment: Environment = {},
+  environment?: Environment,
+  unknown?: SettingsFault[],
 ): Result<Settings, SettingsFault[]> {
   const text = readTextFile(path);
   if (text.isErr()) return err([unreadableSettings(path, text.error)]);
-  return readSettings(text.value, environment);
+  return readSettings(text.value, environment, unknown);
 }
--- a/src/settings/environment_settings.ts
+++ b/src/settings/environment_settings.ts
@@ -1,6 +1,7 @@
 import type { IniSection } from "./ini_section.ts";
 import { sections } from "./sections.ts";
 import { type SettingsFault, unknownVariable } from "./settings_fault.ts";
+import { mayTolerateUnknown } from "./unknown_names.ts";
 
 const VARIABLE_PREFIX = "SAMPHIRESTAGE_SETTING_";
 
@@ -24,25 +25,30 @@
  * Adds the settings that the environment holds to those of a file, which they
  * replace. An empty variable counts as absent, because a platform that has no
  * value for a variable sets it to an empty text. Variables that no key has are
- * appended to `faults`.
+ * appended to `unknown`, or to `faults` if one of them may have been meant to be
+ * a secret.
  *
  * @example
  * ```ts
  * const ini = parseIni(text)._unsafeUnwrap();
- * addEnvironmentSettings(ini, process.env, faults);
+ * addEnvironmentSettings(ini, process.env, faults, unknown);
  * ```
  */
 export function addEnvironmentSettings(
   ini: Map<string, IniSection>,
   environment: Environment,
   faults: SettingsFault[],
+  unknown: SettingsFault[],
 ): void {
   const keys = keysByVariable();
   for (const [variable, value = ""] of Object.entries(environment)) {
     if (!variable.startsWith(VARIABLE_PREFIX)) continue;
     const found = keys.get(variable);
     if (found === undefined) {
-      faults.push(unknownVariable(variable, [...keys.keys()]));
+      const name = variable.slice(VARIABLE_PREFIX.length).toLowerCase();
+      const isTolerated = mayTolerateUnknown(name.split("_")[0]!, [name]);
+      (isTolerated ? unknown : faults)
+        .push(unknownVariable(variable, [...keys.keys()]));
     } else if (value !== "") {
       const { section, key } = found;
       ini.set(section, new Map(ini.get(section)).set(key, [value]));
--- a/src/settings/read_section.ts
+++ b/src/settings/read_section.ts
@@ -6,6 +6,7 @@
   type SettingsFault,
   unknownKey,
 } from "./settings_fault.ts";
+import { mayTolerateUnknown } from "./unknown_names.ts";
 
 type ValueSchema = v.GenericSchema<unknown, unknown>;
 type SectionSchema = v.ObjectSchema<Record<string, ValueSchema>, undefined>;
@@ -15,7 +16,8 @@
 
 /**
  * Reads a section with fixed keys. Faults are appended to `faults`; keys with
- * faults are omitted from the result.
+ * faults are omitted from the result. Keys that the schema lacks are appended to
+ * `unknown` where they may be tolerated; they are faults without it.
  *
  * @example
  * ```ts
@@ -27,6 +29,7 @@
   schema: Schema,
   given: IniSection,
   faults: SettingsFault[],
+  unknown: SettingsFault[] = faults,
 ): Partial<v.InferOutput<Schema>> {
   const values: Record<string, unknown> = {};
   for (const [key, value] of Object.entries(schema.entries)) {
@@ -35,7 +38,9 @@
   }
   const known = Object.keys(schema.entries);
   for (const key of given.keys()) {
-    if (!known.includes(key)) faults.push(unknownKey(name, key, known));
+    if (known.includes(key)) continue;
+    const isTolerated = mayTolerateUnknown(name, [key]);
+    (isTolerated ? unknown : faults).push(unknownKey(name, key, known));
   }
   return values as Partial<v.InferOutput<Schema>>;
 }
--- a/src/settings/read_settings.ts
+++ b/src/settings/read_settings.ts
@@ -8,6 +8,7 @@
 import { readNamedSecrets, readSection } from "./read_section.ts";
 import { sections } from "./sections.ts";
 import type { Settings } from "./settings.ts";
+import { mayTolerateUnknown } from "./unknown_names.ts";
 import {
   invalidValue,
   type SettingsFault,
@@ -34,20 +35,26 @@
  * ```
  *
  * @param text the content of the settings file
+ * @param unknown receives the sections, keys and variables that this build does
+ *   not know and ignores; they are faults if it is absent
  * @returns the settings, or all faults of the text
  */
 export function readSettings(
   text: string,
-  environment: Environment = {},
+  environment?: Environment,
+  unknown?: SettingsFault[],
 ): Result<Settings, SettingsFault[]> {
   const parsed = parseIni(text);
   if (parsed.isErr()) return err([unreadableSettings("text", parsed.error)]);
   const ini = parsed.value;
-  const faults = [...unknownSections(ini)];
-  addEnvironmentSettings(ini, environment, faults);
+  const faults: SettingsFault[] = [];
+  addUnknownSections(ini, faults, unknown ?? faults);
+  addEnvironmentSettings(ini, environment ?? {}, faults, unknown ?? faults);
   const fixedSections = Object.entries(sections).map(([name, schema]) => [
     name,
-    camelCaseKeys(readSection(name, schema, getSection(ini, name), faults)),
+    camelCaseKeys(
+      readSection(name, schema, getSection(ini, name), faults, unknown),
+    ),
   ]);
   const customers = readNamedSecrets(
     "customers",
@@ -74,13 +81,15 @@
   return ini.get(name) ?? new Map();
 }
 
-function* unknownSections(
+function addUnknownSections(
   ini: Map<string, IniSection>,
-): Generator<SettingsFault> {
-  for (const name of ini.keys()) {
-    if (!SECTION_NAMES.includes(name)) {
-      yield unknownSection(name, SECTION_NAMES);
-    }
+  faults: SettingsFault[],
+  unknown: SettingsFault[],
+): void {
+  for (const [name, section] of ini) {
+    if (SECTION_NAMES.includes(name)) continue;
+    const isTolerated = mayTolerateUnknown(name, section.keys());
+    (isTolerated ? unknown : faults).push(unknownSection(name, SECTION_NAMES));
   }
 }
 
--- a/src/settings/read_settings_test.ts
+++ b/src/settings/read_settings_test.ts
@@ -1,6 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { formatSettingsFaults, readSettings } from "./mod.ts";
+import {
+  formatSettingsFaults,
+  readSettings,
+  type SettingsFault,
+} from "./mod.ts";
 
 const VALID = `
 [instance]
@@ -226,3 +230,51 @@
     assert.match(faults[0]!, new RegExp(`^SS1002: \\[[a-z]+\\] ${key} is "`));
   });
 }
+
+// Guards against LOST: no instance started where the deploy file was newer than
+// the programs, or older.
+test("settings: names that this build does not know may be passed over", () => {
+  const text = VALID.replace("max_ms = 6000", "max_ms = 6000\ngrace_ms = 10") +
+    "[cache]\nsize_mb = 10\n";
+  const unknown: SettingsFault[] = [];
+  const settings = readSettings(text, {
+    SAMPHIRESTAGE_SETTING_STORE_MEMBER_TTL_MIN_MS: "2000",
+  }, unknown);
+  assert.deepEqual(
+    settings._unsafeUnwrap(),
+    readSettings(VALID)._unsafeUnwrap(),
+  );
+  const names = formatSettingsFaults(unknown).split("\n")
+    .map((line) => line.split(" is not ")[0]?.split(" names ")[0]);
+  assert.deepEqual(names, [
+    "SS1004: [cache]",
+    "SS1006: The variable SAMPHIRESTAGE_SETTING_STORE_MEMBER_TTL_MIN_MS",
+    "SS1003: [lease] grace_ms",
+  ]);
+  assert.equal(readFaults(text).length, 2);
+});
+
+const GUARDED: [name: string, text: string, variable?: string][] = [
+  ["a mistyped secret", "[peers]\nsecert = 0123456789abcdef"],
+  ["a secret in a mistyped section", "[peer]\nsecret = 0123456789abcdef"],
+  ["a mistyped secret in the environment", "", "PEERS_SECERT"],
+  ["a secret of a mistyped section there", "", "PEER_SECRET"],
+  ["a customer whose name is not allowed", "[customers]\nA B = long-token-1"],
+];
+
+// Guards against a deployment that anybody may call, since a name was mistyped.
+for (const [name, text, variable] of GUARDED) {
+  test(`settings: ${name} is never passed over`, () => {
+    const environment = variable === undefined
+      ? {}
+      : { [`SAMPHIRESTAGE_SETTING_${variable}`]: "0123456789abcdef" };
+    const unknown: SettingsFault[] = [];
+    const settings = readSettings(VALID + text, environment, unknown);
+    assert.ok(settings.isErr());
+    assert.deepEqual(unknown, []);
+  });
+}
+
+test("settings: keys before the first section are never passed over", () => {
+  assert.ok(readSettings(`id = kigali-1\n${VALID}`, {}, []).isErr());
+});
