Accept a bound of 0, and `false` for a bound that a platform lacks

What callers would see: no instance starts where the platform says that a key ends at once (revoke_ms 0), or writes `false` for a bound that it does not have; its template language treats false as no value.

Fix: the bounds of keys may be 0: no confirmation is then young enough, so calls with keys get 503, and public queues are served. `false` in a variable is absent, as an empty one. The read of the configuration waits 100 ms at least, because a bound near 0 would repeat it without a pause.

What stays refused, with its key: `true` for a bound, 1e400, a lease or an interval of heartbeats of 0, since nothing could run under them, and an empty field that is required.

Evidence: read_settings_test.ts; the first assertions fail before.

--- a/src/entry/follow_store_topics.ts
+++ b/src/entry/follow_store_topics.ts
@@ -12,6 +12,8 @@
 
 /** The partition in which instances announce themselves. */
 export const INSTANCES_PARTITION = { topic: "instances", number: 0 };
+/** The shortest wait for a new configuration; each read is a call, in ms. */
+const MIN_LONG_POLL_WAIT_MS = 100;
 /** How long the store may hold a read open for new records, in ms. */
 const LONG_POLL_WAIT_MS = 2_000;
 /**
@@ -53,7 +55,10 @@
         return LONG_POLL_WAIT_MS;
       }
       const { revocationBoundMs } = context.settings.configuration;
-      const waitMs = Math.floor(revocationBoundMs * KEYS_LONG_POLL_SHARE);
+      const waitMs = Math.max(
+        MIN_LONG_POLL_WAIT_MS,
+        Math.floor(revocationBoundMs * KEYS_LONG_POLL_SHARE),
+      );
       return hasReadFailed ? 0 : Math.min(waitMs, LONG_POLL_WAIT_MS);
     },
     partition: platform.configurationTopic,
--- a/src/settings/environment_settings.ts
+++ b/src/settings/environment_settings.ts
@@ -4,6 +4,8 @@
 import { mayTolerateUnknown } from "./unknown_names.ts";
 
 const VARIABLE_PREFIX = "SAMPHIRESTAGE_SETTING_";
+/** How a platform writes that it has no value. */
+const ABSENT_VALUES: readonly string[] = ["", "false"];
 
 /** Environment variables by name, such as `process.env`. */
 export type Environment = Readonly<Record<string, string | undefined>>;
@@ -23,8 +25,8 @@
 
 /**
  * Adds the settings that the environment holds to those of a file, which they
- * replace. An empty variable counts as absent, because a platform that has no
- * value for a variable sets it to an empty text. Variables that no key has are
+ * replace. An empty variable, or `false`, counts as absent, because a platform that
+ * has no value for a variable sets it so. Variables that no key has are
  * appended to `unknown`, or to `faults` if one of them may have been meant to be
  * a secret.
  *
@@ -49,7 +51,7 @@
       const isTolerated = mayTolerateUnknown(name.split("_")[0]!, [name]);
       (isTolerated ? unknown : faults)
         .push(unknownVariable(variable, [...keys.keys()]));
-    } else if (value !== "") {
+    } else if (!ABSENT_VALUES.includes(value)) {
       const { section, key } = found;
       ini.set(section, new Map(ini.get(section)).set(key, [value]));
     }
--- a/src/settings/read_settings_test.ts
+++ b/src/settings/read_settings_test.ts
@@ -278,3 +278,15 @@
 test("settings: keys before the first section are never passed over", () => {
   assert.ok(readSettings(`id = kigali-1\n${VALID}`, {}, []).isErr());
 });
+
+test("settings: a variable that is empty or false counts as absent", () => {
+  const variable = "SAMPHIRESTAGE_SETTING_CONFIGURATION_REVOCATION_BOUND_MS";
+  for (const absent of ["", "false"]) {
+    const settings = readSettings(VALID, { [variable]: absent });
+    assert.deepEqual(settings, readSettings(VALID));
+  }
+  const { configuration } = readSettings(VALID, { [variable]: "0" })
+    ._unsafeUnwrap();
+  assert.equal(configuration.revocationBoundMs, 0);
+  assert.ok(readSettings(VALID, { [variable]: "true" }).isErr());
+});
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -53,9 +53,9 @@
   }),
   configuration: v.object({
     /** How long after its revocation a key may be accepted, in ms. */
-    revocation_bound_ms: v.optional(numberFrom(1), "5000"),
+    revocation_bound_ms: v.optional(numberFrom(0), "5000"),
     /** Time after which an added key has to be accepted, in ms. */
-    addition_bound_ms: v.optional(numberFrom(1), "4000"),
+    addition_bound_ms: v.optional(numberFrom(0), "4000"),
   }),
   advice: v.object({
     /** Address of the placement policy service; empty for none. */
