Check all instances before the takeover of a domain

Cause: the list of instances kept the lost ones for 10 s and longer, and began anew with each owner. Lost owners are the best candidates and relays of the list, so each new owner gave them the links of its workers and lost these for a second, one lost instance after the other; steps that it had restored waited for the last one (3.2 s in the trace). Their ranks also delayed the detection of the next loss, and their missing answers its confirmation.

Fix: the owner checks all instances at once while it reads the records. Those that do not answer get neither links nor questions until they answer a later check; those that others do not reach either are removed at once, and announce themselves again if they run.

--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -66,6 +66,11 @@
 import { createReachability, type Reachability } from "./reachability.ts";
 import { createRecordingLogger } from "./recording_logger.ts";
 import { servicesOf } from "./services.ts";
+import { checkAllInstances } from "./remove_gone_instances.ts";
+import {
+  createSilentInstances,
+  type SilentInstances,
+} from "./silent_instances.ts";
 import { readOwnersFromPeers } from "./read_owners_from_peers.ts";
 
 /** The group of the store whose members own the domains. */
@@ -115,6 +120,8 @@
   /** Routes the reports of relays to the owners in this process. */
   relaySessions: RelayReportRouter;
   instances: InstanceList;
+  /** The instances that did not answer their last check. */
+  silentInstances: SilentInstances;
   rpc: PeerRpc;
   peerContact: PeerContact;
   reachability: Reachability;
@@ -220,6 +227,7 @@
       settings.workers.heartbeatMs,
     ),
     instances: createInstanceList(self, logger.part("entry")),
+    silentInstances: createSilentInstances(clock),
     relaySessions: createRelayReportRouter(),
     rpc: createPeerRpc(
       createPeerClient(peerHttpClient, { secret: settings.peers.secret }),
@@ -243,10 +251,14 @@
     closing,
     ending,
   };
-  return Object.assign(parts, {
-    ownedDomains: createInstanceDomains(parts),
+  const context: EntryContext = Object.assign(parts, {
+    ownedDomains: createInstanceDomains(
+      parts,
+      () => checkAllInstances(context),
+    ),
     relayServer: createInstanceRelayServer(parts),
   });
+  return context;
 }
 
 /**
@@ -266,8 +278,12 @@
   ]);
 }
 
-function createInstanceDomains(context: EntryContextParts): OwnedDomains {
+function createInstanceDomains(
+  context: EntryContextParts,
+  checkInstances: () => Promise<void>,
+): OwnedDomains {
   const { settings, platform, clock, logger, counters, ending } = context;
+  const { instances, silentInstances } = context;
   const { signal } = ending;
   const leaseMs = leaseMsOf(settings);
   // Each domain asks for each worker whenever the list of workers changes.
@@ -301,8 +317,15 @@
       broadcastOwnership(context, partition, epoch),
     servesDomain: (service, partition) =>
       lookUpPartition(service) === partition,
-    instances: () => context.instances.addresses(),
-    relayPeers: () => context.instances.relayPeers(),
+    checkInstances,
+    instances: () =>
+      instances.addresses().filter((address) =>
+        !silentInstances.isSilent(address)
+      ),
+    relayPeers: () =>
+      instances.relayPeers().filter(({ address }) =>
+        !silentInstances.isSilent(address)
+      ),
     reportAddress: reportAddress(settings.listen),
     relaySessions: context.relaySessions,
     newSession: () => `${context.self}/${randomUUID()}`,
--- a/src/entry/remove_gone_instances.ts
+++ b/src/entry/remove_gone_instances.ts
@@ -1,7 +1,7 @@
 /**
- * Removes the announcements of instances that have gone without withdrawing
- * them, so that the list of instances stays bounded. An instance that is
- * removed although it runs announces itself again.
+ * Finds the instances that have gone without withdrawing their announcements,
+ * and removes these, so that the list of instances stays bounded. An instance
+ * that is removed although it runs announces itself again.
  *
  * @module
  */
@@ -9,7 +9,6 @@
 import type { EntryContext } from "./entry_context.ts";
 import { INSTANCES_PARTITION } from "./follow_store_topics.ts";
 import { isAlive, probeInstance } from "./probe_instance.ts";
-import { createSilentInstances } from "./silent_instances.ts";
 import { isUnreachableFor } from "./unreachable_instance.ts";
 
 /** What the checks and the removals need of an instance. */
@@ -23,6 +22,7 @@
     | "peerContact"
     | "rpc"
     | "self"
+    | "silentInstances"
     | "stopping"
   >
   & { platform: { store: Pick<StoreHost, "append"> } };
@@ -39,32 +39,71 @@
 export async function removeGoneInstances(
   host: InstanceRemovalHost,
 ): Promise<void> {
-  const { clock, instances, ownedDomains, peerContact, rpc, self, stopping } =
-    host;
+  const { clock, ownedDomains, silentInstances, stopping } = host;
   const { signal } = stopping;
-  const silent = createSilentInstances(clock);
   while (!signal.aborted) {
     await clock.sleep(CHECK_INTERVAL_MS, signal);
-    const others = ownedDomains.count() === 0
-      ? []
-      : instances.addresses().filter((address) => address !== self);
-    await Promise.all(
-      silent.nextChecks(others).map(async (instance) => {
-        const outcome = await probeInstance(instance);
-        silent.record(
-          instance,
-          isAlive(outcome, peerContact.silentMs(instance)),
-        );
-      }),
+    const others = ownedDomains.count() === 0 ? [] : otherInstances(host);
+    await probeAll(host, silentInstances.nextChecks(others));
+    await removeConfirmed(host, others, silentInstances.gone());
+  }
+}
+
+/**
+ * Checks all instances at once before this one takes over a domain. Links and
+ * questions that a new owner would give to an instance that has gone are lost
+ * until their timeout, and after a series of losses the lost ones are the best
+ * candidates of the list. Resolves when all have been probed; those that others
+ * do not reach either are removed afterwards.
+ *
+ * @example
+ * ```ts
+ * await checkAllInstances(context);
+ * const relays = peers.filter(({ address }) =>
+ *   !context.silentInstances.isSilent(address)
+ * );
+ * ```
+ */
+export async function checkAllInstances(
+  host: InstanceRemovalHost,
+): Promise<void> {
+  const others = otherInstances(host);
+  await probeAll(host, others);
+  const silent = others.filter(host.silentInstances.isSilent);
+  removeConfirmed(host, others, silent);
+}
+
+function otherInstances({ instances, self }: InstanceRemovalHost): string[] {
+  return instances.addresses().filter((address) => address !== self);
+}
+
+async function probeAll(
+  { peerContact, silentInstances }: InstanceRemovalHost,
+  addresses: string[],
+): Promise<void> {
+  await Promise.all(addresses.map(async (instance) => {
+    const outcome = await probeInstance(instance);
+    silentInstances.record(
+      instance,
+      isAlive(outcome, peerContact.silentMs(instance)),
     );
-    const confirming = others.filter((other) => !silent.isSilent(other))
-      .slice(0, MAX_CONFIRMING_INSTANCES);
-    // If none of several others answers, this instance itself is partitioned.
-    if (confirming.length === 0 && others.length > 1) continue;
-    for (const instance of silent.gone()) {
-      if (!await isUnreachableFor(rpc, confirming, instance)) continue;
-      await removeAnnouncement(host, instance);
-    }
+  }));
+}
+
+/** Removes those of the silent instances that others do not reach either. */
+async function removeConfirmed(
+  host: InstanceRemovalHost,
+  others: string[],
+  silent: string[],
+): Promise<void> {
+  const confirming = others
+    .filter((other) => !host.silentInstances.isSilent(other))
+    .slice(0, MAX_CONFIRMING_INSTANCES);
+  // If none of several others answers, this instance itself is partitioned.
+  if (confirming.length === 0 && others.length > 1) return;
+  for (const instance of silent) {
+    if (!await isUnreachableFor(host.rpc, confirming, instance)) continue;
+    await removeAnnouncement(host, instance);
   }
 }
 
--- a/src/entry/testing/moving_queue_model.ts
+++ b/src/entry/testing/moving_queue_model.ts
@@ -277,6 +277,7 @@
     reportAddress: name,
     hasStoppedGranting: () => Promise.resolve(true),
     confirmedAt: () => currentInstant(clock),
+    checkInstances: () => Promise.resolve(),
     relayPeers: () => [],
     relaySessions: createRelayReportRouter(),
     newSession: () => "session",
--- a/src/ownership/owned_domains.ts
+++ b/src/ownership/owned_domains.ts
@@ -39,6 +39,11 @@
      * no longer be used although no other instance has a higher one.
      */
     rejoinGroup(): void;
+    /**
+     * Checks which instances can be reached, before one that starts to own a
+     * domain in use relies on them.
+     */
+    checkInstances(): Promise<void>;
     /** Called after the takeover of a domain in use. */
     onTakeover(partition: number, epoch: number): void;
   };
@@ -244,7 +249,10 @@
     callbacks: Pick<DomainOwnerHost, "onFenced" | "onFailed" | "signal">,
   ): Promise<DomainOwner | undefined> {
     const { signal } = callbacks;
-    const takeover = await takeOver({ ...host, partition, epoch, signal });
+    const [takeover] = await Promise.all([
+      takeOver({ ...host, partition, epoch, signal }),
+      host.isInUse(partition.number) ? host.checkInstances() : undefined,
+    ]);
     if (takeover.isErr()) {
       const { kind, message } = takeover.error;
       if (kind === "sequence") callbacks.onFailed(message);
--- a/src/ownership/owned_domains_test.ts
+++ b/src/ownership/owned_domains_test.ts
@@ -33,7 +33,10 @@
 }));
 
 /** Owned domains on a store that fences epochs up to a limit. */
-function createTestSetup(fencedUpTo: number) {
+function createTestSetup(
+  fencedUpTo: number,
+  checkInstances: () => Promise<void> = () => Promise.resolve(),
+) {
   const appends: { number: number; epoch: number }[] = [];
   const controller = new AbortController();
   const clock = createManualClock();
@@ -78,6 +81,7 @@
     reportAddress: "self",
     hasStoppedGranting: () => Promise.resolve(true),
     confirmedAt: () => currentInstant(clock),
+    checkInstances,
     relayPeers: () => [],
     relaySessions: createRelayReportRouter(),
     newSession: () => "session",
@@ -158,4 +162,25 @@
     assert.notEqual(await domains.ownerOf(IN_USE), undefined);
     controller.abort();
   });
+
+  // Guards against a new owner that relies on instances which have gone.
+  it("start to be owned after a check of the instances, if in use", async () => {
+    let checks = 0;
+    let endCheck = () => {};
+    const { domains, controller } = createTestSetup(0, () => {
+      checks += 1;
+      return new Promise((resolve) => endCheck = resolve);
+    });
+    domains.assign({ generation: 1, partitions: [PARTITIONS[IN_USE]!] });
+    await flushPromises();
+    assert.equal(checks, 1);
+    assert.equal(domains.loadedOwners().length, 0);
+    endCheck();
+    await flushPromises();
+    assert.equal(domains.loadedOwners().length, 1);
+    domains.assign({ generation: 2, partitions: PARTITIONS });
+    await flushPromises();
+    assert.equal(checks, 1, "idle domains rely on no instance");
+    controller.abort();
+  });
 });
