--- a/src/settings/environment_settings.ts
+++ b/src/settings/environment_settings.ts
@@ -25,8 +25,8 @@
 
 /**
  * Adds the settings that the environment holds to those of a file, which they
- * replace. An empty variable, or `false`, counts as absent, because a platform that
- * has no value for a variable sets it so. Variables that no key has are
+ * replace. An empty variable, or `false`, counts as absent, because a platform
+ * that has no value for a variable sets it so. Variables that no key has are
  * appended to `unknown`, or to `faults` if one of them may have been meant to be
  * a secret.
  *
